--- /dev/null
+++ b/src/main/java/org/cassiabank/membership/InstanceRole.java
@@ -0,0 +1,11 @@
+package org.cassiabank.membership;
+
+/**
+ * What an instance of the platform runs.
+ */
+public enum InstanceRole {
+    /** A proxy daemon of this project. */
+    PROXY,
+    /** A backend server. */
+    BACKEND
+}
--- /dev/null
+++ b/thrift/peer.thrift
@@ -0,0 +1,142 @@
+/** Messages between the proxies of one fleet. Durations are in milliseconds unless the name says otherwise. */
+namespace java org.cassiabank.peer.generated
+
+enum OutcomeKind {
+  /** The backend server answered and the answer was whole. */
+  ANSWERED = 1,
+  /** The backend server answered with a server error or an answer of another request. */
+  FAILED = 2,
+  /** No whole answer came in time, or the connection broke after bytes were written. */
+  BROKEN = 3,
+  /** The request provably never ran. */
+  NOT_RUN = 4,
+  /** The entry cancelled the request because its caller had gone or another attempt had answered. */
+  CANCELLED = 5,
+}
+
+struct SlotRequest {
+  1: required string entry,
+  2: required string serviceName,
+  3: required string selector,
+  4: required string route,
+  5: required string caller,
+  6: required bool repeatable,
+  7: required i64 remainingMillis,
+  8: list<string> excluded,
+  9: i32 shard,
+  10: i64 revision,
+  /** The ticket of an earlier reply, 0 for a new request. */
+  11: i64 ticket,
+}
+
+struct SlotGrant {
+  1: required i64 lease,
+  2: required string server,
+  3: required string address,
+  4: required i64 leaseMillis,
+  /** Time after which a hedge is worth its cost; 0 when none is. */
+  5: i64 hedgeAfterMillis,
+}
+
+struct SlotRefusal {
+  1: required string reason,
+  2: required i64 retryAfterMillis,
+}
+
+/** The request is in the queue; the entry presents the ticket in its next acquire. */
+struct SlotQueued {
+  1: required i64 ticket,
+}
+
+union SlotReply {
+  1: SlotGrant grant,
+  2: SlotRefusal refusal,
+  3: SlotQueued queued,
+}
+
+struct SlotOutcome {
+  1: required string serviceName,
+  2: required i32 shard,
+  3: required i64 lease,
+  4: required OutcomeKind kind,
+  5: required i64 latencyMicros,
+  /** The server's answer said that it is leaving. */
+  6: bool serverLeaving,
+}
+
+/** One configuration change as its JSON document in the store. */
+struct ChangeDocument {
+  1: required i64 revision,
+  2: required binary document,
+}
+
+struct InstanceListDocument {
+  1: required i64 index,
+  2: required binary document,
+}
+
+struct ExchangeRequest {
+  1: required string peer,
+  2: required i64 revision,
+  3: required i64 listIndex,
+  4: list<ChangeDocument> changes,
+  5: optional InstanceListDocument instances,
+  /** A whole configuration, sent in place of changes to a peer that is too far behind. */
+  6: optional ChangeDocument snapshot,
+}
+
+struct ExchangeReply {
+  1: required i64 revision,
+  2: required i64 listIndex,
+  3: list<ChangeDocument> changes,
+  4: optional InstanceListDocument instances,
+  5: optional ChangeDocument snapshot,
+}
+
+enum ClaimState {
+  /** The key was not known; it is now held by the claim of this request. */
+  GRANTED = 1,
+  /** Another claim holds the key and has not ended. */
+  IN_PROGRESS = 2,
+  /** The key has a recorded answer. */
+  ANSWERED = 3,
+  /** The claim that held the key ended without a known outcome. */
+  UNKNOWN = 4,
+  /** The keeper has not yet received the records of its peers, or has no room. */
+  NOT_READY = 5,
+  /** The key was used with a different request. */
+  MISMATCH = 6,
+}
+
+struct RecordedAnswer {
+  1: required i32 status,
+  2: required map<string, string> headers,
+  3: required binary body,
+}
+
+struct ClaimRecord {
+  1: required string key,
+  2: required string claim,
+  3: required i64 requestDigest,
+  4: required ClaimState state,
+  5: required i64 ageMillis,
+  6: optional RecordedAnswer answer,
+}
+
+struct ClaimReply {
+  1: required ClaimState state,
+  2: optional RecordedAnswer answer,
+}
+
+service Peer {
+  SlotReply acquire(1: SlotRequest request),
+  void report(1: SlotOutcome outcome),
+  ExchangeReply exchange(1: ExchangeRequest request),
+  ClaimReply claim(1: string key, 2: string claim, 3: i64 requestDigest),
+  /** Ends a claim: ANSWERED with an answer, UNKNOWN, or GRANTED to release a claim whose request never ran. */
+  void conclude(1: string key, 2: string claim, 3: ClaimState state, 4: RecordedAnswer answer),
+  /** Hands records to a new keeper. */
+  void handOver(1: list<ClaimRecord> records),
+  /** Records that the caller should keep, asked for by a daemon that has just started. */
+  list<ClaimRecord> recordsFor(1: string peer),
+}
