--- /dev/null
+++ b/src/main/java/org/cassiabank/standin/PlatformServer.java
@@ -0,0 +1,203 @@
+package org.cassiabank.standin;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.jooby.Context;
+import io.jooby.Jooby;
+import io.jooby.MediaType;
+import io.jooby.StatusCode;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.cassiabank.http.JoobyServer;
+import org.cassiabank.platform.InstanceDocuments;
+
+/**
+ * The stand-in for the platform: a key-value store with compare-and-swap and watches in the manner of Consul's HTTP
+ * interface, and a lagging list of instances. Faults are switched on and off by {@code POST /control/faults}.
+ */
+public final class PlatformServer implements AutoCloseable {
+    private static final String INDEX_HEADER = "X-Consul-Index";
+    private static final String LIST_KEY = "instances";
+    private static final Pattern WAIT = Pattern.compile("(\\d+)(ms|s)");
+    private static final int MAXIMUM_VALUE_BYTES = 1_000_000;
+
+    private final String address;
+    private final ObjectMapper mapper = JsonMapper.builder().build();
+    private final VersionedTable store = VersionedTable.create();
+    private final VersionedTable list = VersionedTable.create();
+    private final Deque<ListVersion> listHistory = new ArrayDeque<>();
+    private final AtomicReference<PlatformFaults> faults = new AtomicReference<>(PlatformFaults.none());
+    private final AtomicLong reads = new AtomicLong();
+    private final AtomicLong writes = new AtomicLong();
+    private JoobyServer server;
+
+    private PlatformServer(String address) {
+        this.address = address;
+    }
+
+    /**
+     * Creates a stand-in that is not started yet.
+     *
+     * @param address the IP number and port to listen on
+     * @return the stand-in
+     * @throws IllegalArgumentException if the address has no port
+     */
+    public static PlatformServer create(String address) {
+        return new PlatformServer(address);
+    }
+
+    /**
+     * Starts to listen and returns at once.
+     *
+     * @return this stand-in
+     */
+    public PlatformServer start() {
+        server = JoobyServer.start(address, 2 * MAXIMUM_VALUE_BYTES, this::routes);
+        return this;
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+
+    private void routes(Jooby application) {
+        application.get("/v1/kv/*key", this::readValue);
+        application.put("/v1/kv/*key", this::writeValue);
+        application.get("/v1/instances", this::readList);
+        application.put("/control/instances", this::replaceList);
+        application.post("/control/faults", context -> {
+            faults.set(mapper.readValue(context.body().bytes(), PlatformFaults.class));
+            return "ok";
+        });
+        application.get(
+                "/control/counters", context -> "{\"reads\":" + reads.get() + ",\"writes\":" + writes.get() + "}");
+    }
+
+    private Object readValue(Context context) throws InterruptedException {
+        reads.incrementAndGet();
+        if (failStore(context)) {
+            return "";
+        }
+        String key = context.path("key").value();
+        awaitIndex(context, store, key);
+        if (faults.get().outage()) {
+            return serverError(context);
+        }
+        context.setResponseHeader(INDEX_HEADER, Long.toString(store.index()));
+        return store.read(key)
+                .<Object>map(entry -> {
+                    context.setResponseType(MediaType.json);
+                    return entry.toJson(key);
+                })
+                .orElseGet(() -> {
+                    context.setResponseCode(StatusCode.NOT_FOUND);
+                    return "";
+                });
+    }
+
+    private Object writeValue(Context context) throws InterruptedException {
+        writes.incrementAndGet();
+        if (failStore(context)) {
+            return "";
+        }
+        byte[] value = context.body().bytes();
+        if (value.length > MAXIMUM_VALUE_BYTES) {
+            context.setResponseCode(StatusCode.REQUEST_ENTITY_TOO_LARGE);
+            return "value exceeds " + MAXIMUM_VALUE_BYTES + " bytes";
+        }
+        long expected = context.query("cas").longValue(-1);
+        boolean written = store.write(context.path("key").value(), expected, value);
+        PlatformFaults current = faults.get();
+        if (current.loseWriteAnswers() > 0) {
+            faults.compareAndSet(current, withLostAnswers(current, current.loseWriteAnswers() - 1));
+            return serverError(context);
+        }
+        return Boolean.toString(written);
+    }
+
+    private Object readList(Context context) throws InterruptedException {
+        reads.incrementAndGet();
+        if (faults.get().listOutage()) {
+            return serverError(context);
+        }
+        awaitIndex(context, list, LIST_KEY);
+        ListVersion visible = visibleList();
+        context.setResponseHeader(INDEX_HEADER, Long.toString(visible.index()));
+        context.setResponseType(MediaType.json);
+        return new String(visible.document(), StandardCharsets.UTF_8);
+    }
+
+    private Object replaceList(Context context) {
+        byte[] document = context.body().bytes();
+        InstanceDocuments.parse(0, document);
+        synchronized (listHistory) {
+            list.write(LIST_KEY, -1, document);
+            listHistory.addLast(new ListVersion(list.index(), document, System.nanoTime()));
+        }
+        return "ok";
+    }
+
+    private ListVersion visibleList() {
+        long newestVisible =
+                System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(faults.get().listLagMillis());
+        synchronized (listHistory) {
+            ListVersion visible = new ListVersion(1, "[]".getBytes(StandardCharsets.UTF_8), 0);
+            for (ListVersion version : listHistory) {
+                if (version.nanoTime() - newestVisible <= 0) {
+                    visible = version;
+                }
+            }
+            return visible;
+        }
+    }
+
+    private boolean failStore(Context context) throws InterruptedException {
+        PlatformFaults current = faults.get();
+        if (current.hang()) {
+            new CountDownLatch(1).await(1, TimeUnit.MINUTES);
+        }
+        if (current.slowMillis() > 0) {
+            TimeUnit.MILLISECONDS.sleep(current.slowMillis());
+        }
+        if (current.outage()) {
+            serverError(context);
+            return true;
+        }
+        return false;
+    }
+
+    private static void awaitIndex(Context context, VersionedTable table, String key) throws InterruptedException {
+        long known = context.query("index").longValue(0);
+        Matcher wait = WAIT.matcher(context.query("wait").value("0s"));
+        if (known > 0 && wait.matches()) {
+            long amount = Long.parseLong(wait.group(1));
+            table.await(key, known, "s".equals(wait.group(2)) ? TimeUnit.SECONDS.toMillis(amount) : amount);
+        }
+    }
+
+    private static PlatformFaults withLostAnswers(PlatformFaults faults, int count) {
+        return new PlatformFaults(
+                faults.outage(),
+                faults.listOutage(),
+                faults.hang(),
+                faults.slowMillis(),
+                count,
+                faults.listLagMillis());
+    }
+
+    private static Object serverError(Context context) {
+        context.setResponseCode(StatusCode.SERVER_ERROR);
+        return "unavailable";
+    }
+
+    /** One state of the instance list with the time at which it came into force. */
+    private record ListVersion(long index, byte[] document, long nanoTime) {}
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/standin/VersionedTable.java
@@ -0,0 +1,94 @@
+package org.cassiabank.standin;
+
+import java.util.Base64;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+
+/**
+ * The values of the stand-in for the platform, with one modification index over all keys.
+ */
+final class VersionedTable {
+    private final Map<String, Entry> entries = new ConcurrentHashMap<>();
+    private final ReentrantLock lock = new ReentrantLock();
+    private final Condition changed = lock.newCondition();
+    private long index = 1;
+
+    private VersionedTable() {}
+
+    static VersionedTable create() {
+        return new VersionedTable();
+    }
+
+    Optional<Entry> read(String key) {
+        return Optional.ofNullable(entries.get(key));
+    }
+
+    long index() {
+        lock.lock();
+        try {
+            return index;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /**
+     * Writes a value if the key is still at the expected index.
+     *
+     * @param key the key
+     * @param expected the expected modification index, 0 if the key must not exist, negative to write in any case
+     * @param value the value
+     * @return true if the value was written
+     */
+    boolean write(String key, long expected, byte[] value) {
+        lock.lock();
+        try {
+            Entry current = entries.get(key);
+            long currentIndex = current == null ? 0 : current.index();
+            if (expected >= 0 && currentIndex != expected) {
+                return false;
+            }
+            index++;
+            entries.put(key, new Entry(value, index));
+            changed.signalAll();
+            return true;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Waits until the key was modified after an index; the wait ends early when the key is removed from no index. */
+    void await(String key, long knownIndex, long waitMillis) throws InterruptedException {
+        lock.lock();
+        try {
+            long remaining = TimeUnit.MILLISECONDS.toNanos(waitMillis);
+            while (remaining > 0 && !isNewer(key, knownIndex)) {
+                remaining = changed.awaitNanos(remaining);
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private boolean isNewer(String key, long knownIndex) {
+        Entry entry = entries.get(key);
+        return entry != null && entry.index() > knownIndex;
+    }
+
+    /**
+     * A value with its modification index.
+     *
+     * @param value the value
+     * @param index the modification index
+     */
+    record Entry(byte[] value, long index) {
+        String toJson(String key) {
+            return "[{\"Key\":\"" + key + "\",\"ModifyIndex\":" + index + ",\"Value\":\""
+                    + Base64.getEncoder().encodeToString(value) + "\"}]";
+        }
+    }
+}
