--- /dev/null
+++ b/src/main/java/org/cassiabank/peer/PeerServer.java
@@ -0,0 +1,75 @@
+package org.cassiabank.peer;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.Objects;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.server.TServer;
+import org.apache.thrift.server.TThreadPoolServer;
+import org.apache.thrift.transport.TServerSocket;
+import org.apache.thrift.transport.TTransportException;
+import org.apache.thrift.transport.layered.TFramedTransport;
+import org.cassiabank.kernel.CassiabankException;
+import org.cassiabank.kernel.ErrorCode;
+import org.cassiabank.peer.generated.Peer;
+
+/**
+ * Listens for calls of other proxies. Each connection is served by a virtual thread.
+ */
+public final class PeerServer implements AutoCloseable {
+    static final int MAXIMUM_FRAME_BYTES = 64 * 1024 * 1024;
+    /** Clients close idle connections after 2 s, so a connection that is silent for longer has lost its peer. */
+    private static final int IDLE_TIMEOUT_MILLIS = 30_000;
+
+    private static final int BACKLOG = 512;
+
+    private final TServer server;
+    private final ExecutorService workers;
+
+    private PeerServer(TServer server, ExecutorService workers) {
+        this.server = server;
+        this.workers = workers;
+    }
+
+    /**
+     * Starts to listen and returns at once.
+     *
+     * @param address the IP number to listen on
+     * @param port the port to listen on
+     * @param sockets the factories of sockets
+     * @param handler answers the calls; it must be safe for use by many threads
+     * @return the running server
+     * @throws CassiabankException with {@link ErrorCode#START_FAILED} if the address cannot be listened on
+     */
+    public static PeerServer start(String address, int port, PeerSockets sockets, Peer.Iface handler) {
+        Objects.requireNonNull(handler, "handler");
+        try {
+            ServerSocket listener = sockets.server().createServerSocket(port, BACKLOG, InetAddress.getByName(address));
+            ExecutorService workers = Executors.newVirtualThreadPerTaskExecutor();
+            TThreadPoolServer.Args arguments = new TThreadPoolServer.Args(
+                            new TServerSocket(listener, IDLE_TIMEOUT_MILLIS))
+                    .processor(new Peer.Processor<>(handler))
+                    .executorService(workers);
+            arguments.transportFactory(new TFramedTransport.Factory(MAXIMUM_FRAME_BYTES));
+            arguments.protocolFactory(new TCompactProtocol.Factory());
+            arguments.stopTimeoutVal = 1;
+            TServer server = new TThreadPoolServer(arguments);
+            Thread.ofVirtual().name("peer-server").start(server::serve);
+            return new PeerServer(server, workers);
+        } catch (IOException | TTransportException exception) {
+            throw CassiabankException.withCause(
+                    ErrorCode.START_FAILED,
+                    "cannot listen for peers on " + address + ":" + port + ": " + exception.getMessage(),
+                    exception);
+        }
+    }
+
+    @Override
+    public void close() {
+        server.stop();
+        workers.shutdownNow();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/peer/PeerSockets.java
@@ -0,0 +1,31 @@
+package org.cassiabank.peer;
+
+import java.util.Objects;
+import javax.net.ServerSocketFactory;
+import javax.net.SocketFactory;
+
+/**
+ * The factories of the sockets between proxies: plain ones, or ones with mutual TLS.
+ *
+ * @param client creates outgoing sockets
+ * @param server creates listening sockets
+ */
+public record PeerSockets(SocketFactory client, ServerSocketFactory server) {
+
+    /**
+     * Checks that no component is null.
+     */
+    public PeerSockets {
+        Objects.requireNonNull(client, "client");
+        Objects.requireNonNull(server, "server");
+    }
+
+    /**
+     * Returns factories of sockets without TLS.
+     *
+     * @return the factories
+     */
+    public static PeerSockets plain() {
+        return new PeerSockets(SocketFactory.getDefault(), ServerSocketFactory.getDefault());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/proxy/AdminPages.java
@@ -0,0 +1,86 @@
+package org.cassiabank.proxy;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.jooby.Context;
+import io.jooby.Jooby;
+import io.jooby.MediaType;
+import io.jooby.StatusCode;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Objects;
+import org.cassiabank.http.JoobyServer;
+import org.cassiabank.kernel.Kernel;
+import org.cassiabank.kernel.KernelService;
+
+/**
+ * The pages for operators, monitoring and the platform's load balancer.
+ */
+final class AdminPages implements KernelService {
+    private static final int MAXIMUM_REQUEST_BYTES = 64 * 1_024;
+
+    private final ObjectMapper mapper = JsonMapper.builder().build();
+    private final ProxySettings settings;
+    private Kernel kernel;
+    private JoobyServer server;
+    private volatile boolean draining;
+
+    private AdminPages(ProxySettings settings) {
+        this.settings = settings;
+    }
+
+    static AdminPages create(ProxySettings settings) {
+        return new AdminPages(Objects.requireNonNull(settings, "settings"));
+    }
+
+    @Override
+    public void start(Kernel started) {
+        kernel = started;
+        server = JoobyServer.start(settings.adminAddress().toString(), MAXIMUM_REQUEST_BYTES, this::routes);
+    }
+
+    @Override
+    public void stop() {
+        server.close();
+    }
+
+    /** Makes the load balancer's check fail, so that it sends no further callers. */
+    void startDraining() {
+        draining = true;
+    }
+
+    private void routes(Jooby application) {
+        application.get("/metrics", context -> {
+            context.setResponseType(MediaType.text);
+            return kernel.get(ServiceNames.METRICS).toText();
+        });
+        application.get("/health", context -> state(context, !draining, draining ? "draining" : "serving"));
+        application.get("/ready", context -> state(context, isReady(), isReady() ? "ready" : "not ready"));
+        application.get("/status", this::status);
+    }
+
+    private boolean isReady() {
+        return kernel.get(ServiceNames.FLEET).revision() > 0;
+    }
+
+    private static String state(Context context, boolean good, String text) {
+        context.setResponseCode(good ? StatusCode.OK : StatusCode.SERVICE_UNAVAILABLE);
+        return text + "\n";
+    }
+
+    private String status(Context context) throws JsonProcessingException {
+        FleetState fleet = kernel.get(ServiceNames.FLEET);
+        ClaimKeeper keeper = kernel.get(ServiceNames.CLAIM_KEEPER);
+        Map<String, Object> status = new LinkedHashMap<>();
+        status.put("name", settings.name());
+        status.put("revision", fleet.revision());
+        status.put("listIndex", fleet.view().instances().index());
+        status.put("draining", draining);
+        status.put("watcher", kernel.get(ServiceNames.REPLICATION).planner().isWatcher());
+        status.put("claims", Map.of("ready", keeper.isReady(), "records", keeper.size()));
+        status.put("shards", kernel.get(ServiceNames.OWNERS).healths());
+        context.setResponseType(MediaType.json);
+        return mapper.writeValueAsString(status);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/proxy/Attempts.java
@@ -0,0 +1,164 @@
+package org.cassiabank.proxy;
+
+import java.util.HexFormat;
+import java.util.Objects;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
+import org.cassiabank.admission.SlotAsk;
+import org.cassiabank.backend.Answered;
+import org.cassiabank.backend.BackendCall;
+import org.cassiabank.backend.BackendClient;
+import org.cassiabank.backend.BackendRequest;
+import org.cassiabank.backend.BackendResult;
+import org.cassiabank.backend.ShedAnswer;
+import org.cassiabank.declaration.Selector;
+import org.cassiabank.health.Outcome;
+import org.cassiabank.retry.RetryReason;
+
+/**
+ * Makes attempts at backend servers and reports their outcomes to the owners of the slots.
+ */
+final class Attempts {
+    private static final long RETRY_AFTER_MILLIS = 200;
+
+    private final String entryName;
+    private final SlotBroker broker;
+    private final BackendClient backends;
+    private final ProxyMetrics metrics;
+    private final ExecutorService workers = Executors.newVirtualThreadPerTaskExecutor();
+
+    private Attempts(String entryName, SlotBroker broker, BackendClient backends, ProxyMetrics metrics) {
+        this.entryName = entryName;
+        this.broker = broker;
+        this.backends = backends;
+        this.metrics = metrics;
+    }
+
+    static Attempts create(String entryName, SlotBroker broker, BackendClient backends, ProxyMetrics metrics) {
+        return new Attempts(
+                Objects.requireNonNull(entryName, "entryName"),
+                Objects.requireNonNull(broker, "broker"),
+                Objects.requireNonNull(backends, "backends"),
+                Objects.requireNonNull(metrics, "metrics"));
+    }
+
+    String entryName() {
+        return entryName;
+    }
+
+    /** Returns when a caller should come back after the servers did not take its request, in milliseconds. */
+    long retryAfterMillis() {
+        return RETRY_AFTER_MILLIS;
+    }
+
+    SlotResult acquire(String service, SlotAsk ask, CallerPresence presence) {
+        return broker.acquire(service, ask, presence);
+    }
+
+    void release(SlotResult.Slot slot) {
+        workers.execute(() -> broker.report(slot, Outcome.NOT_RUN, 0, false));
+    }
+
+    void retried(RetryReason reason) {
+        metrics.retried(reason.label());
+    }
+
+    void addedMicros(long micros) {
+        metrics.addedMicros(micros);
+    }
+
+    /**
+     * Makes one attempt and waits for its end.
+     *
+     * @param request the caller's request
+     * @param slot the slot
+     * @param selector the selector of the request
+     * @param timeoutMillis the longest time for the attempt in milliseconds
+     * @param presence cancels the attempt of a repeatable request when the caller goes
+     * @return the result
+     */
+    BackendResult send(
+            CallerRequest request,
+            SlotResult.Slot slot,
+            Selector selector,
+            long timeoutMillis,
+            CallerPresence presence) {
+        Running running = newCall(request, slot, selector, timeoutMillis);
+        if (selector.repeatable()) {
+            presence.onGone(running::cancel);
+        }
+        return execute(running);
+    }
+
+    /**
+     * Starts an attempt whose result is added to a queue.
+     *
+     * @param request the caller's request
+     * @param slot the slot
+     * @param selector the selector of the request
+     * @param timeoutMillis the longest time for the attempt in milliseconds
+     * @param presence cancels the attempt when the caller goes
+     * @param results receives the result
+     * @return the running attempt
+     */
+    Running start(
+            CallerRequest request,
+            SlotResult.Slot slot,
+            Selector selector,
+            long timeoutMillis,
+            CallerPresence presence,
+            BlockingQueue<BackendResult> results) {
+        Running running = newCall(request, slot, selector, Math.max(1, timeoutMillis));
+        presence.onGone(running::cancel);
+        workers.execute(() -> results.add(execute(running)));
+        return running;
+    }
+
+    private Running newCall(CallerRequest request, SlotResult.Slot slot, Selector selector, long timeoutMillis) {
+        String requestId = entryName + "-"
+                + HexFormat.of().toHexDigits(ThreadLocalRandom.current().nextLong());
+        BackendRequest message = new BackendRequest(
+                slot.address(),
+                request.method(),
+                request.target(),
+                request.headers(),
+                request.body(),
+                requestId,
+                selector.repeatable(),
+                timeoutMillis);
+        return new Running(slot, backends.newCall(message));
+    }
+
+    private BackendResult execute(Running running) {
+        long start = System.nanoTime();
+        BackendResult result = running.call().execute();
+        long micros = (System.nanoTime() - start) / 1_000;
+        metrics.attempted(result.attemptResult().label());
+        workers.execute(() -> broker.report(running.slot(), result.outcome(), micros, isLeaving(result)));
+        return result;
+    }
+
+    private static boolean isLeaving(BackendResult result) {
+        return switch (result) {
+            case Answered answered -> answered.serverLeaving();
+            case ShedAnswer shed -> shed.serverLeaving();
+            default -> false;
+        };
+    }
+
+    /**
+     * An attempt that may still be running.
+     *
+     * @param slot the slot that it uses
+     * @param call the call
+     */
+    record Running(SlotResult.Slot slot, BackendCall call) {
+
+        /** Cancels the attempt; nothing happens if it has ended. */
+        void cancel() {
+            call.cancel();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/proxy/BackendRequests.java
@@ -0,0 +1,28 @@
+package org.cassiabank.proxy;
+
+import org.cassiabank.backend.BackendRequest;
+
+/**
+ * Checks requests of callers against what can be passed on to a backend server unchanged.
+ */
+final class BackendRequests {
+    private static final String ANY_ADDRESS = "127.0.0.1:1";
+
+    private BackendRequests() {}
+
+    /**
+     * Tells whether a request can be passed on.
+     *
+     * @param request the request
+     * @return false if its path or method cannot be sent unchanged
+     */
+    static boolean canForward(CallerRequest request) {
+        try {
+            new BackendRequest(
+                    ANY_ADDRESS, request.method(), request.target(), request.headers(), request.body(), "check", true, 1);
+            return true;
+        } catch (IllegalArgumentException exception) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/proxy/CallerServer.java
@@ -0,0 +1,146 @@
+package org.cassiabank.proxy;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.ssl.SslHandler;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.cassiabank.kernel.CassiabankException;
+import org.cassiabank.kernel.ErrorCode;
+
+/**
+ * Listens for callers over HTTP/1.1.
+ *
+ * <p>It is built on Netty without Jooby, because Jooby decodes form bodies instead of passing them on, and does not
+ * tell a handler that its caller has gone.
+ */
+final class CallerServer implements AutoCloseable {
+    private static final int EVENT_LOOPS = 2;
+    private static final long OVERLOAD_RETRY_MILLIS = 1_000;
+
+    private final CallerLimits limits;
+    private final CallerHandler handler;
+    private final ProxyMetrics metrics;
+    private final ExecutorService workers = Executors.newVirtualThreadPerTaskExecutor();
+    private final EventLoopGroup loops = new NioEventLoopGroup(EVENT_LOOPS);
+    private final AtomicInteger connections = new AtomicInteger();
+    private final AtomicInteger inFlight = new AtomicInteger();
+    private volatile boolean draining;
+    private Channel listener;
+
+    private CallerServer(CallerLimits limits, CallerHandler handler, ProxyMetrics metrics) {
+        this.limits = limits;
+        this.handler = handler;
+        this.metrics = metrics;
+    }
+
+    static CallerServer create(CallerLimits limits, CallerHandler handler, ProxyMetrics metrics) {
+        return new CallerServer(
+                Objects.requireNonNull(limits, "limits"),
+                Objects.requireNonNull(handler, "handler"),
+                Objects.requireNonNull(metrics, "metrics"));
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param address the address
+     * @param tls creates the TLS handler of a connection, if TLS is used
+     * @throws CassiabankException with {@link ErrorCode#START_FAILED} if the address cannot be listened on
+     */
+    void start(SocketAddress address, Optional<Supplier<SslHandler>> tls) {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(loops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 1_024)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        tls.ifPresent(handlers -> channel.pipeline().addLast(handlers.get()));
+                        channel.pipeline()
+                                .addLast(new IdleStateHandler(0, 0, limits.idleMillis(), TimeUnit.MILLISECONDS))
+                                .addLast(StrictRequestDecoder.create(limits))
+                                .addLast(new HttpResponseEncoder())
+                                .addLast(BoundedAggregator.create(limits.bodyBytes()))
+                                .addLast(CallerConnection.create(CallerServer.this));
+                    }
+                });
+        try {
+            listener = bootstrap.bind(address.host(), address.port()).sync().channel();
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            throw CassiabankException.withCause(ErrorCode.START_FAILED, "interrupted while starting", exception);
+        } catch (Exception exception) {
+            // Netty throws the checked BindException without declaring it.
+            throw CassiabankException.withCause(
+                    ErrorCode.START_FAILED,
+                    "cannot listen for callers on " + address + ": " + exception.getMessage(),
+                    exception);
+        }
+    }
+
+    /** Answers further requests with a closed connection, so that callers move to other entries. */
+    void startDraining() {
+        draining = true;
+    }
+
+    boolean isDraining() {
+        return draining;
+    }
+
+    int requestsInFlight() {
+        return inFlight.get();
+    }
+
+    boolean admitConnection() {
+        if (connections.incrementAndGet() <= limits.connections()) {
+            return true;
+        }
+        metrics.refused("too-many-connections");
+        return false;
+    }
+
+    void releaseConnection() {
+        connections.decrementAndGet();
+    }
+
+    void serve(CallerRequest request, CallerPresence presence, Consumer<CallerReply> reply) {
+        if (inFlight.incrementAndGet() > limits.requestsInFlight()) {
+            inFlight.decrementAndGet();
+            metrics.refused("entry-overloaded");
+            reply.accept(CallerReply.notRun("entry-overloaded", OVERLOAD_RETRY_MILLIS));
+            return;
+        }
+        workers.execute(() -> {
+            try {
+                reply.accept(handler.handle(request, presence));
+            } finally {
+                inFlight.decrementAndGet();
+            }
+        });
+    }
+
+    @Override
+    public void close() {
+        if (listener != null) {
+            listener.close();
+        }
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        workers.shutdown();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/proxy/ClaimKeeper.java
@@ -0,0 +1,174 @@
+package org.cassiabank.proxy;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.cassiabank.kernel.CassiabankException;
+import org.cassiabank.kernel.Kernel;
+import org.cassiabank.kernel.KernelService;
+import org.cassiabank.membership.Instance;
+import org.cassiabank.once.ClaimAnswer;
+import org.cassiabank.once.ClaimConclusion;
+import org.cassiabank.once.ClaimHandover;
+import org.cassiabank.once.ClaimRecord;
+import org.cassiabank.once.ClaimSettings;
+import org.cassiabank.once.ClaimTable;
+
+/**
+ * Keeps claims of idempotency keys for the entries of the region, and hands them over when the list of proxies changes.
+ */
+final class ClaimKeeper implements KernelService {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final int HAND_OVER_TIMEOUT_MILLIS = 2_000;
+    private static final int RECORDS_PER_MESSAGE = 500;
+    private static final int HAND_OVER_ATTEMPTS = 3;
+    private static final long COLLECT_INTERVAL_MILLIS = 500;
+
+    private final Instance self;
+    private final FleetState fleet;
+    private final PeerDirectory peers;
+    private final ClaimSettings settings = ClaimSettings.defaults();
+    private final ClaimTable table = ClaimTable.create(settings);
+    private final Set<String> collectedFrom = new HashSet<>();
+    private final ScheduledExecutorService worker = Executors.newSingleThreadScheduledExecutor(
+            Thread.ofPlatform().name("claim-handover").daemon().factory());
+    private long startMillis;
+
+    private ClaimKeeper(Instance self, FleetState fleet, PeerDirectory peers) {
+        this.self = self;
+        this.fleet = fleet;
+        this.peers = peers;
+    }
+
+    static ClaimKeeper create(Instance self, FleetState fleet, PeerDirectory peers) {
+        return new ClaimKeeper(
+                Objects.requireNonNull(self, "self"),
+                Objects.requireNonNull(fleet, "fleet"),
+                Objects.requireNonNull(peers, "peers"));
+    }
+
+    @Override
+    public void start(Kernel kernel) {
+        startMillis = MonotonicClock.millis();
+        fleet.onChange((former, view) -> {
+            if (!former.regionProxies().equals(view.regionProxies())) {
+                worker.execute(Repeated.guarded(
+                        "claim handover", () -> handOver(former.regionProxies(), view.regionProxies())));
+            }
+        });
+        worker.scheduleWithFixedDelay(
+                Repeated.guarded("claim collection", this::collect),
+                settings.claimMillis(),
+                COLLECT_INTERVAL_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void stop() {
+        worker.shutdownNow();
+    }
+
+    boolean isReady() {
+        return table.isReady();
+    }
+
+    int size() {
+        return table.size();
+    }
+
+    ClaimAnswer claim(String key, String claim, long requestDigest) {
+        return table.claim(key, claim, requestDigest, MonotonicClock.millis());
+    }
+
+    void conclude(String key, String claim, ClaimConclusion conclusion) {
+        table.conclude(key, claim, conclusion, MonotonicClock.millis());
+    }
+
+    void accept(List<ClaimRecord> records) {
+        table.accept(records, MonotonicClock.millis());
+    }
+
+    List<ClaimRecord> recordsFor(String peer) {
+        List<Instance> proxies = new ArrayList<>(fleet.view().regionProxies());
+        // A daemon that has just started may be missing from this daemon's list.
+        boolean listed = proxies.stream().anyMatch(proxy -> proxy.name().equals(peer));
+        List<ClaimRecord> records = table.records(MonotonicClock.millis());
+        return listed ? ClaimHandover.recordsFor(peer, records, proxies) : records;
+    }
+
+    /** Gives all records to those who keep them once this daemon has gone. */
+    void handOverAll() {
+        List<Instance> before = fleet.view().regionProxies();
+        List<Instance> after =
+                before.stream().filter(proxy -> !peers.isSelf(proxy)).toList();
+        table.setReady(false);
+        handOver(before, after);
+    }
+
+    private void handOver(List<Instance> before, List<Instance> after) {
+        List<ClaimRecord> records = table.records(MonotonicClock.millis());
+        Map<String, List<ClaimRecord>> plan = ClaimHandover.plan(self.name(), records, before, after);
+        for (Instance keeper : after) {
+            List<ClaimRecord> part = plan.getOrDefault(keeper.name(), List.of());
+            for (int start = 0; start < part.size(); start += RECORDS_PER_MESSAGE) {
+                send(keeper, part.subList(start, Math.min(part.size(), start + RECORDS_PER_MESSAGE)));
+            }
+        }
+    }
+
+    private void send(Instance keeper, List<ClaimRecord> records) {
+        for (int attempt = 1; attempt <= HAND_OVER_ATTEMPTS; attempt++) {
+            try {
+                peers.call(keeper, "hand-over", HAND_OVER_TIMEOUT_MILLIS, client -> {
+                    client.handOver(PeerMessages.toMessages(records));
+                    return true;
+                });
+                return;
+            } catch (CassiabankException exception) {
+                LOGGER.atWarning().log(
+                        "handover of %d claims, attempt %d: %s", records.size(), attempt, exception.getMessage());
+            }
+        }
+    }
+
+    /**
+     * Collects the records of the peers after a start. The table votes when all peers have answered, but for those of
+     * one failure domain: the three keepers of a key stand in different domains, so a record of an unreachable keeper
+     * has another keeper that has answered.
+     */
+    private void collect() {
+        if (table.isReady()) {
+            return;
+        }
+        List<Instance> proxies = fleet.view().regionProxies();
+        Set<String> silentDomains = new HashSet<>();
+        for (Instance peer : proxies) {
+            if (!peers.isSelf(peer) && !collectedFrom.contains(peer.name()) && !collectFrom(peer)) {
+                silentDomains.add(peer.failureDomain());
+            }
+        }
+        boolean waited = MonotonicClock.millis() - startMillis >= settings.claimMillis();
+        if (waited && !proxies.isEmpty() && silentDomains.size() <= 1) {
+            table.setReady(true);
+            LOGGER.atInfo().log("votes on claims, with records of %d peers", collectedFrom.size());
+        }
+    }
+
+    private boolean collectFrom(Instance peer) {
+        try {
+            accept(PeerMessages.toRecords(peers.call(
+                    peer, "records-for", HAND_OVER_TIMEOUT_MILLIS, client -> client.recordsFor(self.name()))));
+            collectedFrom.add(peer.name());
+            return true;
+        } catch (CassiabankException exception) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/proxy/Entry.java
@@ -0,0 +1,198 @@
+package org.cassiabank.proxy;
+
+import com.google.common.flogger.FluentLogger;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.cassiabank.backend.Answered;
+import org.cassiabank.declaration.Selector;
+import org.cassiabank.declaration.ServiceDeclaration;
+import org.cassiabank.once.ClaimConclusion;
+import org.cassiabank.once.ClaimVerdict;
+import org.cassiabank.once.RecordedAnswer;
+import org.cassiabank.retry.RetryBudget;
+
+/**
+ * Answers the callers of this daemon: finds the selector, claims the key of an unrepeatable request, and runs it.
+ */
+final class Entry implements CallerHandler {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final long MAXIMUM_DEADLINE_MILLIS = TimeUnit.MINUTES.toMillis(30);
+    private static final int LOG_INTERVAL_SECONDS = 10;
+    private static final long NO_CONFIGURATION_RETRY_MILLIS = 1_000;
+    private static final long CLAIM_RETRY_MILLIS = 500;
+    private static final double RETRY_RATIO = 0.1;
+    private static final int RETRY_CAPACITY = 10;
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+    private static final int UNPROCESSABLE = 422;
+
+    private final FleetState fleet;
+    private final Attempts attempts;
+    private final ClaimClient claims;
+    private final ProxyMetrics metrics;
+    private final Map<String, RetryBudget> budgets = new ConcurrentHashMap<>();
+
+    private Entry(FleetState fleet, Attempts attempts, ClaimClient claims, ProxyMetrics metrics) {
+        this.fleet = fleet;
+        this.attempts = attempts;
+        this.claims = claims;
+        this.metrics = metrics;
+    }
+
+    static Entry create(FleetState fleet, Attempts attempts, ClaimClient claims, ProxyMetrics metrics) {
+        return new Entry(
+                Objects.requireNonNull(fleet, "fleet"),
+                Objects.requireNonNull(attempts, "attempts"),
+                Objects.requireNonNull(claims, "claims"),
+                Objects.requireNonNull(metrics, "metrics"));
+    }
+
+    @Override
+    public CallerReply handle(CallerRequest request, CallerPresence presence) {
+        try {
+            return route(request, presence);
+        } catch (RuntimeException exception) {
+            LOGGER.atSevere()
+                    .withCause(exception)
+                    .atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS)
+                    .log("request failed inside the proxy");
+            metrics.unknown("internal-error");
+            return CallerReply.unknown("internal-error");
+        }
+    }
+
+    private CallerReply route(CallerRequest request, CallerPresence presence) {
+        FleetView view = fleet.view();
+        if (view.configuration().revision() == 0) {
+            return refuse(CallerReply.SERVICE_UNAVAILABLE, "no-configuration", NO_CONFIGURATION_RETRY_MILLIS);
+        }
+        Optional<Selector> selector = view.router()
+                .route(request.method(), request.path(), request.caller(), ThreadLocalRandom.current());
+        if (selector.isEmpty()) {
+            return refuse(NOT_FOUND, "no-selector", 0);
+        }
+        long deadlineMillis = view.service(selector.get().service())
+                .map(ServiceDeclaration::deadlineMillis)
+                .orElse(0L);
+        Optional<String> asked = request.header("cassiabank-deadline-millis");
+        if (asked.isPresent()) {
+            try {
+                deadlineMillis = Math.min(Long.parseLong(asked.get().strip()), MAXIMUM_DEADLINE_MILLIS);
+            } catch (NumberFormatException exception) {
+                return refuse(BAD_REQUEST, "malformed-deadline", 0);
+            }
+        }
+        if (!BackendRequests.canForward(request)) {
+            return refuse(BAD_REQUEST, "malformed-request", 0);
+        }
+        Optional<String> key = request.header("idempotency-key");
+        return selector.get().repeatable() || key.isEmpty()
+                ? toReply(run(request, selector.get(), presence, deadlineMillis))
+                : runClaimed(request, selector.get(), presence, deadlineMillis, key.get());
+    }
+
+    private RequestResult run(
+            CallerRequest request, Selector selector, CallerPresence presence, long deadlineMillis) {
+        RetryBudget budget = budgets.computeIfAbsent(
+                selector.service(), service -> RetryBudget.create(RETRY_RATIO, RETRY_CAPACITY));
+        budget.recordRequest();
+        return RequestRun.create(request, selector, presence, deadlineMillis, attempts, budget)
+                .run();
+    }
+
+    private CallerReply runClaimed(
+            CallerRequest request, Selector selector, CallerPresence presence, long deadlineMillis, String callerKey) {
+        long start = MonotonicClock.millis();
+        // Keys of different callers and services must not meet, or a caller could get the answer of another one.
+        String key = selector.service() + "\n" + request.header("cassiabank-caller").orElse("") + "\n" + callerKey;
+        String claim = attempts.entryName() + "-"
+                + HexFormat.of().toHexDigits(ThreadLocalRandom.current().nextLong());
+        ClaimVerdict verdict = claims.claim(key, claim, digest(request));
+        return switch (verdict) {
+            case ClaimVerdict.Proceed proceed -> {
+                long remaining = deadlineMillis - (MonotonicClock.millis() - start);
+                RequestResult result = runToConclusion(request, selector, presence, remaining, key, claim);
+                yield toReply(result);
+            }
+            case ClaimVerdict.Replay replay -> replay(replay.answer());
+            case ClaimVerdict.Unknown unknown -> unknownReply(CallerReply.GATEWAY_TIMEOUT, "earlier-outcome-unknown");
+            case ClaimVerdict.InProgress inProgress -> unknownReply(CallerReply.CONFLICT, "in-progress");
+            case ClaimVerdict.NotRun notRun ->
+                refuse(CallerReply.SERVICE_UNAVAILABLE, notRun.reason(), CLAIM_RETRY_MILLIS);
+            case ClaimVerdict.Mismatch mismatch -> refuse(UNPROCESSABLE, "key-of-another-request", 0);
+        };
+    }
+
+    private RequestResult runToConclusion(
+            CallerRequest request,
+            Selector selector,
+            CallerPresence presence,
+            long remainingMillis,
+            String key,
+            String claim) {
+        ClaimConclusion conclusion = new ClaimConclusion.OutcomeUnknown();
+        try {
+            RequestResult result = run(request, selector, presence, remainingMillis);
+            conclusion = switch (result) {
+                case RequestResult.Delivered delivered ->
+                    new ClaimConclusion.Answered(new RecordedAnswer(
+                            delivered.answer().status(),
+                            delivered.answer().headers(),
+                            delivered.answer().body()));
+                case RequestResult.NotRun notRun -> new ClaimConclusion.Released();
+                case RequestResult.Unknown unknown -> new ClaimConclusion.OutcomeUnknown();
+            };
+            return result;
+        } finally {
+            claims.conclude(key, claim, conclusion);
+        }
+    }
+
+    private CallerReply toReply(RequestResult result) {
+        return switch (result) {
+            case RequestResult.Delivered delivered -> {
+                metrics.answered();
+                Answered answer = delivered.answer();
+                yield CallerReply.answered(answer.status(), answer.headers(), answer.body());
+            }
+            case RequestResult.NotRun notRun ->
+                refuse(CallerReply.SERVICE_UNAVAILABLE, notRun.reason(), notRun.retryAfterMillis());
+            case RequestResult.Unknown unknown -> unknownReply(CallerReply.GATEWAY_TIMEOUT, unknown.reason());
+        };
+    }
+
+    private CallerReply replay(RecordedAnswer answer) {
+        metrics.answered();
+        return CallerReply.answered(answer.status(), answer.headers(), answer.body());
+    }
+
+    private CallerReply refuse(int status, String reason, long retryAfterMillis) {
+        metrics.refused(reason);
+        return CallerReply.notRun(status, reason, retryAfterMillis);
+    }
+
+    private CallerReply unknownReply(int status, String reason) {
+        metrics.unknown(reason);
+        return CallerReply.unknown(status, reason);
+    }
+
+    private static long digest(CallerRequest request) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            digest.update((request.method() + " " + request.target() + "\n").getBytes(StandardCharsets.UTF_8));
+            digest.update(request.body());
+            return ByteBuffer.wrap(digest.digest()).getLong();
+        } catch (NoSuchAlgorithmException exception) {
+            throw new IllegalStateException("every Java platform has SHA-256", exception);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/proxy/FleetState.java
@@ -0,0 +1,136 @@
+package org.cassiabank.proxy;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BiConsumer;
+import org.cassiabank.kernel.CassiabankException;
+import org.cassiabank.membership.InstanceList;
+import org.cassiabank.revision.Change;
+import org.cassiabank.revision.ConfigurationHistory;
+import org.cassiabank.revision.StoredChanges;
+
+/**
+ * Holds the configuration and the instance list that are in force in this daemon. Neither ever goes back to an older
+ * revision or index.
+ */
+final class FleetState {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final ConfigurationHistory history = ConfigurationHistory.create();
+    private final List<BiConsumer<FleetView, FleetView>> listeners = new CopyOnWriteArrayList<>();
+    private volatile FleetView view;
+
+    private FleetState(String region) {
+        this.view = FleetView.empty(region);
+    }
+
+    static FleetState create(String region) {
+        return new FleetState(Objects.requireNonNull(region, "region"));
+    }
+
+    FleetView view() {
+        return view;
+    }
+
+    long revision() {
+        return history.configuration().revision();
+    }
+
+    /**
+     * Adds a listener that is called with the former and the new view after each change.
+     *
+     * @param listener the listener
+     */
+    void onChange(BiConsumer<FleetView, FleetView> listener) {
+        listeners.add(listener);
+    }
+
+    /**
+     * Applies a change if it is the next one.
+     *
+     * @param change the change
+     * @return true if it was applied
+     */
+    synchronized boolean apply(Change change) {
+        if (!history.apply(change)) {
+            return false;
+        }
+        publish(view.withConfiguration(history.configuration()));
+        LOGGER.atInfo().log("configuration revision %d is in force", revision());
+        return true;
+    }
+
+    /**
+     * Installs a whole configuration if it is newer.
+     *
+     * @param snapshot the document of the configuration
+     * @return true if it was installed
+     */
+    synchronized boolean install(byte[] snapshot) {
+        try {
+            if (!history.install(snapshot)) {
+                return false;
+            }
+        } catch (CassiabankException exception) {
+            LOGGER.atWarning().log("snapshot refused, revision %d stays in force: %s", revision(), exception.getMessage());
+            return false;
+        }
+        publish(view.withConfiguration(history.configuration()));
+        LOGGER.atInfo().log("configuration revision %d is in force, from a snapshot", revision());
+        return true;
+    }
+
+    /**
+     * Installs an instance list if it is newer.
+     *
+     * @param instances the list
+     * @return true if it was installed
+     */
+    synchronized boolean install(InstanceList instances) {
+        if (instances.index() <= view.instances().index()) {
+            return false;
+        }
+        publish(view.withInstances(instances));
+        return true;
+    }
+
+    /**
+     * Applies all changes that the store has.
+     *
+     * @param changes the changes in the store
+     * @return true if the configuration changed
+     * @throws CassiabankException if the store does not answer or holds a malformed change; what was read before it is
+     *     in force
+     */
+    synchronized boolean catchUp(StoredChanges changes) {
+        long before = revision();
+        try {
+            changes.catchUp(history);
+        } finally {
+            if (revision() > before) {
+                publish(view.withConfiguration(history.configuration()));
+                LOGGER.atInfo().log("configuration revision %d is in force, from the store", revision());
+            }
+        }
+        return revision() > before;
+    }
+
+    Optional<List<Change>> changesSince(long revision) {
+        return history.changesSince(revision);
+    }
+
+    byte[] snapshot() {
+        return history.snapshot();
+    }
+
+    private void publish(FleetView next) {
+        FleetView former = view;
+        view = next;
+        for (BiConsumer<FleetView, FleetView> listener : listeners) {
+            listener.accept(former, next);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/proxy/FleetView.java
@@ -0,0 +1,155 @@
+package org.cassiabank.proxy;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.cassiabank.declaration.Configuration;
+import org.cassiabank.declaration.LabeledServer;
+import org.cassiabank.declaration.RequestRouter;
+import org.cassiabank.declaration.ServerGroups;
+import org.cassiabank.declaration.ServiceDeclaration;
+import org.cassiabank.membership.Instance;
+import org.cassiabank.membership.InstanceList;
+import org.cassiabank.membership.InstanceRole;
+import org.cassiabank.membership.RendezvousHash;
+
+/**
+ * What a daemon knows about the fleet at one moment: the configuration, the instance list and what follows from them.
+ *
+ * <p>Instances are immutable; values that are costly to compute are cached.
+ */
+final class FleetView {
+    /** A shard of this size is a small share of a proxy's work, and services of today's sizes have a single one. */
+    static final int SERVERS_PER_SHARD = 32;
+
+    private static final int OWNER_CANDIDATES = 3;
+
+    private final RequestRouter router;
+    private final ServerGroups groups;
+    private final InstanceList instances;
+    private final String region;
+    private final List<Instance> regionProxies;
+    private final Map<ShardKey, List<Instance>> candidates = new ConcurrentHashMap<>();
+    private final Map<String, Map<Integer, List<LabeledServer>>> shards = new ConcurrentHashMap<>();
+
+    private FleetView(RequestRouter router, ServerGroups groups, InstanceList instances, String region) {
+        this.router = router;
+        this.groups = groups;
+        this.instances = instances;
+        this.region = region;
+        this.regionProxies = instances.withRole(InstanceRole.PROXY).stream()
+                .filter(instance -> instance.isLive() && instance.region().equals(region))
+                .toList();
+    }
+
+    static FleetView empty(String region) {
+        Configuration configuration = Configuration.empty();
+        InstanceList instances = InstanceList.empty();
+        return new FleetView(
+                RequestRouter.of(configuration), ServerGroups.of(configuration, instances), instances, region);
+    }
+
+    FleetView withConfiguration(Configuration configuration) {
+        return new FleetView(router.update(configuration), groups.update(configuration, instances), instances, region);
+    }
+
+    FleetView withInstances(InstanceList newInstances) {
+        return new FleetView(router, groups.update(router.configuration(), newInstances), newInstances, region);
+    }
+
+    Configuration configuration() {
+        return router.configuration();
+    }
+
+    InstanceList instances() {
+        return instances;
+    }
+
+    RequestRouter router() {
+        return router;
+    }
+
+    Optional<ServiceDeclaration> service(String name) {
+        return configuration().service(name);
+    }
+
+    /**
+     * Returns the live proxies of this daemon's region.
+     *
+     * @return the proxies in list order
+     */
+    List<Instance> regionProxies() {
+        return regionProxies;
+    }
+
+    /**
+     * Returns the live proxies of all regions.
+     *
+     * @return the proxies in list order
+     */
+    List<Instance> allProxies() {
+        return instances.withRole(InstanceRole.PROXY).stream()
+                .filter(Instance::isLive)
+                .toList();
+    }
+
+    /**
+     * Returns the proxies that are asked for slots of a shard, the owner first.
+     *
+     * @param shard the shard
+     * @return at most three proxies
+     */
+    List<Instance> ownerCandidates(ShardKey shard) {
+        return candidates.computeIfAbsent(shard, key -> {
+            List<Instance> order = RendezvousHash.order("shard/" + key, regionProxies);
+            return List.copyOf(order.subList(0, Math.min(OWNER_CANDIDATES, order.size())));
+        });
+    }
+
+    /**
+     * Returns how many shards a service has.
+     *
+     * @param service the name of the service
+     * @return at least 1
+     */
+    int shardCount(String service) {
+        int servers = groups.servers(service).size();
+        return Math.max(1, (servers + SERVERS_PER_SHARD - 1) / SERVERS_PER_SHARD);
+    }
+
+    /**
+     * Returns the backend servers of a shard, leaving ones included.
+     *
+     * @param shard the shard
+     * @return the servers
+     */
+    List<LabeledServer> servers(ShardKey shard) {
+        return shards.computeIfAbsent(shard.service(), this::divide).getOrDefault(shard.number(), List.of());
+    }
+
+    /**
+     * Returns how many servers of a shard have to stay so that all shards together keep the floor of the service.
+     *
+     * @param shard the shard
+     * @return the floor in servers
+     */
+    int floor(ShardKey shard) {
+        int floor = service(shard.service()).map(ServiceDeclaration::floor).orElse(0);
+        int all = groups.servers(shard.service()).size();
+        int own = servers(shard).size();
+        return all == 0 ? floor : Math.min(own, (int) Math.ceil((double) floor * own / all));
+    }
+
+    private Map<Integer, List<LabeledServer>> divide(String service) {
+        int count = shardCount(service);
+        Map<Integer, List<LabeledServer>> divided = new HashMap<>();
+        for (LabeledServer server : groups.servers(service)) {
+            int number = Math.floorMod(server.instance().name().hashCode() * 0x9E3779B1, count);
+            divided.computeIfAbsent(number, key -> new ArrayList<>()).add(server);
+        }
+        return divided;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -0,0 +1,233 @@
+package org.cassiabank.proxy;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.cassiabank.admission.FinishedLease;
+import org.cassiabank.admission.Granted;
+import org.cassiabank.admission.InFlight;
+import org.cassiabank.admission.Queued;
+import org.cassiabank.admission.SchedulerSettings;
+import org.cassiabank.admission.ServerCapacity;
+import org.cassiabank.admission.SlotAsk;
+import org.cassiabank.admission.SlotDecision;
+import org.cassiabank.admission.SlotScheduler;
+import org.cassiabank.admission.TicketDecision;
+import org.cassiabank.declaration.LabeledServer;
+import org.cassiabank.declaration.ServiceDeclaration;
+import org.cassiabank.health.HealthMonitor;
+import org.cassiabank.health.HealthSettings;
+import org.cassiabank.health.MonitoredServer;
+import org.cassiabank.health.Observation;
+import org.cassiabank.health.Outcome;
+import org.cassiabank.health.ServerHealth;
+
+/**
+ * A shard that this daemon schedules: its queue, its leases and the health of its servers, behind one lock.
+ */
+final class OwnedShard {
+    /** Shorter than the 250 ms after which an entry gives up on an owner, so that a queue is not taken for a failure. */
+    static final long HOLD_MILLIS = 100;
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final long COLLECTION_MILLIS = 500;
+    private static final long EVALUATION_INTERVAL_MILLIS = 50;
+    /** A server's own leaving mark outlives a lagging list by far and ends if the server was wrong about itself. */
+    private static final long LEAVING_MARK_MILLIS = 60_000;
+
+    private final ShardKey key;
+    private final ProxyMetrics metrics;
+    private final SlotScheduler scheduler;
+    private final HealthMonitor monitor = HealthMonitor.create(HealthSettings.defaults());
+    private final Map<Long, CompletableFuture<SlotDecision>> waiting = new HashMap<>();
+    private final Map<Long, Uncollected> uncollected = new HashMap<>();
+    private final Map<String, Long> leavingSince = new HashMap<>();
+    private Map<String, ServerHealth> healths = Map.of();
+    private FleetView view;
+    private long nextEvaluationMillis;
+    private long lastUseMillis;
+
+    private OwnedShard(ShardKey key, SchedulerSettings settings, ProxyMetrics metrics) {
+        this.key = key;
+        this.metrics = metrics;
+        this.scheduler = SlotScheduler.create(settings);
+    }
+
+    static OwnedShard create(
+            ShardKey key, SchedulerSettings settings, ProxyMetrics metrics, FleetView view, long nowMillis) {
+        OwnedShard shard = new OwnedShard(key, settings, metrics);
+        shard.lastUseMillis = nowMillis;
+        shard.updateView(view, nowMillis);
+        return shard;
+    }
+
+    /**
+     * Asks for a slot and waits for it for at most {@link #HOLD_MILLIS}.
+     *
+     * @param ask the request
+     * @param ticket the ticket of an earlier reply, 0 for a new request
+     * @return the decision; queued if the wait ended first
+     */
+    SlotDecision acquire(SlotAsk ask, long ticket) {
+        CompletableFuture<SlotDecision> future = new CompletableFuture<>();
+        long queued;
+        synchronized (this) {
+            long now = MonotonicClock.millis();
+            lastUseMillis = now;
+            SlotDecision decision = ticket == 0 ? scheduler.offer(ask, now) : renew(ticket, now);
+            advance(now);
+            if (!(decision instanceof Queued waitingDecision)) {
+                return decision;
+            }
+            queued = waitingDecision.ticket();
+            waiting.put(queued, future);
+        }
+        return await(queued, future);
+    }
+
+    synchronized void finish(long lease, Outcome outcome, long latencyMicros, boolean leaving) {
+        long now = MonotonicClock.millis();
+        Optional<FinishedLease> finished = scheduler.finish(lease, outcome, latencyMicros, now);
+        finished.ifPresent(ended -> {
+            monitor.record(new Observation(ended.server(), ended.route(), outcome, latencyMicros), now);
+            if (leaving && leavingSince.put(ended.server(), now) == null) {
+                LOGGER.atInfo().log("%s: server %s says that it is leaving", key, ended.server());
+                updateScheduler(now);
+            }
+        });
+        advance(now);
+    }
+
+    synchronized void loseEntry(String entry) {
+        scheduler.loseEntry(entry, MonotonicClock.millis());
+    }
+
+    synchronized void updateView(FleetView newView, long nowMillis) {
+        view = newView;
+        updateServers(nowMillis);
+    }
+
+    /** Lets time pass: leases lapse, queued requests are decided, and the health of the servers is judged. */
+    synchronized void tick(long nowMillis) {
+        if (nowMillis >= nextEvaluationMillis) {
+            nextEvaluationMillis = nowMillis + EVALUATION_INTERVAL_MILLIS;
+            for (InFlight attempt : scheduler.inFlight(nowMillis)) {
+                monitor.observeInFlight(attempt.server(), attempt.route(), attempt.elapsedMicros(), nowMillis);
+            }
+            updateServers(nowMillis);
+        }
+        advance(nowMillis);
+        releaseUncollected(nowMillis);
+    }
+
+    synchronized boolean isIdleSince(long millis) {
+        return lastUseMillis < millis && waiting.isEmpty();
+    }
+
+    synchronized Map<String, ServerHealth> healths() {
+        return healths;
+    }
+
+    private SlotDecision renew(long ticket, long nowMillis) {
+        Uncollected decided = uncollected.remove(ticket);
+        if (decided != null) {
+            return decided.decision();
+        }
+        return scheduler.renew(ticket, nowMillis).orElse(new Queued(ticket));
+    }
+
+    private SlotDecision await(long ticket, CompletableFuture<SlotDecision> future) {
+        try {
+            return future.get(HOLD_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException exception) {
+            synchronized (this) {
+                waiting.remove(ticket, future);
+                // The decision may have come between the timeout and the lock.
+                return future.getNow(new Queued(ticket));
+            }
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            return new Queued(ticket);
+        } catch (ExecutionException exception) {
+            throw new IllegalStateException("a waiting request is only ever completed with a decision", exception);
+        }
+    }
+
+    private void advance(long nowMillis) {
+        for (TicketDecision decided : scheduler.advance(nowMillis)) {
+            CompletableFuture<SlotDecision> future = waiting.remove(decided.ticket());
+            if (future != null) {
+                future.complete(decided.decision());
+            } else {
+                // The entry is between two polls and collects the decision with its next one.
+                uncollected.put(decided.ticket(), new Uncollected(decided.decision(), nowMillis));
+            }
+        }
+    }
+
+    private void releaseUncollected(long nowMillis) {
+        uncollected.values().removeIf(decided -> {
+            boolean abandoned = nowMillis - decided.sinceMillis() > COLLECTION_MILLIS;
+            if (abandoned && decided.decision() instanceof Granted granted) {
+                scheduler.finish(granted.lease(), Outcome.NOT_RUN, 0, nowMillis);
+            }
+            return abandoned;
+        });
+    }
+
+    private void updateServers(long nowMillis) {
+        leavingSince.values().removeIf(since -> nowMillis - since > LEAVING_MARK_MILLIS);
+        List<MonitoredServer> monitored = new ArrayList<>();
+        for (LabeledServer server : view.servers(key)) {
+            String name = server.instance().name();
+            monitored.add(new MonitoredServer(name, isLeaving(server), scheduler.isWarm(name)));
+        }
+        monitor.updateServers(monitored, view.floor(key), nowMillis);
+        Map<String, ServerHealth> judged = Map.copyOf(monitor.evaluate(nowMillis));
+        reportChanges(judged);
+        healths = judged;
+        updateScheduler(nowMillis);
+    }
+
+    private void updateScheduler(long nowMillis) {
+        int slots = view.service(key.service()).map(ServiceDeclaration::slots).orElse(0);
+        List<ServerCapacity> capacities = new ArrayList<>();
+        for (LabeledServer server : view.servers(key)) {
+            String name = server.instance().name();
+            capacities.add(new ServerCapacity(
+                    name,
+                    server.instance().address(),
+                    slots,
+                    healths.getOrDefault(name, ServerHealth.HEALTHY),
+                    isLeaving(server),
+                    server.labels()));
+        }
+        scheduler.updateServers(capacities, nowMillis);
+    }
+
+    private boolean isLeaving(LabeledServer server) {
+        return server.leaving() || leavingSince.containsKey(server.instance().name());
+    }
+
+    private void reportChanges(Map<String, ServerHealth> judged) {
+        judged.forEach((name, next) -> {
+            ServerHealth former = healths.getOrDefault(name, ServerHealth.HEALTHY);
+            if (former != next) {
+                LOGGER.atInfo().log("%s: server %s is %s, was %s", key, name, next, former);
+                if (next == ServerHealth.EJECTED) {
+                    metrics.ejected(key.service());
+                }
+            }
+        });
+    }
+
+    /** A decision that was made while its entry was between two polls. */
+    private record Uncollected(SlotDecision decision, long sinceMillis) {}
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -0,0 +1,167 @@
+package org.cassiabank.proxy;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.cassiabank.admission.SchedulerSettings;
+import org.cassiabank.backend.BackendClient;
+import org.cassiabank.backend.BackendSettings;
+import org.cassiabank.kernel.Kernel;
+import org.cassiabank.kernel.KernelService;
+import org.cassiabank.kernel.ServiceName;
+import org.cassiabank.membership.Instance;
+import org.cassiabank.membership.InstanceRole;
+import org.cassiabank.membership.InstanceState;
+import org.cassiabank.peer.PeerClients;
+import org.cassiabank.peer.PeerSockets;
+import org.cassiabank.platform.InstanceListClient;
+import org.cassiabank.platform.StoreClient;
+
+/**
+ * Assembles the services of a daemon, and stops them so that no request in flight is cut.
+ */
+final class ProxyDaemon implements AutoCloseable {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final long DRAIN_POLL_MILLIS = 20;
+    private static final long LONGEST_DRAIN_MILLIS = TimeUnit.MINUTES.toMillis(30);
+
+    private final ProxySettings settings;
+    private final Kernel kernel;
+    private final AdminPages admin;
+    private final CallerServer callers;
+
+    private ProxyDaemon(ProxySettings settings, Kernel kernel, AdminPages admin, CallerServer callers) {
+        this.settings = settings;
+        this.kernel = kernel;
+        this.admin = admin;
+        this.callers = callers;
+    }
+
+    /**
+     * Assembles a daemon that is not started yet.
+     *
+     * @param settings the settings
+     * @return the daemon
+     */
+    static ProxyDaemon create(ProxySettings settings) {
+        Objects.requireNonNull(settings, "settings");
+        Instance self = new Instance(
+                settings.name(),
+                InstanceRole.PROXY,
+                settings.peerAddress().toString(),
+                settings.region(),
+                settings.failureDomain(),
+                InstanceState.LIVE);
+        PeerSockets sockets = PeerSockets.plain();
+        ProxyMetrics metrics = ProxyMetrics.create();
+        FleetState fleet = FleetState.create(settings.region());
+        PeerClients clients = PeerClients.create(sockets, metrics);
+        PeerDirectory peers = PeerDirectory.create(settings.name(), clients);
+        Replication replication = Replication.create(self, fleet, peers);
+        ShardOwners owners = ShardOwners.create(
+                SchedulerSettings.defaults().withSeparateClasses(settings.separateLongWork()), fleet, metrics);
+        SlotBroker broker = SlotBroker.create(settings, fleet, owners, peers);
+        ClaimKeeper keeper = ClaimKeeper.create(self, fleet, peers);
+        ClaimClient claims = ClaimClient.create(fleet, peers, keeper);
+        BackendClient backends = BackendClient.create(backendSettings(settings));
+        Entry entry =
+                Entry.create(fleet, Attempts.create(settings.name(), broker, backends, metrics), claims, metrics);
+        CallerServer callers = CallerServer.create(settings.limits(), entry, metrics);
+        AdminPages admin = AdminPages.create(settings);
+        Kernel kernel = Kernel.create()
+                .register(ServiceNames.SETTINGS, settings)
+                .register(ServiceNames.METRICS, metrics)
+                .register(ServiceNames.FLEET, fleet)
+                .register(ServiceNames.PEER_CLIENTS, clients)
+                .register(ServiceNames.PEER_DIRECTORY, peers)
+                .register(ServiceName.of("idle-connections", KernelService.class), idleConnections(clients))
+                .register(ServiceNames.OWNERS, owners)
+                .register(ServiceNames.BROKER, broker)
+                .register(ServiceNames.CLAIM_KEEPER, keeper)
+                .register(ServiceNames.CLAIMS, claims)
+                .register(ServiceNames.REPLICATION, replication)
+                .register(ServiceNames.PEER_ENDPOINT, PeerEndpoint.create(settings, sockets))
+                .register(
+                        ServiceName.of("platform-watch", PlatformWatch.class),
+                        PlatformWatch.create(
+                                StoreClient.create(settings.store()),
+                                InstanceListClient.create(settings.store()),
+                                fleet,
+                                replication,
+                                metrics))
+                .register(ServiceNames.ENTRY, entry)
+                .register(ServiceNames.ADMIN, admin);
+        return new ProxyDaemon(settings, kernel, admin, callers);
+    }
+
+    /**
+     * Starts all services and listens for callers.
+     *
+     * @throws org.cassiabank.kernel.CassiabankException if a service cannot start
+     */
+    void start() {
+        kernel.start();
+        callers.start(settings.callersAddress(), Optional.empty());
+        LOGGER.atInfo().log(
+                "%s serves callers on %s, peers on %s, operators on %s",
+                settings.name(), settings.callersAddress(), settings.peerAddress(), settings.adminAddress());
+    }
+
+    /**
+     * Stops the daemon without cutting a request: first the load balancer's check fails, then requests in flight end,
+     * then claims are handed over and the services stop.
+     */
+    @Override
+    public void close() {
+        LOGGER.atInfo().log("%s drains", settings.name());
+        admin.startDraining();
+        callers.startDraining();
+        sleep(settings.drainMillis());
+        long deadline = MonotonicClock.millis() + LONGEST_DRAIN_MILLIS;
+        while (callers.requestsInFlight() > 0 && MonotonicClock.millis() < deadline) {
+            sleep(DRAIN_POLL_MILLIS);
+        }
+        callers.close();
+        kernel.get(ServiceNames.CLAIM_KEEPER).handOverAll();
+        kernel.close();
+        LOGGER.atInfo().log("%s has stopped", settings.name());
+    }
+
+    private static BackendSettings backendSettings(ProxySettings settings) {
+        BackendSettings defaults = BackendSettings.defaults();
+        return new BackendSettings(
+                defaults.connectMillis(),
+                settings.limits().answerBytes(),
+                defaults.idlePerServer(),
+                defaults.idleAgeMillis());
+    }
+
+    private static KernelService idleConnections(PeerClients clients) {
+        ScheduledExecutorService worker = Executors.newSingleThreadScheduledExecutor(
+                Thread.ofPlatform().name("idle-connections").daemon().factory());
+        return new KernelService() {
+            @Override
+            public void start(Kernel started) {
+                worker.scheduleAtFixedRate(
+                        Repeated.guarded("idle connections", clients::closeIdle), 1, 1, TimeUnit.SECONDS);
+            }
+
+            @Override
+            public void stop() {
+                worker.shutdownNow();
+                clients.close();
+            }
+        };
+    }
+
+    private static void sleep(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/proxy/ProxyMain.java
@@ -0,0 +1,69 @@
+package org.cassiabank.proxy;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.cassiabank.kernel.CassiabankException;
+import org.cassiabank.kernel.ErrorCode;
+
+/**
+ * Starts a proxy daemon.
+ */
+public final class ProxyMain {
+    private static final int EXIT_FAILURE = 1;
+    private static final int EXIT_USAGE = 2;
+
+    private ProxyMain() {}
+
+    /**
+     * Runs the daemon until it receives SIGTERM or SIGINT, and then stops it without cutting requests.
+     *
+     * @param arguments the command line; {@code --help} describes it
+     * @throws IOException if the help text cannot be written
+     * @throws InterruptedException if the main thread is interrupted
+     */
+    public static void main(String[] arguments) throws IOException, InterruptedException {
+        OptionParser parser = new OptionParser();
+        OptionSpec<String> settingsFile =
+                parser.accepts("settings", "TOML file with the settings").withRequiredArg();
+        OptionSpec<Void> check = parser.accepts("check", "check the settings and exit");
+        OptionSpec<Void> help = parser.acceptsAll(List.of("help", "h"), "print this help").forHelp();
+        try {
+            OptionSet options = parser.parse(arguments);
+            if (options.has(help)) {
+                parser.printHelpOn(System.out);
+                return;
+            }
+            if (!options.has(settingsFile)) {
+                throw CassiabankException.of(ErrorCode.INVALID_INPUT, "option --settings is missing");
+            }
+            ProxySettings settings = ProxySettingsParser.read(Path.of(options.valueOf(settingsFile)));
+            if (options.has(check)) {
+                System.out.println("the settings are valid");
+                return;
+            }
+            run(settings);
+        } catch (OptionException exception) {
+            exit(EXIT_USAGE, exception);
+        } catch (CassiabankException exception) {
+            exit(exception.code() == ErrorCode.INVALID_INPUT ? EXIT_USAGE : EXIT_FAILURE, exception);
+        }
+    }
+
+    private static void run(ProxySettings settings) throws InterruptedException {
+        ProxyDaemon daemon = ProxyDaemon.create(settings);
+        daemon.start();
+        Runtime.getRuntime().addShutdownHook(Thread.ofPlatform().name("drain").unstarted(daemon::close));
+        new CountDownLatch(1).await();
+    }
+
+    private static void exit(int status, RuntimeException exception) {
+        System.err.println("cassiabank-proxy: " + exception.getMessage());
+        System.exit(status);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/proxy/ProxyMetrics.java
@@ -0,0 +1,116 @@
+package org.cassiabank.proxy;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.instrumentation.jvm.JvmMetrics;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.function.DoubleSupplier;
+import org.cassiabank.peer.ControlTraffic;
+
+/**
+ * The metrics of a daemon. A counter exists for every reason of a refusal and of a retry.
+ */
+final class ProxyMetrics implements ControlTraffic {
+    private static final double MICROS_PER_SECOND = 1e6;
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Counter requests = counter("cassiabank_requests_total", "Requests by outcome.", "outcome");
+    private final Counter refusals = counter("cassiabank_refusals_total", "Requests not run, by reason.", "reason");
+    private final Counter unknowns =
+            counter("cassiabank_unknown_outcomes_total", "Requests whose outcome is unknown, by reason.", "reason");
+    private final Counter retries =
+            counter("cassiabank_retries_total", "Further attempts at backend servers, by reason.", "reason");
+    private final Counter attempts =
+            counter("cassiabank_attempts_total", "Attempts at backend servers, by outcome.", "outcome");
+    private final Counter ejections = counter("cassiabank_ejections_total", "Ejections of servers.", "service");
+    private final Counter controlMessages =
+            counter("cassiabank_control_messages_total", "Calls of peers, by kind.", "kind");
+    private final Counter controlBytes = counter(
+            "cassiabank_control_bytes_total", "Bytes of requests and replies of calls of peers, by kind.", "kind");
+    private final Counter storeCalls =
+            counter("cassiabank_store_calls_total", "Calls of the platform, by kind.", "kind");
+    private final Histogram addedTime = Histogram.builder()
+            .name("cassiabank_added_seconds")
+            .help("Time from the request to its first attempt at a backend server.")
+            .register(registry);
+
+    private ProxyMetrics() {}
+
+    static ProxyMetrics create() {
+        ProxyMetrics metrics = new ProxyMetrics();
+        JvmMetrics.builder().register(metrics.registry);
+        return metrics;
+    }
+
+    void answered() {
+        requests.labelValues("answered").inc();
+    }
+
+    void refused(String reason) {
+        requests.labelValues("not-run").inc();
+        refusals.labelValues(reason).inc();
+    }
+
+    void unknown(String reason) {
+        requests.labelValues("unknown").inc();
+        unknowns.labelValues(reason).inc();
+    }
+
+    void retried(String reason) {
+        retries.labelValues(reason).inc();
+    }
+
+    void attempted(String outcome) {
+        attempts.labelValues(outcome).inc();
+    }
+
+    void ejected(String service) {
+        ejections.labelValues(service).inc();
+    }
+
+    void storeCalled(String kind) {
+        storeCalls.labelValues(kind).inc();
+    }
+
+    void addedMicros(long micros) {
+        addedTime.observe(micros / MICROS_PER_SECOND);
+    }
+
+    void gauge(String name, String help, DoubleSupplier value) {
+        GaugeWithCallback.builder()
+                .name(name)
+                .help(help)
+                .callback(callback -> callback.call(value.getAsDouble()))
+                .register(registry);
+    }
+
+    @Override
+    public void record(String kind, long bytesSent, long bytesReceived) {
+        controlMessages.labelValues(kind).inc();
+        controlBytes.labelValues(kind).inc(bytesSent + bytesReceived);
+    }
+
+    /**
+     * Writes all metrics in the Prometheus text format.
+     *
+     * @return the text
+     */
+    String toText() {
+        ByteArrayOutputStream output = new ByteArrayOutputStream();
+        try {
+            PrometheusTextFormatWriter.create().write(output, registry.scrape());
+        } catch (IOException exception) {
+            throw new IllegalStateException("writing to memory cannot fail", exception);
+        }
+        return output.toString(StandardCharsets.UTF_8);
+    }
+
+    private Counter counter(String name, String help, String label) {
+        return Counter.builder().name(name).help(help).labelNames(label).register(registry);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/proxy/ProxySettingsParser.java
@@ -0,0 +1,162 @@
+package org.cassiabank.proxy;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import org.cassiabank.kernel.CassiabankException;
+import org.cassiabank.kernel.ErrorCode;
+import org.cassiabank.kernel.Finding;
+import org.cassiabank.kernel.Findings;
+
+/**
+ * Reads the settings of a proxy daemon from TOML and reports everything that is wrong with them together.
+ */
+public final class ProxySettingsParser {
+    private static final int DEFAULT_DRAIN_MILLIS = 5_000;
+    private static final TomlMapper MAPPER = new TomlMapper();
+
+    private ProxySettingsParser() {}
+
+    /**
+     * Reads a file.
+     *
+     * @param file the file
+     * @return the settings
+     * @throws CassiabankException with {@link ErrorCode#INVALID_INPUT} if the file cannot be read or is not valid
+     */
+    public static ProxySettings read(Path file) {
+        try {
+            return parse(file.toString(), Files.readString(file));
+        } catch (IOException exception) {
+            throw CassiabankException.withCause(
+                    ErrorCode.INVALID_INPUT, file + ": cannot be read: " + exception.getMessage(), exception);
+        }
+    }
+
+    /**
+     * Reads settings from text.
+     *
+     * @param source the name of the source, for findings
+     * @param text the TOML text
+     * @return the settings
+     * @throws CassiabankException with all findings if the text is not valid
+     */
+    public static ProxySettings parse(String source, String text) {
+        JsonNode table = parseToml(source, text);
+        Findings findings = Findings.create();
+        SettingsReader reader = SettingsReader.of(source, text, table, findings);
+        String name = reader.required("name", ProxySettingsParser::nonEmpty);
+        String region = reader.required("region", ProxySettingsParser::nonEmpty);
+        String failureDomain = reader.required("failure-domain", ProxySettingsParser::nonEmpty);
+        SocketAddress callers = reader.required("callers-address", SocketAddress::parse);
+        SocketAddress peers = reader.required("peer-address", SocketAddress::parse);
+        SocketAddress admin = reader.required("admin-address", SocketAddress::parse);
+        URI store = reader.required("store", ProxySettingsParser::httpUrl);
+        SchedulingMode scheduling = reader.optional("scheduling", ProxySettingsParser::schedulingMode)
+                .orElse(SchedulingMode.OWNER);
+        boolean separate =
+                reader.optional("separate-long-work", ProxySettingsParser::flag).orElse(true);
+        CallerLimits limits = limits(reader);
+        long drainMillis = reader.positive("drain-millis", DEFAULT_DRAIN_MILLIS);
+        Optional<ProxySettings.TlsFiles> callersTls = tlsFiles(reader, "callers-tls", source, findings);
+        Optional<ProxySettings.TlsFiles> peerTls = tlsFiles(reader, "peer-tls", source, findings);
+        reader.reportUnknownKeys();
+        findings.throwIfAny();
+        return new ProxySettings(
+                name,
+                region,
+                failureDomain,
+                callers,
+                peers,
+                admin,
+                store,
+                scheduling,
+                separate,
+                limits,
+                drainMillis,
+                callersTls,
+                peerTls);
+    }
+
+    private static CallerLimits limits(SettingsReader reader) {
+        CallerLimits defaults = CallerLimits.defaults();
+        return new CallerLimits(
+                reader.positive("maximum-connections", defaults.connections()),
+                reader.positive("maximum-requests-in-flight", defaults.requestsInFlight()),
+                reader.positive("maximum-header-bytes", defaults.headerBytes()),
+                reader.positive("maximum-body-bytes", defaults.bodyBytes()),
+                reader.positive("maximum-answer-bytes", defaults.answerBytes()),
+                reader.positive("idle-millis", (int) defaults.idleMillis()));
+    }
+
+    private static Optional<ProxySettings.TlsFiles> tlsFiles(
+            SettingsReader reader, String prefix, String source, Findings findings) {
+        Optional<Path> certificate = reader.optional(prefix + "-certificate", ProxySettingsParser::readableFile);
+        Optional<Path> key = reader.optional(prefix + "-key", ProxySettingsParser::readableFile);
+        Optional<Path> trusted = reader.optional(prefix + "-trusted", ProxySettingsParser::readableFile);
+        if (certificate.isPresent() != key.isPresent()) {
+            findings.add(Finding.of(
+                    source, prefix + "-certificate", "certificate and key must be given together, as readable files"));
+            return Optional.empty();
+        }
+        return certificate.map(path -> new ProxySettings.TlsFiles(path, key.orElseThrow(), trusted));
+    }
+
+    private static JsonNode parseToml(String source, String text) {
+        try {
+            return MAPPER.readTree(text);
+        } catch (JsonProcessingException exception) {
+            int line = exception.getLocation() == null
+                    ? 1
+                    : exception.getLocation().getLineNr();
+            throw CassiabankException.ofFindings(
+                    List.of(Finding.at(source, line, "", "not valid TOML: " + exception.getOriginalMessage())));
+        }
+    }
+
+    private static String nonEmpty(String text) {
+        if (text.isBlank()) {
+            throw new IllegalArgumentException("must not be empty");
+        }
+        return text;
+    }
+
+    private static URI httpUrl(String text) {
+        URI url = URI.create(text);
+        if (!"http".equals(url.getScheme()) && !"https".equals(url.getScheme())) {
+            throw new IllegalArgumentException("expected an HTTP URL, not '" + text + "'");
+        }
+        return url;
+    }
+
+    private static SchedulingMode schedulingMode(String text) {
+        return switch (text.toLowerCase(Locale.ROOT)) {
+            case "owner" -> SchedulingMode.OWNER;
+            case "independent" -> SchedulingMode.INDEPENDENT;
+            default -> throw new IllegalArgumentException("expected 'owner' or 'independent', not '" + text + "'");
+        };
+    }
+
+    private static boolean flag(String text) {
+        return switch (text) {
+            case "true" -> true;
+            case "false" -> false;
+            default -> throw new IllegalArgumentException("expected true or false, not '" + text + "'");
+        };
+    }
+
+    private static Path readableFile(String text) {
+        Path path = Path.of(text);
+        if (!Files.isReadable(path)) {
+            throw new IllegalArgumentException("file '" + text + "' cannot be read");
+        }
+        return path;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -0,0 +1,224 @@
+package org.cassiabank.proxy;
+
+import java.util.HashSet;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.cassiabank.admission.SlotAsk;
+import org.cassiabank.backend.Answered;
+import org.cassiabank.backend.BackendResult;
+import org.cassiabank.declaration.Selector;
+import org.cassiabank.retry.AttemptPolicy;
+import org.cassiabank.retry.AttemptState;
+import org.cassiabank.retry.HedgePolicy;
+import org.cassiabank.retry.NextStep;
+import org.cassiabank.retry.RetryBudget;
+import org.cassiabank.retry.RetryReason;
+
+/**
+ * Runs one request of a caller: gets slots, makes attempts and decides what the caller is told.
+ */
+final class RequestRun {
+    /** Below this an attempt timeout would mostly hit ordinary variation of short routes. */
+    private static final long LEAST_ATTEMPT_MILLIS = 250;
+
+    /** An attempt that takes ten times the usual 95th percentile is more likely lost than late. */
+    private static final long ATTEMPT_TIMEOUT_FACTOR = 10;
+
+    private final CallerRequest request;
+    private final Selector selector;
+    private final CallerPresence presence;
+    private final long deadline;
+    private final long startNanos = System.nanoTime();
+    private final Attempts attempts;
+    private final RetryBudget budget;
+    private final Set<String> excluded = new HashSet<>();
+    private int attemptCount;
+    private boolean neverRun = true;
+    private Optional<Answered> serverError = Optional.empty();
+
+    private RequestRun(
+            CallerRequest request,
+            Selector selector,
+            CallerPresence presence,
+            long remainingMillis,
+            Attempts attempts,
+            RetryBudget budget) {
+        this.request = request;
+        this.selector = selector;
+        this.presence = presence;
+        this.deadline = MonotonicClock.millis() + remainingMillis;
+        this.attempts = attempts;
+        this.budget = budget;
+    }
+
+    static RequestRun create(
+            CallerRequest request,
+            Selector selector,
+            CallerPresence presence,
+            long remainingMillis,
+            Attempts attempts,
+            RetryBudget budget) {
+        return new RequestRun(
+                Objects.requireNonNull(request, "request"),
+                Objects.requireNonNull(selector, "selector"),
+                Objects.requireNonNull(presence, "presence"),
+                remainingMillis,
+                Objects.requireNonNull(attempts, "attempts"),
+                Objects.requireNonNull(budget, "budget"));
+    }
+
+    /**
+     * Runs the request.
+     *
+     * @return the reply
+     */
+    RequestResult run() {
+        while (true) {
+            SlotResult found = attempts.acquire(selector.service(), ask(), presence);
+            if (found instanceof SlotResult.NoSlot none) {
+                return withoutSlot(none.reason(), none.retryAfterMillis());
+            }
+            SlotResult.Slot slot = (SlotResult.Slot) found;
+            long now = MonotonicClock.millis();
+            if (now >= deadline) {
+                attempts.release(slot);
+                return withoutSlot("deadline", 0);
+            }
+            if (now >= slot.expiresMillis()) {
+                // This process was paused after the grant; the slot may belong to another request by now.
+                attempts.release(slot);
+                continue;
+            }
+            if (attemptCount == 0) {
+                attempts.addedMicros((System.nanoTime() - startNanos) / 1_000);
+            }
+            BackendResult result = attempt(slot);
+            Optional<RequestResult> end = decide(result);
+            if (end.isPresent()) {
+                return end.get();
+            }
+        }
+    }
+
+    private Optional<RequestResult> decide(BackendResult result) {
+        AttemptState state = new AttemptState(
+                selector.repeatable(),
+                result.attemptResult(),
+                neverRun,
+                attemptCount,
+                deadline - MonotonicClock.millis(),
+                true);
+        neverRun = state.neverRun();
+        if (result instanceof Answered answered && answered.failed()) {
+            serverError = Optional.of(answered);
+        }
+        return switch (AttemptPolicy.next(state, budget)) {
+            case NextStep.Deliver deliver -> Optional.of(RequestResult.answered((Answered) result));
+            case NextStep.Retry retry -> {
+                attempts.retried(retry.reason());
+                yield Optional.empty();
+            }
+            case NextStep.RefuseNotRun refuse ->
+                Optional.of(RequestResult.notRun(refuse.reason(), attempts.retryAfterMillis()));
+            case NextStep.AnswerUnknown unknown -> Optional.of(RequestResult.unknown(unknown.reason()));
+        };
+    }
+
+    private RequestResult withoutSlot(String reason, long retryAfterMillis) {
+        if (neverRun) {
+            return RequestResult.notRun(reason, retryAfterMillis);
+        }
+        // No server is left for another attempt, so the answer of the failed one is the best that there is.
+        return serverError.map(RequestResult::answered).orElseGet(() -> RequestResult.unknown(reason));
+    }
+
+    private BackendResult attempt(SlotResult.Slot slot) {
+        attemptCount++;
+        excluded.add(slot.server());
+        long remaining = deadline - MonotonicClock.millis();
+        OptionalLong hedgeDelay =
+                HedgePolicy.delayMillis(selector.repeatable(), attemptCount, slot.hedgeAfterMillis(), remaining);
+        if (hedgeDelay.isEmpty()) {
+            return attempts.send(request, slot, selector, attemptMillis(slot, remaining), presence);
+        }
+        return attemptWithHedge(slot, remaining, hedgeDelay.getAsLong());
+    }
+
+    private BackendResult attemptWithHedge(SlotResult.Slot slot, long remaining, long delayMillis) {
+        BlockingQueue<BackendResult> results = new LinkedBlockingQueue<>();
+        Attempts.Running first =
+                attempts.start(request, slot, selector, attemptMillis(slot, remaining), presence, results);
+        BackendResult result = poll(results, delayMillis);
+        if (result != null || presence.isGone() || !budget.trySpend(RetryReason.HEDGE)) {
+            return result != null ? result : take(results);
+        }
+        SlotResult second = attempts.acquire(selector.service(), ask(), presence);
+        if (!(second instanceof SlotResult.Slot secondSlot) || !results.isEmpty()) {
+            if (second instanceof SlotResult.Slot unused) {
+                attempts.release(unused);
+            }
+            return take(results);
+        }
+        attempts.retried(RetryReason.HEDGE);
+        attemptCount++;
+        excluded.add(secondSlot.server());
+        Attempts.Running other = attempts.start(
+                request, secondSlot, selector, deadline - MonotonicClock.millis(), presence, results);
+        BackendResult winner = take(results);
+        if (!isGood(winner)) {
+            neverRun = neverRun && winner.attemptResult().provesNotRun();
+            BackendResult later = take(results);
+            winner = isGood(later) || later instanceof Answered ? later : winner;
+            neverRun = neverRun && later.attemptResult().provesNotRun();
+        }
+        first.cancel();
+        other.cancel();
+        return winner;
+    }
+
+    private long attemptMillis(SlotResult.Slot slot, long remaining) {
+        if (!selector.repeatable() || slot.hedgeAfterMillis() == 0) {
+            return Math.max(1, remaining);
+        }
+        long usual = Math.max(LEAST_ATTEMPT_MILLIS, ATTEMPT_TIMEOUT_FACTOR * slot.hedgeAfterMillis());
+        return Math.max(1, Math.min(remaining, usual));
+    }
+
+    private SlotAsk ask() {
+        return new SlotAsk(
+                attempts.entryName(),
+                selector.name(),
+                selector.name(),
+                request.caller(),
+                selector.cost(),
+                selector.repeatable(),
+                Math.max(0, deadline - MonotonicClock.millis()),
+                excluded,
+                selector.servers());
+    }
+
+    private static boolean isGood(BackendResult result) {
+        return result instanceof Answered answered && !answered.failed();
+    }
+
+    private static BackendResult poll(BlockingQueue<BackendResult> results, long waitMillis) {
+        try {
+            return results.poll(waitMillis, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException exception) {
+            throw new IllegalStateException("request threads are not interrupted", exception);
+        }
+    }
+
+    private static BackendResult take(BlockingQueue<BackendResult> results) {
+        try {
+            return results.take();
+        } catch (InterruptedException exception) {
+            throw new IllegalStateException("request threads are not interrupted", exception);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/proxy/SettingsReader.java
@@ -0,0 +1,107 @@
+package org.cassiabank.proxy;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import org.cassiabank.kernel.Finding;
+import org.cassiabank.kernel.Findings;
+
+/**
+ * Reads typed values from a TOML table and collects a finding with its line for each value that is not valid.
+ */
+final class SettingsReader {
+    private final String source;
+    private final String[] lines;
+    private final JsonNode table;
+    private final Findings findings;
+    private final Set<String> known = new HashSet<>();
+
+    private SettingsReader(String source, String text, JsonNode table, Findings findings) {
+        this.source = source;
+        this.lines = text.split("\n", -1);
+        this.table = table;
+        this.findings = findings;
+    }
+
+    static SettingsReader of(String source, String text, JsonNode table, Findings findings) {
+        return new SettingsReader(source, text, table, findings);
+    }
+
+    /**
+     * Reads a value that must be there.
+     *
+     * @param <T> the type of the value
+     * @param key the key
+     * @param convert converts the text and throws IllegalArgumentException if it is not valid
+     * @return the value, or null after a finding was added
+     */
+    <T> T required(String key, Function<String, T> convert) {
+        if (!table.hasNonNull(key)) {
+            known.add(key);
+            findings.add(Finding.of(source, key, "is missing"));
+            return null;
+        }
+        return optional(key, convert).orElse(null);
+    }
+
+    <T> Optional<T> optional(String key, Function<String, T> convert) {
+        known.add(key);
+        JsonNode value = table.path(key);
+        if (value.isMissingNode()) {
+            return Optional.empty();
+        }
+        if (value.isContainerNode()) {
+            report(key, "expected a single value");
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(convert.apply(value.asText()));
+        } catch (IllegalArgumentException exception) {
+            report(key, exception.getMessage());
+            return Optional.empty();
+        }
+    }
+
+    int positive(String key, int defaultValue) {
+        return optional(key, text -> parsePositive(text)).orElse(defaultValue);
+    }
+
+    void reportUnknownKeys() {
+        Iterator<String> names = table.fieldNames();
+        while (names.hasNext()) {
+            String name = names.next();
+            if (!known.contains(name)) {
+                report(name, "is not a known setting");
+            }
+        }
+    }
+
+    private void report(String key, String message) {
+        findings.add(Finding.at(source, lineOf(key), key, message));
+    }
+
+    private int lineOf(String key) {
+        for (int index = 0; index < lines.length; index++) {
+            String line = lines[index].strip();
+            if (line.startsWith(key) && line.substring(key.length()).strip().startsWith("=")) {
+                return index + 1;
+            }
+        }
+        return 1;
+    }
+
+    private static int parsePositive(String text) {
+        try {
+            int value = Integer.parseInt(text);
+            if (value > 0) {
+                return value;
+            }
+        } catch (NumberFormatException exception) {
+            throw new IllegalArgumentException("expected a positive whole number, not '" + text + "'", exception);
+        }
+        throw new IllegalArgumentException("expected a positive whole number, not '" + text + "'");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/proxy/ShardOwners.java
@@ -0,0 +1,102 @@
+package org.cassiabank.proxy;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.cassiabank.admission.SchedulerSettings;
+import org.cassiabank.admission.SlotAsk;
+import org.cassiabank.admission.SlotDecision;
+import org.cassiabank.health.Outcome;
+import org.cassiabank.health.ServerHealth;
+import org.cassiabank.kernel.Kernel;
+import org.cassiabank.kernel.KernelService;
+import org.cassiabank.membership.Instance;
+import org.cassiabank.membership.InstanceRole;
+
+/**
+ * The shards that this daemon schedules. A shard is taken on by the first request for one of its slots, because the
+ * entry that asks may know better than a lagging list who the owner is.
+ */
+final class ShardOwners implements KernelService {
+    private static final long TICK_MILLIS = 10;
+    private static final long IDLE_MILLIS = 60_000;
+
+    private final Map<ShardKey, OwnedShard> shards = new ConcurrentHashMap<>();
+    private final SchedulerSettings settings;
+    private final FleetState fleet;
+    private final ProxyMetrics metrics;
+    private final ScheduledExecutorService ticker = Executors.newSingleThreadScheduledExecutor(
+            Thread.ofPlatform().name("shard-ticker").daemon().factory());
+
+    private ShardOwners(SchedulerSettings settings, FleetState fleet, ProxyMetrics metrics) {
+        this.settings = settings;
+        this.fleet = fleet;
+        this.metrics = metrics;
+    }
+
+    static ShardOwners create(SchedulerSettings settings, FleetState fleet, ProxyMetrics metrics) {
+        return new ShardOwners(
+                Objects.requireNonNull(settings, "settings"),
+                Objects.requireNonNull(fleet, "fleet"),
+                Objects.requireNonNull(metrics, "metrics"));
+    }
+
+    @Override
+    public void start(Kernel kernel) {
+        fleet.onChange(this::updateShards);
+        ticker.scheduleAtFixedRate(
+                Repeated.guarded("shards", this::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        metrics.gauge("cassiabank_owned_shards", "Shards scheduled by this daemon.", shards::size);
+    }
+
+    @Override
+    public void stop() {
+        ticker.shutdown();
+    }
+
+    SlotDecision acquire(ShardKey key, SlotAsk ask, long ticket) {
+        return shards.computeIfAbsent(
+                        key,
+                        missing -> OwnedShard.create(
+                                missing, settings, metrics, fleet.view(), MonotonicClock.millis()))
+                .acquire(ask, ticket);
+    }
+
+    void finish(ShardKey key, long lease, Outcome outcome, long latencyMicros, boolean serverLeaving) {
+        OwnedShard shard = shards.get(key);
+        if (shard != null) {
+            shard.finish(lease, outcome, latencyMicros, serverLeaving);
+        }
+    }
+
+    /**
+     * Returns the health of the servers of all shards that this daemon schedules.
+     *
+     * @return health by server by shard, in the order of the shards' names
+     */
+    Map<String, Map<String, ServerHealth>> healths() {
+        Map<String, Map<String, ServerHealth>> healths = new TreeMap<>();
+        shards.forEach((key, shard) -> healths.put(key.toString(), shard.healths()));
+        return healths;
+    }
+
+    private void updateShards(FleetView former, FleetView view) {
+        long now = MonotonicClock.millis();
+        shards.values().forEach(shard -> shard.updateView(view, now));
+        for (Instance proxy : former.instances().withRole(InstanceRole.PROXY)) {
+            if (view.instances().find(proxy.name()).isEmpty()) {
+                shards.values().forEach(shard -> shard.loseEntry(proxy.name()));
+            }
+        }
+    }
+
+    private void tick() {
+        long now = MonotonicClock.millis();
+        shards.values().forEach(shard -> shard.tick(now));
+        shards.values().removeIf(shard -> shard.isIdleSince(now - IDLE_MILLIS));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/proxy/SlotBroker.java
@@ -0,0 +1,170 @@
+package org.cassiabank.proxy;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import org.cassiabank.admission.Granted;
+import org.cassiabank.admission.Queued;
+import org.cassiabank.admission.RefusalReason;
+import org.cassiabank.admission.Refused;
+import org.cassiabank.admission.SlotAsk;
+import org.cassiabank.admission.SlotDecision;
+import org.cassiabank.health.Outcome;
+import org.cassiabank.kernel.CassiabankException;
+import org.cassiabank.membership.Instance;
+import org.cassiabank.peer.generated.SlotOutcome;
+import org.cassiabank.peer.generated.SlotReply;
+import org.cassiabank.peer.generated.SlotRequest;
+
+/**
+ * Gets slots for the requests of this entry, from the owner of a shard or, when no owner answers, from this daemon's
+ * own scheduler.
+ */
+final class SlotBroker {
+    /** An owner answers within 100 ms even when the request has to wait, so a silent one is taken for failed. */
+    private static final int ACQUIRE_TIMEOUT_MILLIS = 250;
+
+    private static final int REPORT_TIMEOUT_MILLIS = 1_000;
+
+    private final ProxySettings settings;
+    private final FleetState fleet;
+    private final ShardOwners owners;
+    private final PeerDirectory peers;
+
+    private SlotBroker(ProxySettings settings, FleetState fleet, ShardOwners owners, PeerDirectory peers) {
+        this.settings = settings;
+        this.fleet = fleet;
+        this.owners = owners;
+        this.peers = peers;
+    }
+
+    static SlotBroker create(ProxySettings settings, FleetState fleet, ShardOwners owners, PeerDirectory peers) {
+        return new SlotBroker(
+                Objects.requireNonNull(settings, "settings"),
+                Objects.requireNonNull(fleet, "fleet"),
+                Objects.requireNonNull(owners, "owners"),
+                Objects.requireNonNull(peers, "peers"));
+    }
+
+    /**
+     * Gets a slot, and waits for it as long as the deadline allows. Nothing is sent to a backend server, so the search
+     * can go from one candidate to the next at any moment.
+     *
+     * @param service the name of the service
+     * @param ask the request; its remaining time counts from now
+     * @param presence tells whether the caller still waits
+     * @return a slot or a refusal
+     */
+    SlotResult acquire(String service, SlotAsk ask, CallerPresence presence) {
+        FleetView view = fleet.view();
+        ShardKey shard =
+                new ShardKey(service, ThreadLocalRandom.current().nextInt(view.shardCount(service)));
+        long deadline = MonotonicClock.millis() + ask.remainingMillis();
+        if (settings.scheduling() == SchedulingMode.OWNER) {
+            for (Instance candidate : view.ownerCandidates(shard)) {
+                if (peers.isSelf(candidate)) {
+                    return acquireFrom(Optional.empty(), shard, ask, deadline, presence);
+                }
+                if (peers.isReachable(candidate)) {
+                    try {
+                        return acquireFrom(Optional.of(candidate), shard, ask, deadline, presence);
+                    } catch (CassiabankException exception) {
+                        // The peer directory remembers the failure; the next candidate is as good.
+                        continue;
+                    }
+                }
+            }
+        }
+        return acquireFrom(Optional.empty(), shard, ask, deadline, presence);
+    }
+
+    /**
+     * Reports how an attempt ended, which frees its slot. A report that is lost frees the slot when the lease lapses.
+     *
+     * @param slot the slot
+     * @param outcome the outcome
+     * @param latencyMicros the duration of the attempt in microseconds
+     * @param serverLeaving whether the server said that it is leaving
+     */
+    void report(SlotResult.Slot slot, Outcome outcome, long latencyMicros, boolean serverLeaving) {
+        if (slot.owner().isEmpty()) {
+            owners.finish(slot.shard(), slot.lease(), outcome, latencyMicros, serverLeaving);
+            return;
+        }
+        SlotOutcome message = new SlotOutcome(
+                slot.shard().service(),
+                slot.shard().number(),
+                slot.lease(),
+                PeerMessages.toMessage(outcome),
+                latencyMicros);
+        message.setServerLeaving(serverLeaving);
+        try {
+            peers.call(slot.owner().get(), "report", REPORT_TIMEOUT_MILLIS, client -> {
+                client.report(message);
+                return true;
+            });
+        } catch (CassiabankException exception) {
+            // The lease lapses at the owner; there is nobody else to tell.
+            return;
+        }
+    }
+
+    private SlotResult acquireFrom(
+            Optional<Instance> owner, ShardKey shard, SlotAsk ask, long deadline, CallerPresence presence) {
+        long ticket = 0;
+        while (true) {
+            long now = MonotonicClock.millis();
+            SlotAsk current = withRemaining(ask, Math.max(0, deadline - now));
+            long presented = ticket;
+            SlotDecision decision = owner.isEmpty()
+                    ? owners.acquire(shard, current, presented)
+                    : acquireRemotely(owner.get(), shard, current, presented);
+            switch (decision) {
+                case Granted granted -> {
+                    return new SlotResult.Slot(
+                            shard,
+                            owner,
+                            granted.lease(),
+                            granted.server(),
+                            granted.address(),
+                            now + granted.leaseMillis(),
+                            granted.hedgeAfterMillis());
+                }
+                case Refused refused when refused.reason() == RefusalReason.TICKET_EXPIRED && presented != 0 -> {
+                    // A pause of this daemon or a new owner loses the place in the queue, not the request.
+                    ticket = 0;
+                }
+                case Refused refused -> {
+                    return new SlotResult.NoSlot(refused.reason().label(), refused.retryAfterMillis());
+                }
+                case Queued queued -> {
+                    if (presence.isGone()) {
+                        return new SlotResult.NoSlot("caller-gone", 0);
+                    }
+                    ticket = queued.ticket();
+                }
+            }
+        }
+    }
+
+    private SlotDecision acquireRemotely(Instance owner, ShardKey shard, SlotAsk ask, long ticket) {
+        SlotRequest request = PeerMessages.toMessage(ask, shard, ticket);
+        SlotReply reply =
+                peers.call(owner, "acquire", ACQUIRE_TIMEOUT_MILLIS, client -> client.acquire(request));
+        return PeerMessages.toDecision(reply);
+    }
+
+    private static SlotAsk withRemaining(SlotAsk ask, long remainingMillis) {
+        return new SlotAsk(
+                ask.entry(),
+                ask.selector(),
+                ask.route(),
+                ask.caller(),
+                ask.cost(),
+                ask.repeatable(),
+                remainingMillis,
+                ask.excluded(),
+                ask.servers());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/proxy/SlotResult.java
@@ -0,0 +1,39 @@
+package org.cassiabank.proxy;
+
+import java.util.Optional;
+import org.cassiabank.membership.Instance;
+
+/**
+ * The end of the search for a slot.
+ */
+sealed interface SlotResult {
+
+    /**
+     * A slot was granted.
+     *
+     * @param shard the shard
+     * @param owner the proxy that granted the slot, empty if this daemon scheduled on its own
+     * @param lease the lease at the owner
+     * @param server the name of the backend server
+     * @param address the address of the backend server
+     * @param expiresMillis when the lease lapses, on the monotonic clock
+     * @param hedgeAfterMillis when a hedge is worth its cost, 0 if none is
+     */
+    record Slot(
+            ShardKey shard,
+            Optional<Instance> owner,
+            long lease,
+            String server,
+            String address,
+            long expiresMillis,
+            long hedgeAfterMillis)
+            implements SlotResult {}
+
+    /**
+     * No slot was granted.
+     *
+     * @param reason the reason, as shown to callers and in metrics
+     * @param retryAfterMillis when to come back, in milliseconds
+     */
+    record NoSlot(String reason, long retryAfterMillis) implements SlotResult {}
+}
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -24,9 +24,12 @@
   7: required i64 remainingMillis,
   8: list<string> excluded,
   9: i32 shard,
-  10: i64 revision,
   /** The ticket of an earlier reply, 0 for a new request. */
   11: i64 ticket,
+  /** The name of a CostHint. */
+  12: string cost,
+  /** The labels that a server must carry. */
+  13: map<string, string> servers,
 }
 
 struct SlotGrant {
@@ -110,7 +113,7 @@
 
 struct RecordedAnswer {
   1: required i32 status,
-  2: required map<string, string> headers,
+  2: required map<string, list<string>> headers,
   3: required binary body,
 }
 
