--- /dev/null
+++ b/src/main/java/org/cassiabank/admission/RefusalReason.java
@@ -0,0 +1,36 @@
+package org.cassiabank.admission;
+
+import java.util.Locale;
+
+/**
+ * Why the owner of a shard refused a slot. The request has not run in any of these cases.
+ */
+public enum RefusalReason {
+    /** The queue has no room for another request of the caller. */
+    QUEUE_FULL,
+    /** The predicted wait exceeds the longest wait that the owner lets build up. */
+    WAIT_TOO_LONG,
+    /** The answer cannot arrive before the deadline of the request. */
+    DEADLINE,
+    /** The shard has no server that carries the labels of the selector. */
+    NO_SERVER,
+    /** All servers that carry the labels are ejected or leaving. */
+    NO_HEALTHY_SERVER,
+    /** The request excludes every server that could take it. */
+    ALL_EXCLUDED,
+    /** The ticket is not known or was not renewed in time. */
+    TICKET_EXPIRED,
+    /** The entry that queued the request is gone. */
+    ENTRY_LOST;
+
+    private final String label = name().toLowerCase(Locale.ROOT).replace('_', '-');
+
+    /**
+     * Returns the reason as a metric label and header value.
+     *
+     * @return the name in lower case with hyphens
+     */
+    public String label() {
+        return label;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/admission/SlotAsk.java
@@ -0,0 +1,44 @@
+package org.cassiabank.admission;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import org.cassiabank.declaration.CostHint;
+
+/**
+ * An entry's request for one slot.
+ *
+ * @param entry the name of the entry instance
+ * @param selector the name of the selector that took the request
+ * @param route the name under which costs are learned
+ * @param caller the identity between which slots are shared fairly
+ * @param cost the declared cost
+ * @param repeatable whether the request may run more than once
+ * @param remainingMillis the time until the caller's deadline, in milliseconds
+ * @param excluded the names of servers that must not be used, for example because an attempt failed there
+ * @param servers the labels that a server must carry
+ */
+public record SlotAsk(
+        String entry,
+        String selector,
+        String route,
+        String caller,
+        CostHint cost,
+        boolean repeatable,
+        long remainingMillis,
+        Set<String> excluded,
+        Map<String, String> servers) {
+
+    /**
+     * Checks and copies the components.
+     */
+    public SlotAsk {
+        Objects.requireNonNull(entry, "entry");
+        Objects.requireNonNull(selector, "selector");
+        Objects.requireNonNull(route, "route");
+        Objects.requireNonNull(caller, "caller");
+        Objects.requireNonNull(cost, "cost");
+        excluded = Set.copyOf(excluded);
+        servers = Map.copyOf(servers);
+    }
+}
