--- /dev/null
+++ b/src/main/java/org/cassiabank/declaration/Declaration.java
@@ -0,0 +1,14 @@
+package org.cassiabank.declaration;
+
+/**
+ * One entity that operators declare.
+ */
+public sealed interface Declaration permits LabelRule, ServiceDeclaration, Selector {
+
+    /**
+     * Returns the kind and the name of the entity.
+     *
+     * @return the key
+     */
+    EntityKey key();
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/declaration/DeclarationRules.java
@@ -0,0 +1,108 @@
+package org.cassiabank.declaration;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Pattern;
+
+/**
+ * The limits on single values of declarations, shared by the records and by the reader of files and documents.
+ */
+final class DeclarationRules {
+    static final Range SLOTS = new Range("slots", 1, 10_000);
+    static final Range FLOOR = new Range("floor", 0, 1_000_000);
+    static final Range DEADLINE_MILLIS = new Range("deadline-millis", 1, 3_600_000);
+    static final Range WEIGHT = new Range("weight", 1, 1_000_000);
+    static final Range PRIORITY = new Range("priority", -1_000_000, 1_000_000);
+
+    private static final int LONGEST_TEXT = 512;
+    // Names become parts of metric labels and of rendezvous keys "service/shard", so they contain no slash.
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,127}");
+    private static final Pattern METHOD = Pattern.compile("[A-Z][A-Z0-9-]{0,31}");
+
+    private DeclarationRules() {}
+
+    /** The allowed values of a number, both ends included. */
+    record Range(String key, long lowest, long highest) {
+        Optional<String> problem(long value) {
+            return value >= lowest && value <= highest
+                    ? Optional.empty()
+                    : Optional.of(key + " must be from " + lowest + " to " + highest + ", but is " + value);
+        }
+    }
+
+    static void require(Optional<String> problem) {
+        if (problem.isPresent()) {
+            throw new IllegalArgumentException(problem.get());
+        }
+    }
+
+    static Optional<String> nameProblem(String name) {
+        return NAME.matcher(name).matches()
+                ? Optional.empty()
+                : Optional.of("name \"" + name + "\" must have 1 to 128 letters, digits, dots, hyphens or underscores"
+                        + " and start with a letter or digit");
+    }
+
+    static Optional<String> methodProblem(String method) {
+        return METHOD.matcher(method).matches()
+                ? Optional.empty()
+                : Optional.of("\"" + method + "\" is not an HTTP method in capitals");
+    }
+
+    static Optional<String> pathProblem(String path) {
+        if (!path.startsWith("/")) {
+            return Optional.of("path \"" + path + "\" must start with /");
+        }
+        if (path.length() > LONGEST_TEXT) {
+            return Optional.of("path is longer than " + LONGEST_TEXT + " characters");
+        }
+        if (path.chars().anyMatch(next -> next <= ' ' || next >= 0x7f || next == '?' || next == '#')) {
+            return Optional.of("path \"" + path + "\" must not contain spaces, ?, # or characters outside ASCII");
+        }
+        String normalized = RequestPaths.normalize(path);
+        return normalized.equals(path)
+                ? Optional.empty()
+                : Optional.of("path \"" + path + "\" never matches; its normalized form is \"" + normalized + "\"");
+    }
+
+    static Optional<String> globProblem(String pattern) {
+        if (pattern.isEmpty() || pattern.length() > LONGEST_TEXT) {
+            return Optional.of("glob pattern must have 1 to " + LONGEST_TEXT + " characters");
+        }
+        for (int index = 0; index < pattern.length(); index++) {
+            char next = pattern.charAt(index);
+            if ("[]{}\\!".indexOf(next) >= 0) {
+                return Optional.of("glob pattern \"" + pattern + "\" contains '" + next
+                        + "', which is not supported; only * and ? are special");
+            }
+            if (next <= ' ' || next == 0x7f) {
+                return Optional.of("glob pattern \"" + pattern + "\" contains a space or control character");
+            }
+        }
+        return Optional.empty();
+    }
+
+    static Optional<String> labelsProblem(Map<String, String> labels) {
+        for (Map.Entry<String, String> label : labels.entrySet()) {
+            if (nameProblem(label.getKey()).isPresent()) {
+                return nameProblem(label.getKey()).map(problem -> "label " + problem);
+            }
+            if (label.getValue().isEmpty() || label.getValue().length() > LONGEST_TEXT) {
+                return Optional.of(
+                        "label " + label.getKey() + " must have a value of 1 to " + LONGEST_TEXT + " characters");
+            }
+        }
+        return Optional.empty();
+    }
+
+    static Optional<String> labelRuleProblem(Map<String, String> labels) {
+        if (labels.isEmpty()) {
+            return Optional.of("at least one label must be set");
+        }
+        String leaving = labels.getOrDefault(LabelRule.LEAVING_LABEL, "true");
+        if (!leaving.equals("true") && !leaving.equals("false")) {
+            return Optional.of("label leaving must be \"true\" or \"false\", but is \"" + leaving + "\"");
+        }
+        return labelsProblem(labels);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/declaration/EntityKind.java
@@ -0,0 +1,42 @@
+package org.cassiabank.declaration;
+
+import java.util.Locale;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * The kinds of entities that operators declare.
+ */
+public enum EntityKind {
+    /** A rule that sets labels on instances. */
+    LABEL,
+    /** A service. */
+    SERVICE,
+    /** A rule that sends requests to servers of a service. */
+    SELECTOR;
+
+    /**
+     * Returns the word for the kind in files, documents and commands.
+     *
+     * @return the name in lower case
+     */
+    public String word() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    /**
+     * Finds a kind by its word.
+     *
+     * @param word the word, for example {@code service}
+     * @return the kind, or empty if there is none of that name
+     */
+    public static Optional<EntityKind> ofWord(String word) {
+        Objects.requireNonNull(word, "word");
+        for (EntityKind kind : values()) {
+            if (kind.word().equals(word)) {
+                return Optional.of(kind);
+            }
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/declaration/Selector.java
@@ -0,0 +1,69 @@
+package org.cassiabank.declaration;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+
+/**
+ * Sends the requests that it matches to labeled servers of a service.
+ *
+ * @param name the name of the selector
+ * @param service the name of the service
+ * @param methods the HTTP methods that match, in capitals; empty if all match
+ * @param path the path prefix that matches, ending at a segment boundary
+ * @param callers the glob pattern of caller identities that match
+ * @param servers the labels that a server must carry, all of them
+ * @param weight the share among selectors of equal priority and path length
+ * @param repeatable whether a request may run more than once
+ * @param cost the declared cost of the requests
+ * @param priority the precedence; higher values are tried first
+ */
+public record Selector(
+        String name,
+        String service,
+        Set<String> methods,
+        String path,
+        String callers,
+        Map<String, String> servers,
+        int weight,
+        boolean repeatable,
+        CostHint cost,
+        int priority)
+        implements Declaration {
+
+    /**
+     * Checks and copies the components.
+     */
+    public Selector {
+        Objects.requireNonNull(name, "name");
+        Objects.requireNonNull(service, "service");
+        Objects.requireNonNull(path, "path");
+        Objects.requireNonNull(callers, "callers");
+        Objects.requireNonNull(cost, "cost");
+        methods = Set.copyOf(methods);
+        servers = Map.copyOf(servers);
+        DeclarationRules.require(DeclarationRules.nameProblem(name));
+        DeclarationRules.require(DeclarationRules.nameProblem(service));
+        methods.forEach(method -> DeclarationRules.require(DeclarationRules.methodProblem(method)));
+        DeclarationRules.require(DeclarationRules.pathProblem(path));
+        DeclarationRules.require(DeclarationRules.globProblem(callers));
+        DeclarationRules.require(DeclarationRules.labelsProblem(servers));
+        DeclarationRules.require(DeclarationRules.WEIGHT.problem(weight));
+        DeclarationRules.require(DeclarationRules.PRIORITY.problem(priority));
+    }
+
+    /**
+     * Tells whether a request with this method matches.
+     *
+     * @param method the HTTP method
+     * @return true if the selector names the method or names none
+     */
+    public boolean matchesMethod(String method) {
+        return methods.isEmpty() || methods.contains(method);
+    }
+
+    @Override
+    public EntityKey key() {
+        return new EntityKey(EntityKind.SELECTOR, name);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/revision/ConfigurationHistory.java
@@ -0,0 +1,113 @@
+package org.cassiabank.revision;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.cassiabank.declaration.Configuration;
+import org.cassiabank.kernel.CassiabankException;
+import org.cassiabank.kernel.ErrorCode;
+
+/**
+ * The configuration in force and the latest changes that led to it. Its revision never decreases.
+ *
+ * <p>Instances are thread-safe. Reading the configuration takes no lock.
+ */
+public final class ConfigurationHistory {
+    /** The number of changes that are kept for peers. */
+    public static final int KEPT_CHANGES = 512;
+
+    private final Deque<Change> changes = new ArrayDeque<>();
+    private volatile Configuration configuration = Configuration.empty();
+
+    private ConfigurationHistory() {}
+
+    /**
+     * Creates a history that starts with the empty configuration.
+     *
+     * @return the history
+     */
+    public static ConfigurationHistory create() {
+        return new ConfigurationHistory();
+    }
+
+    /**
+     * Returns the configuration in force.
+     *
+     * @return the configuration, empty with revision 0 before the first change
+     */
+    public Configuration configuration() {
+        return configuration;
+    }
+
+    /**
+     * Applies a change if it is the next one.
+     *
+     * @param change the change
+     * @return true if it was applied, false if its revision is not the next one
+     * @throws CassiabankException with {@link ErrorCode#INVALID_INPUT} if it is the next one and does not fit; the
+     *     configuration in force stays
+     */
+    public synchronized boolean apply(Change change) {
+        Objects.requireNonNull(change, "change");
+        if (change.revision() != configuration.revision() + 1) {
+            return false;
+        }
+        configuration = change.applyTo(configuration);
+        changes.addLast(change);
+        if (changes.size() > KEPT_CHANGES) {
+            changes.removeFirst();
+        }
+        return true;
+    }
+
+    /**
+     * Installs a snapshot if it is newer. The changes kept so far are dropped, because they no longer lead up to the
+     * configuration in force.
+     *
+     * @param snapshot the snapshot as {@link #snapshot()} returns it
+     * @return true if it was installed, false if it is not newer
+     * @throws CassiabankException with {@link ErrorCode#INVALID_INPUT} if it is damaged; the configuration in force
+     *     stays
+     */
+    public boolean install(byte[] snapshot) {
+        Objects.requireNonNull(snapshot, "snapshot");
+        Configuration installed = Snapshots.read(snapshot);
+        synchronized (this) {
+            if (installed.revision() <= configuration.revision()) {
+                return false;
+            }
+            configuration = installed;
+            changes.clear();
+            return true;
+        }
+    }
+
+    /**
+     * Returns the changes that a peer lacks.
+     *
+     * @param revision the revision of the peer
+     * @return the changes after it in order, empty list if it lacks none; empty if it is too far behind and needs a
+     *     snapshot
+     */
+    public synchronized Optional<List<Change>> changesSince(long revision) {
+        if (revision >= configuration.revision()) {
+            return Optional.of(List.of());
+        }
+        if (changes.isEmpty() || changes.getFirst().revision() > revision + 1) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                changes.stream().filter(change -> change.revision() > revision).toList());
+    }
+
+    /**
+     * Writes the configuration in force as a snapshot.
+     *
+     * @return the compressed snapshot
+     */
+    public byte[] snapshot() {
+        return Snapshots.write(configuration);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/revision/Edit.java
@@ -0,0 +1,35 @@
+package org.cassiabank.revision;
+
+import org.cassiabank.declaration.Configuration;
+import org.cassiabank.declaration.EntityKey;
+import org.cassiabank.declaration.VersionedDeclaration;
+
+/**
+ * One edit of a change: the whole new content of an entity, or its removal.
+ */
+public sealed interface Edit permits PutEdit, DeleteEdit {
+
+    /**
+     * Returns the entity that is edited.
+     *
+     * @return the key
+     */
+    EntityKey key();
+
+    /**
+     * Returns the revision at which the entity was last changed when the operator read it.
+     *
+     * @return the revision, 0 if the entity did not exist
+     */
+    long readRevision();
+
+    /**
+     * Tells whether the entity is still as the operator read it.
+     *
+     * @param configuration the current configuration
+     * @return true if the entity has not changed since
+     */
+    default boolean isBasedOn(Configuration configuration) {
+        return configuration.find(key()).map(VersionedDeclaration::revision).orElse(0L) == readRevision();
+    }
+}
