--- /dev/null
+++ b/src/main/java/org/cassiabank/health/HealthSettings.java
@@ -0,0 +1,50 @@
+package org.cassiabank.health;
+
+/**
+ * The limits of the health monitor.
+ *
+ * @param errorThreshold the log-likelihood ratio at which a server's errors count as proven
+ * @param slownessThreshold the log-likelihood ratio at which a server's slowness counts as proven
+ * @param slowFactor how many times the usual time of its route an attempt takes to count as slow
+ * @param firstHoldOffMillis the time without work after the first ejection, in milliseconds
+ * @param maximumHoldOffMillis the upper limit of the hold-off, in milliseconds
+ * @param probationAnswers how many good answers end a probation
+ * @param coldGraceMillis how long after its cold start a server's slowness is no evidence, in milliseconds
+ */
+public record HealthSettings(
+        double errorThreshold,
+        double slownessThreshold,
+        double slowFactor,
+        long firstHoldOffMillis,
+        long maximumHoldOffMillis,
+        int probationAnswers,
+        long coldGraceMillis) {
+
+    /**
+     * Checks that the limits can be met.
+     */
+    public HealthSettings {
+        if (!(errorThreshold > 0) || !(slownessThreshold > 0)) {
+            throw new IllegalArgumentException("thresholds must be positive");
+        }
+        if (!(slowFactor > 1)) {
+            throw new IllegalArgumentException("slowFactor must be greater than 1: " + slowFactor);
+        }
+        if (firstHoldOffMillis <= 0 || maximumHoldOffMillis < firstHoldOffMillis) {
+            throw new IllegalArgumentException(
+                    "hold-offs must be positive and in order: " + firstHoldOffMillis + ", " + maximumHoldOffMillis);
+        }
+        if (probationAnswers < 1 || coldGraceMillis < 0) {
+            throw new IllegalArgumentException("probationAnswers must be positive and coldGraceMillis not negative");
+        }
+    }
+
+    /**
+     * Returns the limits that section 10 of the design page states.
+     *
+     * @return the default limits
+     */
+    public static HealthSettings defaults() {
+        return new HealthSettings(20, 20, 4, 1_000, 300_000, 5, 5_000);
+    }
+}
