Add the public API of retry, backend and once

Ruled out: a retry decision that depends on BackendResult, because retry is a decision module and must not reach OkHttp; AttemptResult stands between them. requestHeadersEnd of OkHttp as the line after which bytes may have been written, because heads above 8 KiB are written before it; the line is the first write operation on the socket. Conclusion: the signatures can be used; the behaviour is untested.

--- /dev/null
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -0,0 +1,118 @@
+package org.cassiabank.backend;
+
+import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import okhttp3.Call;
+import okhttp3.Headers;
+import okhttp3.Response;
+import okio.BufferedSource;
+
+/**
+ * One attempt at a backend server, which another thread can cancel.
+ */
+public final class BackendCall {
+    private final BackendRequest request;
+    private final Call call;
+    private final AttemptTrace trace;
+    private final int mostAnswerBytes;
+    private volatile boolean cancelled;
+
+    private BackendCall(BackendRequest request, Call call, AttemptTrace trace, int mostAnswerBytes) {
+        this.request = request;
+        this.call = call;
+        this.trace = trace;
+        this.mostAnswerBytes = mostAnswerBytes;
+    }
+
+    static BackendCall of(BackendRequest request, Call call, AttemptTrace trace, int mostAnswerBytes) {
+        return new BackendCall(request, call, trace, mostAnswerBytes);
+    }
+
+    /**
+     * Sends the request and waits for the complete answer. May be called once; blocks the thread.
+     *
+     * @return how the attempt ended; every failure of the server or the network is a result, not an exception
+     */
+    public BackendResult execute() {
+        try (Response response = call.execute()) {
+            Optional<BackendResult> broken = Optional.empty();
+            byte[] body = new byte[0];
+            try {
+                broken = checkHead(response);
+                if (broken.isEmpty()) {
+                    BufferedSource source = response.body().source();
+                    if (source.request(mostAnswerBytes + 1L)) {
+                        broken = Optional.of(
+                                new Broken(BrokenReason.ANSWER_TOO_LARGE, "more than " + mostAnswerBytes + " bytes"));
+                    } else {
+                        body = source.readByteArray();
+                    }
+                }
+            } finally {
+                // Closing an unread answer would make OkHttp read the rest and reuse the connection.
+                if (broken.isPresent()) {
+                    call.cancel();
+                }
+            }
+            return broken.orElse(toResult(response.code(), body));
+        } catch (IOException exception) {
+            return toResult(exception);
+        }
+    }
+
+    /**
+     * Ends the attempt and closes its connection, so that the server can stop its work. May be called by any thread at
+     * any time; without effect after the end.
+     */
+    public void cancel() {
+        cancelled = true;
+        call.cancel();
+    }
+
+    private Optional<BackendResult> checkHead(Response response) {
+        Headers headers = trace.answerHeaders();
+        List<String> identifiers = headers.values(BackendHeaders.REQUEST_ID);
+        if (identifiers.isEmpty() || !identifiers.stream().allMatch(request.requestId()::equals)) {
+            return Optional.of(new Broken(BrokenReason.WRONG_REQUEST_ID, "answer carries identifier " + identifiers));
+        }
+        int status = response.code();
+        if (status == 204 || status == 304 || request.method().equals("HEAD")) {
+            return Optional.empty();
+        }
+        boolean chunked = "chunked".equalsIgnoreCase(headers.get("Transfer-Encoding"));
+        List<String> lengths = headers.values("Content-Length");
+        boolean declared = response.body().contentLength() >= 0 && new HashSet<>(lengths).size() == 1;
+        return status >= 200 && (chunked || declared)
+                ? Optional.empty()
+                : Optional.of(new Broken(BrokenReason.CUT_ANSWER, "status " + status + " without a declared end"));
+    }
+
+    private BackendResult toResult(int status, byte[] body) {
+        Headers headers = trace.answerHeaders();
+        boolean leaving = BackendHeaders.isAlways(headers, BackendHeaders.LEAVING, "true");
+        return status == 503 && BackendHeaders.isAlways(headers, BackendHeaders.NOT_RUN, "true")
+                ? new ShedAnswer(leaving)
+                : new Answered(status, BackendHeaders.endToEnd(headers), body, leaving);
+    }
+
+    private BackendResult toResult(IOException exception) {
+        boolean written = trace.mayHaveWritten();
+        String detail = exception.toString();
+        if (cancelled || Thread.currentThread().isInterrupted()) {
+            return new Cancelled(written);
+        }
+        if (!written) {
+            return new NotSent(detail);
+        }
+        // OkHttp reports the end of the time for the call as InterruptedIOException.
+        if (exception instanceof InterruptedIOException) {
+            return new Broken(BrokenReason.TIMEOUT, detail);
+        }
+        return trace.answerHeaders() == null
+                ? new Broken(BrokenReason.CONNECTION_LOST, detail)
+                : new Broken(BrokenReason.CUT_ANSWER, detail);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/backend/BackendClient.java
@@ -0,0 +1,131 @@
+package org.cassiabank.backend;
+
+import java.net.Proxy;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import okhttp3.Call;
+import okhttp3.ConnectionPool;
+import okhttp3.Headers;
+import okhttp3.HttpUrl;
+import okhttp3.OkHttpClient;
+import okhttp3.Protocol;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+
+/**
+ * Sends requests to backend servers, each at most once.
+ *
+ * <p>Instances are thread-safe. Calls block, so they are made on virtual threads.
+ */
+public final class BackendClient implements AutoCloseable {
+    private static final Set<String> METHODS_WITHOUT_BODY = Set.of("GET", "HEAD");
+
+    private final BackendSettings settings;
+    private final OkHttpClient fresh;
+    /** By address: the pool of OkHttp limits idle connections over all its servers, not for each one. */
+    private final Map<String, OkHttpClient> pooled = new ConcurrentHashMap<>();
+
+    private BackendClient(BackendSettings settings) {
+        this.settings = settings;
+        this.fresh = new OkHttpClient.Builder()
+                .protocols(List.of(Protocol.HTTP_1_1))
+                .proxy(Proxy.NO_PROXY)
+                .followRedirects(false)
+                .followSslRedirects(false)
+                .retryOnConnectionFailure(false)
+                .fastFallback(false)
+                .connectTimeout(settings.connectMillis(), TimeUnit.MILLISECONDS)
+                .readTimeout(0, TimeUnit.MILLISECONDS)
+                .writeTimeout(0, TimeUnit.MILLISECONDS)
+                .socketFactory(new WriteCountingSocketFactory())
+                .connectionPool(new ConnectionPool(0, 1, TimeUnit.NANOSECONDS))
+                .eventListenerFactory(call -> call.request().tag(AttemptTrace.class))
+                .addNetworkInterceptor(
+                        chain -> chain.request().tag(AttemptTrace.class).intercept(chain))
+                .build();
+    }
+
+    /**
+     * Creates a client.
+     *
+     * @param settings the limits
+     * @return the client
+     */
+    public static BackendClient create(BackendSettings settings) {
+        return new BackendClient(Objects.requireNonNull(settings, "settings"));
+    }
+
+    /**
+     * Sends a request and waits for the complete answer.
+     *
+     * @param request the request
+     * @return how the attempt ended
+     */
+    public BackendResult send(BackendRequest request) {
+        return newCall(request).execute();
+    }
+
+    /**
+     * Prepares a request that can be cancelled while it runs.
+     *
+     * @param request the request
+     * @return the attempt
+     * @throws IllegalArgumentException if the address, the method or a header cannot be sent
+     */
+    public BackendCall newCall(BackendRequest request) {
+        Headers headers = BackendHeaders.toSend(request);
+        AttemptTrace trace = new AttemptTrace();
+        // Without an encoding of the caller, "identity" keeps OkHttp from asking for gzip; the trace takes it out
+        // again.
+        Headers.Builder forOkHttp = headers.newBuilder();
+        if (headers.get("Accept-Encoding") == null) {
+            forOkHttp.set("Accept-Encoding", "identity");
+        }
+        RequestBody body = METHODS_WITHOUT_BODY.contains(request.method()) ? null : RequestBody.create(request.body());
+        Request message = new Request.Builder()
+                .url(HttpUrl.get("http://" + request.address() + request.path()))
+                .headers(forOkHttp.build())
+                .method(request.method(), body)
+                .tag(AttemptTrace.class, trace)
+                .tag(Headers.class, headers)
+                .build();
+        OkHttpClient client = request.repeatable() ? pooled(request.address()) : fresh;
+        Call call = client.newCall(message);
+        call.timeout().timeout(request.timeoutMillis(), TimeUnit.MILLISECONDS);
+        return BackendCall.of(request, call, trace, settings.mostAnswerBytes());
+    }
+
+    /**
+     * Closes the idle connections to servers that are not contained in the list any more.
+     *
+     * @param addresses the addresses of all known servers
+     */
+    public void retainServers(Set<String> addresses) {
+        pooled.forEach((address, client) -> {
+            if (!addresses.contains(address)) {
+                pooled.remove(address);
+                client.connectionPool().evictAll();
+            }
+        });
+    }
+
+    /**
+     * Closes all idle connections.
+     */
+    @Override
+    public void close() {
+        retainServers(Set.of());
+        fresh.connectionPool().evictAll();
+    }
+
+    private OkHttpClient pooled(String address) {
+        return pooled.computeIfAbsent(address, key -> fresh.newBuilder()
+                .connectionPool(
+                        new ConnectionPool(settings.idlePerServer(), settings.idleAgeMillis(), TimeUnit.MILLISECONDS))
+                .build());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/backend/BackendRequest.java
@@ -0,0 +1,67 @@
+package org.cassiabank.backend;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * A request to a backend server.
+ *
+ * @param address the host and port of the server
+ * @param method the HTTP method
+ * @param path the path with the query, starting with a slash and without dot segments
+ * @param headers the caller's headers; hop-by-hop headers are not sent
+ * @param body the complete body, empty if there is none; not copied
+ * @param requestId the identifier that the server has to echo
+ * @param repeatable whether the request may run more than once; others use a fresh connection
+ * @param timeoutMillis the longest time for the whole attempt in milliseconds, also sent as the server's deadline
+ */
+public record BackendRequest(
+        String address,
+        String method,
+        String path,
+        Map<String, List<String>> headers,
+        byte[] body,
+        String requestId,
+        boolean repeatable,
+        long timeoutMillis) {
+
+    /**
+     * Copies the headers and checks what HTTP cannot carry unchanged.
+     *
+     * @throws IllegalArgumentException if the path does not start with a slash or has a fragment, a backslash or a dot
+     *     segment (a server resolves dot segments, so it would run another path than the one that was routed), if a GET
+     *     or HEAD request has a body, or if the identifier is blank or the timeout is not positive
+     */
+    public BackendRequest {
+        Objects.requireNonNull(address, "address");
+        Objects.requireNonNull(method, "method");
+        Objects.requireNonNull(body, "body");
+        headers = Map.copyOf(headers);
+        if (!path.startsWith("/") || path.contains("#") || path.contains("\\") || hasDotSegment(path)) {
+            throw new IllegalArgumentException("path cannot be forwarded unchanged: " + path);
+        }
+        if (body.length > 0 && (method.equals("GET") || method.equals("HEAD"))) {
+            throw new IllegalArgumentException(method + " request with a body");
+        }
+        if (requestId.isBlank()) {
+            throw new IllegalArgumentException("request identifier is blank");
+        }
+        if (timeoutMillis < 1) {
+            throw new IllegalArgumentException("timeout must be positive: " + timeoutMillis);
+        }
+    }
+
+    private static boolean hasDotSegment(String path) {
+        int query = path.indexOf('?');
+        String onlyPath = query < 0 ? path : path.substring(0, query);
+        for (String segment : onlyPath.split("/")) {
+            String decoded = segment.toLowerCase(Locale.ROOT).replace("%2e", ".");
+            if (decoded.equals(".") || decoded.equals("..")) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/backend/Cancelled.java
@@ -0,0 +1,22 @@
+package org.cassiabank.backend;
+
+import org.cassiabank.health.Outcome;
+import org.cassiabank.retry.AttemptResult;
+
+/**
+ * The attempt was cancelled, or its thread was interrupted.
+ *
+ * @param written whether bytes may have been written, so that the request may have run
+ */
+public record Cancelled(boolean written) implements BackendResult {
+
+    @Override
+    public Outcome outcome() {
+        return Outcome.CANCELLED;
+    }
+
+    @Override
+    public AttemptResult attemptResult() {
+        return written ? AttemptResult.CANCELLED : AttemptResult.CANCELLED_UNSENT;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/backend/NotSent.java
@@ -0,0 +1,30 @@
+package org.cassiabank.backend;
+
+import java.util.Objects;
+import org.cassiabank.health.Outcome;
+import org.cassiabank.retry.AttemptResult;
+
+/**
+ * The connection was not opened or no byte was written to it: the request did not run.
+ *
+ * @param detail what failed, for diagnosis
+ */
+public record NotSent(String detail) implements BackendResult {
+
+    /**
+     * Checks that the detail is not null.
+     */
+    public NotSent {
+        Objects.requireNonNull(detail, "detail");
+    }
+
+    @Override
+    public Outcome outcome() {
+        return Outcome.NOT_RUN;
+    }
+
+    @Override
+    public AttemptResult attemptResult() {
+        return AttemptResult.NOT_SENT;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/once/ClaimHandover.java
@@ -0,0 +1,91 @@
+package org.cassiabank.once;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.cassiabank.membership.Instance;
+import org.cassiabank.membership.RendezvousHash;
+
+/**
+ * Finds the keepers of keys and the records that go to new keepers when the list of proxies changes.
+ */
+public final class ClaimHandover {
+
+    private ClaimHandover() {}
+
+    /**
+     * Returns the keepers of a key.
+     *
+     * @param key the idempotency key
+     * @param proxies the live proxies of the region
+     * @return at most {@link ClaimVote#KEEPERS} proxies, in different failure domains as far as possible
+     */
+    public static List<Instance> keepers(String key, Collection<Instance> proxies) {
+        return RendezvousHash.spread(key, proxies, ClaimVote.KEEPERS);
+    }
+
+    /**
+     * Returns the different sets of keepers under several lists, all of which a claim has to win.
+     *
+     * @param key the idempotency key
+     * @param recentLists the live proxies now and as they were during the last handover time, not empty
+     * @return the sets without repetition; usually one
+     */
+    public static List<List<Instance>> keeperSets(String key, Collection<? extends Collection<Instance>> recentLists) {
+        List<List<Instance>> sets = new ArrayList<>();
+        Set<Set<String>> known = new HashSet<>();
+        for (Collection<Instance> proxies : recentLists) {
+            List<Instance> keepers = keepers(key, proxies);
+            if (known.add(keepers.stream().map(Instance::name).collect(Collectors.toSet()))) {
+                sets.add(keepers);
+            }
+        }
+        return sets;
+    }
+
+    /**
+     * Returns what a keeper sends to the proxies that become keepers of its records. Every keeper sends its records,
+     * also one that stays a keeper, because a killed keeper cannot send its own.
+     *
+     * @param self the name of the sending proxy
+     * @param records the records of the sending proxy
+     * @param before the live proxies before the change
+     * @param after the live proxies after the change; a proxy that stops leaves itself out
+     * @return the records for each new keeper, by instance name; proxies that get none are not contained
+     */
+    public static Map<String, List<ClaimRecord>> plan(
+            String self, List<ClaimRecord> records, Collection<Instance> before, Collection<Instance> after) {
+        Map<String, List<ClaimRecord>> plan = new HashMap<>();
+        for (ClaimRecord record : records) {
+            Set<String> old =
+                    keepers(record.key(), before).stream().map(Instance::name).collect(Collectors.toSet());
+            for (Instance keeper : keepers(record.key(), after)) {
+                if (!keeper.name().equals(self) && !old.contains(keeper.name())) {
+                    plan.computeIfAbsent(keeper.name(), name -> new ArrayList<>())
+                            .add(record);
+                }
+            }
+        }
+        return plan;
+    }
+
+    /**
+     * Returns the records that a proxy should hold, for a proxy that has just started and asks for them.
+     *
+     * @param peer the name of the asking proxy
+     * @param records the records of the asked proxy
+     * @param proxies the live proxies; the asking proxy has to be among them
+     * @return the records of which the asking proxy is a keeper
+     */
+    public static List<ClaimRecord> recordsFor(String peer, List<ClaimRecord> records, Collection<Instance> proxies) {
+        return records.stream()
+                .filter(record -> keepers(record.key(), proxies).stream()
+                        .anyMatch(keeper -> keeper.name().equals(peer)))
+                .toList();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/once/RecordedAnswer.java
@@ -0,0 +1,58 @@
+package org.cassiabank.once;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * An answer that is kept for repeats of its request.
+ *
+ * @param status the HTTP status
+ * @param headers the end-to-end headers
+ * @param body the complete body; not copied
+ */
+public record RecordedAnswer(int status, Map<String, List<String>> headers, byte[] body) {
+
+    /**
+     * Copies the headers.
+     */
+    public RecordedAnswer {
+        headers = Map.copyOf(headers);
+        Objects.requireNonNull(body, "body");
+    }
+
+    /**
+     * Returns the size by which the answer counts against limits.
+     *
+     * @return the bytes of the body plus the characters of the headers
+     */
+    public long size() {
+        long size = body.length;
+        for (Map.Entry<String, List<String>> header : headers.entrySet()) {
+            size += header.getKey().length();
+            for (String value : header.getValue()) {
+                size += value.length();
+            }
+        }
+        return size;
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof RecordedAnswer that
+                && status == that.status
+                && headers.equals(that.headers)
+                && Arrays.equals(body, that.body);
+    }
+
+    @Override
+    public int hashCode() {
+        return Objects.hash(status, headers, Arrays.hashCode(body));
+    }
+
+    @Override
+    public String toString() {
+        return "RecordedAnswer[" + status + ", " + body.length + " bytes]";
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/retry/AttemptResult.java
@@ -0,0 +1,68 @@
+package org.cassiabank.retry;
+
+import java.util.Optional;
+
+/**
+ * How an attempt ended, as far as the decision about the next step depends on it.
+ */
+public enum AttemptResult {
+    /** A complete answer that is no server error. */
+    ANSWERED("answered", false, null),
+    /** A complete answer with a server error. */
+    SERVER_ERROR("server-error", false, RetryReason.SERVER_ERROR),
+    /** The server shed the request and stated that it did not run. */
+    SHED("shed", true, RetryReason.SHED),
+    /** The connection was not opened or no byte was written. */
+    NOT_SENT("not-sent", true, RetryReason.NOT_SENT),
+    /** No complete answer came in time. */
+    TIMEOUT("timeout", false, RetryReason.TIMEOUT),
+    /** The connection ended after bytes were written and before an answer began. */
+    CONNECTION_LOST("connection-lost", false, RetryReason.CONNECTION_LOST),
+    /** The answer ended early. */
+    CUT_ANSWER("cut-answer", false, RetryReason.CUT_ANSWER),
+    /** The answer carried the identifier of another request or none. */
+    WRONG_REQUEST_ID("wrong-request-id", false, RetryReason.WRONG_REQUEST_ID),
+    /** The answer exceeded the limit. Another attempt would most likely exceed it too. */
+    ANSWER_TOO_LARGE("answer-too-large", false, null),
+    /** The entry cancelled the attempt after bytes were written. */
+    CANCELLED("cancelled", false, null),
+    /** The entry cancelled the attempt before a byte was written. */
+    CANCELLED_UNSENT("cancelled", true, null);
+
+    private final String label;
+    private final boolean provesNotRun;
+    private final RetryReason retryReason;
+
+    AttemptResult(String label, boolean provesNotRun, RetryReason retryReason) {
+        this.label = label;
+        this.provesNotRun = provesNotRun;
+        this.retryReason = retryReason;
+    }
+
+    /**
+     * Returns the reason as it is shown to callers and in metrics.
+     *
+     * @return the label in lower case
+     */
+    public String label() {
+        return label;
+    }
+
+    /**
+     * Tells whether the result proves that the request did not run.
+     *
+     * @return true if the request provably did not run
+     */
+    public boolean provesNotRun() {
+        return provesNotRun;
+    }
+
+    /**
+     * Returns the reason under which another attempt may follow.
+     *
+     * @return the reason, or empty if no attempt may follow whatever the request is
+     */
+    public Optional<RetryReason> retryReason() {
+        return Optional.ofNullable(retryReason);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/retry/AttemptState.java
@@ -0,0 +1,50 @@
+package org.cassiabank.retry;
+
+import java.util.Objects;
+
+/**
+ * What is known about a request after an attempt ended.
+ *
+ * @param repeatable whether the selector allows the request to run more than once
+ * @param result how the last attempt ended
+ * @param earlierNotRun whether every earlier attempt provably did not run; true if there was none
+ * @param attempts how many attempts were made, hedges and the last one included, at least 1
+ * @param remainingMillis the time until the caller's deadline in milliseconds, may be negative
+ * @param budgetAvailable whether the retry budget has a token for another attempt
+ */
+public record AttemptState(
+        boolean repeatable,
+        AttemptResult result,
+        boolean earlierNotRun,
+        int attempts,
+        long remainingMillis,
+        boolean budgetAvailable) {
+
+    /**
+     * Checks the result and the number of attempts.
+     */
+    public AttemptState {
+        Objects.requireNonNull(result, "result");
+        if (attempts < 1) {
+            throw new IllegalArgumentException("a result needs at least one attempt: " + attempts);
+        }
+    }
+
+    /**
+     * Tells whether no attempt, the last one included, can have run.
+     *
+     * @return true if every attempt provably did not run
+     */
+    public boolean neverRun() {
+        return earlierNotRun && result.provesNotRun();
+    }
+
+    /**
+     * Returns the same state without a token in the retry budget.
+     *
+     * @return the state to decide on after {@link RetryBudget#trySpend} returned false
+     */
+    public AttemptState withoutBudget() {
+        return new AttemptState(repeatable, result, earlierNotRun, attempts, remainingMillis, false);
+    }
+}
