Add the backend stand-in with switchable gray faults

Cause: the proxies need backend servers that shed, drain, start cold and fail in gray ways, with a record of what ran.

Ruled out: reaching the channel by reflection on Jooby's internal context, and a TCP relay in front of Jooby. Jooby does not show its channels.

Change: cassiabank-backend on Jooby and Netty. Netty's public ChannelInitializerExtension adds a handler to each accepted connection, which cuts it, makes it silent, limits the number of connections and tells when the client closes it, so that its work is cancelled.

--- /dev/null
+++ b/src/main/java/org/cassiabank/standin/BackendConnection.java
@@ -0,0 +1,108 @@
+package org.cassiabank.standin;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.util.ReferenceCountUtil;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One accepted connection of a backend stand-in. It can be cut or made silent, and it tells when the client closes it.
+ */
+final class BackendConnection extends ChannelDuplexHandler {
+    private final BackendConnections connections;
+    private final Channel channel;
+    private final long number;
+    private final CountDownLatch closed = new CountDownLatch(1);
+    private volatile boolean silent;
+
+    private BackendConnection(BackendConnections connections, Channel channel) {
+        this.connections = connections;
+        this.channel = channel;
+        this.number = connections.nextNumber();
+    }
+
+    static BackendConnection of(BackendConnections connections, Channel channel) {
+        return new BackendConnection(connections, channel);
+    }
+
+    long number() {
+        return number;
+    }
+
+    /** Drops all further bytes in both directions while the connection stays open. */
+    void silence() {
+        silent = true;
+    }
+
+    void cut() {
+        channel.close();
+    }
+
+    /** Waits for at most the given time and tells whether the connection was closed by then. */
+    boolean awaitClosed(long nanos) throws InterruptedException {
+        return closed.await(nanos, TimeUnit.NANOSECONDS);
+    }
+
+    void awaitClosed() throws InterruptedException {
+        closed.await();
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) throws Exception {
+        if (!connections.opened(this)) {
+            context.close();
+            return;
+        }
+        // Jooby's handler is the last one; the tag must be on the request before Jooby reads its headers.
+        context.pipeline().addBefore(context.pipeline().lastContext().name(), "connection-tag", new Tag(number));
+        super.channelActive(context);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        if (silent) {
+            ReferenceCountUtil.release(message);
+        } else {
+            super.channelRead(context, message);
+        }
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) throws Exception {
+        if (silent) {
+            ReferenceCountUtil.release(message);
+            promise.trySuccess();
+        } else {
+            super.write(context, message, promise);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) throws Exception {
+        connections.closed(this);
+        closed.countDown();
+        super.channelInactive(context);
+    }
+
+    /** Adds the number of the connection to each request. */
+    private static final class Tag extends ChannelInboundHandlerAdapter {
+        private final String number;
+
+        private Tag(long number) {
+            this.number = Long.toString(number);
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+            if (message instanceof HttpRequest request) {
+                request.headers().set(BackendConnections.HEADER, number);
+            }
+            super.channelRead(context, message);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/standin/BackendMain.java
@@ -0,0 +1,106 @@
+package org.cassiabank.standin;
+
+import java.io.IOException;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+
+/**
+ * Starts a stand-in backend server with switchable gray faults and a record of what it ran.
+ */
+public final class BackendMain {
+    private static final int USAGE_FAILURE = 2;
+
+    private BackendMain() {}
+
+    /**
+     * Runs the server until it is told to drain or receives SIGTERM; then it exits with 0.
+     *
+     * @param arguments the command line, see {@code --help}
+     * @throws IOException if the help cannot be printed
+     */
+    public static void main(String[] arguments) throws IOException {
+        System.setProperty("io.netty.bootstrap.extensions", "serviceload");
+        // Jooby's own hook would stop the server at once instead of after the drain.
+        System.setProperty("jooby.useShutdownHook", "false");
+        OptionParser parser = parser();
+        BackendSettings settings;
+        try {
+            OptionSet options = parser.parse(arguments);
+            if (options.has("help")) {
+                parser.printHelpOn(System.out);
+                return;
+            }
+            settings = settings(options);
+        } catch (OptionException | IllegalArgumentException exception) {
+            System.err.println("cassiabank-backend: " + exception.getMessage());
+            parser.printHelpOn(System.err);
+            System.exit(USAGE_FAILURE);
+            return;
+        }
+        BackendServer server = BackendServer.create(
+                settings, () -> Thread.ofPlatform().name("drain").start(() -> System.exit(0)));
+        server.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(server), "shutdown"));
+        System.out.println(
+                "cassiabank-backend " + settings.name() + " listens on " + settings.host() + ":" + settings.port());
+    }
+
+    private static void drain(BackendServer server) {
+        try {
+            server.drainAndStop();
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+        // A process that is ended by SIGTERM would report 143 although its work is done.
+        Runtime.getRuntime().halt(0);
+    }
+
+    private static OptionParser parser() {
+        OptionParser parser = new OptionParser();
+        parser.accepts("help", "Print this help").forHelp();
+        parser.accepts("address", "IP:PORT to listen on").withRequiredArg().required();
+        parser.accepts("name", "Name in answers and records").withRequiredArg().defaultsTo("backend");
+        number(parser, "slots", "Requests that run at once", 2);
+        number(parser, "connections", "Connections that may be open", 330);
+        number(parser, "seed", "Seed of service times and faults", 1);
+        decimal(parser, "work-millis", "Median service time in ms", 10);
+        decimal(parser, "work-spread", "Standard deviation of the logarithm of the service time", 0.2);
+        number(parser, "cold-requests", "Requests after the start that are slower", 0);
+        number(parser, "cold-millis", "Time after the start in which requests are slower, in ms", 0);
+        decimal(parser, "cold-factor", "Factor of the service time while cold", 4);
+        number(parser, "linger-millis", "Least time between the start of draining and the exit, in ms", 1000);
+        number(parser, "drain-millis", "Longest wait for running work while draining, in ms", 30_000);
+        return parser;
+    }
+
+    private static void number(OptionParser parser, String name, String help, long byDefault) {
+        parser.accepts(name, help).withRequiredArg().ofType(Long.class).defaultsTo(byDefault);
+    }
+
+    private static void decimal(OptionParser parser, String name, String help, double byDefault) {
+        parser.accepts(name, help).withRequiredArg().ofType(Double.class).defaultsTo(byDefault);
+    }
+
+    private static BackendSettings settings(OptionSet options) {
+        String address = (String) options.valueOf("address");
+        int colon = address.lastIndexOf(':');
+        if (colon <= 0) {
+            throw new IllegalArgumentException("--address must be IP:PORT: " + address);
+        }
+        return new BackendSettings(
+                (String) options.valueOf("name"),
+                address.substring(0, colon),
+                Integer.parseInt(address.substring(colon + 1)),
+                Math.toIntExact((Long) options.valueOf("slots")),
+                Math.toIntExact((Long) options.valueOf("connections")),
+                (Long) options.valueOf("seed"),
+                (Double) options.valueOf("work-millis"),
+                (Double) options.valueOf("work-spread"),
+                (Long) options.valueOf("cold-requests"),
+                (Long) options.valueOf("cold-millis"),
+                (Double) options.valueOf("cold-factor"),
+                (Long) options.valueOf("linger-millis"),
+                (Long) options.valueOf("drain-millis"));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/standin/BackendServiceTimes.java
@@ -0,0 +1,31 @@
+package org.cassiabank.standin;
+
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Draws service times from a seeded lognormal distribution and lengthens them while the server is cold. Thread-safe.
+ */
+final class BackendServiceTimes {
+    private final BackendSettings settings;
+    private final Random random;
+    private final AtomicLong requests = new AtomicLong();
+
+    private BackendServiceTimes(BackendSettings settings) {
+        this.settings = settings;
+        this.random = new Random(settings.seed());
+    }
+
+    static BackendServiceTimes of(BackendSettings settings) {
+        return new BackendServiceTimes(settings);
+    }
+
+    /** Returns the next service time in nanoseconds; {@code requestedMillis} below 0 draws it. */
+    long nextNanos(double requestedMillis, long sinceStartMillis) {
+        double millis = requestedMillis >= 0
+                ? requestedMillis
+                : settings.workMillis() * Math.exp(settings.workSpread() * random.nextGaussian());
+        boolean cold = requests.getAndIncrement() < settings.coldRequests() || sinceStartMillis < settings.coldMillis();
+        return (long) (millis * (cold ? settings.coldFactor() : 1) * 1_000_000);
+    }
+}
