--- a/src/main/java/org/cassiabank/proxy/BackendRequests.java
+++ b/src/main/java/org/cassiabank/proxy/BackendRequests.java
@@ -19,7 +19,14 @@
     static boolean canForward(CallerRequest request) {
         try {
             new BackendRequest(
-                    ANY_ADDRESS, request.method(), request.target(), request.headers(), request.body(), "check", true, 1);
+                    ANY_ADDRESS,
+                    request.method(),
+                    request.target(),
+                    request.headers(),
+                    request.body(),
+                    "check",
+                    true,
+                    1);
             return true;
         } catch (IllegalArgumentException exception) {
             return false;
--- a/src/main/java/org/cassiabank/proxy/ClaimClient.java
+++ b/src/main/java/org/cassiabank/proxy/ClaimClient.java
@@ -85,9 +85,8 @@
         }
         List<List<Optional<ClaimAnswer>>> votesOfSets = new ArrayList<>();
         for (List<Instance> set : sets) {
-            votesOfSets.add(set.stream()
-                    .map(keeper -> votes.get(keeper.name()).join())
-                    .toList());
+            votesOfSets.add(
+                    set.stream().map(keeper -> votes.get(keeper.name()).join()).toList());
         }
         ClaimVerdict verdict = ClaimVote.decideAll(votesOfSets);
         if (!(verdict instanceof ClaimVerdict.Proceed)) {
--- a/src/main/java/org/cassiabank/proxy/Entry.java
+++ b/src/main/java/org/cassiabank/proxy/Entry.java
@@ -61,10 +61,8 @@
         try {
             return route(request, presence);
         } catch (RuntimeException exception) {
-            LOGGER.atSevere()
-                    .withCause(exception)
-                    .atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS)
-                    .log("request failed inside the proxy");
+            LOGGER.atSevere().withCause(exception).atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                    "request failed inside the proxy");
             metrics.unknown("internal-error");
             return CallerReply.unknown("internal-error");
         }
@@ -75,8 +73,8 @@
         if (view.configuration().revision() == 0) {
             return refuse(CallerReply.SERVICE_UNAVAILABLE, "no-configuration", NO_CONFIGURATION_RETRY_MILLIS);
         }
-        Optional<Selector> selector = view.router()
-                .route(request.method(), request.path(), request.caller(), ThreadLocalRandom.current());
+        Optional<Selector> selector =
+                view.router().route(request.method(), request.path(), request.caller(), ThreadLocalRandom.current());
         if (selector.isEmpty()) {
             return refuse(NOT_FOUND, "no-selector", 0);
         }
@@ -100,10 +98,9 @@
                 : runClaimed(request, selector.get(), presence, deadlineMillis, key.get());
     }
 
-    private RequestResult run(
-            CallerRequest request, Selector selector, CallerPresence presence, long deadlineMillis) {
-        RetryBudget budget = budgets.computeIfAbsent(
-                selector.service(), service -> RetryBudget.create(RETRY_RATIO, RETRY_CAPACITY));
+    private RequestResult run(CallerRequest request, Selector selector, CallerPresence presence, long deadlineMillis) {
+        RetryBudget budget =
+                budgets.computeIfAbsent(selector.service(), service -> RetryBudget.create(RETRY_RATIO, RETRY_CAPACITY));
         budget.recordRequest();
         return RequestRun.create(request, selector, presence, deadlineMillis, attempts, budget)
                 .run();
@@ -113,7 +110,8 @@
             CallerRequest request, Selector selector, CallerPresence presence, long deadlineMillis, String callerKey) {
         long start = MonotonicClock.millis();
         // Keys of different callers and services must not meet, or a caller could get the answer of another one.
-        String key = selector.service() + "\n" + request.header("cassiabank-caller").orElse("") + "\n" + callerKey;
+        String key =
+                selector.service() + "\n" + request.header("cassiabank-caller").orElse("") + "\n" + callerKey;
         String claim = attempts.entryName() + "-"
                 + HexFormat.of().toHexDigits(ThreadLocalRandom.current().nextLong());
         ClaimVerdict verdict = claims.claim(key, claim, digest(request));
--- a/src/main/java/org/cassiabank/proxy/FleetState.java
+++ b/src/main/java/org/cassiabank/proxy/FleetState.java
@@ -75,7 +75,8 @@
                 return false;
             }
         } catch (CassiabankException exception) {
-            LOGGER.atWarning().log("snapshot refused, revision %d stays in force: %s", revision(), exception.getMessage());
+            LOGGER.atWarning().log(
+                    "snapshot refused, revision %d stays in force: %s", revision(), exception.getMessage());
             return false;
         }
         publish(view.withConfiguration(history.configuration()));
--- a/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
+++ b/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
@@ -34,7 +34,8 @@
     }
 
     static PeerEndpoint create(ProxySettings settings, PeerSockets sockets) {
-        return new PeerEndpoint(Objects.requireNonNull(settings, "settings"), Objects.requireNonNull(sockets, "sockets"));
+        return new PeerEndpoint(
+                Objects.requireNonNull(settings, "settings"), Objects.requireNonNull(sockets, "sockets"));
     }
 
     @Override
--- a/src/main/java/org/cassiabank/proxy/PeerMessages.java
+++ b/src/main/java/org/cassiabank/proxy/PeerMessages.java
@@ -3,7 +3,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import org.cassiabank.admission.Granted;
@@ -37,20 +37,19 @@
     private PeerMessages() {}
 
     static SlotRequest toMessage(SlotAsk ask, ShardKey shard, long ticket) {
-        SlotRequest message = new SlotRequest(
+        return new SlotRequest(
                 ask.entry(),
                 shard.service(),
                 ask.selector(),
                 ask.route(),
                 ask.caller(),
                 ask.repeatable(),
-                ask.remainingMillis());
-        message.setShard(shard.number());
-        message.setTicket(ticket);
-        message.setCost(ask.cost().name());
-        message.setExcluded(List.copyOf(ask.excluded()));
-        message.setServers(ask.servers());
-        return message;
+                ask.remainingMillis(),
+                List.copyOf(ask.excluded()),
+                shard.number(),
+                ticket,
+                ask.cost().name(),
+                ask.servers());
     }
 
     static SlotAsk toAsk(SlotRequest message) {
@@ -59,21 +58,22 @@
                 message.getSelector(),
                 message.getRoute(),
                 message.getCaller(),
-                message.isSetCost() ? CostHint.valueOf(message.getCost()) : CostHint.LEARNED,
+                CostHint.valueOf(message.getCost()),
                 message.isRepeatable(),
                 message.getRemainingMillis(),
-                message.isSetExcluded() ? Set.copyOf(message.getExcluded()) : Set.of(),
-                message.isSetServers() ? message.getServers() : Map.of());
+                Set.copyOf(message.getExcluded()),
+                message.getServers());
     }
 
     static SlotReply toMessage(SlotDecision decision) {
         return switch (decision) {
-            case Granted granted -> {
-                SlotGrant grant = new SlotGrant(
-                        granted.lease(), granted.server(), granted.address(), granted.leaseMillis());
-                grant.setHedgeAfterMillis(granted.hedgeAfterMillis());
-                yield SlotReply.grant(grant);
-            }
+            case Granted granted ->
+                SlotReply.grant(new SlotGrant(
+                        granted.lease(),
+                        granted.server(),
+                        granted.address(),
+                        granted.leaseMillis(),
+                        granted.hedgeAfterMillis()));
             case Refused refused ->
                 SlotReply.refusal(new SlotRefusal(refused.reason().name(), refused.retryAfterMillis()));
             case Queued queued -> SlotReply.queued(new SlotQueued(queued.ticket()));
@@ -132,7 +132,8 @@
     static ClaimConclusion toConclusion(
             org.cassiabank.peer.generated.ClaimState state, org.cassiabank.peer.generated.RecordedAnswer answer) {
         return switch (state) {
-            case ANSWERED when answer != null -> new ClaimConclusion.Answered(toRecorded(answer));
+            case ANSWERED ->
+                new ClaimConclusion.Answered(toRecorded(Objects.requireNonNull(answer, "an answer is missing")));
             case UNKNOWN -> new ClaimConclusion.OutcomeUnknown();
             case GRANTED -> new ClaimConclusion.Released();
             default ->
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -67,8 +67,7 @@
         ClaimKeeper keeper = ClaimKeeper.create(self, fleet, peers);
         ClaimClient claims = ClaimClient.create(fleet, peers, keeper);
         BackendClient backends = BackendClient.create(backendSettings(settings));
-        Entry entry =
-                Entry.create(fleet, Attempts.create(settings.name(), broker, backends, metrics), claims, metrics);
+        Entry entry = Entry.create(fleet, Attempts.create(settings.name(), broker, backends, metrics), claims, metrics);
         CallerServer callers = CallerServer.create(settings.limits(), entry, metrics);
         AdminPages admin = AdminPages.create(settings);
         Kernel kernel = Kernel.create()
--- a/src/main/java/org/cassiabank/proxy/ProxyMain.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyMain.java
@@ -32,7 +32,8 @@
         OptionSpec<String> settingsFile =
                 parser.accepts("settings", "TOML file with the settings").withRequiredArg();
         OptionSpec<Void> check = parser.accepts("check", "check the settings and exit");
-        OptionSpec<Void> help = parser.acceptsAll(List.of("help", "h"), "print this help").forHelp();
+        OptionSpec<Void> help =
+                parser.acceptsAll(List.of("help", "h"), "print this help").forHelp();
         try {
             OptionSet options = parser.parse(arguments);
             if (options.has(help)) {
--- a/src/main/java/org/cassiabank/proxy/Repeated.java
+++ b/src/main/java/org/cassiabank/proxy/Repeated.java
@@ -17,10 +17,8 @@
             try {
                 task.run();
             } catch (RuntimeException exception) {
-                LOGGER.atWarning()
-                        .withCause(exception)
-                        .atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS)
-                        .log("repeated task %s failed and goes on", name);
+                LOGGER.atWarning().withCause(exception).atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                        "repeated task %s failed and goes on", name);
             }
         };
     }
--- a/src/main/java/org/cassiabank/proxy/Replication.java
+++ b/src/main/java/org/cassiabank/proxy/Replication.java
@@ -118,7 +118,8 @@
 
     private void exchangeWithRandomPeer() {
         planner.exchangePartner(ThreadLocalRandom.current())
-                .ifPresent(partner -> exchange(partner, fleet.revision(), fleet.view().instances().index()));
+                .ifPresent(partner -> exchange(
+                        partner, fleet.revision(), fleet.view().instances().index()));
     }
 
     /** Exchanges with a peer that is assumed to have the given revision and index already. */
@@ -169,7 +170,8 @@
 
     private void install(InstanceListDocument instances, ChangeDocument snapshot, List<ChangeDocument> changes) {
         try {
-            if (instances != null && instances.getIndex() > fleet.view().instances().index()) {
+            if (instances != null
+                    && instances.getIndex() > fleet.view().instances().index()) {
                 fleet.install(InstanceDocuments.parse(instances.getIndex(), instances.getDocument()));
             }
             if (snapshot != null && snapshot.getRevision() > fleet.revision()) {
--- a/src/main/java/org/cassiabank/proxy/RequestResult.java
+++ b/src/main/java/org/cassiabank/proxy/RequestResult.java
@@ -27,7 +27,10 @@
      */
     record Delivered(Answered answer) implements RequestResult {
 
-        Delivered {
+        /**
+         * Checks that the answer is not null.
+         */
+        public Delivered {
             Objects.requireNonNull(answer, "answer");
         }
     }
--- a/src/main/java/org/cassiabank/proxy/RequestRun.java
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -167,8 +167,8 @@
         attempts.retried(RetryReason.HEDGE);
         attemptCount++;
         excluded.add(secondSlot.server());
-        Attempts.Running other = attempts.start(
-                request, secondSlot, selector, deadline - MonotonicClock.millis(), presence, results);
+        Attempts.Running other =
+                attempts.start(request, secondSlot, selector, deadline - MonotonicClock.millis(), presence, results);
         BackendResult winner = take(results);
         if (!isGood(winner)) {
             neverRun = neverRun && winner.attemptResult().provesNotRun();
--- a/src/main/java/org/cassiabank/proxy/ShardOwners.java
+++ b/src/main/java/org/cassiabank/proxy/ShardOwners.java
@@ -61,8 +61,7 @@
     SlotDecision acquire(ShardKey key, SlotAsk ask, long ticket) {
         return shards.computeIfAbsent(
                         key,
-                        missing -> OwnedShard.create(
-                                missing, settings, metrics, fleet.view(), MonotonicClock.millis()))
+                        missing -> OwnedShard.create(missing, settings, metrics, fleet.view(), MonotonicClock.millis()))
                 .acquire(ask, ticket);
     }
 
--- a/src/main/java/org/cassiabank/proxy/SlotBroker.java
+++ b/src/main/java/org/cassiabank/proxy/SlotBroker.java
@@ -1,6 +1,5 @@
 package org.cassiabank.proxy;
 
-import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
@@ -58,8 +57,7 @@
      */
     SlotResult acquire(String service, SlotAsk ask, CallerPresence presence) {
         FleetView view = fleet.view();
-        ShardKey shard =
-                new ShardKey(service, ThreadLocalRandom.current().nextInt(view.shardCount(service)));
+        ShardKey shard = new ShardKey(service, ThreadLocalRandom.current().nextInt(view.shardCount(service)));
         long deadline = MonotonicClock.millis() + ask.remainingMillis();
         if (settings.scheduling() == SchedulingMode.OWNER) {
             for (Instance candidate : view.ownerCandidates(shard)) {
@@ -97,8 +95,8 @@
                 slot.shard().number(),
                 slot.lease(),
                 PeerMessages.toMessage(outcome),
-                latencyMicros);
-        message.setServerLeaving(serverLeaving);
+                latencyMicros,
+                serverLeaving);
         try {
             peers.call(slot.owner().get(), "report", REPORT_TIMEOUT_MILLIS, client -> {
                 client.report(message);
@@ -131,7 +129,8 @@
                             now + granted.leaseMillis(),
                             granted.hedgeAfterMillis());
                 }
-                case Refused refused when refused.reason() == RefusalReason.TICKET_EXPIRED && presented != 0 -> {
+                case Refused refused
+                when refused.reason() == RefusalReason.TICKET_EXPIRED && presented != 0 -> {
                     // A pause of this daemon or a new owner loses the place in the queue, not the request.
                     ticket = 0;
                 }
@@ -150,8 +149,7 @@
 
     private SlotDecision acquireRemotely(Instance owner, ShardKey shard, SlotAsk ask, long ticket) {
         SlotRequest request = PeerMessages.toMessage(ask, shard, ticket);
-        SlotReply reply =
-                peers.call(owner, "acquire", ACQUIRE_TIMEOUT_MILLIS, client -> client.acquire(request));
+        SlotReply reply = peers.call(owner, "acquire", ACQUIRE_TIMEOUT_MILLIS, client -> client.acquire(request));
         return PeerMessages.toDecision(reply);
     }
 
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -22,14 +22,14 @@
   5: required string caller,
   6: required bool repeatable,
   7: required i64 remainingMillis,
-  8: list<string> excluded,
-  9: i32 shard,
+  8: required list<string> excluded,
+  9: required i32 shard,
   /** The ticket of an earlier reply, 0 for a new request. */
-  11: i64 ticket,
+  11: required i64 ticket,
   /** The name of a CostHint. */
-  12: string cost,
+  12: required string cost,
   /** The labels that a server must carry. */
-  13: map<string, string> servers,
+  13: required map<string, string> servers,
 }
 
 struct SlotGrant {
@@ -38,7 +38,7 @@
   3: required string address,
   4: required i64 leaseMillis,
   /** Time after which a hedge is worth its cost; 0 when none is. */
-  5: i64 hedgeAfterMillis,
+  5: required i64 hedgeAfterMillis,
 }
 
 struct SlotRefusal {
@@ -64,7 +64,7 @@
   4: required OutcomeKind kind,
   5: required i64 latencyMicros,
   /** The server's answer said that it is leaving. */
-  6: bool serverLeaving,
+  6: required bool serverLeaving,
 }
 
 /** One configuration change as its JSON document in the store. */
@@ -82,7 +82,7 @@
   1: required string peer,
   2: required i64 revision,
   3: required i64 listIndex,
-  4: list<ChangeDocument> changes,
+  4: optional list<ChangeDocument> changes,
   5: optional InstanceListDocument instances,
   /** A whole configuration, sent in place of changes to a peer that is too far behind. */
   6: optional ChangeDocument snapshot,
@@ -91,7 +91,7 @@
 struct ExchangeReply {
   1: required i64 revision,
   2: required i64 listIndex,
-  3: list<ChangeDocument> changes,
+  3: optional list<ChangeDocument> changes,
   4: optional InstanceListDocument instances,
   5: optional ChangeDocument snapshot,
 }
