Schedule slots with fair queueing, cost classes and predicted waits

Cause: the first version granted any free slot and refused everything else. Ruled out: dispatching inside finish, because the report of an outcome has no way to return decisions; advance does it. Learning from failed or cancelled attempts, whose times say nothing about the route. A caller limit of fixed size, which would let several callers fill the queue; a caller gets at most as many places as are still free. Change: SlotScheduler with two FairQueues (start-time fair queueing by learned cost, one lane for each set of eligible servers), CostModel, LongWorkShare (reserve and ageing), AdmissionRule (predicted wait), LeaseTable, ServerPool and ServerState (ramp, back-off, probation).

--- /dev/null
+++ b/src/main/java/org/cassiabank/admission/FairQueue.java
@@ -0,0 +1,129 @@
+package org.cassiabank.admission;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+/**
+ * The queue of one cost class, with start-time fair queueing between callers.
+ *
+ * <p>Each caller has a virtual time that advances by the cost of its requests; the request whose caller has the
+ * earliest time is first. A caller that was idle continues at the virtual time of the queue, so that it accumulates no
+ * credit. Requests that the same servers can take form a lane, because a free slot can only go to some of the lanes.
+ */
+final class FairQueue {
+    /** Above this number empty lanes are removed; each decision looks at all lanes. */
+    private static final int MAX_LANES = 32;
+
+    private static final int MIN_SWEEP = 1024;
+
+    private final Map<LaneKey, Lane> lanes = new HashMap<>();
+    private final Map<String, Flow> flows = new HashMap<>();
+    private final Map<Long, Ticket> tickets = new LinkedHashMap<>();
+    private double virtualTime;
+    private double queuedMicros;
+    private int activeFlows;
+    private int sweepAt = MIN_SWEEP;
+    private long sequence;
+
+    int size() {
+        return tickets.size();
+    }
+
+    boolean isEmpty() {
+        return tickets.isEmpty();
+    }
+
+    int queuedOf(String caller) {
+        Flow flow = flows.get(caller);
+        return flow == null ? 0 : flow.queued();
+    }
+
+    Optional<Ticket> find(long number) {
+        return Optional.ofNullable(tickets.get(number));
+    }
+
+    Optional<Ticket> oldest() {
+        return tickets.isEmpty()
+                ? Optional.empty()
+                : Optional.of(tickets.values().iterator().next());
+    }
+
+    List<Ticket> matching(Predicate<Ticket> condition) {
+        return tickets.values().stream().filter(condition).toList();
+    }
+
+    Lane lane(LaneKey key) {
+        Lane lane = lanes.get(key);
+        if (lane == null) {
+            if (lanes.size() >= MAX_LANES) {
+                lanes.values().removeIf(Lane::isEmpty);
+            }
+            lane = new Lane(key);
+            lanes.put(key, lane);
+        }
+        return lane;
+    }
+
+    Iterable<Lane> lanes() {
+        return lanes.values();
+    }
+
+    void add(Ticket ticket) {
+        Flow flow = flow(ticket.ask().caller());
+        flow.advanceTo(virtualTime);
+        activeFlows += flow.queued() == 0 ? 1 : 0;
+        flow.added(ticket.costMicros());
+        lane(ticket.laneKey()).add(ticket, flow, ++sequence);
+        tickets.put(ticket.number(), ticket);
+        queuedMicros += ticket.costMicros();
+    }
+
+    /** Takes a ticket out without charging its caller. */
+    boolean remove(Ticket ticket) {
+        if (tickets.remove(ticket.number()) == null) {
+            return false;
+        }
+        Flow flow = flows.get(ticket.ask().caller());
+        lane(ticket.laneKey()).remove(ticket, flow);
+        flow.removed(ticket.costMicros());
+        activeFlows -= flow.queued() == 0 ? 1 : 0;
+        queuedMicros = tickets.isEmpty() ? 0 : queuedMicros - ticket.costMicros();
+        return true;
+    }
+
+    /** Takes a ticket out and charges its caller with the cost. */
+    void serve(Ticket ticket) {
+        remove(ticket);
+        virtualTime = Math.max(virtualTime, flows.get(ticket.ask().caller()).charge(ticket.costMicros()));
+    }
+
+    /**
+     * Estimates the work that is served before a ticket that was added last: the earlier work of its caller and, of
+     * each other caller, at most as much as this caller is ahead of the virtual time.
+     *
+     * @param ticket a ticket in the queue
+     * @return the work in microseconds
+     */
+    double microsAhead(Ticket ticket) {
+        Flow flow = flows.get(ticket.ask().caller());
+        double lead = Math.max(0, flow.virtualTime() - virtualTime) + flow.queuedMicros();
+        return Math.max(0, Math.min(queuedMicros, activeFlows * lead) - ticket.costMicros());
+    }
+
+    private Flow flow(String caller) {
+        Flow flow = flows.get(caller);
+        if (flow == null) {
+            if (flows.size() >= sweepAt) {
+                flows.values().removeIf(idle -> idle.queued() == 0 && idle.virtualTime() <= virtualTime);
+                sweepAt = Math.max(MIN_SWEEP, flows.size() * 2);
+            }
+            flow = new Flow();
+            flows.put(caller, flow);
+        }
+        return flow;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/admission/LaneKey.java
@@ -0,0 +1,18 @@
+package org.cassiabank.admission;
+
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What decides which servers may take a request. Requests with equal keys can replace each other in a free slot.
+ *
+ * @param labels the labels that a server must carry
+ * @param excluded the names of servers that must not be used
+ * @param repeatable whether the request may run more than once
+ */
+record LaneKey(Map<String, String> labels, Set<String> excluded, boolean repeatable) {
+
+    static LaneKey of(SlotAsk ask) {
+        return new LaneKey(ask.servers(), ask.excluded(), ask.repeatable());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/admission/ServerState.java
@@ -0,0 +1,190 @@
+package org.cassiabank.admission;
+
+import java.util.Map;
+import org.cassiabank.health.ServerHealth;
+
+/**
+ * What the scheduler knows about one backend server: its leases, its cold-start ramp and its back-off.
+ */
+final class ServerState {
+    private static final long RAMP_MILLIS = 1000;
+    private static final int RAMP_ANSWERS = 5;
+    private static final int LARGEST_BACKOFF_SHIFT = 4;
+    /** A failed answer counts like one that took this many times the usual time, so that failing fast is no merit. */
+    private static final double FAILURE_SLOWNESS = 4;
+
+    private static final double SLOWNESS_ANSWERS = 16;
+    /** Slowness is forgotten after this time without answers, so that an avoided server is tried again. */
+    private static final long SLOWNESS_MILLIS = 2000;
+
+    private ServerCapacity capacity;
+    private boolean present = true;
+    private int leases;
+    private int longLeases;
+    private int rampSlots;
+    private int rampAnswers;
+    private long rampSince;
+    private double slowness = 1;
+    private long slownessAt;
+    private int sheds;
+    private long blockedUntil = Long.MIN_VALUE;
+    private int blockedSlots;
+    private long lastGrant;
+    private long lastGrantAt = Long.MIN_VALUE / 2;
+    private int shortSinceLong;
+
+    ServerState(ServerCapacity capacity, boolean cold, long nowMillis) {
+        this.capacity = capacity;
+        this.rampSlots = cold ? 1 : Integer.MAX_VALUE;
+        this.rampSince = nowMillis;
+    }
+
+    void update(ServerCapacity newCapacity) {
+        capacity = newCapacity;
+        present = true;
+    }
+
+    void remove() {
+        present = false;
+    }
+
+    ServerCapacity capacity() {
+        return capacity;
+    }
+
+    int leases() {
+        return leases;
+    }
+
+    int longLeases() {
+        return longLeases;
+    }
+
+    /** Tells whether the server may get new work at all. */
+    boolean isActive() {
+        return present && !capacity.leaving() && capacity.health() != ServerHealth.EJECTED;
+    }
+
+    boolean isHealthy() {
+        return isActive() && capacity.health() == ServerHealth.HEALTHY;
+    }
+
+    boolean isOnProbation() {
+        return isActive() && capacity.health() == ServerHealth.PROBATION;
+    }
+
+    boolean isWarm(long nowMillis) {
+        while (rampSlots < capacity.slots() && nowMillis - rampSince >= RAMP_MILLIS) {
+            raiseRamp(rampSince + RAMP_MILLIS);
+        }
+        return rampSlots >= capacity.slots();
+    }
+
+    boolean carries(Map<String, String> labels) {
+        return labels.isEmpty() || capacity.labels().entrySet().containsAll(labels.entrySet());
+    }
+
+    /** Returns the number of slots in use now, 0 for a server that gets no new work. */
+    int usableSlots(long nowMillis) {
+        if (!isActive()) {
+            return 0;
+        }
+        int slots = isWarm(nowMillis) ? capacity.slots() : rampSlots;
+        if (capacity.health() == ServerHealth.PROBATION) {
+            slots = 1;
+        }
+        return nowMillis < blockedUntil ? Math.min(slots, blockedSlots) : slots;
+    }
+
+    /**
+     * Tells whether long work may take a free slot.
+     *
+     * @param urgent whether long work is below the share that it is always given
+     * @param shortWaits whether short work is queued
+     */
+    boolean hasRoomForLong(boolean urgent, boolean shortWaits, long nowMillis) {
+        int usable = usableSlots(nowMillis);
+        if (usable <= leases) {
+            return false;
+        }
+        if (usable == 1) {
+            // A single slot alternates, or else urgent long work would take it each time it becomes free.
+            return (urgent || capacity.slots() == 1) && (!shortWaits || shortSinceLong >= RAMP_ANSWERS);
+        }
+        return longLeases < usable - 1 && (urgent || usable - leases >= 2);
+    }
+
+    boolean isWithoutGrantSince(long millis) {
+        return lastGrantAt < millis;
+    }
+
+    void grant(boolean longWork, long sequence, long nowMillis) {
+        leases++;
+        lastGrant = sequence;
+        lastGrantAt = nowMillis;
+        if (longWork) {
+            longLeases++;
+            shortSinceLong = 0;
+        } else {
+            shortSinceLong++;
+        }
+    }
+
+    void release(boolean longWork) {
+        leases--;
+        longLeases -= longWork ? 1 : 0;
+    }
+
+    void changeClass(boolean toLong) {
+        longLeases += toLong ? 1 : -1;
+    }
+
+    void answered(double relativeLatency, long nowMillis) {
+        sheds = 0;
+        learnSlowness(relativeLatency, nowMillis);
+        rampAnswers++;
+        if (rampAnswers >= RAMP_ANSWERS && !isWarm(nowMillis)) {
+            raiseRamp(nowMillis);
+        }
+    }
+
+    void failed(long nowMillis) {
+        learnSlowness(FAILURE_SLOWNESS, nowMillis);
+    }
+
+    /**
+     * Notes that the server shed a request, so that it is fuller than the leases tell. Until the back-off ends, it gets
+     * no more requests than it has now.
+     */
+    void shed(long backoffMillis, long nowMillis) {
+        blockedSlots = leases;
+        blockedUntil = nowMillis + (backoffMillis << Math.min(sheds, LARGEST_BACKOFF_SHIFT));
+        sheds++;
+    }
+
+    /** Compares by fewest leases, then by latency in coarse steps, then by the longest time without a grant. */
+    boolean isBetterThan(ServerState other, long nowMillis) {
+        if (leases != other.leases) {
+            return leases < other.leases;
+        }
+        int step = slownessStep(nowMillis);
+        int otherStep = other.slownessStep(nowMillis);
+        return step == otherStep ? lastGrant < other.lastGrant : step < otherStep;
+    }
+
+    private void raiseRamp(long sinceMillis) {
+        rampSlots = (int) Math.min(Integer.MAX_VALUE, rampSlots * 2L);
+        rampSince = sinceMillis;
+        rampAnswers = 0;
+    }
+
+    private void learnSlowness(double relativeLatency, long nowMillis) {
+        slowness += (relativeLatency - slowness) / SLOWNESS_ANSWERS;
+        slownessAt = nowMillis;
+    }
+
+    /** Servers within one step count as equally fast; otherwise the best of equal servers would get all work. */
+    private int slownessStep(long nowMillis) {
+        return nowMillis - slownessAt > SLOWNESS_MILLIS ? 0 : (int) Math.max(0, (slowness - 1) * 2);
+    }
+}
--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -1,28 +1,40 @@
 package org.cassiabank.admission;
 
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.PriorityQueue;
 import org.cassiabank.health.Outcome;
-import org.cassiabank.health.ServerHealth;
 
 /**
  * Decides who gets the slots of one shard's backend servers.
  *
- * <p>Instances are not thread-safe.
+ * <p>Instances are not thread-safe. A time that is earlier than one seen before counts as the later one.
  */
 public final class SlotScheduler {
+    private static final long NO_SERVER_RETRY_MILLIS = 1000;
+
     private final SchedulerSettings settings;
-    private final Map<String, ServerCapacity> servers = new LinkedHashMap<>();
-    private final Map<Long, Lease> leases = new HashMap<>();
-    private long lastLease;
+    private final ServerPool pool = new ServerPool();
+    private final LeaseTable leases = new LeaseTable();
+    private final CostModel costs = new CostModel();
+    private final FairQueue shortQueue = new FairQueue();
+    private final FairQueue longQueue = new FairQueue();
+    private final LongWorkShare share;
+    private final AdmissionRule admission;
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>(Comparator.comparingLong(Timer::due));
+    private final Map<Long, SlotDecision> decided = new LinkedHashMap<>();
+    private long lastTicket;
+    private long latestNow = Long.MIN_VALUE;
 
     private SlotScheduler(SchedulerSettings settings) {
         this.settings = settings;
+        this.share = new LongWorkShare(settings);
+        this.admission = new AdmissionRule(settings, pool, share);
     }
 
     /**
@@ -36,14 +48,23 @@
     }
 
     /**
-     * Replaces the servers of the shard. Leases on servers that are gone stay valid.
+     * Replaces the servers of the shard. Leases on servers that are gone stay valid. Queued requests that no server can
+     * take any more are refused.
      *
      * @param capacities all servers of the shard
      * @param nowMillis the current time in milliseconds
      */
     public void updateServers(List<ServerCapacity> capacities, long nowMillis) {
-        servers.clear();
-        capacities.forEach(capacity -> servers.put(capacity.name(), capacity));
+        long now = tick(nowMillis);
+        pool.update(capacities, now);
+        for (FairQueue queue : List.of(shortQueue, longQueue)) {
+            queue.matching(ticket -> pool.refusal(queue.lane(ticket.laneKey())).isPresent())
+                    .forEach(ticket -> {
+                        queue.remove(ticket);
+                        refuseForServers(queue.lane(ticket.laneKey()))
+                                .ifPresent(refused -> decided.put(ticket.number(), refused));
+                    });
+        }
     }
 
     /**
@@ -55,17 +76,36 @@
      * @return a grant, a refusal or a ticket
      */
     public SlotDecision offer(SlotAsk ask, long nowMillis) {
-        for (ServerCapacity server : servers.values()) {
-            long held = leases.values().stream()
-                    .filter(lease -> lease.server.equals(server.name()))
-                    .count();
-            if (server.health() == ServerHealth.HEALTHY && !server.leaving() && held < server.slots()) {
-                long leaseMillis = ask.remainingMillis() + settings.leaseGraceMillis();
-                leases.put(++lastLease, new Lease(ask, server.name(), nowMillis));
-                return new Granted(lastLease, server.name(), server.address(), leaseMillis, 0);
-            }
+        long now = tick(nowMillis);
+        RouteCost route = costs.route(ask.route());
+        boolean longWork = isLong(ask, route);
+        double cost = costs.costMicros(ask.cost(), route);
+        if (!longWork) {
+            share.recordShortArrival(cost, now);
+        }
+        FairQueue queue = queue(longWork);
+        Optional<Refused> withoutServer = refuseForServers(queue.lane(LaneKey.of(ask)));
+        if (withoutServer.isPresent()) {
+            return withoutServer.get();
+        }
+        boolean misses = cost / 1000 > ask.remainingMillis();
+        if (ask.remainingMillis() <= 0 || misses && !route.tryProbe(now)) {
+            return new Refused(RefusalReason.DEADLINE, NO_SERVER_RETRY_MILLIS);
+        }
+        Ticket ticket = new Ticket(++lastTicket, ask, route, cost, misses, now);
+        queue.add(ticket);
+        dispatch(now);
+        SlotDecision decision = decided.remove(ticket.number());
+        if (decision != null) {
+            return decision;
+        }
+        Optional<Refused> refused = admission.check(queue, ticket, longWork, now);
+        if (refused.isPresent()) {
+            queue.remove(ticket);
+            return refused.get();
         }
-        return new Refused(RefusalReason.QUEUE_FULL, 100);
+        timers.add(new Timer(due(ticket), ticket));
+        return new Queued(ticket.number());
     }
 
     /**
@@ -77,7 +117,17 @@
      *     then not return; {@link RefusalReason#TICKET_EXPIRED} if the ticket is not known or was decided before
      */
     public Optional<SlotDecision> renew(long ticket, long nowMillis) {
-        return Optional.of(new Refused(RefusalReason.TICKET_EXPIRED, 0));
+        long now = tick(nowMillis);
+        SlotDecision decision = decided.remove(ticket);
+        if (decision != null) {
+            return Optional.of(decision);
+        }
+        Optional<Ticket> queued = shortQueue.find(ticket).or(() -> longQueue.find(ticket));
+        if (queued.isEmpty()) {
+            return Optional.of(new Refused(RefusalReason.TICKET_EXPIRED, 0));
+        }
+        queued.get().renew(now);
+        return Optional.empty();
     }
 
     /**
@@ -86,20 +136,55 @@
      * @param ticket the ticket
      * @param nowMillis the current time in milliseconds
      */
-    public void cancel(long ticket, long nowMillis) {}
+    public void cancel(long ticket, long nowMillis) {
+        tick(nowMillis);
+        if (decided.remove(ticket) instanceof Granted granted) {
+            leases.release(granted.lease());
+        }
+        shortQueue.find(ticket).ifPresent(shortQueue::remove);
+        longQueue.find(ticket).ifPresent(longQueue::remove);
+    }
 
     /**
      * Ends a lease and learns from its outcome. Reports of leases that are expired or not known are ignored.
      *
      * @param lease the lease
-     * @param outcome how the request ended
+     * @param outcome how the request ended; {@link Outcome#CANCELLED} also for a grant that could not be delivered
      * @param latencyMicros the time between sending the request and its end, in microseconds
      * @param nowMillis the current time in milliseconds
      * @return what the lease was for, or empty if the report was ignored
      */
     public Optional<FinishedLease> finish(long lease, Outcome outcome, long latencyMicros, long nowMillis) {
-        Lease ended = leases.remove(lease);
-        return Optional.ofNullable(ended).map(found -> new FinishedLease(found.server, found.ask.route()));
+        Objects.requireNonNull(outcome, "outcome");
+        if (latencyMicros < 0) {
+            throw new IllegalArgumentException("latency is negative: " + latencyMicros);
+        }
+        long now = tick(nowMillis);
+        Optional<Lease> released = leases.release(lease);
+        if (released.isEmpty()) {
+            return Optional.empty();
+        }
+        RouteCost route = released.get().route();
+        ServerState server = released.get().server();
+        switch (outcome) {
+            case ANSWERED -> {
+                server.answered(route.isLearned() ? latencyMicros / Math.max(1, route.meanMicros()) : 1, now);
+                if (costs.learn(route, latencyMicros)) {
+                    reclassify();
+                }
+            }
+            case FAILED -> server.failed(now);
+            case BROKEN -> {
+                server.failed(now);
+                route.learnAtLeast(latencyMicros);
+            }
+            case NOT_RUN -> server.shed(settings.backoffMillis(), now);
+            case CANCELLED -> {
+                // The time until a cancellation says nothing about the route or the server.
+            }
+        }
+        return Optional.of(
+                new FinishedLease(server.capacity().name(), released.get().ask().route()));
     }
 
     /**
@@ -109,7 +194,14 @@
      * @param nowMillis the current time in milliseconds
      */
     public void loseEntry(String entry, long nowMillis) {
-        leases.values().removeIf(lease -> lease.ask.entry().equals(entry));
+        tick(nowMillis);
+        leases.releaseIf(lease -> lease.ask().entry().equals(entry));
+        for (FairQueue queue : List.of(shortQueue, longQueue)) {
+            queue.matching(ticket -> ticket.ask().entry().equals(entry)).forEach(ticket -> {
+                queue.remove(ticket);
+                decided.put(ticket.number(), new Refused(RefusalReason.ENTRY_LOST, 0));
+            });
+        }
     }
 
     /**
@@ -120,7 +212,14 @@
      * @return the final decisions since the last call, each returned once
      */
     public List<TicketDecision> advance(long nowMillis) {
-        return List.of();
+        dispatch(tick(nowMillis));
+        if (decided.isEmpty()) {
+            return List.of();
+        }
+        List<TicketDecision> result = new ArrayList<>(decided.size());
+        decided.forEach((ticket, decision) -> result.add(new TicketDecision(ticket, decision)));
+        decided.clear();
+        return result;
     }
 
     /**
@@ -130,11 +229,11 @@
      * @return the requests in the order of their grants
      */
     public List<InFlight> inFlight(long nowMillis) {
-        List<InFlight> result = new ArrayList<>();
-        leases.values()
-                .forEach(lease -> result.add(
-                        new InFlight(lease.server, lease.ask.route(), (nowMillis - lease.grantedAt) * 1000)));
-        return result;
+        long now = tick(nowMillis);
+        return leases.all().stream()
+                .map(lease -> new InFlight(
+                        lease.server().capacity().name(), lease.ask().route(), (now - lease.grantedAt()) * 1000))
+                .toList();
     }
 
     /**
@@ -144,8 +243,139 @@
      * @return true if the server is known and takes its full number of slots
      */
     public boolean isWarm(String server) {
-        return servers.containsKey(server);
+        return pool.find(server).filter(found -> found.isWarm(latestNow)).isPresent();
+    }
+
+    private long tick(long nowMillis) {
+        latestNow = Math.max(latestNow, nowMillis);
+        leases.expire(latestNow);
+        while (!timers.isEmpty() && timers.element().due() <= latestNow) {
+            Ticket ticket = timers.remove().ticket();
+            boolean longWork = longQueue.find(ticket.number()).isPresent();
+            FairQueue queue = queue(longWork);
+            if (queue.find(ticket.number()).isPresent() && !dropIfLate(queue, ticket, longWork, latestNow)) {
+                timers.add(new Timer(due(ticket), ticket));
+            }
+        }
+        return latestNow;
+    }
+
+    private long due(Ticket ticket) {
+        return Math.min(ticket.renewedAt() + settings.ticketMillis(), ticket.latestStart() + 1);
+    }
+
+    /** Refuses a queued request whose entry has not come back or whose deadline can no longer be met. */
+    private boolean dropIfLate(FairQueue queue, Ticket ticket, boolean longWork, long now) {
+        RefusalReason reason;
+        if (now > ticket.latestStart()) {
+            reason = RefusalReason.DEADLINE;
+        } else if (now >= ticket.renewedAt() + settings.ticketMillis()) {
+            reason = RefusalReason.TICKET_EXPIRED;
+        } else {
+            return false;
+        }
+        decided.put(ticket.number(), admission.refuseQueued(queue, ticket, longWork, reason, now));
+        queue.remove(ticket);
+        return true;
+    }
+
+    /** Gives free slots to queued requests: urgent long work first, then short work, then other long work. */
+    private void dispatch(long now) {
+        boolean granted = true;
+        while (granted) {
+            granted = false;
+            int longHeld = 0;
+            int longLimit = 0;
+            boolean aged = false;
+            if (!longQueue.isEmpty()) {
+                longHeld = ServerPool.longLeases(pool.present());
+                int total = ServerPool.usableSlots(pool.present(), now);
+                long waited = now - longQueue.oldest().map(Ticket::arrivedAt).orElse(now);
+                longLimit = share.limit(total, waited, now);
+                aged = share.isAged(waited);
+                granted = longHeld < share.urgentLimit(total, waited, now) && grantLong(true, now);
+            }
+            granted = granted || grantShort(now) || longHeld < longLimit && grantLong(aged, now);
+        }
+    }
+
+    private boolean grantShort(long now) {
+        Lane best = null;
+        ServerState server = null;
+        for (Lane lane : shortQueue.lanes()) {
+            if (!lane.isEmpty() && (best == null || lane.firstTime() < best.firstTime())) {
+                ServerState chosen = pool.chooseForShort(lane, now);
+                if (chosen != null) {
+                    best = lane;
+                    server = chosen;
+                }
+            }
+        }
+        return best != null && grant(shortQueue, best, server, false, now);
+    }
+
+    private boolean grantLong(boolean urgent, long now) {
+        Lane best = null;
+        ServerState server = null;
+        for (Lane lane : longQueue.lanes()) {
+            if (!lane.isEmpty() && (best == null || lane.firstTime() < best.firstTime())) {
+                ServerState chosen = pool.chooseForLong(lane, urgent, !shortQueue.isEmpty(), now);
+                if (chosen != null) {
+                    best = lane;
+                    server = chosen;
+                }
+            }
+        }
+        return best != null && grant(longQueue, best, server, true, now);
+    }
+
+    /** Gives a slot to the first request of a lane, or refuses that request if it is too late; true in both cases. */
+    private boolean grant(FairQueue queue, Lane lane, ServerState server, boolean longWork, long now) {
+        Ticket ticket = lane.first();
+        if (dropIfLate(queue, ticket, longWork, now)) {
+            return true;
+        }
+        queue.serve(ticket);
+        long leaseMillis = ticket.deadline() - now + settings.leaseGraceMillis();
+        Lease lease = leases.grant(ticket, server, longWork, now + leaseMillis, now);
+        long hedgeAfterMillis = 0;
+        if (ticket.ask().repeatable()
+                && ticket.route().p95Micros() > 0
+                && shortQueue.isEmpty()
+                && pool.hasFreeSlotBeside(server, lane, now)) {
+            hedgeAfterMillis = (long) Math.ceil(ticket.route().p95Micros() / 1000);
+        }
+        ServerCapacity capacity = server.capacity();
+        decided.put(
+                ticket.number(),
+                new Granted(lease.number(), capacity.name(), capacity.address(), leaseMillis, hedgeAfterMillis));
+        return true;
+    }
+
+    private boolean isLong(SlotAsk ask, RouteCost route) {
+        return settings.separateClasses() && costs.isLong(ask.cost(), route);
+    }
+
+    private FairQueue queue(boolean longWork) {
+        return longWork ? longQueue : shortQueue;
+    }
+
+    private Optional<Refused> refuseForServers(Lane lane) {
+        return pool.refusal(lane).map(reason -> new Refused(reason, NO_SERVER_RETRY_MILLIS));
+    }
+
+    private void reclassify() {
+        leases.reclassify(lease -> isLong(lease.ask(), lease.route()));
+        for (boolean fromLong : new boolean[] {false, true}) {
+            FairQueue queue = queue(fromLong);
+            queue.matching(ticket -> isLong(ticket.ask(), ticket.route()) != fromLong)
+                    .forEach(ticket -> {
+                        queue.remove(ticket);
+                        ticket.reprice(costs.costMicros(ticket.ask().cost(), ticket.route()));
+                        queue(!fromLong).add(ticket);
+                    });
+        }
     }
 
-    private record Lease(SlotAsk ask, String server, long grantedAt) {}
+    private record Timer(long due, Ticket ticket) {}
 }
