Add TLS identities with reload and structured log lines

Cause: callers and peers need TLS whose keys are replaced without a restart, and the standard log manager closes its handlers while the daemon still drains. Ruled out: Jooby's TLS options, which read the key once. Change: TlsIdentity reads PEM files again when they change and keeps the last good ones; key=value log lines.

--- a/src/main/java/org/cassiabank/proxy/CallerServer.java
+++ b/src/main/java/org/cassiabank/proxy/CallerServer.java
@@ -9,7 +9,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
-import io.netty.handler.ssl.SslHandler;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.util.Objects;
 import java.util.Optional;
@@ -18,9 +17,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.kernel.ErrorCode;
+import org.cassiabank.tls.TlsIdentity;
 
 /**
  * Listens for callers over HTTP/1.1.
@@ -59,10 +58,10 @@
      * Starts to listen.
      *
      * @param address the address
-     * @param tls creates the TLS handler of a connection, if TLS is used
+     * @param tls the identity towards callers, if TLS is used
      * @throws CassiabankException with {@link ErrorCode#START_FAILED} if the address cannot be listened on
      */
-    void start(SocketAddress address, Optional<Supplier<SslHandler>> tls) {
+    void start(SocketAddress address, Optional<TlsIdentity> tls) {
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(loops)
                 .channel(NioServerSocketChannel.class)
@@ -71,7 +70,8 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        tls.ifPresent(handlers -> channel.pipeline().addLast(handlers.get()));
+                        tls.ifPresent(identity -> channel.pipeline()
+                                .addLast(identity.serverContext().newHandler(channel.alloc())));
                         channel.pipeline()
                                 .addLast(new IdleStateHandler(0, 0, limits.idleMillis(), TimeUnit.MILLISECONDS))
                                 .addLast(StrictRequestDecoder.create(limits))
--- a/src/main/java/org/cassiabank/proxy/Entry.java
+++ b/src/main/java/org/cassiabank/proxy/Entry.java
@@ -6,6 +6,8 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -170,7 +172,9 @@
 
     private CallerReply replay(RecordedAnswer answer) {
         metrics.answered();
-        return CallerReply.answered(answer.status(), answer.headers(), answer.body());
+        Map<String, List<String>> headers = new LinkedHashMap<>(answer.headers());
+        headers.put("Cassiabank-Replayed", List.of("true"));
+        return CallerReply.answered(answer.status(), headers, answer.body());
     }
 
     private CallerReply refuse(int status, String reason, long retryAfterMillis) {
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -33,7 +33,7 @@
  * A shard that this daemon schedules: its queue, its leases and the health of its servers, behind one lock.
  */
 final class OwnedShard {
-    /** Shorter than the 250 ms after which an entry gives up on an owner, so that a queue is not taken for a failure. */
+    /** Below the 250 ms after which an entry gives up on an owner, so that a queue is not taken for a failure. */
     static final long HOLD_MILLIS = 100;
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -2,7 +2,6 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -19,6 +18,9 @@
 import org.cassiabank.peer.PeerSockets;
 import org.cassiabank.platform.InstanceListClient;
 import org.cassiabank.platform.StoreClient;
+import org.cassiabank.tls.TlsIdentity;
+import org.cassiabank.tls.TlsServerSocketFactory;
+import org.cassiabank.tls.TlsSocketFactory;
 
 /**
  * Assembles the services of a daemon, and stops them so that no request in flight is cut.
@@ -55,7 +57,7 @@
                 settings.region(),
                 settings.failureDomain(),
                 InstanceState.LIVE);
-        PeerSockets sockets = PeerSockets.plain();
+        PeerSockets sockets = peerSockets(settings);
         ProxyMetrics metrics = ProxyMetrics.create();
         FleetState fleet = FleetState.create(settings.region());
         PeerClients clients = PeerClients.create(sockets, metrics);
@@ -103,7 +105,7 @@
      */
     void start() {
         kernel.start();
-        callers.start(settings.callersAddress(), Optional.empty());
+        callers.start(settings.callersAddress(), settings.callersTls().map(TlsIdentity::load));
         LOGGER.atInfo().log(
                 "%s serves callers on %s, peers on %s, operators on %s",
                 settings.name(), settings.callersAddress(), settings.peerAddress(), settings.adminAddress());
@@ -129,6 +131,14 @@
         LOGGER.atInfo().log("%s has stopped", settings.name());
     }
 
+    private static PeerSockets peerSockets(ProxySettings settings) {
+        if (settings.peerTls().isEmpty()) {
+            return PeerSockets.plain();
+        }
+        TlsIdentity identity = TlsIdentity.load(settings.peerTls().get());
+        return new PeerSockets(TlsSocketFactory.of(identity), TlsServerSocketFactory.of(identity));
+    }
+
     private static BackendSettings backendSettings(ProxySettings settings) {
         BackendSettings defaults = BackendSettings.defaults();
         return new BackendSettings(
--- a/src/main/java/org/cassiabank/proxy/ProxyMain.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyMain.java
@@ -10,6 +10,7 @@
 import joptsimple.OptionSpec;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.kernel.ErrorCode;
+import org.cassiabank.logging.Logging;
 
 /**
  * Starts a proxy daemon.
@@ -48,6 +49,7 @@
                 System.out.println("the settings are valid");
                 return;
             }
+            Logging.setUp(settings.name());
             run(settings);
         } catch (OptionException exception) {
             exit(EXIT_USAGE, exception);
--- a/src/main/java/org/cassiabank/proxy/ProxySettings.java
+++ b/src/main/java/org/cassiabank/proxy/ProxySettings.java
@@ -1,9 +1,9 @@
 package org.cassiabank.proxy;
 
 import java.net.URI;
-import java.nio.file.Path;
 import java.util.Objects;
 import java.util.Optional;
+import org.cassiabank.tls.TlsFiles;
 
 /**
  * The settings of a proxy daemon.
@@ -53,13 +53,4 @@
         Objects.requireNonNull(callersTls, "callersTls");
         Objects.requireNonNull(peerTls, "peerTls");
     }
-
-    /**
-     * The files of one TLS identity.
-     *
-     * @param certificate the PEM file with the certificate chain
-     * @param key the PEM file with the PKCS 8 private key
-     * @param trusted the PEM file with the certificates that the other side must descend from
-     */
-    public record TlsFiles(Path certificate, Path key, Optional<Path> trusted) {}
 }
--- a/src/main/java/org/cassiabank/proxy/ProxySettingsParser.java
+++ b/src/main/java/org/cassiabank/proxy/ProxySettingsParser.java
@@ -14,6 +14,7 @@
 import org.cassiabank.kernel.ErrorCode;
 import org.cassiabank.kernel.Finding;
 import org.cassiabank.kernel.Findings;
+import org.cassiabank.tls.TlsFiles;
 
 /**
  * Reads the settings of a proxy daemon from TOML and reports everything that is wrong with them together.
@@ -65,8 +66,11 @@
                 reader.optional("separate-long-work", ProxySettingsParser::flag).orElse(true);
         CallerLimits limits = limits(reader);
         long drainMillis = reader.positive("drain-millis", DEFAULT_DRAIN_MILLIS);
-        Optional<ProxySettings.TlsFiles> callersTls = tlsFiles(reader, "callers-tls", source, findings);
-        Optional<ProxySettings.TlsFiles> peerTls = tlsFiles(reader, "peer-tls", source, findings);
+        Optional<TlsFiles> callersTls = tlsFiles(reader, "callers-tls", source, findings);
+        Optional<TlsFiles> peerTls = tlsFiles(reader, "peer-tls", source, findings);
+        if (peerTls.isPresent() && peerTls.get().trusted().isEmpty()) {
+            findings.add(Finding.of(source, "peer-tls-trusted", "is missing; without it any peer would be accepted"));
+        }
         reader.reportUnknownKeys();
         findings.throwIfAny();
         return new ProxySettings(
@@ -96,8 +100,7 @@
                 reader.positive("idle-millis", (int) defaults.idleMillis()));
     }
 
-    private static Optional<ProxySettings.TlsFiles> tlsFiles(
-            SettingsReader reader, String prefix, String source, Findings findings) {
+    private static Optional<TlsFiles> tlsFiles(SettingsReader reader, String prefix, String source, Findings findings) {
         Optional<Path> certificate = reader.optional(prefix + "-certificate", ProxySettingsParser::readableFile);
         Optional<Path> key = reader.optional(prefix + "-key", ProxySettingsParser::readableFile);
         Optional<Path> trusted = reader.optional(prefix + "-trusted", ProxySettingsParser::readableFile);
@@ -106,7 +109,7 @@
                     source, prefix + "-certificate", "certificate and key must be given together, as readable files"));
             return Optional.empty();
         }
-        return certificate.map(path -> new ProxySettings.TlsFiles(path, key.orElseThrow(), trusted));
+        return certificate.map(path -> new TlsFiles(path, key.orElseThrow(), trusted));
     }
 
     private static JsonNode parseToml(String source, String text) {
--- a/src/main/java/org/cassiabank/proxy/Replication.java
+++ b/src/main/java/org/cassiabank/proxy/Replication.java
@@ -24,8 +24,8 @@
 import org.cassiabank.revision.ExchangePlanner;
 
 /**
- * Spreads the configuration and the instance list between the daemons: newly learned ones are pushed to a few peers, and
- * a regular exchange with a random peer repairs what a push did not reach.
+ * Spreads the configuration and the instance list between the daemons: newly learned ones are pushed to a few peers,
+ * and a regular exchange with a random peer repairs what a push did not reach.
  */
 final class Replication implements KernelService {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
--- a/src/main/java/org/cassiabank/standin/PlatformMain.java
+++ b/src/main/java/org/cassiabank/standin/PlatformMain.java
@@ -6,6 +6,7 @@
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import joptsimple.OptionSpec;
+import org.cassiabank.logging.Logging;
 
 /**
  * Starts the stand-in for the platform's key-value service and instance list.
@@ -34,6 +35,7 @@
                 parser.printHelpOn(System.out);
                 return;
             }
+            Logging.setUp("platform");
             PlatformServer.create(options.valueOf(address)).start();
         } catch (OptionException | IllegalArgumentException exception) {
             System.err.println("cassiabank-platform: " + exception.getMessage());
--- /dev/null
+++ b/src/main/java/org/cassiabank/tls/TlsSocketFactory.java
@@ -0,0 +1,57 @@
+package org.cassiabank.tls;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.util.Objects;
+import javax.net.SocketFactory;
+
+/**
+ * Creates outgoing sockets with the identity that is current when they are created.
+ */
+public final class TlsSocketFactory extends SocketFactory {
+    private final TlsIdentity identity;
+
+    private TlsSocketFactory(TlsIdentity identity) {
+        this.identity = identity;
+    }
+
+    /**
+     * Creates a factory.
+     *
+     * @param identity the identity
+     * @return the factory
+     */
+    public static TlsSocketFactory of(TlsIdentity identity) {
+        return new TlsSocketFactory(Objects.requireNonNull(identity, "identity"));
+    }
+
+    @Override
+    public Socket createSocket() throws IOException {
+        return current().createSocket();
+    }
+
+    @Override
+    public Socket createSocket(String host, int port) throws IOException {
+        return current().createSocket(host, port);
+    }
+
+    @Override
+    public Socket createSocket(String host, int port, InetAddress localAddress, int localPort) throws IOException {
+        return current().createSocket(host, port, localAddress, localPort);
+    }
+
+    @Override
+    public Socket createSocket(InetAddress host, int port) throws IOException {
+        return current().createSocket(host, port);
+    }
+
+    @Override
+    public Socket createSocket(InetAddress host, int port, InetAddress localAddress, int localPort) throws IOException {
+        return current().createSocket(host, port, localAddress, localPort);
+    }
+
+    private SocketFactory current() {
+        return identity.clientSocketContext().getSocketFactory();
+    }
+}
