Bound the deadline of claimed requests below the retention of claims

Cause: an entry that is paused for longer than keepers remember a claim could send the request after another entry was granted the same key. Change: a claimed request has a deadline of at most 5 min, half the retention; readiness needs an instance list.

--- a/src/main/java/org/cassiabank/proxy/AdminPages.java
+++ b/src/main/java/org/cassiabank/proxy/AdminPages.java
@@ -61,7 +61,8 @@
     }
 
     private boolean isReady() {
-        return kernel.get(ServiceNames.FLEET).revision() > 0;
+        FleetState fleet = kernel.get(ServiceNames.FLEET);
+        return fleet.revision() > 0 && fleet.view().instances().index() > 0;
     }
 
     private static String state(Context context, boolean good, String text) {
--- a/src/main/java/org/cassiabank/proxy/Entry.java
+++ b/src/main/java/org/cassiabank/proxy/Entry.java
@@ -28,6 +28,9 @@
 final class Entry implements CallerHandler {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final long MAXIMUM_DEADLINE_MILLIS = TimeUnit.MINUTES.toMillis(30);
+    /** Half the time for which keepers remember a claim, so that no paused entry sends a request they have forgotten. */
+    private static final long MAXIMUM_CLAIMED_MILLIS = TimeUnit.MINUTES.toMillis(5);
+
     private static final int LOG_INTERVAL_SECONDS = 10;
     private static final long NO_CONFIGURATION_RETRY_MILLIS = 1_000;
     private static final long CLAIM_RETRY_MILLIS = 500;
@@ -119,7 +122,7 @@
         ClaimVerdict verdict = claims.claim(key, claim, digest(request));
         return switch (verdict) {
             case ClaimVerdict.Proceed proceed -> {
-                long remaining = deadlineMillis - (MonotonicClock.millis() - start);
+                long remaining = Math.min(deadlineMillis, MAXIMUM_CLAIMED_MILLIS) - (MonotonicClock.millis() - start);
                 RequestResult result = runToConclusion(request, selector, presence, remaining, key, claim);
                 yield toReply(result);
             }
