--- a/src/main/java/org/cassiabank/proxy/SlotBroker.java
+++ b/src/main/java/org/cassiabank/proxy/SlotBroker.java
@@ -57,24 +57,16 @@
      */
     SlotResult acquire(String service, SlotAsk ask, CallerPresence presence) {
         FleetView view = fleet.view();
-        ShardKey shard = new ShardKey(service, ThreadLocalRandom.current().nextInt(view.shardCount(service)));
+        int shards = view.shardCount(service);
+        int first = ThreadLocalRandom.current().nextInt(shards);
         long deadline = MonotonicClock.millis() + ask.remainingMillis();
-        if (settings.scheduling() == SchedulingMode.OWNER) {
-            for (Instance candidate : view.ownerCandidates(shard)) {
-                if (peers.isSelf(candidate)) {
-                    return acquireFrom(Optional.empty(), shard, ask, deadline, presence);
-                }
-                if (peers.isReachable(candidate)) {
-                    try {
-                        return acquireFrom(Optional.of(candidate), shard, ask, deadline, presence);
-                    } catch (CassiabankException exception) {
-                        // The peer directory remembers the failure; the next candidate is as good.
-                        continue;
-                    }
-                }
-            }
+        SlotResult result = acquire(view, new ShardKey(service, first), ask, deadline, presence);
+        if (result instanceof SlotResult.NoSlot && shards > 1 && !presence.isGone()) {
+            // A full shard says nothing about the others; a second try spreads a crest that hits one of them.
+            int second = (first + 1 + ThreadLocalRandom.current().nextInt(shards - 1)) % shards;
+            return acquire(view, new ShardKey(service, second), ask, deadline, presence);
         }
-        return acquireFrom(Optional.empty(), shard, ask, deadline, presence);
+        return result;
     }
 
     /**
@@ -108,6 +100,25 @@
         }
     }
 
+    private SlotResult acquire(FleetView view, ShardKey shard, SlotAsk ask, long deadline, CallerPresence presence) {
+        if (settings.scheduling() == SchedulingMode.OWNER) {
+            for (Instance candidate : view.ownerCandidates(shard)) {
+                if (peers.isSelf(candidate)) {
+                    return acquireFrom(Optional.empty(), shard, ask, deadline, presence);
+                }
+                if (peers.isReachable(candidate)) {
+                    try {
+                        return acquireFrom(Optional.of(candidate), shard, ask, deadline, presence);
+                    } catch (CassiabankException exception) {
+                        // The peer directory remembers the failure; the next candidate is as good.
+                        continue;
+                    }
+                }
+            }
+        }
+        return acquireFrom(Optional.empty(), shard, ask, deadline, presence);
+    }
+
     private SlotResult acquireFrom(
             Optional<Instance> owner, ShardKey shard, SlotAsk ask, long deadline, CallerPresence presence) {
         long ticket = 0;
