--- a/src/main/java/org/cassiabank/admission/FairQueue.java
+++ b/src/main/java/org/cassiabank/admission/FairQueue.java
@@ -20,6 +20,12 @@
 
     private static final int MIN_SWEEP = 1024;
 
+    /**
+     * In overload, later requests of callers with less queued work are served before those of callers with more. With
+     * this factor 0.2% instead of 3.7% of the refusals come late at 3 times the capacity and a deadline of 300 ms.
+     */
+    private static final double OVERTAKING = 1.25;
+
     private final Map<LaneKey, Lane> lanes = new HashMap<>();
     private final Map<String, Flow> flows = new HashMap<>();
     private final Map<Long, Ticket> tickets = new LinkedHashMap<>();
@@ -111,7 +117,7 @@
     double microsAhead(Ticket ticket) {
         Flow flow = flows.get(ticket.ask().caller());
         double lead = Math.max(0, flow.virtualTime() - virtualTime) + flow.queuedMicros();
-        return Math.max(0, Math.min(queuedMicros, activeFlows * lead) - ticket.costMicros());
+        return Math.max(0, Math.min(OVERTAKING * queuedMicros, activeFlows * lead) - ticket.costMicros());
     }
 
     private Flow flow(String caller) {
--- a/src/main/java/org/cassiabank/admission/LongWorkShare.java
+++ b/src/main/java/org/cassiabank/admission/LongWorkShare.java
@@ -12,6 +12,8 @@
      * random arrivals finds no free slot in less than 1 of 100 cases at any demand (Erlang C).
      */
     private static final double RESERVE_DEVIATIONS = 3;
+    /** What is kept for short work when long work is aged; short work then waits seldom and briefly. */
+    private static final double AGED_RESERVE_DEVIATIONS = 2.5;
 
     private final double share;
     private final long ageingMillis;
@@ -49,14 +51,14 @@
      */
     int limit(int totalSlots, long waitMillis, long nowMillis) {
         int initial = initialLimit(totalSlots);
-        int beyondReserve = initial;
-        if (measuredSince != Long.MIN_VALUE && nowMillis - measuredSince >= SLOW_MILLIS) {
-            double demand = shortDemand(nowMillis);
-            beyondReserve = totalSlots - (int) Math.ceil(demand + RESERVE_DEVIATIONS * Math.sqrt(demand) + 1);
+        double demand = shortDemand(nowMillis);
+        double deviation = Math.sqrt(demand);
+        int fresh = Math.min(initial, totalSlots - (int) Math.ceil(demand + RESERVE_DEVIATIONS * deviation + 1));
+        int agedLimit = totalSlots - (int) Math.ceil(demand + AGED_RESERVE_DEVIATIONS * deviation);
+        if (measuredSince == Long.MIN_VALUE || nowMillis - measuredSince < SLOW_MILLIS) {
+            agedLimit = Math.min(initial, agedLimit);
         }
-        int lowest = Math.min(initial, beyondReserve);
-        int highest = Math.max(initial, beyondReserve);
-        return Math.max(1, lowest + (int) ((highest - lowest) * aged(waitMillis)));
+        return Math.max(1, fresh + (int) ((agedLimit - fresh) * aged(waitMillis)));
     }
 
     /** Returns how many slots long work gets before queued short work: one at first, its initial share when aged. */
--- /dev/null
+++ b/src/test/java/org/cassiabank/admission/SchedulerSimulation.java
@@ -0,0 +1,192 @@
+package org.cassiabank.admission;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.DoubleUnaryOperator;
+import java.util.stream.IntStream;
+import org.cassiabank.declaration.CostHint;
+import org.cassiabank.health.Outcome;
+import org.cassiabank.health.ServerHealth;
+
+/** An event loop in virtual time that sends seeded arrivals through a scheduler to servers that always answer. */
+final class SchedulerSimulation {
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingDouble(Event::time).thenComparingLong(Event::order));
+    private final Map<Long, Arrival> waiting = new HashMap<>();
+    private final List<Arrival> arrivals = new ArrayList<>();
+    private final SlotScheduler scheduler;
+    private final Random random;
+    private double now;
+    private long order;
+
+    private SchedulerSimulation(SchedulerSettings settings, int servers, int slots, long seed) {
+        scheduler = SlotScheduler.create(settings);
+        scheduler.updateServers(servers(servers, slots), 0);
+        random = new Random(seed);
+    }
+
+    static SchedulerSimulation create(SchedulerSettings settings, int servers, int slots, long seed) {
+        return new SchedulerSimulation(settings, servers, slots, seed);
+    }
+
+    static List<ServerCapacity> servers(int count, int slots) {
+        return IntStream.range(0, count)
+                .mapToObj(i -> new ServerCapacity(
+                        "server-" + i, "127.0.0.1:" + (20_000 + i), slots, ServerHealth.HEALTHY, false, Map.of()))
+                .toList();
+    }
+
+    static SlotAsk ask(String route, String caller, long remainingMillis) {
+        return new SlotAsk("entry", route, route, caller, CostHint.LEARNED, true, remainingMillis, Set.of(), Map.of());
+    }
+
+    /** Adds Poisson arrivals; the service times are uniform between half and one and a half times the mean. */
+    SchedulerSimulation load(
+            String route, double meanMillis, int callers, long deadline, double until, DoubleUnaryOperator perSecond) {
+        double highest = IntStream.rangeClosed(0, 1000)
+                .mapToDouble(i -> perSecond.applyAsDouble(until * i / 1000))
+                .max()
+                .orElseThrow();
+        double time = 0;
+        while (true) {
+            time -= Math.log(1 - random.nextDouble()) * 1000 / highest;
+            if (time >= until) {
+                return this;
+            }
+            if (random.nextDouble() * highest < perSecond.applyAsDouble(time)) {
+                Arrival arrival = new Arrival(
+                        ask(route, "caller-" + random.nextInt(callers), deadline),
+                        time,
+                        meanMillis * (0.5 + random.nextDouble()));
+                arrivals.add(arrival);
+                at(time, () -> handle(arrival, scheduler.offer(arrival.ask, (long) now)));
+            }
+        }
+    }
+
+    /** Runs until nothing is left to do. */
+    SchedulerSimulation run() {
+        while (!events.isEmpty()) {
+            Event event = events.remove();
+            now = event.time();
+            event.action().run();
+            for (TicketDecision decided : scheduler.advance((long) now)) {
+                handle(waiting.remove(decided.ticket()), decided.decision());
+            }
+        }
+        return this;
+    }
+
+    List<Arrival> between(String route, double from, double until) {
+        return arrivals.stream()
+                .filter(arrival ->
+                        arrival.ask.route().equals(route) && arrival.arrivedAt >= from && arrival.arrivedAt < until)
+                .toList();
+    }
+
+    static double percentile(List<Arrival> arrivals, double share) {
+        double[] latencies = arrivals.stream()
+                .filter(Arrival::isAnswered)
+                .mapToDouble(Arrival::latency)
+                .sorted()
+                .toArray();
+        return latencies.length == 0 ? Double.NaN : latencies[(int) Math.ceil(latencies.length * share) - 1];
+    }
+
+    /** Returns the part of the slot time between two times that went into answers within their deadlines. */
+    double usefulShare(int slots, double from, double until) {
+        return arrivals.stream()
+                        .filter(Arrival::isInTime)
+                        .mapToDouble(arrival ->
+                                Math.max(0, Math.min(until, arrival.endedAt) - Math.max(from, arrival.startedAt)))
+                        .sum()
+                / (slots * (until - from));
+    }
+
+    private void handle(Arrival arrival, SlotDecision decision) {
+        switch (decision) {
+            case Granted granted -> {
+                arrival.startedAt = now;
+                at(now + arrival.serviceMillis, () -> {
+                    arrival.endedAt = now;
+                    scheduler.finish(
+                            granted.lease(), Outcome.ANSWERED, (long) (arrival.serviceMillis * 1000), (long) now);
+                });
+            }
+            case Refused refused -> {
+                arrival.refusedAt = now;
+                arrival.refused = refused;
+            }
+            case Queued queued -> {
+                waiting.put(queued.ticket(), arrival);
+                renewLater(queued.ticket());
+            }
+        }
+    }
+
+    private void renewLater(long ticket) {
+        at(now + 100, () -> {
+            if (waiting.containsKey(ticket)) {
+                scheduler.renew(ticket, (long) now).ifPresent(decision -> handle(waiting.remove(ticket), decision));
+                renewLater(ticket);
+            }
+        });
+    }
+
+    private void at(double time, Runnable action) {
+        events.add(new Event(time, ++order, action));
+    }
+
+    private record Event(double time, long order, Runnable action) {}
+
+    /** One request and what became of it; times in milliseconds. */
+    static final class Arrival {
+        private final SlotAsk ask;
+        private final double arrivedAt;
+        private final double serviceMillis;
+        private double startedAt = Double.NaN;
+        private double endedAt = Double.NaN;
+        private double refusedAt = Double.NaN;
+        private Refused refused;
+
+        private Arrival(SlotAsk ask, double arrivedAt, double serviceMillis) {
+            this.ask = ask;
+            this.arrivedAt = arrivedAt;
+            this.serviceMillis = serviceMillis;
+        }
+
+        boolean isAnswered() {
+            return !Double.isNaN(endedAt);
+        }
+
+        boolean isInTime() {
+            return isAnswered() && latency() <= ask.remainingMillis();
+        }
+
+        boolean isRefused() {
+            return refused != null;
+        }
+
+        Refused refused() {
+            return refused;
+        }
+
+        double latency() {
+            return endedAt - arrivedAt;
+        }
+
+        double waited() {
+            return startedAt - arrivedAt;
+        }
+
+        double refusedAfter() {
+            return refusedAt - arrivedAt;
+        }
+    }
+}
