--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -38,26 +38,12 @@
      */
     public BackendResult execute() {
         try (Response response = call.execute()) {
-            Optional<BackendResult> broken = Optional.empty();
-            byte[] body = new byte[0];
-            try {
-                broken = checkHead(response);
-                if (broken.isEmpty()) {
-                    BufferedSource source = response.body().source();
-                    if (source.request(mostAnswerBytes + 1L)) {
-                        broken = Optional.of(
-                                new Broken(BrokenReason.ANSWER_TOO_LARGE, "more than " + mostAnswerBytes + " bytes"));
-                    } else {
-                        body = source.readByteArray();
-                    }
-                }
-            } finally {
+            BackendResult result = read(response);
+            if (result instanceof Broken) {
                 // Closing an unread answer would make OkHttp read the rest and reuse the connection.
-                if (broken.isPresent()) {
-                    call.cancel();
-                }
+                call.cancel();
             }
-            return broken.orElse(toResult(response.code(), body));
+            return result;
         } catch (IOException exception) {
             return toResult(exception);
         }
@@ -72,6 +58,17 @@
         call.cancel();
     }
 
+    private BackendResult read(Response response) throws IOException {
+        Optional<BackendResult> broken = checkHead(response);
+        if (broken.isPresent()) {
+            return broken.get();
+        }
+        BufferedSource source = response.body().source();
+        return source.request(mostAnswerBytes + 1L)
+                ? new Broken(BrokenReason.ANSWER_TOO_LARGE, "more than " + mostAnswerBytes + " bytes")
+                : toResult(response.code(), source.readByteArray());
+    }
+
     private Optional<BackendResult> checkHead(Response response) {
         Headers headers = trace.answerHeaders();
         List<String> identifiers = headers.values(BackendHeaders.REQUEST_ID);
