--- /dev/null
+++ b/src/main/java/org/cassiabank/load/AnswerClass.java
@@ -0,0 +1,43 @@
+package org.cassiabank.load;
+
+/**
+ * What a caller learned about its request.
+ */
+public enum AnswerClass {
+    /** A whole answer of a backend server to this request, with a status below 500. */
+    ANSWERED,
+    /** A backend server's own answer with a server error. */
+    FAILED,
+    /** A refusal that says that the request did not run. */
+    NOT_RUN,
+    /** An answer that says that the outcome is unknown. */
+    UNKNOWN,
+    /** The connection broke visibly before the answer was complete. */
+    BROKEN,
+    /** The connection could not be opened. */
+    NOT_CONNECTED,
+    /** Nothing came within the caller's patience, which is longer than the deadline. */
+    SILENT,
+    /** An answer that is not whole or belongs to another request; never allowed. */
+    WRONG,
+    /** An answer of the proxy without a valid outcome header; never allowed. */
+    UNMARKED;
+
+    /**
+     * Tells whether the answer contradicts the guarantees whatever faults are present.
+     *
+     * @return true for answers that no caller may get
+     */
+    public boolean isForbidden() {
+        return this == WRONG || this == UNMARKED || this == SILENT;
+    }
+
+    /**
+     * Tells whether a caller of a fleet without faults would complain.
+     *
+     * @return true for everything but an answer or a refusal
+     */
+    public boolean isInterrupted() {
+        return this != ANSWERED && this != NOT_RUN;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/load/AnswerClassifier.java
@@ -0,0 +1,53 @@
+package org.cassiabank.load;
+
+/**
+ * Decides what an answer tells its caller and whether it is whole and belongs to the request.
+ */
+public final class AnswerClassifier {
+    private AnswerClassifier() {}
+
+    /**
+     * Classifies an answer that a proxy sent.
+     *
+     * @param answer the answer
+     * @param token the token that the request asked the backend server to repeat in the body
+     * @param requestId the request id that was sent
+     * @return the class
+     */
+    public static AnswerClass classify(ReceivedAnswer answer, String token, String requestId) {
+        return switch (answer.outcome()) {
+            case "answered" -> classifyBackendAnswer(answer, token, requestId);
+            case "not-run" -> answer.reason().isEmpty() ? AnswerClass.UNMARKED : AnswerClass.NOT_RUN;
+            case "unknown" -> answer.reason().isEmpty() ? AnswerClass.UNMARKED : AnswerClass.UNKNOWN;
+            default -> AnswerClass.UNMARKED;
+        };
+    }
+
+    /**
+     * Classifies an answer that came from a backend server without a proxy.
+     *
+     * @param answer the answer
+     * @param token the token that the request asked the backend server to repeat in the body
+     * @param requestId the request id that was sent
+     * @return the class
+     */
+    public static AnswerClass classifyDirect(ReceivedAnswer answer, String token, String requestId) {
+        return answer.notRun() ? AnswerClass.NOT_RUN : classifyBackendAnswer(answer, token, requestId);
+    }
+
+    private static AnswerClass classifyBackendAnswer(ReceivedAnswer answer, String token, String requestId) {
+        if (!answer.requestId().isEmpty() && !answer.requestId().equals(requestId)) {
+            return AnswerClass.WRONG;
+        }
+        // A backend server that gives up at the deadline answers 504 with a short text instead of a full body.
+        if (answer.status() == 503 || answer.status() == 504) {
+            return AnswerClass.FAILED;
+        }
+        boolean whole = answer.body().startsWith("token=" + token + "\n")
+                && answer.body().endsWith("\nend=" + token + "\n");
+        if (!whole) {
+            return AnswerClass.WRONG;
+        }
+        return answer.status() >= 500 ? AnswerClass.FAILED : AnswerClass.ANSWERED;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/load/ControlClient.java
@@ -0,0 +1,90 @@
+package org.cassiabank.load;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import okhttp3.ConnectionPool;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+
+/**
+ * Sends requests to control and admin ports, each on a connection of its own. Thread-safe.
+ *
+ * <p>Connections are not reused, because a backend stand-in can make its open connections silent.
+ */
+public final class ControlClient {
+    private static final MediaType JSON = MediaType.get("application/json");
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final OkHttpClient client;
+
+    private ControlClient(OkHttpClient client) {
+        this.client = client;
+    }
+
+    /**
+     * Creates a client.
+     *
+     * @param timeoutMillis the longest time for a whole call, in milliseconds
+     * @return the client
+     */
+    public static ControlClient create(long timeoutMillis) {
+        return new ControlClient(new OkHttpClient.Builder()
+                .connectionPool(new ConnectionPool(0, 1, TimeUnit.MILLISECONDS))
+                .retryOnConnectionFailure(false)
+                .callTimeout(Duration.ofMillis(timeoutMillis))
+                .build());
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param method the HTTP method
+     * @param url the URL
+     * @param body the JSON body; empty for GET
+     * @return the status and body; status 0 if there was no answer
+     */
+    public ControlAnswer send(String method, String url, String body) {
+        RequestBody requestBody = "GET".equals(method) ? null : RequestBody.create(body, JSON);
+        Request request = new Request.Builder()
+                .url(url)
+                .method(method, requestBody)
+                .header("Connection", "close")
+                .build();
+        try (Response response = client.newCall(request).execute()) {
+            return new ControlAnswer(response.code(), response.body().string());
+        } catch (IOException exception) {
+            return new ControlAnswer(0, String.valueOf(exception.getMessage()));
+        }
+    }
+
+    /**
+     * Reads a JSON document.
+     *
+     * @param url the URL
+     * @return the document, or a missing node if there was no answer with status 200 and JSON
+     */
+    public JsonNode getJson(String url) {
+        ControlAnswer answer = send("GET", url, "");
+        try {
+            return answer.status() == 200 ? MAPPER.readTree(answer.body()) : MissingNode.getInstance();
+        } catch (JsonProcessingException exception) {
+            return MissingNode.getInstance();
+        }
+    }
+
+    /**
+     * An answer of a control port.
+     *
+     * @param status the HTTP status, or 0 if there was no answer
+     * @param body the body, or the reason why there was no answer
+     */
+    public record ControlAnswer(int status, String body) {}
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/load/ExperimentReports.java
@@ -0,0 +1,101 @@
+package org.cassiabank.load;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.knowm.xchart.BitmapEncoder;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
+import org.knowm.xchart.style.markers.SeriesMarkers;
+
+/**
+ * Writes the results of experiments as a table, a JSON document or a chart.
+ */
+public final class ExperimentReports {
+    private static final String ROW = "%-58s %14s %-10s %-12s %s%n";
+
+    private ExperimentReports() {}
+
+    /**
+     * Prints a table.
+     *
+     * @param name the name of the experiment
+     * @param settings its settings
+     * @param result its figures
+     * @param output where to print
+     */
+    public static void print(String name, ExperimentSettings settings, ExperimentResult result, PrintStream output) {
+        output.println("experiment " + name + ", seed " + settings.seed() + ", " + settings.proxies() + " proxies, "
+                + settings.seconds() + " s");
+        output.println("scale: " + result.scale());
+        output.printf(ROW, "measure", "value", "unit", "target", "result");
+        for (Measure measure : result.measures()) {
+            String verdict = measure.targetText().isEmpty() ? "" : measure.passes() ? "pass" : "FAIL";
+            output.printf(ROW, measure.name(), measure.valueText(), measure.unit(), measure.targetText(), verdict);
+        }
+        result.notes().forEach(note -> output.println("note: " + note));
+        output.println(result.passes() ? "pass" : "FAIL");
+    }
+
+    /**
+     * Writes a JSON document.
+     *
+     * @param name the name of the experiment
+     * @param settings its settings
+     * @param result its figures
+     * @param file the file
+     * @throws IOException if the file cannot be written
+     */
+    public static void writeJson(String name, ExperimentSettings settings, ExperimentResult result, Path file)
+            throws IOException {
+        List<Map<String, Object>> measures = new ArrayList<>();
+        for (Measure measure : result.measures()) {
+            Map<String, Object> entry = new LinkedHashMap<>();
+            entry.put("name", measure.name());
+            entry.put("value", Double.isNaN(measure.value()) ? null : measure.value());
+            entry.put("unit", measure.unit());
+            entry.put("target", measure.targetText());
+            entry.put("passes", measure.passes());
+            measures.add(entry);
+        }
+        Map<String, Object> document = new LinkedHashMap<>();
+        document.put("experiment", name);
+        document.put("seed", settings.seed());
+        document.put("proxies", settings.proxies());
+        document.put("seconds", settings.seconds());
+        document.put("scale", result.scale());
+        document.put("passes", result.passes());
+        document.put("measures", measures);
+        document.put("notes", result.notes());
+        document.put("series", result.series());
+        Files.writeString(
+                file, new ObjectMapper().writerWithDefaultPrettyPrinter().writeValueAsString(document) + "\n");
+    }
+
+    /**
+     * Writes a chart as a PNG image.
+     *
+     * @param name the title
+     * @param result the figures
+     * @param file the file, whose name ends in {@code .png}
+     * @throws IOException if the file cannot be written
+     * @throws IllegalArgumentException if the result has no series
+     */
+    public static void writeChart(String name, ExperimentResult result, Path file) throws IOException {
+        if (result.series().isEmpty()) {
+            throw new IllegalArgumentException("experiment " + name + " has no series to draw");
+        }
+        System.setProperty("java.awt.headless", "true");
+        XYChart chart = new XYChartBuilder().width(1000).height(600).title(name).build();
+        for (Series series : result.series()) {
+            chart.addSeries(series.name(), series.x(), series.y()).setMarker(SeriesMarkers.NONE);
+        }
+        BitmapEncoder.saveBitmap(chart, file.toString(), BitmapEncoder.BitmapFormat.PNG);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/load/FaultScript.java
@@ -0,0 +1,92 @@
+package org.cassiabank.load;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Steps at fixed times of a run: requests to control ports, signals to own processes, or other actions.
+ *
+ * @param steps the steps in the order of their times
+ */
+public record FaultScript(List<Step> steps) {
+
+    /**
+     * Sorts the steps by time.
+     */
+    public FaultScript {
+        steps = steps.stream().sorted(Comparator.comparingLong(Step::atMillis)).toList();
+    }
+
+    /**
+     * Returns a script that does nothing.
+     *
+     * @return the empty script
+     */
+    public static FaultScript none() {
+        return new FaultScript(List.of());
+    }
+
+    /**
+     * Runs the steps at their times. Failures are collected and do not stop the script.
+     *
+     * @param startNanos the time 0 of the script, by {@link System#nanoTime()}
+     * @return the failures as text
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public List<String> run(long startNanos) throws InterruptedException {
+        ControlClient client = ControlClient.create(2_000);
+        List<String> failures = new ArrayList<>();
+        for (Step step : steps) {
+            long left = startNanos + step.atMillis() * 1_000_000 - System.nanoTime();
+            if (left > 0) {
+                Thread.sleep(left / 1_000_000, (int) (left % 1_000_000));
+            }
+            switch (step.action()) {
+                case Post post -> {
+                    ControlClient.ControlAnswer answer = client.send("POST", post.url(), post.body());
+                    if (answer.status() / 100 != 2) {
+                        failures.add("POST " + post.url() + ": " + answer.status() + " " + answer.body());
+                    }
+                }
+                case Signal signal -> signal.process().signal(signal.name());
+                case Call call -> call.action().run();
+            }
+        }
+        return failures;
+    }
+
+    /**
+     * A step.
+     *
+     * @param atMillis the time since the start of the run, in milliseconds
+     * @param action what is done
+     */
+    public record Step(long atMillis, Action action) {}
+
+    /** What a step does. */
+    public sealed interface Action permits Post, Signal, Call {}
+
+    /**
+     * Sends a POST request.
+     *
+     * @param url the URL
+     * @param body the JSON body
+     */
+    public record Post(String url, String body) implements Action {}
+
+    /**
+     * Sends a signal to a process that this tool started.
+     *
+     * @param process the process
+     * @param name the name of the signal without SIG
+     */
+    public record Signal(ChildProcess process, String name) implements Action {}
+
+    /**
+     * Calls code of an experiment.
+     *
+     * @param action the code
+     */
+    public record Call(Runnable action) implements Action {}
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/load/Fleet.java
@@ -0,0 +1,357 @@
+package org.cassiabank.load;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.cassiabank.kernel.CassiabankException;
+import org.cassiabank.kernel.ErrorCode;
+import org.cassiabank.platform.InstanceDocuments;
+
+/**
+ * A platform stand-in, backend servers and proxies as processes on loopback, with their settings and logs in a
+ * directory. Closing it ends exactly these processes.
+ */
+public final class Fleet implements AutoCloseable {
+    private static final String REGION = "region-1";
+    private static final int FAILURE_DOMAINS = 4;
+    private static final long START_MILLIS = 60_000;
+    private static final long APPLY_MILLIS = 20_000;
+    private static final long EXIT_MILLIS = 40_000;
+    private static final List<String> JAVA_OPTIONS = List.of("-Xmx192m", "-XX:+UseSerialGC");
+    // Stand-ins need less memory, and the first compiler tier is enough for them.
+    private static final List<String> STAND_IN_OPTIONS =
+            List.of("-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+
+    private final FleetSettings settings;
+    private final Path directory;
+    private final String platformAddress = Ports.nextAddress();
+    private final ControlClient client = ControlClient.create(3_000);
+    private final List<FleetMember> proxies = new ArrayList<>();
+    private final List<FleetMember> backends = new ArrayList<>();
+    private ChildProcess platform;
+
+    private Fleet(FleetSettings settings, Path directory) {
+        this.settings = settings;
+        this.directory = directory;
+    }
+
+    /**
+     * Starts a fleet and returns when all its proxies are ready.
+     *
+     * @param settings what it consists of
+     * @return the running fleet
+     * @throws CassiabankException if a process does not start
+     */
+    public static Fleet start(FleetSettings settings) {
+        try {
+            Fleet fleet = new Fleet(settings, Files.createTempDirectory("cassiabank-fleet"));
+            try {
+                fleet.startAll();
+                return fleet;
+            } catch (RuntimeException exception) {
+                fleet.close();
+                throw exception;
+            }
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    /**
+     * Returns the proxies.
+     *
+     * @return the proxies
+     */
+    public List<FleetMember> proxies() {
+        return List.copyOf(proxies);
+    }
+
+    /**
+     * Returns the backend servers of all services.
+     *
+     * @return the servers
+     */
+    public List<FleetMember> backends() {
+        return List.copyOf(backends);
+    }
+
+    /**
+     * Returns the directory with settings, logs and journals.
+     *
+     * @return the directory
+     */
+    public Path directory() {
+        return directory;
+    }
+
+    /**
+     * Returns the URL of the platform stand-in.
+     *
+     * @return the URL without a slash at the end
+     */
+    public String platformUrl() {
+        return "http://" + platformAddress;
+    }
+
+    /**
+     * Returns the process of the platform stand-in.
+     *
+     * @return the process
+     */
+    public ChildProcess platform() {
+        return platform;
+    }
+
+    /**
+     * Returns a client for control and admin pages.
+     *
+     * @return the client
+     */
+    public ControlClient client() {
+        return client;
+    }
+
+    /**
+     * Starts a load balancer over the proxies.
+     *
+     * @return the load balancer, to be closed by the caller
+     */
+    public LoadBalancer balanceProxies() {
+        return balance(proxies);
+    }
+
+    /**
+     * Starts a load balancer over the backend servers, for measurements without proxies.
+     *
+     * @return the load balancer, to be closed by the caller
+     */
+    public LoadBalancer balanceBackends() {
+        return balance(backends);
+    }
+
+    /**
+     * Applies declarations with the operators' tool.
+     *
+     * @param toml the declarations
+     * @throws CassiabankException if the tool does not exit with 0
+     */
+    public void apply(String toml) {
+        try {
+            Path file = Files.createTempFile(directory, "declarations", ".toml");
+            Files.writeString(file, toml);
+            List<String> arguments = List.of("apply", "--store", platformUrl(), file.toString());
+            try (ChildProcess operator = ChildProcess.start(
+                    "cassiabankctl",
+                    "org.cassiabank.operator.OperatorMain",
+                    STAND_IN_OPTIONS,
+                    arguments,
+                    directory.resolve("operator.log"))) {
+                int exitCode = operator.awaitExit(APPLY_MILLIS);
+                if (exitCode != 0) {
+                    throw CassiabankException.of(
+                            ErrorCode.START_FAILED,
+                            "cassiabankctl apply exited with " + exitCode + ": " + operator.lastLogLines());
+                }
+            }
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /**
+     * Writes the members with their states to the platform's instance list.
+     */
+    public void publishInstances() {
+        List<FleetMember> members = new ArrayList<>(backends);
+        members.addAll(proxies);
+        byte[] document = InstanceDocuments.toDocument(
+                members.stream().map(member -> member.toInstance(REGION)).toList());
+        ControlClient.ControlAnswer answer =
+                client.send("PUT", platformUrl() + "/control/instances", new String(document, StandardCharsets.UTF_8));
+        if (answer.status() / 100 != 2) {
+            throw CassiabankException.of(
+                    ErrorCode.STORE_UNAVAILABLE,
+                    "the instance list was refused: " + answer.status() + " " + answer.body());
+        }
+    }
+
+    /**
+     * Sends SIGTERM to a member, waits until it has exited and starts it again.
+     *
+     * @param member the member
+     * @return the exit code
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public int restart(FleetMember member) throws InterruptedException {
+        member.process().signal("TERM");
+        int exitCode = member.process().awaitExit(EXIT_MILLIS);
+        member.close();
+        member.start();
+        awaitReady(member);
+        return exitCode;
+    }
+
+    /**
+     * Waits until the health page of a backend server or the readiness page of a proxy answers with 200.
+     *
+     * @param member the member
+     * @throws CassiabankException if its process ends or does not become ready in time
+     */
+    public void awaitReady(FleetMember member) {
+        String page = member.controlUrl() + (proxies.contains(member) ? "/ready" : "/health");
+        awaitPage(member.process(), page);
+    }
+
+    /**
+     * Counts the executions that all backend servers started, over all their restarts.
+     *
+     * @return the number per key; requests without a key are counted under their token
+     */
+    public Map<String, Integer> executions() {
+        Map<String, Integer> executions = new HashMap<>();
+        for (FleetMember backend : backends) {
+            Path journal = journal(backend.name());
+            if (Files.exists(journal)) {
+                try (Stream<String> lines = Files.lines(journal)) {
+                    lines.forEach(key -> executions.merge(key, 1, Integer::sum));
+                } catch (IOException exception) {
+                    throw new UncheckedIOException(exception);
+                }
+            }
+        }
+        return executions;
+    }
+
+    @Override
+    public void close() {
+        proxies.forEach(FleetMember::close);
+        backends.forEach(FleetMember::close);
+        if (platform != null) {
+            platform.close();
+        }
+    }
+
+    private void startAll() throws IOException {
+        platform = ChildProcess.start(
+                "platform",
+                "org.cassiabank.standin.PlatformMain",
+                STAND_IN_OPTIONS,
+                List.of("--address", platformAddress),
+                directory.resolve("platform.log"));
+        for (FleetService service : settings.services()) {
+            for (int number = 1; number <= service.servers(); number++) {
+                addBackend(service, number);
+            }
+        }
+        for (int number = 1; number <= settings.proxies(); number++) {
+            addProxy(number);
+        }
+        awaitPage(platform, platformUrl() + "/v1/instances");
+        publishInstances();
+        backends.forEach(FleetMember::start);
+        if (!proxies.isEmpty()) {
+            StringBuilder toml = new StringBuilder();
+            settings.services().forEach(service -> toml.append(service.toToml()));
+            apply(toml.toString());
+            proxies.forEach(FleetMember::start);
+        }
+        backends.forEach(this::awaitReady);
+        proxies.forEach(this::awaitReady);
+    }
+
+    private void addBackend(FleetService service, int number) {
+        String name = service.name() + "-" + number;
+        String address = Ports.nextAddress();
+        List<String> arguments = new ArrayList<>(List.of(
+                "--address", address,
+                "--name", name,
+                "--slots", Integer.toString(service.slots()),
+                "--seed", Long.toString(settings.seed() * 1_000 + number),
+                "--journal", journal(name).toString()));
+        arguments.addAll(settings.backendArguments());
+        backends.add(FleetMember.backend(
+                name,
+                domain(number),
+                address,
+                () -> ChildProcess.start(
+                        name,
+                        "org.cassiabank.standin.BackendMain",
+                        STAND_IN_OPTIONS,
+                        arguments,
+                        directory.resolve(name + ".log"))));
+    }
+
+    private void addProxy(int number) throws IOException {
+        String name = "proxy-" + number;
+        List<String> addresses = List.of(Ports.nextAddress(), Ports.nextAddress(), Ports.nextAddress());
+        Map<String, String> lines = new HashMap<>(settings.proxySettings());
+        lines.put("name", quoted(name));
+        lines.put("region", quoted(REGION));
+        lines.put("failure-domain", quoted(domain(number)));
+        lines.put("callers-address", quoted(addresses.get(0)));
+        lines.put("peer-address", quoted(addresses.get(1)));
+        lines.put("admin-address", quoted(addresses.get(2)));
+        lines.put("store", quoted(platformUrl()));
+        StringBuilder toml = new StringBuilder();
+        lines.forEach(
+                (key, value) -> toml.append(key).append(" = ").append(value).append('\n'));
+        Path file = Files.writeString(directory.resolve(name + ".toml"), toml);
+        proxies.add(FleetMember.proxy(
+                name,
+                domain(number),
+                addresses,
+                () -> ChildProcess.start(
+                        name,
+                        "org.cassiabank.proxy.ProxyMain",
+                        JAVA_OPTIONS,
+                        List.of(file.toString()),
+                        directory.resolve(name + ".log"))));
+    }
+
+    private void awaitPage(ChildProcess process, String url) {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_MILLIS);
+        while (client.send("GET", url, "").status() != 200) {
+            if (!process.isAlive() || System.nanoTime() > end) {
+                throw CassiabankException.of(
+                        ErrorCode.START_FAILED,
+                        process.name()
+                                + (process.isAlive() ? " did not become ready: " : " ended: ")
+                                + process.lastLogLines());
+            }
+            try {
+                Thread.sleep(50);
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
+                throw CassiabankException.of(ErrorCode.START_FAILED, "interrupted while waiting for " + url);
+            }
+        }
+    }
+
+    private Path journal(String backend) {
+        return directory.resolve(backend + ".journal");
+    }
+
+    private static LoadBalancer balance(List<FleetMember> members) {
+        return LoadBalancer.start(members.stream()
+                .map(member -> new LoadBalancer.Entry(member.address(), member.controlUrl() + "/health"))
+                .toList());
+    }
+
+    private static String domain(int number) {
+        return "domain-" + (number - 1) % FAILURE_DOMAINS;
+    }
+
+    private static String quoted(String text) {
+        return '"' + text + '"';
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/load/FleetMember.java
@@ -0,0 +1,111 @@
+package org.cassiabank.load;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.cassiabank.membership.Instance;
+import org.cassiabank.membership.InstanceRole;
+import org.cassiabank.membership.InstanceState;
+
+/**
+ * A proxy or backend server of a test fleet. Its process can be ended and started again. Thread-safe.
+ */
+public final class FleetMember {
+    private final String name;
+    private final InstanceRole role;
+    private final String failureDomain;
+    private final String address;
+    private final String listAddress;
+    private final String controlUrl;
+    private final Supplier<ChildProcess> starter;
+    private volatile Optional<ChildProcess> process = Optional.empty();
+    private volatile InstanceState state = InstanceState.LIVE;
+
+    private FleetMember(
+            String name,
+            InstanceRole role,
+            String failureDomain,
+            List<String> addresses,
+            Supplier<ChildProcess> starter) {
+        this.name = Objects.requireNonNull(name, "name");
+        this.role = role;
+        this.failureDomain = failureDomain;
+        this.address = addresses.get(0);
+        this.listAddress = addresses.get(1);
+        this.controlUrl = "http://" + addresses.get(2);
+        this.starter = starter;
+    }
+
+    /** Creates a backend server, all of whose pages are on one port. */
+    static FleetMember backend(String name, String failureDomain, String address, Supplier<ChildProcess> starter) {
+        return new FleetMember(name, InstanceRole.BACKEND, failureDomain, List.of(address, address, address), starter);
+    }
+
+    /** Creates a proxy with its addresses for callers, peers and administration, in this order. */
+    static FleetMember proxy(
+            String name, String failureDomain, List<String> addresses, Supplier<ChildProcess> starter) {
+        return new FleetMember(name, InstanceRole.PROXY, failureDomain, addresses, starter);
+    }
+
+    /**
+     * Returns the name.
+     *
+     * @return the name
+     */
+    public String name() {
+        return name;
+    }
+
+    /**
+     * Returns the address for requests.
+     *
+     * @return IP number and port
+     */
+    public String address() {
+        return address;
+    }
+
+    /**
+     * Returns the beginning of the URLs of the control pages of a backend server or the admin pages of a proxy.
+     *
+     * @return the URL without a slash at the end
+     */
+    public String controlUrl() {
+        return controlUrl;
+    }
+
+    /**
+     * Returns the process.
+     *
+     * @return the process that was started last
+     * @throws IllegalStateException if none was started
+     */
+    public ChildProcess process() {
+        return process.orElseThrow(() -> new IllegalStateException(name + " was not started"));
+    }
+
+    /**
+     * Sets the state that the instance list shows.
+     *
+     * @param newState the state
+     */
+    public void state(InstanceState newState) {
+        state = newState;
+    }
+
+    /** Starts the process. */
+    void start() {
+        process = Optional.of(starter.get());
+    }
+
+    /** Ends the process at once if one was started. */
+    void close() {
+        process.ifPresent(ChildProcess::close);
+    }
+
+    /** Returns the entry of the instance list. */
+    Instance toInstance(String region) {
+        return new Instance(name, role, listAddress, region, failureDomain, state);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/load/FleetService.java
@@ -0,0 +1,94 @@
+package org.cassiabank.load;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Objects;
+
+/**
+ * A service of a test fleet with its backend servers and selectors.
+ *
+ * @param name the name, which is also the prefix of its servers' names
+ * @param servers the number of backend servers
+ * @param slots the slots of each server
+ * @param floor the number of servers that ejection keeps
+ * @param deadlineMillis the deadline in milliseconds
+ * @param selectors the selectors
+ */
+public record FleetService(
+        String name, int servers, int slots, int floor, long deadlineMillis, List<FleetSelector> selectors) {
+
+    /**
+     * Copies the selectors.
+     */
+    public FleetService {
+        Objects.requireNonNull(name, "name");
+        selectors = List.copyOf(selectors);
+    }
+
+    /**
+     * Returns a service like the kitchens' with selectors for short and long reads and orders.
+     *
+     * @param servers the number of backend servers
+     * @param slots the slots of each server
+     * @return the service, with a floor of half of its servers
+     */
+    public static FleetService kitchen(int servers, int slots) {
+        return new FleetService(
+                "kitchen",
+                servers,
+                slots,
+                Math.max(1, servers / 2),
+                10_000,
+                List.of(
+                        new FleetSelector("menu-read", "GET", "/menu", true),
+                        new FleetSelector("ledger-read", "GET", "/ledger", true),
+                        new FleetSelector("order", "POST", "/order", false)));
+    }
+
+    /**
+     * Writes the declarations of the service.
+     *
+     * @return the TOML document
+     */
+    public String toToml() {
+        StringBuilder toml = new StringBuilder(String.format(Locale.ROOT, """
+                [label.%1$s]
+                instances = "%1$s-*"
+                set = { service = "%1$s" }
+
+                [service.%1$s]
+                slots = %2$d
+                floor = %3$d
+                deadline-millis = %4$d
+
+                """, name, slots, floor, deadlineMillis));
+        for (FleetSelector selector : selectors) {
+            toml.append(String.format(
+                    Locale.ROOT,
+                    """
+                    [selector.%s]
+                    service = "%s"
+                    methods = ["%s"]
+                    path = "%s"
+                    repeatable = %b
+
+                    """,
+                    selector.name(),
+                    name,
+                    selector.method(),
+                    selector.path(),
+                    selector.repeatable()));
+        }
+        return toml.toString();
+    }
+
+    /**
+     * A selector of a test fleet.
+     *
+     * @param name the name
+     * @param method the HTTP method
+     * @param path the path prefix
+     * @param repeatable whether requests may be repeated
+     */
+    public record FleetSelector(String name, String method, String path, boolean repeatable) {}
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/load/LoadMain.java
@@ -0,0 +1,130 @@
+package org.cassiabank.load;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.cassiabank.kernel.CassiabankException;
+
+/**
+ * The load and experiment tool. It starts fleets of processes on loopback, sends load and checks the answers.
+ */
+public final class LoadMain {
+    private static final int FAILURE = 1;
+    private static final int USAGE_FAILURE = 2;
+    private static final List<Experiment> EXPERIMENTS = List.of(new SmokeExperiment());
+
+    private LoadMain() {}
+
+    /**
+     * Runs the program. Exits with 0 if all targets were met, 1 if one was missed or a process failed and 2 for wrong
+     * usage.
+     *
+     * @param arguments the command line, see {@code --help}
+     * @throws IOException if a file cannot be written
+     * @throws InterruptedException if the main thread is interrupted
+     */
+    public static void main(String[] arguments) throws IOException, InterruptedException {
+        OptionParser parser = parser();
+        int exitCode;
+        try {
+            OptionSet options = parser.parse(arguments);
+            exitCode = options.has("help") ? help(parser) : run(options);
+        } catch (OptionException | IllegalArgumentException exception) {
+            System.err.println("cassiabank-load: " + exception.getMessage());
+            exitCode = USAGE_FAILURE;
+        } catch (CassiabankException exception) {
+            System.err.println("cassiabank-load: " + exception.getMessage());
+            exitCode = FAILURE;
+        }
+        System.exit(exitCode);
+    }
+
+    private static int run(OptionSet options) throws IOException, InterruptedException {
+        List<String> words =
+                options.nonOptionArguments().stream().map(String::valueOf).toList();
+        ExperimentSettings settings =
+                new ExperimentSettings((Long) options.valueOf("seed"), (Integer) options.valueOf("proxies"), (Integer)
+                        options.valueOf("seconds"));
+        if (words.size() == 2 && words.getFirst().equals("experiment")) {
+            return runExperiment(find(words.get(1)), settings, options);
+        }
+        if (words.equals(List.of("fleet"))) {
+            return runFleet(settings);
+        }
+        throw new IllegalArgumentException("expected \"experiment NAME\" or \"fleet\", but got " + words);
+    }
+
+    private static int runExperiment(Experiment experiment, ExperimentSettings settings, OptionSet options)
+            throws IOException, InterruptedException {
+        ExperimentResult result = experiment.run(settings);
+        ExperimentReports.print(experiment.name(), settings, result, System.out);
+        if (options.has("json")) {
+            ExperimentReports.writeJson(experiment.name(), settings, result, Path.of((String) options.valueOf("json")));
+        }
+        if (options.has("chart")) {
+            ExperimentReports.writeChart(experiment.name(), result, Path.of((String) options.valueOf("chart")));
+        }
+        return result.passes() ? 0 : FAILURE;
+    }
+
+    private static int runFleet(ExperimentSettings settings) throws InterruptedException {
+        try (Fleet fleet =
+                Fleet.start(FleetSettings.of(settings.seed(), settings.proxies(), FleetService.kitchen(8, 2)))) {
+            // The hook ends the processes when the tool is ended by a signal.
+            Runtime.getRuntime().addShutdownHook(new Thread(fleet::close));
+            System.out.println("platform " + fleet.platformUrl());
+            for (FleetMember member : fleet.backends()) {
+                System.out.println(member.name() + " http://" + member.address() + " pid "
+                        + member.process().pid());
+            }
+            for (FleetMember member : fleet.proxies()) {
+                System.out.println(member.name() + " http://" + member.address() + " admin " + member.controlUrl()
+                        + " pid " + member.process().pid());
+            }
+            System.out.println("settings and logs in " + fleet.directory() + "; ends with this process");
+            new CountDownLatch(1).await();
+        }
+        return 0;
+    }
+
+    private static Experiment find(String name) {
+        return EXPERIMENTS.stream()
+                .filter(experiment -> experiment.name().equals(name))
+                .findFirst()
+                .orElseThrow(() -> new IllegalArgumentException("no experiment is named " + name + "; there are "
+                        + EXPERIMENTS.stream().map(Experiment::name).toList()));
+    }
+
+    private static int help(OptionParser parser) throws IOException {
+        System.out.println("cassiabank-load experiment NAME [options]   runs an experiment with a fleet of its own");
+        System.out.println("cassiabank-load fleet [options]             starts a fleet and waits for a signal");
+        EXPERIMENTS.forEach(experiment -> System.out.printf("  %-15s %s%n", experiment.name(), experiment.summary()));
+        parser.printHelpOn(System.out);
+        return 0;
+    }
+
+    private static OptionParser parser() {
+        OptionParser parser = new OptionParser();
+        parser.acceptsAll(Arrays.asList("help", "h"), "Print this help").forHelp();
+        parser.accepts("seed", "Seed of the schedule and the backend servers")
+                .withRequiredArg()
+                .ofType(Long.class)
+                .defaultsTo(1L);
+        parser.accepts("proxies", "Number of proxies")
+                .withRequiredArg()
+                .ofType(Integer.class)
+                .defaultsTo(6);
+        parser.accepts("seconds", "Length of the main part in seconds")
+                .withRequiredArg()
+                .ofType(Integer.class)
+                .defaultsTo(10);
+        parser.accepts("json", "File for the figures as JSON").withRequiredArg();
+        parser.accepts("chart", "PNG file for the chart").withRequiredArg();
+        return parser;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/load/LoadRunner.java
@@ -0,0 +1,97 @@
+package org.cassiabank.load;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.locks.LockSupport;
+
+/**
+ * Sends the requests of a schedule at their times, each on a virtual thread, while a fault script runs.
+ */
+public final class LoadRunner {
+    private static final long START_DELAY_NANOS = 100_000_000;
+    private static final long REPEAT_PAUSE_MILLIS = 100;
+
+    private final LoadBalancer balancer;
+    private final LoadSettings settings;
+
+    private LoadRunner(LoadBalancer balancer, LoadSettings settings) {
+        this.balancer = balancer;
+        this.settings = settings;
+    }
+
+    /**
+     * Creates a runner.
+     *
+     * @param balancer chooses the address of each request
+     * @param settings how requests are sent
+     * @return the runner
+     */
+    public static LoadRunner create(LoadBalancer balancer, LoadSettings settings) {
+        return new LoadRunner(balancer, settings);
+    }
+
+    /**
+     * Runs a schedule and returns when all requests have ended.
+     *
+     * @param schedule the schedule
+     * @param script the fault script, whose time 0 is that of the schedule
+     * @return one sample for each request and repeat
+     * @throws InterruptedException if the thread is interrupted
+     * @throws IllegalStateException if a step of the script failed
+     */
+    public Samples run(ArrivalSchedule schedule, FaultScript script) throws InterruptedException {
+        Queue<Sample> samples = new ConcurrentLinkedQueue<>();
+        RequestSender sender = RequestSender.create(balancer, settings);
+        long start = System.nanoTime() + START_DELAY_NANOS;
+        List<String> failures = new ArrayList<>();
+        Thread scriptThread = Thread.ofPlatform().name("fault-script").start(() -> {
+            try {
+                failures.addAll(script.run(start));
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
+            for (Arrival arrival : schedule.arrivals()) {
+                long due = start + arrival.atNanos();
+                long left = due - System.nanoTime();
+                while (left > 0) {
+                    LockSupport.parkNanos(left);
+                    left = due - System.nanoTime();
+                }
+                executor.execute(() -> sendWithRepeats(sender, arrival, due, samples));
+            }
+        }
+        scriptThread.join();
+        sender.close();
+        if (!failures.isEmpty()) {
+            throw new IllegalStateException("the fault script failed: " + String.join("; ", failures));
+        }
+        return new Samples(new ArrayList<>(samples));
+    }
+
+    private void sendWithRepeats(RequestSender sender, Arrival arrival, long due, Queue<Sample> samples) {
+        Sample sample = sender.send(arrival, 0, due);
+        samples.add(sample);
+        if (!arrival.kind().unrepeatable()) {
+            return;
+        }
+        for (int attempt = 1; attempt <= settings.repeats(); attempt++) {
+            if (sample.answerClass() == AnswerClass.ANSWERED || sample.answerClass() == AnswerClass.FAILED) {
+                return;
+            }
+            try {
+                Thread.sleep(REPEAT_PAUSE_MILLIS);
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+            sample = sender.send(arrival, attempt, System.nanoTime());
+            samples.add(sample);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/load/Measures.java
@@ -0,0 +1,90 @@
+package org.cassiabank.load;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Figures that several experiments report.
+ */
+public final class Measures {
+    private static final long WINDOW_MILLIS = 250;
+
+    private Measures() {}
+
+    /**
+     * Counts the answers per class, with the target that forbidden ones do not occur.
+     *
+     * @param samples the samples
+     * @return the measures
+     */
+    public static List<Measure> ofClasses(Samples samples) {
+        List<Measure> measures = new ArrayList<>();
+        measures.add(Measure.of("requests sent", samples.size(), ""));
+        for (Map.Entry<AnswerClass, Long> entry : samples.counts().entrySet()) {
+            measures.add(Measure.of("answers " + entry.getKey(), entry.getValue(), ""));
+        }
+        measures.add(Measure.atMost("forbidden answers (wrong, unmarked, silent)", samples.forbidden(), "", 0));
+        return measures;
+    }
+
+    /**
+     * Lists the reasons that proxies gave.
+     *
+     * @param samples the samples
+     * @return one note, or none if there was no reason
+     */
+    public static List<String> reasons(Samples samples) {
+        Map<String, Long> reasons = samples.reasons();
+        return reasons.isEmpty() ? List.of() : List.of("reasons: " + new java.util.TreeMap<>(reasons));
+    }
+
+    /**
+     * Draws a percentile of the latency of answers over the intended send time.
+     *
+     * @param name the name of the series
+     * @param samples the samples
+     * @param percentile the percentile, from 0 to 100
+     * @return the series, in seconds and milliseconds
+     */
+    public static Series latencySeries(String name, Samples samples, double percentile) {
+        List<Double> x = new ArrayList<>();
+        List<Double> y = new ArrayList<>();
+        Samples answered = samples.of(AnswerClass.ANSWERED);
+        long end = answered.all().stream()
+                        .mapToLong(sample -> sample.arrival().atNanos())
+                        .max()
+                        .orElse(0)
+                / 1_000_000;
+        for (long from = 0; from <= end; from += WINDOW_MILLIS) {
+            Samples window = answered.between(from, from + WINDOW_MILLIS);
+            if (window.size() > 0) {
+                x.add(from / 1_000.0);
+                y.add(window.percentileMillis(percentile));
+            }
+        }
+        return new Series(name, x, y);
+    }
+
+    /**
+     * Draws the number of answers of a class per second over the time of their ends.
+     *
+     * @param name the name of the series
+     * @param samples the samples
+     * @param answerClass the class
+     * @return the series, in seconds and answers per second
+     */
+    public static Series rateSeries(String name, Samples samples, AnswerClass answerClass) {
+        java.util.TreeMap<Long, Integer> windows = new java.util.TreeMap<>();
+        for (Sample sample : samples.of(answerClass).all()) {
+            windows.merge(sample.endNanos() / 1_000_000 / WINDOW_MILLIS, 1, Integer::sum);
+        }
+        List<Double> x = new ArrayList<>();
+        List<Double> y = new ArrayList<>();
+        windows.forEach((window, count) -> {
+            x.add(window * WINDOW_MILLIS / 1_000.0);
+            y.add(count * 1_000.0 / WINDOW_MILLIS);
+        });
+        return new Series(name, x, y);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/load/Sample.java
@@ -0,0 +1,33 @@
+package org.cassiabank.load;
+
+/**
+ * The result of sending one request once.
+ *
+ * @param arrival the arrival in the schedule
+ * @param attempt 0 for the first time a caller sent the request, more for its repeats with the same key
+ * @param token the token of the request, which is its key if it is unrepeatable
+ * @param answerClass what the caller learned
+ * @param status the HTTP status, or 0 without an answer
+ * @param reason the reason given by the proxy or the error; may be empty
+ * @param latencyNanos the time from the intended send time to the end of the answer, in nanoseconds
+ * @param retryAfterMillis the time after which a refused caller may retry, in milliseconds, or -1
+ */
+public record Sample(
+        Arrival arrival,
+        int attempt,
+        String token,
+        AnswerClass answerClass,
+        int status,
+        String reason,
+        long latencyNanos,
+        long retryAfterMillis) {
+
+    /**
+     * Returns the time of the end of the answer.
+     *
+     * @return the time since the start of the schedule, in nanoseconds
+     */
+    public long endNanos() {
+        return arrival.atNanos() + latencyNanos;
+    }
+}
--- a/src/main/java/org/cassiabank/standin/BackendMain.java
+++ b/src/main/java/org/cassiabank/standin/BackendMain.java
@@ -1,6 +1,7 @@
 package org.cassiabank.standin;
 
 import java.io.IOException;
+import java.nio.file.Path;
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
@@ -25,6 +26,7 @@
         System.setProperty("jooby.useShutdownHook", "false");
         OptionParser parser = parser();
         BackendSettings settings;
+        BackendRecord executions;
         try {
             OptionSet options = parser.parse(arguments);
             if (options.has("help")) {
@@ -32,14 +34,17 @@
                 return;
             }
             settings = settings(options);
-        } catch (OptionException | IllegalArgumentException exception) {
+            executions = options.has("journal")
+                    ? BackendRecord.withJournal(Path.of((String) options.valueOf("journal")))
+                    : BackendRecord.create();
+        } catch (OptionException | IllegalArgumentException | IOException exception) {
             System.err.println("cassiabank-backend: " + exception.getMessage());
             parser.printHelpOn(System.err);
             System.exit(USAGE_FAILURE);
             return;
         }
         BackendServer server = BackendServer.create(
-                settings, () -> Thread.ofPlatform().name("drain").start(() -> System.exit(0)));
+                settings, executions, () -> Thread.ofPlatform().name("drain").start(() -> System.exit(0)));
         server.start();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(server), "shutdown"));
         System.out.println(
@@ -61,6 +66,8 @@
         parser.accepts("help", "Print this help").forHelp();
         parser.accepts("address", "IP:PORT to listen on").withRequiredArg().required();
         parser.accepts("name", "Name in answers and records").withRequiredArg().defaultsTo("backend");
+        parser.accepts("journal", "File that receives the key of each started execution")
+                .withRequiredArg();
         number(parser, "slots", "Requests that run at once", 2);
         number(parser, "connections", "Connections that may be open", 330);
         number(parser, "seed", "Seed of service times and faults", 1);
--- a/src/main/java/org/cassiabank/standin/BackendRecord.java
+++ b/src/main/java/org/cassiabank/standin/BackendRecord.java
@@ -1,7 +1,15 @@
 package org.cassiabank.standin;
 
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
@@ -18,10 +26,20 @@
     private final LongAdder cancelled = new LongAdder();
     private final LongAdder faulty = new LongAdder();
 
-    private BackendRecord() {}
+    private final Optional<PrintStream> journal;
+
+    private BackendRecord(Optional<PrintStream> journal) {
+        this.journal = journal;
+    }
 
     static BackendRecord create() {
-        return new BackendRecord();
+        return new BackendRecord(Optional.empty());
+    }
+
+    /** Creates a record that also appends the key of each started execution to a file, which outlives the process. */
+    static BackendRecord withJournal(Path file) throws IOException {
+        OutputStream stream = Files.newOutputStream(file, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+        return new BackendRecord(Optional.of(new PrintStream(stream, true, StandardCharsets.UTF_8)));
     }
 
     void received() {
@@ -42,6 +60,7 @@
 
     void started(String key) {
         started.increment();
+        journal.ifPresent(stream -> stream.println(key));
         executions.merge(key, new Execution(1, 0), Execution::plus);
     }
 
--- a/src/main/java/org/cassiabank/standin/BackendServer.java
+++ b/src/main/java/org/cassiabank/standin/BackendServer.java
@@ -3,33 +3,31 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.jooby.Context;
-import io.jooby.ExecutionMode;
 import io.jooby.Jooby;
 import io.jooby.MediaType;
-import io.jooby.Server;
-import io.jooby.ServerOptions;
 import io.jooby.StatusCode;
-import io.jooby.netty.NettyServer;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.Executors;
+import org.cassiabank.http.JoobyServer;
 
 /**
  * A stand-in backend server: it runs requests in slots, sheds what exceeds them, and has switchable gray faults.
  */
 final class BackendServer {
     private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int LARGEST_REQUEST = 4 * 1024 * 1024;
     private static final List<String> METHODS = List.of("GET", "POST", "PUT", "PATCH", "DELETE");
 
     private final BackendSettings settings;
     private final BackendConnections connections;
     private final BackendSlots slots;
-    private final BackendRecord executions = BackendRecord.create();
+    private final BackendRecord executions;
     private final BackendWork work;
     private final Runnable whenDrainRequested;
-    private Server server;
+    private JoobyServer server;
 
-    private BackendServer(BackendSettings settings, Runnable whenDrainRequested) {
+    private BackendServer(BackendSettings settings, BackendRecord executions, Runnable whenDrainRequested) {
+        this.executions = executions;
         this.settings = settings;
         this.connections = BackendConnections.create(settings.connections());
         this.slots = BackendSlots.create(settings.slots());
@@ -38,17 +36,13 @@
     }
 
     /** Creates a server that runs the action when it is told to drain. */
-    static BackendServer create(BackendSettings settings, Runnable whenDrainRequested) {
-        return new BackendServer(settings, whenDrainRequested);
+    static BackendServer create(BackendSettings settings, BackendRecord executions, Runnable whenDrainRequested) {
+        return new BackendServer(settings, executions, whenDrainRequested);
     }
 
     void start() {
         BackendConnectionExtension.register(settings.port(), connections);
-        ServerOptions options = new ServerOptions();
-        options.setHost(settings.host());
-        options.setPort(settings.port()).setIoThreads(2).setHttp2(false).setDefaultHeaders(false);
-        server = new NettyServer(Executors.newVirtualThreadPerTaskExecutor()).setOptions(options);
-        server.start(application());
+        server = JoobyServer.start(settings.host() + ":" + settings.port(), LARGEST_REQUEST, this::addRoutes);
     }
 
     /** Sheds new requests, waits for the running ones and stops. */
@@ -61,12 +55,10 @@
         if (lingered < settings.lingerMillis()) {
             Thread.sleep(settings.lingerMillis() - lingered);
         }
-        server.stop();
+        server.close();
     }
 
-    private Jooby application() {
-        Jooby application = new Jooby();
-        application.setExecutionMode(ExecutionMode.WORKER);
+    private void addRoutes(Jooby application) {
         application.get("/health", this::health);
         application.get("/load", this::load);
         application.post("/control/drain", context -> {
@@ -80,7 +72,6 @@
         for (String method : METHODS) {
             application.route(method, "/*", work::serve);
         }
-        return application;
     }
 
     private Context health(Context context) {
--- /dev/null
+++ b/src/test/java/org/cassiabank/standin/BackendFaultsTest.java
@@ -0,0 +1,359 @@
+package org.cassiabank.standin;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import okhttp3.Call;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.cassiabank.load.ChildProcess;
+import org.cassiabank.load.ControlClient;
+import org.cassiabank.load.Ports;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards against a stand-in whose faults, record or drain differ from what tests of the proxies rely on. */
+@Timeout(60)
+class BackendFaultsTest {
+    private static final long WAIT_MILLIS = 20_000;
+
+    @TempDir
+    private Path directory;
+
+    private final OkHttpClient client = new OkHttpClient.Builder()
+            .retryOnConnectionFailure(false)
+            .callTimeout(Duration.ofSeconds(10))
+            .build();
+    private final ControlClient control = ControlClient.create(5_000);
+    private ChildProcess server;
+    private String url;
+
+    @BeforeEach
+    void startServer() {
+        start("--slots", "2", "--linger-millis", "0");
+    }
+
+    @AfterEach
+    void endServer() {
+        server.close();
+    }
+
+    @Test
+    void answersRepeatTheRequestIdAndTheToken() throws IOException {
+        try (Response response =
+                client.newCall(request("/menu?token=t1&work-millis=1")).execute()) {
+            assertThat(response.header("Cassiabank-Request-Id")).isEqualTo("r1");
+            assertThat(response.body().string()).startsWith("token=t1\n").endsWith("\nend=t1\n");
+        }
+        assertThat(execution("t1").get("started").asInt()).isEqualTo(1);
+        assertThat(execution("t1").get("finished").asInt()).isEqualTo(1);
+    }
+
+    @Test
+    void theIdempotencyKeyIsTheKeyOfTheRecord() throws IOException {
+        Request order = new Request.Builder()
+                .url(url + "/order?token=t1&work-millis=1")
+                .header("Idempotency-Key", "k1")
+                .post(RequestBody.create(new byte[100]))
+                .build();
+        assertThat(status(order)).isEqualTo(200);
+        assertThat(execution("k1").get("started").asInt()).isEqualTo(1);
+    }
+
+    @Test
+    void requestsBeyondTheSlotsAreShedAndNotRecorded() throws IOException {
+        List<CompletableFuture<Integer>> running = List.of(
+                inBackground("/menu?token=a&work-millis=60000"), inBackground("/menu?token=b&work-millis=60000"));
+        awaitRecord("started", 2);
+        try (Response response =
+                client.newCall(request("/menu?token=c&work-millis=1")).execute()) {
+            assertThat(response.code()).isEqualTo(503);
+            assertThat(response.header("Cassiabank-Not-Run")).isEqualTo("true");
+        }
+        assertThat(execution("c").isMissingNode()).isTrue();
+        client.dispatcher().cancelAll();
+        assertThat(running).allSatisfy(call -> assertThat(call.join()).isZero());
+    }
+
+    @Test
+    void workOfAClosedConnectionIsCancelled() throws IOException {
+        inBackground("/menu?token=a&work-millis=60000");
+        awaitRecord("started", 1);
+        client.dispatcher().cancelAll();
+        awaitRecord("cancelled", 1);
+        assertThat(execution("a").get("finished").asInt()).isZero();
+    }
+
+    @Test
+    void anExpiredDeadlineShedsAndAPassingDeadlineEndsTheWork() throws IOException {
+        Request expired = request("/menu?token=a&work-millis=1")
+                .newBuilder()
+                .header("Cassiabank-Deadline-Millis", "0")
+                .build();
+        Request passing = request("/menu?token=b&work-millis=60000")
+                .newBuilder()
+                .header("Cassiabank-Deadline-Millis", "20")
+                .build();
+        assertThat(status(expired)).isEqualTo(503);
+        assertThat(status(passing)).isEqualTo(504);
+        assertThat(execution("a").isMissingNode()).isTrue();
+        assertThat(execution("b").get("started").asInt()).isEqualTo(1);
+    }
+
+    @Test
+    void failAnswersWithAServerErrorAfterTheWork() throws IOException {
+        switchFaults("{\"fail\": 1}");
+        assertThat(status(request("/menu?token=a&work-millis=1"))).isEqualTo(500);
+        assertThat(execution("a").get("finished").asInt()).isEqualTo(1);
+    }
+
+    @Test
+    void slowLengthensTheWork() throws IOException {
+        switchFaults("{\"slow\": 1, \"slowFactor\": 20}");
+        long start = System.nanoTime();
+        assertThat(status(request("/menu?token=a&work-millis=20"))).isEqualTo(200);
+        assertThat(System.nanoTime() - start).isGreaterThanOrEqualTo(400_000_000);
+    }
+
+    @Test
+    void stallRunsTheRequestAndNeverAnswers() {
+        switchFaults("{\"stall\": 1}");
+        Call call = client.newCall(request("/menu?token=a&work-millis=1"));
+        call.timeout().timeout(500, java.util.concurrent.TimeUnit.MILLISECONDS);
+        assertThatThrownBy(call::execute).isInstanceOf(InterruptedIOException.class);
+        assertThat(execution("a").get("started").asInt()).isEqualTo(1);
+        assertThat(execution("a").get("finished").asInt()).isZero();
+    }
+
+    @Test
+    void cutEndsTheConnectionInsideTheBody() throws IOException {
+        switchFaults("{\"cut\": 1}");
+        try (Response response =
+                client.newCall(request("/menu?token=a&work-millis=1")).execute()) {
+            assertThat(response.header("content-length")).isNotNull();
+            assertThatThrownBy(() -> response.body().bytes()).isInstanceOf(IOException.class);
+        }
+    }
+
+    @Test
+    void wrongAnswerHasAnotherIdAndAnotherBody() throws IOException {
+        switchFaults("{\"wrongAnswer\": 1}");
+        try (Response response =
+                client.newCall(request("/menu?token=a&work-millis=1")).execute()) {
+            assertThat(response.header("Cassiabank-Request-Id")).isNotEqualTo("r1");
+            assertThat(response.body().string()).doesNotContain("token=a\n");
+        }
+    }
+
+    @Test
+    void shedFaultRefusesWithoutRunning() throws IOException {
+        switchFaults("{\"shed\": 1}");
+        assertThat(status(request("/menu?token=a&work-millis=1"))).isEqualTo(503);
+        assertThat(execution("a").isMissingNode()).isTrue();
+    }
+
+    @Test
+    void faultsCanBeOnTogetherAndAreSwitchedOffTogether() throws IOException {
+        switchFaults("{\"fail\": 1, \"slow\": 1, \"slowFactor\": 5}");
+        long start = System.nanoTime();
+        assertThat(status(request("/menu?token=a&work-millis=20"))).isEqualTo(500);
+        assertThat(System.nanoTime() - start).isGreaterThanOrEqualTo(100_000_000);
+        switchFaults("{}");
+        assertThat(status(request("/menu?token=b&work-millis=1"))).isEqualTo(200);
+    }
+
+    @Test
+    void flapTurnsFaultsOffInTheSecondHalfOfEachPeriod() {
+        BackendFaults faults = new BackendFaults(1, 0, 0, 0, 0, 0, 0, 1_000, false, false);
+        assertThat(faults.isOn(0)).isTrue();
+        assertThat(faults.isOn(499)).isTrue();
+        assertThat(faults.isOn(500)).isFalse();
+        assertThat(faults.isOn(1_499)).isTrue();
+        assertThat(faults.isOn(1_500)).isFalse();
+    }
+
+    @Test
+    void flappingServerFailsAndAnswersInTurn() throws IOException {
+        switchFaults("{\"fail\": 1, \"flapMillis\": 400}");
+        boolean failed = false;
+        boolean answered = false;
+        long end = System.nanoTime() + WAIT_MILLIS * 1_000_000;
+        while (!(failed && answered) && System.nanoTime() < end) {
+            int status = status(request("/menu?token=a&work-millis=5"));
+            failed |= status == 500;
+            answered |= status == 200;
+        }
+        assertThat(failed && answered).isTrue();
+    }
+
+    @Test
+    void healthTellsOfFaultsUnlessTheServerLies() {
+        switchFaults("{\"fail\": 0.5}");
+        assertThat(control.send("GET", url + "/health", "").status()).isEqualTo(503);
+        switchFaults("{\"fail\": 0.5, \"lie\": true}");
+        assertThat(control.send("GET", url + "/health", "").status()).isEqualTo(200);
+    }
+
+    @Test
+    void silenceStopsOpenConnectionsForGoodAndNewOnesWork() throws IOException {
+        assertThat(status(request("/menu?token=a&work-millis=1"))).isEqualTo(200);
+        switchFaults("{\"silence\": true}");
+        Call old = client.newCall(request("/menu?token=b&work-millis=1"));
+        old.timeout().timeout(500, java.util.concurrent.TimeUnit.MILLISECONDS);
+        assertThatThrownBy(old::execute).isInstanceOf(InterruptedIOException.class);
+        assertThat(execution("b").isMissingNode()).isTrue();
+        client.connectionPool().evictAll();
+        assertThat(status(request("/menu?token=c&work-millis=1"))).isEqualTo(200);
+    }
+
+    @Test
+    void unknownFaultsAndWrongSharesAreRefused() {
+        assertThat(control.send("POST", url + "/control/faults", "{\"fial\": 1}")
+                        .status())
+                .isEqualTo(400);
+        assertThat(control.send("POST", url + "/control/faults", "{\"fail\": 2}")
+                        .status())
+                .isEqualTo(400);
+    }
+
+    @Test
+    void coldServersAreSlowerForTheirFirstRequests() throws IOException {
+        server.close();
+        start("--cold-requests", "1", "--cold-factor", "30");
+        long start = System.nanoTime();
+        assertThat(status(request("/menu?token=a&work-millis=20"))).isEqualTo(200);
+        long first = System.nanoTime() - start;
+        assertThat(first).isGreaterThanOrEqualTo(600_000_000);
+        start = System.nanoTime();
+        assertThat(status(request("/menu?token=b&work-millis=20"))).isEqualTo(200);
+        assertThat(System.nanoTime() - start).isLessThan(first);
+    }
+
+    @Test
+    void connectionsBeyondTheLimitAreClosed() throws IOException {
+        server.close();
+        start("--connections", "2");
+        inBackground("/menu?token=a&work-millis=60000");
+        awaitRecord("started", 1);
+        // An answered request leaves its connection open in the pool of the client, so both are taken then.
+        await(() -> isAnswered("/menu?token=b&work-millis=1"));
+        assertThat(control.send("GET", url + "/health", "").status()).isZero();
+        client.connectionPool().evictAll();
+        await(() -> control.send("GET", url + "/health", "").status() == 200);
+        client.dispatcher().cancelAll();
+    }
+
+    @Test
+    void drainFinishesTheWorkShedsNewRequestsAndExitsWithZero() throws Exception {
+        CompletableFuture<Integer> running = inBackground("/menu?token=a&work-millis=1500");
+        awaitRecord("started", 1);
+        assertThat(control.send("POST", url + "/control/drain", "").status()).isEqualTo(200);
+        try (Response response =
+                client.newCall(request("/menu?token=b&work-millis=1")).execute()) {
+            assertThat(response.code()).isEqualTo(503);
+            assertThat(response.header("Cassiabank-Leaving")).isEqualTo("true");
+        }
+        assertThat(running.join()).isEqualTo(200);
+        assertThat(server.awaitExit(WAIT_MILLIS)).isZero();
+    }
+
+    @Test
+    void sigtermFinishesTheWorkAndExitsWithZero() throws Exception {
+        CompletableFuture<Integer> running = inBackground("/menu?token=a&work-millis=1500");
+        awaitRecord("started", 1);
+        server.signal("TERM");
+        assertThat(running.join()).isEqualTo(200);
+        assertThat(server.awaitExit(WAIT_MILLIS)).isZero();
+    }
+
+    private void start(String... options) {
+        String address = Ports.nextAddress();
+        url = "http://" + address;
+        List<String> arguments = new java.util.ArrayList<>(List.of("--address", address, "--name", "server-1"));
+        arguments.addAll(List.of(options));
+        server = ChildProcess.start(
+                "server-1",
+                "org.cassiabank.standin.BackendMain",
+                List.of("-Xmx64m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"),
+                arguments,
+                directory.resolve("server.log"));
+        await(() -> control.send("GET", url + "/health", "").status() == 200);
+    }
+
+    private void switchFaults(String json) {
+        assertThat(control.send("POST", url + "/control/faults", json).status()).isEqualTo(200);
+    }
+
+    private Request request(String path) {
+        return new Request.Builder()
+                .url(url + path)
+                .header("Cassiabank-Request-Id", "r1")
+                .build();
+    }
+
+    private int status(Request request) throws IOException {
+        try (Response response = client.newCall(request).execute()) {
+            response.body().bytes();
+            return response.code();
+        }
+    }
+
+    private CompletableFuture<Integer> inBackground(String path) {
+        CompletableFuture<Integer> result = new CompletableFuture<>();
+        client.newCall(request(path)).enqueue(new okhttp3.Callback() {
+            @Override
+            public void onFailure(Call call, IOException exception) {
+                result.complete(0);
+            }
+
+            @Override
+            public void onResponse(Call call, Response response) throws IOException {
+                try (response) {
+                    response.body().bytes();
+                    result.complete(response.code());
+                }
+            }
+        });
+        return result;
+    }
+
+    private JsonNode execution(String key) {
+        return control.getJson(url + "/control/record").path("executions").path(key);
+    }
+
+    private void awaitRecord(String field, int count) {
+        await(() -> control.getJson(url + "/control/record?summary=true")
+                        .path(field)
+                        .asInt()
+                >= count);
+    }
+
+    private boolean isAnswered(String path) {
+        try {
+            return status(request(path)) == 200;
+        } catch (IOException expected) {
+            // The connection of the last poll may still count.
+            return false;
+        }
+    }
+
+    private static void await(java.util.function.BooleanSupplier condition) {
+        long end = System.nanoTime() + WAIT_MILLIS * 1_000_000;
+        while (!condition.getAsBoolean()) {
+            assertThat(System.nanoTime()).as("the condition holds in time").isLessThan(end);
+            Thread.onSpinWait();
+        }
+    }
+}
