--- a/src/main/java/org/cassiabank/proxy/ProxyMain.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyMain.java
@@ -31,7 +31,7 @@
     public static void main(String[] arguments) throws IOException, InterruptedException {
         OptionParser parser = new OptionParser();
         OptionSpec<String> settingsFile =
-                parser.accepts("settings", "TOML file with the settings").withRequiredArg();
+                parser.nonOptions("TOML file with the settings").describedAs("FILE");
         OptionSpec<Void> check = parser.accepts("check", "check the settings and exit");
         OptionSpec<Void> help =
                 parser.acceptsAll(List.of("help", "h"), "print this help").forHelp();
@@ -41,8 +41,8 @@
                 parser.printHelpOn(System.out);
                 return;
             }
-            if (!options.has(settingsFile)) {
-                throw CassiabankException.of(ErrorCode.INVALID_INPUT, "option --settings is missing");
+            if (options.valuesOf(settingsFile).size() != 1) {
+                throw CassiabankException.of(ErrorCode.INVALID_INPUT, "expected one FILE with the settings");
             }
             ProxySettings settings = ProxySettingsParser.read(Path.of(options.valueOf(settingsFile)));
             if (options.has(check)) {
