--- /dev/null
+++ b/src/test/java/org/cassiabank/fleet/TestCaller.java
@@ -0,0 +1,55 @@
+package org.cassiabank.fleet;
+
+import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import okhttp3.ConnectionPool;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+
+/** Sends requests to a proxy as a caller does, without retries of its own. */
+final class TestCaller {
+    private final OkHttpClient client = new OkHttpClient.Builder()
+            .retryOnConnectionFailure(false)
+            .followRedirects(false)
+            .connectionPool(new ConnectionPool(0, 1, TimeUnit.MILLISECONDS))
+            .callTimeout(15, TimeUnit.SECONDS)
+            .readTimeout(15, TimeUnit.SECONDS)
+            .build();
+
+    Reply get(String address, String path) {
+        return send(new Request.Builder().url("http://" + address + path).build());
+    }
+
+    Reply order(String address, String key, int workMillis) {
+        return send(new Request.Builder()
+                .url("http://" + address + "/orders?work-millis=" + workMillis)
+                .header("Idempotency-Key", key)
+                .header("Cassiabank-Caller", "test")
+                .post(RequestBody.create("order " + key, MediaType.get("text/plain")))
+                .build());
+    }
+
+    private Reply send(Request request) {
+        try (Response response = client.newCall(request).execute()) {
+            return new Reply(
+                    response.code(),
+                    response.header("Cassiabank-Outcome", "none"),
+                    response.header("Cassiabank-Reason", ""),
+                    Optional.ofNullable(response.header("Cassiabank-Retry-After-Millis")),
+                    response.body().string());
+        } catch (IOException exception) {
+            return new Reply(0, "broken", String.valueOf(exception.getMessage()), Optional.empty(), "");
+        }
+    }
+
+    /** What a caller sees. */
+    record Reply(int status, String outcome, String reason, Optional<String> retryAfterMillis, String body) {
+        boolean isAnswered() {
+            return status == 200 && outcome.equals("answered");
+        }
+    }
+}
