Exchange differences of the instance list, and keep the owners' order while proxies stay the same

Cause: every change of the list pushed the whole list, 150 bytes an instance, and discarded the order of the proxies for all shards; at 185,000 instances and half a change a second both exceed the control budget. Ruled out: differences between the lists that one daemon saw, which miss an instance that changed and changed back; the touched names of each step and a digest of the result find that out. Change: InstanceListHistory, differences in the exchange, whole list only when a difference does not fit. A daemon votes on claims at the latest after the retention time.

--- /dev/null
+++ b/src/main/java/org/cassiabank/membership/InstanceListDelta.java
@@ -0,0 +1,26 @@
+package org.cassiabank.membership;
+
+import java.util.List;
+
+/**
+ * The difference between two instance lists.
+ *
+ * @param baseIndex the index of the older list
+ * @param index the index of the newer list
+ * @param changed the instances that are new or different in the newer list
+ * @param removed the names of the instances that the newer list lacks
+ * @param digest the digest of the newer list
+ */
+public record InstanceListDelta(long baseIndex, long index, List<Instance> changed, List<String> removed, long digest) {
+
+    /**
+     * Copies the lists and checks the indexes.
+     */
+    public InstanceListDelta {
+        changed = List.copyOf(changed);
+        removed = List.copyOf(removed);
+        if (baseIndex > index) {
+            throw new IllegalArgumentException("difference leads from index " + baseIndex + " back to " + index);
+        }
+    }
+}
--- a/src/main/java/org/cassiabank/membership/RendezvousHash.java
+++ b/src/main/java/org/cassiabank/membership/RendezvousHash.java
@@ -57,7 +57,7 @@
         return List.copyOf(chosen.subList(0, Math.min(count, chosen.size())));
     }
 
-    private static long hash(String text) {
+    static long hash(String text) {
         long value = FNV_OFFSET;
         for (byte next : text.getBytes(StandardCharsets.UTF_8)) {
             value = (value ^ (next & 0xff)) * FNV_PRIME;
--- a/src/main/java/org/cassiabank/platform/InstanceDocuments.java
+++ b/src/main/java/org/cassiabank/platform/InstanceDocuments.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -55,7 +56,7 @@
             }
         }
         findings.throwIfAny();
-        return new InstanceList(index, instances);
+        return InstanceList.of(index, instances);
     }
 
     /**
@@ -64,7 +65,7 @@
      * @param instances the instances
      * @return the JSON document
      */
-    public static byte[] toDocument(List<Instance> instances) {
+    public static byte[] toDocument(Collection<Instance> instances) {
         List<Map<String, String>> entries = instances.stream()
                 .map(instance -> Map.of(
                         "name", instance.name(),
--- a/src/main/java/org/cassiabank/proxy/ClaimKeeper.java
+++ b/src/main/java/org/cassiabank/proxy/ClaimKeeper.java
@@ -154,8 +154,10 @@
                 silentDomains.add(peer.failureDomain());
             }
         }
-        boolean waited = MonotonicClock.millis() - startMillis >= settings.claimMillis();
-        if (waited && !proxies.isEmpty() && silentDomains.size() <= 1) {
+        long upMillis = MonotonicClock.millis() - startMillis;
+        // Records that are older than the retention time matter no more, so silent peers cannot block voting for ever.
+        boolean collected = upMillis >= settings.claimMillis() && silentDomains.size() <= 1;
+        if (!proxies.isEmpty() && (collected || upMillis >= settings.retentionMillis())) {
             table.setReady(true);
             LOGGER.atInfo().log("votes on claims, with records of %d peers", collectedFrom.size());
         }
--- a/src/main/java/org/cassiabank/proxy/FleetState.java
+++ b/src/main/java/org/cassiabank/proxy/FleetState.java
@@ -8,6 +8,8 @@
 import java.util.function.BiConsumer;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.membership.InstanceList;
+import org.cassiabank.membership.InstanceListDelta;
+import org.cassiabank.membership.InstanceListHistory;
 import org.cassiabank.revision.Change;
 import org.cassiabank.revision.ConfigurationHistory;
 import org.cassiabank.revision.StoredChanges;
@@ -20,6 +22,7 @@
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final ConfigurationHistory history = ConfigurationHistory.create();
+    private final InstanceListHistory lists = InstanceListHistory.create();
     private final List<BiConsumer<FleetView, FleetView>> listeners = new CopyOnWriteArrayList<>();
     private volatile FleetView view;
 
@@ -91,13 +94,31 @@
      * @return true if it was installed
      */
     synchronized boolean install(InstanceList instances) {
-        if (instances.index() <= view.instances().index()) {
+        if (!lists.install(instances)) {
             return false;
         }
-        publish(view.withInstances(instances));
+        publish(view.withInstances(lists.current()));
         return true;
     }
 
+    /**
+     * Applies the difference to a newer instance list.
+     *
+     * @param delta the difference
+     * @return true if the newer list is in force; false if it is not newer or the whole list is needed
+     */
+    synchronized boolean apply(InstanceListDelta delta) {
+        if (!lists.apply(delta)) {
+            return false;
+        }
+        publish(view.withInstances(lists.current()));
+        return true;
+    }
+
+    Optional<InstanceListDelta> instancesSince(long index) {
+        return lists.since(index);
+    }
+
     /**
      * Applies all changes that the store has.
      *
--- a/src/main/java/org/cassiabank/proxy/FleetView.java
+++ b/src/main/java/org/cassiabank/proxy/FleetView.java
@@ -32,32 +32,38 @@
     private final InstanceList instances;
     private final String region;
     private final List<Instance> regionProxies;
-    private final Map<ShardKey, List<Instance>> candidates = new ConcurrentHashMap<>();
+    private final Map<ShardKey, List<Instance>> candidates;
     private final Map<String, Map<Integer, List<LabeledServer>>> shards = new ConcurrentHashMap<>();
 
-    private FleetView(RequestRouter router, ServerGroups groups, InstanceList instances, String region) {
+    private FleetView(
+            RequestRouter router, ServerGroups groups, InstanceList instances, String region, FleetView former) {
         this.router = router;
         this.groups = groups;
         this.instances = instances;
         this.region = region;
-        this.regionProxies = instances.withRole(InstanceRole.PROXY).stream()
+        List<Instance> proxies = instances.withRole(InstanceRole.PROXY).stream()
                 .filter(instance -> instance.isLive() && instance.region().equals(region))
                 .toList();
+        // Most changes concern backend servers; the order of the proxies is costly to compute and stays the same then.
+        boolean sameProxies = former != null && former.regionProxies.equals(proxies);
+        this.regionProxies = sameProxies ? former.regionProxies : proxies;
+        this.candidates = sameProxies ? former.candidates : new ConcurrentHashMap<>();
     }
 
     static FleetView empty(String region) {
         Configuration configuration = Configuration.empty();
         InstanceList instances = InstanceList.empty();
         return new FleetView(
-                RequestRouter.of(configuration), ServerGroups.of(configuration, instances), instances, region);
+                RequestRouter.of(configuration), ServerGroups.of(configuration, instances), instances, region, null);
     }
 
     FleetView withConfiguration(Configuration configuration) {
-        return new FleetView(router.update(configuration), groups.update(configuration, instances), instances, region);
+        return new FleetView(
+                router.update(configuration), groups.update(configuration, instances), instances, region, this);
     }
 
     FleetView withInstances(InstanceList newInstances) {
-        return new FleetView(router, groups.update(router.configuration(), newInstances), newInstances, region);
+        return new FleetView(router, groups.update(router.configuration(), newInstances), newInstances, region, this);
     }
 
     Configuration configuration() {
--- a/src/main/java/org/cassiabank/proxy/Replication.java
+++ b/src/main/java/org/cassiabank/proxy/Replication.java
@@ -15,6 +15,8 @@
 import org.cassiabank.kernel.Kernel;
 import org.cassiabank.kernel.KernelService;
 import org.cassiabank.membership.Instance;
+import org.cassiabank.membership.InstanceList;
+import org.cassiabank.membership.InstanceListDelta;
 import org.cassiabank.peer.generated.ChangeDocument;
 import org.cassiabank.peer.generated.ExchangeReply;
 import org.cassiabank.peer.generated.ExchangeRequest;
@@ -39,6 +41,7 @@
     private final ScheduledExecutorService exchanger = Executors.newSingleThreadScheduledExecutor(
             Thread.ofPlatform().name("exchange").daemon().factory());
     private volatile ExchangePlanner planner;
+    private volatile boolean wholeListNeeded;
     private volatile long lastExchangeMillis = MonotonicClock.millis();
 
     private Replication(Instance self, FleetState fleet, PeerDirectory peers) {
@@ -92,8 +95,7 @@
      */
     ExchangeReply answer(ExchangeRequest request) {
         install(request.getInstances(), request.getSnapshot(), request.getChanges());
-        ExchangeReply reply =
-                new ExchangeReply(fleet.revision(), fleet.view().instances().index());
+        ExchangeReply reply = new ExchangeReply(fleet.revision(), knownListIndex());
         News news = newsSince(request.getRevision(), request.getListIndex());
         news.changes().ifPresent(reply::setChanges);
         news.snapshot().ifPresent(reply::setSnapshot);
@@ -140,8 +142,7 @@
     }
 
     private ExchangeReply send(Instance peer, long assumedRevision, long assumedIndex) {
-        ExchangeRequest request = new ExchangeRequest(
-                self.name(), fleet.revision(), fleet.view().instances().index());
+        ExchangeRequest request = new ExchangeRequest(self.name(), fleet.revision(), knownListIndex());
         News news = newsSince(assumedRevision, assumedIndex);
         news.changes().ifPresent(request::setChanges);
         news.snapshot().ifPresent(request::setSnapshot);
@@ -158,21 +159,62 @@
                 snapshot = Optional.of(new ChangeDocument(fleet.revision(), ByteBuffer.wrap(fleet.snapshot())));
             }
         }
-        FleetView view = fleet.view();
-        Optional<InstanceListDocument> instances = listIndex < view.instances().index()
-                ? Optional.of(new InstanceListDocument(
-                        view.instances().index(),
-                        ByteBuffer.wrap(
-                                InstanceDocuments.toDocument(view.instances().instances()))))
-                : Optional.empty();
+        Optional<InstanceListDocument> instances =
+                listIndex < fleet.view().instances().index()
+                        ? Optional.of(listDocumentSince(listIndex))
+                        : Optional.empty();
         return new News(changes, snapshot, instances);
     }
 
+    private InstanceListDocument listDocumentSince(long listIndex) {
+        InstanceList list = fleet.view().instances();
+        // Small differences spare peers the whole list, which is the largest message between daemons.
+        InstanceListDelta delta = fleet.instancesSince(listIndex)
+                .orElseGet(() -> new InstanceListDelta(
+                        0, list.index(), List.copyOf(list.instances()), List.of(), list.digest()));
+        return new InstanceListDocument(
+                delta.index(),
+                ByteBuffer.wrap(InstanceDocuments.toDocument(delta.changed())),
+                delta.baseIndex(),
+                delta.removed(),
+                delta.digest());
+    }
+
+    private void install(InstanceListDocument document) {
+        boolean whole = document.getBaseIndex() == 0;
+        if (whole) {
+            wholeListNeeded = false;
+        }
+        long ownIndex = fleet.view().instances().index();
+        if (document.getIndex() <= ownIndex || document.getBaseIndex() > ownIndex) {
+            return;
+        }
+        InstanceList content = InstanceDocuments.parse(document.getIndex(), document.getDocument());
+        if (whole) {
+            fleet.install(content);
+            return;
+        }
+        InstanceListDelta delta = new InstanceListDelta(
+                document.getBaseIndex(),
+                document.getIndex(),
+                List.copyOf(content.instances()),
+                document.getRemoved(),
+                document.getDigest());
+        if (!fleet.apply(delta)
+                && document.getIndex() > fleet.view().instances().index()) {
+            // The difference does not fit this daemon's list, so the next exchange asks for the whole one.
+            wholeListNeeded = true;
+        }
+    }
+
+    private long knownListIndex() {
+        return wholeListNeeded ? 0 : fleet.view().instances().index();
+    }
+
     private void install(InstanceListDocument instances, ChangeDocument snapshot, List<ChangeDocument> changes) {
         try {
-            if (instances != null
-                    && instances.getIndex() > fleet.view().instances().index()) {
-                fleet.install(InstanceDocuments.parse(instances.getIndex(), instances.getDocument()));
+            if (instances != null) {
+                install(instances);
             }
             if (snapshot != null && snapshot.getRevision() > fleet.revision()) {
                 fleet.install(snapshot.getDocument());
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -73,9 +73,17 @@
   2: required binary document,
 }
 
+/** The instance list of the platform, or the difference to an older one. */
 struct InstanceListDocument {
   1: required i64 index,
+  /** The instances as the platform's JSON document; those that changed if there is a base index. */
   2: required binary document,
+  /** The index of the list that the difference applies to, 0 if the document holds the whole list. */
+  3: required i64 baseIndex,
+  /** The names of the instances that the newer list lacks. */
+  4: required list<string> removed,
+  /** The digest of the newer list. */
+  5: required i64 digest,
 }
 
 struct ExchangeRequest {
