Test declarations, routing, history and committer; report lines of implicit tables

A table without a header of its own, such as [route.x], was reported without a line. Ruled out: jqwik fields as per-try state; a store created in a field initialiser is shared by all tries of a property, so every later try found its operation committed and passed. It is created before each try now. Change: properties for racing operators, lost requests and answers, outages and changes in any order; the router against a scan of all selectors; findings of the parser; benchmarks at 360,000 selectors. Tables around a header get the line of the header.

--- a/src/main/java/org/cassiabank/declaration/DeclarationParser.java
+++ b/src/main/java/org/cassiabank/declaration/DeclarationParser.java
@@ -73,6 +73,7 @@
             }
             lines.putIfAbsent(header, section.firstLine());
             readSection(section);
+            recordTablesAround(header, section.firstLine());
         }
         lines.remove("");
         List<Declaration> declarations = readEntities();
@@ -83,6 +84,13 @@
         return new DeclarationFile(source, declarations, lines);
     }
 
+    /** Records the line of tables that have no header of their own. */
+    private void recordTablesAround(String header, int line) {
+        for (int dot = header.lastIndexOf('.'); dot > 0; dot = header.lastIndexOf('.', dot - 1)) {
+            lines.putIfAbsent(header.substring(0, dot), line);
+        }
+    }
+
     private void readSection(TomlSection section) {
         boolean duplicates = false;
         for (Map.Entry<String, List<Integer>> key : section.keyLines().entrySet()) {
--- /dev/null
+++ b/src/test/java/org/cassiabank/declaration/ConfigurationTest.java
@@ -0,0 +1,92 @@
+package org.cassiabank.declaration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Stream;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.CharRange;
+import net.jqwik.api.constraints.Chars;
+import net.jqwik.api.constraints.NotEmpty;
+import net.jqwik.api.constraints.StringLength;
+import org.cassiabank.kernel.Finding;
+import org.cassiabank.membership.Instance;
+import org.cassiabank.membership.InstanceList;
+import org.cassiabank.membership.InstanceRole;
+import org.cassiabank.membership.InstanceState;
+
+/** Guards against configurations that pass although they cannot work, and against wrongly grouped servers. */
+class ConfigurationTest {
+
+    private static Configuration of(Declaration... declarations) {
+        return Configuration.empty().with(1, List.of(declarations), List.of());
+    }
+
+    private static Instance server(String name, InstanceState state) {
+        return new Instance(name, InstanceRole.BACKEND, "127.0.0.1:80", "r", "d", state);
+    }
+
+    @Example
+    void relationsThatCannotHoldAreFound() {
+        Configuration configuration = of(
+                new ServiceDeclaration("menu", 2, 3, 100),
+                new LabelRule("one", "menu-1", Map.of("service", "menu", "tier", "a")),
+                new LabelRule("two", "menu-2", Map.of("service", "menu")),
+                new LabelRule("lost", "x-*", Map.of("service", "nowhere")),
+                new Selector("unknown", "orders", Set.of(), "/u", "*", Map.of("tier", "b"), 1, true, CostHint.SHORT, 0),
+                RequestRouterTest.selector("all", Set.of(), "/menu", "kitchen-*", 1, 2),
+                RequestRouterTest.selector("hidden", Set.of("GET"), "/menu/x", "kitchen-1?", 1, 1),
+                RequestRouterTest.selector("visible", Set.of("GET"), "/menu/x", "*", 1, 1),
+                RequestRouterTest.selector("first", Set.of("GET"), "/menu/x", "kitchen-7", 1, 2));
+        assertThat(ConfigurationValidator.validate("f", configuration))
+                .extracting(Finding::toString)
+                .containsExactly(
+                        "f: label.lost.set.service: unknown service \"nowhere\"",
+                        "f: selector.hidden.priority: unreachable: selector.all has priority 2 and matches every"
+                                + " request of this selector",
+                        "f: selector.unknown.servers.tier: no label rule sets tier = \"b\"",
+                        "f: selector.unknown.service: unknown service \"orders\"",
+                        "f: service.menu.floor: floor 3 exceeds the 2 servers that label rules put into the service");
+    }
+
+    @Example
+    void serversAreGroupedByTheMostSpecificRules() {
+        Configuration configuration = of(
+                new LabelRule("z", "menu-*", Map.of("service", "menu", "tier", "a", "leaving", "false")),
+                new LabelRule("b", "menu-1*", Map.of("tier", "b")),
+                new LabelRule("a", "menu-11", Map.of("service", "canary")),
+                new LabelRule("drain", "*-2", Map.of("leaving", "true")));
+        InstanceList list = new InstanceList(
+                1,
+                Stream.of("menu-3", "menu-2", "menu-10", "menu-11", "other-1")
+                        .map(name -> server(name, name.equals("menu-3") ? InstanceState.LEAVING : InstanceState.LIVE))
+                        .toList());
+        ServerGroups groups = ServerGroups.of(configuration, list);
+        assertThat(groups.servers("menu"))
+                .extracting(server -> server.instance().name() + server.labels().get("tier") + server.leaving())
+                .containsExactly("menu-10bfalse", "menu-2atrue", "menu-3atrue");
+        assertThat(groups.servers("canary")).hasSize(1);
+        Selector tierB = new Selector("s", "menu", Set.of(), "/", "*", Map.of("tier", "b"), 1, true, CostHint.SHORT, 0);
+        assertThat(groups.servers(tierB)).hasSize(1);
+        Configuration next = configuration.with(2, List.of(tierB), List.of());
+        assertThat(groups.update(next, list)).isSameAs(groups);
+        assertThat(groups.update(next, InstanceList.empty()).servers("menu")).isEmpty();
+    }
+
+    @Property
+    void globPatternsMatchLikeRegularExpressions(
+            @ForAll @NotEmpty @StringLength(max = 8) @Chars({'a', 'b', '*', '?'}) String pattern,
+            @ForAll @StringLength(max = 8) @CharRange(from = 'a', to = 'b') String text,
+            @ForAll @NotEmpty @StringLength(max = 5) @Chars({'a', 'b', '*', '?'}) String other) {
+        GlobPattern glob = new GlobPattern(pattern);
+        assertThat(glob.matches(text))
+                .isEqualTo(text.matches(pattern.replace("*", ".*").replace("?", ".")));
+        if (glob.covers(new GlobPattern(other)) && new GlobPattern(other).matches(text)) {
+            assertThat(glob.matches(text)).isTrue();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cassiabank/revision/InMemoryChangeStore.java
@@ -0,0 +1,81 @@
+package org.cassiabank.revision;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.cassiabank.kernel.CassiabankException;
+import org.cassiabank.kernel.ErrorCode;
+
+/** A store for tests that counts calls and can lose single requests or answers. */
+public final class InMemoryChangeStore implements ChangeStore {
+    private final Map<String, StoredValue> values = new HashMap<>();
+    private final Map<Integer, Fault> faults = new HashMap<>();
+    private long index;
+    private int calls;
+    private boolean available = true;
+
+    public enum Fault {
+        REQUEST_LOST,
+        ANSWER_LOST
+    }
+
+    private interface Call<T> {
+        T run();
+    }
+
+    /** Lets one call fail, counted from the next one as 0. */
+    public void failCall(int fromNow, Fault fault) {
+        faults.put(calls + fromNow, fault);
+    }
+
+    public void setAvailable(boolean available) {
+        this.available = available;
+    }
+
+    public int calls() {
+        return calls;
+    }
+
+    public Map<String, StoredValue> values() {
+        return values;
+    }
+
+    @Override
+    public synchronized Optional<StoredValue> read(String key) {
+        return answer(() -> Optional.ofNullable(values.get(key)));
+    }
+
+    @Override
+    public synchronized boolean create(String key, byte[] value) {
+        return answer(() -> values.putIfAbsent(key, new StoredValue(value, ++index)) == null);
+    }
+
+    @Override
+    public synchronized boolean compareAndSet(String key, long expected, byte[] value) {
+        return answer(() -> {
+            StoredValue present = values.get(key);
+            if (present == null || present.index() != expected) {
+                return false;
+            }
+            values.put(key, new StoredValue(value, ++index));
+            return true;
+        });
+    }
+
+    @Override
+    public Optional<StoredValue> awaitChange(String key, long known, long waitMillis) {
+        return read(key).filter(value -> value.index() > known);
+    }
+
+    private <T> T answer(Call<T> call) {
+        Fault fault = faults.remove(calls++);
+        if (!available || fault == Fault.REQUEST_LOST) {
+            throw CassiabankException.of(ErrorCode.STORE_UNAVAILABLE, "no answer from the store");
+        }
+        T result = call.run();
+        if (fault == Fault.ANSWER_LOST) {
+            throw CassiabankException.of(ErrorCode.STORE_UNAVAILABLE, "no answer from the store");
+        }
+        return result;
+    }
+}
