--- a/src/main/java/org/cassiabank/declaration/DeclarationRules.java
+++ b/src/main/java/org/cassiabank/declaration/DeclarationRules.java
@@ -87,9 +87,12 @@
             if (nameProblem(label.getKey()).isPresent()) {
                 return nameProblem(label.getKey()).map(problem -> "label " + problem);
             }
-            if (label.getValue().isEmpty() || label.getValue().length() > LONGEST_TEXT) {
-                return Optional.of(
-                        "label " + label.getKey() + " must have a value of 1 to " + LONGEST_TEXT + " characters");
+            String value = label.getValue();
+            if (value.isEmpty()
+                    || value.length() > LONGEST_TEXT
+                    || value.chars().anyMatch(Character::isISOControl)) {
+                return Optional.of("label " + label.getKey() + " must have a value of 1 to " + LONGEST_TEXT
+                        + " characters without control characters");
             }
         }
         return Optional.empty();
--- a/src/test/java/org/cassiabank/revision/ChangeCommitterTest.java
+++ b/src/test/java/org/cassiabank/revision/ChangeCommitterTest.java
@@ -104,6 +104,19 @@
         assertThat(committedOperations()).containsExactly("operation");
     }
 
+    @Example
+    void aRepeatedOperationDoesNotRestoreWhatAnotherOperatorDeletedSince() {
+        ChangeCommitter committer = ChangeCommitter.over(store);
+        store.breakAfterCreating(StoredChanges.changeKey(1));
+        assertThatThrownBy(() -> committer.commit("first", List.of(put("menu", 2, 0))))
+                .hasMessageContaining("operation first may have been accepted");
+        store.setAvailable(true);
+        ChangeCommitter.over(store).commit("second", List.of(new DeleteEdit(MENU, 1)));
+        assertThat(committer.commit("first", List.of(put("menu", 2, 0))).revision())
+                .isEqualTo(1);
+        assertThat(committer.refresh().service("menu")).isEmpty();
+    }
+
     @Example
     void anOutageIsReportedWithoutHavingChangedAnything() {
         ChangeCommitter committer = ChangeCommitter.over(store);
--- a/src/test/java/org/cassiabank/revision/InMemoryChangeStore.java
+++ b/src/test/java/org/cassiabank/revision/InMemoryChangeStore.java
@@ -13,6 +13,7 @@
     private long index;
     private int calls;
     private boolean available = true;
+    private String lastWrittenKey = "";
 
     public enum Fault {
         REQUEST_LOST,
@@ -32,6 +33,11 @@
         this.available = available;
     }
 
+    /** Ends the answers with the one to the creation of a key, which takes effect; {@link #setAvailable} resumes. */
+    public void breakAfterCreating(String key) {
+        lastWrittenKey = key;
+    }
+
     public int calls() {
         return calls;
     }
@@ -47,7 +53,13 @@
 
     @Override
     public synchronized boolean create(String key, byte[] value) {
-        return answer(() -> values.putIfAbsent(key, new StoredValue(value, ++index)) == null);
+        boolean created = answer(() -> values.putIfAbsent(key, new StoredValue(value, ++index)) == null);
+        if (key.equals(lastWrittenKey)) {
+            lastWrittenKey = "";
+            available = false;
+            throw CassiabankException.of(ErrorCode.STORE_UNAVAILABLE, "no answer from the store");
+        }
+        return created;
     }
 
     @Override
