Add the experiments gray to capacity and run smoke through proxies

Ruled out: applying declarations with a process of cassiabankctl, which hides the time of acceptance behind the start of a JVM; measuring from the start of the processes, because they answer in seconds while they compile; the second compiler tier for proxies, whose compilation takes most of a shared machine for 15 s.

Change: experiments gray, long, crest, added-time, doubles, rolling, configuration and capacity; 12 s of load before each measurement; fleets are also ended when the tool is ended while it starts them. The token in the body decides whose answer it is, and answers with a request id that the caller did not send are counted against a target of 0.

--- a/src/main/java/org/cassiabank/load/AnswerClassifier.java
+++ b/src/main/java/org/cassiabank/load/AnswerClassifier.java
@@ -2,6 +2,9 @@
 
 /**
  * Decides what an answer tells its caller and whether it is whole and belongs to the request.
+ *
+ * <p>The token in the body decides whose answer it is. Request ids are compared and counted separately, because a proxy
+ * that uses ids of its own towards backend servers can deliver the right answer with an id that its caller never sent.
  */
 public final class AnswerClassifier {
     private AnswerClassifier() {}
@@ -11,12 +14,11 @@
      *
      * @param answer the answer
      * @param token the token that the request asked the backend server to repeat in the body
-     * @param requestId the request id that was sent
      * @return the class
      */
-    public static AnswerClass classify(ReceivedAnswer answer, String token, String requestId) {
+    public static AnswerClass classify(ReceivedAnswer answer, String token) {
         return switch (answer.outcome()) {
-            case "answered" -> classifyBackendAnswer(answer, token, requestId);
+            case "answered" -> classifyBackendAnswer(answer, token);
             case "not-run" -> answer.reason().isEmpty() ? AnswerClass.UNMARKED : AnswerClass.NOT_RUN;
             case "unknown" -> answer.reason().isEmpty() ? AnswerClass.UNMARKED : AnswerClass.UNKNOWN;
             default -> AnswerClass.UNMARKED;
@@ -28,17 +30,13 @@
      *
      * @param answer the answer
      * @param token the token that the request asked the backend server to repeat in the body
-     * @param requestId the request id that was sent
      * @return the class
      */
-    public static AnswerClass classifyDirect(ReceivedAnswer answer, String token, String requestId) {
-        return answer.notRun() ? AnswerClass.NOT_RUN : classifyBackendAnswer(answer, token, requestId);
+    public static AnswerClass classifyDirect(ReceivedAnswer answer, String token) {
+        return answer.notRun() ? AnswerClass.NOT_RUN : classifyBackendAnswer(answer, token);
     }
 
-    private static AnswerClass classifyBackendAnswer(ReceivedAnswer answer, String token, String requestId) {
-        if (!answer.requestId().isEmpty() && !answer.requestId().equals(requestId)) {
-            return AnswerClass.WRONG;
-        }
+    private static AnswerClass classifyBackendAnswer(ReceivedAnswer answer, String token) {
         // A backend server that gives up at the deadline answers 504 with a short text instead of a full body.
         if (answer.status() == 503 || answer.status() == 504) {
             return AnswerClass.FAILED;
--- /dev/null
+++ b/src/main/java/org/cassiabank/load/CapacityExperiment.java
@@ -0,0 +1,163 @@
+package org.cassiabank.load;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Measures the control overhead per proxy against the number of proxies, servers, selectors and changes.
+ */
+final class CapacityExperiment implements Experiment {
+    private static final long SETTLE_MILLIS = 6_000;
+    private static final double CORE_LIMIT_PERCENT = 1.8;
+    private static final double HEAP_LIMIT_MEGABYTES = 256;
+    private static final double BYTES_LIMIT_PER_SECOND = 11 * 1_024;
+
+    @Override
+    public String name() {
+        return "capacity";
+    }
+
+    @Override
+    public String summary() {
+        return "control overhead per proxy against proxies, servers, selectors, changes and requests";
+    }
+
+    @Override
+    public ExperimentResult run(ExperimentSettings settings) throws InterruptedException {
+        int proxies = settings.proxies();
+        List<Size> sizes = List.of(
+                new Size(proxies / 2, 8, 3, 0, 0),
+                new Size(proxies, 8, 3, 0, 0),
+                new Size(proxies * 2, 8, 3, 0, 0),
+                new Size(proxies, 24, 3, 0, 0),
+                new Size(proxies, 8, 300, 0, 0),
+                new Size(proxies, 8, 3_000, 0, 0),
+                new Size(proxies, 8, 3, 2, 0),
+                new Size(proxies, 8, 3, 0, 100));
+        List<Measure> measures = new ArrayList<>();
+        List<Double> numbers = new ArrayList<>();
+        List<Double> bytes = new ArrayList<>();
+        for (Size size : sizes) {
+            Overhead overhead = measure(settings, size);
+            String name = size.toText();
+            measures.add(Measure.of(name + ": messages", overhead.messagesPerSecond(), "1/s"));
+            measures.add(Measure.atMost(name + ": control", overhead.bytesPerSecond(), "B/s", BYTES_LIMIT_PER_SECOND));
+            measures.add(
+                    size.requests() == 0
+                            ? Measure.atMost(name + ": core", overhead.corePercent(), "%", CORE_LIMIT_PERCENT)
+                            // With requests the processor time is not that of control alone.
+                            : Measure.of(name + ": core", overhead.corePercent(), "%"));
+            measures.add(Measure.atMost(name + ": heap", overhead.heapMegabytes(), "MB", HEAP_LIMIT_MEGABYTES));
+            if (size.servers() == 8 && size.selectors() == 3 && size.changes() == 0 && size.requests() == 0) {
+                numbers.add((double) size.proxies());
+                bytes.add(overhead.bytesPerSecond());
+            }
+        }
+        return new ExperimentResult(
+                "p = proxies, s = servers, l = selectors, c = changes/s, r = requests/s; figures are means per proxy, "
+                        + "their targets are those of the two-year scale",
+                measures,
+                List.of(new Series("control B/s per proxy against proxies", numbers, bytes)),
+                List.of());
+    }
+
+    private static Overhead measure(ExperimentSettings settings, Size size) throws InterruptedException {
+        FleetService service = FleetService.kitchen(size.servers(), 2);
+        try (Fleet fleet = Fleet.start(FleetSettings.of(settings.seed(), size.proxies(), service));
+                LoadBalancer balancer = fleet.balanceProxies()) {
+            if (size.selectors() > 3) {
+                fleet.apply(selectors(size.selectors() - 3));
+            }
+            Thread.sleep(SETTLE_MILLIS);
+            List<Map<String, Double>> before = metrics(fleet);
+            long start = System.nanoTime();
+            long millis = settings.seconds() * 1_000L;
+            Thread changes = Thread.startVirtualThread(() -> change(fleet, service, size.changes(), millis));
+            if (size.requests() > 0) {
+                Phase phase = Phase.of("light", millis, size.requests(), RequestKind.shortRead(10));
+                LoadRunner.create(balancer, LoadSettings.of("capacity" + settings.seed()))
+                        .run(ArrivalSchedule.draw(settings.seed(), 20, List.of(phase)), FaultScript.none());
+            } else {
+                Thread.sleep(millis);
+            }
+            changes.join();
+            double seconds = (System.nanoTime() - start) / 1e9;
+            return Overhead.between(before, metrics(fleet), seconds);
+        }
+    }
+
+    private static void change(Fleet fleet, FleetService service, int perSecond, long millis) {
+        try {
+            for (int number = 1; number <= perSecond * millis / 1_000; number++) {
+                fleet.apply(
+                        service.toToml().replace("deadline-millis = 10000", "deadline-millis = " + (10_000 + number)));
+                Thread.sleep(1_000 / perSecond);
+            }
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static String selectors(int count) {
+        StringBuilder toml = new StringBuilder();
+        for (int number = 1; number <= count; number++) {
+            toml.append("[selector.extra-").append(number).append("]\nservice = \"kitchen\"\nmethods = [\"GET\"]\n");
+            toml.append("path = \"/extra/").append(number).append("\"\nrepeatable = true\n\n");
+        }
+        return toml.toString();
+    }
+
+    private static List<Map<String, Double>> metrics(Fleet fleet) {
+        return fleet.proxies().stream()
+                .map(proxy -> FleetStatus.metrics(fleet, proxy))
+                .toList();
+    }
+
+    /**
+     * The size of a fleet and its load.
+     *
+     * @param proxies the number of proxies
+     * @param servers the number of servers
+     * @param selectors the number of selectors
+     * @param changes the changes per second
+     * @param requests the requests per second
+     */
+    private record Size(int proxies, int servers, int selectors, int changes, int requests) {
+        String toText() {
+            return "p " + proxies + ", s " + servers + ", l " + selectors + ", c " + changes + ", r " + requests;
+        }
+    }
+
+    /**
+     * The mean overhead per proxy.
+     *
+     * @param messagesPerSecond control messages
+     * @param bytesPerSecond control bytes
+     * @param corePercent processor time, in percent of one core
+     * @param heapMegabytes used heap, in megabytes
+     */
+    private record Overhead(double messagesPerSecond, double bytesPerSecond, double corePercent, double heapMegabytes) {
+        static Overhead between(List<Map<String, Double>> before, List<Map<String, Double>> after, double seconds) {
+            return new Overhead(
+                    rate(before, after, "cassiabank_control_messages_total", seconds),
+                    rate(before, after, "cassiabank_control_bytes_total", seconds),
+                    rate(before, after, "process_cpu_seconds_total", seconds) * 100,
+                    mean(after, "jvm_memory_used_bytes") / 1e6);
+        }
+
+        private static double rate(
+                List<Map<String, Double>> before, List<Map<String, Double>> after, String name, double seconds) {
+            return (mean(after, name) - mean(before, name)) / seconds;
+        }
+
+        private static double mean(List<Map<String, Double>> metrics, String name) {
+            // A metric that no proxy shows is not measured, and then its target is missed.
+            return metrics.stream()
+                    .filter(values -> values.containsKey(name))
+                    .mapToDouble(values -> values.get(name))
+                    .average()
+                    .orElse(Double.NaN);
+        }
+    }
+}
--- a/src/main/java/org/cassiabank/load/Fleet.java
+++ b/src/main/java/org/cassiabank/load/Fleet.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -10,10 +11,19 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
+import org.cassiabank.declaration.Configuration;
+import org.cassiabank.declaration.Declaration;
+import org.cassiabank.declaration.DeclarationParser;
+import org.cassiabank.declaration.VersionedDeclaration;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.kernel.ErrorCode;
 import org.cassiabank.platform.InstanceDocuments;
+import org.cassiabank.platform.StoreClient;
+import org.cassiabank.revision.ChangeCommitter;
+import org.cassiabank.revision.Edit;
+import org.cassiabank.revision.PutEdit;
 
 /**
  * A platform stand-in, backend servers and proxies as processes on loopback, with their settings and logs in a
@@ -23,9 +33,13 @@
     private static final String REGION = "region-1";
     private static final int FAILURE_DOMAINS = 4;
     private static final long START_MILLIS = 60_000;
-    private static final long APPLY_MILLIS = 20_000;
     private static final long EXIT_MILLIS = 40_000;
-    private static final List<String> JAVA_OPTIONS = List.of("-Xmx192m", "-XX:+UseSerialGC");
+    private static final List<String> JAVA_OPTIONS = List.of(
+            "-Xmx192m",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-Dio.netty.noUnsafe=true",
+            "--enable-native-access=ALL-UNNAMED");
     // Stand-ins need less memory, and the first compiler tier is enough for them.
     private static final List<String> STAND_IN_OPTIONS =
             List.of("-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
@@ -36,11 +50,15 @@
     private final ControlClient client = ControlClient.create(3_000);
     private final List<FleetMember> proxies = new ArrayList<>();
     private final List<FleetMember> backends = new ArrayList<>();
+    private final ChangeCommitter committer;
     private ChildProcess platform;
+    private long changes;
+    private boolean closed;
 
     private Fleet(FleetSettings settings, Path directory) {
         this.settings = settings;
         this.directory = directory;
+        this.committer = ChangeCommitter.over(StoreClient.create(URI.create(platformUrl())));
     }
 
     /**
@@ -53,6 +71,8 @@
     public static Fleet start(FleetSettings settings) {
         try {
             Fleet fleet = new Fleet(settings, Files.createTempDirectory("cassiabank-fleet"));
+            // The hook ends the processes also when the tool is ended by a signal while it starts them.
+            Runtime.getRuntime().addShutdownHook(new Thread(fleet::close));
             try {
                 fleet.startAll();
                 return fleet;
@@ -138,34 +158,22 @@
     }
 
     /**
-     * Applies declarations with the operators' tool.
+     * Commits declarations as {@code cassiabankctl apply} does, but without the start of a process, so that the time of
+     * acceptance is known exactly.
      *
      * @param toml the declarations
-     * @throws CassiabankException if the tool does not exit with 0
+     * @return the revision
+     * @throws CassiabankException if the change is not accepted
      */
-    public void apply(String toml) {
-        try {
-            Path file = Files.createTempFile(directory, "declarations", ".toml");
-            Files.writeString(file, toml);
-            List<String> arguments = List.of("apply", "--store", platformUrl(), file.toString());
-            try (ChildProcess operator = ChildProcess.start(
-                    "cassiabankctl",
-                    "org.cassiabank.operator.OperatorMain",
-                    STAND_IN_OPTIONS,
-                    arguments,
-                    directory.resolve("operator.log"))) {
-                int exitCode = operator.awaitExit(APPLY_MILLIS);
-                if (exitCode != 0) {
-                    throw CassiabankException.of(
-                            ErrorCode.START_FAILED,
-                            "cassiabankctl apply exited with " + exitCode + ": " + operator.lastLogLines());
-                }
-            }
-        } catch (IOException exception) {
-            throw new UncheckedIOException(exception);
-        } catch (InterruptedException exception) {
-            Thread.currentThread().interrupt();
+    public synchronized long apply(String toml) {
+        Configuration current = committer.refresh();
+        List<Edit> edits = new ArrayList<>();
+        for (Declaration declaration : DeclarationParser.parse("fleet", toml)) {
+            VersionedDeclaration former = current.entities().get(declaration.key());
+            edits.add(new PutEdit(declaration, former == null ? 0 : former.revision()));
         }
+        changes++;
+        return committer.commit("fleet-" + changes, edits).revision();
     }
 
     /**
@@ -196,11 +204,22 @@
         member.process().signal("TERM");
         int exitCode = member.process().awaitExit(EXIT_MILLIS);
         member.close();
-        member.start();
+        startMember(member);
         awaitReady(member);
         return exitCode;
     }
 
+    /**
+     * Ends a member at once, as a crash does, and starts it again.
+     *
+     * @param member the member
+     */
+    public void killAndRestart(FleetMember member) {
+        member.close();
+        startMember(member);
+        awaitReady(member);
+    }
+
     /**
      * Waits until the health page of a backend server or the readiness page of a proxy answers with 200.
      *
@@ -208,8 +227,19 @@
      * @throws CassiabankException if its process ends or does not become ready in time
      */
     public void awaitReady(FleetMember member) {
-        String page = member.controlUrl() + (proxies.contains(member) ? "/ready" : "/health");
-        awaitPage(member.process(), page);
+        if (!proxies.contains(member)) {
+            awaitPage(member.process(), member.controlUrl() + "/health");
+            return;
+        }
+        awaitPage(member.process(), member.controlUrl() + "/ready");
+        // A new daemon refuses unrepeatable requests with a key until its peers have handed over their claims.
+        await(
+                () -> client.getJson(member.controlUrl() + "/status")
+                        .path("claims")
+                        .path("ready")
+                        .asBoolean(),
+                member.process(),
+                "its claims");
     }
 
     /**
@@ -233,7 +263,8 @@
     }
 
     @Override
-    public void close() {
+    public synchronized void close() {
+        closed = true;
         proxies.forEach(FleetMember::close);
         backends.forEach(FleetMember::close);
         if (platform != null) {
@@ -258,17 +289,24 @@
         }
         awaitPage(platform, platformUrl() + "/v1/instances");
         publishInstances();
-        backends.forEach(FleetMember::start);
+        backends.forEach(this::startMember);
         if (!proxies.isEmpty()) {
             StringBuilder toml = new StringBuilder();
             settings.services().forEach(service -> toml.append(service.toToml()));
             apply(toml.toString());
-            proxies.forEach(FleetMember::start);
+            proxies.forEach(this::startMember);
         }
         backends.forEach(this::awaitReady);
         proxies.forEach(this::awaitReady);
     }
 
+    private synchronized void startMember(FleetMember member) {
+        if (closed) {
+            throw CassiabankException.of(ErrorCode.START_FAILED, "the fleet is being ended");
+        }
+        member.start();
+    }
+
     private void addBackend(FleetService service, int number) {
         String name = service.name() + "-" + number;
         String address = Ports.nextAddress();
@@ -319,20 +357,23 @@
     }
 
     private void awaitPage(ChildProcess process, String url) {
+        await(() -> client.send("GET", url, "").status() == 200, process, url);
+    }
+
+    private static void await(BooleanSupplier condition, ChildProcess process, String what) {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_MILLIS);
-        while (client.send("GET", url, "").status() != 200) {
+        while (!condition.getAsBoolean()) {
             if (!process.isAlive() || System.nanoTime() > end) {
                 throw CassiabankException.of(
                         ErrorCode.START_FAILED,
-                        process.name()
-                                + (process.isAlive() ? " did not become ready: " : " ended: ")
-                                + process.lastLogLines());
+                        process.name() + (process.isAlive() ? " did not become ready, waited for " : " ended before ")
+                                + what + ": " + process.lastLogLines());
             }
             try {
                 Thread.sleep(50);
             } catch (InterruptedException exception) {
                 Thread.currentThread().interrupt();
-                throw CassiabankException.of(ErrorCode.START_FAILED, "interrupted while waiting for " + url);
+                throw CassiabankException.of(ErrorCode.START_FAILED, "interrupted while waiting for " + what);
             }
         }
     }
--- a/src/main/java/org/cassiabank/load/LoadMain.java
+++ b/src/main/java/org/cassiabank/load/LoadMain.java
@@ -16,7 +16,16 @@
 public final class LoadMain {
     private static final int FAILURE = 1;
     private static final int USAGE_FAILURE = 2;
-    private static final List<Experiment> EXPERIMENTS = List.of(new SmokeExperiment());
+    private static final List<Experiment> EXPERIMENTS = List.of(
+            new SmokeExperiment(),
+            new GrayExperiment(),
+            new LongExperiment(),
+            new CrestExperiment(),
+            new AddedTimeExperiment(),
+            new DoublesExperiment(),
+            new RollingExperiment(),
+            new ConfigurationExperiment(),
+            new CapacityExperiment());
 
     private LoadMain() {}
 
@@ -75,8 +84,6 @@
     private static int runFleet(ExperimentSettings settings) throws InterruptedException {
         try (Fleet fleet =
                 Fleet.start(FleetSettings.of(settings.seed(), settings.proxies(), FleetService.kitchen(8, 2)))) {
-            // The hook ends the processes when the tool is ended by a signal.
-            Runtime.getRuntime().addShutdownHook(new Thread(fleet::close));
             System.out.println("platform " + fleet.platformUrl());
             for (FleetMember member : fleet.backends()) {
                 System.out.println(member.name() + " http://" + member.address() + " pid "
--- a/src/main/java/org/cassiabank/load/LoadSettings.java
+++ b/src/main/java/org/cassiabank/load/LoadSettings.java
@@ -70,4 +70,14 @@
     public LoadSettings withDeadline(long millis) {
         return new LoadSettings(run, direct, millis, millis + 5_000, repeats, answerBytes, idleConnections);
     }
+
+    /**
+     * Returns these settings with another prefix of tokens.
+     *
+     * @param prefix the prefix
+     * @return the settings
+     */
+    public LoadSettings withRun(String prefix) {
+        return new LoadSettings(prefix, direct, deadlineMillis, patienceMillis, repeats, answerBytes, idleConnections);
+    }
 }
--- a/src/main/java/org/cassiabank/load/Measures.java
+++ b/src/main/java/org/cassiabank/load/Measures.java
@@ -25,6 +25,8 @@
             measures.add(Measure.of("answers " + entry.getKey(), entry.getValue(), ""));
         }
         measures.add(Measure.atMost("forbidden answers (wrong, unmarked, silent)", samples.forbidden(), "", 0));
+        long foreignIds = samples.all().stream().filter(Sample::foreignId).count();
+        measures.add(Measure.atMost("answers with a request id that was not sent", foreignIds, "", 0));
         return measures;
     }
 
--- a/src/main/java/org/cassiabank/load/RequestSender.java
+++ b/src/main/java/org/cassiabank/load/RequestSender.java
@@ -55,8 +55,8 @@
                     response.header("Cassiabank-Not-Run") != null,
                     response.body().string());
             AnswerClass answerClass = settings.direct()
-                    ? AnswerClassifier.classifyDirect(answer, token, requestId)
-                    : AnswerClassifier.classify(answer, token, requestId);
+                    ? AnswerClassifier.classifyDirect(answer, token)
+                    : AnswerClassifier.classify(answer, token);
             long retryAfter = Long.parseLong(response.header("Cassiabank-Retry-After-Millis", "-1"));
             String reason = answerClass == AnswerClass.UNMARKED ? "status " + answer.status() : answer.reason();
             return new Sample(
@@ -67,11 +67,12 @@
                     answer.status(),
                     reason,
                     System.nanoTime() - sinceNanos,
+                    !answer.requestId().isEmpty() && !answer.requestId().equals(requestId),
                     retryAfter);
         } catch (IOException exception) {
             String reason = exception.getClass().getSimpleName();
             return new Sample(
-                    arrival, attempt, token, classify(exception), 0, reason, System.nanoTime() - sinceNanos, -1);
+                    arrival, attempt, token, classify(exception), 0, reason, System.nanoTime() - sinceNanos, false, -1);
         }
     }
 
--- a/src/main/java/org/cassiabank/load/SmokeExperiment.java
+++ b/src/main/java/org/cassiabank/load/SmokeExperiment.java
@@ -35,8 +35,14 @@
         boolean direct = settings.proxies() == 0;
         try (Fleet fleet = Fleet.start(FleetSettings.of(settings.seed(), settings.proxies(), service));
                 LoadBalancer balancer = direct ? fleet.balanceBackends() : fleet.balanceProxies()) {
-            Samples samples = LoadRunner.create(balancer, direct ? loadSettings.asDirect() : loadSettings)
-                    .run(schedule, FaultScript.none());
+            LoadSettings sending = direct ? loadSettings.asDirect() : loadSettings;
+            Warmup.run(
+                    balancer,
+                    sending,
+                    settings.seed(),
+                    RATE,
+                    mix.stream().map(Phase.Share::kind).toList());
+            Samples samples = LoadRunner.create(balancer, sending).run(schedule, FaultScript.none());
             RecordCheck check = RecordCheck.of(samples, fleet.executions());
             List<Measure> measures = new ArrayList<>(Measures.ofClasses(samples));
             double share = samples.of(AnswerClass.ANSWERED).size() / (double) samples.size();
--- /dev/null
+++ b/src/main/java/org/cassiabank/load/Warmup.java
@@ -0,0 +1,36 @@
+package org.cassiabank.load;
+
+import java.util.List;
+
+/**
+ * Load that is sent before a measurement and left out of its figures.
+ *
+ * <p>Processes that have just started compile their code. On a machine that many of them share, requests then take
+ * seconds instead of milliseconds.
+ */
+public final class Warmup {
+    private static final long MILLIS = 12_000;
+    private static final long SETTLE_MILLIS = 1_000;
+
+    private Warmup() {}
+
+    /**
+     * Sends load for 12 s and lets the fleet rest for 1 s.
+     *
+     * @param balancer chooses the addresses
+     * @param settings the settings of the measurement that follows
+     * @param seed the seed
+     * @param rate the requests per second
+     * @param kinds the kinds in equal shares
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public static void run(
+            LoadBalancer balancer, LoadSettings settings, long seed, double rate, List<RequestKind> kinds)
+            throws InterruptedException {
+        List<Phase.Share> mix =
+                kinds.stream().map(kind -> new Phase.Share(kind, 1)).toList();
+        ArrivalSchedule schedule = ArrivalSchedule.draw(seed, 20, List.of(new Phase("warm-up", MILLIS, rate, mix)));
+        LoadRunner.create(balancer, settings.withRun("warm-" + settings.run())).run(schedule, FaultScript.none());
+        Thread.sleep(SETTLE_MILLIS);
+    }
+}
