--- a/src/main/java/org/cassiabank/admission/CostModel.java
+++ b/src/main/java/org/cassiabank/admission/CostModel.java
@@ -70,12 +70,16 @@
      */
     boolean learn(RouteCost route, double micros) {
         boolean first = !route.isLearned();
+        if (first) {
+            // What was assumed before the first answer must not count as a verdict.
+            route.setLong(false);
+        }
         route.learn(micros);
         learned++;
         sinceClassification++;
         if (first || sinceClassification >= Math.max(CLASSIFY_INTERVAL, routes.size() / 4)) {
             sinceClassification = 0;
-            return classify();
+            return classify() || first;
         }
         return false;
     }
--- a/src/main/java/org/cassiabank/admission/FairQueue.java
+++ b/src/main/java/org/cassiabank/admission/FairQueue.java
@@ -101,10 +101,10 @@
         return true;
     }
 
-    /** Takes a ticket out and charges its caller with the cost. */
-    void serve(Ticket ticket) {
+    /** Takes a ticket out and charges its caller with the cost as it is known now. */
+    void serve(Ticket ticket, double costMicros) {
         remove(ticket);
-        virtualTime = Math.max(virtualTime, flows.get(ticket.ask().caller()).charge(ticket.costMicros()));
+        virtualTime = Math.max(virtualTime, flows.get(ticket.ask().caller()).charge(costMicros));
     }
 
     /**
--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -335,7 +335,7 @@
         if (dropIfLate(queue, ticket, longWork, now)) {
             return true;
         }
-        queue.serve(ticket);
+        queue.serve(ticket, costs.costMicros(ticket.ask().cost(), ticket.route()));
         long leaseMillis = ticket.deadline() - now + settings.leaseGraceMillis();
         Lease lease = leases.grant(ticket, server, longWork, now + leaseMillis, now);
         long hedgeAfterMillis = 0;
