--- a/src/test/java/org/cassiabank/declaration/ConfigurationTest.java
+++ b/src/test/java/org/cassiabank/declaration/ConfigurationTest.java
@@ -60,7 +60,7 @@
                 new LabelRule("b", "menu-1*", Map.of("tier", "b")),
                 new LabelRule("a", "menu-11", Map.of("service", "canary")),
                 new LabelRule("drain", "*-2", Map.of("leaving", "true")));
-        InstanceList list = new InstanceList(
+        InstanceList list = InstanceList.of(
                 1,
                 Stream.of("menu-3", "menu-2", "menu-10", "menu-11", "other-1")
                         .map(name -> server(name, name.equals("menu-3") ? InstanceState.LEAVING : InstanceState.LIVE))
