--- a/src/main/java/org/cassiabank/proxy/CallerReply.java
+++ b/src/main/java/org/cassiabank/proxy/CallerReply.java
@@ -49,6 +49,20 @@
         return new CallerReply(status, outcome("unknown", reason), text("outcome unknown: " + reason));
     }
 
+    /**
+     * Returns this reply with one header set to one value, whatever case its name was in.
+     *
+     * @param name the name of the header
+     * @param value the value
+     * @return the reply
+     */
+    CallerReply withHeader(String name, String value) {
+        Map<String, List<String>> changed = new LinkedHashMap<>(headers);
+        changed.keySet().removeIf(name::equalsIgnoreCase);
+        changed.put(name, List.of(value));
+        return new CallerReply(status, changed, body);
+    }
+
     private static Map<String, List<String>> outcome(String outcome, String reason) {
         Map<String, List<String>> headers = new LinkedHashMap<>();
         headers.put(OUTCOME_HEADER, List.of(outcome));
--- a/src/main/java/org/cassiabank/proxy/Entry.java
+++ b/src/main/java/org/cassiabank/proxy/Entry.java
@@ -6,8 +6,7 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
-import java.util.LinkedHashMap;
-import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -27,6 +26,7 @@
  */
 final class Entry implements CallerHandler {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final String REQUEST_ID_HEADER = "Cassiabank-Request-Id";
     private static final long MAXIMUM_DEADLINE_MILLIS = TimeUnit.MINUTES.toMillis(30);
     /** Half the time for which keepers remember a claim, so that no paused entry sends a request they have forgotten. */
     private static final long MAXIMUM_CLAIMED_MILLIS = TimeUnit.MINUTES.toMillis(5);
@@ -64,7 +64,11 @@
     @Override
     public CallerReply handle(CallerRequest request, CallerPresence presence) {
         try {
-            return route(request, presence);
+            CallerReply reply = route(request, presence);
+            // The attempts carry identifiers of their own; the caller gets back the one that it sent.
+            return request.header(REQUEST_ID_HEADER.toLowerCase(Locale.ROOT))
+                    .map(identifier -> reply.withHeader(REQUEST_ID_HEADER, identifier))
+                    .orElse(reply);
         } catch (RuntimeException exception) {
             LOGGER.atSevere().withCause(exception).atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
                     "request failed inside the proxy");
@@ -175,9 +179,8 @@
 
     private CallerReply replay(RecordedAnswer answer) {
         metrics.answered();
-        Map<String, List<String>> headers = new LinkedHashMap<>(answer.headers());
-        headers.put("Cassiabank-Replayed", List.of("true"));
-        return CallerReply.answered(answer.status(), headers, answer.body());
+        return CallerReply.answered(answer.status(), answer.headers(), answer.body())
+                .withHeader("Cassiabank-Replayed", "true");
     }
 
     private CallerReply refuse(int status, String reason, long retryAfterMillis) {
