--- /dev/null
+++ b/src/test/java/org/cassiabank/proxy/CallerServerTest.java
@@ -0,0 +1,177 @@
+package org.cassiabank.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Sends raw bytes to the callers' port: shapes that two readers could understand differently, and sizes over the limits. */
+class CallerServerTest {
+    private static final CallerLimits LIMITS = new CallerLimits(3, 2, 1_024, 100, 1_000, 300);
+
+    private final CountDownLatch callerGone = new CountDownLatch(1);
+    private final CountDownLatch hold = new CountDownLatch(1);
+    private final ProxyMetrics metrics = ProxyMetrics.create();
+    private final CallerServer server = CallerServer.create(LIMITS, this::answer, metrics);
+    private int port;
+
+    @BeforeEach
+    void startServer() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            port = socket.getLocalPort();
+        }
+        server.start(new SocketAddress("127.0.0.1", port), Optional.empty());
+    }
+
+    @AfterEach
+    void stopServer() {
+        hold.countDown();
+        server.close();
+    }
+
+    @Test
+    void requestsWithAnAmbiguousLengthAreRefusedAndTheConnectionIsClosed() throws IOException {
+        for (String headers : List.of(
+                "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+                "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+                "Content-Length: 4\r\nContent-Length: 5\r\n",
+                "Content-Length: +4\r\n",
+                "Content-Length: 4, 5\r\n",
+                "Content-Length : 4\r\n")) {
+            String answer =
+                    exchange("POST /a HTTP/1.1\r\nHost: x\r\n" + headers + "\r\n0\r\n\r\nGET /b HTTP/1.1\r\n\r\n");
+            assertThat(answer).as(headers).startsWith("HTTP/1.1 400").contains("Cassiabank-Outcome: not-run");
+            assertThat(answer).as(headers).doesNotContain("path=/b");
+        }
+    }
+
+    @Test
+    void requestsOverALimitGetTheirOwnRefusal() throws IOException {
+        assertThat(exchange("GET / HTTP/1.1\r\nHost: x\r\nA: " + "a".repeat(2_000) + "\r\n\r\n"))
+                .startsWith("HTTP/1.1 431")
+                .contains("headers-too-large");
+        assertThat(exchange("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 101\r\n\r\n" + "a".repeat(101)))
+                .startsWith("HTTP/1.1 413")
+                .contains("body-too-large");
+        assertThat(exchange("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + "40\r\n"
+                        + "a".repeat(64) + "\r\n40\r\n" + "a".repeat(64) + "\r\n0\r\n\r\n"))
+                .startsWith("HTTP/1.1 413");
+    }
+
+    @Test
+    void formBodiesArePassedOnUnchanged() throws IOException {
+        assertThat(exchange("POST /form HTTP/1.1\r\nHost: x\r\nContent-Type: application/x-www-form-urlencoded\r\n"
+                        + "Content-Length: 7\r\nConnection: close\r\n\r\na=1&b=2"))
+                .endsWith("path=/form body=a=1&b=2");
+    }
+
+    @Test
+    void pipelinedRequestsAreAnsweredInOrder() throws IOException {
+        String answer = exchange("GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n"
+                + "GET /3 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        assertThat(answer).containsSubsequence("path=/1", "path=/2", "path=/3");
+    }
+
+    @Test
+    void anIdleConnectionIsClosed() throws IOException {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(5_000);
+            assertThat(socket.getInputStream().read()).isEqualTo(-1);
+        }
+    }
+
+    @Test
+    void aHandlerLearnsThatItsCallerHasGone() throws Exception {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.getOutputStream().write("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            while (server.requestsInFlight() == 0) {
+                Thread.onSpinWait();
+            }
+        }
+        assertThat(callerGone.await(5, TimeUnit.SECONDS)).isTrue();
+    }
+
+    @Test
+    void requestsOverTheLimitInFlightAreRefusedAtOnceWithARetryTime() throws IOException {
+        try (Socket first = open("/hold");
+                Socket second = open("/hold")) {
+            while (server.requestsInFlight() < 2) {
+                Thread.onSpinWait();
+            }
+            assertThat(exchange("GET /third HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"))
+                    .startsWith("HTTP/1.1 503")
+                    .contains("entry-overloaded")
+                    .contains("Retry-After: 1");
+            assertThat(first.isConnected() && second.isConnected()).isTrue();
+        }
+        assertThat(metrics.toText()).contains("cassiabank_refusals_total{reason=\"entry-overloaded\"} 1.0");
+    }
+
+    @Test
+    void aConnectionOverTheLimitIsClosedAndCounted() throws IOException {
+        try (Socket first = open("/hold");
+                Socket second = open("/hold");
+                Socket third = new Socket("127.0.0.1", port);
+                Socket fourth = new Socket("127.0.0.1", port)) {
+            fourth.setSoTimeout(5_000);
+            assertThat(fourth.getInputStream().read()).isEqualTo(-1);
+            assertThat(first.isConnected() && second.isConnected() && third.isConnected())
+                    .isTrue();
+        }
+        assertThat(metrics.toText()).contains("reason=\"too-many-connections\"");
+    }
+
+    private CallerReply answer(CallerRequest request, CallerPresence presence) {
+        if (request.path().equals("/hold")) {
+            presence.onGone(callerGone::countDown);
+            try {
+                hold.await(10, TimeUnit.SECONDS);
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        String body = "path=" + request.path() + " body=" + new String(request.body(), StandardCharsets.UTF_8);
+        return CallerReply.answered(200, Map.of(), body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private Socket open(String path) throws IOException {
+        Socket socket = new Socket("127.0.0.1", port);
+        socket.getOutputStream()
+                .write(("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+        return socket;
+    }
+
+    private String exchange(String request) throws IOException {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(5_000);
+            OutputStream output = socket.getOutputStream();
+            output.write(request.getBytes(StandardCharsets.US_ASCII));
+            output.flush();
+            InputStream input = socket.getInputStream();
+            StringBuilder answer = new StringBuilder();
+            byte[] buffer = new byte[4_096];
+            try {
+                int count = input.read(buffer);
+                while (count >= 0) {
+                    answer.append(new String(buffer, 0, count, StandardCharsets.UTF_8));
+                    count = input.read(buffer);
+                }
+            } catch (IOException ignored) {
+                // A reset after the refusal: the server closed while unread bytes were under way.
+            }
+            return answer.toString();
+        }
+    }
+}
