--- a/src/main/java/org/cassiabank/declaration/Selector.java
+++ b/src/main/java/org/cassiabank/declaration/Selector.java
@@ -40,7 +40,7 @@
         Objects.requireNonNull(path, "path");
         Objects.requireNonNull(callers, "callers");
         Objects.requireNonNull(cost, "cost");
-        methods = Set.copyOf(methods);
+        methods = MethodSets.share(methods);
         servers = Map.copyOf(servers);
         DeclarationRules.require(DeclarationRules.nameProblem(name));
         DeclarationRules.require(DeclarationRules.nameProblem(service));
@@ -50,6 +50,9 @@
         DeclarationRules.require(DeclarationRules.labelsProblem(servers));
         DeclarationRules.require(DeclarationRules.WEIGHT.problem(weight));
         DeclarationRules.require(DeclarationRules.PRIORITY.problem(priority));
+        // Selectors read from documents would otherwise each hold their own copy of these recurring strings.
+        service = service.intern();
+        callers = callers.equals("*") ? "*" : callers;
     }
 
     /**
--- a/src/main/java/org/cassiabank/revision/ChangeCommitter.java
+++ b/src/main/java/org/cassiabank/revision/ChangeCommitter.java
@@ -159,7 +159,8 @@
     }
 
     private byte[] validated(Change change, Configuration current) {
-        List<Finding> findings = ConfigurationValidator.validate(change.operation(), change.applyTo(current));
+        List<Finding> findings =
+                ConfigurationValidator.validate("operation " + change.operation(), change.applyTo(current));
         if (!findings.isEmpty()) {
             throw CassiabankException.ofFindings(findings);
         }
--- a/src/test/java/org/cassiabank/declaration/RoutingBenchmark.java
+++ b/src/test/java/org/cassiabank/declaration/RoutingBenchmark.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -104,22 +103,8 @@
         return ConfigurationValidator.validate("benchmark", configuration).size();
     }
 
-    /** Prints the memory that a configuration and its router hold. */
-    public static void main(String[] arguments) {
-        for (boolean byPath : new boolean[] {true, false}) {
-            long before = usedBytes();
-            Configuration configuration = configuration(360_000, byPath);
-            long loaded = usedBytes();
-            RequestRouter router = RequestRouter.of(configuration);
-            long routed = usedBytes();
-            System.out.println((byPath ? "paths" : "callers") + ": configuration " + (loaded - before) / 1_000_000
-                    + " MB, router " + (routed - loaded) / 1_000_000 + " MB, found "
-                    + router.route("GET", "/service-1/resource", "customer-1", new Random(1))
-                            .isPresent());
-        }
-    }
-
-    private static long usedBytes() {
+    /** Returns the memory in use after garbage collection. */
+    public static long usedBytes() {
         Runtime runtime = Runtime.getRuntime();
         for (int round = 0; round < 3; round++) {
             System.gc();
--- a/src/test/java/org/cassiabank/revision/ChangeCommitterTest.java
+++ b/src/test/java/org/cassiabank/revision/ChangeCommitterTest.java
@@ -135,7 +135,7 @@
         Edit label = new PutEdit(new LabelRule("menu", "menu-1", Map.of("service", "menu")), 0);
         committer.commit("label", List.of(label));
         assertThatThrownBy(() -> committer.commit("delete", List.of(new DeleteEdit(MENU, 1))))
-                .hasMessage("delete: label.menu.set.service: unknown service \"menu\"");
+                .hasMessage("operation delete: label.menu.set.service: unknown service \"menu\"");
         assertThat(committedOperations()).hasSize(2);
     }
 
