--- a/src/main/java/org/cassiabank/admission/FairQueue.java
+++ b/src/main/java/org/cassiabank/admission/FairQueue.java
@@ -85,6 +85,7 @@
         flow.added(ticket.costMicros());
         lane(ticket.laneKey()).add(ticket, flow, ++sequence);
         tickets.put(ticket.number(), ticket);
+        ticket.setQueued(true);
         queuedMicros += ticket.costMicros();
     }
 
@@ -93,6 +94,7 @@
         if (tickets.remove(ticket.number()) == null) {
             return false;
         }
+        ticket.setQueued(false);
         Flow flow = flows.get(ticket.ask().caller());
         lane(ticket.laneKey()).remove(ticket, flow);
         flow.removed(ticket.costMicros());
--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -17,6 +17,8 @@
  */
 public final class SlotScheduler {
     private static final long NO_SERVER_RETRY_MILLIS = 1000;
+    /** Timers of tickets that left the queue are removed together when there are more than this and than others. */
+    private static final int MIN_TIMERS = 1024;
 
     private final SchedulerSettings settings;
     private final ServerPool pool = new ServerPool();
@@ -105,6 +107,9 @@
             return refused.get();
         }
         timers.add(new Timer(due(ticket), ticket));
+        if (timers.size() > 2 * (shortQueue.size() + longQueue.size()) + MIN_TIMERS) {
+            timers.removeIf(timer -> !timer.ticket().isQueued());
+        }
         return new Queued(ticket.number());
     }
 
@@ -251,10 +256,11 @@
         leases.expire(latestNow);
         while (!timers.isEmpty() && timers.element().due() <= latestNow) {
             Ticket ticket = timers.remove().ticket();
-            boolean longWork = longQueue.find(ticket.number()).isPresent();
-            FairQueue queue = queue(longWork);
-            if (queue.find(ticket.number()).isPresent() && !dropIfLate(queue, ticket, longWork, latestNow)) {
-                timers.add(new Timer(due(ticket), ticket));
+            if (ticket.isQueued()) {
+                boolean longWork = longQueue.find(ticket.number()).isPresent();
+                if (!dropIfLate(queue(longWork), ticket, longWork, latestNow)) {
+                    timers.add(new Timer(due(ticket), ticket));
+                }
             }
         }
         return latestNow;
--- a/src/main/java/org/cassiabank/admission/Ticket.java
+++ b/src/main/java/org/cassiabank/admission/Ticket.java
@@ -16,6 +16,7 @@
     private final long deadline;
     private double costMicros;
     private long renewedAt;
+    private boolean queued;
 
     Ticket(long number, SlotAsk ask, RouteCost route, double costMicros, boolean probe, long nowMillis) {
         this.number = number;
@@ -58,6 +59,14 @@
         return probe ? deadline : deadline - (long) (costMicros / 1000);
     }
 
+    boolean isQueued() {
+        return queued;
+    }
+
+    void setQueued(boolean value) {
+        queued = value;
+    }
+
     boolean isProbe() {
         return probe;
     }
--- a/src/test/java/org/cassiabank/admission/SlotSchedulerTest.java
+++ b/src/test/java/org/cassiabank/admission/SlotSchedulerTest.java
@@ -96,12 +96,23 @@
                 .hasSize(8);
     }
 
+    @Test
+    void routeWithoutAnswersCannotTakeAllSlotsOfAKnownService() {
+        scheduler.updateServers(SchedulerSimulation.servers(8, 2), 0);
+        learn("menu", 10_000);
+        assertThat(grantAll(SchedulerSimulation.ask("unknown", "caller", 20_000), 0))
+                .hasSize(8);
+    }
+
     @Test
     void hedgeIsOfferedOnlyForRepeatableRequestsWhileASlotIsFree() {
         scheduler.updateServers(SchedulerSimulation.servers(2, 1), 0);
         for (int i = 0; i < 100; i++) {
             learn("menu", 10_000);
         }
+        Granted unrepeatable = (Granted) scheduler.offer(ask(CostHint.SHORT, false), 0);
+        assertThat(unrepeatable.hedgeAfterMillis()).isZero();
+        scheduler.finish(unrepeatable.lease(), Outcome.ANSWERED, 10_000, 0);
         Granted first = (Granted) scheduler.offer(SchedulerSimulation.ask("menu", "caller", 500), 0);
         assertThat(first.hedgeAfterMillis()).isBetween(10L, 12L);
         assertThat(first.leaseMillis()).isEqualTo(750);
@@ -146,6 +157,24 @@
         assertThat(reasons(patient.advance(291))).containsExactly(Map.entry(late, RefusalReason.DEADLINE));
     }
 
+    @Test
+    void oneCallerCannotFillTheQueueAgainstOthers() {
+        SlotScheduler small =
+                SlotScheduler.create(new SchedulerSettings(true, false, 100, 500, 10_000, 0.5, 2_000, 500, 250, 50));
+        small.updateServers(SchedulerSimulation.servers(1, 1), 0);
+        small.offer(ask(CostHint.SHORT, true), 0);
+        int queued = 0;
+        SlotDecision decision = small.offer(ask(CostHint.SHORT, true), 0);
+        for (; decision instanceof Queued; queued++) {
+            decision = small.offer(ask(CostHint.SHORT, true), 0);
+        }
+        assertThat(queued).isEqualTo(50);
+        assertThat(((Refused) decision).reason()).isEqualTo(RefusalReason.QUEUE_FULL);
+        assertThat(((Refused) decision).retryAfterMillis()).isBetween(400L, 700L);
+        assertThat(small.offer(SchedulerSimulation.ask("menu", "newcomer", 5_000), 0))
+                .isInstanceOf(Queued.class);
+    }
+
     @Test
     void requestThatFindsNoServerIsRefusedWithItsReason() {
         assertThat(refusal(Set.of(), Map.of())).isEqualTo(RefusalReason.NO_SERVER);
