--- a/src/main/java/org/cassiabank/once/ClaimHandover.java
+++ b/src/main/java/org/cassiabank/once/ClaimHandover.java
@@ -41,16 +41,31 @@
         Set<Set<String>> known = new HashSet<>();
         for (Collection<Instance> proxies : recentLists) {
             List<Instance> keepers = keepers(key, proxies);
-            if (known.add(keepers.stream().map(Instance::name).collect(Collectors.toSet()))) {
+            if (known.add(names(keepers))) {
                 sets.add(keepers);
             }
         }
         return sets;
     }
 
+    /**
+     * Tells whether a proxy is a keeper of a key under one of several lists. A keeper that is not must not vote: the
+     * entry that asks has an outdated list.
+     *
+     * @param self the name of the proxy
+     * @param key the idempotency key
+     * @param recentLists the live proxies now and as they were during the last handover time
+     * @return true if it is a keeper
+     */
+    public static boolean isKeeper(String self, String key, Collection<? extends Collection<Instance>> recentLists) {
+        return recentLists.stream()
+                .anyMatch(proxies -> names(keepers(key, proxies)).contains(self));
+    }
+
     /**
      * Returns what a keeper sends to the proxies that become keepers of its records. Every keeper sends its records,
-     * also one that stays a keeper, because a killed keeper cannot send its own.
+     * also one that stays a keeper, because a killed keeper cannot send its own. A keeper that leaves sends its records
+     * to all keepers after the change, because one of them may have lost its own.
      *
      * @param self the name of the sending proxy
      * @param records the records of the sending proxy
@@ -60,10 +75,10 @@
      */
     public static Map<String, List<ClaimRecord>> plan(
             String self, List<ClaimRecord> records, Collection<Instance> before, Collection<Instance> after) {
+        boolean leaves = !names(after).contains(self);
         Map<String, List<ClaimRecord>> plan = new HashMap<>();
         for (ClaimRecord record : records) {
-            Set<String> old =
-                    keepers(record.key(), before).stream().map(Instance::name).collect(Collectors.toSet());
+            Set<String> old = leaves ? Set.of() : names(keepers(record.key(), before));
             for (Instance keeper : keepers(record.key(), after)) {
                 if (!keeper.name().equals(self) && !old.contains(keeper.name())) {
                     plan.computeIfAbsent(keeper.name(), name -> new ArrayList<>())
@@ -88,4 +103,8 @@
                         .anyMatch(keeper -> keeper.name().equals(peer)))
                 .toList();
     }
+
+    private static Set<String> names(Collection<Instance> instances) {
+        return instances.stream().map(Instance::name).collect(Collectors.toSet());
+    }
 }
--- a/src/main/java/org/cassiabank/once/ClaimTable.java
+++ b/src/main/java/org/cassiabank/once/ClaimTable.java
@@ -22,6 +22,7 @@
     private long answerBytes;
     private boolean ready;
     private long incompleteUntil = Long.MIN_VALUE;
+    private long nextSweepMillis = Long.MIN_VALUE;
 
     private ClaimTable(ClaimSettings settings) {
         this.settings = Objects.requireNonNull(settings, "settings");
@@ -75,7 +76,7 @@
             return known.vote(claim, requestDigest, nowMillis - settings.runMillis());
         }
         boolean barred = known != null && known.isBarred(claim, nowMillis - settings.claimMillis());
-        boolean full = known == null && records.size() >= settings.mostRecords();
+        boolean full = known == null && !hasRoom(nowMillis);
         if (!ready || barred || full || nowMillis < incompleteUntil) {
             return ClaimAnswer.of(ClaimState.NOT_READY);
         }
@@ -154,6 +155,19 @@
         return records.size();
     }
 
+    /**
+     * Tells whether a new claim has room. Released records hold nothing and are dropped first, but only after the claim
+     * time, in which a delayed message may still claim the key for the released claim.
+     */
+    private boolean hasRoom(long nowMillis) {
+        if (records.size() >= settings.mostRecords() && nowMillis >= nextSweepMillis) {
+            nextSweepMillis = nowMillis + settings.claimMillis();
+            records.values()
+                    .removeIf(record -> record.isFree() && !record.isBarred("", nowMillis - settings.claimMillis()));
+        }
+        return records.size() < settings.mostRecords();
+    }
+
     private int roomForHandover() {
         return 2 * settings.mostRecords();
     }
