Check only what a change can break after the first complete check

Cause: a complete check of 360,000 selectors takes about 2 s, and at the target scale the next change arrives after 1.5 s, so a committer would mostly lose the race again after each rebase. Ruled out: checking only the edited entities; an edit can also make other selectors unreachable or remove a label that they need, so these relations are still checked over all selectors. Change: ConfigurationValidator.validateChange, used by ChangeCommitter from its second check on. A property compares it with the complete check.

--- a/src/main/java/org/cassiabank/declaration/ConfigurationValidator.java
+++ b/src/main/java/org/cassiabank/declaration/ConfigurationValidator.java
@@ -1,25 +1,33 @@
 package org.cassiabank.declaration;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.cassiabank.kernel.Finding;
 
 /**
  * Checks the relations between the entities of a whole configuration.
  */
 public final class ConfigurationValidator {
+    // With more changed selectors, searching the ones that they cover costs more than a complete check.
+    private static final int MOST_CHANGED_SELECTORS = 64;
+
     private final String source;
     private final Configuration configuration;
+    private final RequestRouter router;
     private final List<Finding> findings = new ArrayList<>();
 
-    private ConfigurationValidator(String source, Configuration configuration) {
+    private ConfigurationValidator(String source, RequestRouter router) {
         this.source = source;
-        this.configuration = configuration;
+        this.configuration = router.configuration();
+        this.router = router;
     }
 
     /**
@@ -31,12 +39,45 @@
      */
     public static List<Finding> validate(String source, Configuration configuration) {
         Objects.requireNonNull(source, "source");
-        ConfigurationValidator validator = new ConfigurationValidator(source, configuration);
-        validator.checkLabels();
-        validator.checkSelectors();
-        validator.checkFloors();
-        validator.findings.sort((left, right) -> left.key().compareTo(right.key()));
-        return List.copyOf(validator.findings);
+        ConfigurationValidator validator = new ConfigurationValidator(source, RequestRouter.of(configuration));
+        return validator.check(selector -> true);
+    }
+
+    /**
+     * Checks a configuration that differs little from a valid one. The findings are the same as those of
+     * {@link #validate}, but only selectors that the difference can make unreachable are tried for that.
+     *
+     * @param source the name of the file or operation, for reports
+     * @param valid a router of the valid configuration
+     * @param next the configuration to check
+     * @return all findings, in the order of their keys; empty if the configuration is valid
+     */
+    public static List<Finding> validateChange(String source, RequestRouter valid, Configuration next) {
+        Objects.requireNonNull(source, "source");
+        List<Selector> changed = new ArrayList<>();
+        valid.configuration()
+                .ofKind(EntityKind.SELECTOR)
+                .forEachDifference(next.ofKind(EntityKind.SELECTOR), (name, before, after) -> {
+                    if (after != null) {
+                        changed.add((Selector) after.declaration());
+                    }
+                });
+        ConfigurationValidator validator = new ConfigurationValidator(source, valid.update(next));
+        if (changed.size() > MOST_CHANGED_SELECTORS) {
+            return validator.check(selector -> true);
+        }
+        return validator.check(selector -> changed.stream()
+                .anyMatch(other -> other == selector
+                        || other.priority() > selector.priority()
+                                && selector.path().startsWith(other.path())));
+    }
+
+    private List<Finding> check(Predicate<Selector> mayBeUnreachable) {
+        checkLabels();
+        checkSelectors(mayBeUnreachable);
+        checkFloors();
+        findings.sort(Comparator.comparing(Finding::key));
+        return List.copyOf(findings);
     }
 
     private void checkLabels() {
@@ -48,14 +89,13 @@
         }
     }
 
-    private void checkSelectors() {
+    private void checkSelectors(Predicate<Selector> mayBeUnreachable) {
         Map<String, Set<String>> labelValues = new HashMap<>();
         for (LabelRule rule : configuration.labels()) {
             rule.set().forEach((label, value) -> labelValues
                     .computeIfAbsent(label, ignored -> new HashSet<>())
                     .add(value));
         }
-        RequestRouter router = RequestRouter.of(configuration);
         for (Selector selector : configuration.selectors()) {
             if (configuration.service(selector.service()).isEmpty()) {
                 report(selector.key(), "service", "unknown service \"" + selector.service() + "\"");
@@ -67,12 +107,13 @@
                     report(selector.key(), "servers." + label, "differs from service \"" + selector.service() + "\"");
                 }
             });
-            router.coveringSelector(selector)
-                    .ifPresent(covering -> report(
-                            selector.key(),
-                            "priority",
-                            "unreachable: " + covering.key() + " has priority " + covering.priority()
-                                    + " and matches every request of this selector"));
+            Optional<Selector> found =
+                    mayBeUnreachable.test(selector) ? router.coveringSelector(selector) : Optional.empty();
+            found.ifPresent(covering -> report(
+                    selector.key(),
+                    "priority",
+                    "unreachable: " + covering.key() + " has priority " + covering.priority()
+                            + " and matches every request of this selector"));
         }
     }
 
--- a/src/main/java/org/cassiabank/revision/ChangeCommitter.java
+++ b/src/main/java/org/cassiabank/revision/ChangeCommitter.java
@@ -6,6 +6,7 @@
 import org.cassiabank.declaration.Configuration;
 import org.cassiabank.declaration.ConfigurationValidator;
 import org.cassiabank.declaration.EntityKey;
+import org.cassiabank.declaration.RequestRouter;
 import org.cassiabank.declaration.VersionedDeclaration;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.kernel.ErrorCode;
@@ -27,6 +28,10 @@
     private final StoredChanges stored;
     private final StoredSnapshots snapshots;
     private final ConfigurationHistory history = ConfigurationHistory.create();
+    // Every committed change was validated, so after one complete check only the own edits need checking. A complete
+    // check of 360,000 selectors takes longer than the time between two changes of the target scale.
+    private boolean validated;
+    private RequestRouter router = RequestRouter.of(Configuration.empty());
     private boolean loaded;
     private long snapshotRevision;
 
@@ -159,8 +164,16 @@
     }
 
     private byte[] validated(Change change, Configuration current) {
-        List<Finding> findings =
-                ConfigurationValidator.validate("operation " + change.operation(), change.applyTo(current));
+        String source = "operation " + change.operation();
+        Configuration next = change.applyTo(current);
+        List<Finding> findings;
+        if (validated) {
+            router = router.update(current);
+            findings = ConfigurationValidator.validateChange(source, router, next);
+        } else {
+            findings = ConfigurationValidator.validate(source, next);
+            validated = true;
+        }
         if (!findings.isEmpty()) {
             throw CassiabankException.ofFindings(findings);
         }
--- a/src/test/java/org/cassiabank/declaration/ConfigurationTest.java
+++ b/src/test/java/org/cassiabank/declaration/ConfigurationTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.stream.Stream;
 import net.jqwik.api.Example;
@@ -53,6 +54,47 @@
                         "f: service.menu.floor: floor 3 exceeds the 2 servers that label rules put into the service");
     }
 
+    @Property(tries = 300)
+    void checkingAChangeFindsWhatACompleteCheckFinds(@ForAll long seed) {
+        Random random = new Random(seed);
+        RequestRouter valid = RequestRouter.of(Configuration.empty());
+        for (int revision = 1; revision <= 40; revision++) {
+            Declaration put = randomDeclaration(random);
+            List<EntityKey> deletes =
+                    random.nextInt(4) == 0 ? List.of(randomDeclaration(random).key()) : List.of();
+            Configuration next =
+                    valid.configuration().with(valid.configuration().revision() + 1, List.of(put), deletes);
+            List<Finding> complete = ConfigurationValidator.validate("f", next);
+            assertThat(ConfigurationValidator.validateChange("f", valid, next)).isEqualTo(complete);
+            valid = complete.isEmpty() ? valid.update(next) : valid;
+        }
+    }
+
+    private static Declaration randomDeclaration(Random random) {
+        String name = "n" + random.nextInt(3);
+        String service = "n" + random.nextInt(2);
+        return switch (random.nextInt(6)) {
+            case 0 -> new ServiceDeclaration(name, 1, random.nextInt(3), 100);
+            case 1 ->
+                new LabelRule(
+                        name,
+                        List.of("a", "b", "a*").get(random.nextInt(3)),
+                        Map.of("service", service, "tier", "t" + random.nextInt(2)));
+            default ->
+                new Selector(
+                        "s" + random.nextInt(6),
+                        service,
+                        Set.of(),
+                        List.of("/", "/a", "/a/b").get(random.nextInt(3)),
+                        List.of("*", "x*", "xy").get(random.nextInt(3)),
+                        random.nextInt(4) == 0 ? Map.of("tier", "t" + random.nextInt(2)) : Map.of(),
+                        1,
+                        true,
+                        CostHint.SHORT,
+                        random.nextInt(3));
+        };
+    }
+
     @Example
     void serversAreGroupedByTheMostSpecificRules() {
         Configuration configuration = of(
--- a/src/test/java/org/cassiabank/declaration/RoutingBenchmark.java
+++ b/src/test/java/org/cassiabank/declaration/RoutingBenchmark.java
@@ -103,6 +103,13 @@
         return ConfigurationValidator.validate("benchmark", configuration).size();
     }
 
+    @Benchmark
+    public int validateChange() {
+        Selector changed = selector(random.nextInt(selectors), spread.equals("paths"), 2);
+        Configuration next = configuration.with(2, List.of(changed), List.of());
+        return ConfigurationValidator.validateChange("benchmark", router, next).size();
+    }
+
     /** Returns the memory in use after garbage collection. */
     public static long usedBytes() {
         Runtime runtime = Runtime.getRuntime();
