Measure what messages cost at peak demand

Cause: the virtual-time figures had no network delay, but a slot is idle during four messages: answer to the entry, report to the owner, grant to the entry, request to the server. Ruled out: granting more leases than slots for the messages under way, because servers shed what exceeds their slots. Change: SchedulerSimulation takes the time of one message; a test that nothing beyond these four messages is lost.

--- a/src/test/java/org/cassiabank/admission/SchedulerSimulation.java
+++ b/src/test/java/org/cassiabank/admission/SchedulerSimulation.java
@@ -22,6 +22,7 @@
     private final List<Arrival> arrivals = new ArrayList<>();
     private final SlotScheduler scheduler;
     private final Random random;
+    private double hopMillis;
     private double now;
     private long order;
 
@@ -35,6 +36,12 @@
         return new SchedulerSimulation(settings, servers, slots, seed);
     }
 
+    /** Sets the time of one message between the owner, an entry and a server. */
+    SchedulerSimulation hop(double millis) {
+        hopMillis = millis;
+        return this;
+    }
+
     static List<ServerCapacity> servers(int count, int slots) {
         return IntStream.range(0, count)
                 .mapToObj(i -> new ServerCapacity(
@@ -112,12 +119,12 @@
     private void handle(Arrival arrival, SlotDecision decision) {
         switch (decision) {
             case Granted granted -> {
-                arrival.startedAt = now;
-                at(now + arrival.serviceMillis, () -> {
-                    arrival.endedAt = now;
-                    scheduler.finish(
-                            granted.lease(), Outcome.ANSWERED, (long) (arrival.serviceMillis * 1000), (long) now);
-                });
+                arrival.startedAt = now + 2 * hopMillis;
+                arrival.endedAt = arrival.startedAt + arrival.serviceMillis;
+                long latencyMicros = (long) ((arrival.serviceMillis + 2 * hopMillis) * 1000);
+                at(
+                        arrival.endedAt + 2 * hopMillis,
+                        () -> scheduler.finish(granted.lease(), Outcome.ANSWERED, latencyMicros, (long) now));
             }
             case Refused refused -> {
                 arrival.refusedAt = now;
--- a/src/test/java/org/cassiabank/admission/SchedulerTargetsTest.java
+++ b/src/test/java/org/cassiabank/admission/SchedulerTargetsTest.java
@@ -74,6 +74,23 @@
         }
     }
 
+    /** A slot is idle during the four messages between an answer and the next request; nothing else may be lost. */
+    @ParameterizedTest
+    @ValueSource(doubles = {0.5, 1})
+    void messagesCostOnlyTheSlotTimeThatTheyTake(double hopMillis) {
+        SchedulerSimulation simulation = SchedulerSimulation.create(SchedulerSettings.defaults(), SERVERS, SLOTS, 1)
+                .hop(hopMillis)
+                .load("quote", 20, 20, 300, 22_000, time -> time < 10_000 ? 400 : 2_400)
+                .run();
+        double useful = simulation.usefulShare(SERVERS * SLOTS, 12_000, 22_000);
+        double possible = 20 / (20 + 4 * hopMillis);
+        report(
+                "hop %.1f ms: useful slot time %.2f%% of %.2f%%, refusals within 50 ms %.2f%%",
+                hopMillis, 100 * useful, 100 * possible, 100 * refusedAtOnce(simulation));
+        assertThat(useful).isGreaterThanOrEqualTo(0.98 * possible);
+        assertThat(refusedAtOnce(simulation)).isGreaterThan(0.99);
+    }
+
     private static List<Arrival> shortWork(
             SchedulerSettings settings, double perSecond, int longWork, double until, long seed) {
         return SchedulerSimulation.create(settings, SERVERS, SLOTS, seed)
