--- a/src/test/java/org/cassiabank/once/ClaimTableTest.java
+++ b/src/test/java/org/cassiabank/once/ClaimTableTest.java
@@ -176,4 +176,20 @@
                     .hasSize(2);
         }
     }
+
+    /** Guards against a claim under the newest list only while others still use an older one. */
+    @Test
+    void listsStayInUseForTheWholeWindow() {
+        ProxyListHistory history = ProxyListHistory.create(10, 5);
+        assertThat(history.coversWindow(0)).isFalse();
+        List<Instance> second =
+                List.of(new Instance("p", InstanceRole.PROXY, "127.0.0.1:1", "r", "d", InstanceState.LIVE));
+        history.observe(List.of(), 0);
+        history.observe(second, 100);
+        assertThat(history.coversWindow(24)).isFalse();
+        assertThat(history.coversWindow(25)).isTrue();
+        assertThat(history.recent(124)).containsExactly(List.of(), second);
+        assertThat(history.recent(125)).containsExactly(second);
+        assertThat(history.coversWindow(125)).isTrue();
+    }
 }
