--- a/src/main/java/org/cassiabank/health/EjectionPolicy.java
+++ b/src/main/java/org/cassiabank/health/EjectionPolicy.java
@@ -42,14 +42,16 @@
     }
 
     private void readmit() {
-        while (count(this::isKept) < floor && readmitLeastSevere(Candidate::warm)) {}
-        while (count(this::isUsable) < floor && readmitLeastSevere(candidate -> true)) {}
+        readmitUntilFloor(this::isKept, Candidate::warm);
+        readmitUntilFloor(this::isUsable, candidate -> true);
     }
 
-    private boolean readmitLeastSevere(Predicate<Candidate> filter) {
+    private void readmitUntilFloor(Predicate<Candidate> counted, Predicate<Candidate> filter) {
         Optional<Candidate> least = leastSevereOut(filter);
-        least.ifPresent(readmitted::add);
-        return least.isPresent();
+        while (least.isPresent() && count(counted) < floor) {
+            readmitted.add(least.get());
+            least = leastSevereOut(filter);
+        }
     }
 
     private void eject() {
@@ -61,9 +63,11 @@
                 .toList();
         long present = count(candidate -> !candidate.leaving());
         long unhealthy = count(candidate -> !candidate.leaving() && !isUsable(candidate)) + outliers.size();
-        boolean mayEject = 2 * unhealthy <= present;
+        if (2 * unhealthy > present) {
+            return;
+        }
         for (Candidate outlier : outliers) {
-            if (mayEject && leavesFloor(outlier)) {
+            if (leavesFloor(outlier)) {
                 ejected.add(outlier);
             } else {
                 replaceLessSevere(outlier);
--- a/src/main/java/org/cassiabank/health/HealthMonitor.java
+++ b/src/main/java/org/cassiabank/health/HealthMonitor.java
@@ -92,7 +92,8 @@
     }
 
     /**
-     * Takes an attempt that has not ended as evidence. It may be observed any number of times and counts once.
+     * Takes an attempt that has not ended as evidence. It may be observed any number of times and counts
+     * once when it becomes slow and once more each time it has become slower by the slow factor.
      *
      * @param serverName the name of the server
      * @param route the selector that the request was routed by
@@ -171,7 +172,7 @@
         indexes.set(index);
         Server server = new Server();
         server.description = description;
-        server.evidence = new ServerEvidence(index, settings);
+        server.evidence = detector.createEvidence(index);
         server.probation = new Probation(settings, nowMillis);
         server.coldUntilMillis = hasServers ? nowMillis + settings.coldGraceMillis() : nowMillis;
         return server;
--- a/src/main/java/org/cassiabank/health/HealthSettings.java
+++ b/src/main/java/org/cassiabank/health/HealthSettings.java
@@ -45,6 +45,6 @@
      * @return the default limits
      */
     public static HealthSettings defaults() {
-        return new HealthSettings(20, 20, 4, 1_000, 300_000, 5, 5_000);
+        return new HealthSettings(20, 24, 4, 1_000, 300_000, 5, 5_000);
     }
 }
--- a/src/main/java/org/cassiabank/health/OutlierDetector.java
+++ b/src/main/java/org/cassiabank/health/OutlierDetector.java
@@ -4,7 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.ToDoubleFunction;
+import java.util.function.Function;
 
 /**
  * Compares each server with the other servers of the shard, separately for errors and for slowness.
@@ -16,12 +16,12 @@
     private static final int ROUTE_LIMIT = 256;
     private static final double ERROR_PRIOR = 0.01;
     private static final double SLOW_PRIOR = 0.02;
-    // The rate at the others is an estimate; the margin keeps a server that equals them from collecting evidence.
-    private static final double RATE_MARGIN = 1.3;
     // Below this time, differences between servers are scheduling noise of the hosts.
     private static final double SLACK_MICROS = 2_000;
     private static final double STALL_TAIL_FACTOR = 2;
     private static final double BAD_RATIO = 1;
+    // In the first second of a fault of the whole service the scores scatter by about twice their median.
+    private static final double MEDIAN_FACTOR = 3;
 
     private final HealthSettings settings;
     private final RouteEvidence service = new RouteEvidence();
@@ -34,10 +34,23 @@
         }
     };
 
+    private final SampleCounts allErrors = new SampleCounts();
+    private final SampleCounts allSlow = new SampleCounts();
+
     OutlierDetector(HealthSettings settings) {
         this.settings = settings;
     }
 
+    /**
+     * Creates the evidence of a server that nothing is known about.
+     *
+     * @param index the index of the server, unique among the present servers
+     * @return the evidence
+     */
+    ServerEvidence createEvidence(int index) {
+        return new ServerEvidence(index, settings, allErrors, allSlow);
+    }
+
     /**
      * Weighs the end of an attempt.
      *
@@ -57,6 +70,12 @@
         boolean isAnswer = outcome == Outcome.ANSWERED;
         boolean wasNoted = evidence.overdue().finish(startMicros(observation.latencyMicros(), nowMillis));
         boolean isSlow = isOverdue(route, observation.latencyMicros(), nowMillis);
+        if (outcome == Outcome.CANCELLED && !isSlow) {
+            return Judgement.NEUTRAL;
+        }
+        if (!(isSlow && wasNoted && isAnswer)) {
+            evidence.weigh(!isAnswer && outcome != Outcome.CANCELLED, isSlow && scope.judgesSlowness());
+        }
         double ratio = 0;
         if (outcome != Outcome.CANCELLED) {
             ratio = addError(evidence, route, !isAnswer, scope, servers, nowMillis);
@@ -87,7 +106,7 @@
      * @param scope what the attempt may count for
      * @param servers the number of servers of the shard
      * @param nowMillis the time in milliseconds
-     * @return {@link Judgement#BAD} when the attempt is found slow for the first time, else {@link Judgement#NEUTRAL}
+     * @return {@link Judgement#BAD} when the attempt has become slow by a further factor, else NEUTRAL
      */
     Judgement observeInFlight(
             ServerEvidence evidence, String routeName, long elapsedMicros, Scope scope, int servers, long nowMillis) {
@@ -95,11 +114,14 @@
         if (route == null || !isOverdue(route, elapsedMicros, nowMillis)) {
             return Judgement.NEUTRAL;
         }
+        double factor = elapsedMicros / route.latencies().usualMicros();
+        int level = Math.max(1, (int) (Math.log(factor) / Math.log(settings.slowFactor())));
         boolean isStalled =
                 elapsedMicros > STALL_TAIL_FACTOR * route.latencies().tailMicros();
-        if (!evidence.overdue().note(startMicros(elapsedMicros, nowMillis), isStalled, nowMillis)) {
+        if (!evidence.overdue().note(startMicros(elapsedMicros, nowMillis), level, isStalled, nowMillis)) {
             return Judgement.NEUTRAL;
         }
+        evidence.weigh(false, scope.judgesSlowness());
         double ratio = addSlowness(evidence, route, true, scope, servers, nowMillis);
         return ratio >= BAD_RATIO ? Judgement.BAD : Judgement.NEUTRAL;
     }
@@ -119,7 +141,7 @@
     }
 
     /**
-     * Finds the servers whose score exceeds the median score of all by the threshold of one of the tests.
+     * Finds the servers whose score exceeds the threshold of one of the tests and stands out from the scores of all.
      *
      * @param servers the servers to compare
      * @param nowMillis the time in milliseconds
@@ -127,8 +149,8 @@
      */
     boolean[] outliers(List<ServerEvidence> servers, long nowMillis) {
         boolean[] found = new boolean[servers.size()];
-        mark(found, servers, evidence -> evidence.errorScore(nowMillis), settings.errorThreshold());
-        mark(found, servers, evidence -> evidence.slownessScore(nowMillis), settings.slownessThreshold());
+        mark(found, servers, ServerEvidence::errors, settings.errorThreshold(), nowMillis);
+        mark(found, servers, ServerEvidence::slowness, settings.slownessThreshold(), nowMillis);
         return found;
     }
 
@@ -144,7 +166,7 @@
 
     private double addError(
             ServerEvidence evidence, RouteEvidence route, boolean isError, Scope scope, int servers, long nowMillis) {
-        double usual = usualRate(service.errors(), route.errors(), ERROR_PRIOR, evidence.index());
+        double usual = route.errors().without(evidence.index(), service.errors(), ERROR_PRIOR);
         if (scope.isReference()) {
             service.errors().add(evidence.index(), isError, servers, nowMillis);
             route.errors().add(evidence.index(), isError, servers, nowMillis);
@@ -157,7 +179,7 @@
         if (!scope.judgesSlowness()) {
             return 0;
         }
-        double usual = usualRate(service.slowness(), route.slowness(), SLOW_PRIOR, evidence.index());
+        double usual = route.slowness().without(evidence.index(), service.slowness(), SLOW_PRIOR);
         if (scope.isReference()) {
             service.slowness().add(evidence.index(), isSlow, servers, nowMillis);
             if (route != service) {
@@ -167,10 +189,6 @@
         return evidence.addSlowness(isSlow, usual, nowMillis);
     }
 
-    private static double usualRate(PeerRate service, PeerRate route, double prior, int server) {
-        return RATE_MARGIN * route.without(server, service.without(server, prior));
-    }
-
     private boolean isOverdue(RouteEvidence route, long micros, long nowMillis) {
         LatencyProfile latencies = route.latencies();
         if (!latencies.isKnown(nowMillis)) {
@@ -181,14 +199,21 @@
     }
 
     private static void mark(
-            boolean[] found, List<ServerEvidence> servers, ToDoubleFunction<ServerEvidence> score, double threshold) {
-        double[] scores = servers.stream().mapToDouble(score).toArray();
+            boolean[] found,
+            List<ServerEvidence> servers,
+            Function<ServerEvidence, SequentialTest> kind,
+            double threshold,
+            long nowMillis) {
+        List<SequentialTest> tests = servers.stream().map(kind).toList();
+        double[] scores =
+                tests.stream().mapToDouble(test -> test.score(nowMillis)).toArray();
         double[] sorted = scores.clone();
         Arrays.sort(sorted);
         // A fault of the whole service raises all scores before the usual rates have followed.
         double median = sorted.length == 0 ? 0 : sorted[(sorted.length - 1) / 2];
         for (int index = 0; index < scores.length; index++) {
-            found[index] |= scores[index] - median >= threshold;
+            boolean standsOut = scores[index] - MEDIAN_FACTOR * median >= threshold;
+            found[index] |= standsOut && tests.get(index).isConfirmed();
         }
     }
 
--- a/src/main/java/org/cassiabank/health/OverdueAttempts.java
+++ b/src/main/java/org/cassiabank/health/OverdueAttempts.java
@@ -6,7 +6,8 @@
 /**
  * The attempts at one server that exceeded the slowness threshold while in flight, recognised by their start times.
  *
- * <p>It lets each attempt count as slow once, however often it is observed and whether or not its end is reported.
+ * <p>It lets each attempt count once per level of slowness, however often it is observed and whether or not its end is
+ * reported.
  */
 final class OverdueAttempts {
     // The caller truncates the time to milliseconds at each observation, so the start moves by up to 1 ms.
@@ -21,23 +22,26 @@
      * Notes that an attempt is in flight and overdue.
      *
      * @param startMicros the start of the attempt in microseconds
+     * @param level how often its time exceeds the usual time by the slow factor, at least 1
      * @param isStalled whether it also exceeds the route's longest usual times
      * @param nowMillis the time in milliseconds
-     * @return true if the attempt was not noted before
+     * @return true if the attempt was not noted at this level before
      */
-    boolean note(long startMicros, boolean isStalled, long nowMillis) {
+    boolean note(long startMicros, int level, boolean isStalled, long nowMillis) {
         Attempt known = find(startMicros);
         if (known == null) {
             attempts.removeIf(attempt -> attempt.seenMillis < nowMillis - FORGET_MILLIS);
             if (attempts.size() == LIMIT) {
                 attempts.removeFirst();
             }
-            attempts.add(new Attempt(startMicros, isStalled, nowMillis));
+            attempts.add(new Attempt(startMicros, level, isStalled, nowMillis));
             return true;
         }
         known.isStalled |= isStalled;
         known.seenMillis = nowMillis;
-        return false;
+        boolean isHigher = level > known.level;
+        known.level = Math.max(level, known.level);
+        return isHigher;
     }
 
     /**
@@ -73,11 +77,13 @@
     /** One overdue attempt. */
     private static final class Attempt {
         private final long startMicros;
+        private int level;
         private boolean isStalled;
         private long seenMillis;
 
-        private Attempt(long startMicros, boolean isStalled, long seenMillis) {
+        private Attempt(long startMicros, int level, boolean isStalled, long seenMillis) {
             this.startMicros = startMicros;
+            this.level = level;
             this.isStalled = isStalled;
             this.seenMillis = seenMillis;
         }
--- a/src/main/java/org/cassiabank/health/RouteEvidence.java
+++ b/src/main/java/org/cassiabank/health/RouteEvidence.java
@@ -2,15 +2,15 @@
 
 /** What all servers of the shard together show about one route. */
 final class RouteEvidence {
-    private final PeerRate errors = new PeerRate();
-    private final PeerRate slowness = new PeerRate();
+    private final UsualRate errors = new UsualRate();
+    private final UsualRate slowness = new UsualRate();
     private final LatencyProfile latencies = new LatencyProfile();
 
-    PeerRate errors() {
+    UsualRate errors() {
         return errors;
     }
 
-    PeerRate slowness() {
+    UsualRate slowness() {
         return slowness;
     }
 
--- a/src/main/java/org/cassiabank/health/ServerEvidence.java
+++ b/src/main/java/org/cassiabank/health/ServerEvidence.java
@@ -6,9 +6,9 @@
     private static final double USUAL_ERRORS = 0.01;
     private static final double USUAL_SLOW = 0.02;
     private static final double ERROR_SHIFT = 0.25;
-    private static final double SLOW_SHIFT = 0.35;
+    private static final double SLOW_SHIFT = 0.6;
     // A pause makes all attempts in flight slow at once, so slowness is sampled at most every 100 ms.
-    private static final long ERROR_BUCKET_MILLIS = 20;
+    private static final long ERROR_BUCKET_MILLIS = 10;
     private static final long SLOW_BUCKET_MILLIS = 100;
     private static final double SEVERITY_SHARE = 1 / 16.0;
     private static final double SLOW_SEVERITY = 0.5;
@@ -21,10 +21,12 @@
     private long lastAnswerMillis = Long.MIN_VALUE / 2;
     private long lastSilentBucket = Long.MIN_VALUE;
 
-    ServerEvidence(int index, HealthSettings settings) {
+    ServerEvidence(int index, HealthSettings settings, SampleCounts allErrors, SampleCounts allSlow) {
         this.index = index;
-        errors = new SequentialTest(USUAL_ERRORS, ERROR_SHIFT, ERROR_BUCKET_MILLIS, settings.errorThreshold());
-        slowness = new SequentialTest(USUAL_SLOW, SLOW_SHIFT, SLOW_BUCKET_MILLIS, settings.slownessThreshold());
+        errors = new SequentialTest(
+                USUAL_ERRORS, ERROR_SHIFT, ERROR_BUCKET_MILLIS, settings.errorThreshold(), allErrors);
+        slowness =
+                new SequentialTest(USUAL_SLOW, SLOW_SHIFT, SLOW_BUCKET_MILLIS, settings.slownessThreshold(), allSlow);
     }
 
     int index() {
@@ -36,17 +38,17 @@
     }
 
     double addError(boolean isError, double usualRate, long nowMillis) {
-        weigh(isError ? 1 : 0);
         return errors.add(isError, usualRate, nowMillis);
     }
 
     double addSlowness(boolean isSlow, double usualRate, long nowMillis) {
-        if (isSlow) {
-            weigh(SLOW_SEVERITY);
-        }
         return slowness.add(isSlow, usualRate, nowMillis);
     }
 
+    void weigh(boolean isError, boolean isSlow) {
+        weigh(isError ? 1 : isSlow ? SLOW_SEVERITY : 0);
+    }
+
     void noteAnswer(long nowMillis) {
         lastAnswerMillis = Math.max(lastAnswerMillis, nowMillis);
     }
@@ -70,12 +72,12 @@
         return silent;
     }
 
-    double errorScore(long nowMillis) {
-        return errors.score(nowMillis);
+    SequentialTest errors() {
+        return errors;
     }
 
-    double slownessScore(long nowMillis) {
-        return slowness.score(nowMillis);
+    SequentialTest slowness() {
+        return slowness;
     }
 
     /**
