--- a/src/main/java/org/cassiabank/proxy/Attempts.java
+++ b/src/main/java/org/cassiabank/proxy/Attempts.java
@@ -58,7 +58,7 @@
     }
 
     void release(SlotResult.Slot slot) {
-        workers.execute(() -> broker.report(slot, Outcome.NOT_RUN, 0, false));
+        workers.execute(() -> broker.report(slot, Outcome.CANCELLED, 0, false));
     }
 
     void retried(RetryReason reason) {
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -176,7 +176,7 @@
         uncollected.values().removeIf(decided -> {
             boolean abandoned = nowMillis - decided.sinceMillis() > COLLECTION_MILLIS;
             if (abandoned && decided.decision() instanceof Granted granted) {
-                scheduler.finish(granted.lease(), Outcome.NOT_RUN, 0, nowMillis);
+                scheduler.finish(granted.lease(), Outcome.CANCELLED, 0, nowMillis);
             }
             return abandoned;
         });
--- /dev/null
+++ b/src/test/java/org/cassiabank/kernel/KernelTest.java
@@ -0,0 +1,63 @@
+package org.cassiabank.kernel;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards against services that stay running after a failed start, and against a wrong order of stopping. */
+class KernelTest {
+    private final List<String> events = new ArrayList<>();
+
+    @Test
+    void servicesStartInOrderAndStopInReverse() {
+        Kernel kernel = kernelWith(recorder("first", false), recorder("second", false));
+        kernel.start();
+        kernel.close();
+        kernel.close();
+        assertThat(events).containsExactly("start first", "start second", "stop second", "stop first");
+    }
+
+    @Test
+    void aFailedStartStopsWhatHasStarted() {
+        Kernel kernel = kernelWith(recorder("first", false), recorder("second", true));
+        assertThatThrownBy(kernel::start).isInstanceOf(CassiabankException.class);
+        assertThat(events).containsExactly("start first", "stop first");
+    }
+
+    @Test
+    void aMissingServiceIsReportedByItsName() {
+        Kernel kernel = Kernel.create();
+        ServiceName<String> name = ServiceName.of("absent", String.class);
+        assertThat(kernel.find(name)).isEmpty();
+        assertThatThrownBy(() -> kernel.get(name)).hasMessageContaining("absent");
+        kernel.register(name, "present");
+        assertThatThrownBy(() -> kernel.register(name, "again")).isInstanceOf(IllegalStateException.class);
+        assertThat(kernel.get(name)).isEqualTo("present");
+    }
+
+    private Kernel kernelWith(KernelService first, KernelService second) {
+        return Kernel.create()
+                .register(ServiceName.of("first", KernelService.class), first)
+                .register(ServiceName.of("second", KernelService.class), second);
+    }
+
+    private KernelService recorder(String name, boolean fails) {
+        return new KernelService() {
+            @Override
+            public void start(Kernel kernel) {
+                if (fails) {
+                    throw CassiabankException.of(ErrorCode.START_FAILED, name);
+                }
+                events.add("start " + name);
+            }
+
+            @Override
+            public void stop() {
+                events.add("stop " + name);
+            }
+        };
+    }
+}
