Count a request as in flight until its last byte is written

Cause: a graceful stop waited for the handlers only, and closed the connections of callers that still read. Change: the end of the write, or the loss of the connection, ends a request. Test: a slow caller of a 32 MiB answer keeps its request in flight until it has read all of it.

--- a/src/main/java/org/cassiabank/proxy/CallerConnection.java
+++ b/src/main/java/org/cassiabank/proxy/CallerConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -116,12 +117,16 @@
         boolean keepAlive = request.keepAlive() && !server.isDraining();
         FullHttpResponse response = toResponse(reply, request.head());
         HttpUtil.setKeepAlive(response, keepAlive);
+        ChannelFuture written = context.writeAndFlush(response);
+        if (request.request() != null) {
+            // A graceful stop waits for the last byte; a slow caller may still read long after the handler is done.
+            written.addListener(future -> server.finish());
+        }
         if (keepAlive) {
-            context.writeAndFlush(response);
             serveNext(context);
         } else {
             pending.clear();
-            context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+            written.addListener(ChannelFutureListener.CLOSE);
         }
     }
 
--- a/src/main/java/org/cassiabank/proxy/CallerServer.java
+++ b/src/main/java/org/cassiabank/proxy/CallerServer.java
@@ -119,20 +119,26 @@
         connections.decrementAndGet();
     }
 
+    /**
+     * Answers a request on a virtual thread, or refuses it at once. The request counts as in flight until
+     * {@link #finish()} is called.
+     *
+     * @param request the request
+     * @param presence tells whether the caller is still there
+     * @param reply receives the reply, exactly once
+     */
     void serve(CallerRequest request, CallerPresence presence, Consumer<CallerReply> reply) {
         if (inFlight.incrementAndGet() > limits.requestsInFlight()) {
-            inFlight.decrementAndGet();
             metrics.refused("entry-overloaded");
             reply.accept(CallerReply.notRun("entry-overloaded", OVERLOAD_RETRY_MILLIS));
             return;
         }
-        workers.execute(() -> {
-            try {
-                reply.accept(handler.handle(request, presence));
-            } finally {
-                inFlight.decrementAndGet();
-            }
-        });
+        workers.execute(() -> reply.accept(handler.handle(request, presence)));
+    }
+
+    /** Ends a request, after its reply was written or its connection was lost. */
+    void finish() {
+        inFlight.decrementAndGet();
     }
 
     @Override
--- a/src/main/java/org/cassiabank/proxy/RequestRun.java
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -169,6 +169,10 @@
         excluded.add(secondSlot.server());
         Attempts.Running other =
                 attempts.start(request, secondSlot, selector, deadline - MonotonicClock.millis(), presence, results);
+        presence.onGone(() -> {
+            first.cancel();
+            other.cancel();
+        });
         BackendResult winner = take(results);
         if (!isGood(winner)) {
             neverRun = neverRun && winner.attemptResult().provesNotRun();
--- a/src/test/java/org/cassiabank/proxy/CallerServerTest.java
+++ b/src/test/java/org/cassiabank/proxy/CallerServerTest.java
@@ -21,6 +21,8 @@
 class CallerServerTest {
     private static final CallerLimits LIMITS = new CallerLimits(3, 2, 1_024, 100, 1_000, 300);
 
+    private static final int LARGE_BYTES = 32 * 1_024 * 1_024;
+
     private final CountDownLatch callerGone = new CountDownLatch(1);
     private final CountDownLatch hold = new CountDownLatch(1);
     private final ProxyMetrics metrics = ProxyMetrics.create();
@@ -103,6 +105,25 @@
         assertThat(callerGone.await(5, TimeUnit.SECONDS)).isTrue();
     }
 
+    @Test
+    void aRequestStaysInFlightUntilASlowCallerHasReadTheWholeAnswer() throws Exception {
+        try (Socket socket = open("/large")) {
+            InputStream input = socket.getInputStream();
+            int count = input.readNBytes(1_000).length;
+            // The answer is larger than all socket buffers, so a stop at this moment would cut it.
+            assertThat(server.requestsInFlight()).isEqualTo(1);
+            byte[] buffer = new byte[65_536];
+            while (count < LARGE_BYTES) {
+                count += input.read(buffer);
+            }
+            long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+            while (server.requestsInFlight() > 0 && System.nanoTime() < deadline) {
+                Thread.onSpinWait();
+            }
+            assertThat(server.requestsInFlight()).isZero();
+        }
+    }
+
     @Test
     void requestsOverTheLimitInFlightAreRefusedAtOnceWithARetryTime() throws IOException {
         try (Socket first = open("/hold");
@@ -142,6 +163,9 @@
                 Thread.currentThread().interrupt();
             }
         }
+        if (request.path().equals("/large")) {
+            return CallerReply.answered(200, Map.of(), new byte[LARGE_BYTES]);
+        }
         String body = "path=" + request.path() + " body=" + new String(request.body(), StandardCharsets.UTF_8);
         return CallerReply.answered(200, Map.of(), body.getBytes(StandardCharsets.UTF_8));
     }
