State precisely whether an unanswered change can still take effect

Cause: after a lost race followed by an outage the committer said that the change may have been accepted, although its revision had been taken by another change; and an outage right after the own change had been read was reported as a failure. Ruled out: judging by whether a write was sent at all; what counts is whether its revision is still free. Change: the committer compares the attempted revision with the newest one it has read. The in-memory store can delay a write until after later calls.

--- a/src/main/java/org/cassiabank/revision/ChangeCommitter.java
+++ b/src/main/java/org/cassiabank/revision/ChangeCommitter.java
@@ -85,7 +85,7 @@
     public synchronized Change commit(String operation, List<Edit> edits) {
         // The constructor checks the operation and the edits.
         Change checked = new Change(1, operation, edits);
-        boolean written = false;
+        long attempted = 0;
         int unanswered = 0;
         while (true) {
             try {
@@ -105,7 +105,7 @@
                 }
                 Change change = new Change(current.revision() + 1, operation, edits);
                 byte[] document = validated(change, current);
-                written = true;
+                attempted = change.revision();
                 if (store.create(StoredChanges.changeKey(change.revision()), document)) {
                     history.apply(change);
                     writeSnapshotIfDue();
@@ -120,9 +120,16 @@
                 if (e.code() != ErrorCode.STORE_UNAVAILABLE) {
                     throw e;
                 }
+                // The answer that is missing may be a later one than that which showed the own change.
+                Optional<Change> committed = findKept(operation);
+                if (committed.isPresent()) {
+                    return requireSameEdits(committed.get(), checked);
+                }
                 unanswered++;
                 if (unanswered >= ROUNDS_WITHOUT_ANSWER) {
-                    throw unavailable(operation, written, e);
+                    // An unanswered write can only take effect while no other change has taken its revision.
+                    boolean pending = attempted > history.configuration().revision();
+                    throw unavailable(operation, pending, e);
                 }
             }
         }
@@ -245,8 +252,8 @@
         }
     }
 
-    private static CassiabankException unavailable(String operation, boolean written, CassiabankException cause) {
-        String consequence = written
+    private static CassiabankException unavailable(String operation, boolean pending, CassiabankException cause) {
+        String consequence = pending
                 ? "operation " + operation + " may have been accepted; repeat it with the same operation id"
                 : "nothing was changed by operation " + operation;
         return CassiabankException.withCause(
--- a/src/test/java/org/cassiabank/revision/ChangeCommitterTest.java
+++ b/src/test/java/org/cassiabank/revision/ChangeCommitterTest.java
@@ -70,8 +70,9 @@
             @ForAll @Size(max = 30) List<@IntRange(max = 1) Integer> turns,
             @ForAll @Size(max = 8) List<@IntRange(max = 19) Integer> faults,
             @ForAll boolean sameEntity) {
-        faults.forEach(call -> store.failCall(call, call % 2 == 0 ? Fault.ANSWER_LOST : Fault.REQUEST_LOST));
+        faults.forEach(call -> store.failCall(call, Fault.values()[call % 3]));
         List<String> outcomes = race(turns, put("menu", 2, 0), put(sameEntity ? "menu" : "orders", 3, 0));
+        store.settle();
         List<String> committed = committedOperations();
         assertThat(committed).doesNotHaveDuplicates();
         for (int operator = 0; operator < 2; operator++) {
@@ -89,7 +90,7 @@
     @Property(tries = 200)
     void anOperationThatIsRepeatedAfterFaultsIsCommittedOnce(
             @ForAll @Size(max = 6) List<@IntRange(max = 14) Integer> faults, @ForAll boolean newCommitter) {
-        faults.forEach(call -> store.failCall(call, call % 3 == 0 ? Fault.REQUEST_LOST : Fault.ANSWER_LOST));
+        faults.forEach(call -> store.failCall(call, Fault.values()[call % 3]));
         ChangeCommitter committer = ChangeCommitter.over(store);
         Optional<Change> change = Optional.empty();
         while (change.isEmpty()) {
@@ -100,6 +101,7 @@
                 committer = newCommitter ? ChangeCommitter.over(store) : committer;
             }
         }
+        store.settle();
         assertThat(change.get().revision()).isEqualTo(1);
         assertThat(committedOperations()).containsExactly("operation");
     }
--- a/src/test/java/org/cassiabank/revision/InMemoryChangeStore.java
+++ b/src/test/java/org/cassiabank/revision/InMemoryChangeStore.java
@@ -10,6 +10,7 @@
 public final class InMemoryChangeStore implements ChangeStore {
     private final Map<String, StoredValue> values = new HashMap<>();
     private final Map<Integer, Fault> faults = new HashMap<>();
+    private final Map<Integer, Call<?>> delayed = new HashMap<>();
     private long index;
     private int calls;
     private boolean available = true;
@@ -17,7 +18,9 @@
 
     public enum Fault {
         REQUEST_LOST,
-        ANSWER_LOST
+        ANSWER_LOST,
+        /** The call gets no answer and takes effect three calls later. */
+        DELAYED
     }
 
     private interface Call<T> {
@@ -38,6 +41,12 @@
         lastWrittenKey = key;
     }
 
+    /** Lets all delayed calls take effect. */
+    public void settle() {
+        delayed.values().forEach(Call::run);
+        delayed.clear();
+    }
+
     public int calls() {
         return calls;
     }
@@ -80,7 +89,15 @@
     }
 
     private <T> T answer(Call<T> call) {
+        Call<?> due = delayed.remove(calls);
+        if (due != null) {
+            due.run();
+        }
         Fault fault = faults.remove(calls++);
+        if (available && fault == Fault.DELAYED) {
+            delayed.put(calls + 2, call);
+            throw CassiabankException.of(ErrorCode.STORE_UNAVAILABLE, "no answer from the store");
+        }
         if (!available || fault == Fault.REQUEST_LOST) {
             throw CassiabankException.of(ErrorCode.STORE_UNAVAILABLE, "no answer from the store");
         }
