--- a/src/main/java/org/cassiabank/admission/FairQueue.java
+++ b/src/main/java/org/cassiabank/admission/FairQueue.java
@@ -85,6 +85,7 @@
         flow.added(ticket.costMicros());
         lane(ticket.laneKey()).add(ticket, flow, ++sequence);
         tickets.put(ticket.number(), ticket);
+        ticket.setQueued(true);
         queuedMicros += ticket.costMicros();
     }
 
@@ -93,6 +94,7 @@
         if (tickets.remove(ticket.number()) == null) {
             return false;
         }
+        ticket.setQueued(false);
         Flow flow = flows.get(ticket.ask().caller());
         lane(ticket.laneKey()).remove(ticket, flow);
         flow.removed(ticket.costMicros());
@@ -101,10 +103,10 @@
         return true;
     }
 
-    /** Takes a ticket out and charges its caller with the cost. */
-    void serve(Ticket ticket) {
+    /** Takes a ticket out and charges its caller with the cost as it is known now. */
+    void serve(Ticket ticket, double costMicros) {
         remove(ticket);
-        virtualTime = Math.max(virtualTime, flows.get(ticket.ask().caller()).charge(ticket.costMicros()));
+        virtualTime = Math.max(virtualTime, flows.get(ticket.ask().caller()).charge(costMicros));
     }
 
     /**
