Show how busy the machine is in results, and speed up the fault tests

Cause: results of a shared machine could not be told from results of the proxies, refusals of rolling could not be matched with restarts, and the fault tests started a process for each test.

Ruled out: running the experiments only on an idle machine, which this one was not at any time.

--- a/src/main/java/org/cassiabank/load/CrestExperiment.java
+++ b/src/main/java/org/cassiabank/load/CrestExperiment.java
@@ -103,6 +103,7 @@
                 after.of(AnswerClass.NOT_RUN).size(),
                 "",
                 0));
+        measures.add(Measure.of(mode + ": p99 delay of sending by the tool", samples.sendDelayMillis(), "ms"));
         measures.add(Measure.atMost(mode + ": forbidden answers", samples.forbidden(), "", 0));
         return measures;
     }
--- a/src/main/java/org/cassiabank/load/ExperimentReports.java
+++ b/src/main/java/org/cassiabank/load/ExperimentReports.java
@@ -3,11 +3,13 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import org.knowm.xchart.BitmapEncoder;
 import org.knowm.xchart.XYChart;
@@ -34,6 +36,7 @@
         output.println("experiment " + name + ", seed " + settings.seed() + ", " + settings.proxies() + " proxies, "
                 + settings.seconds() + " s");
         output.println("scale: " + result.scale());
+        output.println("machine: " + machine());
         output.printf(ROW, "measure", "value", "unit", "target", "result");
         for (Measure measure : result.measures()) {
             String verdict = measure.targetText().isEmpty() ? "" : measure.passes() ? "pass" : "FAIL";
@@ -70,6 +73,7 @@
         document.put("proxies", settings.proxies());
         document.put("seconds", settings.seconds());
         document.put("scale", result.scale());
+        document.put("machine", machine());
         document.put("passes", result.passes());
         document.put("measures", measures);
         document.put("notes", result.notes());
@@ -98,4 +102,12 @@
         }
         BitmapEncoder.saveBitmap(chart, file.toString(), BitmapEncoder.BitmapFormat.PNG);
     }
+
+    private static String machine() {
+        return String.format(
+                Locale.ROOT,
+                "%d processors, load average of the last minute %.1f at the end",
+                Runtime.getRuntime().availableProcessors(),
+                ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage());
+    }
 }
--- a/src/main/java/org/cassiabank/load/GrayExperiment.java
+++ b/src/main/java/org/cassiabank/load/GrayExperiment.java
@@ -1,6 +1,7 @@
 package org.cassiabank.load;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -17,6 +18,7 @@
     private static final double RATE_PER_SERVER = 20;
     private static final long DETECTION_LIMIT_MILLIS = 10_000;
     private static final long RECOVERY_LIMIT_MILLIS = 15_000;
+    private static final long BUDGET_MILLIS = 5_000;
     private static final Map<String, String> FAULTS = Map.of(
             "fails half of its work", "{\"fail\": 0.5, \"lie\": true}",
             "is 10 times slower", "{\"slow\": 1, \"slowFactor\": 10, \"lie\": true}",
@@ -41,7 +43,7 @@
         double rate = RATE_PER_SERVER * SERVERS;
         LoadSettings sending = LoadSettings.of("gray" + settings.seed()).withDeadline(2_000);
         List<Measure> measures = new ArrayList<>();
-        List<String> notes = new ArrayList<>();
+        List<String> notes = Collections.synchronizedList(new ArrayList<>());
         try (Fleet fleet = Fleet.start(FleetSettings.of(settings.seed(), settings.proxies(), service));
                 LoadBalancer balancer = fleet.balanceProxies()) {
             Warmup.run(balancer, sending, settings.seed(), rate, List.of(kind));
@@ -53,8 +55,8 @@
             for (String fault : new TreeSet<>(FAULTS.keySet())) {
                 // The first faults of the table are those of the target; the others are reported.
                 boolean isTarget = fault.startsWith("fails") || fault.startsWith("is 10");
-                double detected = detect(
-                        settings, fleet, balancer, sending, fleet.backends().get(server), fault, wrong);
+                FleetMember faulty = fleet.backends().get(server);
+                double detected = detect(settings, fleet, balancer, sending, faulty, fault, wrong, notes);
                 String name = "detect a server that " + fault;
                 measures.add(isTarget ? Measure.atMost(name, detected, "ms", 2_000) : Measure.of(name, detected, "ms"));
                 server++;
@@ -93,13 +95,15 @@
             LoadSettings sending,
             FleetMember server,
             String fault,
-            Set<String> wrong)
+            Set<String> wrong,
+            List<String> notes)
             throws InterruptedException {
         AtomicReference<Double> detected = new AtomicReference<>(Double.NaN);
         Thread watcher = Thread.ofPlatform().name("detection").start(() -> {
             String url = server.controlUrl() + "/control/faults";
             try {
                 Thread.sleep(1_000);
+                long receivedBefore = FleetStatus.received(fleet, List.of(server));
                 fleet.client().send("POST", url, FAULTS.get(fault));
                 long start = System.nanoTime();
                 boolean recovered = false;
@@ -110,6 +114,9 @@
                             && elapsed < DETECTION_LIMIT_MILLIS
                             && unhealthy.contains(server.name())) {
                         detected.set((System.nanoTime() - start) / 1e6);
+                        long received = FleetStatus.received(fleet, List.of(server)) - receivedBefore;
+                        notes.add(server.name() + ", which " + fault + ", received " + received
+                                + " requests until it was detected");
                         fleet.client().send("POST", url, "{}");
                     }
                     recovered = !Double.isNaN(detected.get()) && !unhealthy.contains(server.name());
@@ -118,6 +125,11 @@
                             .forEach(wrong::add);
                     Thread.sleep(20);
                 }
+                if (Double.isNaN(detected.get())) {
+                    long received = FleetStatus.received(fleet, List.of(server)) - receivedBefore;
+                    notes.add(server.name() + ", which " + fault + ", received " + received + " requests in "
+                            + RECOVERY_LIMIT_MILLIS + " ms and was not detected");
+                }
                 fleet.client().send("POST", url, "{}");
             } catch (InterruptedException exception) {
                 Thread.currentThread().interrupt();
@@ -141,6 +153,8 @@
         for (FleetMember backend : fleet.backends()) {
             fleet.client().send("POST", backend.controlUrl() + "/control/faults", "{\"fail\": 0.8, \"lie\": true}");
         }
+        // The bound holds for periods that start with empty retry budgets, so the budgets are spent first.
+        send(settings, balancer, sending, kind, rate, BUDGET_MILLIS);
         long before = FleetStatus.received(fleet, fleet.backends());
         Samples failing = send(settings, balancer, sending, kind, rate, settings.seconds() * 1_000L);
         long after = FleetStatus.received(fleet, fleet.backends());
--- a/src/main/java/org/cassiabank/load/LoadRunner.java
+++ b/src/main/java/org/cassiabank/load/LoadRunner.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
 
 /**
  * Sends the requests of a schedule at their times, each on a virtual thread, while a fault script runs.
@@ -44,6 +45,20 @@
      * @throws IllegalStateException if a step of the script failed
      */
     public Samples run(ArrivalSchedule schedule, FaultScript script) throws InterruptedException {
+        return run(schedule, script, () -> false);
+    }
+
+    /**
+     * Runs a schedule until its end or until a condition holds, and returns when all requests sent have ended.
+     *
+     * @param schedule the schedule
+     * @param script the fault script, whose time 0 is that of the schedule
+     * @param stop the condition, asked before each request
+     * @return one sample for each request and repeat
+     * @throws InterruptedException if the thread is interrupted
+     * @throws IllegalStateException if a step of the script failed
+     */
+    public Samples run(ArrivalSchedule schedule, FaultScript script, BooleanSupplier stop) throws InterruptedException {
         Queue<Sample> samples = new ConcurrentLinkedQueue<>();
         RequestSender sender = RequestSender.create(balancer, settings);
         long start = System.nanoTime() + START_DELAY_NANOS;
@@ -57,6 +72,9 @@
         });
         try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
             for (Arrival arrival : schedule.arrivals()) {
+                if (stop.getAsBoolean()) {
+                    break;
+                }
                 long due = start + arrival.atNanos();
                 long left = due - System.nanoTime();
                 while (left > 0) {
--- a/src/main/java/org/cassiabank/load/LongExperiment.java
+++ b/src/main/java/org/cassiabank/load/LongExperiment.java
@@ -12,7 +12,7 @@
     private static final double SHORT_MILLIS = 10;
     private static final double LONG_MILLIS = 1_000;
     private static final double LONG_SHARE = 0.1;
-    private static final double UTILISATION = 0.4;
+    private static final double UTILISATION = 0.5;
 
     @Override
     public String name() {
@@ -64,6 +64,7 @@
                         ""));
                 measures.add(Measure.of(
                         arm + ": long p50", longOnes.of(AnswerClass.ANSWERED).percentileMillis(50), "ms"));
+                measures.add(Measure.of(arm + ": p99 delay of sending by the tool", with.sendDelayMillis(), "ms"));
                 measures.add(Measure.atMost(arm + ": forbidden answers", with.forbidden(), "", 0));
                 series.add(Measures.latencySeries("short p99 in ms, " + arm, shortWith, 99));
                 Measures.reasons(with).forEach(reason -> notes.add(arm + ", " + reason));
--- a/src/main/java/org/cassiabank/load/Measures.java
+++ b/src/main/java/org/cassiabank/load/Measures.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.LongSummaryStatistics;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * Figures that several experiments report.
@@ -25,20 +27,34 @@
             measures.add(Measure.of("answers " + entry.getKey(), entry.getValue(), ""));
         }
         measures.add(Measure.atMost("forbidden answers (wrong, unmarked, silent)", samples.forbidden(), "", 0));
+        measures.add(Measure.of("p99 delay of sending by the tool", samples.sendDelayMillis(), "ms"));
         long foreignIds = samples.all().stream().filter(Sample::foreignId).count();
         measures.add(Measure.atMost("answers with a request id that was not sent", foreignIds, "", 0));
         return measures;
     }
 
     /**
-     * Lists the reasons that proxies gave.
+     * Lists the reasons that proxies gave, with their numbers and the intended send times of the first and last one.
      *
      * @param samples the samples
-     * @return one note, or none if there was no reason
+     * @return one note per reason
      */
     public static List<String> reasons(Samples samples) {
-        Map<String, Long> reasons = samples.reasons();
-        return reasons.isEmpty() ? List.of() : List.of("reasons: " + new java.util.TreeMap<>(reasons));
+        Map<String, List<Sample>> byReason = new TreeMap<>();
+        for (Sample sample : samples.all()) {
+            if (!sample.reason().isEmpty()) {
+                byReason.computeIfAbsent(sample.answerClass() + " " + sample.reason(), reason -> new ArrayList<>())
+                        .add(sample);
+            }
+        }
+        List<String> notes = new ArrayList<>();
+        byReason.forEach((reason, told) -> {
+            LongSummaryStatistics times = told.stream()
+                    .mapToLong(sample -> sample.arrival().atNanos() / 1_000_000)
+                    .summaryStatistics();
+            notes.add(reason + ": " + told.size() + ", sent from " + times.getMin() + " to " + times.getMax() + " ms");
+        });
+        return notes;
     }
 
     /**
@@ -77,7 +93,7 @@
      * @return the series, in seconds and answers per second
      */
     public static Series rateSeries(String name, Samples samples, AnswerClass answerClass) {
-        java.util.TreeMap<Long, Integer> windows = new java.util.TreeMap<>();
+        TreeMap<Long, Integer> windows = new TreeMap<>();
         for (Sample sample : samples.of(answerClass).all()) {
             windows.merge(sample.endNanos() / 1_000_000 / WINDOW_MILLIS, 1, Integer::sum);
         }
--- a/src/main/java/org/cassiabank/load/RequestSender.java
+++ b/src/main/java/org/cassiabank/load/RequestSender.java
@@ -45,6 +45,7 @@
     Sample send(Arrival arrival, int attempt, long sinceNanos) {
         String token = settings.run() + "-" + arrival.number();
         String requestId = token + "-" + attempt;
+        long delay = System.nanoTime() - sinceNanos;
         Request request = request(arrival, token, requestId);
         try (Response response = client.newCall(request).execute()) {
             ReceivedAnswer answer = new ReceivedAnswer(
@@ -67,12 +68,22 @@
                     answer.status(),
                     reason,
                     System.nanoTime() - sinceNanos,
+                    delay,
                     !answer.requestId().isEmpty() && !answer.requestId().equals(requestId),
                     retryAfter);
         } catch (IOException exception) {
             String reason = exception.getClass().getSimpleName();
             return new Sample(
-                    arrival, attempt, token, classify(exception), 0, reason, System.nanoTime() - sinceNanos, false, -1);
+                    arrival,
+                    attempt,
+                    token,
+                    classify(exception),
+                    0,
+                    reason,
+                    System.nanoTime() - sinceNanos,
+                    delay,
+                    false,
+                    -1);
         }
     }
 
--- a/src/main/java/org/cassiabank/load/RollingExperiment.java
+++ b/src/main/java/org/cassiabank/load/RollingExperiment.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.function.Consumer;
 import org.cassiabank.membership.InstanceState;
 
 /**
@@ -16,6 +17,7 @@
     private static final double WORK_MILLIS = 20;
     private static final double RATE = 150;
     private static final long LEAVING_LIMIT_MILLIS = 3_000;
+    private static final long LONGEST_MILLIS = 1_200_000;
     private static final long LINGER_MILLIS = 4_500;
 
     @Override
@@ -44,26 +46,22 @@
             Warmup.run(balancer, sending, settings.seed(), RATE, kinds);
             Map<String, Long> lateWork = new ConcurrentSkipListMap<>();
             Map<String, Integer> exitCodes = new ConcurrentSkipListMap<>();
+            Map<Long, String> log = new ConcurrentSkipListMap<>();
+            long start = System.nanoTime();
             Thread restarts = Thread.ofPlatform().name("restarts").start(() -> {
                 try {
-                    restartAll(fleet, lateWork, exitCodes);
+                    restartAll(
+                            fleet, lateWork, exitCodes, name -> log.put((System.nanoTime() - start) / 1_000_000, name));
                 } catch (InterruptedException exception) {
                     Thread.currentThread().interrupt();
                 }
             });
             // The load lasts until all members were restarted.
-            List<Sample> all = new ArrayList<>();
-            for (int part = 0; restarts.isAlive(); part++) {
-                ArrivalSchedule schedule = ArrivalSchedule.draw(
-                        settings.seed() + part,
-                        20,
-                        List.of(new Phase("rolling", settings.seconds() * 1_000L, RATE, mix)));
-                all.addAll(LoadRunner.create(balancer, sending.withRun(sending.run() + "-" + part))
-                        .run(schedule, FaultScript.none())
-                        .all());
-            }
-            Samples samples = new Samples(all);
-            return result(samples, RecordCheck.of(samples, fleet.executions()), lateWork, exitCodes, fleet);
+            ArrivalSchedule schedule =
+                    ArrivalSchedule.draw(settings.seed(), 20, List.of(new Phase("rolling", LONGEST_MILLIS, RATE, mix)));
+            Samples samples =
+                    LoadRunner.create(balancer, sending).run(schedule, FaultScript.none(), () -> !restarts.isAlive());
+            return result(samples, RecordCheck.of(samples, fleet.executions()), lateWork, exitCodes, log, fleet);
         }
     }
 
@@ -72,6 +70,7 @@
             RecordCheck check,
             Map<String, Long> lateWork,
             Map<String, Integer> exitCodes,
+            Map<Long, String> log,
             Fleet fleet) {
         Samples interrupted = samples.where(sample -> sample.answerClass().isInterrupted());
         List<Measure> measures = new ArrayList<>(Measures.ofClasses(samples));
@@ -93,6 +92,7 @@
                 "",
                 0));
         List<String> notes = new ArrayList<>(Measures.reasons(samples));
+        notes.add("restarts in ms: " + log);
         notes.add("exit codes: " + new TreeMap<>(exitCodes));
         interrupted.all().stream()
                 .limit(10)
@@ -108,20 +108,25 @@
                 notes);
     }
 
-    private static void restartAll(Fleet fleet, Map<String, Long> lateWork, Map<String, Integer> exitCodes)
+    private static void restartAll(
+            Fleet fleet, Map<String, Long> lateWork, Map<String, Integer> exitCodes, Consumer<String> log)
             throws InterruptedException {
         for (FleetMember backend : fleet.backends()) {
             backend.state(InstanceState.LEAVING);
             fleet.publishInstances();
             Thread counter = Thread.startVirtualThread(() -> countLateWork(fleet, backend, lateWork));
+            log.accept("stop " + backend.name());
             exitCodes.put(backend.name(), fleet.restart(backend));
+            log.accept("ready " + backend.name());
             counter.join();
             backend.state(InstanceState.LIVE);
             fleet.publishInstances();
             Thread.sleep(500);
         }
         for (FleetMember proxy : fleet.proxies()) {
+            log.accept("stop " + proxy.name());
             exitCodes.put(proxy.name(), fleet.restart(proxy));
+            log.accept("ready " + proxy.name());
             // The load balancer checks every 250 ms, and the new process compiles its code.
             Thread.sleep(2_000);
         }
--- a/src/main/java/org/cassiabank/load/Sample.java
+++ b/src/main/java/org/cassiabank/load/Sample.java
@@ -10,6 +10,7 @@
  * @param status the HTTP status, or 0 without an answer
  * @param reason the reason given by the proxy or the error; may be empty
  * @param latencyNanos the time from the intended send time to the end of the answer, in nanoseconds
+ * @param sendDelayNanos how much later than intended the tool sent the request, in nanoseconds
  * @param foreignId whether the answer carried another request id than the request
  * @param retryAfterMillis the time after which a refused caller may retry, in milliseconds, or -1
  */
@@ -21,6 +22,7 @@
         int status,
         String reason,
         long latencyNanos,
+        long sendDelayNanos,
         boolean foreignId,
         long retryAfterMillis) {
 
--- a/src/main/java/org/cassiabank/load/Samples.java
+++ b/src/main/java/org/cassiabank/load/Samples.java
@@ -83,18 +83,6 @@
                         Sample::answerClass, () -> new EnumMap<>(AnswerClass.class), Collectors.counting()));
     }
 
-    /**
-     * Counts the samples per reason.
-     *
-     * @return the numbers
-     */
-    public Map<String, Long> reasons() {
-        return all.stream()
-                .filter(sample -> !sample.reason().isEmpty())
-                .collect(Collectors.groupingBy(
-                        sample -> sample.answerClass() + " " + sample.reason(), Collectors.counting()));
-    }
-
     /**
      * Counts the samples that no caller may get.
      *
@@ -124,4 +112,15 @@
     public double percentileMillis(double percentile) {
         return all.isEmpty() ? Double.NaN : latencies().getValueAtPercentile(percentile) / 1_000.0;
     }
+
+    /**
+     * Returns the 99th percentile of the delay with which the tool itself sent requests. A high value means that the
+     * machine was too busy for latencies to be trusted.
+     *
+     * @return the delay in milliseconds; not a number without samples
+     */
+    public double sendDelayMillis() {
+        long[] delays = all.stream().mapToLong(Sample::sendDelayNanos).sorted().toArray();
+        return delays.length == 0 ? Double.NaN : delays[(int) (delays.length * 0.99)] / 1e6;
+    }
 }
--- a/src/test/java/org/cassiabank/load/AnswerClassifierTest.java
+++ b/src/test/java/org/cassiabank/load/AnswerClassifierTest.java
@@ -18,7 +18,7 @@
     @Test
     void answersWithAnIdThatWasNotSentMissTheTarget() {
         Arrival arrival = sample(1, "t", AnswerClass.ANSWERED).arrival();
-        Sample foreign = new Sample(arrival, 0, "t", AnswerClass.ANSWERED, 200, "", 1, true, -1);
+        Sample foreign = new Sample(arrival, 0, "t", AnswerClass.ANSWERED, 200, "", 1, 0, true, -1);
         assertThat(Measures.ofClasses(new Samples(List.of(foreign))))
                 .filteredOn(measure -> !measure.passes())
                 .extracting(Measure::name)
@@ -93,7 +93,7 @@
     private static Sample sample(int number, String token, AnswerClass answerClass) {
         RequestKind kind = RequestKind.order(1);
         Arrival arrival = new Arrival(number, 0, Phase.of("a", 1, 1, kind), kind, 0, 1);
-        return new Sample(arrival, 0, token, answerClass, 200, "", 1, false, -1);
+        return new Sample(arrival, 0, token, answerClass, 200, "", 1, 0, false, -1);
     }
 
     private static AnswerClass classify(int status, String outcome, String reason, String requestId, String body) {
--- a/src/test/java/org/cassiabank/standin/BackendFaultsTest.java
+++ b/src/test/java/org/cassiabank/standin/BackendFaultsTest.java
@@ -8,8 +8,11 @@
 import java.io.InterruptedIOException;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import okhttp3.Call;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
@@ -18,7 +21,9 @@
 import org.cassiabank.load.ChildProcess;
 import org.cassiabank.load.ControlClient;
 import org.cassiabank.load.Ports;
+import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -30,24 +35,45 @@
     private static final long WAIT_MILLIS = 20_000;
 
     @TempDir
-    private Path directory;
+    private static Path directory;
+
+    private static ChildProcess shared;
+    private static String sharedUrl;
 
     private final OkHttpClient client = new OkHttpClient.Builder()
             .retryOnConnectionFailure(false)
             .callTimeout(Duration.ofSeconds(10))
             .build();
     private final ControlClient control = ControlClient.create(5_000);
-    private ChildProcess server;
+    private final String test = "test-" + System.nanoTime() + "-";
+    private Optional<ChildProcess> own = Optional.empty();
     private String url;
 
+    @BeforeAll
+    static void startSharedServer() {
+        sharedUrl = "http://" + Ports.nextAddress();
+        shared = start(sharedUrl, "--slots", "2");
+    }
+
+    @AfterAll
+    static void endSharedServer() {
+        shared.close();
+    }
+
     @BeforeEach
-    void startServer() {
-        start("--slots", "2", "--linger-millis", "0");
+    void useSharedServer() {
+        url = sharedUrl;
+        switchFaults("{}");
     }
 
     @AfterEach
-    void endServer() {
-        server.close();
+    void endOwnServer() {
+        client.dispatcher().cancelAll();
+        own.ifPresent(ChildProcess::close);
+        // Work that a test left behind would take slots from the next one.
+        await(() -> own.isPresent()
+                || control.getJson(url + "/load").path("running").asInt() == 0);
+        client.connectionPool().evictAll();
     }
 
     @Test
@@ -55,7 +81,9 @@
         try (Response response =
                 client.newCall(request("/menu?token=t1&work-millis=1")).execute()) {
             assertThat(response.header("Cassiabank-Request-Id")).isEqualTo("r1");
-            assertThat(response.body().string()).startsWith("token=t1\n").endsWith("\nend=t1\n");
+            assertThat(response.body().string())
+                    .startsWith("token=" + test + "t1\n")
+                    .endsWith("\nend=" + test + "t1\n");
         }
         assertThat(execution("t1").get("started").asInt()).isEqualTo(1);
         assertThat(execution("t1").get("finished").asInt()).isEqualTo(1);
@@ -64,8 +92,8 @@
     @Test
     void theIdempotencyKeyIsTheKeyOfTheRecord() throws IOException {
         Request order = new Request.Builder()
-                .url(url + "/order?token=t1&work-millis=1")
-                .header("Idempotency-Key", "k1")
+                .url(url + "/order?work-millis=1")
+                .header("Idempotency-Key", test + "k1")
                 .post(RequestBody.create(new byte[100]))
                 .build();
         assertThat(status(order)).isEqualTo(200);
@@ -76,7 +104,8 @@
     void requestsBeyondTheSlotsAreShedAndNotRecorded() throws IOException {
         List<CompletableFuture<Integer>> running = List.of(
                 inBackground("/menu?token=a&work-millis=60000"), inBackground("/menu?token=b&work-millis=60000"));
-        awaitRecord("started", 2);
+        awaitStarted("a");
+        awaitStarted("b");
         try (Response response =
                 client.newCall(request("/menu?token=c&work-millis=1")).execute()) {
             assertThat(response.code()).isEqualTo(503);
@@ -90,9 +119,10 @@
     @Test
     void workOfAClosedConnectionIsCancelled() throws IOException {
         inBackground("/menu?token=a&work-millis=60000");
-        awaitRecord("started", 1);
+        awaitStarted("a");
+        int before = cancelled();
         client.dispatcher().cancelAll();
-        awaitRecord("cancelled", 1);
+        await(() -> cancelled() == before + 1);
         assertThat(execution("a").get("finished").asInt()).isZero();
     }
 
@@ -131,7 +161,7 @@
     void stallRunsTheRequestAndNeverAnswers() {
         switchFaults("{\"stall\": 1}");
         Call call = client.newCall(request("/menu?token=a&work-millis=1"));
-        call.timeout().timeout(500, java.util.concurrent.TimeUnit.MILLISECONDS);
+        call.timeout().timeout(500, TimeUnit.MILLISECONDS);
         assertThatThrownBy(call::execute).isInstanceOf(InterruptedIOException.class);
         assertThat(execution("a").get("started").asInt()).isEqualTo(1);
         assertThat(execution("a").get("finished").asInt()).isZero();
@@ -153,7 +183,7 @@
         try (Response response =
                 client.newCall(request("/menu?token=a&work-millis=1")).execute()) {
             assertThat(response.header("Cassiabank-Request-Id")).isNotEqualTo("r1");
-            assertThat(response.body().string()).doesNotContain("token=a\n");
+            assertThat(response.body().string()).doesNotContain("token=" + test + "a\n");
         }
     }
 
@@ -211,7 +241,7 @@
         assertThat(status(request("/menu?token=a&work-millis=1"))).isEqualTo(200);
         switchFaults("{\"silence\": true}");
         Call old = client.newCall(request("/menu?token=b&work-millis=1"));
-        old.timeout().timeout(500, java.util.concurrent.TimeUnit.MILLISECONDS);
+        old.timeout().timeout(500, TimeUnit.MILLISECONDS);
         assertThatThrownBy(old::execute).isInstanceOf(InterruptedIOException.class);
         assertThat(execution("b").isMissingNode()).isTrue();
         client.connectionPool().evictAll();
@@ -230,8 +260,7 @@
 
     @Test
     void coldServersAreSlowerForTheirFirstRequests() throws IOException {
-        server.close();
-        start("--cold-requests", "1", "--cold-factor", "30");
+        startOwn("--cold-requests", "1", "--cold-factor", "30");
         long start = System.nanoTime();
         assertThat(status(request("/menu?token=a&work-millis=20"))).isEqualTo(200);
         long first = System.nanoTime() - start;
@@ -243,10 +272,9 @@
 
     @Test
     void connectionsBeyondTheLimitAreClosed() throws IOException {
-        server.close();
-        start("--connections", "2");
+        startOwn("--connections", "2");
         inBackground("/menu?token=a&work-millis=60000");
-        awaitRecord("started", 1);
+        awaitStarted("a");
         // An answered request leaves its connection open in the pool of the client, so both are taken then.
         await(() -> isAnswered("/menu?token=b&work-millis=1"));
         assertThat(control.send("GET", url + "/health", "").status()).isZero();
@@ -257,8 +285,9 @@
 
     @Test
     void drainFinishesTheWorkShedsNewRequestsAndExitsWithZero() throws Exception {
+        startOwn("--linger-millis", "0");
         CompletableFuture<Integer> running = inBackground("/menu?token=a&work-millis=1500");
-        awaitRecord("started", 1);
+        awaitStarted("a");
         assertThat(control.send("POST", url + "/control/drain", "").status()).isEqualTo(200);
         try (Response response =
                 client.newCall(request("/menu?token=b&work-millis=1")).execute()) {
@@ -266,30 +295,37 @@
             assertThat(response.header("Cassiabank-Leaving")).isEqualTo("true");
         }
         assertThat(running.join()).isEqualTo(200);
-        assertThat(server.awaitExit(WAIT_MILLIS)).isZero();
+        assertThat(own.orElseThrow().awaitExit(WAIT_MILLIS)).isZero();
     }
 
     @Test
     void sigtermFinishesTheWorkAndExitsWithZero() throws Exception {
+        startOwn("--linger-millis", "0");
         CompletableFuture<Integer> running = inBackground("/menu?token=a&work-millis=1500");
-        awaitRecord("started", 1);
-        server.signal("TERM");
+        awaitStarted("a");
+        own.orElseThrow().signal("TERM");
         assertThat(running.join()).isEqualTo(200);
-        assertThat(server.awaitExit(WAIT_MILLIS)).isZero();
+        assertThat(own.orElseThrow().awaitExit(WAIT_MILLIS)).isZero();
+    }
+
+    private void startOwn(String... options) {
+        url = "http://" + Ports.nextAddress();
+        own = Optional.of(start(url, options));
     }
 
-    private void start(String... options) {
-        String address = Ports.nextAddress();
-        url = "http://" + address;
-        List<String> arguments = new java.util.ArrayList<>(List.of("--address", address, "--name", "server-1"));
+    private static ChildProcess start(String url, String... options) {
+        List<String> arguments =
+                new ArrayList<>(List.of("--address", url.substring("http://".length()), "--name", "server-1"));
         arguments.addAll(List.of(options));
-        server = ChildProcess.start(
+        ChildProcess process = ChildProcess.start(
                 "server-1",
                 "org.cassiabank.standin.BackendMain",
                 List.of("-Xmx64m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"),
                 arguments,
                 directory.resolve("server.log"));
-        await(() -> control.send("GET", url + "/health", "").status() == 200);
+        ControlClient health = ControlClient.create(5_000);
+        await(() -> health.send("GET", url + "/health", "").status() == 200);
+        return process;
     }
 
     private void switchFaults(String json) {
@@ -298,7 +334,7 @@
 
     private Request request(String path) {
         return new Request.Builder()
-                .url(url + path)
+                .url(url + path.replace("token=", "token=" + test))
                 .header("Cassiabank-Request-Id", "r1")
                 .build();
     }
@@ -330,14 +366,17 @@
     }
 
     private JsonNode execution(String key) {
-        return control.getJson(url + "/control/record").path("executions").path(key);
+        return control.getJson(url + "/control/record").path("executions").path(test + key);
+    }
+
+    private void awaitStarted(String key) {
+        await(() -> execution(key).path("started").asInt() >= 1);
     }
 
-    private void awaitRecord(String field, int count) {
-        await(() -> control.getJson(url + "/control/record?summary=true")
-                        .path(field)
-                        .asInt()
-                >= count);
+    private int cancelled() {
+        return control.getJson(url + "/control/record?summary=true")
+                .path("cancelled")
+                .asInt();
     }
 
     private boolean isAnswered(String path) {
