--- a/src/test/java/org/cassiabank/admission/SlotSchedulerTest.java
+++ b/src/test/java/org/cassiabank/admission/SlotSchedulerTest.java
@@ -38,24 +38,24 @@
     @Test
     void serverOnProbationGetsOneRepeatableRequestAtATime() {
         scheduler.updateServers(
-                List.of(server("well", ServerHealth.HEALTHY, 1), server("ill", ServerHealth.PROBATION, 4)), 0);
+                List.of(server("healthy", ServerHealth.HEALTHY, 1), server("unhealthy", ServerHealth.PROBATION, 4)), 0);
         assertThat(grantAll(ask(CostHint.SHORT, false), 0))
                 .extracting(Granted::server)
-                .containsExactly("well");
+                .containsExactly("healthy");
         assertThat(grantAll(ask(CostHint.SHORT, true), 0))
                 .extracting(Granted::server)
-                .containsExactly("ill");
+                .containsExactly("unhealthy");
     }
 
     @Test
     void failingServerOnProbationIsNotSentAllRepeatableWork() {
         scheduler.updateServers(
-                List.of(server("well", ServerHealth.HEALTHY, 4), server("ill", ServerHealth.PROBATION, 4)), 0);
+                List.of(server("healthy", ServerHealth.HEALTHY, 4), server("unhealthy", ServerHealth.PROBATION, 4)), 0);
         int failed = 0;
         for (int now = 0; now < 1_000; now++) {
             Granted granted = (Granted) scheduler.offer(ask(CostHint.SHORT, true), now);
             scheduler.finish(granted.lease(), Outcome.FAILED, 100, now);
-            failed += granted.server().equals("ill") ? 1 : 0;
+            failed += granted.server().equals("unhealthy") ? 1 : 0;
         }
         assertThat(failed).isBetween(9, 11);
     }
@@ -96,12 +96,23 @@
                 .hasSize(8);
     }
 
+    @Test
+    void routeWithoutAnswersCannotTakeAllSlotsOfAKnownService() {
+        scheduler.updateServers(SchedulerSimulation.servers(8, 2), 0);
+        learn("menu", 10_000);
+        assertThat(grantAll(SchedulerSimulation.ask("unknown", "caller", 20_000), 0))
+                .hasSize(8);
+    }
+
     @Test
     void hedgeIsOfferedOnlyForRepeatableRequestsWhileASlotIsFree() {
         scheduler.updateServers(SchedulerSimulation.servers(2, 1), 0);
         for (int i = 0; i < 100; i++) {
             learn("menu", 10_000);
         }
+        Granted unrepeatable = (Granted) scheduler.offer(ask(CostHint.SHORT, false), 0);
+        assertThat(unrepeatable.hedgeAfterMillis()).isZero();
+        scheduler.finish(unrepeatable.lease(), Outcome.ANSWERED, 10_000, 0);
         Granted first = (Granted) scheduler.offer(SchedulerSimulation.ask("menu", "caller", 500), 0);
         assertThat(first.hedgeAfterMillis()).isBetween(10L, 12L);
         assertThat(first.leaseMillis()).isEqualTo(750);
@@ -146,13 +157,31 @@
         assertThat(reasons(patient.advance(291))).containsExactly(Map.entry(late, RefusalReason.DEADLINE));
     }
 
+    @Test
+    void oneCallerCannotFillTheQueueAgainstOthers() {
+        SlotScheduler small =
+                SlotScheduler.create(new SchedulerSettings(true, false, 100, 500, 10_000, 0.5, 2_000, 500, 250, 50));
+        small.updateServers(SchedulerSimulation.servers(1, 1), 0);
+        small.offer(ask(CostHint.SHORT, true), 0);
+        int queued = 0;
+        SlotDecision decision = small.offer(ask(CostHint.SHORT, true), 0);
+        for (; decision instanceof Queued; queued++) {
+            decision = small.offer(ask(CostHint.SHORT, true), 0);
+        }
+        assertThat(queued).isEqualTo(50);
+        assertThat(((Refused) decision).reason()).isEqualTo(RefusalReason.QUEUE_FULL);
+        assertThat(((Refused) decision).retryAfterMillis()).isBetween(400L, 700L);
+        assertThat(small.offer(SchedulerSimulation.ask("menu", "newcomer", 5_000), 0))
+                .isInstanceOf(Queued.class);
+    }
+
     @Test
     void requestThatFindsNoServerIsRefusedWithItsReason() {
         assertThat(refusal(Set.of(), Map.of())).isEqualTo(RefusalReason.NO_SERVER);
         scheduler.updateServers(
-                List.of(server("well", ServerHealth.HEALTHY, 1), server("ill", ServerHealth.EJECTED, 1)), 0);
-        assertThat(refusal(Set.of("well"), Map.of())).isEqualTo(RefusalReason.ALL_EXCLUDED);
-        assertThat(refusal(Set.of(), Map.of("name", "ill"))).isEqualTo(RefusalReason.NO_HEALTHY_SERVER);
+                List.of(server("healthy", ServerHealth.HEALTHY, 1), server("unhealthy", ServerHealth.EJECTED, 1)), 0);
+        assertThat(refusal(Set.of("healthy"), Map.of())).isEqualTo(RefusalReason.ALL_EXCLUDED);
+        assertThat(refusal(Set.of(), Map.of("name", "unhealthy"))).isEqualTo(RefusalReason.NO_HEALTHY_SERVER);
         assertThat(refusal(Set.of(), Map.of("name", "none"))).isEqualTo(RefusalReason.NO_SERVER);
     }
 
