--- a/src/main/java/org/cassiabank/proxy/PeerDirectory.java
+++ b/src/main/java/org/cassiabank/proxy/PeerDirectory.java
@@ -29,7 +29,9 @@
     }
 
     boolean isReachable(Instance peer) {
-        return evidence.isReachable(peer.name(), MonotonicClock.millis());
+        synchronized (evidence) {
+            return evidence.isReachable(peer.name(), MonotonicClock.millis());
+        }
     }
 
     /**
@@ -46,10 +48,14 @@
     <R> R call(Instance peer, String kind, int timeoutMillis, PeerCall<R> call) {
         try {
             R result = clients.call(peer, kind, timeoutMillis, call);
-            evidence.recordSuccess(peer.name(), MonotonicClock.millis());
+            synchronized (evidence) {
+                evidence.recordSuccess(peer.name(), MonotonicClock.millis());
+            }
             return result;
         } catch (CassiabankException exception) {
-            evidence.recordFailure(peer.name(), MonotonicClock.millis());
+            synchronized (evidence) {
+                evidence.recordFailure(peer.name(), MonotonicClock.millis());
+            }
             throw exception;
         }
     }
