--- a/src/test/java/org/cassiabank/revision/ExchangePlannerTest.java
+++ b/src/test/java/org/cassiabank/revision/ExchangePlannerTest.java
@@ -37,13 +37,13 @@
             List<Instance> inDomain = live.stream()
                     .filter(proxy -> proxy.failureDomain().equals(name))
                     .toList();
-            assertThat(inDomain.stream().filter(proxy -> ExchangePlanner.of(proxy, new InstanceList(1, list))
+            assertThat(inDomain.stream().filter(proxy -> ExchangePlanner.of(proxy, InstanceList.of(1, list))
                             .isWatcher()))
                     .hasSize(Math.min(2, inDomain.size()));
         }
         for (Instance self : live) {
             List<Instance> targets =
-                    ExchangePlanner.of(self, new InstanceList(1, list)).pushTargets(random);
+                    ExchangePlanner.of(self, InstanceList.of(1, list)).pushTargets(random);
             assertThat(targets)
                     .doesNotHaveDuplicates()
                     .doesNotContain(self)
