--- a/src/main/java/org/cassiabank/membership/PeerEvidence.java
+++ b/src/main/java/org/cassiabank/membership/PeerEvidence.java
@@ -1,24 +1,29 @@
 package org.cassiabank.membership;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
-import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * Remembers which peers did not answer, because the instance list lags and cannot show a one-way partition.
+ * What a proxy's own calls show about its peers, so that a peer behind a one-way cut does not cost every request the
+ * full timeout of a call.
  *
- * <p>Instances are safe for use by many threads.
+ * <p>A peer is skipped for a time after a failed call. The time doubles with each failure that follows a skip, up to a
+ * limit; calls that were already under way when the skip began do not lengthen it. Instances are not thread-safe. Times
+ * have to come from one clock that does not go back.
  */
 public final class PeerEvidence {
     private static final long FIRST_SKIP_MILLIS = 2_000;
-    private static final long LONGEST_SKIP_MILLIS = 10_000;
+    private static final long MAXIMUM_SKIP_MILLIS = 10_000;
+    // After this time without a call the earlier failures say nothing about the peer's present state.
+    private static final long FORGET_MILLIS = 60_000;
 
-    private final Map<String, Failures> failures = new ConcurrentHashMap<>();
+    private final Map<String, Skip> skips = new HashMap<>();
 
     private PeerEvidence() {}
 
     /**
-     * Creates evidence under which all peers are reachable.
+     * Creates evidence without calls, by which every peer is reachable.
      *
      * @return the evidence
      */
@@ -27,49 +32,50 @@
     }
 
     /**
-     * Records that a peer did not answer a call.
+     * Notes a call that failed or was not answered in time.
      *
      * @param peer the name of the peer
-     * @param nowMillis the current time in milliseconds
+     * @param nowMillis the time in milliseconds
      */
     public void recordFailure(String peer, long nowMillis) {
         Objects.requireNonNull(peer, "peer");
-        failures.compute(peer, (name, known) -> {
-            if (known == null) {
-                return new Failures(FIRST_SKIP_MILLIS, nowMillis + FIRST_SKIP_MILLIS);
-            }
-            if (nowMillis < known.skipUntilMillis()) {
-                // Calls that were under way together count as one failure.
-                return known;
-            }
-            long skip = Math.min(LONGEST_SKIP_MILLIS, 2 * known.skipMillis());
-            return new Failures(skip, nowMillis + skip);
-        });
+        skips.values().removeIf(skip -> nowMillis >= skip.untilMillis + FORGET_MILLIS);
+        Skip last = skips.get(peer);
+        if (last == null) {
+            skips.put(peer, new Skip(FIRST_SKIP_MILLIS, nowMillis + FIRST_SKIP_MILLIS));
+        } else if (nowMillis >= last.untilMillis) {
+            long length = Math.min(2 * last.lengthMillis, MAXIMUM_SKIP_MILLIS);
+            skips.put(peer, new Skip(length, nowMillis + length));
+        }
     }
 
     /**
-     * Records that a peer answered a call.
+     * Notes a call that the peer answered; the peer is reachable at once and its earlier failures are forgotten.
      *
      * @param peer the name of the peer
-     * @param nowMillis the current time in milliseconds
+     * @param nowMillis the time in milliseconds
      */
     public void recordSuccess(String peer, long nowMillis) {
-        Objects.requireNonNull(peer, "peer");
-        failures.remove(peer);
+        skips.remove(Objects.requireNonNull(peer, "peer"));
     }
 
     /**
-     * Tells whether a peer is worth a call.
+     * Tells whether a peer is to be called.
      *
      * @param peer the name of the peer
-     * @param nowMillis the current time in milliseconds
-     * @return false while a peer that did not answer is skipped: 2 s, doubled for each further failure up to 10 s
+     * @param nowMillis the time in milliseconds
+     * @return false while the peer is skipped
      */
     public boolean isReachable(String peer, long nowMillis) {
-        Failures known = failures.get(peer);
-        return known == null || nowMillis >= known.skipUntilMillis();
+        Skip skip = skips.get(Objects.requireNonNull(peer, "peer"));
+        return skip == null || nowMillis >= skip.untilMillis;
     }
 
-    /** How long a peer is skipped and until when. */
-    private record Failures(long skipMillis, long skipUntilMillis) {}
+    /**
+     * The last skip of a peer.
+     *
+     * @param lengthMillis its length in milliseconds
+     * @param untilMillis its end in milliseconds
+     */
+    private record Skip(long lengthMillis, long untilMillis) {}
 }
