--- a/src/main/java/org/cassiabank/membership/InstanceListHistory.java
+++ b/src/main/java/org/cassiabank/membership/InstanceListHistory.java
@@ -57,7 +57,7 @@
     }
 
     /**
-     * Applies a difference if it leads to a newer list. The difference may start at an older list than the one in force.
+     * Applies a difference if it leads to a newer list. It may start at an older list than the one in force.
      *
      * @param delta the difference
      * @return true if the newer list is now in force; false if it is not newer or does not fit, and the whole list is
--- a/src/main/java/org/cassiabank/proxy/Entry.java
+++ b/src/main/java/org/cassiabank/proxy/Entry.java
@@ -28,7 +28,7 @@
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final String REQUEST_ID_HEADER = "Cassiabank-Request-Id";
     private static final long MAXIMUM_DEADLINE_MILLIS = TimeUnit.MINUTES.toMillis(30);
-    /** Half the time for which keepers remember a claim, so that no paused entry sends a request they have forgotten. */
+    /** Half the time for which keepers remember a claim, so that no paused entry sends what they have forgotten. */
     private static final long MAXIMUM_CLAIMED_MILLIS = TimeUnit.MINUTES.toMillis(5);
 
     private static final int LOG_INTERVAL_SECONDS = 10;
