--- a/src/main/java/org/cassiabank/health/HealthMonitor.java
+++ b/src/main/java/org/cassiabank/health/HealthMonitor.java
@@ -160,6 +160,9 @@
             server.probation.eject(nowMillis);
             detector.forget(server.evidence.index());
         }
+        if (!decision.eject().isEmpty()) {
+            servers.values().forEach(server -> server.evidence.restartErrorComparison());
+        }
     }
 
     private OutlierDetector.Scope scope(Server server, long nowMillis) {
--- a/src/main/java/org/cassiabank/health/ServerEvidence.java
+++ b/src/main/java/org/cassiabank/health/ServerEvidence.java
@@ -89,6 +89,11 @@
         return severity;
     }
 
+    /** Begins a new comparison of errors; almost all work of a slow server is slow, so its comparison can go on. */
+    void restartErrorComparison() {
+        errors.restartComparison();
+    }
+
     void resetTests() {
         errors.reset();
         slowness.reset();
