Send a suspect server enough work to judge it, and observe outrun attempts

The scheduler sent a server that looked slow or failed 1 to 2 requests/s, so the outlier detection had no samples; hedges cancelled the attempts that would have shown slowness. Change: a server that waited 50 ms for a request counts as fast, so it gets up to 20 requests/s; the first attempt that a hedge outran is cancelled only when it has shown whether its server is slow. Proxies exit with 0 after a graceful stop instead of 143.

--- a/src/main/java/org/cassiabank/admission/ServerState.java
+++ b/src/main/java/org/cassiabank/admission/ServerState.java
@@ -23,6 +23,12 @@
     /** Slowness is forgotten after this time without answers, so that an avoided server is tried again. */
     private static final long SLOWNESS_MILLIS = 2000;
 
+    /**
+     * A server that waited this long for a request counts as fast. The outlier detection needs about 20 requests a second
+     * to judge a server within 2 s; a suspect that is only avoided would be neither ejected nor cleared.
+     */
+    private static final long EVIDENCE_MILLIS = 50;
+
     private ServerCapacity capacity;
     private boolean present = true;
     private int leases;
@@ -191,6 +197,7 @@
 
     /** Servers within one step count as equally fast; otherwise the best of equal servers would get all work. */
     private int slownessStep(long nowMillis) {
-        return nowMillis - slownessAt > SLOWNESS_MILLIS ? 0 : (int) Math.max(0, (slowness - 1) * 2);
+        boolean counts = nowMillis - slownessAt <= SLOWNESS_MILLIS && nowMillis - lastGrantAt < EVIDENCE_MILLIS;
+        return counts ? (int) Math.max(0, (slowness - 1) * 2) : 0;
     }
 }
--- a/src/main/java/org/cassiabank/proxy/Attempts.java
+++ b/src/main/java/org/cassiabank/proxy/Attempts.java
@@ -5,7 +5,9 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import org.cassiabank.admission.SlotAsk;
 import org.cassiabank.backend.Answered;
 import org.cassiabank.backend.BackendCall;
@@ -28,6 +30,8 @@
     private final BackendClient backends;
     private final ProxyMetrics metrics;
     private final ExecutorService workers = Executors.newVirtualThreadPerTaskExecutor();
+    private final ScheduledExecutorService canceller = Executors.newSingleThreadScheduledExecutor(
+            Thread.ofPlatform().name("cancel-later").daemon().factory());
 
     private Attempts(String entryName, SlotBroker broker, BackendClient backends, ProxyMetrics metrics) {
         this.entryName = entryName;
@@ -116,6 +120,16 @@
         return running;
     }
 
+    /**
+     * Cancels an attempt after a time, if it still runs then.
+     *
+     * @param running the attempt
+     * @param delayMillis the time in milliseconds
+     */
+    void cancelLater(Running running, long delayMillis) {
+        canceller.schedule(running::cancel, delayMillis, TimeUnit.MILLISECONDS);
+    }
+
     private Running newCall(CallerRequest request, SlotResult.Slot slot, Selector selector, long timeoutMillis) {
         String requestId = entryName + "-"
                 + HexFormat.of().toHexDigits(ThreadLocalRandom.current().nextLong());
--- a/src/main/java/org/cassiabank/proxy/ProxyMain.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyMain.java
@@ -16,6 +16,7 @@
  * Starts a proxy daemon.
  */
 public final class ProxyMain {
+    private static final int EXIT_SUCCESS = 0;
     private static final int EXIT_FAILURE = 1;
     private static final int EXIT_USAGE = 2;
 
@@ -61,7 +62,11 @@
     private static void run(ProxySettings settings) throws InterruptedException {
         ProxyDaemon daemon = ProxyDaemon.create(settings);
         daemon.start();
-        Runtime.getRuntime().addShutdownHook(Thread.ofPlatform().name("drain").unstarted(daemon::close));
+        Runtime.getRuntime().addShutdownHook(Thread.ofPlatform().name("drain").unstarted(() -> {
+            daemon.close();
+            // Without this the JVM reports the signal as status 143, which looks like a failed stop.
+            Runtime.getRuntime().halt(EXIT_SUCCESS);
+        }));
         new CountDownLatch(1).await();
     }
 
--- a/src/main/java/org/cassiabank/proxy/RequestRun.java
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -29,6 +29,9 @@
     /** An attempt that takes ten times the usual 95th percentile is more likely lost than late. */
     private static final long ATTEMPT_TIMEOUT_FACTOR = 10;
 
+    /** The outlier detection takes four times the usual time for slow; the hedge delay is at least the usual time. */
+    private static final long OBSERVATION_FACTOR = 5;
+
     private final CallerRequest request;
     private final Selector selector;
     private final CallerPresence presence;
@@ -180,8 +183,10 @@
             winner = isGood(later) || later instanceof Answered ? later : winner;
             neverRun = neverRun && later.attemptResult().provesNotRun();
         }
-        first.cancel();
         other.cancel();
+        // A first attempt that is outrun still has to show whether its server is slow; cancelled at once, it would hide
+        // a slow or stalled server from the outlier detection.
+        attempts.cancelLater(first, OBSERVATION_FACTOR * delayMillis);
         return winner;
     }
 
--- a/src/test/java/org/cassiabank/fleet/FleetFaultTest.java
+++ b/src/test/java/org/cassiabank/fleet/FleetFaultTest.java
@@ -181,8 +181,7 @@
         for (Member proxy : fleet.proxies) {
             fleet.markLeaving(proxy, true);
             proxy.process().signal("TERM");
-            fleet.await(20_000, proxy.name() + " has stopped", () -> !proxy.process()
-                    .isAlive());
+            assertThat(proxy.process().awaitExit(20_000)).as(proxy.name()).isZero();
             proxy.start();
             fleet.awaitReady(proxy);
             fleet.markLeaving(proxy, false);
