Save wake-ups of virtual threads in the daemons

Conclusion: most of the added time is waking threads; fewer carriers keep a request on a running one.

--- a/src/main/java/org/cassiabank/load/Fleet.java
+++ b/src/main/java/org/cassiabank/load/Fleet.java
@@ -35,10 +35,13 @@
     private static final int FAILURE_DOMAINS = 4;
     private static final long START_MILLIS = 60_000;
     private static final long EXIT_MILLIS = 40_000;
+    // The same as in bin/launch. The second compiler tier would still be compiling during short runs.
     private static final List<String> JAVA_OPTIONS = List.of(
             "-Xmx192m",
             "-XX:+UseSerialGC",
             "-XX:TieredStopAtLevel=1",
+            "-Djdk.virtualThreadScheduler.parallelism=2",
+            "-Djdk.pollerMode=1",
             "-Dio.netty.noUnsafe=true",
             "--enable-native-access=ALL-UNNAMED");
     // Stand-ins need less memory, and the first compiler tier is enough for them.
--- a/src/main/java/org/cassiabank/load/LongExperiment.java
+++ b/src/main/java/org/cassiabank/load/LongExperiment.java
@@ -12,7 +12,7 @@
     private static final double SHORT_MILLIS = 10;
     private static final double LONG_MILLIS = 1_000;
     private static final double LONG_SHARE = 0.1;
-    private static final double UTILISATION = 0.5;
+    private static final double UTILISATION = 0.7;
 
     @Override
     public String name() {
