--- a/src/main/java/org/cassiabank/proxy/AdminPages.java
+++ b/src/main/java/org/cassiabank/proxy/AdminPages.java
@@ -70,8 +70,7 @@
     }
 
     private boolean isReady() {
-        FleetState fleet = kernel.get(ServiceNames.FLEET);
-        return fleet.revision() > 0 && fleet.view().instances().index() > 0;
+        return kernel.get(ServiceNames.FLEET).isReady();
     }
 
     private static String state(Context context, boolean good, String text) {
--- a/src/main/java/org/cassiabank/proxy/FleetState.java
+++ b/src/main/java/org/cassiabank/proxy/FleetState.java
@@ -42,6 +42,15 @@
         return history.configuration().revision();
     }
 
+    /**
+     * Tells whether this daemon has both a configuration and an instance list.
+     *
+     * @return false until both are in force
+     */
+    boolean isReady() {
+        return revision() > 0 && view.instances().index() > 0;
+    }
+
     /**
      * Adds a listener that is called with the former and the new view after each change.
      *
--- a/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
+++ b/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import org.apache.thrift.TApplicationException;
 import org.cassiabank.kernel.Kernel;
 import org.cassiabank.kernel.KernelService;
 import org.cassiabank.peer.PeerServer;
@@ -23,6 +24,7 @@
 final class PeerEndpoint implements KernelService, Peer.Iface {
     private final ProxySettings settings;
     private final PeerSockets sockets;
+    private FleetState fleet;
     private ShardOwners owners;
     private ClaimKeeper keeper;
     private Replication replication;
@@ -40,6 +42,7 @@
 
     @Override
     public void start(Kernel kernel) {
+        fleet = kernel.get(ServiceNames.FLEET);
         owners = kernel.get(ServiceNames.OWNERS);
         keeper = kernel.get(ServiceNames.CLAIM_KEEPER);
         replication = kernel.get(ServiceNames.REPLICATION);
@@ -53,7 +56,12 @@
     }
 
     @Override
-    public SlotReply acquire(SlotRequest request) {
+    public SlotReply acquire(SlotRequest request) throws TApplicationException {
+        if (!fleet.isReady()) {
+            // A daemon that has just started knows no server yet; the failure sends the entry to the next candidate.
+            throw new TApplicationException(
+                    TApplicationException.INTERNAL_ERROR, "no configuration or instance list yet");
+        }
         ShardKey shard = new ShardKey(request.getServiceName(), request.getShard());
         return PeerMessages.toMessage(owners.acquire(shard, PeerMessages.toAsk(request), request.getTicket()));
     }
--- /dev/null
+++ b/src/test/java/org/cassiabank/proxy/PeerEndpointTest.java
@@ -0,0 +1,83 @@
+package org.cassiabank.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.apache.thrift.TApplicationException;
+import org.cassiabank.admission.SchedulerSettings;
+import org.cassiabank.admission.SlotAsk;
+import org.cassiabank.declaration.CostHint;
+import org.cassiabank.declaration.LabelRule;
+import org.cassiabank.declaration.ServiceDeclaration;
+import org.cassiabank.kernel.Kernel;
+import org.cassiabank.load.Ports;
+import org.cassiabank.membership.Instance;
+import org.cassiabank.membership.InstanceList;
+import org.cassiabank.membership.InstanceRole;
+import org.cassiabank.membership.InstanceState;
+import org.cassiabank.once.ProxyListHistory;
+import org.cassiabank.peer.ControlTraffic;
+import org.cassiabank.peer.PeerClients;
+import org.cassiabank.peer.PeerSockets;
+import org.cassiabank.peer.generated.SlotRequest;
+import org.cassiabank.revision.Change;
+import org.cassiabank.revision.PutEdit;
+import org.junit.jupiter.api.Test;
+
+/** Guards against an owner that refuses requests for want of servers while it has only just started. */
+class PeerEndpointTest {
+    private static final Instance SELF = instance("proxy-1", InstanceRole.PROXY);
+
+    @Test
+    void aDaemonGrantsNoSlotsBeforeItHasConfigurationAndInstances() throws Exception {
+        FleetState fleet = FleetState.create("region");
+        ProxyMetrics metrics = ProxyMetrics.create();
+        PeerDirectory peers =
+                PeerDirectory.create("proxy-1", PeerClients.create(PeerSockets.plain(), ControlTraffic.ignored()));
+        ProxyListHistory lists = ClaimTimes.newHistory();
+        PeerEndpoint endpoint = PeerEndpoint.create(settings(), PeerSockets.plain());
+        try (Kernel kernel = Kernel.create()
+                .register(ServiceNames.FLEET, fleet)
+                .register(ServiceNames.OWNERS, ShardOwners.create(SchedulerSettings.defaults(), fleet, metrics))
+                .register(ServiceNames.CLAIM_KEEPER, ClaimKeeper.create(SELF, fleet, peers, lists))
+                .register(ServiceNames.REPLICATION, Replication.create(SELF, fleet, peers))
+                .register(ServiceNames.PEER_ENDPOINT, endpoint)) {
+            kernel.start();
+            SlotRequest request = PeerMessages.toMessage(ask(), new ShardKey("menu", 0), 0);
+            assertThatThrownBy(() -> endpoint.acquire(request)).isInstanceOf(TApplicationException.class);
+            fleet.apply(new Change(
+                    1,
+                    "first",
+                    List.of(
+                            new PutEdit(new LabelRule("menu", "menu-*", Map.of("service", "menu")), 0),
+                            new PutEdit(new ServiceDeclaration("menu", 2, 1, 1_000), 0))));
+            assertThatThrownBy(() -> endpoint.acquire(request)).isInstanceOf(TApplicationException.class);
+            fleet.install(InstanceList.of(1, List.of(SELF, instance("menu-1", InstanceRole.BACKEND))));
+            assertThat(endpoint.acquire(request).isSetGrant()).isTrue();
+        }
+    }
+
+    private static SlotAsk ask() {
+        return new SlotAsk("proxy-2", "read", "read", "caller", CostHint.SHORT, true, 1_000, Set.of(), Map.of());
+    }
+
+    private static ProxySettings settings() {
+        return ProxySettingsParser.parse(
+                "test", """
+                name = "proxy-1"
+                region = "region"
+                failure-domain = "domain"
+                callers-address = "%s"
+                peer-address = "%s"
+                admin-address = "%s"
+                store = "http://127.0.0.1:1"
+                """.formatted(Ports.nextAddress(), Ports.nextAddress(), Ports.nextAddress()));
+    }
+
+    private static Instance instance(String name, InstanceRole role) {
+        return new Instance(name, role, "127.0.0.1:1000", "region", "domain", InstanceState.LIVE);
+    }
+}
