--- a/src/main/java/org/cassiabank/load/LongExperiment.java
+++ b/src/main/java/org/cassiabank/load/LongExperiment.java
@@ -58,10 +58,12 @@
                         arm + ": short answered",
                         shortWith.size() / (double) with.ofKind("short").size(),
                         ""));
-                measures.add(Measure.of(
-                        arm + ": long answered",
-                        longOnes.of(AnswerClass.ANSWERED).size() / (double) longOnes.size(),
-                        ""));
+                String longAnswered = arm + ": long answered";
+                double longShare = longOnes.of(AnswerClass.ANSWERED).size() / (double) longOnes.size();
+                measures.add(
+                        separation
+                                ? Measure.atLeast(longAnswered, longShare, "", 1)
+                                : Measure.of(longAnswered, longShare, ""));
                 measures.add(Measure.of(
                         arm + ": long p50", longOnes.of(AnswerClass.ANSWERED).percentileMillis(50), "ms"));
                 measures.add(Measure.of(arm + ": p99 delay of sending by the tool", with.sendDelayMillis(), "ms"));
