--- a/src/main/java/org/cassiabank/load/LongExperiment.java
+++ b/src/main/java/org/cassiabank/load/LongExperiment.java
@@ -61,7 +61,7 @@
                 String longAnswered = arm + ": long answered";
                 double longShare = longOnes.of(AnswerClass.ANSWERED).size() / (double) longOnes.size();
                 measures.add(
-                        separation
+                        separate
                                 ? Measure.atLeast(longAnswered, longShare, "", 1)
                                 : Measure.of(longAnswered, longShare, ""));
                 measures.add(Measure.of(
