Visit only the differences when a list change may have lost entries

Cause: every change of the view scanned all listed instances for proxies, although the list finds its differences. Change: ShardOwners uses InstanceList.forEachDifference; FleetView.allProxies, which nothing called, is removed.

--- a/src/main/java/org/cassiabank/proxy/FleetView.java
+++ b/src/main/java/org/cassiabank/proxy/FleetView.java
@@ -92,17 +92,6 @@
         return regionProxies;
     }
 
-    /**
-     * Returns the live proxies of all regions.
-     *
-     * @return the proxies in list order
-     */
-    List<Instance> allProxies() {
-        return instances.withRole(InstanceRole.PROXY).stream()
-                .filter(Instance::isLive)
-                .toList();
-    }
-
     /**
      * Returns the addresses of all listed backend servers.
      *
--- a/src/main/java/org/cassiabank/proxy/ShardOwners.java
+++ b/src/main/java/org/cassiabank/proxy/ShardOwners.java
@@ -14,7 +14,6 @@
 import org.cassiabank.health.ServerHealth;
 import org.cassiabank.kernel.Kernel;
 import org.cassiabank.kernel.KernelService;
-import org.cassiabank.membership.Instance;
 import org.cassiabank.membership.InstanceRole;
 
 /**
@@ -86,11 +85,11 @@
     private void updateShards(FleetView former, FleetView view) {
         long now = MonotonicClock.millis();
         shards.values().forEach(shard -> shard.updateView(view, now));
-        for (Instance proxy : former.instances().withRole(InstanceRole.PROXY)) {
-            if (view.instances().find(proxy.name()).isEmpty()) {
-                shards.values().forEach(shard -> shard.loseEntry(proxy.name()));
+        view.instances().forEachDifference(former.instances(), (name, before, after) -> {
+            if (after == null && before.role() == InstanceRole.PROXY) {
+                shards.values().forEach(shard -> shard.loseEntry(name));
             }
-        }
+        });
     }
 
     private void tick() {
