--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -4,6 +4,7 @@
 import java.io.InterruptedIOException;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import okhttp3.Call;
 import okhttp3.Headers;
@@ -18,17 +19,21 @@
     private final Call call;
     private final AttemptTrace trace;
     private final int mostAnswerBytes;
+    private final MessageProfile profile;
     private volatile boolean cancelled;
 
-    private BackendCall(BackendRequest request, Call call, AttemptTrace trace, int mostAnswerBytes) {
+    private BackendCall(
+            BackendRequest request, Call call, AttemptTrace trace, int mostAnswerBytes, MessageProfile profile) {
         this.request = request;
         this.call = call;
         this.trace = trace;
         this.mostAnswerBytes = mostAnswerBytes;
+        this.profile = profile;
     }
 
-    static BackendCall of(BackendRequest request, Call call, AttemptTrace trace, int mostAnswerBytes) {
-        return new BackendCall(request, call, trace, mostAnswerBytes);
+    static BackendCall of(
+            BackendRequest request, Call call, AttemptTrace trace, int mostAnswerBytes, MessageProfile profile) {
+        return new BackendCall(request, call, trace, mostAnswerBytes, profile);
     }
 
     /**
@@ -71,30 +76,41 @@
 
     private Optional<BackendResult> checkHead(Response response) {
         Headers headers = trace.answerHeaders();
-        List<String> identifiers = headers.values(BackendHeaders.REQUEST_ID);
+        List<String> identifiers = headers.values(profile.requestIdentifier());
         if (identifiers.isEmpty() || !identifiers.stream().allMatch(request.requestId()::equals)) {
             return Optional.of(new Broken(BrokenReason.WRONG_REQUEST_ID, "answer carries identifier " + identifiers));
         }
         int status = response.code();
+        if (response.isSuccessful() && isUnsigned(headers)) {
+            return Optional.of(new Broken(BrokenReason.WRONG_REQUEST_ID, "successful answer without a signature"));
+        }
         if (status == 204 || status == 304 || request.method().equals("HEAD")) {
             return Optional.empty();
         }
         boolean chunked = "chunked".equalsIgnoreCase(headers.get("Transfer-Encoding"));
         List<String> lengths = headers.values("Content-Length");
         boolean declared = response.body().contentLength() >= 0 && new HashSet<>(lengths).size() == 1;
-        return status >= 200 && (chunked || declared)
+        boolean endsWithConnection = profile.allowsAnswersWithoutLength() && lengths.isEmpty();
+        return status >= 200 && (chunked || declared || endsWithConnection)
                 ? Optional.empty()
                 : Optional.of(new Broken(BrokenReason.CUT_ANSWER, "status " + status + " without a declared end"));
     }
 
     private BackendResult toResult(int status, byte[] body) {
         Headers headers = trace.answerHeaders();
-        boolean leaving = BackendHeaders.isAlways(headers, BackendHeaders.LEAVING, "true");
-        return status == 503 && BackendHeaders.isAlways(headers, BackendHeaders.NOT_RUN, "true")
+        Map<String, List<String>> byName = headers.toMultimap();
+        boolean leaving = profile.statesLeaving(byName);
+        return profile.provesNotRun(status, byName)
                 ? new ShedAnswer(leaving)
                 : new Answered(status, BackendHeaders.endToEnd(headers), body, leaving);
     }
 
+    private boolean isUnsigned(Headers headers) {
+        return profile.answerSignature()
+                .filter(name -> headers.get(name) == null)
+                .isPresent();
+    }
+
     private BackendResult toResult(IOException exception) {
         boolean written = trace.mayHaveWritten();
         String detail = exception.toString();
--- a/src/main/java/org/cassiabank/backend/BackendClient.java
+++ b/src/main/java/org/cassiabank/backend/BackendClient.java
@@ -25,12 +25,14 @@
     private static final Set<String> METHODS_WITHOUT_BODY = Set.of("GET", "HEAD");
 
     private final BackendSettings settings;
+    private final MessageProfile profile;
     private final OkHttpClient fresh;
     /** By address: the pool of OkHttp limits idle connections over all its servers, not for each one. */
     private final Map<String, OkHttpClient> pooled = new ConcurrentHashMap<>();
 
-    private BackendClient(BackendSettings settings) {
+    private BackendClient(BackendSettings settings, MessageProfile profile) {
         this.settings = settings;
+        this.profile = profile;
         this.fresh = new OkHttpClient.Builder()
                 .protocols(List.of(Protocol.HTTP_1_1))
                 .proxy(Proxy.NO_PROXY)
@@ -56,7 +58,19 @@
      * @return the client
      */
     public static BackendClient create(BackendSettings settings) {
-        return new BackendClient(Objects.requireNonNull(settings, "settings"));
+        return create(settings, OwnMessages.create());
+    }
+
+    /**
+     * Creates a client for servers that understand other headers than the project's own.
+     *
+     * @param settings the limits
+     * @param profile the headers
+     * @return the client
+     */
+    public static BackendClient create(BackendSettings settings, MessageProfile profile) {
+        return new BackendClient(
+                Objects.requireNonNull(settings, "settings"), Objects.requireNonNull(profile, "profile"));
     }
 
     /**
@@ -77,7 +91,7 @@
      * @throws IllegalArgumentException if the address, the method or a header cannot be sent
      */
     public BackendCall newCall(BackendRequest request) {
-        Headers headers = BackendHeaders.toSend(request);
+        Headers headers = BackendHeaders.toSend(request, profile);
         AttemptTrace trace = new AttemptTrace();
         // Without an encoding of the caller, "identity" keeps OkHttp from asking for gzip; the trace takes it out
         // again.
@@ -96,7 +110,7 @@
         OkHttpClient client = request.repeatable() ? pooled(request.address()) : fresh;
         Call call = client.newCall(message);
         call.timeout().timeout(request.timeoutMillis(), TimeUnit.MILLISECONDS);
-        return BackendCall.of(request, call, trace, settings.mostAnswerBytes());
+        return BackendCall.of(request, call, trace, settings.mostAnswerBytes(), profile);
     }
 
     /**
--- a/src/main/java/org/cassiabank/backend/BackendHeaders.java
+++ b/src/main/java/org/cassiabank/backend/BackendHeaders.java
@@ -79,15 +79,21 @@
      * Returns the headers to send for a request. {@code Content-Length} is set from the body. {@code Expect} is left
      * out because the body is complete and sent at once.
      */
-    static Headers toSend(BackendRequest request) {
+    static Headers toSend(BackendRequest request, MessageProfile profile) {
         Headers.Builder builder = new Headers.Builder();
         endToEnd(request.headers()).forEach((name, values) -> {
             if (!name.equalsIgnoreCase("Content-Length") && !name.equalsIgnoreCase("Expect")) {
                 values.forEach(value -> builder.addUnsafeNonAscii(name, value));
             }
         });
-        builder.set(REQUEST_ID, request.requestId());
-        builder.set(DEADLINE_MILLIS, Long.toString(request.timeoutMillis()));
+        builder.set(profile.requestIdentifier(), request.requestId());
+        builder.set(profile.deadlineMillis(), Long.toString(request.timeoutMillis()));
+        profile.expectedServer().ifPresent(name -> {
+            builder.removeAll(name);
+            if (!request.server().isEmpty()) {
+                builder.set(name, request.server());
+            }
+        });
         if (!request.repeatable()) {
             builder.set("Connection", "close");
         }
@@ -95,8 +101,11 @@
     }
 
     /** Tells whether a header is there and has the given value each time. */
-    static boolean isAlways(Headers headers, String name, String value) {
-        List<String> values = headers.values(name);
+    static boolean isAlways(Map<String, List<String>> headers, String name, String value) {
+        List<String> values = headers.entrySet().stream()
+                .filter(header -> header.getKey().equalsIgnoreCase(name))
+                .flatMap(header -> header.getValue().stream())
+                .toList();
         return !values.isEmpty() && values.stream().allMatch(value::equalsIgnoreCase);
     }
 }
--- a/src/main/java/org/cassiabank/backend/BackendRequest.java
+++ b/src/main/java/org/cassiabank/backend/BackendRequest.java
@@ -8,6 +8,7 @@
 /**
  * A request to a backend server.
  *
+ * @param server the name of the server, empty if it is not known
  * @param address the host and port of the server
  * @param method the HTTP method
  * @param path the path with the query, starting with a slash and without dot segments
@@ -18,6 +19,7 @@
  * @param timeoutMillis the longest time for the whole attempt in milliseconds, also sent as the server's deadline
  */
 public record BackendRequest(
+        String server,
         String address,
         String method,
         String path,
@@ -35,6 +37,7 @@
      *     or HEAD request has a body, or if the identifier is blank or the timeout is not positive
      */
     public BackendRequest {
+        Objects.requireNonNull(server, "server");
         Objects.requireNonNull(address, "address");
         Objects.requireNonNull(method, "method");
         Objects.requireNonNull(body, "body");
@@ -53,6 +56,30 @@
         }
     }
 
+    /**
+     * Creates a request to a server whose name is not known.
+     *
+     * @param address the host and port of the server
+     * @param method the HTTP method
+     * @param path the path with the query, starting with a slash and without dot segments
+     * @param headers the caller's headers; hop-by-hop headers are not sent
+     * @param body the complete body, empty if there is none; not copied
+     * @param requestId the identifier that the server has to echo
+     * @param repeatable whether the request may run more than once; others use a fresh connection
+     * @param timeoutMillis the longest time for the whole attempt in milliseconds, also sent as the server's deadline
+     */
+    public BackendRequest(
+            String address,
+            String method,
+            String path,
+            Map<String, List<String>> headers,
+            byte[] body,
+            String requestId,
+            boolean repeatable,
+            long timeoutMillis) {
+        this("", address, method, path, headers, body, requestId, repeatable, timeoutMillis);
+    }
+
     private static boolean hasDotSegment(String path) {
         int query = path.indexOf('?');
         String onlyPath = query < 0 ? path : path.substring(0, query);
--- /dev/null
+++ b/src/main/java/org/cassiabank/backend/MessageProfile.java
@@ -0,0 +1,80 @@
+package org.cassiabank.backend;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The headers by which callers, proxies and backend servers understand each other.
+ *
+ * <p>The project has a profile of its own, {@link OwnMessages}; a platform may bring another.
+ */
+public interface MessageProfile {
+
+    /**
+     * Returns the header with the identifier of a request, which a backend server echoes.
+     *
+     * @return the name of the header
+     */
+    String requestIdentifier();
+
+    /**
+     * Tells whether a backend server gets the caller's identifier instead of one for each attempt.
+     *
+     * @return true if the caller's identifier is passed on
+     */
+    boolean keepsCallerIdentifier();
+
+    /**
+     * Returns the header with the time that is left, in milliseconds.
+     *
+     * @return the name of the header
+     */
+    String deadlineMillis();
+
+    /**
+     * Returns the header that names the backend server that a request is meant for.
+     *
+     * @return the name of the header, or empty if servers do not check it
+     */
+    Optional<String> expectedServer();
+
+    /**
+     * Returns the header without which a successful answer is not the server's own.
+     *
+     * @return the name of the header, or empty if answers carry none
+     */
+    Optional<String> answerSignature();
+
+    /**
+     * Tells whether an answer proves that the request did not run.
+     *
+     * @param status the HTTP status
+     * @param headers the headers of the answer
+     * @return true if the request provably did not run
+     */
+    boolean provesNotRun(int status, Map<String, List<String>> headers);
+
+    /**
+     * Tells whether an answer states that its server is leaving.
+     *
+     * @param headers the headers of the answer
+     * @return true if the server is leaving
+     */
+    boolean statesLeaving(Map<String, List<String>> headers);
+
+    /**
+     * Tells whether the end of the connection may be the end of an answer.
+     *
+     * @return true if answers without a declared length are complete when their connection ends in order
+     */
+    boolean allowsAnswersWithoutLength();
+
+    /**
+     * Writes the time after which a caller may come back.
+     *
+     * @param millis the time in milliseconds
+     * @return the value of {@code Retry-After}
+     */
+    String retryAfter(long millis);
+}
--- a/src/main/java/org/cassiabank/declaration/Configuration.java
+++ b/src/main/java/org/cassiabank/declaration/Configuration.java
@@ -3,9 +3,12 @@
 import java.util.AbstractCollection;
 import java.util.AbstractMap;
 import java.util.AbstractSet;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.EnumMap;
+import java.util.HashSet;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -86,6 +89,34 @@
         return new Configuration(newRevision, maps);
     }
 
+    /**
+     * Returns a configuration that has exactly the given entities. Those that are the same as before are shared and keep
+     * the revision of their last change.
+     *
+     * @param newRevision the revision of the copy, higher than the own one
+     * @param declarations all entities
+     * @return the configuration
+     * @throws IllegalArgumentException if the revision is not higher or a key occurs twice
+     */
+    public Configuration replacedBy(long newRevision, Collection<Declaration> declarations) {
+        Set<EntityKey> present = new HashSet<>();
+        List<Declaration> changed = new ArrayList<>();
+        for (Declaration declaration : declarations) {
+            if (!present.add(declaration.key())) {
+                throw new IllegalArgumentException(declaration.key() + " occurs twice");
+            }
+            if (find(declaration.key())
+                    .filter(known -> known.declaration().equals(declaration))
+                    .isEmpty()) {
+                changed.add(declaration);
+            }
+        }
+        List<EntityKey> removed = entities().keySet().stream()
+                .filter(key -> !present.contains(key))
+                .toList();
+        return with(newRevision, changed, removed);
+    }
+
     /**
      * Returns the revision of the last change that is included.
      *
--- a/src/main/java/org/cassiabank/declaration/DeclarationFormat.java
+++ b/src/main/java/org/cassiabank/declaration/DeclarationFormat.java
@@ -67,12 +67,24 @@
         boolean repeatable = reader.flag("repeatable", false);
         String cost = reader.text("cost", Optional.of("learned"), DeclarationFormat::costProblem);
         int priority = (int) reader.number(DeclarationRules.PRIORITY, Optional.of(0));
+        String host = reader.text("host", Optional.of(""), DeclarationRules::hostProblem);
+        RequestLimits limits = readLimits(reader);
         if (!reader.finish() || !nameValid) {
             return Optional.empty();
         }
         CostHint hint = CostHint.valueOf(cost.toUpperCase(Locale.ROOT));
-        return Optional.of(
-                new Selector(name, service, methods, path, callers, servers, weight, repeatable, hint, priority));
+        return Optional.of(new Selector(
+                name, service, methods, path, callers, servers, weight, repeatable, hint, priority, host, limits));
+    }
+
+    private static RequestLimits readLimits(FieldReader reader) {
+        RequestLimits defaults = RequestLimits.defaults();
+        long timeoutMillis = reader.number(DeclarationRules.TIMEOUT_MILLIS, Optional.of(0));
+        long targetMillis = reader.number(DeclarationRules.TARGET_MILLIS, Optional.of(0));
+        int attempts = (int) reader.number(DeclarationRules.MAXIMUM_ATTEMPTS, Optional.of(defaults.maximumAttempts()));
+        int urgency = (int) reader.number(DeclarationRules.URGENCY, Optional.of(defaults.urgency()));
+        // Values out of range were reported; the defaults stand in for them until the findings are thrown.
+        return reader.hasFailed() ? defaults : new RequestLimits(timeoutMillis, targetMillis, attempts, urgency);
     }
 
     private static Optional<String> costProblem(String cost) {
@@ -109,11 +121,25 @@
                         .put("repeatable", selector.repeatable())
                         .put("cost", selector.cost().name().toLowerCase(Locale.ROOT))
                         .put("priority", selector.priority());
+                writeLimits(body, selector);
             }
         }
         return body;
     }
 
+    private static void writeLimits(ObjectNode body, Selector selector) {
+        if (!selector.host().isEmpty()) {
+            body.put("host", selector.host());
+        }
+        RequestLimits limits = selector.limits();
+        if (!limits.equals(RequestLimits.defaults())) {
+            body.put("timeout-millis", limits.timeoutMillis())
+                    .put("target-millis", limits.targetMillis())
+                    .put("maximum-attempts", limits.maximumAttempts())
+                    .put("urgency", limits.urgency());
+        }
+    }
+
     private static void writeLabels(ObjectNode table, Map<String, String> labels) {
         new TreeMap<>(labels).forEach(table::put);
     }
--- a/src/main/java/org/cassiabank/declaration/DeclarationRules.java
+++ b/src/main/java/org/cassiabank/declaration/DeclarationRules.java
@@ -14,9 +14,15 @@
     static final Range WEIGHT = new Range("weight", 1, 1_000_000);
     static final Range PRIORITY = new Range("priority", -1_000_000, 1_000_000);
 
+    static final Range TIMEOUT_MILLIS = new Range("timeout-millis", 0, 3_600_000);
+    static final Range TARGET_MILLIS = new Range("target-millis", 0, 3_600_000);
+    static final Range MAXIMUM_ATTEMPTS = new Range("maximum-attempts", 1, 100);
+    static final Range URGENCY = new Range("urgency", 0, 1_000);
+
     private static final int LONGEST_TEXT = 512;
     // Names become parts of metric labels and of rendezvous keys "service/shard", so they contain no slash.
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,127}");
+    private static final Pattern HOST = Pattern.compile("[a-z0-9][a-z0-9.-]{0,252}(:[0-9]{1,5})?");
     private static final Pattern METHOD = Pattern.compile("[A-Z][A-Z0-9-]{0,31}");
 
     private DeclarationRules() {}
@@ -65,6 +71,12 @@
                 : Optional.of("path \"" + path + "\" never matches; its normalized form is \"" + normalized + "\"");
     }
 
+    static Optional<String> hostProblem(String host) {
+        return host.isEmpty() || HOST.matcher(host).matches()
+                ? Optional.empty()
+                : Optional.of("host \"" + host + "\" must be a host name in lower case, with a port where one is used");
+    }
+
     static Optional<String> globProblem(String pattern) {
         if (pattern.isEmpty() || pattern.length() > LONGEST_TEXT) {
             return Optional.of("glob pattern must have 1 to " + LONGEST_TEXT + " characters");
--- a/src/main/java/org/cassiabank/declaration/FieldReader.java
+++ b/src/main/java/org/cassiabank/declaration/FieldReader.java
@@ -119,6 +119,10 @@
         return values;
     }
 
+    boolean hasFailed() {
+        return failed;
+    }
+
     /** Reports the fields that no method asked for, then tells whether everything was right. */
     boolean finish() {
         List<String> unknown = new ArrayList<>();
--- a/src/main/java/org/cassiabank/declaration/RequestRouter.java
+++ b/src/main/java/org/cassiabank/declaration/RequestRouter.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Locale;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
@@ -11,8 +12,8 @@
 /**
  * Finds the selector of a request. Immutable.
  *
- * <p>Selectors are indexed by path and, below each path, by the pattern of callers, so that a request looks up only the
- * prefixes of its own path. A path prefix matches at segment boundaries: {@code /menu} matches {@code /menu} and
+ * <p>Selectors are indexed by host and path and, below each path, by the pattern of callers, so that a request looks up
+ * only the prefixes of its own path. A path prefix matches at segment boundaries: {@code /menu} matches {@code /menu} and
  * {@code /menu/today}, but not {@code /menus}.
  */
 public final class RequestRouter {
@@ -24,11 +25,12 @@
     private static final RequestRouter EMPTY = new RequestRouter(Configuration.empty(), PersistentMap.empty());
 
     private final Configuration configuration;
-    private final PersistentMap<String, GlobIndex<Selector>> byPath;
+    /** By host followed by path; selectors for all hosts have an empty host. */
+    private final PersistentMap<String, GlobIndex<Selector>> byHostAndPath;
 
-    private RequestRouter(Configuration configuration, PersistentMap<String, GlobIndex<Selector>> byPath) {
+    private RequestRouter(Configuration configuration, PersistentMap<String, GlobIndex<Selector>> byHostAndPath) {
         this.configuration = configuration;
-        this.byPath = byPath;
+        this.byHostAndPath = byHostAndPath;
     }
 
     /**
@@ -49,7 +51,7 @@
      * @return the router
      */
     public RequestRouter update(Configuration next) {
-        Index index = new Index(byPath);
+        Index index = new Index(byHostAndPath);
         configuration
                 .ofKind(EntityKind.SELECTOR)
                 .forEachDifference(next.ofKind(EntityKind.SELECTOR), (name, before, after) -> {
@@ -73,39 +75,54 @@
     }
 
     /**
-     * Finds the selector of a request: the matching one with the highest priority, among these the one with the longest
-     * path, and among equal ones one drawn by weight.
+     * Finds the selector of a request: the matching one with the highest priority, among these one that names the host
+     * before one for all hosts, then the one with the longest path, and among equal ones one drawn by weight.
      *
+     * @param host the value of the {@code Host} header, empty if there is none
      * @param method the HTTP method
      * @param path the path of the request target; a query is ignored
      * @param caller the identity of the caller
      * @param random the source for the draw
      * @return the selector, or empty if none matches
      */
-    public Optional<Selector> route(String method, String path, String caller, RandomGenerator random) {
+    public Optional<Selector> route(String host, String method, String path, String caller, RandomGenerator random) {
         Objects.requireNonNull(method, "method");
         Objects.requireNonNull(caller, "caller");
         String normalized = RequestPaths.normalize(path);
         Match match = new Match(method, caller);
-        for (int end = Math.min(normalized.length(), LONGEST_PATH); end > 0; end--) {
-            if (isBoundary(normalized, end)) {
-                GlobIndex<Selector> index = byPath.get(normalized.substring(0, end));
-                if (index != null) {
-                    match.length = end;
-                    index.forEachList(caller, match::consider);
-                }
-            }
+        if (!host.isEmpty()) {
+            consider(host.toLowerCase(Locale.ROOT), normalized, match);
         }
+        consider("", normalized, match);
         return match.draw(random);
     }
 
+    /**
+     * Finds the selector of a request that names no host.
+     *
+     * @param method the HTTP method
+     * @param path the path of the request target; a query is ignored
+     * @param caller the identity of the caller
+     * @param random the source for the draw
+     * @return the selector, or empty if none matches
+     */
+    public Optional<Selector> route(String method, String path, String caller, RandomGenerator random) {
+        return route("", method, path, caller, random);
+    }
+
     /** Finds a selector that is tried before the given one and matches all its requests. */
     Optional<Selector> coveringSelector(Selector selector) {
+        return coveringSelector(selector.host(), selector)
+                .or(() -> selector.host().isEmpty() ? Optional.empty() : coveringSelector("", selector));
+    }
+
+    private Optional<Selector> coveringSelector(String host, Selector selector) {
         GlobPattern callers = new GlobPattern(selector.callers());
         List<Selector> found = new ArrayList<>(1);
         for (int end = selector.path().length(); end > 0 && found.isEmpty(); end--) {
             if (isBoundary(selector.path(), end)) {
-                GlobIndex<Selector> index = byPath.get(selector.path().substring(0, end));
+                GlobIndex<Selector> index =
+                        byHostAndPath.get(host + selector.path().substring(0, end));
                 if (index != null) {
                     index.forEachCoveringList(callers, entries -> {
                         for (GlobIndex.Entry<Selector> entry : entries) {
@@ -123,6 +140,19 @@
         return found.stream().findFirst();
     }
 
+    private void consider(String host, String path, Match match) {
+        for (int end = Math.min(path.length(), LONGEST_PATH); end > 0; end--) {
+            if (isBoundary(path, end)) {
+                GlobIndex<Selector> index = byHostAndPath.get(host + path.substring(0, end));
+                if (index != null) {
+                    // Any path of a named host counts as longer than all paths of selectors for all hosts.
+                    match.length = host.isEmpty() ? end : LONGEST_PATH + end;
+                    index.forEachList(match.caller, match::consider);
+                }
+            }
+        }
+    }
+
     private static boolean coversMethods(Selector covering, Selector covered) {
         return covering.methods().isEmpty()
                 || !covered.methods().isEmpty() && covering.methods().containsAll(covered.methods());
@@ -142,13 +172,15 @@
         }
 
         void add(Selector selector) {
-            GlobIndex<Selector> present = paths.getOrDefault(selector.path(), EMPTY_INDEX);
-            paths = paths.with(selector.path(), present.with(selector.callers(), selector));
+            String key = selector.host() + selector.path();
+            GlobIndex<Selector> present = paths.getOrDefault(key, EMPTY_INDEX);
+            paths = paths.with(key, present.with(selector.callers(), selector));
         }
 
         void remove(Selector selector) {
-            GlobIndex<Selector> left = paths.get(selector.path()).without(selector.callers(), selector);
-            paths = left.isEmpty() ? paths.without(selector.path()) : paths.with(selector.path(), left);
+            String key = selector.host() + selector.path();
+            GlobIndex<Selector> left = paths.get(key).without(selector.callers(), selector);
+            paths = left.isEmpty() ? paths.without(key) : paths.with(key, left);
         }
     }
 
--- a/src/main/java/org/cassiabank/declaration/Selector.java
+++ b/src/main/java/org/cassiabank/declaration/Selector.java
@@ -17,6 +17,8 @@
  * @param repeatable whether a request may run more than once
  * @param cost the declared cost of the requests
  * @param priority the precedence; higher values are tried first
+ * @param host the value of the {@code Host} header that matches, in lower case; empty if all match
+ * @param limits how long and how often a request may be tried
  */
 public record Selector(
         String name,
@@ -28,7 +30,9 @@
         int weight,
         boolean repeatable,
         CostHint cost,
-        int priority)
+        int priority,
+        String host,
+        RequestLimits limits)
         implements Declaration {
 
     /**
@@ -40,6 +44,8 @@
         Objects.requireNonNull(path, "path");
         Objects.requireNonNull(callers, "callers");
         Objects.requireNonNull(cost, "cost");
+        Objects.requireNonNull(host, "host");
+        Objects.requireNonNull(limits, "limits");
         methods = MethodSets.share(methods);
         servers = Map.copyOf(servers);
         DeclarationRules.require(DeclarationRules.nameProblem(name));
@@ -50,11 +56,52 @@
         DeclarationRules.require(DeclarationRules.labelsProblem(servers));
         DeclarationRules.require(DeclarationRules.WEIGHT.problem(weight));
         DeclarationRules.require(DeclarationRules.PRIORITY.problem(priority));
+        DeclarationRules.require(DeclarationRules.hostProblem(host));
         // Selectors read from documents would otherwise each hold their own copy of these recurring strings.
         service = service.intern();
         callers = callers.equals("*") ? "*" : callers;
     }
 
+    /**
+     * Creates a selector for all hosts with the default limits.
+     *
+     * @param name the name of the selector
+     * @param service the name of the service
+     * @param methods the HTTP methods that match, in capitals; empty if all match
+     * @param path the path prefix that matches, ending at a segment boundary
+     * @param callers the glob pattern of caller identities that match
+     * @param servers the labels that a server must carry, all of them
+     * @param weight the share among selectors of equal priority and path length
+     * @param repeatable whether a request may run more than once
+     * @param cost the declared cost of the requests
+     * @param priority the precedence; higher values are tried first
+     */
+    public Selector(
+            String name,
+            String service,
+            Set<String> methods,
+            String path,
+            String callers,
+            Map<String, String> servers,
+            int weight,
+            boolean repeatable,
+            CostHint cost,
+            int priority) {
+        this(
+                name,
+                service,
+                methods,
+                path,
+                callers,
+                servers,
+                weight,
+                repeatable,
+                cost,
+                priority,
+                "",
+                RequestLimits.defaults());
+    }
+
     /**
      * Tells whether a request with this method matches.
      *
--- a/src/main/java/org/cassiabank/declaration/ServerGroups.java
+++ b/src/main/java/org/cassiabank/declaration/ServerGroups.java
@@ -16,7 +16,7 @@
 /**
  * The backend servers of each service with their labels. Immutable.
  *
- * <p>If several rules set the same label of an instance, the rule whose pattern has more literal characters wins, then
+ * <p>Rules go before the labels that an instance states of itself. If several rules set the same label of an instance, the rule whose pattern has more literal characters wins, then
  * the one with the later name. A leaving mark counts whichever rule sets it.
  */
 public final class ServerGroups {
@@ -106,7 +106,7 @@
         if (instance == null || instance.role() != InstanceRole.BACKEND) {
             return Optional.empty();
         }
-        Map<String, String> labels = new HashMap<>();
+        Map<String, String> labels = new HashMap<>(instance.labels());
         boolean leaving = !instance.isLive();
         for (LabelRule rule : matchingRules(rules, instance.name())) {
             labels.putAll(rule.set());
--- a/src/main/java/org/cassiabank/load/Fleet.java
+++ b/src/main/java/org/cassiabank/load/Fleet.java
@@ -20,11 +20,11 @@
 import org.cassiabank.declaration.VersionedDeclaration;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.kernel.ErrorCode;
-import org.cassiabank.platform.InstanceDocuments;
-import org.cassiabank.platform.StoreClient;
+import org.cassiabank.membership.InstanceDocuments;
 import org.cassiabank.revision.ChangeCommitter;
 import org.cassiabank.revision.Edit;
 import org.cassiabank.revision.PutEdit;
+import org.cassiabank.store.StoreClient;
 
 /**
  * A platform stand-in, backend servers and proxies as processes on loopback, with their settings and logs in a
--- a/src/main/java/org/cassiabank/membership/Instance.java
+++ b/src/main/java/org/cassiabank/membership/Instance.java
@@ -1,5 +1,6 @@
 package org.cassiabank.membership;
 
+import java.util.Map;
 import java.util.Objects;
 
 /**
@@ -11,12 +12,23 @@
  * @param region the region
  * @param failureDomain the failure domain inside the region
  * @param state the state as the platform reports it
+ * @param labels the labels that the instance states of itself; rules of the operators go before them
+ * @param slots the number of requests that the instance runs at a time, 0 if only its service declares it
+ * @param incarnation distinguishes the starts of an instance that keeps its name, 0 if the platform does not tell
  */
 public record Instance(
-        String name, InstanceRole role, String address, String region, String failureDomain, InstanceState state) {
+        String name,
+        InstanceRole role,
+        String address,
+        String region,
+        String failureDomain,
+        InstanceState state,
+        Map<String, String> labels,
+        int slots,
+        long incarnation) {
 
     /**
-     * Checks that no component is null and that the address has a port.
+     * Checks that no component is null, that the address has a port and that the number of slots is not negative.
      */
     public Instance {
         Objects.requireNonNull(name, "name");
@@ -25,11 +37,30 @@
         Objects.requireNonNull(region, "region");
         Objects.requireNonNull(failureDomain, "failureDomain");
         Objects.requireNonNull(state, "state");
+        labels = Map.copyOf(labels);
+        if (slots < 0) {
+            throw new IllegalArgumentException("slots of " + name + " are negative: " + slots);
+        }
         if (address.lastIndexOf(':') <= 0) {
             throw new IllegalArgumentException("address of " + name + " has no port: " + address);
         }
     }
 
+    /**
+     * Creates an instance that states nothing of itself but its place.
+     *
+     * @param name the unique name of the instance
+     * @param role what the instance runs
+     * @param address the host and port for requests
+     * @param region the region
+     * @param failureDomain the failure domain inside the region
+     * @param state the state as the platform reports it
+     */
+    public Instance(
+            String name, InstanceRole role, String address, String region, String failureDomain, InstanceState state) {
+        this(name, role, address, region, failureDomain, state, Map.of(), 0, 0);
+    }
+
     /**
      * Returns the host part of the address.
      *
--- a/src/main/java/org/cassiabank/platform/InstanceDocuments.java
+++ b/src/main/java/org/cassiabank/membership/InstanceDocuments.java
@@ -1,4 +1,4 @@
-package org.cassiabank.platform;
+package org.cassiabank.membership;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.type.TypeReference;
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -14,10 +15,6 @@
 import org.cassiabank.kernel.ErrorCode;
 import org.cassiabank.kernel.Finding;
 import org.cassiabank.kernel.Findings;
-import org.cassiabank.membership.Instance;
-import org.cassiabank.membership.InstanceList;
-import org.cassiabank.membership.InstanceRole;
-import org.cassiabank.membership.InstanceState;
 
 /**
  * Reads and writes the JSON form of the platform's instance list.
@@ -25,6 +22,7 @@
 public final class InstanceDocuments {
     private static final ObjectMapper MAPPER = JsonMapper.builder().build();
     private static final String SOURCE = "instance list";
+    private static final String LABEL_PREFIX = "label.";
 
     private InstanceDocuments() {}
 
@@ -66,15 +64,8 @@
      * @return the JSON document
      */
     public static byte[] toDocument(Collection<Instance> instances) {
-        List<Map<String, String>> entries = instances.stream()
-                .map(instance -> Map.of(
-                        "name", instance.name(),
-                        "role", instance.role().name().toLowerCase(Locale.ROOT),
-                        "address", instance.address(),
-                        "region", instance.region(),
-                        "failureDomain", instance.failureDomain(),
-                        "state", instance.state().name().toLowerCase(Locale.ROOT)))
-                .toList();
+        List<Map<String, String>> entries =
+                instances.stream().map(InstanceDocuments::toEntry).toList();
         try {
             return MAPPER.writeValueAsBytes(entries);
         } catch (JsonProcessingException exception) {
@@ -82,6 +73,24 @@
         }
     }
 
+    private static Map<String, String> toEntry(Instance instance) {
+        Map<String, String> entry = new HashMap<>();
+        entry.put("name", instance.name());
+        entry.put("role", instance.role().name().toLowerCase(Locale.ROOT));
+        entry.put("address", instance.address());
+        entry.put("region", instance.region());
+        entry.put("failureDomain", instance.failureDomain());
+        entry.put("state", instance.state().name().toLowerCase(Locale.ROOT));
+        instance.labels().forEach((label, value) -> entry.put(LABEL_PREFIX + label, value));
+        if (instance.slots() > 0) {
+            entry.put("slots", Integer.toString(instance.slots()));
+        }
+        if (instance.incarnation() != 0) {
+            entry.put("incarnation", Long.toString(instance.incarnation()));
+        }
+        return entry;
+    }
+
     private static Instance toInstance(Map<String, String> entry) {
         return new Instance(
                 entry.get("name"),
@@ -89,7 +98,20 @@
                 entry.get("address"),
                 entry.get("region"),
                 entry.get("failureDomain"),
-                InstanceState.valueOf(upperCase(entry, "state")));
+                InstanceState.valueOf(upperCase(entry, "state")),
+                labels(entry),
+                Integer.parseInt(entry.getOrDefault("slots", "0")),
+                Long.parseLong(entry.getOrDefault("incarnation", "0")));
+    }
+
+    private static Map<String, String> labels(Map<String, String> entry) {
+        Map<String, String> labels = new HashMap<>();
+        entry.forEach((key, value) -> {
+            if (key.startsWith(LABEL_PREFIX)) {
+                labels.put(key.substring(LABEL_PREFIX.length()), value);
+            }
+        });
+        return labels;
     }
 
     private static String upperCase(Map<String, String> entry, String key) {
--- a/src/main/java/org/cassiabank/membership/InstanceList.java
+++ b/src/main/java/org/cassiabank/membership/InstanceList.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.cassiabank.collection.PersistentMap;
 
 /**
@@ -170,6 +171,21 @@
     }
 
     private static long digestOf(Instance instance) {
-        return instance == null ? 0 : RendezvousHash.hash(instance.toString());
+        if (instance == null) {
+            return 0;
+        }
+        // The order of an immutable map differs between processes, so the labels are sorted.
+        String labels = new TreeMap<>(instance.labels()).toString();
+        return RendezvousHash.hash(String.join(
+                "|",
+                instance.name(),
+                instance.role().name(),
+                instance.address(),
+                instance.region(),
+                instance.failureDomain(),
+                instance.state().name(),
+                labels,
+                Integer.toString(instance.slots()),
+                Long.toString(instance.incarnation())));
     }
 }
--- a/src/main/java/org/cassiabank/operator/OperatorMain.java
+++ b/src/main/java/org/cassiabank/operator/OperatorMain.java
@@ -5,8 +5,8 @@
 import java.util.function.Function;
 import joptsimple.OptionException;
 import org.cassiabank.kernel.CassiabankException;
-import org.cassiabank.platform.StoreClient;
 import org.cassiabank.revision.ChangeStore;
+import org.cassiabank.store.StoreClient;
 
 /**
  * The operators' command line.
--- a/src/main/java/org/cassiabank/proxy/AdminPages.java
+++ b/src/main/java/org/cassiabank/proxy/AdminPages.java
@@ -55,7 +55,7 @@
             context.setResponseType(MediaType.text);
             return kernel.get(ServiceNames.METRICS).toText();
         });
-        application.get("/health", this::health);
+        application.get(settings.platform().healthPath(), this::health);
         application.get("/ready", context -> state(context, isReady(), isReady() ? "ready" : "not ready"));
         application.get("/status", this::status);
     }
--- a/src/main/java/org/cassiabank/proxy/Attempts.java
+++ b/src/main/java/org/cassiabank/proxy/Attempts.java
@@ -1,7 +1,9 @@
 package org.cassiabank.proxy;
 
 import java.util.HexFormat;
+import java.util.Locale;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -14,6 +16,7 @@
 import org.cassiabank.backend.BackendClient;
 import org.cassiabank.backend.BackendRequest;
 import org.cassiabank.backend.BackendResult;
+import org.cassiabank.backend.MessageProfile;
 import org.cassiabank.backend.ShedAnswer;
 import org.cassiabank.declaration.Selector;
 import org.cassiabank.health.Outcome;
@@ -29,23 +32,28 @@
     private final SlotBroker broker;
     private final BackendClient backends;
     private final ProxyMetrics metrics;
+    private final MessageProfile profile;
     private final ExecutorService workers = Executors.newVirtualThreadPerTaskExecutor();
     private final ScheduledExecutorService canceller = Executors.newSingleThreadScheduledExecutor(
             Thread.ofPlatform().name("cancel-later").daemon().factory());
 
-    private Attempts(String entryName, SlotBroker broker, BackendClient backends, ProxyMetrics metrics) {
+    private Attempts(
+            String entryName, SlotBroker broker, BackendClient backends, ProxyMetrics metrics, MessageProfile profile) {
         this.entryName = entryName;
         this.broker = broker;
         this.backends = backends;
         this.metrics = metrics;
+        this.profile = profile;
     }
 
-    static Attempts create(String entryName, SlotBroker broker, BackendClient backends, ProxyMetrics metrics) {
+    static Attempts create(
+            String entryName, SlotBroker broker, BackendClient backends, ProxyMetrics metrics, MessageProfile profile) {
         return new Attempts(
                 Objects.requireNonNull(entryName, "entryName"),
                 Objects.requireNonNull(broker, "broker"),
                 Objects.requireNonNull(backends, "backends"),
-                Objects.requireNonNull(metrics, "metrics"));
+                Objects.requireNonNull(metrics, "metrics"),
+                Objects.requireNonNull(profile, "profile"));
     }
 
     String entryName() {
@@ -131,20 +139,28 @@
     }
 
     private Running newCall(CallerRequest request, SlotResult.Slot slot, Selector selector, long timeoutMillis) {
-        String requestId = entryName + "-"
-                + HexFormat.of().toHexDigits(ThreadLocalRandom.current().nextLong());
         BackendRequest message = new BackendRequest(
+                slot.server(),
                 slot.address(),
                 request.method(),
                 request.target(),
                 request.headers(),
                 request.body(),
-                requestId,
+                requestIdentifier(request),
                 selector.repeatable(),
                 timeoutMillis);
         return new Running(slot, backends.newCall(message));
     }
 
+    private String requestIdentifier(CallerRequest request) {
+        return Optional.of(profile.requestIdentifier().toLowerCase(Locale.ROOT))
+                .filter(name -> profile.keepsCallerIdentifier())
+                .flatMap(request::header)
+                .filter(identifier -> !identifier.isBlank())
+                .orElseGet(() -> entryName + "-"
+                        + HexFormat.of().toHexDigits(ThreadLocalRandom.current().nextLong()));
+    }
+
     private BackendResult execute(Running running) {
         long start = System.nanoTime();
         BackendResult result = running.call().execute();
--- a/src/main/java/org/cassiabank/proxy/CallerConnection.java
+++ b/src/main/java/org/cassiabank/proxy/CallerConnection.java
@@ -30,6 +30,9 @@
  * One connection of a caller. Requests that arrive back to back are answered one after the other, in order.
  */
 final class CallerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+    /** Closes a connection unless a request is being answered on it. */
+    static final Object CLOSE_IDLE = new Object();
+
     private static final int MAXIMUM_PIPELINED = 8;
 
     private final CallerServer server;
@@ -80,7 +83,7 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
-        if (event instanceof IdleStateEvent && !busy) {
+        if ((event instanceof IdleStateEvent || event == CLOSE_IDLE) && !busy) {
             context.close();
         } else {
             context.fireUserEventTriggered(event);
--- a/src/main/java/org/cassiabank/proxy/CallerRequest.java
+++ b/src/main/java/org/cassiabank/proxy/CallerRequest.java
@@ -21,6 +21,15 @@
         return values.isEmpty() ? Optional.empty() : Optional.of(values.getFirst());
     }
 
+    /**
+     * Returns the host that the request is for.
+     *
+     * @return the value of {@code Host}, empty if there is none
+     */
+    String host() {
+        return header("host").orElse("");
+    }
+
     /**
      * Returns the path without the query.
      *
--- a/src/main/java/org/cassiabank/proxy/CallerServer.java
+++ b/src/main/java/org/cassiabank/proxy/CallerServer.java
@@ -5,11 +5,14 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ExecutorService;
@@ -36,6 +39,7 @@
     private final ProxyMetrics metrics;
     private final ExecutorService workers = Executors.newVirtualThreadPerTaskExecutor();
     private final EventLoopGroup loops = new NioEventLoopGroup(EVENT_LOOPS);
+    private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final AtomicInteger connections = new AtomicInteger();
     private final AtomicInteger inFlight = new AtomicInteger();
     private volatile boolean draining;
@@ -70,6 +74,7 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
+                        channels.add(channel);
                         tls.ifPresent(identity -> channel.pipeline()
                                 .addLast(identity.serverContext().newHandler(channel.alloc())));
                         channel.pipeline()
@@ -99,6 +104,17 @@
         draining = true;
     }
 
+    /**
+     * Takes no further connections and closes those that carry no request. The others close after their answers, so
+     * that no request that was read is cut.
+     */
+    void stopListening() {
+        if (listener != null) {
+            listener.close();
+        }
+        channels.forEach(channel -> channel.pipeline().fireUserEventTriggered(CallerConnection.CLOSE_IDLE));
+    }
+
     boolean isDraining() {
         return draining;
     }
--- a/src/main/java/org/cassiabank/proxy/ClaimClient.java
+++ b/src/main/java/org/cassiabank/proxy/ClaimClient.java
@@ -51,13 +51,22 @@
         workers.shutdown();
     }
 
+    /**
+     * Tells whether the keys of unrepeatable requests are claimed at all.
+     *
+     * @return false if the settings switch claims off
+     */
+    boolean isEnabled() {
+        return ownKeeper.isEnabled();
+    }
+
     /**
      * Tells whether this entry knows the lists that others may still use, so that it can claim keys.
      *
      * @return false for some seconds after the start
      */
     boolean isReady() {
-        return lists.coversWindow(MonotonicClock.millis());
+        return !ownKeeper.isEnabled() || lists.coversWindow(MonotonicClock.millis());
     }
 
     /**
--- a/src/main/java/org/cassiabank/proxy/ClaimKeeper.java
+++ b/src/main/java/org/cassiabank/proxy/ClaimKeeper.java
@@ -44,23 +44,31 @@
             Thread.ofPlatform().name("claim-handover").daemon().factory());
     private long startMillis;
 
-    private ClaimKeeper(Instance self, FleetState fleet, PeerDirectory peers, ProxyListHistory lists) {
+    private final boolean enabled;
+
+    private ClaimKeeper(Instance self, FleetState fleet, PeerDirectory peers, ProxyListHistory lists, boolean enabled) {
         this.self = self;
         this.fleet = fleet;
         this.peers = peers;
         this.lists = lists;
+        this.enabled = enabled;
     }
 
-    static ClaimKeeper create(Instance self, FleetState fleet, PeerDirectory peers, ProxyListHistory lists) {
+    static ClaimKeeper create(
+            Instance self, FleetState fleet, PeerDirectory peers, ProxyListHistory lists, boolean enabled) {
         return new ClaimKeeper(
                 Objects.requireNonNull(self, "self"),
                 Objects.requireNonNull(fleet, "fleet"),
                 Objects.requireNonNull(peers, "peers"),
-                Objects.requireNonNull(lists, "lists"));
+                Objects.requireNonNull(lists, "lists"),
+                enabled);
     }
 
     @Override
     public void start(Kernel kernel) {
+        if (!enabled) {
+            return;
+        }
         startMillis = MonotonicClock.millis();
         fleet.onChange((former, view) -> {
             if (!former.regionProxies().equals(view.regionProxies())) {
@@ -84,6 +92,10 @@
         worker.shutdownNow();
     }
 
+    boolean isEnabled() {
+        return enabled;
+    }
+
     boolean isReady() {
         return table.isReady();
     }
--- a/src/main/java/org/cassiabank/proxy/Entry.java
+++ b/src/main/java/org/cassiabank/proxy/Entry.java
@@ -13,7 +13,9 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 import org.cassiabank.backend.Answered;
+import org.cassiabank.backend.MessageProfile;
 import org.cassiabank.declaration.Selector;
 import org.cassiabank.declaration.ServiceDeclaration;
 import org.cassiabank.once.ClaimConclusion;
@@ -26,7 +28,6 @@
  */
 final class Entry implements CallerHandler {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-    private static final String REQUEST_ID_HEADER = "Cassiabank-Request-Id";
     private static final long MAXIMUM_DEADLINE_MILLIS = TimeUnit.MINUTES.toMillis(30);
     /** Half the time for which keepers remember a claim, so that no paused entry sends what they have forgotten. */
     private static final long MAXIMUM_CLAIMED_MILLIS = TimeUnit.MINUTES.toMillis(5);
@@ -44,21 +45,26 @@
     private final Attempts attempts;
     private final ClaimClient claims;
     private final ProxyMetrics metrics;
+    private final MessageProfile profile;
     private final Map<String, RetryBudget> budgets = new ConcurrentHashMap<>();
 
-    private Entry(FleetState fleet, Attempts attempts, ClaimClient claims, ProxyMetrics metrics) {
+    private Entry(
+            FleetState fleet, Attempts attempts, ClaimClient claims, ProxyMetrics metrics, MessageProfile profile) {
         this.fleet = fleet;
         this.attempts = attempts;
         this.claims = claims;
         this.metrics = metrics;
+        this.profile = profile;
     }
 
-    static Entry create(FleetState fleet, Attempts attempts, ClaimClient claims, ProxyMetrics metrics) {
+    static Entry create(
+            FleetState fleet, Attempts attempts, ClaimClient claims, ProxyMetrics metrics, MessageProfile profile) {
         return new Entry(
                 Objects.requireNonNull(fleet, "fleet"),
                 Objects.requireNonNull(attempts, "attempts"),
                 Objects.requireNonNull(claims, "claims"),
-                Objects.requireNonNull(metrics, "metrics"));
+                Objects.requireNonNull(metrics, "metrics"),
+                Objects.requireNonNull(profile, "profile"));
     }
 
     @Override
@@ -66,8 +72,9 @@
         try {
             CallerReply reply = route(request, presence);
             // The attempts carry identifiers of their own; the caller gets back the one that it sent.
-            return request.header(REQUEST_ID_HEADER.toLowerCase(Locale.ROOT))
-                    .map(identifier -> reply.withHeader(REQUEST_ID_HEADER, identifier))
+            String header = profile.requestIdentifier();
+            return request.header(header.toLowerCase(Locale.ROOT))
+                    .map(identifier -> reply.withHeader(header, identifier))
                     .orElse(reply);
         } catch (RuntimeException exception) {
             LOGGER.atSevere().withCause(exception).atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
@@ -82,15 +89,16 @@
         if (view.configuration().revision() == 0) {
             return refuse(CallerReply.SERVICE_UNAVAILABLE, "no-configuration", NO_CONFIGURATION_RETRY_MILLIS);
         }
+        RandomGenerator random = ThreadLocalRandom.current();
         Optional<Selector> selector =
-                view.router().route(request.method(), request.path(), request.caller(), ThreadLocalRandom.current());
+                view.router().route(request.host(), request.method(), request.path(), request.caller(), random);
         if (selector.isEmpty()) {
             return refuse(NOT_FOUND, "no-selector", 0);
         }
         long deadlineMillis = view.service(selector.get().service())
                 .map(ServiceDeclaration::deadlineMillis)
                 .orElse(0L);
-        Optional<String> asked = request.header("cassiabank-deadline-millis");
+        Optional<String> asked = request.header(profile.deadlineMillis().toLowerCase(Locale.ROOT));
         if (asked.isPresent()) {
             try {
                 deadlineMillis = Math.min(Long.parseLong(asked.get().strip()), MAXIMUM_DEADLINE_MILLIS);
@@ -98,11 +106,12 @@
                 return refuse(BAD_REQUEST, "malformed-deadline", 0);
             }
         }
+        deadlineMillis = selector.get().limits().within(deadlineMillis);
         if (!BackendRequests.canForward(request)) {
             return refuse(BAD_REQUEST, "malformed-request", 0);
         }
         Optional<String> key = request.header("idempotency-key");
-        return selector.get().repeatable() || key.isEmpty()
+        return selector.get().repeatable() || key.isEmpty() || !claims.isEnabled()
                 ? toReply(run(request, selector.get(), presence, deadlineMillis))
                 : runClaimed(request, selector.get(), presence, deadlineMillis, key.get());
     }
@@ -184,7 +193,10 @@
 
     private CallerReply refuse(int status, String reason, long retryAfterMillis) {
         metrics.refused(reason);
-        return CallerReply.notRun(status, reason, retryAfterMillis);
+        return retryAfterMillis > 0
+                ? CallerReply.notRun(status, reason, retryAfterMillis)
+                        .withHeader("Retry-After", profile.retryAfter(retryAfterMillis))
+                : CallerReply.notRun(status, reason, retryAfterMillis);
     }
 
     private CallerReply unknownReply(int status, String reason) {
--- a/src/main/java/org/cassiabank/proxy/FleetState.java
+++ b/src/main/java/org/cassiabank/proxy/FleetState.java
@@ -13,6 +13,7 @@
 import org.cassiabank.revision.Change;
 import org.cassiabank.revision.ConfigurationHistory;
 import org.cassiabank.revision.StoredChanges;
+import org.cassiabank.source.ConfigurationDocument;
 
 /**
  * Holds the configuration and the instance list that are in force in this daemon. Neither ever goes back to an older
@@ -26,12 +27,16 @@
     private final List<BiConsumer<FleetView, FleetView>> listeners = new CopyOnWriteArrayList<>();
     private volatile FleetView view;
 
-    private FleetState(String region) {
-        this.view = FleetView.empty(region);
+    private FleetState(String region, int floorPercent) {
+        this.view = FleetView.empty(region, floorPercent);
     }
 
     static FleetState create(String region) {
-        return new FleetState(Objects.requireNonNull(region, "region"));
+        return create(region, 0);
+    }
+
+    static FleetState create(String region, int floorPercent) {
+        return new FleetState(Objects.requireNonNull(region, "region"), floorPercent);
     }
 
     FleetView view() {
@@ -103,6 +108,21 @@
         return true;
     }
 
+    /**
+     * Installs a whole configuration if it is newer.
+     *
+     * @param document the configuration
+     * @return true if it was installed
+     */
+    synchronized boolean install(ConfigurationDocument document) {
+        long before = revision();
+        if (!history.replace(document.version(), document.declarations())) {
+            return false;
+        }
+        publishConfiguration(before, "from the store");
+        return true;
+    }
+
     /**
      * Installs an instance list if it is newer.
      *
--- a/src/main/java/org/cassiabank/proxy/FleetView.java
+++ b/src/main/java/org/cassiabank/proxy/FleetView.java
@@ -34,16 +34,23 @@
     private final ServerGroups groups;
     private final InstanceList instances;
     private final String region;
+    private final int floorPercent;
     private final List<Instance> regionProxies;
     private final Map<ShardKey, List<Instance>> candidates;
     private final Map<String, Map<Integer, List<LabeledServer>>> shards = new ConcurrentHashMap<>();
 
     private FleetView(
-            RequestRouter router, ServerGroups groups, InstanceList instances, String region, FleetView former) {
+            RequestRouter router,
+            ServerGroups groups,
+            InstanceList instances,
+            String region,
+            int floorPercent,
+            FleetView former) {
         this.router = router;
         this.groups = groups;
         this.instances = instances;
         this.region = region;
+        this.floorPercent = floorPercent;
         // Most changes concern backend servers; the order of the proxies is costly to compute and stays the same then.
         boolean sameProxies = former != null && haveSameProxies(former.instances, instances);
         List<Instance> proxies = sameProxies ? former.regionProxies : liveProxies(instances, region);
@@ -52,19 +59,41 @@
     }
 
     static FleetView empty(String region) {
+        return empty(region, 0);
+    }
+
+    /**
+     * Returns the view before anything is known.
+     *
+     * @param region the region of this daemon
+     * @param floorPercent the share of a service's servers that ejection leaves where the service declares no floor
+     * @return the view
+     */
+    static FleetView empty(String region, int floorPercent) {
         Configuration configuration = Configuration.empty();
         InstanceList instances = InstanceList.empty();
         return new FleetView(
-                RequestRouter.of(configuration), ServerGroups.of(configuration, instances), instances, region, null);
+                RequestRouter.of(configuration),
+                ServerGroups.of(configuration, instances),
+                instances,
+                region,
+                floorPercent,
+                null);
     }
 
     FleetView withConfiguration(Configuration configuration) {
         return new FleetView(
-                router.update(configuration), groups.update(configuration, instances), instances, region, this);
+                router.update(configuration),
+                groups.update(configuration, instances),
+                instances,
+                region,
+                floorPercent,
+                this);
     }
 
     FleetView withInstances(InstanceList newInstances) {
-        return new FleetView(router, groups.update(router.configuration(), newInstances), newInstances, region, this);
+        return new FleetView(
+                router, groups.update(router.configuration(), newInstances), newInstances, region, floorPercent, this);
     }
 
     Configuration configuration() {
@@ -144,8 +173,9 @@
      * @return the floor in servers
      */
     int floor(ShardKey shard) {
-        int floor = service(shard.service()).map(ServiceDeclaration::floor).orElse(0);
         int all = groups.servers(shard.service()).size();
+        int declared = service(shard.service()).map(ServiceDeclaration::floor).orElse(0);
+        int floor = declared > 0 ? declared : (all * floorPercent + 99) / 100;
         int own = servers(shard).size();
         return all == 0 ? floor : Math.min(own, (int) Math.ceil((double) floor * own / all));
     }
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -197,14 +197,14 @@
     }
 
     private void updateScheduler(long nowMillis) {
-        int slots = view.service(key.service()).map(ServiceDeclaration::slots).orElse(0);
+        int slots = view.service(key.service()).map(ServiceDeclaration::slots).orElse(1);
         List<ServerCapacity> capacities = new ArrayList<>();
         for (LabeledServer server : view.servers(key)) {
             String name = server.instance().name();
             capacities.add(new ServerCapacity(
                     name,
                     server.instance().address(),
-                    slots,
+                    server.instance().slots() > 0 ? server.instance().slots() : slots,
                     healths.getOrDefault(name, ServerHealth.HEALTHY),
                     isLeaving(server),
                     server.labels()));
--- a/src/main/java/org/cassiabank/proxy/PlatformWatch.java
+++ b/src/main/java/org/cassiabank/proxy/PlatformWatch.java
@@ -5,18 +5,18 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.cassiabank.kernel.CassiabankException;
-import org.cassiabank.kernel.Kernel;
-import org.cassiabank.kernel.KernelService;
-import org.cassiabank.platform.InstanceListClient;
 import org.cassiabank.revision.ChangeStore;
 import org.cassiabank.revision.ExchangePlanner;
 import org.cassiabank.revision.StoredChanges;
+import org.cassiabank.source.FleetSource;
+import org.cassiabank.source.FleetTarget;
+import org.cassiabank.store.InstanceListClient;
 
 /**
  * Reads changes and the instance list from the platform. Only the watchers of a failure domain wait there for news;
  * other daemons ask when no peer has answered them for a while.
  */
-final class PlatformWatch implements KernelService {
+final class PlatformWatch implements FleetSource {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final long WATCH_MILLIS = 10_000;
 
@@ -57,13 +57,23 @@
     }
 
     @Override
-    public void start(Kernel kernel) {
+    public void start(FleetTarget target) {
         Thread.ofVirtual().name("list-watch").start(() -> repeat("instance list", this::readList));
         Thread.ofVirtual().name("change-watch").start(() -> repeat("configuration", this::readChanges));
     }
 
     @Override
-    public void stop() {
+    public boolean isCurrent() {
+        return false;
+    }
+
+    @Override
+    public void announceLeaving() {
+        // The platform itself lists this instance as leaving.
+    }
+
+    @Override
+    public void close() {
         stopped = true;
     }
 
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -2,12 +2,15 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.cassiabank.admission.SchedulerSettings;
 import org.cassiabank.backend.BackendClient;
 import org.cassiabank.backend.BackendSettings;
+import org.cassiabank.backend.MessageProfile;
+import org.cassiabank.backend.OwnMessages;
 import org.cassiabank.kernel.Kernel;
 import org.cassiabank.kernel.KernelService;
 import org.cassiabank.kernel.ServiceName;
@@ -17,8 +20,12 @@
 import org.cassiabank.once.ProxyListHistory;
 import org.cassiabank.peer.PeerClients;
 import org.cassiabank.peer.PeerSockets;
-import org.cassiabank.platform.InstanceListClient;
-import org.cassiabank.platform.StoreClient;
+import org.cassiabank.source.EntryFleetSource;
+import org.cassiabank.source.FleetSource;
+import org.cassiabank.source.PlatformAdapter;
+import org.cassiabank.source.PlatformAdapters;
+import org.cassiabank.store.InstanceListClient;
+import org.cassiabank.store.StoreClient;
 import org.cassiabank.tls.TlsIdentity;
 import org.cassiabank.tls.TlsServerSocketFactory;
 import org.cassiabank.tls.TlsSocketFactory;
@@ -29,7 +36,6 @@
 final class ProxyDaemon implements AutoCloseable {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final long DRAIN_POLL_MILLIS = 20;
-    private static final long LONGEST_DRAIN_MILLIS = TimeUnit.MINUTES.toMillis(30);
 
     private final ProxySettings settings;
     private final Kernel kernel;
@@ -60,7 +66,8 @@
                 InstanceState.LIVE);
         PeerSockets sockets = peerSockets(settings);
         ProxyMetrics metrics = ProxyMetrics.create();
-        FleetState fleet = FleetState.create(settings.region());
+        FleetState fleet =
+                FleetState.create(settings.region(), settings.platform().floorPercent());
         PeerClients clients = PeerClients.create(sockets, metrics);
         PeerDirectory peers = PeerDirectory.create(settings.name(), clients);
         Replication replication = Replication.create(self, fleet, peers);
@@ -68,10 +75,22 @@
                 SchedulerSettings.defaults().withSeparateClasses(settings.separateLongWork()), fleet, metrics);
         SlotBroker broker = SlotBroker.create(settings, fleet, owners, peers);
         ProxyListHistory lists = ClaimTimes.newHistory();
-        ClaimKeeper keeper = ClaimKeeper.create(self, fleet, peers, lists);
+        ClaimKeeper keeper = ClaimKeeper.create(
+                self, fleet, peers, lists, settings.platform().claims());
         ClaimClient claims = ClaimClient.create(peers, keeper, lists);
-        BackendClient backends = BackendClient.create(backendSettings(settings));
-        Entry entry = Entry.create(fleet, Attempts.create(settings.name(), broker, backends, metrics), claims, metrics);
+        Optional<PlatformAdapter> adapter = settings.platform().adapter().map(PlatformAdapters::named);
+        MessageProfile profile = adapter.map(PlatformAdapter::messages).orElseGet(OwnMessages::create);
+        BackendClient backends = BackendClient.create(backendSettings(settings), profile);
+        Attempts attempts = Attempts.create(settings.name(), broker, backends, metrics, profile);
+        Entry entry = Entry.create(fleet, attempts, claims, metrics, profile);
+        FleetSource source = adapter.<FleetSource>map(found ->
+                        EntryFleetSource.create(found, found.openStore(settings.store()), self, MonotonicClock::millis))
+                .orElseGet(() -> PlatformWatch.create(
+                        StoreClient.create(settings.store()),
+                        InstanceListClient.create(settings.store()),
+                        fleet,
+                        replication,
+                        metrics));
         CallerServer callers = CallerServer.create(settings.limits(), entry, metrics);
         AdminPages admin = AdminPages.create(settings);
         Kernel kernel = Kernel.create()
@@ -89,14 +108,10 @@
                 .register(ServiceNames.CLAIMS, claims)
                 .register(ServiceNames.REPLICATION, replication)
                 .register(ServiceNames.PEER_ENDPOINT, PeerEndpoint.create(settings, sockets))
+                .register(ServiceNames.FLEET_SOURCE, source)
                 .register(
-                        ServiceName.of("platform-watch", PlatformWatch.class),
-                        PlatformWatch.create(
-                                StoreClient.create(settings.store()),
-                                InstanceListClient.create(settings.store()),
-                                fleet,
-                                replication,
-                                metrics))
+                        ServiceName.of("fleet-source-service", KernelService.class),
+                        sourceService(source, FleetInbox.create(fleet, metrics)))
                 .register(ServiceNames.ENTRY, entry)
                 .register(ServiceNames.ADMIN, admin);
         return new ProxyDaemon(settings, kernel, admin, callers);
@@ -122,10 +137,13 @@
     @Override
     public void close() {
         LOGGER.atInfo().log("%s drains", settings.name());
+        long deadline = MonotonicClock.millis() + settings.longestDrainMillis();
         admin.startDraining();
         callers.startDraining();
+        // Peers choose other owners while this one still answers.
+        kernel.get(ServiceNames.FLEET_SOURCE).announceLeaving();
         sleep(settings.drainMillis());
-        long deadline = MonotonicClock.millis() + LONGEST_DRAIN_MILLIS;
+        callers.stopListening();
         while (callers.requestsInFlight() > 0 && MonotonicClock.millis() < deadline) {
             sleep(DRAIN_POLL_MILLIS);
         }
@@ -135,6 +153,20 @@
         LOGGER.atInfo().log("%s has stopped", settings.name());
     }
 
+    private static KernelService sourceService(FleetSource source, FleetInbox inbox) {
+        return new KernelService() {
+            @Override
+            public void start(Kernel started) {
+                source.start(inbox);
+            }
+
+            @Override
+            public void stop() {
+                source.close();
+            }
+        };
+    }
+
     private static PeerSockets peerSockets(ProxySettings settings) {
         if (settings.peerTls().isEmpty()) {
             return PeerSockets.plain();
--- a/src/main/java/org/cassiabank/proxy/ProxyMain.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyMain.java
@@ -16,6 +16,7 @@
  * Starts a proxy daemon.
  */
 public final class ProxyMain {
+    private static final String SETTINGS_VARIABLE = "CASSIABANK_SETTINGS";
     private static final int EXIT_SUCCESS = 0;
     private static final int EXIT_FAILURE = 1;
     private static final int EXIT_USAGE = 2;
@@ -31,8 +32,9 @@
      */
     public static void main(String[] arguments) throws IOException, InterruptedException {
         OptionParser parser = new OptionParser();
-        OptionSpec<String> settingsFile =
-                parser.nonOptions("TOML file with the settings").describedAs("FILE");
+        OptionSpec<String> settingsFile = parser.nonOptions(
+                        "TOML file with the settings; default is the file that CASSIABANK_SETTINGS names")
+                .describedAs("FILE");
         OptionSpec<Void> check = parser.accepts("check", "check the settings and exit");
         OptionSpec<Void> help =
                 parser.acceptsAll(List.of("help", "h"), "print this help").forHelp();
@@ -42,16 +44,14 @@
                 parser.printHelpOn(System.out);
                 return;
             }
-            if (options.valuesOf(settingsFile).size() != 1) {
-                throw CassiabankException.of(ErrorCode.INVALID_INPUT, "expected one FILE with the settings");
-            }
-            ProxySettings settings = ProxySettingsParser.read(Path.of(options.valueOf(settingsFile)));
+            Path file = settingsFile(options.valuesOf(settingsFile));
+            ProxySettings settings = ProxySettingsParser.read(file);
             if (options.has(check)) {
                 System.out.println("the settings are valid");
                 return;
             }
             Logging.setUp(settings.name());
-            run(settings);
+            run(file, settings);
         } catch (OptionException exception) {
             exit(EXIT_USAGE, exception);
         } catch (CassiabankException exception) {
@@ -59,7 +59,21 @@
         }
     }
 
-    private static void run(ProxySettings settings) throws InterruptedException {
+    private static Path settingsFile(List<String> named) {
+        if (named.size() == 1) {
+            return Path.of(named.getFirst());
+        }
+        String variable = System.getenv(SETTINGS_VARIABLE);
+        if (!named.isEmpty() || variable == null || variable.isBlank()) {
+            throw CassiabankException.of(
+                    ErrorCode.INVALID_INPUT,
+                    "expected one FILE with the settings, or its path in " + SETTINGS_VARIABLE);
+        }
+        return Path.of(variable);
+    }
+
+    private static void run(Path file, ProxySettings settings) throws InterruptedException {
+        SettingsReload.onHangup(file, settings);
         ProxyDaemon daemon = ProxyDaemon.create(settings);
         daemon.start();
         Runtime.getRuntime().addShutdownHook(Thread.ofPlatform().name("drain").unstarted(() -> {
--- a/src/main/java/org/cassiabank/proxy/ProxySettings.java
+++ b/src/main/java/org/cassiabank/proxy/ProxySettings.java
@@ -19,6 +19,8 @@
  * @param separateLongWork whether short work is kept clear of long work
  * @param limits the limits on callers
  * @param drainMillis how long a stopping daemon keeps serving after its health check fails, in milliseconds
+ * @param longestDrainMillis how long a stopping daemon waits for requests in flight, in milliseconds
+ * @param platform how the daemon fits into the platform
  * @param callersTls the keys for callers, if TLS is used
  * @param peerTls the keys for other proxies, if TLS is used
  */
@@ -34,6 +36,8 @@
         boolean separateLongWork,
         CallerLimits limits,
         long drainMillis,
+        long longestDrainMillis,
+        PlatformSettings platform,
         Optional<TlsFiles> callersTls,
         Optional<TlsFiles> peerTls) {
 
@@ -50,6 +54,7 @@
         Objects.requireNonNull(store, "store");
         Objects.requireNonNull(scheduling, "scheduling");
         Objects.requireNonNull(limits, "limits");
+        Objects.requireNonNull(platform, "platform");
         Objects.requireNonNull(callersTls, "callersTls");
         Objects.requireNonNull(peerTls, "peerTls");
     }
--- a/src/main/java/org/cassiabank/proxy/ProxySettingsParser.java
+++ b/src/main/java/org/cassiabank/proxy/ProxySettingsParser.java
@@ -21,6 +21,10 @@
  */
 public final class ProxySettingsParser {
     private static final int DEFAULT_DRAIN_MILLIS = 5_000;
+    /** Half an hour, the longest deadline of a caller. */
+    private static final int DEFAULT_LONGEST_DRAIN_MILLIS = 30 * 60 * 1_000;
+
+    private static final String DEFAULT_HEALTH_PATH = "/health";
     private static final TomlMapper MAPPER = new TomlMapper();
 
     private ProxySettingsParser() {}
@@ -66,6 +70,8 @@
                 reader.optional("separate-long-work", ProxySettingsParser::flag).orElse(true);
         CallerLimits limits = limits(reader);
         long drainMillis = reader.positive("drain-millis", DEFAULT_DRAIN_MILLIS);
+        long longestDrainMillis = reader.positive("longest-drain-millis", DEFAULT_LONGEST_DRAIN_MILLIS);
+        PlatformSettings platform = platform(reader);
         Optional<TlsFiles> callersTls = tlsFiles(reader, "callers-tls", source, findings);
         Optional<TlsFiles> peerTls = tlsFiles(reader, "peer-tls", source, findings);
         if (peerTls.isPresent() && peerTls.get().trusted().isEmpty()) {
@@ -85,6 +91,8 @@
                 separate,
                 limits,
                 drainMillis,
+                longestDrainMillis,
+                platform,
                 callersTls,
                 peerTls);
     }
@@ -100,6 +108,14 @@
                 reader.positive("idle-millis", (int) defaults.idleMillis()));
     }
 
+    private static PlatformSettings platform(SettingsReader reader) {
+        return new PlatformSettings(
+                reader.optional("platform-adapter", ProxySettingsParser::nonEmpty),
+                reader.optional("health-path", ProxySettingsParser::path).orElse(DEFAULT_HEALTH_PATH),
+                reader.optional("claims", ProxySettingsParser::flag).orElse(true),
+                reader.optional("floor-percent", ProxySettingsParser::percent).orElse(0));
+    }
+
     private static Optional<TlsFiles> tlsFiles(SettingsReader reader, String prefix, String source, Findings findings) {
         Optional<Path> certificate = reader.optional(prefix + "-certificate", ProxySettingsParser::readableFile);
         Optional<Path> key = reader.optional(prefix + "-key", ProxySettingsParser::readableFile);
@@ -147,6 +163,20 @@
         };
     }
 
+    private static String path(String text) {
+        if (!text.startsWith("/")) {
+            throw new IllegalArgumentException("expected a path that starts with /, not '" + text + "'");
+        }
+        return text;
+    }
+
+    private static int percent(String text) {
+        if (!text.matches("[0-9]{1,2}|100")) {
+            throw new IllegalArgumentException("expected a whole number from 0 to 100, not '" + text + "'");
+        }
+        return Integer.parseInt(text);
+    }
+
     private static boolean flag(String text) {
         return switch (text) {
             case "true" -> true;
--- a/src/main/java/org/cassiabank/proxy/Replication.java
+++ b/src/main/java/org/cassiabank/proxy/Replication.java
@@ -15,15 +15,16 @@
 import org.cassiabank.kernel.Kernel;
 import org.cassiabank.kernel.KernelService;
 import org.cassiabank.membership.Instance;
+import org.cassiabank.membership.InstanceDocuments;
 import org.cassiabank.membership.InstanceList;
 import org.cassiabank.membership.InstanceListDelta;
 import org.cassiabank.peer.generated.ChangeDocument;
 import org.cassiabank.peer.generated.ExchangeReply;
 import org.cassiabank.peer.generated.ExchangeRequest;
 import org.cassiabank.peer.generated.InstanceListDocument;
-import org.cassiabank.platform.InstanceDocuments;
 import org.cassiabank.revision.Change;
 import org.cassiabank.revision.ExchangePlanner;
+import org.cassiabank.source.FleetSource;
 
 /**
  * Spreads the configuration and the instance list between the daemons: newly learned ones are pushed to a few peers,
@@ -40,6 +41,7 @@
     private final ExecutorService pushers = Executors.newVirtualThreadPerTaskExecutor();
     private final ScheduledExecutorService exchanger = Executors.newSingleThreadScheduledExecutor(
             Thread.ofPlatform().name("exchange").daemon().factory());
+    private FleetSource source;
     private volatile ExchangePlanner planner;
     private volatile boolean wholeListNeeded;
     private volatile long lastExchangeMillis = MonotonicClock.millis();
@@ -60,6 +62,7 @@
 
     @Override
     public void start(Kernel kernel) {
+        source = kernel.get(ServiceNames.FLEET_SOURCE);
         fleet.onChange(this::onChange);
         exchanger.scheduleAtFixedRate(
                 Repeated.guarded("exchange", this::exchangeWithRandomPeer),
@@ -113,12 +116,20 @@
             // A daemon that has just started has no news for its peers.
             return;
         }
+        if (source.isCurrent()) {
+            // The peers follow the same origin.
+            return;
+        }
         for (Instance target : planner.pushTargets(ThreadLocalRandom.current())) {
             pushers.execute(Repeated.guarded("push", () -> exchange(target, formerRevision, formerIndex)));
         }
     }
 
     private void exchangeWithRandomPeer() {
+        if (source.isCurrent()) {
+            lastExchangeMillis = MonotonicClock.millis();
+            return;
+        }
         planner.exchangePartner(ThreadLocalRandom.current())
                 .ifPresent(partner -> exchange(
                         partner, fleet.revision(), fleet.view().instances().index()));
--- a/src/main/java/org/cassiabank/proxy/ServiceNames.java
+++ b/src/main/java/org/cassiabank/proxy/ServiceNames.java
@@ -2,6 +2,7 @@
 
 import org.cassiabank.kernel.ServiceName;
 import org.cassiabank.peer.PeerClients;
+import org.cassiabank.source.FleetSource;
 
 /**
  * The names under which the services of a daemon find each other.
@@ -12,6 +13,7 @@
     static final ServiceName<FleetState> FLEET = ServiceName.of("fleet", FleetState.class);
     static final ServiceName<PeerClients> PEER_CLIENTS = ServiceName.of("peer-clients", PeerClients.class);
     static final ServiceName<PeerDirectory> PEER_DIRECTORY = ServiceName.of("peer-directory", PeerDirectory.class);
+    static final ServiceName<FleetSource> FLEET_SOURCE = ServiceName.of("fleet-source", FleetSource.class);
     static final ServiceName<Replication> REPLICATION = ServiceName.of("replication", Replication.class);
     static final ServiceName<ShardOwners> OWNERS = ServiceName.of("owners", ShardOwners.class);
     static final ServiceName<SlotBroker> BROKER = ServiceName.of("broker", SlotBroker.class);
--- a/src/main/java/org/cassiabank/revision/ConfigurationHistory.java
+++ b/src/main/java/org/cassiabank/revision/ConfigurationHistory.java
@@ -1,11 +1,13 @@
 package org.cassiabank.revision;
 
 import java.util.ArrayDeque;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import org.cassiabank.declaration.Configuration;
+import org.cassiabank.declaration.Declaration;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.kernel.ErrorCode;
 
@@ -84,6 +86,23 @@
         }
     }
 
+    /**
+     * Puts a whole configuration into force if it is newer. Entities that did not change are shared with the former one.
+     *
+     * @param revision the revision
+     * @param declarations all entities
+     * @return true if it was installed, false if it is not newer
+     * @throws IllegalArgumentException if a key occurs twice
+     */
+    public synchronized boolean replace(long revision, Collection<Declaration> declarations) {
+        if (revision <= configuration.revision()) {
+            return false;
+        }
+        configuration = configuration.replacedBy(revision, declarations);
+        changes.clear();
+        return true;
+    }
+
     /**
      * Returns the changes that a peer lacks.
      *
--- /dev/null
+++ b/src/main/java/org/cassiabank/source/EntryFleetSource.java
@@ -0,0 +1,309 @@
+package org.cassiabank.source;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.cassiabank.kernel.CassiabankException;
+import org.cassiabank.membership.Instance;
+import org.cassiabank.membership.InstanceDocuments;
+import org.cassiabank.membership.InstanceList;
+
+/**
+ * Follows the entries of a store: the operators' configuration, the backend servers and the daemons of the fleet.
+ *
+ * <p>One thread reads everything once and then waits for changes; another keeps this daemon registered.
+ */
+public final class EntryFleetSource implements FleetSource {
+    /** The common prefix of the keys under which daemons register. */
+    static final String DAEMONS_PREFIX = "cassiabank/daemons/";
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    /** A connection that went silent is noticed when this time and the timeout of a call are over. */
+    private static final long WATCH_MILLIS = 10_000;
+    /** Changes that come close together are fetched by one call; a change has to be in force within 2 s. */
+    private static final long BATCH_MILLIS = 100;
+
+    private static final long SHORTEST_RETRY_MILLIS = 150;
+    private static final long LONGEST_RETRY_MILLIS = 350;
+    private static final int LOG_INTERVAL_SECONDS = 10;
+    /** Lists of one store revision that differ in what is kept after an outage have consecutive indexes. */
+    private static final int INDEX_STEP_BITS = 8;
+
+    private final PlatformAdapter adapter;
+    private final EntryStore store;
+    private final Instance self;
+    private final LongSupplier clock;
+    private final EntryTable table = new EntryTable();
+    private final LapseGuard guard = new LapseGuard();
+    private final Registration registration;
+    private final Map<String, Long> unreadable = new HashMap<>();
+    private FleetTarget target;
+    private Map<String, Instance> published = Map.of();
+    private boolean loaded;
+    private boolean available = true;
+    private long revision;
+    private long lastIndex;
+    private volatile boolean current;
+    private volatile boolean registered;
+    private final CountDownLatch leaving = new CountDownLatch(1);
+    private volatile boolean stopped;
+
+    private EntryFleetSource(PlatformAdapter adapter, EntryStore store, Instance self, LongSupplier clock) {
+        this.adapter = adapter;
+        this.store = store;
+        this.self = self;
+        this.clock = clock;
+        this.registration =
+                Registration.create(store, DAEMONS_PREFIX + self.name(), InstanceDocuments.toDocument(List.of(self)));
+    }
+
+    /**
+     * Creates a source.
+     *
+     * @param adapter the language of the platform
+     * @param store the store
+     * @param self this daemon, as its peers are to see it
+     * @param clock a clock in milliseconds that does not go back
+     * @return the source
+     */
+    public static EntryFleetSource create(
+            PlatformAdapter adapter, EntryStore store, Instance self, LongSupplier clock) {
+        return new EntryFleetSource(
+                Objects.requireNonNull(adapter, "adapter"),
+                Objects.requireNonNull(store, "store"),
+                Objects.requireNonNull(self, "self"),
+                Objects.requireNonNull(clock, "clock"));
+    }
+
+    @Override
+    public void start(FleetTarget newTarget) {
+        target = Objects.requireNonNull(newTarget, "newTarget");
+        Thread.ofPlatform().name("store-follower").daemon().start(this::follow);
+        Thread.ofPlatform().name("store-registration").daemon().start(this::keepRegistered);
+    }
+
+    @Override
+    public boolean isCurrent() {
+        return current;
+    }
+
+    @Override
+    public void announceLeaving() {
+        leaving.countDown();
+    }
+
+    @Override
+    public void close() {
+        stopped = true;
+        leaving.countDown();
+    }
+
+    private void follow() {
+        while (!stopped) {
+            try {
+                step();
+                if (!available) {
+                    LOGGER.atInfo().log(
+                            "the store answers again at revision %d; %d instances are kept for now",
+                            revision, guard.keptCount());
+                }
+                available = true;
+                current = loaded;
+            } catch (CassiabankException exception) {
+                guard.noteFailure(clock.getAsLong());
+                if (available) {
+                    LOGGER.atWarning().log(
+                            "the store does not answer, revision %d stays in force: %s",
+                            revision, exception.getMessage());
+                }
+                available = false;
+                current = false;
+                pause(ThreadLocalRandom.current().nextLong(SHORTEST_RETRY_MILLIS, LONGEST_RETRY_MILLIS));
+            } catch (RuntimeException exception) {
+                LOGGER.atSevere().withCause(exception).atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                        "following the store failed and begins anew");
+                loaded = false;
+                pause(LONGEST_RETRY_MILLIS);
+            }
+        }
+    }
+
+    private void step() {
+        if (!loaded) {
+            load();
+        } else {
+            long now = clock.getAsLong();
+            // After an outage the first answer has to come at once, so that the grace of lost entries begins.
+            long wait = available ? Math.clamp(guard.nextReviewMillis() - now, 1, WATCH_MILLIS) : 1;
+            target.storeCalled("watch");
+            Optional<StoreBatch> batch = store.watch("", revision, wait);
+            if (batch.isEmpty()) {
+                LOGGER.atInfo().log("the store no longer has the changes after revision %d; reading all", revision);
+                loaded = false;
+                return;
+            }
+            batch.get().events().forEach(table::apply);
+            revision = Math.max(revision, batch.get().revision());
+        }
+        guard.noteAnswer(clock.getAsLong());
+        publish();
+        pause(BATCH_MILLIS);
+    }
+
+    private void load() {
+        List<StoreEntry> read = new ArrayList<>();
+        long first = Long.MAX_VALUE;
+        for (String prefix : List.of(adapter.configurationKey(), adapter.serversPrefix(), DAEMONS_PREFIX)) {
+            String after = "";
+            boolean hasMore = true;
+            while (hasMore) {
+                target.storeCalled("list");
+                StorePage page = store.list(prefix, after);
+                first = Math.min(first, page.revision());
+                read.addAll(page.entries());
+                hasMore = page.hasMore() && !page.entries().isEmpty();
+                after = hasMore ? page.entries().getLast().key() : after;
+            }
+        }
+        table.replaceAll(read);
+        revision = first;
+        loaded = true;
+    }
+
+    private void publish() {
+        publishConfiguration();
+        Map<String, Instance> listed = new HashMap<>();
+        for (StoreEntry entry : table.withPrefix(adapter.serversPrefix())) {
+            server(entry).ifPresent(server -> listed.put(server.name(), server));
+        }
+        for (StoreEntry entry : table.withPrefix(DAEMONS_PREFIX)) {
+            daemon(entry).ifPresent(daemon -> listed.put(daemon.name(), daemon));
+        }
+        registered = listed.containsKey(self.name());
+        Map<String, Instance> complete = guard.complete(listed, clock.getAsLong());
+        if (complete.equals(published) && target.listIndex() > 0) {
+            return;
+        }
+        logDifferences(complete);
+        published = complete;
+        lastIndex = Math.max(lastIndex + 1, revision << INDEX_STEP_BITS);
+        target.install(InstanceList.of(lastIndex, complete.values()));
+    }
+
+    private void publishConfiguration() {
+        Optional<StoreEntry> entry = table.find(adapter.configurationKey());
+        if (entry.isEmpty() || isKnownUnreadable(entry.get())) {
+            return;
+        }
+        try {
+            ConfigurationDocument document = adapter.configuration(entry.get());
+            if (document.version() > target.revision()) {
+                target.install(document);
+            }
+        } catch (CassiabankException exception) {
+            noteUnreadable(entry.get(), exception);
+        }
+    }
+
+    private Optional<Instance> server(StoreEntry entry) {
+        return read(entry, () -> adapter.server(entry, self.region()));
+    }
+
+    private Optional<Instance> daemon(StoreEntry entry) {
+        return read(entry, () -> InstanceDocuments.parse(1, entry.value())
+                .instances()
+                .iterator()
+                .next());
+    }
+
+    private Optional<Instance> read(StoreEntry entry, Supplier<Instance> reader) {
+        if (isKnownUnreadable(entry)) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(reader.get());
+        } catch (CassiabankException exception) {
+            noteUnreadable(entry, exception);
+            return Optional.empty();
+        }
+    }
+
+    private boolean isKnownUnreadable(StoreEntry entry) {
+        return unreadable.getOrDefault(entry.key(), 0L) == entry.revision();
+    }
+
+    private void noteUnreadable(StoreEntry entry, CassiabankException problem) {
+        unreadable.keySet().removeIf(key -> table.find(key).isEmpty());
+        unreadable.put(entry.key(), entry.revision());
+        LOGGER.atWarning().log(
+                "entry %s at revision %d is not used: %s", entry.key(), entry.revision(), problem.getMessage());
+    }
+
+    private void logDifferences(Map<String, Instance> next) {
+        next.forEach((name, instance) -> {
+            Instance former = published.get(name);
+            if (former == null) {
+                LOGGER.atInfo().log(
+                        "%s %s appears at %s, revision %d", instance.role(), name, instance.address(), revision);
+            } else if (former.state() != instance.state()) {
+                LOGGER.atInfo().log("%s %s is %s, revision %d", instance.role(), name, instance.state(), revision);
+            }
+        });
+        published.forEach((name, instance) -> {
+            if (!next.containsKey(name)) {
+                LOGGER.atInfo().log("%s %s is gone, revision %d", instance.role(), name, revision);
+            }
+        });
+    }
+
+    private void keepRegistered() {
+        boolean answered = true;
+        boolean isLeaving = false;
+        while (!isLeaving) {
+            try {
+                target.storeCalled("lease");
+                if (registration.renew(registered)) {
+                    LOGGER.atInfo().log("registered as %s", self.name());
+                }
+                answered = true;
+            } catch (CassiabankException exception) {
+                if (answered) {
+                    LOGGER.atWarning().log("cannot renew the registration: %s", exception.getMessage());
+                }
+                answered = false;
+            }
+            isLeaving = awaitLeaving(answered ? Registration.RENEWAL_MILLIS : LONGEST_RETRY_MILLIS);
+        }
+        try {
+            registration.end();
+        } catch (CassiabankException exception) {
+            LOGGER.atInfo().log("the registration ends with its lease: %s", exception.getMessage());
+        }
+    }
+
+    private boolean awaitLeaving(long millis) {
+        try {
+            return leaving.await(millis, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            return true;
+        }
+    }
+
+    private static void pause(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/source/Registration.java
@@ -0,0 +1,66 @@
+package org.cassiabank.source;
+
+import java.util.Objects;
+import java.util.OptionalLong;
+
+/**
+ * Keeps the entry of this daemon in the store under a lease, so that its peers find it and forget it when it is gone.
+ *
+ * <p>Instances are used by one thread.
+ */
+final class Registration {
+    /** Covers two lost renewals and the start of another; a daemon that is gone is listed for this long at most. */
+    static final long LEASE_MILLIS = 8_000;
+
+    /** A third of the lease, less some time for a slow answer. */
+    static final long RENEWAL_MILLIS = 2_500;
+
+    private final EntryStore store;
+    private final String key;
+    private final byte[] value;
+    private OptionalLong lease = OptionalLong.empty();
+
+    private Registration(EntryStore store, String key, byte[] value) {
+        this.store = store;
+        this.key = key;
+        this.value = value;
+    }
+
+    static Registration create(EntryStore store, String key, byte[] value) {
+        return new Registration(
+                Objects.requireNonNull(store, "store"),
+                Objects.requireNonNull(key, "key"),
+                Objects.requireNonNull(value, "value"));
+    }
+
+    /**
+     * Renews the lease, or registers anew if the lease has ended or the entry is missing.
+     *
+     * @param listed whether the entry is in the store as far as this daemon knows
+     * @return true if the entry had to be written
+     * @throws org.cassiabank.kernel.CassiabankException if the store does not answer; to be called again then
+     */
+    boolean renew(boolean listed) {
+        boolean alive = lease.isPresent() && store.renewLease(lease.getAsLong());
+        if (alive && listed) {
+            return false;
+        }
+        if (!alive) {
+            lease = OptionalLong.empty();
+            lease = OptionalLong.of(store.grantLease(LEASE_MILLIS));
+        }
+        if (!store.put(key, value, lease.getAsLong())) {
+            lease = OptionalLong.empty();
+        }
+        return true;
+    }
+
+    /** Removes the entry. */
+    void end() {
+        if (lease.isPresent()) {
+            long ended = lease.getAsLong();
+            lease = OptionalLong.empty();
+            store.endLease(ended);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/source/StoreEntry.java
@@ -0,0 +1,21 @@
+package org.cassiabank.source;
+
+import java.util.Objects;
+
+/**
+ * One key of the store with its value.
+ *
+ * @param key the key
+ * @param value the value; not copied
+ * @param revision the revision of the store at which the value was written
+ */
+public record StoreEntry(String key, byte[] value, long revision) {
+
+    /**
+     * Checks that no component is null.
+     */
+    public StoreEntry {
+        Objects.requireNonNull(key, "key");
+        Objects.requireNonNull(value, "value");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cassiabank/source/StoreEvent.java
@@ -0,0 +1,40 @@
+package org.cassiabank.source;
+
+import java.util.Objects;
+
+/**
+ * One change of a key.
+ */
+public sealed interface StoreEvent {
+
+    /**
+     * A value was written.
+     *
+     * @param entry the key with its new value
+     */
+    record Written(StoreEntry entry) implements StoreEvent {
+
+        /**
+         * Checks that the entry is not null.
+         */
+        public Written {
+            Objects.requireNonNull(entry, "entry");
+        }
+    }
+
+    /**
+     * A key was removed, or its lease ended.
+     *
+     * @param key the key
+     * @param revision the revision of the store at which it was removed
+     */
+    record Removed(String key, long revision) implements StoreEvent {
+
+        /**
+         * Checks that the key is not null.
+         */
+        public Removed {
+            Objects.requireNonNull(key, "key");
+        }
+    }
+}
--- a/src/main/java/org/cassiabank/standin/PlatformServer.java
+++ b/src/main/java/org/cassiabank/standin/PlatformServer.java
@@ -16,7 +16,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.cassiabank.http.JoobyServer;
-import org.cassiabank.platform.InstanceDocuments;
+import org.cassiabank.membership.InstanceDocuments;
 
 /**
  * The stand-in for the platform: a key-value store with compare-and-swap and watches in the manner of Consul's HTTP
--- a/src/main/java/org/cassiabank/platform/InstanceListClient.java
+++ b/src/main/java/org/cassiabank/store/InstanceListClient.java
@@ -1,10 +1,11 @@
-package org.cassiabank.platform;
+package org.cassiabank.store;
 
 import java.net.URI;
 import java.util.Objects;
 import java.util.Optional;
 import okhttp3.HttpUrl;
 import okhttp3.Request;
+import org.cassiabank.membership.InstanceDocuments;
 import org.cassiabank.membership.InstanceList;
 
 /**
--- a/src/main/java/org/cassiabank/platform/PlatformAnswer.java
+++ b/src/main/java/org/cassiabank/store/PlatformAnswer.java
@@ -1,4 +1,4 @@
-package org.cassiabank.platform;
+package org.cassiabank.store;
 
 /**
  * An answer of the platform's service.
--- a/src/main/java/org/cassiabank/platform/PlatformHttp.java
+++ b/src/main/java/org/cassiabank/store/PlatformHttp.java
@@ -1,4 +1,4 @@
-package org.cassiabank.platform;
+package org.cassiabank.store;
 
 import java.io.IOException;
 import java.net.URI;
--- a/src/main/java/org/cassiabank/platform/StoreClient.java
+++ b/src/main/java/org/cassiabank/store/StoreClient.java
@@ -1,4 +1,4 @@
-package org.cassiabank.platform;
+package org.cassiabank.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
--- a/src/test/java/org/cassiabank/fleet/TestFleet.java
+++ b/src/test/java/org/cassiabank/fleet/TestFleet.java
@@ -23,14 +23,14 @@
 import org.cassiabank.load.ControlClient;
 import org.cassiabank.load.Ports;
 import org.cassiabank.membership.Instance;
+import org.cassiabank.membership.InstanceDocuments;
 import org.cassiabank.membership.InstanceRole;
 import org.cassiabank.membership.InstanceState;
-import org.cassiabank.platform.InstanceDocuments;
-import org.cassiabank.platform.StoreClient;
 import org.cassiabank.revision.Change;
 import org.cassiabank.revision.ChangeCommitter;
 import org.cassiabank.revision.Edit;
 import org.cassiabank.revision.PutEdit;
+import org.cassiabank.store.StoreClient;
 
 /** A platform stand-in, backend servers and proxies as processes, with a relay before each proxy's peer port. */
 final class TestFleet implements AutoCloseable {
--- a/src/test/java/org/cassiabank/proxy/PeerEndpointTest.java
+++ b/src/test/java/org/cassiabank/proxy/PeerEndpointTest.java
@@ -42,7 +42,8 @@
         try (Kernel kernel = Kernel.create()
                 .register(ServiceNames.FLEET, fleet)
                 .register(ServiceNames.OWNERS, ShardOwners.create(SchedulerSettings.defaults(), fleet, metrics))
-                .register(ServiceNames.CLAIM_KEEPER, ClaimKeeper.create(SELF, fleet, peers, lists))
+                .register(ServiceNames.CLAIM_KEEPER, ClaimKeeper.create(SELF, fleet, peers, lists, true))
+                .register(ServiceNames.FLEET_SOURCE, new SilentSource())
                 .register(ServiceNames.REPLICATION, Replication.create(SELF, fleet, peers))
                 .register(ServiceNames.PEER_ENDPOINT, endpoint)) {
             kernel.start();
