Limit retries by the whole fleet's budget and avoid servers after abrupt failures

Ruled out: larger budgets at the entries (32 of them would exceed the fleet's bound together). Shards tick every 20 ms while they have work and every 200 ms otherwise.

--- a/src/main/java/org/cassiabank/admission/RefusalReason.java
+++ b/src/main/java/org/cassiabank/admission/RefusalReason.java
@@ -21,7 +21,9 @@
     /** The ticket is not known or was not renewed in time. */
     TICKET_EXPIRED,
     /** The entry that queued the request is gone. */
-    ENTRY_LOST;
+    ENTRY_LOST,
+    /** The service has had its share of additional attempts for now. */
+    RETRY_BUDGET;
 
     private final String label = name().toLowerCase(Locale.ROOT).replace('_', '-');
 
--- a/src/main/java/org/cassiabank/admission/ServerPool.java
+++ b/src/main/java/org/cassiabank/admission/ServerPool.java
@@ -14,6 +14,9 @@
     /** Limits how much work a server on probation can fail when it fails fast; five answers take half a second. */
     private static final long PROBATION_INTERVAL_MILLIS = 100;
 
+    /** After this time without repeatable work an unrepeatable request tests a server; nothing else would. */
+    private static final long UNTESTED_MILLIS = 500;
+
     private final Map<String, ServerState> servers = new LinkedHashMap<>();
     private ServerState[] present = {};
     private long version;
@@ -30,7 +33,7 @@
             if (server == null || !server.capacity().address().equals(capacity.address())) {
                 server = new ServerState(capacity, started, nowMillis);
             }
-            server.update(capacity);
+            server.update(capacity, nowMillis);
             servers.put(capacity.name(), server);
             listed.add(server);
         }
@@ -89,30 +92,33 @@
     ServerState chooseForShort(Lane lane, long nowMillis) {
         ServerState best = null;
         ServerState probation = null;
+        EntryHints hints = lane.first().ask().hints();
         boolean healthyExists = false;
         for (ServerState server : lane.candidates(this)) {
             if (server.isHealthy()) {
                 healthyExists = true;
                 if (server.leases() < server.usableSlots(nowMillis)
-                        && (best == null || server.isBetterThan(best, nowMillis))) {
+                        && (best == null || server.isBetterThan(best, hints, nowMillis))) {
                     best = server;
                 }
             } else if (server.isOnProbation()
                     && server.leases() < server.usableSlots(nowMillis)
-                    && (probation == null || server.isBetterThan(probation, nowMillis))) {
+                    && (probation == null || server.isBetterThan(probation, hints, nowMillis))) {
                 probation = server;
             }
         }
         // An idle server on probation goes first, because otherwise it proves nothing while the others have free slots.
         boolean takesProbation = !healthyExists
-                || lane.key().repeatable()
-                        && probation != null
-                        && probation.isWithoutGrantSince(nowMillis - PROBATION_INTERVAL_MILLIS);
+                || probation != null
+                        && (lane.key().repeatable()
+                                ? probation.isWithoutGrantSince(nowMillis - PROBATION_INTERVAL_MILLIS)
+                                : probation.isUntestedSince(nowMillis - UNTESTED_MILLIS));
         return takesProbation ? probation : best;
     }
 
     /** Chooses a server for long work, or returns null if no server may take it now. */
     ServerState chooseForLong(Lane lane, boolean urgent, boolean shortWaits, long nowMillis) {
+        EntryHints hints = lane.first().ask().hints();
         ServerState best = null;
         boolean healthyExists = false;
         for (ServerState server : lane.candidates(this)) {
@@ -121,7 +127,7 @@
         for (ServerState server : lane.candidates(this)) {
             if ((healthyExists ? server.isHealthy() : server.isOnProbation())
                     && server.hasRoomForLong(urgent, shortWaits, nowMillis)
-                    && (best == null || server.isBetterThan(best, nowMillis))) {
+                    && (best == null || server.isBetterThan(best, hints, nowMillis))) {
                 best = server;
             }
         }
--- a/src/main/java/org/cassiabank/admission/ServerState.java
+++ b/src/main/java/org/cassiabank/admission/ServerState.java
@@ -44,6 +44,7 @@
     private long lastGrant;
     private long lastGrantAt = Long.MIN_VALUE / 2;
     private int shortSinceLong;
+    private long probationSince = Long.MIN_VALUE / 2;
 
     ServerState(ServerCapacity capacity, boolean cold, long nowMillis) {
         this.capacity = capacity;
@@ -51,7 +52,10 @@
         this.rampSince = nowMillis;
     }
 
-    void update(ServerCapacity newCapacity) {
+    void update(ServerCapacity newCapacity, long nowMillis) {
+        if (newCapacity.health() == ServerHealth.PROBATION && capacity.health() != ServerHealth.PROBATION) {
+            probationSince = nowMillis;
+        }
         capacity = newCapacity;
         present = true;
     }
@@ -130,6 +134,11 @@
         return lastGrantAt < millis;
     }
 
+    /** Tells whether the server has been on probation since before a time and got no request since then. */
+    boolean isUntestedSince(long millis) {
+        return probationSince < millis && lastGrantAt < millis;
+    }
+
     void grant(boolean longWork, long sequence, long nowMillis) {
         leases++;
         lastGrant = sequence;
@@ -174,14 +183,28 @@
         sheds++;
     }
 
-    /** Compares by fewest leases, then by latency in coarse steps, then by the longest time without a grant. */
-    boolean isBetterThan(ServerState other, long nowMillis) {
+    /**
+     * Compares by fewest leases, then by latency in coarse steps, then by what the way to the server costs the entry,
+     * then by the longest time without a grant.
+     */
+    boolean isBetterThan(ServerState other, EntryHints hints, long nowMillis) {
         if (leases != other.leases) {
             return leases < other.leases;
         }
         int step = slownessStep(nowMillis);
         int otherStep = other.slownessStep(nowMillis);
-        return step == otherStep ? lastGrant < other.lastGrant : step < otherStep;
+        if (step != otherStep) {
+            return step < otherStep;
+        }
+        int distance = distance(hints);
+        int otherDistance = other.distance(hints);
+        return distance == otherDistance ? lastGrant < other.lastGrant : distance < otherDistance;
+    }
+
+    /** Ranks the way to the server: a new connection costs more than a way to another failure domain. */
+    private int distance(EntryHints hints) {
+        int distance = hints.connected().contains(capacity.name()) ? 0 : 2;
+        return distance + (hints.failureDomain().equals(capacity.failureDomain()) ? 0 : 1);
     }
 
     private void raiseRamp(long sinceMillis) {
--- a/src/main/java/org/cassiabank/admission/SlotAsk.java
+++ b/src/main/java/org/cassiabank/admission/SlotAsk.java
@@ -17,6 +17,7 @@
  * @param remainingMillis the time until the caller's deadline, in milliseconds
  * @param excluded the names of servers that must not be used, for example because an attempt failed there
  * @param servers the labels that a server must carry
+ * @param hints what makes one server cheaper for the entry than another
  */
 public record SlotAsk(
         String entry,
@@ -27,7 +28,8 @@
         boolean repeatable,
         long remainingMillis,
         Set<String> excluded,
-        Map<String, String> servers) {
+        Map<String, String> servers,
+        EntryHints hints) {
 
     /**
      * Checks and copies the components.
@@ -38,7 +40,44 @@
         Objects.requireNonNull(route, "route");
         Objects.requireNonNull(caller, "caller");
         Objects.requireNonNull(cost, "cost");
+        Objects.requireNonNull(hints, "hints");
         excluded = Set.copyOf(excluded);
         servers = Map.copyOf(servers);
     }
+
+    /**
+     * Creates the request for a first attempt by an entry to which all servers are alike.
+     *
+     * @param entry the name of the entry instance
+     * @param selector the name of the selector that took the request
+     * @param route the name under which costs are learned
+     * @param caller the identity between which slots are shared fairly
+     * @param cost the declared cost
+     * @param repeatable whether the request may run more than once
+     * @param remainingMillis the time until the caller's deadline, in milliseconds
+     * @param excluded the names of servers that must not be used
+     * @param servers the labels that a server must carry
+     */
+    public SlotAsk(
+            String entry,
+            String selector,
+            String route,
+            String caller,
+            CostHint cost,
+            boolean repeatable,
+            long remainingMillis,
+            Set<String> excluded,
+            Map<String, String> servers) {
+        this(entry, selector, route, caller, cost, repeatable, remainingMillis, excluded, servers, EntryHints.none());
+    }
+
+    /**
+     * Returns the same request with less time left.
+     *
+     * @param millis the time until the caller's deadline, in milliseconds
+     * @return the request
+     */
+    public SlotAsk withRemaining(long millis) {
+        return new SlotAsk(entry, selector, route, caller, cost, repeatable, millis, excluded, servers, hints);
+    }
 }
--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -241,6 +241,15 @@
                 .toList();
     }
 
+    /**
+     * Tells whether any request holds a slot.
+     *
+     * @return true if there is a lease that has neither been reported nor expired
+     */
+    public boolean hasLeases() {
+        return !leases.all().isEmpty();
+    }
+
     /**
      * Tells whether a server has completed its cold-start ramp.
      *
--- a/src/main/java/org/cassiabank/backend/BackendClient.java
+++ b/src/main/java/org/cassiabank/backend/BackendClient.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import okhttp3.Call;
 import okhttp3.ConnectionPool;
 import okhttp3.Headers;
@@ -22,13 +23,16 @@
  * <p>Instances are thread-safe. Calls block, so they are made on virtual threads.
  */
 public final class BackendClient implements AutoCloseable {
+    /** Enough for a choice, and few enough to be named in each request for a slot. */
+    private static final int MOST_CONNECTED = 4;
+
     private static final Set<String> METHODS_WITHOUT_BODY = Set.of("GET", "HEAD");
 
     private final BackendSettings settings;
     private final MessageProfile profile;
     private final OkHttpClient fresh;
     /** By address: the pool of OkHttp limits idle connections over all its servers, not for each one. */
-    private final Map<String, OkHttpClient> pooled = new ConcurrentHashMap<>();
+    private final Map<String, Pooled> pooled = new ConcurrentHashMap<>();
 
     private BackendClient(BackendSettings settings, MessageProfile profile) {
         this.settings = settings;
@@ -91,7 +95,8 @@
      * @throws IllegalArgumentException if the address, the method or a header cannot be sent
      */
     public BackendCall newCall(BackendRequest request) {
-        Headers headers = BackendHeaders.toSend(request, profile);
+        boolean mayUseIdle = request.repeatable() || settings.unrepeatableOnIdle();
+        Headers headers = BackendHeaders.toSend(request, profile, mayUseIdle);
         AttemptTrace trace = new AttemptTrace();
         // Without an encoding of the caller, "identity" keeps OkHttp from asking for gzip; the trace takes it out
         // again.
@@ -107,7 +112,7 @@
                 .tag(AttemptTrace.class, trace)
                 .tag(Headers.class, headers)
                 .build();
-        OkHttpClient client = request.repeatable() ? pooled(request.address()) : fresh;
+        OkHttpClient client = mayUseIdle ? pooled(request) : fresh;
         Call call = client.newCall(message);
         call.timeout().timeout(request.timeoutMillis(), TimeUnit.MILLISECONDS);
         return BackendCall.of(request, call, trace, settings.mostAnswerBytes(), profile);
@@ -119,10 +124,10 @@
      * @param addresses the addresses of all known servers
      */
     public void retainServers(Set<String> addresses) {
-        pooled.forEach((address, client) -> {
+        pooled.forEach((address, server) -> {
             if (!addresses.contains(address)) {
                 pooled.remove(address);
-                client.connectionPool().evictAll();
+                server.client().connectionPool().evictAll();
             }
         });
     }
@@ -136,10 +141,48 @@
         fresh.connectionPool().evictAll();
     }
 
-    private OkHttpClient pooled(String address) {
-        return pooled.computeIfAbsent(address, key -> fresh.newBuilder()
+    /**
+     * Returns the servers of a service to which there is an idle connection.
+     *
+     * @param service the name of the service
+     * @return the names of the servers, at most {@link #MOST_CONNECTED}
+     */
+    public Set<String> connectedServers(String service) {
+        return pooled.values().stream()
+                .filter(server -> server.service().equals(service)
+                        && !server.name().isEmpty()
+                        && server.client().connectionPool().idleConnectionCount() > 0)
+                .limit(MOST_CONNECTED)
+                .map(Pooled::name)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
+    private OkHttpClient pooled(BackendRequest request) {
+        Pooled present = pooled.get(request.address());
+        if (present == null || !present.name().equals(request.server())) {
+            // An address that another server has taken over starts without connections.
+            present = new Pooled(request.service(), request.server(), newPooledClient());
+            Pooled former = pooled.put(request.address(), present);
+            if (former != null) {
+                former.client().connectionPool().evictAll();
+            }
+        }
+        return present.client();
+    }
+
+    private OkHttpClient newPooledClient() {
+        return fresh.newBuilder()
                 .connectionPool(
                         new ConnectionPool(settings.idlePerServer(), settings.idleAgeMillis(), TimeUnit.MILLISECONDS))
-                .build());
+                .build();
     }
+
+    /**
+     * The connections to one server.
+     *
+     * @param service the name of the service
+     * @param name the name of the server
+     * @param client the client with the pool
+     */
+    private record Pooled(String service, String name, OkHttpClient client) {}
 }
--- a/src/main/java/org/cassiabank/backend/BackendHeaders.java
+++ b/src/main/java/org/cassiabank/backend/BackendHeaders.java
@@ -79,7 +79,7 @@
      * Returns the headers to send for a request. {@code Content-Length} is set from the body. {@code Expect} is left
      * out because the body is complete and sent at once.
      */
-    static Headers toSend(BackendRequest request, MessageProfile profile) {
+    static Headers toSend(BackendRequest request, MessageProfile profile, boolean mayUseIdle) {
         Headers.Builder builder = new Headers.Builder();
         endToEnd(request.headers()).forEach((name, values) -> {
             if (!name.equalsIgnoreCase("Content-Length") && !name.equalsIgnoreCase("Expect")) {
@@ -94,7 +94,7 @@
                 builder.set(name, request.server());
             }
         });
-        if (!request.repeatable()) {
+        if (!mayUseIdle) {
             builder.set("Connection", "close");
         }
         return builder.build();
--- a/src/main/java/org/cassiabank/backend/BackendRequest.java
+++ b/src/main/java/org/cassiabank/backend/BackendRequest.java
@@ -8,6 +8,7 @@
 /**
  * A request to a backend server.
  *
+ * @param service the name of the service, empty if it is not known
  * @param server the name of the server, empty if it is not known
  * @param address the host and port of the server
  * @param method the HTTP method
@@ -19,6 +20,7 @@
  * @param timeoutMillis the longest time for the whole attempt in milliseconds, also sent as the server's deadline
  */
 public record BackendRequest(
+        String service,
         String server,
         String address,
         String method,
@@ -37,6 +39,7 @@
      *     or HEAD request has a body, or if the identifier is blank or the timeout is not positive
      */
     public BackendRequest {
+        Objects.requireNonNull(service, "service");
         Objects.requireNonNull(server, "server");
         Objects.requireNonNull(address, "address");
         Objects.requireNonNull(method, "method");
@@ -77,7 +80,7 @@
             String requestId,
             boolean repeatable,
             long timeoutMillis) {
-        this("", address, method, path, headers, body, requestId, repeatable, timeoutMillis);
+        this("", "", address, method, path, headers, body, requestId, repeatable, timeoutMillis);
     }
 
     private static boolean hasDotSegment(String path) {
--- a/src/main/java/org/cassiabank/health/HealthMonitor.java
+++ b/src/main/java/org/cassiabank/health/HealthMonitor.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -83,6 +85,10 @@
      */
     public void record(Observation observation, long nowMillis) {
         Server server = servers.get(observation.server());
+        if (server != null) {
+            long startMillis = nowMillis - observation.latencyMicros() / 1_000;
+            server.suspicion.ifPresent(suspicion -> suspicion.note(observation.outcome(), startMillis, nowMillis));
+        }
         if (server == null || server.probation.health() == ServerHealth.EJECTED) {
             return;
         }
@@ -135,9 +141,33 @@
         apply(EjectionPolicy.decide(candidates, floor), nowMillis);
         Map<String, ServerHealth> verdicts = LinkedHashMap.newLinkedHashMap(servers.size());
         servers.forEach((name, server) -> verdicts.put(name, server.probation.health()));
+        addSuspects(verdicts, nowMillis);
         return verdicts;
     }
 
+    /** Avoids suspect servers as far as the floor allows, those with the latest failures first. */
+    private void addSuspects(Map<String, ServerHealth> verdicts, long nowMillis) {
+        List<Server> suspects = new ArrayList<>();
+        int kept = 0;
+        for (Server server : servers.values()) {
+            server.suspicion.ifPresent(suspicion -> suspicion.advance(nowMillis));
+            boolean isUsable = server.probation.health() == ServerHealth.HEALTHY && !server.description.leaving();
+            kept += isUsable ? 1 : 0;
+            if (isUsable
+                    && server.suspicion.isPresent()
+                    && server.suspicion.get().health() != ServerHealth.HEALTHY) {
+                suspects.add(server);
+            }
+        }
+        suspects.sort(Comparator.comparingLong(
+                        (Server server) -> server.suspicion.orElseThrow().sinceMillis())
+                .reversed());
+        for (Server server : suspects.subList(0, Math.clamp(kept - floor, 0, suspects.size()))) {
+            verdicts.put(
+                    server.description.name(), server.suspicion.orElseThrow().health());
+        }
+    }
+
     private void advance(Server server, long nowMillis) {
         ServerHealth before = server.probation.health();
         if (before != ServerHealth.EJECTED) {
@@ -177,6 +207,7 @@
         server.description = description;
         server.evidence = detector.createEvidence(index);
         server.probation = new Probation(settings, nowMillis);
+        server.suspicion = settings.suspicion().map(limits -> new Suspicion(limits, nowMillis));
         server.coldUntilMillis = hasServers ? nowMillis + settings.coldGraceMillis() : nowMillis;
         return server;
     }
@@ -186,6 +217,7 @@
         private MonitoredServer description;
         private ServerEvidence evidence;
         private Probation probation;
+        private Optional<Suspicion> suspicion = Optional.empty();
         private long coldUntilMillis;
 
         private EjectionPolicy.Candidate toCandidate(boolean isOutlier) {
--- a/src/main/java/org/cassiabank/health/HealthSettings.java
+++ b/src/main/java/org/cassiabank/health/HealthSettings.java
@@ -1,5 +1,8 @@
 package org.cassiabank.health;
 
+import java.util.Objects;
+import java.util.Optional;
+
 /**
  * The limits of the health monitor.
  *
@@ -10,6 +13,7 @@
  * @param maximumHoldOffMillis the upper limit of the hold-off, in milliseconds
  * @param probationAnswers how many good answers end a probation
  * @param coldGraceMillis how long after its cold start a server's slowness is no evidence, in milliseconds
+ * @param suspicion how servers are avoided after few abrupt failures; empty if only the outlier test ejects
  */
 public record HealthSettings(
         double errorThreshold,
@@ -18,12 +22,14 @@
         long firstHoldOffMillis,
         long maximumHoldOffMillis,
         int probationAnswers,
-        long coldGraceMillis) {
+        long coldGraceMillis,
+        Optional<SuspicionSettings> suspicion) {
 
     /**
      * Checks that the limits can be met.
      */
     public HealthSettings {
+        Objects.requireNonNull(suspicion, "suspicion");
         if (!(errorThreshold > 0) || !(slownessThreshold > 0)) {
             throw new IllegalArgumentException("thresholds must be positive");
         }
@@ -45,6 +51,24 @@
      * @return the default limits
      */
     public static HealthSettings defaults() {
-        return new HealthSettings(20, 24, 4, 1_000, 300_000, 5, 5_000);
+        return new HealthSettings(20, 24, 4, 1_000, 300_000, 5, 5_000, Optional.empty());
+    }
+
+    /**
+     * Returns these limits with servers avoided after few abrupt failures.
+     *
+     * @param settings how quickly and how long
+     * @return the limits
+     */
+    public HealthSettings withSuspicion(SuspicionSettings settings) {
+        return new HealthSettings(
+                errorThreshold,
+                slownessThreshold,
+                slowFactor,
+                firstHoldOffMillis,
+                maximumHoldOffMillis,
+                probationAnswers,
+                coldGraceMillis,
+                Optional.of(settings));
     }
 }
--- a/src/main/java/org/cassiabank/platform/KeyValueAdapter.java
+++ b/src/main/java/org/cassiabank/platform/KeyValueAdapter.java
@@ -1,10 +1,13 @@
 package org.cassiabank.platform;
 
 import java.net.URI;
+import java.util.HashMap;
+import java.util.Map;
 import org.cassiabank.backend.MessageProfile;
 import org.cassiabank.membership.Instance;
 import org.cassiabank.source.ConfigurationDocument;
 import org.cassiabank.source.EntryStore;
+import org.cassiabank.source.OperatingBounds;
 import org.cassiabank.source.PlatformAdapter;
 import org.cassiabank.source.StoreEntry;
 
@@ -35,6 +38,23 @@
         return new PlatformMessages();
     }
 
+    @Override
+    public OperatingBounds bounds(String text) {
+        Map<String, String> bounds = new HashMap<>();
+        for (String bound : text.split(",")) {
+            int equals = bound.indexOf('=');
+            if (equals > 0) {
+                bounds.put(
+                        bound.substring(0, equals).strip(),
+                        bound.substring(equals + 1).strip());
+            }
+        }
+        return new OperatingBounds(
+                Double.parseDouble(required(bounds, "retry_budget_ratio")),
+                Double.parseDouble(required(bounds, "budget_slack")),
+                PlatformTimes.toMillis(required(bounds, "budget_window")));
+    }
+
     @Override
     public String configurationKey() {
         return "op/config";
@@ -54,4 +74,12 @@
     public Instance server(StoreEntry entry, String region) {
         return ServerDocuments.read(entry, region, serversPrefix());
     }
+
+    private static String required(Map<String, String> bounds, String name) {
+        String value = bounds.get(name);
+        if (value == null) {
+            throw new IllegalArgumentException("bound " + name + " is missing in " + bounds);
+        }
+        return value;
+    }
 }
--- a/src/main/java/org/cassiabank/proxy/Attempts.java
+++ b/src/main/java/org/cassiabank/proxy/Attempts.java
@@ -1,15 +1,18 @@
 package org.cassiabank.proxy;
 
+import java.util.HashSet;
 import java.util.HexFormat;
 import java.util.Locale;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import org.cassiabank.admission.EntryHints;
 import org.cassiabank.admission.SlotAsk;
 import org.cassiabank.backend.Answered;
 import org.cassiabank.backend.BackendCall;
@@ -17,6 +20,7 @@
 import org.cassiabank.backend.BackendRequest;
 import org.cassiabank.backend.BackendResult;
 import org.cassiabank.backend.MessageProfile;
+import org.cassiabank.backend.NotSent;
 import org.cassiabank.backend.ShedAnswer;
 import org.cassiabank.declaration.Selector;
 import org.cassiabank.health.Outcome;
@@ -29,17 +33,25 @@
     private static final long RETRY_AFTER_MILLIS = 200;
 
     private final String entryName;
+    private final String failureDomain;
     private final SlotBroker broker;
     private final BackendClient backends;
     private final ProxyMetrics metrics;
     private final MessageProfile profile;
+    private final ServerReach reach = ServerReach.create();
     private final ExecutorService workers = Executors.newVirtualThreadPerTaskExecutor();
     private final ScheduledExecutorService canceller = Executors.newSingleThreadScheduledExecutor(
             Thread.ofPlatform().name("cancel-later").daemon().factory());
 
     private Attempts(
-            String entryName, SlotBroker broker, BackendClient backends, ProxyMetrics metrics, MessageProfile profile) {
+            String entryName,
+            String failureDomain,
+            SlotBroker broker,
+            BackendClient backends,
+            ProxyMetrics metrics,
+            MessageProfile profile) {
         this.entryName = entryName;
+        this.failureDomain = failureDomain;
         this.broker = broker;
         this.backends = backends;
         this.metrics = metrics;
@@ -47,9 +59,15 @@
     }
 
     static Attempts create(
-            String entryName, SlotBroker broker, BackendClient backends, ProxyMetrics metrics, MessageProfile profile) {
+            String entryName,
+            String failureDomain,
+            SlotBroker broker,
+            BackendClient backends,
+            ProxyMetrics metrics,
+            MessageProfile profile) {
         return new Attempts(
                 Objects.requireNonNull(entryName, "entryName"),
+                Objects.requireNonNull(failureDomain, "failureDomain"),
                 Objects.requireNonNull(broker, "broker"),
                 Objects.requireNonNull(backends, "backends"),
                 Objects.requireNonNull(metrics, "metrics"),
@@ -65,6 +83,33 @@
         return RETRY_AFTER_MILLIS;
     }
 
+    /**
+     * Adds the servers that this entry did not reach lately to those that an attempt must not use.
+     *
+     * @param excluded the names of the servers that the request must not use
+     * @return the names
+     */
+    Set<String> withUnreachable(Set<String> excluded) {
+        Set<String> unreachable = reach.skipped(MonotonicClock.millis());
+        if (unreachable.isEmpty()) {
+            return excluded;
+        }
+        Set<String> all = new HashSet<>(excluded);
+        all.addAll(unreachable);
+        return all;
+    }
+
+    /**
+     * Describes this entry to the owner of a shard.
+     *
+     * @param service the name of the service
+     * @param attempt the number of the attempt, from 1
+     * @return the hints
+     */
+    EntryHints hints(String service, int attempt) {
+        return new EntryHints(attempt, failureDomain, backends.connectedServers(service));
+    }
+
     SlotResult acquire(String service, SlotAsk ask, CallerPresence presence) {
         return broker.acquire(service, ask, presence);
     }
@@ -140,6 +185,7 @@
 
     private Running newCall(CallerRequest request, SlotResult.Slot slot, Selector selector, long timeoutMillis) {
         BackendRequest message = new BackendRequest(
+                slot.shard().service(),
                 slot.server(),
                 slot.address(),
                 request.method(),
@@ -164,6 +210,11 @@
     private BackendResult execute(Running running) {
         long start = System.nanoTime();
         BackendResult result = running.call().execute();
+        if (result instanceof NotSent) {
+            reach.recordFailure(running.slot().server(), MonotonicClock.millis());
+        } else {
+            reach.recordSuccess(running.slot().server());
+        }
         long micros = (System.nanoTime() - start) / 1_000;
         metrics.attempted(result.attemptResult().label());
         workers.execute(() -> broker.report(running.slot(), result.outcome(), micros, isLeaving(result)));
--- a/src/main/java/org/cassiabank/proxy/Entry.java
+++ b/src/main/java/org/cassiabank/proxy/Entry.java
@@ -46,25 +46,38 @@
     private final ClaimClient claims;
     private final ProxyMetrics metrics;
     private final MessageProfile profile;
+    private final boolean ownersLimitRetries;
     private final Map<String, RetryBudget> budgets = new ConcurrentHashMap<>();
 
     private Entry(
-            FleetState fleet, Attempts attempts, ClaimClient claims, ProxyMetrics metrics, MessageProfile profile) {
+            FleetState fleet,
+            Attempts attempts,
+            ClaimClient claims,
+            ProxyMetrics metrics,
+            MessageProfile profile,
+            boolean ownersLimitRetries) {
         this.fleet = fleet;
         this.attempts = attempts;
         this.claims = claims;
         this.metrics = metrics;
         this.profile = profile;
+        this.ownersLimitRetries = ownersLimitRetries;
     }
 
     static Entry create(
-            FleetState fleet, Attempts attempts, ClaimClient claims, ProxyMetrics metrics, MessageProfile profile) {
+            FleetState fleet,
+            Attempts attempts,
+            ClaimClient claims,
+            ProxyMetrics metrics,
+            MessageProfile profile,
+            boolean ownersLimitRetries) {
         return new Entry(
                 Objects.requireNonNull(fleet, "fleet"),
                 Objects.requireNonNull(attempts, "attempts"),
                 Objects.requireNonNull(claims, "claims"),
                 Objects.requireNonNull(metrics, "metrics"),
-                Objects.requireNonNull(profile, "profile"));
+                Objects.requireNonNull(profile, "profile"),
+                ownersLimitRetries);
     }
 
     @Override
@@ -117,13 +130,16 @@
     }
 
     private RequestResult run(CallerRequest request, Selector selector, CallerPresence presence, long deadlineMillis) {
-        RetryBudget budget =
-                budgets.computeIfAbsent(selector.service(), service -> RetryBudget.create(RETRY_RATIO, RETRY_CAPACITY));
+        RetryBudget budget = budgets.computeIfAbsent(selector.service(), service -> newBudget());
         budget.recordRequest();
         return RequestRun.create(request, selector, presence, deadlineMillis, attempts, budget)
                 .run();
     }
 
+    private RetryBudget newBudget() {
+        return ownersLimitRetries ? RetryBudget.unlimited() : RetryBudget.create(RETRY_RATIO, RETRY_CAPACITY);
+    }
+
     private CallerReply runClaimed(
             CallerRequest request, Selector selector, CallerPresence presence, long deadlineMillis, String callerKey) {
         long start = MonotonicClock.millis();
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -14,7 +14,8 @@
 import org.cassiabank.admission.Granted;
 import org.cassiabank.admission.InFlight;
 import org.cassiabank.admission.Queued;
-import org.cassiabank.admission.SchedulerSettings;
+import org.cassiabank.admission.RefusalReason;
+import org.cassiabank.admission.Refused;
 import org.cassiabank.admission.ServerCapacity;
 import org.cassiabank.admission.SlotAsk;
 import org.cassiabank.admission.SlotDecision;
@@ -23,11 +24,11 @@
 import org.cassiabank.declaration.LabeledServer;
 import org.cassiabank.declaration.ServiceDeclaration;
 import org.cassiabank.health.HealthMonitor;
-import org.cassiabank.health.HealthSettings;
 import org.cassiabank.health.MonitoredServer;
 import org.cassiabank.health.Observation;
 import org.cassiabank.health.Outcome;
 import org.cassiabank.health.ServerHealth;
+import org.cassiabank.retry.FleetRetryBudget;
 
 /**
  * A shard that this daemon schedules: its queue, its leases and the health of its servers, behind one lock.
@@ -37,6 +38,9 @@
     static final long HOLD_MILLIS = 100;
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    /** A token of the retry budget comes back within about this time. */
+    private static final long RETRY_BUDGET_MILLIS = 500;
+
     private static final long COLLECTION_MILLIS = 500;
     private static final long EVALUATION_INTERVAL_MILLIS = 50;
     /** A server's own leaving mark outlives a lagging list by far and ends if the server was wrong about itself. */
@@ -45,7 +49,8 @@
     private final ShardKey key;
     private final ProxyMetrics metrics;
     private final SlotScheduler scheduler;
-    private final HealthMonitor monitor = HealthMonitor.create(HealthSettings.defaults());
+    private final HealthMonitor monitor;
+    private final Optional<FleetRetryBudget> retries;
     private final Map<Long, CompletableFuture<SlotDecision>> waiting = new HashMap<>();
     private final Map<Long, Uncollected> uncollected = new HashMap<>();
     private final Map<String, Long> leavingSince = new HashMap<>();
@@ -54,15 +59,21 @@
     private long nextEvaluationMillis;
     private long lastUseMillis;
 
-    private OwnedShard(ShardKey key, SchedulerSettings settings, ProxyMetrics metrics) {
+    private OwnedShard(ShardKey key, OwnerSettings settings, ProxyMetrics metrics, Optional<FleetRetryBudget> retries) {
         this.key = key;
         this.metrics = metrics;
-        this.scheduler = SlotScheduler.create(settings);
+        this.scheduler = SlotScheduler.create(settings.scheduler());
+        this.monitor = HealthMonitor.create(settings.health());
+        this.retries = retries;
     }
 
     static OwnedShard create(
-            ShardKey key, SchedulerSettings settings, ProxyMetrics metrics, FleetView view, long nowMillis) {
-        OwnedShard shard = new OwnedShard(key, settings, metrics);
+            ShardKey key, OwnerSettings settings, ProxyMetrics metrics, FleetView view, long nowMillis) {
+        int shards = view.shardCount(key.service());
+        Optional<FleetRetryBudget> retries = settings.bounds()
+                .map(bounds -> FleetRetryBudget.create(
+                        bounds.retryRatio(), bounds.retrySlack() / shards, bounds.retryWindowMillis(), nowMillis));
+        OwnedShard shard = new OwnedShard(key, settings, metrics, retries);
         shard.lastUseMillis = nowMillis;
         shard.updateView(view, nowMillis);
         return shard;
@@ -81,6 +92,9 @@
         synchronized (this) {
             long now = MonotonicClock.millis();
             lastUseMillis = now;
+            if (ticket == 0 && !mayAttempt(ask, now)) {
+                return new Refused(RefusalReason.RETRY_BUDGET, RETRY_BUDGET_MILLIS);
+            }
             SlotDecision decision = ticket == 0 ? scheduler.offer(ask, now) : renew(ticket, now);
             advance(now);
             if (!(decision instanceof Queued waitingDecision)) {
@@ -97,6 +111,10 @@
         Optional<FinishedLease> finished = scheduler.finish(lease, outcome, latencyMicros, now);
         finished.ifPresent(ended -> {
             monitor.record(new Observation(ended.server(), ended.route(), outcome, latencyMicros), now);
+            if (outcome == Outcome.BROKEN || outcome == Outcome.FAILED) {
+                // The next grant must not wait for the regular evaluation.
+                updateServers(now);
+            }
             if (leaving && leavingSince.put(ended.server(), now) == null) {
                 LOGGER.atInfo().log("%s: server %s says that it is leaving", key, ended.server());
                 updateScheduler(now);
@@ -135,6 +153,22 @@
         return healths;
     }
 
+    /** Tells whether anything is queued or running, so that time has to pass in small steps. */
+    synchronized boolean isBusy() {
+        return !waiting.isEmpty() || !uncollected.isEmpty() || scheduler.hasLeases();
+    }
+
+    private boolean mayAttempt(SlotAsk ask, long nowMillis) {
+        if (retries.isEmpty()) {
+            return true;
+        }
+        if (ask.hints().isRepeat()) {
+            return retries.get().trySpend(nowMillis);
+        }
+        retries.get().recordRequest(nowMillis);
+        return true;
+    }
+
     private SlotDecision renew(long ticket, long nowMillis) {
         Uncollected decided = uncollected.remove(ticket);
         if (decided != null) {
@@ -207,7 +241,8 @@
                     server.instance().slots() > 0 ? server.instance().slots() : slots,
                     healths.getOrDefault(name, ServerHealth.HEALTHY),
                     isLeaving(server),
-                    server.labels()));
+                    server.labels(),
+                    server.instance().failureDomain()));
         }
         scheduler.updateServers(capacities, nowMillis);
     }
--- a/src/main/java/org/cassiabank/proxy/PeerMessages.java
+++ b/src/main/java/org/cassiabank/proxy/PeerMessages.java
@@ -6,6 +6,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import org.cassiabank.admission.EntryHints;
 import org.cassiabank.admission.Granted;
 import org.cassiabank.admission.Queued;
 import org.cassiabank.admission.RefusalReason;
@@ -49,7 +50,10 @@
                 shard.number(),
                 ticket,
                 ask.cost().name(),
-                ask.servers());
+                ask.servers(),
+                ask.hints().attempt(),
+                ask.hints().failureDomain(),
+                List.copyOf(ask.hints().connected()));
     }
 
     static SlotAsk toAsk(SlotRequest message) {
@@ -62,7 +66,8 @@
                 message.isRepeatable(),
                 message.getRemainingMillis(),
                 Set.copyOf(message.getExcluded()),
-                message.getServers());
+                message.getServers(),
+                new EntryHints(message.getAttempt(), message.getFailureDomain(), Set.copyOf(message.getConnected())));
     }
 
     static SlotReply toMessage(SlotDecision decision) {
--- a/src/main/java/org/cassiabank/proxy/PlatformSettings.java
+++ b/src/main/java/org/cassiabank/proxy/PlatformSettings.java
@@ -8,11 +8,23 @@
  *
  * @param adapter the name of the adapter that speaks the platform's language, empty for the project's own conventions
  * @param healthPath the path of the load balancer's check
+ * @param bounds what the platform allows the fleet, in the form that the adapter reads; empty without an adapter
  * @param claims whether the keys of unrepeatable requests are claimed at keepers
  * @param floorPercent the share of a service's servers that ejection leaves in service where the service declares none,
  *     in percent
+ * @param suspicionMillis how long a server is avoided after an abrupt failure, in milliseconds; 0 if only the outlier
+ *     test ejects
+ * @param serverIdleMillis how long connections to servers are kept for any request, in milliseconds; empty if they are
+ *     kept for a short time and for repeatable requests only
  */
-public record PlatformSettings(Optional<String> adapter, String healthPath, boolean claims, int floorPercent) {
+public record PlatformSettings(
+        Optional<String> adapter,
+        String healthPath,
+        String bounds,
+        boolean claims,
+        int floorPercent,
+        long suspicionMillis,
+        Optional<Long> serverIdleMillis) {
     private static final int ALL_PERCENT = 100;
 
     /**
@@ -21,6 +33,8 @@
     public PlatformSettings {
         Objects.requireNonNull(adapter, "adapter");
         Objects.requireNonNull(healthPath, "healthPath");
+        Objects.requireNonNull(bounds, "bounds");
+        Objects.requireNonNull(serverIdleMillis, "serverIdleMillis");
         if (!healthPath.startsWith("/")) {
             throw new IllegalArgumentException("path must start with /: " + healthPath);
         }
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -11,6 +11,8 @@
 import org.cassiabank.backend.BackendSettings;
 import org.cassiabank.backend.MessageProfile;
 import org.cassiabank.backend.OwnMessages;
+import org.cassiabank.health.HealthSettings;
+import org.cassiabank.health.SuspicionSettings;
 import org.cassiabank.kernel.Kernel;
 import org.cassiabank.kernel.KernelService;
 import org.cassiabank.kernel.ServiceName;
@@ -22,6 +24,7 @@
 import org.cassiabank.peer.PeerSockets;
 import org.cassiabank.source.EntryFleetSource;
 import org.cassiabank.source.FleetSource;
+import org.cassiabank.source.OperatingBounds;
 import org.cassiabank.source.PlatformAdapter;
 import org.cassiabank.source.PlatformAdapters;
 import org.cassiabank.store.InstanceListClient;
@@ -71,18 +74,20 @@
         PeerClients clients = PeerClients.create(sockets, metrics);
         PeerDirectory peers = PeerDirectory.create(settings.name(), clients);
         Replication replication = Replication.create(self, fleet, peers);
-        ShardOwners owners = ShardOwners.create(
-                SchedulerSettings.defaults().withSeparateClasses(settings.separateLongWork()), fleet, metrics);
+        Optional<PlatformAdapter> adapter = settings.platform().adapter().map(PlatformAdapters::named);
+        Optional<OperatingBounds> bounds =
+                adapter.map(found -> found.bounds(settings.platform().bounds()));
+        ShardOwners owners = ShardOwners.create(ownerSettings(settings, bounds), fleet, metrics);
         SlotBroker broker = SlotBroker.create(settings, fleet, owners, peers);
         ProxyListHistory lists = ClaimTimes.newHistory();
         ClaimKeeper keeper = ClaimKeeper.create(
                 self, fleet, peers, lists, settings.platform().claims());
         ClaimClient claims = ClaimClient.create(peers, keeper, lists);
-        Optional<PlatformAdapter> adapter = settings.platform().adapter().map(PlatformAdapters::named);
         MessageProfile profile = adapter.map(PlatformAdapter::messages).orElseGet(OwnMessages::create);
         BackendClient backends = BackendClient.create(backendSettings(settings), profile);
-        Attempts attempts = Attempts.create(settings.name(), broker, backends, metrics, profile);
-        Entry entry = Entry.create(fleet, attempts, claims, metrics, profile);
+        Attempts attempts =
+                Attempts.create(settings.name(), settings.failureDomain(), broker, backends, metrics, profile);
+        Entry entry = Entry.create(fleet, attempts, claims, metrics, profile, bounds.isPresent());
         FleetSource source = adapter.<FleetSource>map(found ->
                         EntryFleetSource.create(found, found.openStore(settings.store()), self, MonotonicClock::millis))
                 .orElseGet(() -> PlatformWatch.create(
@@ -153,6 +158,15 @@
         LOGGER.atInfo().log("%s has stopped", settings.name());
     }
 
+    private static OwnerSettings ownerSettings(ProxySettings settings, Optional<OperatingBounds> bounds) {
+        HealthSettings health = HealthSettings.defaults();
+        long suspicionMillis = settings.platform().suspicionMillis();
+        return new OwnerSettings(
+                SchedulerSettings.defaults().withSeparateClasses(settings.separateLongWork()),
+                suspicionMillis > 0 ? health.withSuspicion(SuspicionSettings.of(suspicionMillis)) : health,
+                bounds);
+    }
+
     private static KernelService sourceService(FleetSource source, FleetInbox inbox) {
         return new KernelService() {
             @Override
@@ -181,7 +195,8 @@
                 defaults.connectMillis(),
                 settings.limits().answerBytes(),
                 defaults.idlePerServer(),
-                defaults.idleAgeMillis());
+                settings.platform().serverIdleMillis().orElse(defaults.idleAgeMillis()),
+                settings.platform().serverIdleMillis().isPresent());
     }
 
     private static KernelService idleConnections(PeerClients clients, BackendClient backends, FleetState fleet) {
--- a/src/main/java/org/cassiabank/proxy/ProxySettingsParser.java
+++ b/src/main/java/org/cassiabank/proxy/ProxySettingsParser.java
@@ -112,8 +112,13 @@
         return new PlatformSettings(
                 reader.optional("platform-adapter", ProxySettingsParser::nonEmpty),
                 reader.optional("health-path", ProxySettingsParser::path).orElse(DEFAULT_HEALTH_PATH),
+                reader.optional("platform-bounds", text -> text).orElse(""),
                 reader.optional("claims", ProxySettingsParser::flag).orElse(true),
-                reader.optional("floor-percent", ProxySettingsParser::percent).orElse(0));
+                reader.optional("floor-percent", ProxySettingsParser::percent).orElse(0),
+                reader.optional("suspicion-millis", SettingsReader::parsePositive)
+                        .orElse(0),
+                reader.optional("server-idle-millis", SettingsReader::parsePositive)
+                        .map(Long::valueOf));
     }
 
     private static Optional<TlsFiles> tlsFiles(SettingsReader reader, String prefix, String source, Findings findings) {
--- a/src/main/java/org/cassiabank/proxy/RequestRun.java
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -109,6 +109,7 @@
                 neverRun,
                 attemptCount,
                 deadline - MonotonicClock.millis(),
+                selector.limits().maximumAttempts(),
                 true);
         neverRun = state.neverRun();
         if (result instanceof Answered answered && answered.failed()) {
@@ -139,13 +140,17 @@
         excluded.add(slot.server());
         long remaining = deadline - MonotonicClock.millis();
         OptionalLong hedgeDelay =
-                HedgePolicy.delayMillis(selector.repeatable(), attemptCount, slot.hedgeAfterMillis(), remaining);
+                HedgePolicy.delayMillis(isHedgeable(), attemptCount, slot.hedgeAfterMillis(), remaining);
         if (hedgeDelay.isEmpty()) {
             return attempts.send(request, slot, selector, Math.max(1, remaining), presence);
         }
         return attemptWithHedge(slot, remaining, hedgeDelay.getAsLong());
     }
 
+    private boolean isHedgeable() {
+        return selector.repeatable() && selector.limits().maximumAttempts() > 1;
+    }
+
     private BackendResult attemptWithHedge(SlotResult.Slot slot, long remaining, long delayMillis) {
         BlockingQueue<BackendResult> results = new LinkedBlockingQueue<>();
         Attempts.Running first = attempts.start(request, slot, selector, Math.max(1, remaining), presence, results);
@@ -192,8 +197,9 @@
                 selector.cost(),
                 selector.repeatable(),
                 Math.max(0, deadline - MonotonicClock.millis()),
-                excluded,
-                selector.servers());
+                attempts.withUnreachable(excluded),
+                selector.servers(),
+                attempts.hints(selector.service(), attemptCount + 1));
     }
 
     private static boolean isGood(BackendResult result) {
--- a/src/main/java/org/cassiabank/proxy/SettingsReader.java
+++ b/src/main/java/org/cassiabank/proxy/SettingsReader.java
@@ -93,7 +93,7 @@
         return 1;
     }
 
-    private static int parsePositive(String text) {
+    static int parsePositive(String text) {
         try {
             int value = Integer.parseInt(text);
             if (value > 0) {
--- a/src/main/java/org/cassiabank/proxy/ShardOwners.java
+++ b/src/main/java/org/cassiabank/proxy/ShardOwners.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import org.cassiabank.admission.SchedulerSettings;
 import org.cassiabank.admission.SlotAsk;
 import org.cassiabank.admission.SlotDecision;
 import org.cassiabank.health.Outcome;
@@ -21,23 +20,28 @@
  * entry that asks may know better than a lagging list who the owner is.
  */
 final class ShardOwners implements KernelService {
-    private static final long TICK_MILLIS = 10;
+    /** While something is queued or running: decisions wait at most this long. */
+    private static final long BUSY_TICK_MILLIS = 20;
+
+    /** Without any work only hold-offs pass, which last for seconds. */
+    private static final long IDLE_TICK_MILLIS = 200;
+
     private static final long IDLE_MILLIS = 60_000;
 
     private final Map<ShardKey, OwnedShard> shards = new ConcurrentHashMap<>();
-    private final SchedulerSettings settings;
+    private final OwnerSettings settings;
     private final FleetState fleet;
     private final ProxyMetrics metrics;
     private final ScheduledExecutorService ticker = Executors.newSingleThreadScheduledExecutor(
             Thread.ofPlatform().name("shard-ticker").daemon().factory());
 
-    private ShardOwners(SchedulerSettings settings, FleetState fleet, ProxyMetrics metrics) {
+    private ShardOwners(OwnerSettings settings, FleetState fleet, ProxyMetrics metrics) {
         this.settings = settings;
         this.fleet = fleet;
         this.metrics = metrics;
     }
 
-    static ShardOwners create(SchedulerSettings settings, FleetState fleet, ProxyMetrics metrics) {
+    static ShardOwners create(OwnerSettings settings, FleetState fleet, ProxyMetrics metrics) {
         return new ShardOwners(
                 Objects.requireNonNull(settings, "settings"),
                 Objects.requireNonNull(fleet, "fleet"),
@@ -47,8 +51,7 @@
     @Override
     public void start(Kernel kernel) {
         fleet.onChange(this::updateShards);
-        ticker.scheduleAtFixedRate(
-                Repeated.guarded("shards", this::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        ticker.schedule(this::tickAndRepeat, IDLE_TICK_MILLIS, TimeUnit.MILLISECONDS);
         metrics.gauge("cassiabank_owned_shards", "Shards scheduled by this daemon.", shards::size);
     }
 
@@ -92,6 +95,14 @@
         });
     }
 
+    private void tickAndRepeat() {
+        Repeated.guarded("shards", this::tick).run();
+        boolean isBusy = shards.values().stream().anyMatch(OwnedShard::isBusy);
+        if (!ticker.isShutdown()) {
+            ticker.schedule(this::tickAndRepeat, isBusy ? BUSY_TICK_MILLIS : IDLE_TICK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     private void tick() {
         long now = MonotonicClock.millis();
         shards.values().forEach(shard -> shard.tick(now));
--- a/src/main/java/org/cassiabank/proxy/SlotBroker.java
+++ b/src/main/java/org/cassiabank/proxy/SlotBroker.java
@@ -15,6 +15,8 @@
 import org.cassiabank.peer.generated.SlotOutcome;
 import org.cassiabank.peer.generated.SlotReply;
 import org.cassiabank.peer.generated.SlotRequest;
+import org.cassiabank.retry.RetryBudget;
+import org.cassiabank.retry.RetryReason;
 
 /**
  * Gets slots for the requests of this entry, from the owner of a shard or, when no owner answers, from this daemon's
@@ -26,10 +28,17 @@
 
     private static final int REPORT_TIMEOUT_MILLIS = 1_000;
 
+    /** Without an owner an entry repeats a tenth of its requests at most. */
+    private static final double OWN_REPEAT_RATIO = 0.1;
+
+    private static final int OWN_REPEATS = 2;
+    private static final long OWN_REPEAT_MILLIS = 500;
+
     private final ProxySettings settings;
     private final FleetState fleet;
     private final ShardOwners owners;
     private final PeerDirectory peers;
+    private final RetryBudget ownRepeats = RetryBudget.create(OWN_REPEAT_RATIO, OWN_REPEATS);
 
     private SlotBroker(ProxySettings settings, FleetState fleet, ShardOwners owners, PeerDirectory peers) {
         this.settings = settings;
@@ -116,6 +125,13 @@
                 }
             }
         }
+        // This daemon sees only its own requests, so the fleet's budget for repeats is not its to spend.
+        if (settings.scheduling() == SchedulingMode.OWNER
+                && ask.hints().isRepeat()
+                && !ownRepeats.trySpend(RetryReason.NOT_SENT)) {
+            return new SlotResult.NoSlot(RefusalReason.RETRY_BUDGET.label(), OWN_REPEAT_MILLIS);
+        }
+        ownRepeats.recordRequest();
         return acquireFrom(Optional.empty(), shard, ask, deadline, presence);
     }
 
@@ -124,7 +140,7 @@
         long ticket = 0;
         while (true) {
             long now = MonotonicClock.millis();
-            SlotAsk current = withRemaining(ask, Math.max(0, deadline - now));
+            SlotAsk current = ask.withRemaining(Math.max(0, deadline - now));
             long presented = ticket;
             SlotDecision decision = owner.isEmpty()
                     ? owners.acquire(shard, current, presented)
@@ -163,17 +179,4 @@
         SlotReply reply = peers.call(owner, "acquire", ACQUIRE_TIMEOUT_MILLIS, client -> client.acquire(request));
         return PeerMessages.toDecision(reply);
     }
-
-    private static SlotAsk withRemaining(SlotAsk ask, long remainingMillis) {
-        return new SlotAsk(
-                ask.entry(),
-                ask.selector(),
-                ask.route(),
-                ask.caller(),
-                ask.cost(),
-                ask.repeatable(),
-                remainingMillis,
-                ask.excluded(),
-                ask.servers());
-    }
 }
--- a/src/main/java/org/cassiabank/retry/AttemptState.java
+++ b/src/main/java/org/cassiabank/retry/AttemptState.java
@@ -10,6 +10,7 @@
  * @param earlierNotRun whether every earlier attempt provably did not run; true if there was none
  * @param attempts how many attempts were made, hedges and the last one included, at least 1
  * @param remainingMillis the time until the caller's deadline in milliseconds, may be negative
+ * @param maximumAttempts the most attempts for the request, hedges included
  * @param budgetAvailable whether the retry budget has a token for another attempt
  */
 public record AttemptState(
@@ -18,6 +19,7 @@
         boolean earlierNotRun,
         int attempts,
         long remainingMillis,
+        int maximumAttempts,
         boolean budgetAvailable) {
 
     /**
@@ -30,6 +32,33 @@
         }
     }
 
+    /**
+     * Creates the state of a request with the usual number of attempts.
+     *
+     * @param repeatable whether the selector allows the request to run more than once
+     * @param result how the last attempt ended
+     * @param earlierNotRun whether every earlier attempt provably did not run; true if there was none
+     * @param attempts how many attempts were made, hedges and the last one included, at least 1
+     * @param remainingMillis the time until the caller's deadline in milliseconds, may be negative
+     * @param budgetAvailable whether the retry budget has a token for another attempt
+     */
+    public AttemptState(
+            boolean repeatable,
+            AttemptResult result,
+            boolean earlierNotRun,
+            int attempts,
+            long remainingMillis,
+            boolean budgetAvailable) {
+        this(
+                repeatable,
+                result,
+                earlierNotRun,
+                attempts,
+                remainingMillis,
+                AttemptPolicy.MOST_ATTEMPTS,
+                budgetAvailable);
+    }
+
     /**
      * Tells whether no attempt, the last one included, can have run.
      *
@@ -45,6 +74,6 @@
      * @return the state to decide on after {@link RetryBudget#trySpend} returned false
      */
     public AttemptState withoutBudget() {
-        return new AttemptState(repeatable, result, earlierNotRun, attempts, remainingMillis, false);
+        return new AttemptState(repeatable, result, earlierNotRun, attempts, remainingMillis, maximumAttempts, false);
     }
 }
--- a/src/main/java/org/cassiabank/retry/RetryBudget.java
+++ b/src/main/java/org/cassiabank/retry/RetryBudget.java
@@ -41,11 +41,22 @@
         return new RetryBudget((long) (ratio * UNITS_PER_TOKEN + 1e-6), capacity * UNITS_PER_TOKEN);
     }
 
+    /**
+     * Creates a budget that never runs out, for attempts that somebody else limits.
+     *
+     * @return the budget
+     */
+    public static RetryBudget unlimited() {
+        RetryBudget budget = new RetryBudget(0, Long.MAX_VALUE);
+        budget.units.set(Long.MAX_VALUE);
+        return budget;
+    }
+
     /**
      * Adds the share of one request. Called once for each request of a caller, not for attempts.
      */
     public void recordRequest() {
-        units.accumulateAndGet(unitsPerRequest, (held, added) -> Math.min(capacityUnits, held + added));
+        units.accumulateAndGet(unitsPerRequest, (held, added) -> Math.min(capacityUnits - added, held) + added);
     }
 
     /**
--- a/src/main/java/org/cassiabank/source/PlatformAdapter.java
+++ b/src/main/java/org/cassiabank/source/PlatformAdapter.java
@@ -33,6 +33,15 @@
      */
     MessageProfile messages();
 
+    /**
+     * Reads what the platform allows the fleet.
+     *
+     * @param text the bounds in the platform's form, as the settings hold them
+     * @return the bounds
+     * @throws IllegalArgumentException if a bound is missing or malformed
+     */
+    OperatingBounds bounds(String text);
+
     /**
      * Returns the key that holds the operators' configuration.
      *
--- a/src/test/java/org/cassiabank/proxy/PeerEndpointTest.java
+++ b/src/test/java/org/cassiabank/proxy/PeerEndpointTest.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Set;
 import org.apache.thrift.TApplicationException;
-import org.cassiabank.admission.SchedulerSettings;
 import org.cassiabank.admission.SlotAsk;
 import org.cassiabank.declaration.CostHint;
 import org.cassiabank.declaration.LabelRule;
@@ -41,7 +40,7 @@
         PeerEndpoint endpoint = PeerEndpoint.create(settings(), PeerSockets.plain());
         try (Kernel kernel = Kernel.create()
                 .register(ServiceNames.FLEET, fleet)
-                .register(ServiceNames.OWNERS, ShardOwners.create(SchedulerSettings.defaults(), fleet, metrics))
+                .register(ServiceNames.OWNERS, ShardOwners.create(OwnerSettings.defaults(), fleet, metrics))
                 .register(ServiceNames.CLAIM_KEEPER, ClaimKeeper.create(SELF, fleet, peers, lists, true))
                 .register(ServiceNames.FLEET_SOURCE, new SilentSource())
                 .register(ServiceNames.REPLICATION, Replication.create(SELF, fleet, peers))
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -30,6 +30,12 @@
   12: required string cost,
   /** The labels that a server must carry. */
   13: required map<string, string> servers,
+  /** The number of this attempt at the request, 1 for the first one. */
+  14: required i32 attempt,
+  /** The failure domain of the entry. */
+  15: required string failureDomain,
+  /** The servers to which the entry holds an idle connection. */
+  16: required list<string> connected,
 }
 
 struct SlotGrant {
