Trace each request in one log line, and open fresh connections for orders after two seconds of silence

Cause: an order on a kept connection whose path was cut in silence is lost, while a connection that cannot be opened proves that the order did not run; nothing said afterwards why a request had failed. Change: a connection that answered within 2 s may carry work that runs once only, later ones are replaced and kept; attempts that reached no server cost no retry and open a connection within 200 ms; an entry skips servers that it did not reach. Each request leaves one line with its attempts; lines leave through a bounded queue, 64 KiB/s at most. Orders lost to servers that reset and reads that meet two bad servers remain.

--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -20,20 +20,32 @@
     private final AttemptTrace trace;
     private final int mostAnswerBytes;
     private final MessageProfile profile;
+    private final Runnable onAnswer;
     private volatile boolean cancelled;
 
     private BackendCall(
-            BackendRequest request, Call call, AttemptTrace trace, int mostAnswerBytes, MessageProfile profile) {
+            BackendRequest request,
+            Call call,
+            AttemptTrace trace,
+            int mostAnswerBytes,
+            MessageProfile profile,
+            Runnable onAnswer) {
         this.request = request;
         this.call = call;
         this.trace = trace;
         this.mostAnswerBytes = mostAnswerBytes;
         this.profile = profile;
+        this.onAnswer = onAnswer;
     }
 
     static BackendCall of(
-            BackendRequest request, Call call, AttemptTrace trace, int mostAnswerBytes, MessageProfile profile) {
-        return new BackendCall(request, call, trace, mostAnswerBytes, profile);
+            BackendRequest request,
+            Call call,
+            AttemptTrace trace,
+            int mostAnswerBytes,
+            MessageProfile profile,
+            Runnable onAnswer) {
+        return new BackendCall(request, call, trace, mostAnswerBytes, profile, onAnswer);
     }
 
     /**
@@ -47,6 +59,8 @@
             if (result instanceof Broken) {
                 // Closing an unread answer would make OkHttp read the rest and reuse the connection.
                 call.cancel();
+            } else {
+                onAnswer.run();
             }
             return result;
         } catch (IOException exception) {
--- a/src/main/java/org/cassiabank/backend/BackendClient.java
+++ b/src/main/java/org/cassiabank/backend/BackendClient.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Collectors;
 import okhttp3.Call;
 import okhttp3.ConnectionPool;
@@ -95,7 +96,7 @@
      * @throws IllegalArgumentException if the address, the method or a header cannot be sent
      */
     public BackendCall newCall(BackendRequest request) {
-        boolean mayUseIdle = request.repeatable() || settings.unrepeatableOnIdle();
+        boolean mayUseIdle = request.repeatable() || settings.unrepeatableIdleMillis() > 0;
         Headers headers = BackendHeaders.toSend(request, profile, mayUseIdle);
         AttemptTrace trace = new AttemptTrace();
         // Without an encoding of the caller, "identity" keeps OkHttp from asking for gzip; the trace takes it out
@@ -112,10 +113,20 @@
                 .tag(AttemptTrace.class, trace)
                 .tag(Headers.class, headers)
                 .build();
-        OkHttpClient client = mayUseIdle ? pooled(request) : fresh;
-        Call call = client.newCall(message);
+        if (!mayUseIdle) {
+            return toCall(request, fresh.newCall(message), trace, () -> {});
+        }
+        Pooled server = pooled(request);
+        if (!request.repeatable() && !server.hasAnsweredSince(unrepeatableLimitNanos())) {
+            // The new connection is kept like others, so only the old ones go.
+            server.client().connectionPool().evictAll();
+        }
+        return toCall(request, server.client().newCall(message), trace, server::noteAnswer);
+    }
+
+    private BackendCall toCall(BackendRequest request, Call call, AttemptTrace trace, Runnable onAnswer) {
         call.timeout().timeout(request.timeoutMillis(), TimeUnit.MILLISECONDS);
-        return BackendCall.of(request, call, trace, settings.mostAnswerBytes(), profile);
+        return BackendCall.of(request, call, trace, settings.mostAnswerBytes(), profile, onAnswer);
     }
 
     /**
@@ -142,32 +153,39 @@
     }
 
     /**
-     * Returns the servers of a service to which there is an idle connection.
+     * Returns the servers of a service to which there is an idle connection that a request may use.
      *
      * @param service the name of the service
+     * @param repeatable whether the request may run more than once
      * @return the names of the servers, at most {@link #MOST_CONNECTED}
      */
-    public Set<String> connectedServers(String service) {
+    public Set<String> connectedServers(String service, boolean repeatable) {
+        long sinceNanos = unrepeatableLimitNanos();
         return pooled.values().stream()
                 .filter(server -> server.service().equals(service)
                         && !server.name().isEmpty()
+                        && (repeatable || server.hasAnsweredSince(sinceNanos))
                         && server.client().connectionPool().idleConnectionCount() > 0)
                 .limit(MOST_CONNECTED)
                 .map(Pooled::name)
                 .collect(Collectors.toUnmodifiableSet());
     }
 
-    private OkHttpClient pooled(BackendRequest request) {
+    private Pooled pooled(BackendRequest request) {
         Pooled present = pooled.get(request.address());
         if (present == null || !present.name().equals(request.server())) {
             // An address that another server has taken over starts without connections.
-            present = new Pooled(request.service(), request.server(), newPooledClient());
+            present = Pooled.of(request.service(), request.server(), newPooledClient());
             Pooled former = pooled.put(request.address(), present);
             if (former != null) {
                 former.client().connectionPool().evictAll();
             }
         }
-        return present.client();
+        return present;
+    }
+
+    private long unrepeatableLimitNanos() {
+        return System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(settings.unrepeatableIdleMillis());
     }
 
     private OkHttpClient newPooledClient() {
@@ -183,6 +201,21 @@
      * @param service the name of the service
      * @param name the name of the server
      * @param client the client with the pool
+     * @param lastAnswerNanos when the last answer ended, on the clock of {@link System#nanoTime()}
      */
-    private record Pooled(String service, String name, OkHttpClient client) {}
+    private record Pooled(String service, String name, OkHttpClient client, AtomicLong lastAnswerNanos) {
+
+        static Pooled of(String service, String name, OkHttpClient client) {
+            // Long enough ago for every limit, and safe to subtract from.
+            return new Pooled(service, name, client, new AtomicLong(System.nanoTime() - Long.MAX_VALUE / 2));
+        }
+
+        boolean hasAnsweredSince(long nanos) {
+            return lastAnswerNanos.get() - nanos >= 0;
+        }
+
+        void noteAnswer() {
+            lastAnswerNanos.set(System.nanoTime());
+        }
+    }
 }
--- a/src/main/java/org/cassiabank/backend/BackendSettings.java
+++ b/src/main/java/org/cassiabank/backend/BackendSettings.java
@@ -7,11 +7,11 @@
  * @param mostAnswerBytes the largest body of an answer in bytes
  * @param idlePerServer the most idle connections to one server
  * @param idleAgeMillis the time after which an idle connection is closed, in milliseconds
- * @param unrepeatableOnIdle whether a request that may run only once may use an idle connection, which the server may be
- *     closing at that moment
+ * @param unrepeatableIdleMillis how long after its last answer a connection may carry a request that may run only once,
+ *     in milliseconds; an older one may have been cut without notice. 0 if such requests always open a connection
  */
 public record BackendSettings(
-        long connectMillis, int mostAnswerBytes, int idlePerServer, long idleAgeMillis, boolean unrepeatableOnIdle) {
+        long connectMillis, int mostAnswerBytes, int idlePerServer, long idleAgeMillis, long unrepeatableIdleMillis) {
 
     /**
      * Checks that the limits are positive.
@@ -29,6 +29,6 @@
      * @return 500 ms to connect, 8 MiB for answers, 2 idle connections for 2 s
      */
     public static BackendSettings defaults() {
-        return new BackendSettings(500, 8 << 20, 2, 2_000, false);
+        return new BackendSettings(500, 8 << 20, 2, 2_000, 0);
     }
 }
--- a/src/main/java/org/cassiabank/logging/Logging.java
+++ b/src/main/java/org/cassiabank/logging/Logging.java
@@ -1,14 +1,13 @@
 package org.cassiabank.logging;
 
 import java.util.Objects;
-import java.util.logging.ConsoleHandler;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogManager;
 import java.util.logging.Logger;
 
 /**
- * Sets up logging of a process: structured lines on standard error.
+ * Sets up logging of a process: structured lines on standard output.
  */
 public final class Logging {
     /** Kept so that the levels that are set on the loggers are not lost to garbage collection. */
@@ -36,10 +35,17 @@
         for (Handler handler : ROOT.getHandlers()) {
             ROOT.removeHandler(handler);
         }
-        ConsoleHandler handler = new ConsoleHandler();
-        handler.setFormatter(LogLineFormatter.of(process));
-        ROOT.addHandler(handler);
+        ROOT.addHandler(BoundedLogHandler.start(System.out, LogLineFormatter.of(process), process));
         JOOBY.setLevel(Level.WARNING);
         NETTY.setLevel(Level.WARNING);
     }
+
+    /**
+     * Waits shortly until the lines logged so far are written. To be called before the process is halted.
+     */
+    public static void flush() {
+        for (Handler handler : ROOT.getHandlers()) {
+            handler.flush();
+        }
+    }
 }
--- a/src/main/java/org/cassiabank/proxy/Attempts.java
+++ b/src/main/java/org/cassiabank/proxy/Attempts.java
@@ -19,6 +19,8 @@
 import org.cassiabank.backend.BackendClient;
 import org.cassiabank.backend.BackendRequest;
 import org.cassiabank.backend.BackendResult;
+import org.cassiabank.backend.Broken;
+import org.cassiabank.backend.BrokenReason;
 import org.cassiabank.backend.MessageProfile;
 import org.cassiabank.backend.NotSent;
 import org.cassiabank.backend.ShedAnswer;
@@ -102,12 +104,13 @@
     /**
      * Describes this entry to the owner of a shard.
      *
-     * @param service the name of the service
+     * @param selector the selector of the request
      * @param attempt the number of the attempt, from 1
      * @return the hints
      */
-    EntryHints hints(String service, int attempt) {
-        return new EntryHints(attempt, failureDomain, backends.connectedServers(service));
+    EntryHints hints(Selector selector, int attempt) {
+        return new EntryHints(
+                attempt, failureDomain, backends.connectedServers(selector.service(), selector.repeatable()));
     }
 
     SlotResult acquire(String service, SlotAsk ask, CallerPresence presence) {
@@ -210,7 +213,7 @@
     private BackendResult execute(Running running) {
         long start = System.nanoTime();
         BackendResult result = running.call().execute();
-        if (result instanceof NotSent) {
+        if (result instanceof NotSent || result instanceof Broken broken && broken.reason() == BrokenReason.TIMEOUT) {
             reach.recordFailure(running.slot().server(), MonotonicClock.millis());
         } else {
             reach.recordSuccess(running.slot().server());
--- a/src/main/java/org/cassiabank/proxy/CallerReply.java
+++ b/src/main/java/org/cassiabank/proxy/CallerReply.java
@@ -63,6 +63,16 @@
         return new CallerReply(status, changed, body);
     }
 
+    /**
+     * Returns the first value of a header of this proxy's own.
+     *
+     * @param name the name in its usual case
+     * @return the value, or a hyphen if there is none
+     */
+    String firstHeader(String name) {
+        return headers.getOrDefault(name, List.of("-")).getFirst();
+    }
+
     private static Map<String, List<String>> outcome(String outcome, String reason) {
         Map<String, List<String>> headers = new LinkedHashMap<>();
         headers.put(OUTCOME_HEADER, List.of(outcome));
--- a/src/main/java/org/cassiabank/proxy/Entry.java
+++ b/src/main/java/org/cassiabank/proxy/Entry.java
@@ -82,13 +82,18 @@
 
     @Override
     public CallerReply handle(CallerRequest request, CallerPresence presence) {
+        String header = profile.requestIdentifier();
+        Optional<String> identifier = request.header(header.toLowerCase(Locale.ROOT));
+        RequestTrace trace = RequestTrace.start(identifier.orElse(""));
+        CallerReply reply = handle(request, presence, trace);
+        trace.log(reply);
+        // The attempts may carry identifiers of their own; the caller gets back the one that it sent.
+        return identifier.map(value -> reply.withHeader(header, value)).orElse(reply);
+    }
+
+    private CallerReply handle(CallerRequest request, CallerPresence presence, RequestTrace trace) {
         try {
-            CallerReply reply = route(request, presence);
-            // The attempts carry identifiers of their own; the caller gets back the one that it sent.
-            String header = profile.requestIdentifier();
-            return request.header(header.toLowerCase(Locale.ROOT))
-                    .map(identifier -> reply.withHeader(header, identifier))
-                    .orElse(reply);
+            return route(request, presence, trace);
         } catch (RuntimeException exception) {
             LOGGER.atSevere().withCause(exception).atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
                     "request failed inside the proxy");
@@ -97,8 +102,9 @@
         }
     }
 
-    private CallerReply route(CallerRequest request, CallerPresence presence) {
+    private CallerReply route(CallerRequest request, CallerPresence presence, RequestTrace trace) {
         FleetView view = fleet.view();
+        trace.useView(view);
         if (view.configuration().revision() == 0) {
             return refuse(CallerReply.SERVICE_UNAVAILABLE, "no-configuration", NO_CONFIGURATION_RETRY_MILLIS);
         }
@@ -120,19 +126,25 @@
             }
         }
         deadlineMillis = selector.get().limits().within(deadlineMillis);
+        trace.route(selector.get().name(), deadlineMillis);
         if (!BackendRequests.canForward(request)) {
             return refuse(BAD_REQUEST, "malformed-request", 0);
         }
         Optional<String> key = request.header("idempotency-key");
         return selector.get().repeatable() || key.isEmpty() || !claims.isEnabled()
-                ? toReply(run(request, selector.get(), presence, deadlineMillis))
-                : runClaimed(request, selector.get(), presence, deadlineMillis, key.get());
+                ? toReply(run(request, selector.get(), presence, deadlineMillis, trace))
+                : runClaimed(request, selector.get(), presence, deadlineMillis, key.get(), trace);
     }
 
-    private RequestResult run(CallerRequest request, Selector selector, CallerPresence presence, long deadlineMillis) {
+    private RequestResult run(
+            CallerRequest request,
+            Selector selector,
+            CallerPresence presence,
+            long deadlineMillis,
+            RequestTrace trace) {
         RetryBudget budget = budgets.computeIfAbsent(selector.service(), service -> newBudget());
         budget.recordRequest();
-        return RequestRun.create(request, selector, presence, deadlineMillis, attempts, budget)
+        return RequestRun.create(request, selector, presence, deadlineMillis, attempts, budget, trace)
                 .run();
     }
 
@@ -141,7 +153,12 @@
     }
 
     private CallerReply runClaimed(
-            CallerRequest request, Selector selector, CallerPresence presence, long deadlineMillis, String callerKey) {
+            CallerRequest request,
+            Selector selector,
+            CallerPresence presence,
+            long deadlineMillis,
+            String callerKey,
+            RequestTrace trace) {
         long start = MonotonicClock.millis();
         // Keys of different callers and services must not meet, or a caller could get the answer of another one.
         String key =
@@ -152,7 +169,7 @@
         return switch (claim.verdict()) {
             case ClaimVerdict.Proceed proceed -> {
                 long remaining = Math.min(deadlineMillis, MAXIMUM_CLAIMED_MILLIS) - (MonotonicClock.millis() - start);
-                RequestResult result = runToConclusion(request, selector, presence, remaining, claim);
+                RequestResult result = runToConclusion(request, selector, presence, remaining, claim, trace);
                 yield toReply(result);
             }
             case ClaimVerdict.Replay replay -> replay(replay.answer());
@@ -169,10 +186,11 @@
             Selector selector,
             CallerPresence presence,
             long remainingMillis,
-            ClaimClient.Claim claim) {
+            ClaimClient.Claim claim,
+            RequestTrace trace) {
         ClaimConclusion conclusion = new ClaimConclusion.OutcomeUnknown();
         try {
-            RequestResult result = run(request, selector, presence, remainingMillis);
+            RequestResult result = run(request, selector, presence, remainingMillis, trace);
             conclusion = switch (result) {
                 case RequestResult.Delivered delivered ->
                     new ClaimConclusion.Answered(new RecordedAnswer(
--- a/src/main/java/org/cassiabank/proxy/PlatformSettings.java
+++ b/src/main/java/org/cassiabank/proxy/PlatformSettings.java
@@ -14,8 +14,10 @@
  *     in percent
  * @param suspicionMillis how long a server is avoided after an abrupt failure, in milliseconds; 0 if only the outlier
  *     test ejects
- * @param serverIdleMillis how long connections to servers are kept for any request, in milliseconds; empty if they are
- *     kept for a short time and for repeatable requests only
+ * @param serverIdleMillis how long idle connections to servers are kept, in milliseconds; empty for a short time
+ * @param unrepeatableIdleMillis how long after its last answer a connection may carry a request that may run only once,
+ *     in milliseconds; 0 if such requests always open a connection
+ * @param connectMillis the longest time to open a connection to a server, in milliseconds; empty for the default
  */
 public record PlatformSettings(
         Optional<String> adapter,
@@ -24,7 +26,9 @@
         boolean claims,
         int floorPercent,
         long suspicionMillis,
-        Optional<Long> serverIdleMillis) {
+        Optional<Long> serverIdleMillis,
+        long unrepeatableIdleMillis,
+        Optional<Long> connectMillis) {
     private static final int ALL_PERCENT = 100;
 
     /**
@@ -35,6 +39,7 @@
         Objects.requireNonNull(healthPath, "healthPath");
         Objects.requireNonNull(bounds, "bounds");
         Objects.requireNonNull(serverIdleMillis, "serverIdleMillis");
+        Objects.requireNonNull(connectMillis, "connectMillis");
         if (!healthPath.startsWith("/")) {
             throw new IllegalArgumentException("path must start with /: " + healthPath);
         }
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -192,11 +192,11 @@
     private static BackendSettings backendSettings(ProxySettings settings) {
         BackendSettings defaults = BackendSettings.defaults();
         return new BackendSettings(
-                defaults.connectMillis(),
+                settings.platform().connectMillis().orElse(defaults.connectMillis()),
                 settings.limits().answerBytes(),
                 defaults.idlePerServer(),
                 settings.platform().serverIdleMillis().orElse(defaults.idleAgeMillis()),
-                settings.platform().serverIdleMillis().isPresent());
+                settings.platform().unrepeatableIdleMillis());
     }
 
     private static KernelService idleConnections(PeerClients clients, BackendClient backends, FleetState fleet) {
--- a/src/main/java/org/cassiabank/proxy/ProxyMain.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyMain.java
@@ -79,6 +79,7 @@
         Runtime.getRuntime().addShutdownHook(Thread.ofPlatform().name("drain").unstarted(() -> {
             daemon.close();
             // Without this the JVM reports the signal as status 143, which looks like a failed stop.
+            Logging.flush();
             Runtime.getRuntime().halt(EXIT_SUCCESS);
         }));
         new CountDownLatch(1).await();
--- a/src/main/java/org/cassiabank/proxy/ProxySettingsParser.java
+++ b/src/main/java/org/cassiabank/proxy/ProxySettingsParser.java
@@ -118,7 +118,10 @@
                 reader.optional("suspicion-millis", SettingsReader::parsePositive)
                         .orElse(0),
                 reader.optional("server-idle-millis", SettingsReader::parsePositive)
-                        .map(Long::valueOf));
+                        .map(Long::valueOf),
+                reader.optional("unrepeatable-idle-millis", SettingsReader::parsePositive)
+                        .orElse(0),
+                reader.optional("connect-millis", SettingsReader::parsePositive).map(Long::valueOf));
     }
 
     private static Optional<TlsFiles> tlsFiles(SettingsReader reader, String prefix, String source, Findings findings) {
--- a/src/main/java/org/cassiabank/proxy/RequestRun.java
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -11,6 +11,7 @@
 import org.cassiabank.admission.SlotAsk;
 import org.cassiabank.backend.Answered;
 import org.cassiabank.backend.BackendResult;
+import org.cassiabank.backend.NotSent;
 import org.cassiabank.declaration.Selector;
 import org.cassiabank.retry.AttemptPolicy;
 import org.cassiabank.retry.AttemptState;
@@ -26,6 +27,9 @@
     /** The outlier detection takes four times the usual time for slow; the hedge delay is at least the usual time. */
     private static final long OBSERVATION_FACTOR = 5;
 
+    /** Half a second of attempts at servers that cannot be reached, at the shortest time for a connection. */
+    private static final int MOST_TRIES = 5;
+
     private final CallerRequest request;
     private final Selector selector;
     private final CallerPresence presence;
@@ -33,8 +37,10 @@
     private final long startNanos = System.nanoTime();
     private final Attempts attempts;
     private final RetryBudget budget;
+    private final RequestTrace trace;
     private final Set<String> excluded = new HashSet<>();
     private int attemptCount;
+    private int unsentCount;
     private boolean neverRun = true;
     private Optional<Answered> serverError = Optional.empty();
 
@@ -44,13 +50,15 @@
             CallerPresence presence,
             long remainingMillis,
             Attempts attempts,
-            RetryBudget budget) {
+            RetryBudget budget,
+            RequestTrace trace) {
         this.request = request;
         this.selector = selector;
         this.presence = presence;
         this.deadline = MonotonicClock.millis() + remainingMillis;
         this.attempts = attempts;
         this.budget = budget;
+        this.trace = trace;
     }
 
     static RequestRun create(
@@ -59,14 +67,16 @@
             CallerPresence presence,
             long remainingMillis,
             Attempts attempts,
-            RetryBudget budget) {
+            RetryBudget budget,
+            RequestTrace trace) {
         return new RequestRun(
                 Objects.requireNonNull(request, "request"),
                 Objects.requireNonNull(selector, "selector"),
                 Objects.requireNonNull(presence, "presence"),
                 remainingMillis,
                 Objects.requireNonNull(attempts, "attempts"),
-                Objects.requireNonNull(budget, "budget"));
+                Objects.requireNonNull(budget, "budget"),
+                Objects.requireNonNull(trace, "trace"));
     }
 
     /**
@@ -78,9 +88,11 @@
         while (true) {
             SlotResult found = attempts.acquire(selector.service(), ask(), presence);
             if (found instanceof SlotResult.NoSlot none) {
+                trace.add("no-slot " + none.reason());
                 return withoutSlot(none.reason(), none.retryAfterMillis());
             }
             SlotResult.Slot slot = (SlotResult.Slot) found;
+            trace.add("slot " + slot.server() + " of " + slot.ownerName());
             long now = MonotonicClock.millis();
             if (now >= deadline) {
                 attempts.release(slot);
@@ -95,6 +107,7 @@
                 attempts.addedMicros((System.nanoTime() - startNanos) / 1_000);
             }
             BackendResult result = attempt(slot);
+            trace.add(slot.server() + " " + result.attemptResult().label());
             Optional<RequestResult> end = decide(result);
             if (end.isPresent()) {
                 return end.get();
@@ -103,11 +116,14 @@
     }
 
     private Optional<RequestResult> decide(BackendResult result) {
+        unsentCount += result instanceof NotSent ? 1 : 0;
+        // Attempts that reached no server count only so far that a request does not try all servers in vain.
+        int counted = attemptCount < MOST_TRIES ? attemptCount - unsentCount : Integer.MAX_VALUE;
         AttemptState state = new AttemptState(
                 selector.repeatable(),
                 result.attemptResult(),
                 neverRun,
-                attemptCount,
+                counted,
                 deadline - MonotonicClock.millis(),
                 selector.limits().maximumAttempts(),
                 true);
@@ -199,7 +215,7 @@
                 Math.max(0, deadline - MonotonicClock.millis()),
                 attempts.withUnreachable(excluded),
                 selector.servers(),
-                attempts.hints(selector.service(), attemptCount + 1));
+                attempts.hints(selector, attemptCount - unsentCount + 1));
     }
 
     private static boolean isGood(BackendResult result) {
--- a/src/main/java/org/cassiabank/proxy/SlotResult.java
+++ b/src/main/java/org/cassiabank/proxy/SlotResult.java
@@ -27,7 +27,17 @@
             String address,
             long expiresMillis,
             long hedgeAfterMillis)
-            implements SlotResult {}
+            implements SlotResult {
+
+        /**
+         * Returns the name of the proxy that granted the slot.
+         *
+         * @return the name, or {@code self}
+         */
+        String ownerName() {
+            return owner.map(Instance::name).orElse("self");
+        }
+    }
 
     /**
      * No slot was granted.
--- a/src/main/java/org/cassiabank/retry/AttemptState.java
+++ b/src/main/java/org/cassiabank/retry/AttemptState.java
@@ -8,7 +8,7 @@
  * @param repeatable whether the selector allows the request to run more than once
  * @param result how the last attempt ended
  * @param earlierNotRun whether every earlier attempt provably did not run; true if there was none
- * @param attempts how many attempts were made, hedges and the last one included, at least 1
+ * @param attempts how many attempts count against the limit, hedges and the last one included
  * @param remainingMillis the time until the caller's deadline in milliseconds, may be negative
  * @param maximumAttempts the most attempts for the request, hedges included
  * @param budgetAvailable whether the retry budget has a token for another attempt
@@ -27,8 +27,8 @@
      */
     public AttemptState {
         Objects.requireNonNull(result, "result");
-        if (attempts < 1) {
-            throw new IllegalArgumentException("a result needs at least one attempt: " + attempts);
+        if (attempts < 0) {
+            throw new IllegalArgumentException("the number of attempts is negative: " + attempts);
         }
     }
 
--- a/src/test/java/org/cassiabank/backend/BackendClientTest.java
+++ b/src/test/java/org/cassiabank/backend/BackendClientTest.java
@@ -32,7 +32,7 @@
 /** Guards against repeated requests, mixed-up, partial or altered answers, and against unproven "not sent" results. */
 @Timeout(20)
 class BackendClientTest {
-    private final BackendClient client = BackendClient.create(new BackendSettings(300, 1_000_000, 2, 100, false));
+    private final BackendClient client = BackendClient.create(new BackendSettings(300, 1_000_000, 2, 100, 0));
     private final List<AutoCloseable> resources = new ArrayList<>(List.of(client));
 
     @AfterEach
