--- a/src/main/java/org/cassiabank/admission/ServerPool.java
+++ b/src/main/java/org/cassiabank/admission/ServerPool.java
@@ -110,6 +110,7 @@
         // An idle server on probation goes first, because otherwise it proves nothing while the others have free slots.
         boolean takesProbation = !healthyExists
                 || probation != null
+                        && !hints.isRepeat()
                         && (lane.key().repeatable()
                                 ? probation.isWithoutGrantSince(nowMillis - PROBATION_INTERVAL_MILLIS)
                                 : probation.isUntestedSince(nowMillis - UNTESTED_MILLIS));
--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -179,7 +179,7 @@
                 }
             }
             case FAILED -> server.failed(now);
-            case BROKEN -> {
+            case BROKEN, OVERDUE -> {
                 server.failed(now);
                 route.learnAtLeast(latencyMicros);
             }
--- a/src/main/java/org/cassiabank/backend/Broken.java
+++ b/src/main/java/org/cassiabank/backend/Broken.java
@@ -22,7 +22,11 @@
 
     @Override
     public Outcome outcome() {
-        return reason == BrokenReason.WRONG_REQUEST_ID ? Outcome.FAILED : Outcome.BROKEN;
+        return switch (reason) {
+            case WRONG_REQUEST_ID -> Outcome.FAILED;
+            case TIMEOUT -> Outcome.OVERDUE;
+            case CONNECTION_LOST, CUT_ANSWER, ANSWER_TOO_LARGE -> Outcome.BROKEN;
+        };
     }
 
     @Override
--- a/src/main/java/org/cassiabank/backend/MessageProfile.java
+++ b/src/main/java/org/cassiabank/backend/MessageProfile.java
@@ -25,6 +25,13 @@
      */
     boolean keepsCallerIdentifier();
 
+    /**
+     * Tells whether callers are told apart by their addresses where they state no identity of their own.
+     *
+     * @return false if all callers without an identity share the slots in the order of their requests
+     */
+    boolean distinguishesAddresses();
+
     /**
      * Returns the header with the time that is left, in milliseconds.
      *
--- a/src/main/java/org/cassiabank/backend/OwnMessages.java
+++ b/src/main/java/org/cassiabank/backend/OwnMessages.java
@@ -33,6 +33,11 @@
         return false;
     }
 
+    @Override
+    public boolean distinguishesAddresses() {
+        return true;
+    }
+
     @Override
     public String deadlineMillis() {
         return BackendHeaders.DEADLINE_MILLIS;
--- a/src/main/java/org/cassiabank/health/HealthMonitor.java
+++ b/src/main/java/org/cassiabank/health/HealthMonitor.java
@@ -87,7 +87,12 @@
         Server server = servers.get(observation.server());
         if (server != null) {
             long startMillis = nowMillis - observation.latencyMicros() / 1_000;
-            server.suspicion.ifPresent(suspicion -> suspicion.note(observation.outcome(), startMillis, nowMillis));
+            // A deadline that is short for its route says nothing about the server.
+            boolean isEvidence = observation.outcome() != Outcome.OVERDUE
+                    || detector.isOverdue(observation.route(), observation.latencyMicros(), nowMillis);
+            if (isEvidence) {
+                server.suspicion.ifPresent(suspicion -> suspicion.note(observation.outcome(), startMillis, nowMillis));
+            }
         }
         if (server == null || server.probation.health() == ServerHealth.EJECTED) {
             return;
--- a/src/main/java/org/cassiabank/health/Outcome.java
+++ b/src/main/java/org/cassiabank/health/Outcome.java
@@ -8,8 +8,10 @@
     ANSWERED,
     /** The server answered with a server error or with the answer of another request. */
     FAILED,
-    /** No whole answer came in time, or the connection broke after bytes were written. */
+    /** The connection broke after bytes were written, or the answer ended early. */
     BROKEN,
+    /** No whole answer came in time. */
+    OVERDUE,
     /** The request provably never ran. */
     NOT_RUN,
     /** The entry cancelled the attempt because its caller had gone or another attempt had answered. */
--- a/src/main/java/org/cassiabank/health/OutlierDetector.java
+++ b/src/main/java/org/cassiabank/health/OutlierDetector.java
@@ -189,6 +189,19 @@
         return evidence.addSlowness(isSlow, usual, nowMillis);
     }
 
+    /**
+     * Tells whether an attempt takes several times the usual time of its route.
+     *
+     * @param routeName the route
+     * @param micros the time of the attempt in microseconds
+     * @param nowMillis the time in milliseconds
+     * @return false also while the usual time is not known
+     */
+    boolean isOverdue(String routeName, long micros, long nowMillis) {
+        RouteEvidence route = routes.get(routeName);
+        return route != null && isOverdue(route, micros, nowMillis);
+    }
+
     private boolean isOverdue(RouteEvidence route, long micros, long nowMillis) {
         LatencyProfile latencies = route.latencies();
         if (!latencies.isKnown(nowMillis)) {
--- a/src/main/java/org/cassiabank/health/Suspicion.java
+++ b/src/main/java/org/cassiabank/health/Suspicion.java
@@ -4,7 +4,8 @@
  * Avoids a server after very few abrupt failures, for a short time.
  *
  * <p>A connection that breaks after a request was written almost never happens at a healthy server, so one such failure is
- * enough; server errors also occur at healthy servers, so two close together are needed. It answers loads that are too
+ * enough; server errors and attempts that take several times the usual time of their route also occur at healthy
+ * servers, so two close together are needed. It answers loads that are too
  * small for the outlier test: at 3.5 requests a second a server would fail a dozen requests before it stands out.
  */
 final class Suspicion {
@@ -78,7 +79,7 @@
         scoreAtMillis = nowMillis;
         switch (outcome) {
             case BROKEN -> score += BROKEN_WEIGHT;
-            case FAILED -> score += ERROR_WEIGHT;
+            case FAILED, OVERDUE -> score += ERROR_WEIGHT;
             case ANSWERED -> score = Math.max(0, score - ANSWER_RELIEF);
             case NOT_RUN, CANCELLED -> {
                 // Shed and cancelled work says nothing about the work that runs.
@@ -100,7 +101,7 @@
                     enter(ServerHealth.HEALTHY, nowMillis);
                 }
             }
-            case BROKEN, FAILED -> {
+            case BROKEN, FAILED, OVERDUE -> {
                 holdOffMillis = Math.min(settings.maximumHoldOffMillis(), holdOffMillis * HOLD_OFF_GROWTH);
                 enter(ServerHealth.EJECTED, nowMillis);
             }
--- a/src/main/java/org/cassiabank/platform/PlatformMessages.java
+++ b/src/main/java/org/cassiabank/platform/PlatformMessages.java
@@ -23,6 +23,12 @@
         return true;
     }
 
+    /** An address stands for a client process; nothing on the wire names a customer. */
+    @Override
+    public boolean distinguishesAddresses() {
+        return false;
+    }
+
     /** Milliseconds that are left, counted from the arrival of the message. */
     @Override
     public String deadlineMillis() {
--- a/src/main/java/org/cassiabank/proxy/Attempts.java
+++ b/src/main/java/org/cassiabank/proxy/Attempts.java
@@ -32,6 +32,7 @@
  * Makes attempts at backend servers and reports their outcomes to the owners of the slots.
  */
 final class Attempts {
+    private static final String ANY_CALLER = "*";
     private static final long RETRY_AFTER_MILLIS = 200;
 
     private final String entryName;
@@ -101,6 +102,18 @@
         return all;
     }
 
+    /**
+     * Returns the identity between which slots are shared fairly.
+     *
+     * @param request the request
+     * @return the identity, the same for all callers that the profile does not tell apart
+     */
+    String callerIdentity(CallerRequest request) {
+        return profile.distinguishesAddresses()
+                ? request.caller()
+                : request.statedCaller().orElse(ANY_CALLER);
+    }
+
     /**
      * Describes this entry to the owner of a shard.
      *
--- a/src/main/java/org/cassiabank/proxy/CallerRequest.java
+++ b/src/main/java/org/cassiabank/proxy/CallerRequest.java
@@ -46,6 +46,15 @@
      * @return the value of {@code Cassiabank-Caller}, or the address of the connection
      */
     String caller() {
-        return header("cassiabank-caller").orElse(remoteAddress);
+        return statedCaller().orElse(remoteAddress);
+    }
+
+    /**
+     * Returns the identity that the caller states.
+     *
+     * @return the value of {@code Cassiabank-Caller}, or empty if there is none
+     */
+    Optional<String> statedCaller() {
+        return header("cassiabank-caller");
     }
 }
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -111,7 +111,7 @@
         Optional<FinishedLease> finished = scheduler.finish(lease, outcome, latencyMicros, now);
         finished.ifPresent(ended -> {
             monitor.record(new Observation(ended.server(), ended.route(), outcome, latencyMicros), now);
-            if (outcome == Outcome.BROKEN || outcome == Outcome.FAILED) {
+            if (outcome == Outcome.BROKEN || outcome == Outcome.FAILED || outcome == Outcome.OVERDUE) {
                 // The next grant must not wait for the regular evaluation.
                 updateServers(now);
             }
--- a/src/main/java/org/cassiabank/proxy/RequestRun.java
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -209,7 +209,7 @@
                 attempts.entryName(),
                 selector.name(),
                 selector.name(),
-                request.caller(),
+                attempts.callerIdentity(request),
                 selector.cost(),
                 selector.repeatable(),
                 Math.max(0, deadline - MonotonicClock.millis()),
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -6,12 +6,14 @@
   ANSWERED = 1,
   /** The backend server answered with a server error or an answer of another request. */
   FAILED = 2,
-  /** No whole answer came in time, or the connection broke after bytes were written. */
+  /** The connection broke after bytes were written, or the answer ended early. */
   BROKEN = 3,
   /** The request provably never ran. */
   NOT_RUN = 4,
   /** The entry cancelled the request because its caller had gone or another attempt had answered. */
   CANCELLED = 5,
+  /** No whole answer came in time. */
+  OVERDUE = 6,
 }
 
 struct SlotRequest {
