--- a/src/main/java/org/cassiabank/admission/ServerState.java
+++ b/src/main/java/org/cassiabank/admission/ServerState.java
@@ -44,12 +44,13 @@
     private long lastGrant;
     private long lastGrantAt = Long.MIN_VALUE / 2;
     private int shortSinceLong;
-    private long probationSince = Long.MIN_VALUE / 2;
+    private long probationSince;
 
     ServerState(ServerCapacity capacity, boolean cold, long nowMillis) {
         this.capacity = capacity;
         this.rampSlots = cold ? 1 : Integer.MAX_VALUE;
         this.rampSince = nowMillis;
+        this.probationSince = nowMillis;
     }
 
     void update(ServerCapacity newCapacity, long nowMillis) {
--- a/src/test/java/org/cassiabank/ArchitectureTest.java
+++ b/src/test/java/org/cassiabank/ArchitectureTest.java
@@ -1,10 +1,17 @@
 package org.cassiabank;
 
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static org.assertj.core.api.Assertions.assertThat;
 
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 /** Guards against clocks, random sources and sockets in the decision modules, which would make tests irreproducible. */
@@ -41,6 +48,65 @@
                 .check(classes);
     }
 
+    @Test
+    void nothingOutsideTheAdapterKnowsTheLanguageOfThePlatform() throws IOException {
+        noClasses()
+                .that()
+                .resideOutsideOfPackage("org.cassiabank.platform")
+                .should()
+                .dependOnClassesThat()
+                .resideInAPackage("org.cassiabank.platform")
+                .check(classes);
+        List<String> names = List.of(
+                "/api/kv-", "Response-Seal", "Not-Executed", "Expect-Instance", "Deadline-Ms", "op/config",
+                "warmup_left", "weighted_clusters", "resource_type", "retry_budget_ratio");
+        List<String> found = new ArrayList<>();
+        try (Stream<Path> files = Files.walk(Path.of("src/main/java"))) {
+            for (Path file : files.filter(path -> path.toString().endsWith(".java")).toList()) {
+                String text = Files.readString(file);
+                boolean isAdapter = file.getParent().endsWith("platform");
+                names.stream()
+                        .filter(name -> !isAdapter && text.contains(name))
+                        .forEach(name -> found.add(file + ": " + name));
+            }
+        }
+        assertThat(found).isEmpty();
+    }
+
+    @Test
+    void theAdapterDecidesNothing() {
+        noClasses()
+                .that()
+                .resideInAPackage("org.cassiabank.platform")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(
+                        "org.cassiabank.admission",
+                        "org.cassiabank.health",
+                        "org.cassiabank.once",
+                        "org.cassiabank.proxy",
+                        "org.cassiabank.retry",
+                        "org.cassiabank.revision")
+                .check(classes);
+    }
+
+    @Test
+    void theAdapterStaysUnderAFifteenthOfTheCode() throws IOException {
+        assertThat(15 * linesBelow("src/main/java/org/cassiabank/platform"))
+                .isLessThan(linesBelow("src/main/java/org/cassiabank")
+                        - linesBelow("src/main/java/org/cassiabank/peer/generated"));
+    }
+
+    private static long linesBelow(String folder) throws IOException {
+        long lines = 0;
+        try (Stream<Path> files = Files.walk(Path.of(folder))) {
+            for (Path file : files.filter(path -> path.toString().endsWith(".java")).toList()) {
+                lines += Files.readAllLines(file).size();
+            }
+        }
+        return lines;
+    }
+
     @Test
     void decisionModulesUseNoNetwork() {
         noClasses()
--- a/src/test/java/org/cassiabank/admission/SlotSchedulerTest.java
+++ b/src/test/java/org/cassiabank/admission/SlotSchedulerTest.java
@@ -47,6 +47,34 @@
                 .containsExactly("unhealthy");
     }
 
+    @Test
+    void unrepeatableWorkTestsAServerOnProbationThatNothingElseTests() {
+        List<ServerCapacity> servers =
+                List.of(server("healthy", ServerHealth.HEALTHY, 4), server("unhealthy", ServerHealth.PROBATION, 4));
+        scheduler.updateServers(servers, 0);
+        assertThat(firstServer(ask(CostHint.SHORT, false), 500)).isEqualTo("healthy");
+        assertThat(firstServer(ask(CostHint.SHORT, false), 501)).isEqualTo("unhealthy");
+        assertThat(firstServer(ask(CostHint.SHORT, false), 502)).isEqualTo("healthy");
+    }
+
+    @Test
+    void aRepeatedRequestIsNotSentToAServerOnProbation() {
+        scheduler.updateServers(
+                List.of(server("healthy", ServerHealth.HEALTHY, 4), server("unhealthy", ServerHealth.PROBATION, 4)), 0);
+        assertThat(firstServer(ask(new EntryHints(2, "", Set.of())), 1_000)).isEqualTo("healthy");
+        assertThat(firstServer(ask(EntryHints.none()), 1_000)).isEqualTo("unhealthy");
+    }
+
+    @Test
+    void ofEquallyLoadedServersTheConnectedOneIsChosenThenTheOneInTheSameFailureDomain() {
+        scheduler.updateServers(List.of(placed("a", "north"), placed("b", "south"), placed("c", "west")), 0);
+        assertThat(firstServer(ask(new EntryHints(1, "south", Set.of("c"))), 0)).isEqualTo("c");
+        assertThat(firstServer(ask(new EntryHints(1, "south", Set.of("c"))), 0))
+                .as("c has a request, so a free server goes first")
+                .isEqualTo("b");
+        assertThat(firstServer(ask(new EntryHints(1, "north", Set.of())), 0)).isEqualTo("a");
+    }
+
     @Test
     void failingServerOnProbationIsNotSentAllRepeatableWork() {
         scheduler.updateServers(
@@ -197,6 +225,19 @@
         assertThat(reasons(scheduler.advance(0))).containsExactly(Map.entry(waiting, RefusalReason.NO_SERVER));
     }
 
+    private String firstServer(SlotAsk ask, long now) {
+        return ((Granted) scheduler.offer(ask, now)).server();
+    }
+
+    private static SlotAsk ask(EntryHints hints) {
+        return new SlotAsk(
+                "other", "menu", "menu", "caller", CostHint.SHORT, true, 10_000, Set.of(), Map.of(), hints);
+    }
+
+    private static ServerCapacity placed(String name, String failureDomain) {
+        return new ServerCapacity(name, "127.0.0.1:20000", 2, ServerHealth.HEALTHY, false, Map.of(), failureDomain);
+    }
+
     private RefusalReason refusal(Set<String> excluded, Map<String, String> labels) {
         SlotAsk ask = new SlotAsk("entry", "menu", "menu", "caller", CostHint.SHORT, true, 100, excluded, labels);
         return ((Refused) scheduler.offer(ask, 0)).reason();
--- /dev/null
+++ b/src/test/java/org/cassiabank/backend/MessageProfileTest.java
@@ -0,0 +1,121 @@
+package org.cassiabank.backend;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Guards against requests that run at the wrong server and answers that are not the server's own. */
+@Timeout(20)
+class MessageProfileTest {
+    private static final long FRESH_MILLIS = 150;
+
+    private final BackendClient client = BackendClient.create(
+            new BackendSettings(300, 1_000_000, 2, 5_000, FRESH_MILLIS), new PlatformLikeProfile());
+    private final List<AutoCloseable> resources = new ArrayList<>(List.of(client));
+
+    @AfterEach
+    void closeAll() throws Exception {
+        for (AutoCloseable resource : resources.reversed()) {
+            resource.close();
+        }
+    }
+
+    @Test
+    void aRequestNamesItsServerAndTheTimeThatIsLeft() throws IOException {
+        ScriptedServer server = serve(signed("text"));
+        assertThat(send(server, "POST", false)).isInstanceOf(Answered.class);
+        assertThat(server.received.getFirst().header("Meant-For")).isEqualTo("server-1");
+        assertThat(server.received.getFirst().header("Left")).isEqualTo("5000");
+        assertThat(server.received.getFirst().header("Connection")).isNull();
+    }
+
+    @Test
+    void aMisdirectedRequestProvablyDidNotRun() throws IOException {
+        ScriptedServer server = serve((request, socket) ->
+                ScriptedServer.write(socket, request.answerHead(421) + "Content-Length: 0\r\n\r\n"));
+        assertThat(send(server, "POST", false)).isInstanceOf(ShedAnswer.class);
+    }
+
+    @Test
+    void aSuccessWithoutASignatureIsNotDelivered() throws IOException {
+        ScriptedServer server = serve(ScriptedServer.answering("text"));
+        assertThat(send(server, "GET", true)).isInstanceOf(Broken.class);
+    }
+
+    @Test
+    void anAnswerWithoutALengthEndsWithItsConnection() throws IOException {
+        ScriptedServer server = serve((request, socket) -> {
+            ScriptedServer.write(socket, request.answerHead(200) + "Signed: s\r\n\r\nwhole text");
+            socket.close();
+        });
+        Answered answer = (Answered) send(server, "GET", true);
+        assertThat(new String(answer.body(), StandardCharsets.UTF_8)).isEqualTo("whole text");
+    }
+
+    @Test
+    void anAnswerWithoutALengthThatIsResetIsNotWhole() throws IOException {
+        ScriptedServer server = serve((request, socket) -> {
+            ScriptedServer.write(socket, request.answerHead(200) + "Signed: s\r\n\r\npart");
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(50));
+            socket.setSoLinger(true, 0);
+            socket.close();
+        });
+        assertThat(send(server, "GET", true)).isInstanceOf(Broken.class);
+    }
+
+    @Test
+    void unrepeatableWorkUsesAConnectionOnlyShortlyAfterItsLastAnswer() throws IOException {
+        ScriptedServer server = serve(signed("text"));
+        send(server, "POST", false);
+        send(server, "POST", false);
+        assertThat(server.connections).hasValue(1);
+        assertThat(client.connectedServers("service", false)).containsExactly("server-1");
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(2 * FRESH_MILLIS));
+        assertThat(client.connectedServers("service", false)).isEmpty();
+        assertThat(client.connectedServers("service", true)).containsExactly("server-1");
+        send(server, "POST", false);
+        assertThat(server.connections).hasValue(2);
+        send(server, "GET", true);
+        assertThat(server.connections).as("the new connection is kept").hasValue(2);
+    }
+
+    @Test
+    void anAddressThatAnotherServerTookOverStartsWithANewConnection() throws IOException {
+        ScriptedServer server = serve(signed("text"));
+        send(server, "GET", true);
+        client.send(request(server, "GET", "server-2", true));
+        assertThat(server.connections).hasValue(2);
+        assertThat(client.connectedServers("service", true)).containsExactly("server-2");
+    }
+
+    private static ScriptedServer.Script signed(String text) {
+        return (request, socket) -> ScriptedServer.write(
+                socket, request.answerHead(200) + "Signed: s\r\nContent-Length: " + text.length() + "\r\n\r\n" + text);
+    }
+
+    private ScriptedServer serve(ScriptedServer.Script script) throws IOException {
+        ScriptedServer server = new ScriptedServer(script);
+        resources.add(server);
+        return server;
+    }
+
+    private BackendResult send(ScriptedServer server, String method, boolean repeatable) {
+        return client.send(request(server, method, "server-1", repeatable));
+    }
+
+    private static BackendRequest request(ScriptedServer server, String method, String name, boolean repeatable) {
+        byte[] body = method.equals("POST") ? "order".getBytes(StandardCharsets.UTF_8) : new byte[0];
+        Map<String, List<String>> headers = Map.of("Meant-For", List.of("of-caller"));
+        return new BackendRequest(
+                "service", name, server.address(), method, "/p", headers, body, "id-1", repeatable, 5_000);
+    }
+}
--- a/src/test/java/org/cassiabank/declaration/ConfigurationTest.java
+++ b/src/test/java/org/cassiabank/declaration/ConfigurationTest.java
@@ -1,6 +1,7 @@
 package org.cassiabank.declaration;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.util.List;
 import java.util.Map;
@@ -31,6 +32,20 @@
         return new Instance(name, InstanceRole.BACKEND, "127.0.0.1:80", "r", "d", state);
     }
 
+    @Example
+    void aWholeConfigurationKeepsTheRevisionsOfWhatDidNotChange() {
+        ServiceDeclaration menu = new ServiceDeclaration("menu", 2, 1, 1_000);
+        ServiceDeclaration orders = new ServiceDeclaration("orders", 2, 1, 1_000);
+        Configuration first = Configuration.empty().replacedBy(3, List.of(menu, orders));
+        Configuration second = first.replacedBy(9, List.of(menu, new ServiceDeclaration("orders", 4, 1, 1_000)));
+        assertThat(second.revision()).isEqualTo(9);
+        assertThat(second.find(menu.key()).orElseThrow().revision()).isEqualTo(3);
+        assertThat(second.find(orders.key()).orElseThrow().revision()).isEqualTo(9);
+        assertThat(second.replacedBy(10, List.of(menu)).service("orders")).isEmpty();
+        assertThatThrownBy(() -> second.replacedBy(11, List.of(menu, menu)))
+                .isInstanceOf(IllegalArgumentException.class);
+    }
+
     @Example
     void relationsThatCannotHoldAreFound() {
         Configuration configuration = of(
--- a/src/test/java/org/cassiabank/declaration/RequestRouterTest.java
+++ b/src/test/java/org/cassiabank/declaration/RequestRouterTest.java
@@ -42,6 +42,25 @@
                         selector("s" + number, methods, path, callers, weight, priority));
     }
 
+    @Example
+    void aSelectorOfTheHostGoesBeforeOneForAllHostsAndHostsAreKeptApart() {
+        Selector everywhere = selector("everywhere", Set.of(), "/a/b", "*", 1, 0);
+        Selector shop = new Selector(
+                "shop", "menu", Set.of(), "/a", "*", Map.of(), 1, true, CostHint.LEARNED, 0, "shop.example",
+                RequestLimits.defaults());
+        Selector urgent = selector("urgent", Set.of("PUT"), "/", "*", 1, 1);
+        RequestRouter router =
+                RequestRouter.of(Configuration.empty().with(1, List.of(everywhere, shop, urgent), List.of()));
+        Random random = new Random(1);
+        assertThat(router.route("shop.example", "GET", "/a/b/c", "x", random)).contains(shop);
+        assertThat(router.route("Shop.Example", "GET", "/a", "x", random)).contains(shop);
+        assertThat(router.route("other.example", "GET", "/a/b", "x", random)).contains(everywhere);
+        assertThat(router.route("other.example", "GET", "/a", "x", random)).isEmpty();
+        assertThat(router.route("shop.example", "PUT", "/a", "x", random)).contains(urgent);
+        RequestRouter without = router.update(Configuration.empty().with(2, List.of(everywhere), List.of()));
+        assertThat(without.route("shop.example", "GET", "/a", "x", random)).isEmpty();
+    }
+
     @Property(tries = 300)
     void routesLikeTryingAllSelectorsAlsoAfterChanges(
             @ForAll @Size(max = 30) List<@net.jqwik.api.From("selectors") Selector> steps, @ForAll long seed) {
--- /dev/null
+++ b/src/test/java/org/cassiabank/platform/EntryFleetSourceTest.java
@@ -0,0 +1,189 @@
+package org.cassiabank.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import org.cassiabank.membership.Instance;
+import org.cassiabank.membership.InstanceList;
+import org.cassiabank.membership.InstanceRole;
+import org.cassiabank.membership.InstanceState;
+import org.cassiabank.source.ConfigurationDocument;
+import org.cassiabank.source.EntryFleetSource;
+import org.cassiabank.source.FleetTarget;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a daemon that follows the store wrongly while the store fails in the ways that the platform names. */
+class EntryFleetSourceTest {
+    private static final Duration PATIENCE = Duration.ofSeconds(15);
+    private static final String SELF = "proxy-1";
+
+    private final StoreStandIn standIn = StoreStandIn.start();
+    private final Target target = new Target();
+    private final EntryFleetSource source = newSource();
+
+    @BeforeEach
+    void start() {
+        standIn.write("op/config", configuration(5));
+        standIn.write("servers/i-1", server(8081));
+        standIn.write("servers/i-2", server(8082));
+        source.start(target);
+        await(() -> target.revision() == 5 && target.has("i-1") && target.has("i-2") && target.has(SELF));
+    }
+
+    @AfterEach
+    void stop() {
+        source.close();
+        standIn.close();
+    }
+
+    @Test
+    void changesAreFollowed() {
+        standIn.write("op/config", configuration(9));
+        standIn.remove("servers/i-1");
+        await(() -> target.revision() == 9 && !target.has("i-1"));
+        assertThat(target.has("i-2")).isTrue();
+        assertThat(source.isCurrent()).isTrue();
+    }
+
+    @Test
+    void anOlderConfigurationIsNotTaken() {
+        standIn.write("op/config", configuration(4));
+        standIn.write("servers/i-3", server(8083));
+        await(() -> target.has("i-3"));
+        assertThat(target.revision()).isEqualTo(5);
+    }
+
+    @Test
+    void unreadableEntriesTouchNothingElse() {
+        standIn.write("servers/i-9", "{\"address\":7}");
+        standIn.write("op/config", "not a configuration");
+        standIn.write("servers/i-3", server(8083));
+        await(() -> target.has("i-3"));
+        assertThat(target.has("i-9")).isFalse();
+        assertThat(target.has("i-2")).isTrue();
+        assertThat(target.revision()).isEqualTo(5);
+        standIn.write("op/config", configuration(6));
+        await(() -> target.revision() == 6);
+    }
+
+    @Test
+    void forgottenHistoryIsReadAnew() {
+        standIn.refuseWith(503);
+        await(() -> !source.isCurrent());
+        standIn.remove("servers/i-1");
+        standIn.write("op/config", configuration(7));
+        standIn.forgetHistory();
+        standIn.refuseWith(0);
+        await(() -> target.revision() == 7 && !target.has("i-1"));
+    }
+
+    @Test
+    void aDaemonWhoseLeaseLapsedRegistersAgain() {
+        standIn.lapseLeases();
+        await(() -> !standIn.has("cassiabank/daemons/" + SELF));
+        await(() -> standIn.has("cassiabank/daemons/" + SELF));
+        await(() -> target.has(SELF));
+    }
+
+    @Test
+    void aWriteWhoseAnswerIsLostIsMadeAgain() {
+        standIn.loseAnswers(true);
+        standIn.lapseLeases();
+        await(() -> standIn.has("cassiabank/daemons/" + SELF));
+        standIn.loseAnswers(false);
+        await(() -> target.has(SELF));
+    }
+
+    @Test
+    void serversThatLapsedDuringAnOutageStayForTwoSeconds() {
+        standIn.refuseWith(503);
+        await(() -> !source.isCurrent());
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1_500));
+        standIn.remove("servers/i-1");
+        standIn.remove("servers/i-2");
+        standIn.refuseWith(0);
+        await(source::isCurrent);
+        assertThat(target.has("i-1")).isTrue();
+        standIn.write("servers/i-2", server(8082));
+        await(() -> !target.has("i-1"));
+        assertThat(target.has("i-2")).isTrue();
+    }
+
+    @Test
+    void aLeavingDaemonTakesItsEntryAway() {
+        source.announceLeaving();
+        await(() -> !standIn.has("cassiabank/daemons/" + SELF));
+    }
+
+    private EntryFleetSource newSource() {
+        KeyValueAdapter adapter = new KeyValueAdapter();
+        Instance self = new Instance(
+                SELF, InstanceRole.PROXY, "127.0.0.1:7200", "region", "domain", InstanceState.LIVE);
+        return EntryFleetSource.create(
+                adapter,
+                adapter.openStore(standIn.address()),
+                self,
+                () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+    }
+
+    private static void await(BooleanSupplier condition) {
+        long deadline = System.nanoTime() + PATIENCE.toNanos();
+        while (!condition.getAsBoolean()) {
+            assertThat(System.nanoTime()).as("waited for " + PATIENCE).isLessThan(deadline);
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
+        }
+    }
+
+    private static String configuration(int version) {
+        return "{\"version\":\"%08x\",\"resources\":[{\"resource_type\":\"services\",\"metadata\":{\"name\":\"desk\"},\"spec\":{}}]}"
+                .formatted(version);
+    }
+
+    private static String server(int port) {
+        return "{\"address\":\"127.0.0.1:%d\",\"info\":{\"service\":\"desk\",\"version\":\"v1\",\"zone\":\"domain\",\"slots\":2},\"status\":{\"state\":\"ready\"}}"
+                .formatted(port);
+    }
+
+    /** Takes what the source learns. */
+    private static final class Target implements FleetTarget {
+        private volatile long revision;
+        private volatile InstanceList instances = InstanceList.empty();
+
+        boolean has(String name) {
+            return instances.find(name).isPresent();
+        }
+
+        @Override
+        public long revision() {
+            return revision;
+        }
+
+        @Override
+        public long listIndex() {
+            return instances.index();
+        }
+
+        @Override
+        public boolean install(ConfigurationDocument document) {
+            revision = document.version();
+            return true;
+        }
+
+        @Override
+        public boolean install(InstanceList list) {
+            assertThat(list.index()).isGreaterThan(instances.index());
+            instances = list;
+            return true;
+        }
+
+        @Override
+        public void storeCalled(String kind) {
+            // Not counted here.
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cassiabank/platform/KeyValueStoreTest.java
@@ -0,0 +1,108 @@
+package org.cassiabank.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.cassiabank.kernel.CassiabankException;
+import org.cassiabank.kernel.ErrorCode;
+import org.cassiabank.source.EntryStore;
+import org.cassiabank.source.StoreEntry;
+import org.cassiabank.source.StoreEvent;
+import org.cassiabank.source.StorePage;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against answers of the store that are taken for something else than they say. */
+class KeyValueStoreTest {
+    private final StoreStandIn standIn = StoreStandIn.start();
+    private final EntryStore store = new KeyValueAdapter().openStore(standIn.address());
+
+    @AfterEach
+    void stop() {
+        standIn.close();
+    }
+
+    @Test
+    void pagesAreReadOneAfterTheOther() {
+        standIn.setPageSize(2);
+        standIn.write("servers/a", "1");
+        standIn.write("servers/b", "2");
+        standIn.write("servers/c", "3");
+        StorePage first = store.list("servers/", "");
+        assertThat(first.entries()).extracting(StoreEntry::key).containsExactly("servers/a", "servers/b");
+        assertThat(first.hasMore()).isTrue();
+        StorePage second = store.list("servers/", "servers/b");
+        assertThat(second.entries()).extracting(StoreEntry::key).containsExactly("servers/c");
+        assertThat(second.hasMore()).isFalse();
+        assertThat(second.revision()).isEqualTo(standIn.revision());
+    }
+
+    @Test
+    void aWatchReturnsWritesAndRemovalsInOrder() {
+        long before = standIn.revision();
+        standIn.write("servers/a", "text");
+        standIn.remove("servers/a");
+        List<StoreEvent> events = store.watch("", before, 1).orElseThrow().events();
+        assertThat(events).hasSize(2);
+        StoreEvent.Written written = (StoreEvent.Written) events.getFirst();
+        assertThat(new String(written.entry().value(), StandardCharsets.UTF_8)).isEqualTo("text");
+        assertThat(events.getLast()).isEqualTo(new StoreEvent.Removed("servers/a", before + 2));
+    }
+
+    @Test
+    void aWatchWithoutNewsReturnsTheRevisionToGoOnFrom() {
+        assertThat(store.watch("servers/", standIn.revision(), 1).orElseThrow().events())
+                .isEmpty();
+    }
+
+    @Test
+    void forgottenHistoryIsNoErrorAndNoEmptyAnswer() {
+        long before = standIn.revision();
+        standIn.write("servers/a", "1");
+        standIn.forgetHistory();
+        assertThat(store.watch("", before, 1)).isEmpty();
+    }
+
+    @Test
+    void aLeaseThatHasEndedIsToldFromAStoreThatIsAway() {
+        long lease = store.grantLease(5_000);
+        assertThat(store.renewLease(lease)).isTrue();
+        assertThat(store.put("cassiabank/daemons/a", new byte[] {1}, lease)).isTrue();
+        standIn.lapseLeases();
+        assertThat(standIn.has("cassiabank/daemons/a")).isFalse();
+        assertThat(store.renewLease(lease)).isFalse();
+        assertThat(store.put("cassiabank/daemons/a", new byte[] {1}, lease)).isFalse();
+        standIn.refuseWith(503);
+        assertThatThrownBy(() -> store.renewLease(lease)).satisfies(KeyValueStoreTest::isUnavailable);
+    }
+
+    @Test
+    void anEndedLeaseTakesItsKeysAlong() {
+        long lease = store.grantLease(5_000);
+        store.put("cassiabank/daemons/a", new byte[] {1}, lease);
+        store.endLease(lease);
+        assertThat(standIn.has("cassiabank/daemons/a")).isFalse();
+    }
+
+    @Test
+    void refusedCallsAndLostAnswersAreReportedAsUnavailable() {
+        for (int status : new int[] {429, 503}) {
+            standIn.refuseWith(status);
+            assertThatThrownBy(() -> store.list("servers/", "")).satisfies(KeyValueStoreTest::isUnavailable);
+            assertThatThrownBy(() -> store.watch("", 1, 1)).satisfies(KeyValueStoreTest::isUnavailable);
+            assertThatThrownBy(() -> store.grantLease(1)).satisfies(KeyValueStoreTest::isUnavailable);
+        }
+        standIn.refuseWith(0);
+        standIn.loseAnswers(true);
+        long lease = store.grantLease(5_000);
+        assertThatThrownBy(() -> store.put("k", new byte[] {1}, lease)).satisfies(KeyValueStoreTest::isUnavailable);
+        assertThat(standIn.has("k")).isTrue();
+    }
+
+    private static void isUnavailable(Throwable thrown) {
+        assertThat(thrown).isInstanceOfSatisfying(CassiabankException.class, exception -> assertThat(exception.code())
+                .isEqualTo(ErrorCode.STORE_UNAVAILABLE));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cassiabank/platform/PlatformDocumentsTest.java
@@ -0,0 +1,140 @@
+package org.cassiabank.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.cassiabank.declaration.Configuration;
+import org.cassiabank.declaration.RequestLimits;
+import org.cassiabank.declaration.RequestRouter;
+import org.cassiabank.declaration.Selector;
+import org.cassiabank.kernel.CassiabankException;
+import org.cassiabank.membership.Instance;
+import org.cassiabank.membership.InstanceState;
+import org.cassiabank.source.ConfigurationDocument;
+import org.cassiabank.source.OperatingBounds;
+import org.cassiabank.source.PlatformAdapter;
+import org.cassiabank.source.PlatformAdapters;
+import org.cassiabank.source.StoreEntry;
+import org.junit.jupiter.api.Test;
+
+/** Guards against fields of the platform that are read as something else, and against entries of other writers. */
+class PlatformDocumentsTest {
+    private static final String CONFIGURATION = """
+            {"version":"0000001f","base_version":"0000000c","resources":[
+              {"resource_type":"routes","metadata":{"name":"orders"},"spec":{"host":"Shop.example","prefix":"/o/",
+                "kind":"non_idempotent","timeout":"1.5s","target_latency":"600ms","priority":1,"service":"desk",
+                "max_attempts":2}},
+              {"resource_type":"routes","metadata":{"name":"menu"},"spec":{"host":"shop.example","prefix":"/m/",
+                "kind":"idempotent","timeout":"1200ms","target_latency":"600ms","priority":2,
+                "weighted_clusters":[{"service":"blue","weight":90},{"service":"green","weight":10},
+                  {"service":"off","weight":0}],"max_attempts":3}},
+              {"resource_type":"services","metadata":{"name":"desk"},"spec":{"health_check_path":"/h"}},
+              {"resource_type":"limits","metadata":{},"spec":{"max_body_bytes":5}},
+              {"resource_type":"of-another-time","metadata":{"name":"x"},"spec":{}}]}
+            """;
+    private static final String SERVER = """
+            {"address":"10.0.0.9:8080","born":1767225600000,
+             "info":{"service":"desk","version":"v2","zone":"north","slots":2},
+             "status":{"state":"ready","sequence":4,"warmup_left":"0ms"}}
+            """;
+
+    private final PlatformAdapter adapter = PlatformAdapters.named("kv");
+
+    @Test
+    void routesBecomeSelectorsWithTheirLimits() {
+        ConfigurationDocument document = adapter.configuration(entry("op/config", CONFIGURATION));
+        assertThat(document.version()).isEqualTo(0x1f);
+        Configuration configuration = Configuration.empty().replacedBy(document.version(), document.declarations());
+        Selector orders = RequestRouter.of(configuration)
+                .route("shop.example", "POST", "/o/17?x=1", "caller", new Random(1))
+                .orElseThrow();
+        assertThat(orders.service()).isEqualTo("desk");
+        assertThat(orders.repeatable()).isFalse();
+        assertThat(orders.limits()).isEqualTo(new RequestLimits(1_500, 600, 2, 1));
+        assertThat(configuration.selectors()).extracting(Selector::name).doesNotContain("menu.2");
+    }
+
+    @Test
+    void partsOfARouteGetTheirShares() {
+        ConfigurationDocument document = adapter.configuration(entry("op/config", CONFIGURATION));
+        RequestRouter router =
+                RequestRouter.of(Configuration.empty().replacedBy(document.version(), document.declarations()));
+        Random random = new Random(7);
+        int blue = 0;
+        for (int request = 0; request < 1_000; request++) {
+            Selector selector = router.route("shop.example", "GET", "/m/1", "caller", random)
+                    .orElseThrow();
+            blue += selector.service().equals("blue") ? 1 : 0;
+        }
+        assertThat(blue).isBetween(850, 950);
+    }
+
+    @Test
+    void anInvalidConfigurationIsRefusedWithAllFindings() {
+        String broken = CONFIGURATION.replace("\"1.5s\"", "\"soon\"").replace("\"prefix\":\"/m/\"", "\"prefix\":7");
+        assertThatThrownBy(() -> adapter.configuration(entry("op/config", broken)))
+                .isInstanceOf(CassiabankException.class)
+                .hasMessageContaining("soon")
+                .hasMessageContaining("prefix");
+        assertThatThrownBy(() -> adapter.configuration(entry("op/config", "{\"version\":")))
+                .isInstanceOf(CassiabankException.class);
+    }
+
+    @Test
+    void aServerStatesItsServiceSlotsAndStart() {
+        Instance server = adapter.server(entry("servers/i-1", SERVER), "region");
+        assertThat(server.name()).isEqualTo("i-1");
+        assertThat(server.address()).isEqualTo("10.0.0.9:8080");
+        assertThat(server.labels()).isEqualTo(Map.of("service", "desk", "version", "v2"));
+        assertThat(server.failureDomain()).isEqualTo("north");
+        assertThat(server.slots()).isEqualTo(2);
+        assertThat(server.incarnation()).isEqualTo(1_767_225_600_000L);
+        assertThat(server.isLive()).isTrue();
+        Instance draining = adapter.server(entry("servers/i-1", SERVER.replace("ready", "draining")), "region");
+        assertThat(draining.state()).isEqualTo(InstanceState.LEAVING);
+    }
+
+    @Test
+    void entriesOfOtherWritersNameNoServer() {
+        List<String> documents = List.of(
+                "",
+                "[]",
+                "\u0000\u0001",
+                "{}",
+                SERVER.replace("\"slots\":2", "\"slots\":\"two\""),
+                SERVER.replace("ready", "resting"),
+                SERVER.replace("\"service\":\"desk\",", ""),
+                SERVER.replace("10.0.0.9:8080", "nowhere"),
+                SERVER.replace("\"zone\":\"north\"", "\"zone\":[]"));
+        for (String document : documents) {
+            assertThatThrownBy(() -> adapter.server(entry("servers/i-1", document), "region"))
+                    .as(document)
+                    .isInstanceOf(CassiabankException.class);
+        }
+    }
+
+    @Test
+    void boundsOfTheFleetAreRead() {
+        OperatingBounds bounds =
+                adapter.bounds("grace=6s,retry_budget_ratio=0.2,budget_window=10s,budget_slack=56,new=1");
+        assertThat(bounds).isEqualTo(new OperatingBounds(0.2, 56, 10_000));
+        assertThatThrownBy(() -> adapter.bounds("budget_slack=56"))
+                .isInstanceOf(IllegalArgumentException.class)
+                .hasMessageContaining("retry_budget_ratio");
+    }
+
+    @Test
+    void anUnknownAdapterIsReportedWithTheKnownOnes() {
+        assertThatThrownBy(() -> PlatformAdapters.named("other"))
+                .isInstanceOf(CassiabankException.class)
+                .hasMessageContaining("kv");
+    }
+
+    private static StoreEntry entry(String key, String value) {
+        return new StoreEntry(key, value.getBytes(StandardCharsets.UTF_8), 7);
+    }
+}
