--- a/src/main/java/org/cassiabank/proxy/Attempts.java
+++ b/src/main/java/org/cassiabank/proxy/Attempts.java
@@ -114,6 +114,16 @@
                 : request.statedCaller().orElse(ANY_CALLER);
     }
 
+    /**
+     * Tells whether this entry's own list allows new work at a server.
+     *
+     * @param server the name of the server
+     * @return false if the server is leaving or not listed
+     */
+    boolean takesWork(String server) {
+        return broker.takesWork(server);
+    }
+
     /**
      * Describes this entry to the owner of a shard.
      *
@@ -233,6 +243,8 @@
         }
         long micros = (System.nanoTime() - start) / 1_000;
         metrics.attempted(result.attemptResult().label());
+        metrics.attemptTook(
+                running.slot().shard().service(), result.attemptResult().label(), micros);
         workers.execute(() -> broker.report(running.slot(), result.outcome(), micros, isLeaving(result)));
         return result;
     }
--- a/src/main/java/org/cassiabank/proxy/Entry.java
+++ b/src/main/java/org/cassiabank/proxy/Entry.java
@@ -87,6 +87,7 @@
         RequestTrace trace = RequestTrace.start(identifier.orElse(""));
         CallerReply reply = handle(request, presence, trace);
         trace.log(reply);
+        metrics.requestTook(reply.firstHeader(CallerReply.OUTCOME_HEADER), trace.elapsedMillis());
         // The attempts may carry identifiers of their own; the caller gets back the one that it sent.
         return identifier.map(value -> reply.withHeader(header, value)).orElse(reply);
     }
--- a/src/main/java/org/cassiabank/proxy/FleetView.java
+++ b/src/main/java/org/cassiabank/proxy/FleetView.java
@@ -132,6 +132,17 @@
                 .collect(Collectors.toSet());
     }
 
+    /**
+     * Tells whether new work may be sent to a server as far as this daemon knows. An owner that the store does not reach
+     * may grant a slot of a server that has left.
+     *
+     * @param server the name of the server
+     * @return false if the server is leaving or not listed
+     */
+    boolean takesWork(String server) {
+        return instances.find(server).filter(Instance::isLive).isPresent();
+    }
+
     /**
      * Returns the proxies that are asked for slots of a shard, the owner first.
      *
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -3,13 +3,17 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.cassiabank.admission.FinishedLease;
 import org.cassiabank.admission.Granted;
 import org.cassiabank.admission.InFlight;
@@ -54,6 +58,7 @@
     private final Map<Long, CompletableFuture<SlotDecision>> waiting = new HashMap<>();
     private final Map<Long, Uncollected> uncollected = new HashMap<>();
     private final Map<String, Long> leavingSince = new HashMap<>();
+    private final Map<String, Long> incarnations = new HashMap<>();
     private Map<String, ServerHealth> healths = Map.of();
     private FleetView view;
     private long nextEvaluationMillis;
@@ -129,9 +134,35 @@
 
     synchronized void updateView(FleetView newView, long nowMillis) {
         view = newView;
+        forgetFormerStarts(nowMillis);
         updateServers(nowMillis);
     }
 
+    /** Forgets what is known of a server that started again under its name: it holds nothing of before. */
+    private void forgetFormerStarts(long nowMillis) {
+        Set<String> restarted = new HashSet<>();
+        for (LabeledServer server : view.servers(key)) {
+            long incarnation = server.instance().incarnation();
+            Long former = incarnations.put(server.instance().name(), incarnation);
+            if (former != null && former != incarnation) {
+                restarted.add(server.instance().name());
+            }
+        }
+        incarnations
+                .keySet()
+                .retainAll(view.servers(key).stream()
+                        .map(server -> server.instance().name())
+                        .collect(Collectors.toSet()));
+        if (!restarted.isEmpty()) {
+            LOGGER.atInfo().log("%s: servers %s started again", key, restarted);
+            leavingSince.keySet().removeAll(restarted);
+            monitor.updateServers(
+                    monitored(server -> !restarted.contains(server.instance().name())), view.floor(key), nowMillis);
+            scheduler.updateServers(
+                    capacities(server -> !restarted.contains(server.instance().name())), nowMillis);
+        }
+    }
+
     /** Lets time pass: leases lapse, queued requests are decided, and the health of the servers is judged. */
     synchronized void tick(long nowMillis) {
         if (nowMillis >= nextEvaluationMillis) {
@@ -218,22 +249,34 @@
 
     private void updateServers(long nowMillis) {
         leavingSince.values().removeIf(since -> nowMillis - since > LEAVING_MARK_MILLIS);
-        List<MonitoredServer> monitored = new ArrayList<>();
-        for (LabeledServer server : view.servers(key)) {
-            String name = server.instance().name();
-            monitored.add(new MonitoredServer(name, isLeaving(server), scheduler.isWarm(name)));
-        }
-        monitor.updateServers(monitored, view.floor(key), nowMillis);
+        monitor.updateServers(monitored(server -> true), view.floor(key), nowMillis);
         Map<String, ServerHealth> judged = Map.copyOf(monitor.evaluate(nowMillis));
         reportChanges(judged);
         healths = judged;
         updateScheduler(nowMillis);
     }
 
+    private List<MonitoredServer> monitored(Predicate<LabeledServer> filter) {
+        return view.servers(key).stream()
+                .filter(filter)
+                .map(server -> new MonitoredServer(
+                        server.instance().name(),
+                        isLeaving(server),
+                        scheduler.isWarm(server.instance().name())))
+                .toList();
+    }
+
     private void updateScheduler(long nowMillis) {
+        scheduler.updateServers(capacities(server -> true), nowMillis);
+    }
+
+    private List<ServerCapacity> capacities(Predicate<LabeledServer> filter) {
         int slots = view.service(key.service()).map(ServiceDeclaration::slots).orElse(1);
         List<ServerCapacity> capacities = new ArrayList<>();
         for (LabeledServer server : view.servers(key)) {
+            if (!filter.test(server)) {
+                continue;
+            }
             String name = server.instance().name();
             capacities.add(new ServerCapacity(
                     name,
@@ -244,7 +287,7 @@
                     server.labels(),
                     server.instance().failureDomain()));
         }
-        scheduler.updateServers(capacities, nowMillis);
+        return capacities;
     }
 
     private boolean isLeaving(LabeledServer server) {
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -13,6 +13,8 @@
 import org.cassiabank.backend.OwnMessages;
 import org.cassiabank.health.HealthSettings;
 import org.cassiabank.health.SuspicionSettings;
+import org.cassiabank.kernel.CassiabankException;
+import org.cassiabank.kernel.ErrorCode;
 import org.cassiabank.kernel.Kernel;
 import org.cassiabank.kernel.KernelService;
 import org.cassiabank.kernel.ServiceName;
@@ -75,8 +77,7 @@
         PeerDirectory peers = PeerDirectory.create(settings.name(), clients);
         Replication replication = Replication.create(self, fleet, peers);
         Optional<PlatformAdapter> adapter = settings.platform().adapter().map(PlatformAdapters::named);
-        Optional<OperatingBounds> bounds =
-                adapter.map(found -> found.bounds(settings.platform().bounds()));
+        Optional<OperatingBounds> bounds = adapter.map(found -> bounds(found, settings));
         ShardOwners owners = ShardOwners.create(ownerSettings(settings, bounds), fleet, metrics);
         SlotBroker broker = SlotBroker.create(settings, fleet, owners, peers);
         ProxyListHistory lists = ClaimTimes.newHistory();
@@ -158,6 +159,15 @@
         LOGGER.atInfo().log("%s has stopped", settings.name());
     }
 
+    private static OperatingBounds bounds(PlatformAdapter adapter, ProxySettings settings) {
+        try {
+            return adapter.bounds(settings.platform().bounds());
+        } catch (IllegalArgumentException exception) {
+            throw CassiabankException.withCause(
+                    ErrorCode.INVALID_INPUT, "platform-bounds: " + exception.getMessage(), exception);
+        }
+    }
+
     private static OwnerSettings ownerSettings(ProxySettings settings, Optional<OperatingBounds> bounds) {
         HealthSettings health = HealthSettings.defaults();
         long suspicionMillis = settings.platform().suspicionMillis();
--- a/src/main/java/org/cassiabank/proxy/ProxyMetrics.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyMetrics.java
@@ -18,6 +18,8 @@
 final class ProxyMetrics implements ControlTraffic {
     private static final double MICROS_PER_SECOND = 1e6;
 
+    private static final double MILLIS_PER_SECOND = 1e3;
+
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final Counter requests = counter("cassiabank_requests_total", "Requests by outcome.", "outcome");
     private final Counter refusals = counter("cassiabank_refusals_total", "Requests not run, by reason.", "reason");
@@ -34,6 +36,16 @@
             "cassiabank_control_bytes_total", "Bytes of requests and replies of calls of peers, by kind.", "kind");
     private final Counter storeCalls =
             counter("cassiabank_store_calls_total", "Calls of the platform, by kind.", "kind");
+    private final Histogram requestTime = Histogram.builder()
+            .name("cassiabank_request_seconds")
+            .help("Time from a read request to its reply, by outcome.")
+            .labelNames("outcome")
+            .register(registry);
+    private final Histogram attemptTime = Histogram.builder()
+            .name("cassiabank_attempt_seconds")
+            .help("Time of attempts at backend servers, by service and result.")
+            .labelNames("service", "result")
+            .register(registry);
     private final Histogram addedTime = Histogram.builder()
             .name("cassiabank_added_seconds")
             .help("Time from the request to its first attempt at a backend server.")
@@ -77,6 +89,14 @@
         storeCalls.labelValues(kind).inc();
     }
 
+    void requestTook(String outcome, long millis) {
+        requestTime.labelValues(outcome).observe(millis / MILLIS_PER_SECOND);
+    }
+
+    void attemptTook(String service, String result, long micros) {
+        attemptTime.labelValues(service, result).observe(micros / MICROS_PER_SECOND);
+    }
+
     void addedMicros(long micros) {
         addedTime.observe(micros / MICROS_PER_SECOND);
     }
--- a/src/main/java/org/cassiabank/proxy/RequestRun.java
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -103,6 +103,12 @@
                 attempts.release(slot);
                 continue;
             }
+            if (!attempts.takesWork(slot.server())) {
+                trace.add(slot.server() + " left");
+                attempts.release(slot);
+                excluded.add(slot.server());
+                continue;
+            }
             if (attemptCount == 0) {
                 attempts.addedMicros((System.nanoTime() - startNanos) / 1_000);
             }
--- a/src/main/java/org/cassiabank/proxy/RequestTrace.java
+++ b/src/main/java/org/cassiabank/proxy/RequestTrace.java
@@ -47,7 +47,12 @@
 
     /** Notes a decision with the time since the request was read. */
     void add(String step) {
-        steps.add(step + "@" + (MonotonicClock.millis() - startMillis));
+        steps.add(step + "@" + elapsedMillis());
+    }
+
+    /** Returns the time since the request was read, in milliseconds. */
+    long elapsedMillis() {
+        return MonotonicClock.millis() - startMillis;
     }
 
     /** Writes the line. */
@@ -61,7 +66,7 @@
                 reply.firstHeader(CallerReply.REASON_HEADER),
                 reply.status(),
                 reply.firstHeader(CallerReply.RETRY_AFTER_MILLIS_HEADER),
-                MonotonicClock.millis() - startMillis,
+                elapsedMillis(),
                 deadlineMillis,
                 revision,
                 listIndex,
--- a/src/main/java/org/cassiabank/proxy/SlotBroker.java
+++ b/src/main/java/org/cassiabank/proxy/SlotBroker.java
@@ -78,6 +78,10 @@
         return result;
     }
 
+    boolean takesWork(String server) {
+        return fleet.view().takesWork(server);
+    }
+
     /**
      * Reports how an attempt ended, which frees its slot. A report that is lost frees the slot when the lease lapses.
      *
--- a/src/test/java/org/cassiabank/ArchitectureTest.java
+++ b/src/test/java/org/cassiabank/ArchitectureTest.java
@@ -58,11 +58,20 @@
                 .resideInAPackage("org.cassiabank.platform")
                 .check(classes);
         List<String> names = List.of(
-                "/api/kv-", "Response-Seal", "Not-Executed", "Expect-Instance", "Deadline-Ms", "op/config",
-                "warmup_left", "weighted_clusters", "resource_type", "retry_budget_ratio");
+                "/api/kv-",
+                "Response-Seal",
+                "Not-Executed",
+                "Expect-Instance",
+                "Deadline-Ms",
+                "op/config",
+                "warmup_left",
+                "weighted_clusters",
+                "resource_type",
+                "retry_budget_ratio");
         List<String> found = new ArrayList<>();
         try (Stream<Path> files = Files.walk(Path.of("src/main/java"))) {
-            for (Path file : files.filter(path -> path.toString().endsWith(".java")).toList()) {
+            for (Path file :
+                    files.filter(path -> path.toString().endsWith(".java")).toList()) {
                 String text = Files.readString(file);
                 boolean isAdapter = file.getParent().endsWith("platform");
                 names.stream()
@@ -100,7 +109,8 @@
     private static long linesBelow(String folder) throws IOException {
         long lines = 0;
         try (Stream<Path> files = Files.walk(Path.of(folder))) {
-            for (Path file : files.filter(path -> path.toString().endsWith(".java")).toList()) {
+            for (Path file :
+                    files.filter(path -> path.toString().endsWith(".java")).toList()) {
                 lines += Files.readAllLines(file).size();
             }
         }
--- a/src/test/java/org/cassiabank/admission/SlotSchedulerTest.java
+++ b/src/test/java/org/cassiabank/admission/SlotSchedulerTest.java
@@ -230,8 +230,7 @@
     }
 
     private static SlotAsk ask(EntryHints hints) {
-        return new SlotAsk(
-                "other", "menu", "menu", "caller", CostHint.SHORT, true, 10_000, Set.of(), Map.of(), hints);
+        return new SlotAsk("other", "menu", "menu", "caller", CostHint.SHORT, true, 10_000, Set.of(), Map.of(), hints);
     }
 
     private static ServerCapacity placed(String name, String failureDomain) {
--- a/src/test/java/org/cassiabank/declaration/RequestRouterTest.java
+++ b/src/test/java/org/cassiabank/declaration/RequestRouterTest.java
@@ -46,7 +46,17 @@
     void aSelectorOfTheHostGoesBeforeOneForAllHostsAndHostsAreKeptApart() {
         Selector everywhere = selector("everywhere", Set.of(), "/a/b", "*", 1, 0);
         Selector shop = new Selector(
-                "shop", "menu", Set.of(), "/a", "*", Map.of(), 1, true, CostHint.LEARNED, 0, "shop.example",
+                "shop",
+                "menu",
+                Set.of(),
+                "/a",
+                "*",
+                Map.of(),
+                1,
+                true,
+                CostHint.LEARNED,
+                0,
+                "shop.example",
                 RequestLimits.defaults());
         Selector urgent = selector("urgent", Set.of("PUT"), "/", "*", 1, 1);
         RequestRouter router =
--- a/src/test/java/org/cassiabank/health/SuspicionTest.java
+++ b/src/test/java/org/cassiabank/health/SuspicionTest.java
@@ -59,9 +59,7 @@
         suspicion.advance(HOLD_OFF_MILLIS);
         assertThat(suspicion.health()).isEqualTo(ServerHealth.PROBATION);
         suspicion.note(Outcome.BROKEN, 10, HOLD_OFF_MILLIS + 5);
-        assertThat(suspicion.health())
-                .as("an attempt from before the hold-off")
-                .isEqualTo(ServerHealth.PROBATION);
+        assertThat(suspicion.health()).as("an attempt from before the hold-off").isEqualTo(ServerHealth.PROBATION);
         suspicion.note(Outcome.ANSWERED, HOLD_OFF_MILLIS, HOLD_OFF_MILLIS + 10);
         suspicion.note(Outcome.ANSWERED, HOLD_OFF_MILLIS, HOLD_OFF_MILLIS + 20);
         assertThat(suspicion.health()).isEqualTo(ServerHealth.HEALTHY);
@@ -136,8 +134,7 @@
             Map<String, ServerHealth> verdicts = monitor.evaluate(now);
             int server = choose(verdicts, lastTrial, now, random);
             boolean breaks = bad[server] && random.nextDouble() < 0.85;
-            Outcome outcome =
-                    breaks ? Outcome.BROKEN : random.nextDouble() < 0.012 ? Outcome.FAILED : Outcome.ANSWERED;
+            Outcome outcome = breaks ? Outcome.BROKEN : random.nextDouble() < 0.012 ? Outcome.FAILED : Outcome.ANSWERED;
             lost += breaks ? 1 : 0;
             monitor.record(new Observation("s" + server, "order", outcome, breaks ? 5_000 : 140_000), now);
         }
@@ -145,8 +142,7 @@
     }
 
     /** Sends an order to a server on probation every 500 ms, else to any healthy one. */
-    private static int choose(
-            Map<String, ServerHealth> verdicts, long[] lastTrial, long now, SplittableRandom random) {
+    private static int choose(Map<String, ServerHealth> verdicts, long[] lastTrial, long now, SplittableRandom random) {
         for (int server = 0; server < SERVERS; server++) {
             if (verdicts.get("s" + server) == ServerHealth.PROBATION && now - lastTrial[server] >= 500) {
                 lastTrial[server] = now;
--- a/src/test/java/org/cassiabank/platform/StoreStandIn.java
+++ b/src/test/java/org/cassiabank/platform/StoreStandIn.java
@@ -57,7 +57,10 @@
 
     synchronized void remove(String key) {
         if (items.remove(key) != null) {
-            record(mapper.createObjectNode().put("key", key).put("rev", ++revision).put("deleted", true));
+            record(mapper.createObjectNode()
+                    .put("key", key)
+                    .put("rev", ++revision)
+                    .put("deleted", true));
         }
     }
 
@@ -177,7 +180,10 @@
             }
         }
         for (JsonNode set : body.path("set_keys")) {
-            put(set.path("key").asText(), set.path("value").binaryValue(), set.path("lease").asLong());
+            put(
+                    set.path("key").asText(),
+                    set.path("value").binaryValue(),
+                    set.path("lease").asLong());
         }
         if (losesAnswers) {
             return refuse(context, 500);
--- a/src/test/java/org/cassiabank/proxy/FleetViewTest.java
+++ b/src/test/java/org/cassiabank/proxy/FleetViewTest.java
@@ -94,4 +94,24 @@
         return new Instance(
                 name, role, "127.0.0.1:" + (1_000 + number), "region", "domain-" + number % 4, InstanceState.LIVE);
     }
+
+    @Test
+    void aServerThatIsLeavingOrNotListedTakesNoWorkWhateverAnOwnerGrants() {
+        FleetView view = FleetView.empty("region")
+                .withInstances(InstanceList.of(
+                        1,
+                        List.of(
+                                new Instance(
+                                        "live", InstanceRole.BACKEND, "127.0.0.1:1", "region", "d", InstanceState.LIVE),
+                                new Instance(
+                                        "leaving",
+                                        InstanceRole.BACKEND,
+                                        "127.0.0.1:2",
+                                        "region",
+                                        "d",
+                                        InstanceState.LEAVING))));
+        assertThat(view.takesWork("live")).isTrue();
+        assertThat(view.takesWork("leaving")).isFalse();
+        assertThat(view.takesWork("gone")).isFalse();
+    }
 }
