--- a/src/test/java/org/cassiabank/proxy/FleetViewTest.java
+++ b/src/test/java/org/cassiabank/proxy/FleetViewTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -95,7 +96,7 @@
                 name, role, "127.0.0.1:" + (1_000 + number), "region", "domain-" + number % 4, InstanceState.LIVE);
     }
 
-    @Test
+    @Example
     void aServerThatIsLeavingOrNotListedTakesNoWorkWhateverAnOwnerGrants() {
         FleetView view = FleetView.empty("region")
                 .withInstances(InstanceList.of(
