--- a/src/main/java/org/cassiabank/admission/ServerState.java
+++ b/src/main/java/org/cassiabank/admission/ServerState.java
@@ -19,6 +19,12 @@
      */
     private static final double FAILURE_SLOWNESS = 4;
 
+    /** A new connection holds a slot of the server for a moment and costs it as much as a small request. */
+    private static final double NEW_CONNECTION_COST = 1;
+
+    /** Bytes between failure domains are paid for, but less than a connection. */
+    private static final double OTHER_FAILURE_DOMAIN_COST = 0.5;
+
     private static final double SLOWNESS_ANSWERS = 16;
     /** Slowness is forgotten after this time without answers, so that an avoided server is tried again. */
     private static final long SLOWNESS_MILLIS = 2000;
@@ -185,27 +191,24 @@
     }
 
     /**
-     * Compares by fewest leases, then by latency in coarse steps, then by what the way to the server costs the entry,
-     * then by the longest time without a grant.
+     * Compares by leases together with what the way to the server costs the entry, then by latency in coarse steps, then
+     * by the longest time without a grant.
      */
     boolean isBetterThan(ServerState other, EntryHints hints, long nowMillis) {
-        if (leases != other.leases) {
-            return leases < other.leases;
+        double cost = cost(hints);
+        double otherCost = other.cost(hints);
+        if (cost != otherCost) {
+            return cost < otherCost;
         }
         int step = slownessStep(nowMillis);
         int otherStep = other.slownessStep(nowMillis);
-        if (step != otherStep) {
-            return step < otherStep;
-        }
-        int distance = distance(hints);
-        int otherDistance = other.distance(hints);
-        return distance == otherDistance ? lastGrant < other.lastGrant : distance < otherDistance;
+        return step == otherStep ? lastGrant < other.lastGrant : step < otherStep;
     }
 
-    /** Ranks the way to the server: a new connection costs more than a way to another failure domain. */
-    private int distance(EntryHints hints) {
-        int distance = hints.connected().contains(capacity.name()) ? 0 : 2;
-        return distance + (hints.failureDomain().equals(capacity.failureDomain()) ? 0 : 1);
+    /** Returns the leases, to which the way adds up to one and a half. */
+    private double cost(EntryHints hints) {
+        double way = hints.connected().contains(capacity.name()) ? 0 : NEW_CONNECTION_COST;
+        return leases + way + (hints.failureDomain().equals(capacity.failureDomain()) ? 0 : OTHER_FAILURE_DOMAIN_COST);
     }
 
     private void raiseRamp(long sinceMillis) {
--- a/src/main/java/org/cassiabank/health/Suspicion.java
+++ b/src/main/java/org/cassiabank/health/Suspicion.java
@@ -17,7 +17,7 @@
     /** Evidence loses half of its weight in this time. */
     private static final double HALF_LIFE_MILLIS = 5_000;
 
-    private static final double HOLD_OFF_GROWTH = 1.5;
+    private static final double HOLD_OFF_GROWTH = 2;
     /** A server that kept healthy for this long starts with the first hold-off again. */
     private static final long TRUST_MILLIS = 10_000;
 
--- a/src/main/java/org/cassiabank/source/EntryFleetSource.java
+++ b/src/main/java/org/cassiabank/source/EntryFleetSource.java
@@ -30,7 +30,7 @@
     /** A connection that went silent is noticed when this time and the timeout of a call are over. */
     private static final long WATCH_MILLIS = 10_000;
     /** Changes that come close together are fetched by one call; a change has to be in force within 2 s. */
-    private static final long BATCH_MILLIS = 100;
+    private static final long BATCH_MILLIS = 250;
 
     private static final long SHORTEST_RETRY_MILLIS = 150;
     private static final long LONGEST_RETRY_MILLIS = 350;
--- a/src/test/java/org/cassiabank/admission/SlotSchedulerTest.java
+++ b/src/test/java/org/cassiabank/admission/SlotSchedulerTest.java
@@ -66,13 +66,16 @@
     }
 
     @Test
-    void ofEquallyLoadedServersTheConnectedOneIsChosenThenTheOneInTheSameFailureDomain() {
+    void aConnectionOutweighsARequestAndAFailureDomainHalfOfIt() {
         scheduler.updateServers(List.of(placed("a", "north"), placed("b", "south"), placed("c", "west")), 0);
         assertThat(firstServer(ask(new EntryHints(1, "south", Set.of("c"))), 0)).isEqualTo("c");
         assertThat(firstServer(ask(new EntryHints(1, "south", Set.of("c"))), 0))
-                .as("c has a request, so a free server goes first")
+                .as("c has a request and is in another failure domain, b needs a connection")
                 .isEqualTo("b");
         assertThat(firstServer(ask(new EntryHints(1, "north", Set.of())), 0)).isEqualTo("a");
+        assertThat(firstServer(ask(new EntryHints(1, "west", Set.of("c"))), 0))
+                .as("all servers have a request, and c is connected and near")
+                .isEqualTo("c");
     }
 
     @Test
