Send nothing for callers that have gone, and leave in time after SIGTERM

Ruled out: long requests alone; the wait ended before the grace time. Change: a daemon whose wait is over hands claims over and ends at once; a grant for a caller that has gone is given back; 64 requests may be pipelined. Unrepeatable tests of servers on probation are a setting of the scheduler, off by default, so that the property of the project's own fleets holds as it was.

--- a/src/main/java/org/cassiabank/admission/SchedulerSettings.java
+++ b/src/main/java/org/cassiabank/admission/SchedulerSettings.java
@@ -13,6 +13,8 @@
  * @param ticketMillis the time after which a ticket that is not renewed is dropped, in milliseconds
  * @param leaseGraceMillis the time by which a lease outlives the deadline, in milliseconds
  * @param backoffMillis the first pause of a server that shed a request, in milliseconds
+ * @param untestedMillis how long a server on probation waits for repeatable work before an unrepeatable request tests it,
+ *     in milliseconds; 0 if only repeatable work may
  */
 public record SchedulerSettings(
         boolean separateClasses,
@@ -24,7 +26,8 @@
         long ageingMillis,
         long ticketMillis,
         long leaseGraceMillis,
-        long backoffMillis) {
+        long backoffMillis,
+        long untestedMillis) {
 
     /**
      * Checks the ranges.
@@ -39,11 +42,50 @@
         if (Math.min(shortWaitMillis, longWaitMillis) < 1 || Math.min(ageingMillis, ticketMillis) < 1) {
             throw new IllegalArgumentException("waiting times must be at least 1 ms");
         }
-        if (Math.min(leaseGraceMillis, backoffMillis) < 0) {
+        if (Math.min(untestedMillis, Math.min(leaseGraceMillis, backoffMillis)) < 0) {
             throw new IllegalArgumentException("grace and back-off times must not be negative");
         }
     }
 
+    /**
+     * Creates settings under which only repeatable work tests a server on probation.
+     *
+     * @param separateClasses whether short work is protected from long work
+     * @param predictWait whether requests are refused on arrival because of their predicted wait
+     * @param queueLimit the largest number of queued requests of each cost class
+     * @param shortWaitMillis the longest predicted wait that is let build up for short work, in milliseconds
+     * @param longWaitMillis the longest predicted wait that is let build up for long work, in milliseconds
+     * @param longShare the share of all slots that long work may hold without ageing, above 0 and at most 1
+     * @param ageingMillis the wait after which long work has its full share, in milliseconds
+     * @param ticketMillis the time after which a ticket that is not renewed is dropped, in milliseconds
+     * @param leaseGraceMillis the time by which a lease outlives the deadline, in milliseconds
+     * @param backoffMillis the first pause of a server that shed a request, in milliseconds
+     */
+    public SchedulerSettings(
+            boolean separateClasses,
+            boolean predictWait,
+            int queueLimit,
+            long shortWaitMillis,
+            long longWaitMillis,
+            double longShare,
+            long ageingMillis,
+            long ticketMillis,
+            long leaseGraceMillis,
+            long backoffMillis) {
+        this(
+                separateClasses,
+                predictWait,
+                queueLimit,
+                shortWaitMillis,
+                longWaitMillis,
+                longShare,
+                ageingMillis,
+                ticketMillis,
+                leaseGraceMillis,
+                backoffMillis,
+                0);
+    }
+
     /**
      * Returns the settings in use unless something else is configured. The longest wait of short work is a quarter of
      * the 2 s in which normal latency must return after a peak, so that the queue drains in time at 75% load.
@@ -71,7 +113,8 @@
                 ageingMillis,
                 ticketMillis,
                 leaseGraceMillis,
-                backoffMillis);
+                backoffMillis,
+                untestedMillis);
     }
 
     /**
@@ -91,6 +134,28 @@
                 ageingMillis,
                 ticketMillis,
                 leaseGraceMillis,
-                backoffMillis);
+                backoffMillis,
+                untestedMillis);
+    }
+
+    /**
+     * Returns these settings with unrepeatable requests testing servers that no repeatable work reaches.
+     *
+     * @param millis how long a server on probation waits for repeatable work first, in milliseconds
+     * @return the changed settings
+     */
+    public SchedulerSettings withUnrepeatableTests(long millis) {
+        return new SchedulerSettings(
+                separateClasses,
+                predictWait,
+                queueLimit,
+                shortWaitMillis,
+                longWaitMillis,
+                longShare,
+                ageingMillis,
+                ticketMillis,
+                leaseGraceMillis,
+                backoffMillis,
+                millis);
     }
 }
--- a/src/main/java/org/cassiabank/admission/ServerPool.java
+++ b/src/main/java/org/cassiabank/admission/ServerPool.java
@@ -14,14 +14,22 @@
     /** Limits how much work a server on probation can fail when it fails fast; five answers take half a second. */
     private static final long PROBATION_INTERVAL_MILLIS = 100;
 
-    /** After this time without repeatable work an unrepeatable request tests a server; nothing else would. */
-    private static final long UNTESTED_MILLIS = 500;
-
+    private final long untestedMillis;
     private final Map<String, ServerState> servers = new LinkedHashMap<>();
     private ServerState[] present = {};
     private long version;
     private boolean started;
 
+    /**
+     * Creates a pool without servers.
+     *
+     * @param untestedMillis after how long without repeatable work an unrepeatable request tests a server, in
+     *     milliseconds; 0 if never
+     */
+    ServerPool(long untestedMillis) {
+        this.untestedMillis = untestedMillis;
+    }
+
     /** Replaces the servers. Those of the first list that is not empty are warm, others start cold. */
     void update(List<ServerCapacity> capacities, long nowMillis) {
         Map<String, ServerState> known = new HashMap<>(servers);
@@ -113,7 +121,7 @@
                         && !hints.isRepeat()
                         && (lane.key().repeatable()
                                 ? probation.isWithoutGrantSince(nowMillis - PROBATION_INTERVAL_MILLIS)
-                                : probation.isUntestedSince(nowMillis - UNTESTED_MILLIS));
+                                : untestedMillis > 0 && probation.isUntestedSince(nowMillis - untestedMillis));
         return takesProbation ? probation : best;
     }
 
--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -21,7 +21,7 @@
     private static final int MIN_TIMERS = 1024;
 
     private final SchedulerSettings settings;
-    private final ServerPool pool = new ServerPool();
+    private final ServerPool pool;
     private final LeaseTable leases = new LeaseTable();
     private final CostModel costs = new CostModel();
     private final FairQueue shortQueue = new FairQueue();
@@ -35,6 +35,7 @@
 
     private SlotScheduler(SchedulerSettings settings) {
         this.settings = settings;
+        this.pool = new ServerPool(settings.untestedMillis());
         this.share = new LongWorkShare(settings);
         this.admission = new AdmissionRule(settings, pool, share);
     }
--- a/src/main/java/org/cassiabank/proxy/CallerConnection.java
+++ b/src/main/java/org/cassiabank/proxy/CallerConnection.java
@@ -33,7 +33,8 @@
     /** Closes a connection unless a request is being answered on it. */
     static final Object CLOSE_IDLE = new Object();
 
-    private static final int MAXIMUM_PIPELINED = 8;
+    /** Reading stops at this many waiting requests, and with it the notice that a caller has gone. */
+    private static final int MAXIMUM_PIPELINED = 64;
 
     private final CallerServer server;
     private final Deque<Pending> pending = new ArrayDeque<>();
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -41,6 +41,8 @@
 final class ProxyDaemon implements AutoCloseable {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final long DRAIN_POLL_MILLIS = 20;
+    /** Where few failures make a server suspect, some services have no repeatable work that could clear it. */
+    private static final long UNTESTED_MILLIS = 500;
 
     private final ProxySettings settings;
     private final Kernel kernel;
@@ -153,8 +155,15 @@
         while (callers.requestsInFlight() > 0 && MonotonicClock.millis() < deadline) {
             sleep(DRAIN_POLL_MILLIS);
         }
-        callers.close();
         kernel.get(ServiceNames.CLAIM_KEEPER).handOverAll();
+        if (callers.requestsInFlight() > 0) {
+            // The process is about to be killed; closing everything in order would take the time that is left.
+            LOGGER.atWarning().log(
+                    "%s stops with %d requests in flight after %d ms",
+                    settings.name(), callers.requestsInFlight(), settings.longestDrainMillis());
+            return;
+        }
+        callers.close();
         kernel.close();
         LOGGER.atInfo().log("%s has stopped", settings.name());
     }
@@ -171,8 +180,9 @@
     private static OwnerSettings ownerSettings(ProxySettings settings, Optional<OperatingBounds> bounds) {
         HealthSettings health = HealthSettings.defaults();
         long suspicionMillis = settings.platform().suspicionMillis();
+        SchedulerSettings scheduler = SchedulerSettings.defaults().withSeparateClasses(settings.separateLongWork());
         return new OwnerSettings(
-                SchedulerSettings.defaults().withSeparateClasses(settings.separateLongWork()),
+                suspicionMillis > 0 ? scheduler.withUnrepeatableTests(UNTESTED_MILLIS) : scheduler,
                 suspicionMillis > 0 ? health.withSuspicion(SuspicionSettings.of(suspicionMillis)) : health,
                 bounds);
     }
--- a/src/main/java/org/cassiabank/proxy/RequestRun.java
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -27,6 +27,8 @@
     /** The outlier detection takes four times the usual time for slow; the hedge delay is at least the usual time. */
     private static final long OBSERVATION_FACTOR = 5;
 
+    private static final String CALLER_GONE = "caller-gone";
+
     /** Half a second of attempts at servers that cannot be reached, at the shortest time for a connection. */
     private static final int MOST_TRIES = 5;
 
@@ -103,6 +105,10 @@
                 attempts.release(slot);
                 continue;
             }
+            if (presence.isGone()) {
+                attempts.release(slot);
+                return withoutSlot(CALLER_GONE, 0);
+            }
             if (!attempts.takesWork(slot.server())) {
                 trace.add(slot.server() + " left");
                 attempts.release(slot);
