--- a/src/main/java/org/cassiabank/admission/SchedulerSettings.java
+++ b/src/main/java/org/cassiabank/admission/SchedulerSettings.java
@@ -13,8 +13,8 @@
  * @param ticketMillis the time after which a ticket that is not renewed is dropped, in milliseconds
  * @param leaseGraceMillis the time by which a lease outlives the deadline, in milliseconds
  * @param backoffMillis the first pause of a server that shed a request, in milliseconds
- * @param untestedMillis how long a server on probation waits for repeatable work before an unrepeatable request tests it,
- *     in milliseconds; 0 if only repeatable work may
+ * @param untestedMillis how long a server on probation waits for repeatable work before an unrepeatable request
+ *     tests it, in milliseconds; 0 if only repeatable work may
  */
 public record SchedulerSettings(
         boolean separateClasses,
--- a/src/main/java/org/cassiabank/admission/ServerState.java
+++ b/src/main/java/org/cassiabank/admission/ServerState.java
@@ -191,8 +191,8 @@
     }
 
     /**
-     * Compares by leases together with what the way to the server costs the entry, then by latency in coarse steps, then
-     * by the longest time without a grant.
+     * Compares by leases together with what the way to the server costs the entry, then by latency in coarse steps,
+     * then by the longest time without a grant.
      */
     boolean isBetterThan(ServerState other, EntryHints hints, long nowMillis) {
         double cost = cost(hints);
--- a/src/main/java/org/cassiabank/declaration/Configuration.java
+++ b/src/main/java/org/cassiabank/declaration/Configuration.java
@@ -90,8 +90,8 @@
     }
 
     /**
-     * Returns a configuration that has exactly the given entities. Those that are the same as before are shared and keep
-     * the revision of their last change.
+     * Returns a configuration that has exactly the given entities. Those that are the same as before are shared and
+     * keep the revision of their last change.
      *
      * @param newRevision the revision of the copy, higher than the own one
      * @param declarations all entities
--- a/src/main/java/org/cassiabank/declaration/RequestRouter.java
+++ b/src/main/java/org/cassiabank/declaration/RequestRouter.java
@@ -13,8 +13,8 @@
  * Finds the selector of a request. Immutable.
  *
  * <p>Selectors are indexed by host and path and, below each path, by the pattern of callers, so that a request looks up
- * only the prefixes of its own path. A path prefix matches at segment boundaries: {@code /menu} matches {@code /menu} and
- * {@code /menu/today}, but not {@code /menus}.
+ * only the prefixes of its own path. A path prefix matches at segment boundaries: {@code /menu} matches {@code /menu}
+ * and {@code /menu/today}, but not {@code /menus}.
  */
 public final class RequestRouter {
     // Paths of selectors are at most this long, so longer prefixes of a request need not be looked up.
--- a/src/main/java/org/cassiabank/declaration/ServerGroups.java
+++ b/src/main/java/org/cassiabank/declaration/ServerGroups.java
@@ -16,8 +16,9 @@
 /**
  * The backend servers of each service with their labels. Immutable.
  *
- * <p>Rules go before the labels that an instance states of itself. If several rules set the same label of an instance, the rule whose pattern has more literal characters wins, then
- * the one with the later name. A leaving mark counts whichever rule sets it.
+ * <p>Rules go before the labels that an instance states of itself. If several rules set the same label of an instance,
+ * the rule whose pattern has more literal characters wins, then the one with the later name. A leaving mark counts
+ * whichever rule sets it.
  */
 public final class ServerGroups {
     private static final Comparator<LabelRule> BY_SPECIFICITY = Comparator.<LabelRule>comparingInt(
--- a/src/main/java/org/cassiabank/health/Suspicion.java
+++ b/src/main/java/org/cassiabank/health/Suspicion.java
@@ -3,10 +3,10 @@
 /**
  * Avoids a server after very few abrupt failures, for a short time.
  *
- * <p>A connection that breaks after a request was written almost never happens at a healthy server, so one such failure is
- * enough; server errors and attempts that take several times the usual time of their route also occur at healthy
- * servers, so two close together are needed. It answers loads that are too
- * small for the outlier test: at 3.5 requests a second a server would fail a dozen requests before it stands out.
+ * <p>A connection that breaks after a request was written almost never happens at a healthy server, so one such failure
+ * is enough; server errors and attempts that take several times the usual time of their route also occur at healthy
+ * servers, so two close together are needed. It answers loads that are too small for the outlier test: at 3.5 requests
+ * a second a server would fail a dozen requests before it stands out.
  */
 final class Suspicion {
     private static final double THRESHOLD = 2;
--- a/src/main/java/org/cassiabank/logging/BoundedLogHandler.java
+++ b/src/main/java/org/cassiabank/logging/BoundedLogHandler.java
@@ -12,8 +12,8 @@
 import java.util.logging.LogRecord;
 
 /**
- * Writes log lines from one thread and never blocks the threads that log. Lines beyond the queue or the rate are dropped
- * and counted, and a later line says how many.
+ * Writes log lines from one thread and never blocks the threads that log. Lines beyond the queue or the rate are
+ * dropped and counted, and a later line says how many.
  */
 final class BoundedLogHandler extends Handler {
     /** Holds a burst of a few seconds at the rate limit, in about 1 MB. */
--- a/src/main/java/org/cassiabank/proxy/FleetView.java
+++ b/src/main/java/org/cassiabank/proxy/FleetView.java
@@ -133,8 +133,8 @@
     }
 
     /**
-     * Tells whether new work may be sent to a server as far as this daemon knows. An owner that the store does not reach
-     * may grant a slot of a server that has left.
+     * Tells whether new work may be sent to a server as far as this daemon knows. An owner that the store does not
+     * reach may grant a slot of a server that has left.
      *
      * @param server the name of the server
      * @return false if the server is leaving or not listed
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -91,14 +91,8 @@
         Attempts attempts =
                 Attempts.create(settings.name(), settings.failureDomain(), broker, backends, metrics, profile);
         Entry entry = Entry.create(fleet, attempts, claims, metrics, profile, bounds.isPresent());
-        FleetSource source = adapter.<FleetSource>map(found ->
-                        EntryFleetSource.create(found, found.openStore(settings.store()), self, MonotonicClock::millis))
-                .orElseGet(() -> PlatformWatch.create(
-                        StoreClient.create(settings.store()),
-                        InstanceListClient.create(settings.store()),
-                        fleet,
-                        replication,
-                        metrics));
+        FleetSource source = adapter.map(found -> entrySource(found, settings, self))
+                .orElseGet(() -> listSource(settings, fleet, replication, metrics));
         CallerServer callers = CallerServer.create(settings.limits(), entry, metrics);
         AdminPages admin = AdminPages.create(settings);
         Kernel kernel = Kernel.create()
@@ -187,6 +181,20 @@
                 bounds);
     }
 
+    private static FleetSource entrySource(PlatformAdapter adapter, ProxySettings settings, Instance self) {
+        return EntryFleetSource.create(adapter, adapter.openStore(settings.store()), self, MonotonicClock::millis);
+    }
+
+    private static FleetSource listSource(
+            ProxySettings settings, FleetState fleet, Replication replication, ProxyMetrics metrics) {
+        return PlatformWatch.create(
+                StoreClient.create(settings.store()),
+                InstanceListClient.create(settings.store()),
+                fleet,
+                replication,
+                metrics);
+    }
+
     private static KernelService sourceService(FleetSource source, FleetInbox inbox) {
         return new KernelService() {
             @Override
--- a/src/main/java/org/cassiabank/retry/AttemptPolicy.java
+++ b/src/main/java/org/cassiabank/retry/AttemptPolicy.java
@@ -19,7 +19,10 @@
  * <p>"Not-run or unknown" is not-run only if every earlier attempt provably did not run either.
  */
 public final class AttemptPolicy {
-    /** The most attempts for one request unless its selector says otherwise, hedges included. Three reach all failure domains but one of today's four. */
+    /**
+     * The most attempts for one request unless its selector says otherwise, hedges included. Three reach all failure
+     * domains but one of today's four.
+     */
     public static final int MOST_ATTEMPTS = 3;
 
     /** An attempt with less time than this would time out: a connection takes 1 ms and the way back another 1 ms. */
--- a/src/main/java/org/cassiabank/retry/FleetRetryBudget.java
+++ b/src/main/java/org/cassiabank/retry/FleetRetryBudget.java
@@ -4,8 +4,8 @@
  * Limits the additional attempts of a whole fleet at one service, kept by the owner that sees all its requests.
  *
  * <p>The bound is a share of the requests plus a number for each window. Half of that number may be saved up, the other
- * half comes back over a window, so that no span of that length can hold more. Instances are not thread-safe. Times come
- * from a clock that does not go back.
+ * half comes back over a window, so that no span of that length can hold more. Instances are not thread-safe. Times
+ * come from a clock that does not go back.
  */
 public final class FleetRetryBudget {
     /** The part of the bound that is used; attempts through a former owner take some of the rest. */
--- a/src/main/java/org/cassiabank/revision/ConfigurationHistory.java
+++ b/src/main/java/org/cassiabank/revision/ConfigurationHistory.java
@@ -87,7 +87,8 @@
     }
 
     /**
-     * Puts a whole configuration into force if it is newer. Entities that did not change are shared with the former one.
+     * Puts a whole configuration into force if it is newer. Entities that did not change are shared with the former
+     * one.
      *
      * @param revision the revision
      * @param declarations all entities
--- a/src/main/java/org/cassiabank/source/EntryStore.java
+++ b/src/main/java/org/cassiabank/source/EntryStore.java
@@ -5,9 +5,9 @@
 /**
  * A store of versioned entries with prefix reads, prefix watches and leases.
  *
- * <p>Every method throws {@link org.cassiabank.kernel.CassiabankException} with
- * {@link org.cassiabank.kernel.ErrorCode#STORE_UNAVAILABLE} if the store does not answer or refuses the call. After such
- * an exception a write may have taken effect, or may do so seconds later.
+ * <p>Every method throws {@link org.cassiabank.kernel.CassiabankException} with {@link
+ * org.cassiabank.kernel.ErrorCode#STORE_UNAVAILABLE} if the store does not answer or refuses the call. After such an
+ * exception a write may have taken effect, or may do so seconds later.
  */
 public interface EntryStore {
 
--- a/src/main/java/org/cassiabank/source/EntryTable.java
+++ b/src/main/java/org/cassiabank/source/EntryTable.java
@@ -9,8 +9,8 @@
 /**
  * The entries of the store as far as they are known, built from pages and from the changes since the first page.
  *
- * <p>Pages are read at different revisions, so some changes are seen a second time; an entry is only replaced or removed
- * by something later. Instances are not thread-safe.
+ * <p>Pages are read at different revisions, so some changes are seen a second time; an entry is only replaced or
+ * removed by something later. Instances are not thread-safe.
  */
 final class EntryTable {
     private final TreeMap<String, StoreEntry> entries = new TreeMap<>();
--- a/src/main/java/org/cassiabank/source/LapseGuard.java
+++ b/src/main/java/org/cassiabank/source/LapseGuard.java
@@ -10,8 +10,8 @@
 /**
  * Keeps instances whose entries ended while the store was away until they had time to come back.
  *
- * <p>An entry ends when its instance cannot renew it, which says nothing about the instance if the store itself was away.
- * Instances are not thread-safe. Times come from a clock that does not go back.
+ * <p>An entry ends when its instance cannot renew it, which says nothing about the instance if the store itself was
+ * away. Instances are not thread-safe. Times come from a clock that does not go back.
  */
 final class LapseGuard {
     /** An instance that lives and reaches the store is back within this time after the store's return. */
--- a/src/main/java/org/cassiabank/source/StoreEvent.java
+++ b/src/main/java/org/cassiabank/source/StoreEvent.java
@@ -16,6 +16,8 @@
 
         /**
          * Checks that the entry is not null.
+         *
+         * @param entry the key with its new value, not null
          */
         public Written {
             Objects.requireNonNull(entry, "entry");
@@ -32,6 +34,9 @@
 
         /**
          * Checks that the key is not null.
+         *
+         * @param key the key, not null
+         * @param revision the revision of the store at which it was removed
          */
         public Removed {
             Objects.requireNonNull(key, "key");
--- a/src/test/java/org/cassiabank/admission/PlatformLoadTest.java
+++ b/src/test/java/org/cassiabank/admission/PlatformLoadTest.java
@@ -7,8 +7,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Plays the loads of the users' platform in virtual time and checks what callers get. Guards against slots that stay empty
- * while orders wait, and against orders that are overtaken until they are too late.
+ * Plays the loads of the users' platform in virtual time and checks what callers get. Guards against slots that stay
+ * empty while orders wait, and against orders that are overtaken until they are too late.
  */
 class PlatformLoadTest {
     private static final double SECONDS = 1_000;
--- a/src/test/java/org/cassiabank/platform/EntryFleetSourceTest.java
+++ b/src/test/java/org/cassiabank/platform/EntryFleetSourceTest.java
@@ -140,13 +140,17 @@
     }
 
     private static String configuration(int version) {
-        return "{\"version\":\"%08x\",\"resources\":[{\"resource_type\":\"services\",\"metadata\":{\"name\":\"desk\"},\"spec\":{}}]}"
-                .formatted(version);
+        return """
+                {"version":"%08x","resources":[
+                  {"resource_type":"services","metadata":{"name":"desk"},"spec":{}}]}
+                """.formatted(version);
     }
 
     private static String server(int port) {
-        return "{\"address\":\"127.0.0.1:%d\",\"info\":{\"service\":\"desk\",\"version\":\"v1\",\"zone\":\"domain\",\"slots\":2},\"status\":{\"state\":\"ready\"}}"
-                .formatted(port);
+        return """
+                {"address":"127.0.0.1:%d","status":{"state":"ready"},
+                 "info":{"service":"desk","version":"v1","zone":"domain","slots":2}}
+                """.formatted(port);
     }
 
     /** Takes what the source learns. */
--- a/src/test/java/org/cassiabank/proxy/OwnedShardTest.java
+++ b/src/test/java/org/cassiabank/proxy/OwnedShardTest.java
@@ -27,7 +27,7 @@
 import org.cassiabank.source.OperatingBounds;
 import org.junit.jupiter.api.Test;
 
-/** Guards against an owner that holds a server's past against its next start, or lets retries exceed the fleet's bound. */
+/** Guards against an owner that holds a server's past against its next start, or lets retries exceed the bound. */
 class OwnedShardTest {
     private static final ShardKey KEY = new ShardKey("desk", 0);
     private static final OwnerSettings SETTINGS = new OwnerSettings(
