Keep a server that has left out of the lists of daemons that follow the store

Ruled out: a stale owner alone (the entry checks grants against its own list since the last mend); a late watch (all daemons in touch had the removal 20 ms after it). Change: a daemon whose own source is current takes no list from a peer; after an outage its next list replaces whatever a peer installed meanwhile. Tests: ReplicationTest and EntryFleetSourceTest.aListOfAPeerThatCame... fail on the former code and pass on this one.

--- a/src/main/java/org/cassiabank/proxy/Replication.java
+++ b/src/main/java/org/cassiabank/proxy/Replication.java
@@ -192,6 +192,11 @@
     }
 
     private void install(InstanceListDocument document) {
+        if (source.isCurrent()) {
+            // A peer that has just reached the origin again lists servers that it keeps for now, although they have
+            // left.
+            return;
+        }
         boolean whole = document.getBaseIndex() == 0;
         if (whole) {
             wholeListNeeded = false;
--- a/src/main/java/org/cassiabank/source/EntryFleetSource.java
+++ b/src/main/java/org/cassiabank/source/EntryFleetSource.java
@@ -191,12 +191,13 @@
         }
         registered = listed.containsKey(self.name());
         Map<String, Instance> complete = guard.complete(listed, clock.getAsLong());
-        if (complete.equals(published) && target.listIndex() > 0) {
+        // While the store was away, a list of a peer may have come into force instead of the last one published here.
+        if (complete.equals(published) && lastIndex > 0 && target.listIndex() == lastIndex) {
             return;
         }
         logDifferences(complete);
         published = complete;
-        lastIndex = Math.max(lastIndex + 1, revision << INDEX_STEP_BITS);
+        lastIndex = Math.max(Math.max(lastIndex, target.listIndex()) + 1, revision << INDEX_STEP_BITS);
         target.install(InstanceList.of(lastIndex, complete.values()));
     }
 
--- a/src/test/java/org/cassiabank/platform/EntryFleetSourceTest.java
+++ b/src/test/java/org/cassiabank/platform/EntryFleetSourceTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
@@ -114,6 +115,15 @@
         assertThat(target.has("i-2")).isTrue();
     }
 
+    @Test
+    void aListOfAPeerThatCameDuringAnOutageIsReplacedWhenTheStoreIsBack() {
+        standIn.refuseWith(503);
+        await(() -> !source.isCurrent());
+        target.install(InstanceList.of(target.listIndex() + 1_000_000, List.of()));
+        standIn.refuseWith(0);
+        await(() -> target.has("i-1") && target.has("i-2"));
+    }
+
     @Test
     void aLeavingDaemonTakesItsEntryAway() {
         source.announceLeaving();
--- a/src/test/java/org/cassiabank/proxy/PeerEndpointTest.java
+++ b/src/test/java/org/cassiabank/proxy/PeerEndpointTest.java
@@ -42,7 +42,7 @@
                 .register(ServiceNames.FLEET, fleet)
                 .register(ServiceNames.OWNERS, ShardOwners.create(OwnerSettings.defaults(), fleet, metrics))
                 .register(ServiceNames.CLAIM_KEEPER, ClaimKeeper.create(SELF, fleet, peers, lists, true))
-                .register(ServiceNames.FLEET_SOURCE, new SilentSource())
+                .register(ServiceNames.FLEET_SOURCE, SilentSource.create(false))
                 .register(ServiceNames.REPLICATION, Replication.create(SELF, fleet, peers))
                 .register(ServiceNames.PEER_ENDPOINT, endpoint)) {
             kernel.start();
--- /dev/null
+++ b/src/test/java/org/cassiabank/proxy/ReplicationTest.java
@@ -0,0 +1,61 @@
+package org.cassiabank.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.ByteBuffer;
+import java.util.List;
+import org.cassiabank.kernel.Kernel;
+import org.cassiabank.membership.Instance;
+import org.cassiabank.membership.InstanceDocuments;
+import org.cassiabank.membership.InstanceList;
+import org.cassiabank.membership.InstanceRole;
+import org.cassiabank.membership.InstanceState;
+import org.cassiabank.peer.ControlTraffic;
+import org.cassiabank.peer.PeerClients;
+import org.cassiabank.peer.PeerSockets;
+import org.cassiabank.peer.generated.ExchangeRequest;
+import org.cassiabank.peer.generated.InstanceListDocument;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a server that has left and comes back through the list of a peer that was cut off from the store. */
+class ReplicationTest {
+    private static final Instance SELF = instance("proxy-1", InstanceRole.PROXY);
+    private static final Instance LEFT = instance("left", InstanceRole.BACKEND);
+
+    private final FleetState fleet = FleetState.create("region");
+
+    @Test
+    void aDaemonThatFollowsTheStoreItselfTakesNoListFromAPeer() {
+        assertThat(isListedAfterExchange(true)).isFalse();
+    }
+
+    @Test
+    void aDaemonThatTheStoreDoesNotReachTakesTheListOfAPeer() {
+        assertThat(isListedAfterExchange(false)).isTrue();
+    }
+
+    private boolean isListedAfterExchange(boolean sourceIsCurrent) {
+        fleet.install(InstanceList.of(10, List.of(SELF)));
+        PeerDirectory peers =
+                PeerDirectory.create(SELF.name(), PeerClients.create(PeerSockets.plain(), ControlTraffic.ignored()));
+        Replication replication = Replication.create(SELF, fleet, peers);
+        try (Kernel kernel = Kernel.create()
+                .register(ServiceNames.FLEET_SOURCE, SilentSource.create(sourceIsCurrent))
+                .register(ServiceNames.REPLICATION, replication)) {
+            kernel.start();
+            ExchangeRequest request = new ExchangeRequest("proxy-2", 0, 20);
+            request.setInstances(new InstanceListDocument(
+                    20,
+                    ByteBuffer.wrap(InstanceDocuments.toDocument(List.of(SELF, LEFT))),
+                    0,
+                    List.of(),
+                    InstanceList.of(20, List.of(SELF, LEFT)).digest()));
+            replication.answer(request);
+            return fleet.view().instances().find(LEFT.name()).isPresent();
+        }
+    }
+
+    private static Instance instance(String name, InstanceRole role) {
+        return new Instance(name, role, "127.0.0.1:1", "region", "domain", InstanceState.LIVE);
+    }
+}
--- a/src/test/java/org/cassiabank/proxy/SilentSource.java
+++ b/src/test/java/org/cassiabank/proxy/SilentSource.java
@@ -5,13 +5,22 @@
 
 /** A source that learns nothing. */
 final class SilentSource implements FleetSource {
+    private final boolean current;
+
+    private SilentSource(boolean current) {
+        this.current = current;
+    }
+
+    static SilentSource create(boolean current) {
+        return new SilentSource(current);
+    }
 
     @Override
     public void start(FleetTarget target) {}
 
     @Override
     public boolean isCurrent() {
-        return false;
+        return current;
     }
 
     @Override
