--- a/src/main/java/org/cassiabank/admission/AdmissionRule.java
+++ b/src/main/java/org/cassiabank/admission/AdmissionRule.java
@@ -17,11 +17,13 @@
     private final SchedulerSettings settings;
     private final ServerPool pool;
     private final LongWorkShare share;
+    private final UrgencyShares urgencies;
 
-    AdmissionRule(SchedulerSettings settings, ServerPool pool, LongWorkShare share) {
+    AdmissionRule(SchedulerSettings settings, ServerPool pool, LongWorkShare share, UrgencyShares urgencies) {
         this.settings = settings;
         this.pool = pool;
         this.share = share;
+        this.urgencies = urgencies;
     }
 
     /** Checks a ticket that was just queued. */
@@ -55,11 +57,19 @@
     }
 
     private double waitMillis(FairQueue queue, Ticket ticket, boolean longWork, long nowMillis) {
+        int urgency = ticket.ask().urgency();
+        boolean overtakes = urgencies.isStarved(urgency, nowMillis);
         Lane lane = queue.lane(ticket.laneKey());
-        double ahead = queue.microsAhead(ticket);
+        double ahead = queue.microsAhead(ticket, overtakes);
         double aheadInLane = Math.min(ahead, Math.max(0, lane.queuedMicros() - ticket.costMicros()));
-        double all = (ahead + ticket.costMicros()) / slots(pool.present(), longWork, nowMillis);
-        double inLane = (aheadInLane + ticket.costMicros()) / slots(lane.candidates(pool), longWork, nowMillis);
+        double allSlots = slots(pool.present(), longWork, nowMillis);
+        double laneSlots = slots(lane.candidates(pool), longWork, nowMillis);
+        if (!overtakes) {
+            allSlots = urgencies.slotsLeft(allSlots, urgency, nowMillis);
+            laneSlots = urgencies.slotsLeft(laneSlots, urgency, nowMillis);
+        }
+        double all = (ahead + ticket.costMicros()) / allSlots;
+        double inLane = (aheadInLane + ticket.costMicros()) / laneSlots;
         return Math.max(all, inLane) / 1000;
     }
 
--- a/src/main/java/org/cassiabank/admission/FairQueue.java
+++ b/src/main/java/org/cassiabank/admission/FairQueue.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.function.Predicate;
 
 /**
@@ -30,7 +31,7 @@
     private final Map<String, Flow> flows = new HashMap<>();
     private final Map<Long, Ticket> tickets = new LinkedHashMap<>();
     private double virtualTime;
-    private double queuedMicros;
+    private final TreeMap<Integer, Double> queuedMicros = new TreeMap<>();
     private int activeFlows;
     private int sweepAt = MIN_SWEEP;
     private long sequence;
@@ -86,7 +87,7 @@
         lane(ticket.laneKey()).add(ticket, flow, ++sequence);
         tickets.put(ticket.number(), ticket);
         ticket.setQueued(true);
-        queuedMicros += ticket.costMicros();
+        queuedMicros.merge(ticket.ask().urgency(), ticket.costMicros(), Double::sum);
     }
 
     /** Takes a ticket out without charging its caller. */
@@ -99,7 +100,11 @@
         lane(ticket.laneKey()).remove(ticket, flow);
         flow.removed(ticket.costMicros());
         activeFlows -= flow.queued() == 0 ? 1 : 0;
-        queuedMicros = tickets.isEmpty() ? 0 : queuedMicros - ticket.costMicros();
+        queuedMicros.merge(ticket.ask().urgency(), -ticket.costMicros(), Double::sum);
+        if (tickets.isEmpty()) {
+            // Rounding errors of the sums must not pile up.
+            queuedMicros.clear();
+        }
         return true;
     }
 
@@ -111,15 +116,21 @@
 
     /**
      * Estimates the work that is served before a ticket that was added last: the earlier work of its caller and, of
-     * each other caller, at most as much as this caller is ahead of the virtual time.
+     * each other caller, at most as much as this caller is ahead of the virtual time. Less urgent work waits behind it.
      *
      * @param ticket a ticket in the queue
+     * @param overtakes whether the ticket goes before more urgent work
      * @return the work in microseconds
      */
-    double microsAhead(Ticket ticket) {
+    double microsAhead(Ticket ticket, boolean overtakes) {
         Flow flow = flows.get(ticket.ask().caller());
         double lead = Math.max(0, flow.virtualTime() - virtualTime) + flow.queuedMicros();
-        return Math.max(0, Math.min(OVERTAKING * queuedMicros, activeFlows * lead) - ticket.costMicros());
+        int urgency = ticket.ask().urgency();
+        double competing =
+                queuedMicros.subMap(overtakes ? urgency : Integer.MIN_VALUE, true, urgency, true).values().stream()
+                        .mapToDouble(Double::doubleValue)
+                        .sum();
+        return Math.max(0, Math.min(OVERTAKING * competing, activeFlows * lead) - ticket.costMicros());
     }
 
     private Flow flow(String caller) {
--- a/src/main/java/org/cassiabank/admission/LaneKey.java
+++ b/src/main/java/org/cassiabank/admission/LaneKey.java
@@ -9,10 +9,11 @@
  * @param labels the labels that a server must carry
  * @param excluded the names of servers that must not be used
  * @param repeatable whether the request may run more than once
+ * @param urgency the rank among requests that compete for slots; 0 is the most urgent
  */
-record LaneKey(Map<String, String> labels, Set<String> excluded, boolean repeatable) {
+record LaneKey(Map<String, String> labels, Set<String> excluded, boolean repeatable, int urgency) {
 
     static LaneKey of(SlotAsk ask) {
-        return new LaneKey(ask.servers(), ask.excluded(), ask.repeatable());
+        return new LaneKey(ask.servers(), ask.excluded(), ask.repeatable(), ask.urgency());
     }
 }
--- a/src/main/java/org/cassiabank/admission/SchedulerSettings.java
+++ b/src/main/java/org/cassiabank/admission/SchedulerSettings.java
@@ -47,45 +47,6 @@
         }
     }
 
-    /**
-     * Creates settings under which only repeatable work tests a server on probation.
-     *
-     * @param separateClasses whether short work is protected from long work
-     * @param predictWait whether requests are refused on arrival because of their predicted wait
-     * @param queueLimit the largest number of queued requests of each cost class
-     * @param shortWaitMillis the longest predicted wait that is let build up for short work, in milliseconds
-     * @param longWaitMillis the longest predicted wait that is let build up for long work, in milliseconds
-     * @param longShare the share of all slots that long work may hold without ageing, above 0 and at most 1
-     * @param ageingMillis the wait after which long work has its full share, in milliseconds
-     * @param ticketMillis the time after which a ticket that is not renewed is dropped, in milliseconds
-     * @param leaseGraceMillis the time by which a lease outlives the deadline, in milliseconds
-     * @param backoffMillis the first pause of a server that shed a request, in milliseconds
-     */
-    public SchedulerSettings(
-            boolean separateClasses,
-            boolean predictWait,
-            int queueLimit,
-            long shortWaitMillis,
-            long longWaitMillis,
-            double longShare,
-            long ageingMillis,
-            long ticketMillis,
-            long leaseGraceMillis,
-            long backoffMillis) {
-        this(
-                separateClasses,
-                predictWait,
-                queueLimit,
-                shortWaitMillis,
-                longWaitMillis,
-                longShare,
-                ageingMillis,
-                ticketMillis,
-                leaseGraceMillis,
-                backoffMillis,
-                0);
-    }
-
     /**
      * Returns the settings in use unless something else is configured. The longest wait of short work is a quarter of
      * the 2 s in which normal latency must return after a peak, so that the queue drains in time at 75% load.
@@ -93,7 +54,7 @@
      * @return the defaults
      */
     public static SchedulerSettings defaults() {
-        return new SchedulerSettings(true, true, 8192, 500, 10_000, 0.5, 2000, 500, 250, 50);
+        return new SchedulerSettings(true, true, 8192, 500, 10_000, 0.5, 2000, 500, 250, 50, 0);
     }
 
     /**
@@ -103,18 +64,7 @@
      * @return the changed settings
      */
     public SchedulerSettings withSeparateClasses(boolean separate) {
-        return new SchedulerSettings(
-                separate,
-                predictWait,
-                queueLimit,
-                shortWaitMillis,
-                longWaitMillis,
-                longShare,
-                ageingMillis,
-                ticketMillis,
-                leaseGraceMillis,
-                backoffMillis,
-                untestedMillis);
+        return with(separate, predictWait, untestedMillis);
     }
 
     /**
@@ -124,18 +74,7 @@
      * @return the changed settings
      */
     public SchedulerSettings withPredictWait(boolean predict) {
-        return new SchedulerSettings(
-                separateClasses,
-                predict,
-                queueLimit,
-                shortWaitMillis,
-                longWaitMillis,
-                longShare,
-                ageingMillis,
-                ticketMillis,
-                leaseGraceMillis,
-                backoffMillis,
-                untestedMillis);
+        return with(separateClasses, predict, untestedMillis);
     }
 
     /**
@@ -145,9 +84,13 @@
      * @return the changed settings
      */
     public SchedulerSettings withUnrepeatableTests(long millis) {
+        return with(separateClasses, predictWait, millis);
+    }
+
+    private SchedulerSettings with(boolean separate, boolean predict, long untested) {
         return new SchedulerSettings(
-                separateClasses,
-                predictWait,
+                separate,
+                predict,
                 queueLimit,
                 shortWaitMillis,
                 longWaitMillis,
@@ -156,6 +99,6 @@
                 ticketMillis,
                 leaseGraceMillis,
                 backoffMillis,
-                millis);
+                untested);
     }
 }
--- a/src/main/java/org/cassiabank/admission/ServerCapacity.java
+++ b/src/main/java/org/cassiabank/admission/ServerCapacity.java
@@ -47,9 +47,10 @@
      * @param health the verdict of the health monitor
      * @param leaving whether the server is about to stop and must get no new work
      * @param labels the labels of the server
+     * @return the server
      */
-    public ServerCapacity(
+    public static ServerCapacity of(
             String name, String address, int slots, ServerHealth health, boolean leaving, Map<String, String> labels) {
-        this(name, address, slots, health, leaving, labels, "");
+        return new ServerCapacity(name, address, slots, health, leaving, labels, "");
     }
 }
--- a/src/main/java/org/cassiabank/admission/SlotAsk.java
+++ b/src/main/java/org/cassiabank/admission/SlotAsk.java
@@ -14,6 +14,7 @@
  * @param caller the identity between which slots are shared fairly
  * @param cost the declared cost
  * @param repeatable whether the request may run more than once
+ * @param urgency the rank among requests that compete for slots; 0 is the most urgent
  * @param remainingMillis the time until the caller's deadline, in milliseconds
  * @param excluded the names of servers that must not be used, for example because an attempt failed there
  * @param servers the labels that a server must carry
@@ -26,6 +27,7 @@
         String caller,
         CostHint cost,
         boolean repeatable,
+        int urgency,
         long remainingMillis,
         Set<String> excluded,
         Map<String, String> servers,
@@ -46,7 +48,7 @@
     }
 
     /**
-     * Creates the request for a first attempt by an entry to which all servers are alike.
+     * Creates the request for a first attempt of the highest urgency by an entry to which all servers are alike.
      *
      * @param entry the name of the entry instance
      * @param selector the name of the selector that took the request
@@ -57,8 +59,9 @@
      * @param remainingMillis the time until the caller's deadline, in milliseconds
      * @param excluded the names of servers that must not be used
      * @param servers the labels that a server must carry
+     * @return the request
      */
-    public SlotAsk(
+    public static SlotAsk first(
             String entry,
             String selector,
             String route,
@@ -68,7 +71,29 @@
             long remainingMillis,
             Set<String> excluded,
             Map<String, String> servers) {
-        this(entry, selector, route, caller, cost, repeatable, remainingMillis, excluded, servers, EntryHints.none());
+        return new SlotAsk(
+                entry,
+                selector,
+                route,
+                caller,
+                cost,
+                repeatable,
+                0,
+                remainingMillis,
+                excluded,
+                servers,
+                EntryHints.none());
+    }
+
+    /**
+     * Returns the same request with another urgency.
+     *
+     * @param rank the rank among requests that compete for slots; 0 is the most urgent
+     * @return the request
+     */
+    public SlotAsk withUrgency(int rank) {
+        return new SlotAsk(
+                entry, selector, route, caller, cost, repeatable, rank, remainingMillis, excluded, servers, hints);
     }
 
     /**
@@ -78,6 +103,6 @@
      * @return the request
      */
     public SlotAsk withRemaining(long millis) {
-        return new SlotAsk(entry, selector, route, caller, cost, repeatable, millis, excluded, servers, hints);
+        return new SlotAsk(entry, selector, route, caller, cost, repeatable, urgency, millis, excluded, servers, hints);
     }
 }
--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -27,6 +27,7 @@
     private final FairQueue shortQueue = new FairQueue();
     private final FairQueue longQueue = new FairQueue();
     private final LongWorkShare share;
+    private final UrgencyShares urgencies = new UrgencyShares();
     private final AdmissionRule admission;
     private final PriorityQueue<Timer> timers = new PriorityQueue<>(Comparator.comparingLong(Timer::due));
     private final Map<Long, SlotDecision> decided = new LinkedHashMap<>();
@@ -37,7 +38,7 @@
         this.settings = settings;
         this.pool = new ServerPool(settings.untestedMillis());
         this.share = new LongWorkShare(settings);
-        this.admission = new AdmissionRule(settings, pool, share);
+        this.admission = new AdmissionRule(settings, pool, share, urgencies);
     }
 
     /**
@@ -86,6 +87,7 @@
         if (!longWork) {
             share.recordShortArrival(cost, now);
         }
+        urgencies.recordArrival(ask.urgency(), cost, now);
         FairQueue queue = queue(longWork);
         Optional<Refused> withoutServer = refuseForServers(queue.lane(LaneKey.of(ask)));
         if (withoutServer.isPresent()) {
@@ -319,7 +321,7 @@
         Lane best = null;
         ServerState server = null;
         for (Lane lane : shortQueue.lanes()) {
-            if (!lane.isEmpty() && (best == null || lane.firstTime() < best.firstTime())) {
+            if (!lane.isEmpty() && (best == null || goesBefore(lane, best, now))) {
                 ServerState chosen = pool.chooseForShort(lane, now);
                 if (chosen != null) {
                     best = lane;
@@ -334,7 +336,7 @@
         Lane best = null;
         ServerState server = null;
         for (Lane lane : longQueue.lanes()) {
-            if (!lane.isEmpty() && (best == null || lane.firstTime() < best.firstTime())) {
+            if (!lane.isEmpty() && (best == null || goesBefore(lane, best, now))) {
                 ServerState chosen = pool.chooseForLong(lane, urgent, !shortQueue.isEmpty(), now);
                 if (chosen != null) {
                     best = lane;
@@ -345,6 +347,19 @@
         return best != null && grant(longQueue, best, server, true, now);
     }
 
+    /** Compares by urgency unless the less urgent work starves, then by fairness, then by arrival. */
+    private boolean goesBefore(Lane lane, Lane other, long now) {
+        int urgency = lane.key().urgency();
+        int otherUrgency = other.key().urgency();
+        if (urgency != otherUrgency) {
+            boolean starved = urgencies.isStarved(Math.max(urgency, otherUrgency), now);
+            return starved == urgency > otherUrgency;
+        }
+        // Requests of one caller have the same virtual time in all lanes; without the second step a lane could starve.
+        int order = Double.compare(lane.firstTime(), other.firstTime());
+        return order < 0 || order == 0 && lane.first().number() < other.first().number();
+    }
+
     /** Gives a slot to the first request of a lane, or refuses that request if it is too late; true in both cases. */
     private boolean grant(FairQueue queue, Lane lane, ServerState server, boolean longWork, long now) {
         Ticket ticket = lane.first();
@@ -352,6 +367,7 @@
             return true;
         }
         queue.serve(ticket, costs.costMicros(ticket.ask().cost(), ticket.route()));
+        urgencies.recordGrant(ticket.ask().urgency(), now);
         long leaseMillis = ticket.deadline() - now + settings.leaseGraceMillis();
         Lease lease = leases.grant(ticket, server, longWork, now + leaseMillis, now);
         long hedgeAfterMillis = 0;
--- a/src/main/java/org/cassiabank/backend/BackendRequest.java
+++ b/src/main/java/org/cassiabank/backend/BackendRequest.java
@@ -70,8 +70,9 @@
      * @param requestId the identifier that the server has to echo
      * @param repeatable whether the request may run more than once; others use a fresh connection
      * @param timeoutMillis the longest time for the whole attempt in milliseconds, also sent as the server's deadline
+     * @return the request
      */
-    public BackendRequest(
+    public static BackendRequest toAddress(
             String address,
             String method,
             String path,
@@ -80,7 +81,7 @@
             String requestId,
             boolean repeatable,
             long timeoutMillis) {
-        this("", "", address, method, path, headers, body, requestId, repeatable, timeoutMillis);
+        return new BackendRequest("", "", address, method, path, headers, body, requestId, repeatable, timeoutMillis);
     }
 
     private static boolean hasDotSegment(String path) {
--- a/src/main/java/org/cassiabank/declaration/Selector.java
+++ b/src/main/java/org/cassiabank/declaration/Selector.java
@@ -75,8 +75,9 @@
      * @param repeatable whether a request may run more than once
      * @param cost the declared cost of the requests
      * @param priority the precedence; higher values are tried first
+     * @return the selector
      */
-    public Selector(
+    public static Selector forAllHosts(
             String name,
             String service,
             Set<String> methods,
@@ -87,7 +88,7 @@
             boolean repeatable,
             CostHint cost,
             int priority) {
-        this(
+        return new Selector(
                 name,
                 service,
                 methods,
--- a/src/main/java/org/cassiabank/health/HealthMonitor.java
+++ b/src/main/java/org/cassiabank/health/HealthMonitor.java
@@ -85,21 +85,22 @@
      */
     public void record(Observation observation, long nowMillis) {
         Server server = servers.get(observation.server());
-        if (server != null) {
-            long startMillis = nowMillis - observation.latencyMicros() / 1_000;
-            // A deadline that is short for its route says nothing about the server.
-            boolean isEvidence = observation.outcome() != Outcome.OVERDUE
-                    || detector.isOverdue(observation.route(), observation.latencyMicros(), nowMillis);
-            if (isEvidence) {
-                server.suspicion.ifPresent(suspicion -> suspicion.note(observation.outcome(), startMillis, nowMillis));
-            }
+        if (server == null) {
+            return;
         }
-        if (server == null || server.probation.health() == ServerHealth.EJECTED) {
+        long startMillis = nowMillis - observation.latencyMicros() / 1_000;
+        // A deadline that is short for its route says nothing about the server.
+        boolean isEvidence = observation.outcome() != Outcome.OVERDUE
+                || detector.isOverdue(observation.route(), observation.latencyMicros(), nowMillis);
+        if (isEvidence) {
+            server.suspicion.ifPresent(suspicion -> suspicion.note(observation.outcome(), startMillis, nowMillis));
+        }
+        if (server.probation.health() == ServerHealth.EJECTED) {
             return;
         }
         Judgement judgement =
                 detector.record(server.evidence, observation, scope(server, nowMillis), servers.size(), nowMillis);
-        server.probation.note(judgement, nowMillis - observation.latencyMicros() / 1_000);
+        server.probation.note(judgement, startMillis);
     }
 
     /**
--- a/src/main/java/org/cassiabank/load/FleetMember.java
+++ b/src/main/java/org/cassiabank/load/FleetMember.java
@@ -106,6 +106,6 @@
 
     /** Returns the entry of the instance list. */
     Instance toInstance(String region) {
-        return new Instance(name, role, listAddress, region, failureDomain, state);
+        return Instance.of(name, role, listAddress, region, failureDomain, state);
     }
 }
--- a/src/main/java/org/cassiabank/membership/Instance.java
+++ b/src/main/java/org/cassiabank/membership/Instance.java
@@ -55,10 +55,11 @@
      * @param region the region
      * @param failureDomain the failure domain inside the region
      * @param state the state as the platform reports it
+     * @return the instance
      */
-    public Instance(
+    public static Instance of(
             String name, InstanceRole role, String address, String region, String failureDomain, InstanceState state) {
-        this(name, role, address, region, failureDomain, state, Map.of(), 0, 0);
+        return new Instance(name, role, address, region, failureDomain, state, Map.of(), 0, 0);
     }
 
     /**
--- a/src/main/java/org/cassiabank/proxy/Attempts.java
+++ b/src/main/java/org/cassiabank/proxy/Attempts.java
@@ -37,6 +37,7 @@
 
     private final String entryName;
     private final String failureDomain;
+    private final FleetState fleet;
     private final SlotBroker broker;
     private final BackendClient backends;
     private final ProxyMetrics metrics;
@@ -49,12 +50,14 @@
     private Attempts(
             String entryName,
             String failureDomain,
+            FleetState fleet,
             SlotBroker broker,
             BackendClient backends,
             ProxyMetrics metrics,
             MessageProfile profile) {
         this.entryName = entryName;
         this.failureDomain = failureDomain;
+        this.fleet = fleet;
         this.broker = broker;
         this.backends = backends;
         this.metrics = metrics;
@@ -64,6 +67,7 @@
     static Attempts create(
             String entryName,
             String failureDomain,
+            FleetState fleet,
             SlotBroker broker,
             BackendClient backends,
             ProxyMetrics metrics,
@@ -71,6 +75,7 @@
         return new Attempts(
                 Objects.requireNonNull(entryName, "entryName"),
                 Objects.requireNonNull(failureDomain, "failureDomain"),
+                Objects.requireNonNull(fleet, "fleet"),
                 Objects.requireNonNull(broker, "broker"),
                 Objects.requireNonNull(backends, "backends"),
                 Objects.requireNonNull(metrics, "metrics"),
@@ -121,7 +126,7 @@
      * @return false if the server is leaving or not listed
      */
     boolean takesWork(String server) {
-        return broker.takesWork(server);
+        return fleet.view().takesWork(server);
     }
 
     /**
--- a/src/main/java/org/cassiabank/proxy/BackendRequests.java
+++ b/src/main/java/org/cassiabank/proxy/BackendRequests.java
@@ -18,7 +18,7 @@
      */
     static boolean canForward(CallerRequest request) {
         try {
-            new BackendRequest(
+            BackendRequest.toAddress(
                     ANY_ADDRESS,
                     request.method(),
                     request.target(),
--- a/src/main/java/org/cassiabank/proxy/PeerMessages.java
+++ b/src/main/java/org/cassiabank/proxy/PeerMessages.java
@@ -53,7 +53,8 @@
                 ask.servers(),
                 ask.hints().attempt(),
                 ask.hints().failureDomain(),
-                List.copyOf(ask.hints().connected()));
+                List.copyOf(ask.hints().connected()),
+                ask.urgency());
     }
 
     static SlotAsk toAsk(SlotRequest message) {
@@ -64,6 +65,7 @@
                 message.getCaller(),
                 CostHint.valueOf(message.getCost()),
                 message.isRepeatable(),
+                message.getUrgency(),
                 message.getRemainingMillis(),
                 Set.copyOf(message.getExcluded()),
                 message.getServers(),
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -64,7 +64,7 @@
      */
     static ProxyDaemon create(ProxySettings settings) {
         Objects.requireNonNull(settings, "settings");
-        Instance self = new Instance(
+        Instance self = Instance.of(
                 settings.name(),
                 InstanceRole.PROXY,
                 settings.peerAddress().toString(),
@@ -89,11 +89,13 @@
         MessageProfile profile = adapter.map(PlatformAdapter::messages).orElseGet(OwnMessages::create);
         BackendClient backends = BackendClient.create(backendSettings(settings), profile);
         Attempts attempts =
-                Attempts.create(settings.name(), settings.failureDomain(), broker, backends, metrics, profile);
+                Attempts.create(settings.name(), settings.failureDomain(), fleet, broker, backends, metrics, profile);
         Entry entry = Entry.create(fleet, attempts, claims, metrics, profile, bounds.isPresent());
         FleetSource source = adapter.map(found -> entrySource(found, settings, self))
                 .orElseGet(() -> listSource(settings, fleet, replication, metrics));
         CallerServer callers = CallerServer.create(settings.limits(), entry, metrics);
+        fleet.onChange(
+                (former, view) -> callers.useDeclared(view.configuration().connectionLimits()));
         AdminPages admin = AdminPages.create(settings);
         Kernel kernel = Kernel.create()
                 .register(ServiceNames.SETTINGS, settings)
--- a/src/main/java/org/cassiabank/proxy/RequestRun.java
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -27,8 +27,6 @@
     /** The outlier detection takes four times the usual time for slow; the hedge delay is at least the usual time. */
     private static final long OBSERVATION_FACTOR = 5;
 
-    private static final String CALLER_GONE = "caller-gone";
-
     /** Half a second of attempts at servers that cannot be reached, at the shortest time for a connection. */
     private static final int MOST_TRIES = 5;
 
@@ -107,7 +105,7 @@
             }
             if (presence.isGone()) {
                 attempts.release(slot);
-                return withoutSlot(CALLER_GONE, 0);
+                return withoutSlot(SlotResult.CALLER_GONE, 0);
             }
             if (!attempts.takesWork(slot.server())) {
                 trace.add(slot.server() + " left");
@@ -224,6 +222,7 @@
                 attempts.callerIdentity(request),
                 selector.cost(),
                 selector.repeatable(),
+                selector.limits().urgency(),
                 Math.max(0, deadline - MonotonicClock.millis()),
                 attempts.withUnreachable(excluded),
                 selector.servers(),
--- a/src/main/java/org/cassiabank/proxy/SlotBroker.java
+++ b/src/main/java/org/cassiabank/proxy/SlotBroker.java
@@ -78,10 +78,6 @@
         return result;
     }
 
-    boolean takesWork(String server) {
-        return fleet.view().takesWork(server);
-    }
-
     /**
      * Reports how an attempt ended, which frees its slot. A report that is lost frees the slot when the lease lapses.
      *
@@ -170,7 +166,7 @@
                 }
                 case Queued queued -> {
                     if (presence.isGone()) {
-                        return new SlotResult.NoSlot("caller-gone", 0);
+                        return new SlotResult.NoSlot(SlotResult.CALLER_GONE, 0);
                     }
                     ticket = queued.ticket();
                 }
--- a/src/main/java/org/cassiabank/proxy/SlotResult.java
+++ b/src/main/java/org/cassiabank/proxy/SlotResult.java
@@ -7,6 +7,8 @@
  * The end of the search for a slot.
  */
 sealed interface SlotResult {
+    /** The reason of a search that ended because the caller did not wait for it. */
+    String CALLER_GONE = "caller-gone";
 
     /**
      * A slot was granted.
--- a/src/main/java/org/cassiabank/retry/AttemptState.java
+++ b/src/main/java/org/cassiabank/retry/AttemptState.java
@@ -41,15 +41,16 @@
      * @param attempts how many attempts were made, hedges and the last one included, at least 1
      * @param remainingMillis the time until the caller's deadline in milliseconds, may be negative
      * @param budgetAvailable whether the retry budget has a token for another attempt
+     * @return the state
      */
-    public AttemptState(
+    public static AttemptState usual(
             boolean repeatable,
             AttemptResult result,
             boolean earlierNotRun,
             int attempts,
             long remainingMillis,
             boolean budgetAvailable) {
-        this(
+        return new AttemptState(
                 repeatable,
                 result,
                 earlierNotRun,
--- a/src/test/java/org/cassiabank/admission/PlatformLoadTest.java
+++ b/src/test/java/org/cassiabank/admission/PlatformLoadTest.java
@@ -3,12 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Set;
 import java.util.function.DoubleUnaryOperator;
 import org.junit.jupiter.api.Test;
 
 /**
  * Plays the loads of the users' platform in virtual time and checks what callers get. Guards against slots that stay
- * empty while orders wait, and against orders that are overtaken until they are too late.
+ * empty while orders wait, against orders that are overtaken until they are too late, and against work that is served
+ * ahead of more urgent work or not at all.
  */
 class PlatformLoadTest {
     private static final double SECONDS = 1_000;
@@ -58,6 +60,63 @@
         assertThat(refused).allMatch(order -> order.refused().retryAfterMillis() > 0);
     }
 
+    @Test
+    void ordersAreServedBeforeReadsWhileASharedServiceCannotServeBoth() {
+        SchedulerSimulation service = sharedService(time -> 60, time -> 120);
+        assertThat(share(service.between("order", 2 * SECONDS, UNTIL), ORDER_AIM_MILLIS))
+                .isGreaterThan(0.97);
+        // Orders need 8.4 of 16 slots; what is left is enough for 45% of the reads.
+        assertThat(share(service.between("read", 2 * SECONDS, UNTIL), ORDER_DEADLINE_MILLIS))
+                .isBetween(0.35, 0.46);
+    }
+
+    @Test
+    void readsAreNotStarvedWhenOrdersAloneExceedAllSlots() {
+        SchedulerSimulation service = sharedService(time -> 200, time -> 20);
+        double orders = share(service.between("order", 2 * SECONDS, UNTIL), ORDER_DEADLINE_MILLIS);
+        double reads = share(service.between("read", 2 * SECONDS, UNTIL), ORDER_DEADLINE_MILLIS);
+        double all = (200 * orders + 20 * reads) / 220;
+        assertThat(reads).isGreaterThan(0.25 * all).isLessThan(orders + 0.05);
+    }
+
+    @Test
+    void readsThatOrdersWillOvertakeAreRefusedOnArrival() {
+        List<SchedulerSimulation.Arrival> reads =
+                sharedService(time -> 110, time -> 60).between("read", 2 * SECONDS, UNTIL);
+        long refused =
+                reads.stream().filter(SchedulerSimulation.Arrival::isRefused).count();
+        long late = reads.stream()
+                .filter(read -> read.isRefused() && read.refusedAfter() > 100)
+                .count();
+        assertThat(refused).isGreaterThan(reads.size() / 3);
+        assertThat(late).isLessThan(refused / 10);
+    }
+
+    @Test
+    void repeatedRequestsWaitAboutAsLongAsFirstOnes() {
+        DoubleUnaryOperator crest = time -> time >= 5 * SECONDS && time < 9 * SECONDS ? 75 : 20;
+        SchedulerSimulation service = SchedulerSimulation.create(EQUAL_WORK.withPredictWait(false), 8, 2, 3)
+                .hop(1)
+                .load("first", ORDER_MILLIS, 1, ORDER_DEADLINE_MILLIS, UNTIL, crest)
+                .next(0, Set.of("server-0"))
+                .load("repeated", ORDER_MILLIS, 1, ORDER_DEADLINE_MILLIS, UNTIL, crest)
+                .run();
+        double first = SchedulerSimulation.percentile(service.between("first", 5 * SECONDS, 9 * SECONDS), 0.9);
+        double repeated = SchedulerSimulation.percentile(service.between("repeated", 5 * SECONDS, 9 * SECONDS), 0.9);
+        assertThat(repeated).isBetween(0.7 * first, 1.4 * first);
+    }
+
+    /** Orders of the first urgency and reads of the second, both of 140 ms, at 8 servers of two slots. */
+    private static SchedulerSimulation sharedService(DoubleUnaryOperator orders, DoubleUnaryOperator reads) {
+        return SchedulerSimulation.create(EQUAL_WORK, 8, 2, 2)
+                .hop(1)
+                .next(1, Set.of())
+                .load("order", ORDER_MILLIS, 1, ORDER_DEADLINE_MILLIS, UNTIL, orders)
+                .next(2, Set.of())
+                .load("read", ORDER_MILLIS, 1, ORDER_DEADLINE_MILLIS, UNTIL, reads)
+                .run();
+    }
+
     private static List<SchedulerSimulation.Arrival> orders(
             SchedulerSettings settings, int servers, int callers, DoubleUnaryOperator perSecond) {
         return SchedulerSimulation.create(settings, servers, 2, 1)
--- a/src/test/java/org/cassiabank/admission/SchedulerSimulation.java
+++ b/src/test/java/org/cassiabank/admission/SchedulerSimulation.java
@@ -23,6 +23,8 @@
     private final SlotScheduler scheduler;
     private final Random random;
     private double hopMillis;
+    private int urgency;
+    private Set<String> excluded = Set.of();
     private double now;
     private long order;
 
@@ -42,15 +44,27 @@
         return this;
     }
 
+    /** Sets the urgency and the excluded servers of the loads that are added next. */
+    SchedulerSimulation next(int newUrgency, Set<String> newExcluded) {
+        urgency = newUrgency;
+        excluded = newExcluded;
+        return this;
+    }
+
     static List<ServerCapacity> servers(int count, int slots) {
         return IntStream.range(0, count)
-                .mapToObj(i -> new ServerCapacity(
+                .mapToObj(i -> ServerCapacity.of(
                         "server-" + i, "127.0.0.1:" + (20_000 + i), slots, ServerHealth.HEALTHY, false, Map.of()))
                 .toList();
     }
 
     static SlotAsk ask(String route, String caller, long remainingMillis) {
-        return new SlotAsk("entry", route, route, caller, CostHint.LEARNED, true, remainingMillis, Set.of(), Map.of());
+        return ask(route, caller, remainingMillis, Set.of());
+    }
+
+    private static SlotAsk ask(String route, String caller, long remainingMillis, Set<String> excluded) {
+        return SlotAsk.first(
+                "entry", route, route, caller, CostHint.LEARNED, true, remainingMillis, excluded, Map.of());
     }
 
     /** Adds Poisson arrivals; the service times are uniform between half and one and a half times the mean. */
@@ -68,7 +82,8 @@
             }
             if (random.nextDouble() * highest < perSecond.applyAsDouble(time)) {
                 Arrival arrival = new Arrival(
-                        ask(route, "caller-" + random.nextInt(callers), deadline),
+                        ask(route, "caller-" + random.nextInt(callers), deadline, excluded)
+                                .withUrgency(urgency),
                         time,
                         meanMillis * (0.5 + random.nextDouble()));
                 arrivals.add(arrival);
--- a/src/test/java/org/cassiabank/admission/SlotSchedulerPropertiesTest.java
+++ b/src/test/java/org/cassiabank/admission/SlotSchedulerPropertiesTest.java
@@ -77,7 +77,17 @@
     void callerWithOneRequestIsNotDelayedByOneWithTenThousand(@ForAll @IntRange(min = 0, max = 9_000) int served) {
         SchedulerSettings defaults = SchedulerSettings.defaults();
         SlotScheduler scheduler = SlotScheduler.create(new SchedulerSettings(
-                true, false, 30_000, 500, 10_000, 0.5, 2000, defaults.ticketMillis(), defaults.leaseGraceMillis(), 50));
+                true,
+                false,
+                30_000,
+                500,
+                10_000,
+                0.5,
+                2000,
+                defaults.ticketMillis(),
+                defaults.leaseGraceMillis(),
+                50,
+                0));
         scheduler.updateServers(SchedulerSimulation.servers(1, 2), 0);
         List<Granted> running = new ArrayList<>();
         for (int i = 0; i < 10_000; i++) {
@@ -156,7 +166,7 @@
     }
 
     private static SlotAsk ask(String route, CostHint cost, long remaining, Random random) {
-        return new SlotAsk(
+        return SlotAsk.first(
                 "entry-" + random.nextInt(3),
                 route,
                 route,
@@ -235,7 +245,7 @@
 
         private void offer() {
             Set<String> excluded = random.nextInt(4) == 0 ? Set.of("server-" + random.nextInt(SERVERS)) : Set.of();
-            SlotAsk ask = new SlotAsk(
+            SlotAsk ask = SlotAsk.first(
                     "entry-" + random.nextInt(3),
                     "selector",
                     "route-" + random.nextInt(4),
@@ -303,7 +313,7 @@
         }
 
         private static ServerCapacity server(int number, int slots, ServerHealth health, boolean leaving) {
-            return new ServerCapacity(
+            return ServerCapacity.of(
                     "server-" + number,
                     "127.0.0.1:" + (20_000 + number),
                     slots,
--- a/src/test/java/org/cassiabank/admission/SlotSchedulerTest.java
+++ b/src/test/java/org/cassiabank/admission/SlotSchedulerTest.java
@@ -197,7 +197,7 @@
     @Test
     void oneCallerCannotFillTheQueueAgainstOthers() {
         SlotScheduler small =
-                SlotScheduler.create(new SchedulerSettings(true, false, 100, 500, 10_000, 0.5, 2_000, 500, 250, 50));
+                SlotScheduler.create(new SchedulerSettings(true, false, 100, 500, 10_000, 0.5, 2_000, 500, 250, 50, 0));
         small.updateServers(SchedulerSimulation.servers(1, 1), 0);
         small.offer(ask(CostHint.SHORT, true), 0);
         int queued = 0;
@@ -239,7 +239,8 @@
     }
 
     private static SlotAsk ask(EntryHints hints) {
-        return new SlotAsk("other", "menu", "menu", "caller", CostHint.SHORT, true, 10_000, Set.of(), Map.of(), hints);
+        return new SlotAsk(
+                "other", "menu", "menu", "caller", CostHint.SHORT, true, 0, 10_000, Set.of(), Map.of(), hints);
     }
 
     private static ServerCapacity placed(String name, String failureDomain) {
@@ -247,7 +248,7 @@
     }
 
     private RefusalReason refusal(Set<String> excluded, Map<String, String> labels) {
-        SlotAsk ask = new SlotAsk("entry", "menu", "menu", "caller", CostHint.SHORT, true, 100, excluded, labels);
+        SlotAsk ask = SlotAsk.first("entry", "menu", "menu", "caller", CostHint.SHORT, true, 100, excluded, labels);
         return ((Refused) scheduler.offer(ask, 0)).reason();
     }
 
@@ -277,10 +278,10 @@
     }
 
     private static SlotAsk ask(CostHint cost, boolean repeatable) {
-        return new SlotAsk("other", "menu", "menu", "caller", cost, repeatable, 10_000, Set.of(), Map.of());
+        return SlotAsk.first("other", "menu", "menu", "caller", cost, repeatable, 10_000, Set.of(), Map.of());
     }
 
     private static ServerCapacity server(String name, ServerHealth health, int slots) {
-        return new ServerCapacity(name, "127.0.0.1:20000", slots, health, false, Map.of("name", name));
+        return ServerCapacity.of(name, "127.0.0.1:20000", slots, health, false, Map.of("name", name));
     }
 }
--- a/src/test/java/org/cassiabank/backend/BackendClientTest.java
+++ b/src/test/java/org/cassiabank/backend/BackendClientTest.java
@@ -50,7 +50,7 @@
 
     private static BackendRequest request(String address, String method, String id, boolean repeatable, long millis) {
         byte[] body = method.equals("POST") ? "order".getBytes(StandardCharsets.UTF_8) : new byte[0];
-        return new BackendRequest(address, method, "/p?a=1", Map.of(), body, id, repeatable, millis);
+        return BackendRequest.toAddress(address, method, "/p?a=1", Map.of(), body, id, repeatable, millis);
     }
 
     private BackendResult send(ScriptedServer server, String method, boolean repeatable) {
@@ -127,8 +127,8 @@
                 "Content-Length", List.of("99"),
                 "Content-Type", List.of("text/x"),
                 "Cassiabank-Request-Id", List.of("of-caller"));
-        Answered answer = (Answered) client.send(
-                new BackendRequest(server.address(), "POST", "/a%2Fb?c", headers, compressed, "id-1", true, 5_000));
+        Answered answer = (Answered) client.send(BackendRequest.toAddress(
+                server.address(), "POST", "/a%2Fb?c", headers, compressed, "id-1", true, 5_000));
         assertThat(answer.body()).isEqualTo(compressed);
         assertThat(answer.serverLeaving()).isTrue();
         assertThat(answer.headers()).containsEntry("X-A", List.of("1", "2")).doesNotContainKey("Keep-Alive");
@@ -183,7 +183,7 @@
         for (String[] given : new String[][] {{"503", "true"}, {"503", "false"}, {"500", "true"}}) {
             Map<String, List<String>> headers = Map.of("X-Status", List.of(given[0]), "X-Mark", List.of(given[1]));
             BackendResult result = client.send(
-                    new BackendRequest(server.address(), "GET", "/", headers, new byte[0], "id-1", true, 5_000));
+                    BackendRequest.toAddress(server.address(), "GET", "/", headers, new byte[0], "id-1", true, 5_000));
             boolean shed = given[0].equals("503") && given[1].equals("true");
             assertThat(result instanceof ShedAnswer).isEqualTo(shed);
             assertThat(result.attemptResult().provesNotRun()).isEqualTo(shed);
@@ -280,7 +280,7 @@
     void aHeadThatWasWrittenInPartIsNotCalledUnsent() throws Exception {
         try (ServerSocket silent = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
             Map<String, List<String>> headers = Map.of("X-Long", List.of("x".repeat(16 << 20)));
-            BackendCall call = client.newCall(new BackendRequest(
+            BackendCall call = client.newCall(BackendRequest.toAddress(
                     "127.0.0.1:" + silent.getLocalPort(), "GET", "/", headers, new byte[0], "id-1", false, 15_000));
             CompletableFuture<BackendResult> result = new CompletableFuture<>();
             Thread.startVirtualThread(() -> result.complete(call.execute()));
@@ -354,8 +354,8 @@
     @Test
     void pathsThatTheClientWouldResolveOrCutAreRejected() {
         for (String path : List.of("/a/../b", "/a/%2E%2e/b", "/a/./b", "a", "/a#b", "/a\\b")) {
-            assertThatThrownBy(() ->
-                            new BackendRequest("127.0.0.1:1", "GET", path, Map.of(), new byte[0], "id-1", true, 1))
+            assertThatThrownBy(() -> BackendRequest.toAddress(
+                            "127.0.0.1:1", "GET", path, Map.of(), new byte[0], "id-1", true, 1))
                     .isInstanceOf(IllegalArgumentException.class);
         }
     }
--- a/src/test/java/org/cassiabank/declaration/ConfigurationTest.java
+++ b/src/test/java/org/cassiabank/declaration/ConfigurationTest.java
@@ -29,7 +29,7 @@
     }
 
     private static Instance server(String name, InstanceState state) {
-        return new Instance(name, InstanceRole.BACKEND, "127.0.0.1:80", "r", "d", state);
+        return Instance.of(name, InstanceRole.BACKEND, "127.0.0.1:80", "r", "d", state);
     }
 
     @Example
@@ -53,7 +53,8 @@
                 new LabelRule("one", "menu-1", Map.of("service", "menu", "tier", "a")),
                 new LabelRule("two", "menu-2", Map.of("service", "menu")),
                 new LabelRule("lost", "x-*", Map.of("service", "nowhere")),
-                new Selector("unknown", "orders", Set.of(), "/u", "*", Map.of("tier", "b"), 1, true, CostHint.SHORT, 0),
+                Selector.forAllHosts(
+                        "unknown", "orders", Set.of(), "/u", "*", Map.of("tier", "b"), 1, true, CostHint.SHORT, 0),
                 RequestRouterTest.selector("all", Set.of(), "/menu", "kitchen-*", 1, 2),
                 RequestRouterTest.selector("hidden", Set.of("GET"), "/menu/x", "kitchen-1?", 1, 1),
                 RequestRouterTest.selector("visible", Set.of("GET"), "/menu/x", "*", 1, 1),
@@ -96,7 +97,7 @@
                         List.of("a", "b", "a*").get(random.nextInt(3)),
                         Map.of("service", service, "tier", "t" + random.nextInt(2)));
             default ->
-                new Selector(
+                Selector.forAllHosts(
                         "s" + random.nextInt(6),
                         service,
                         Set.of(),
@@ -127,7 +128,8 @@
                 .extracting(server -> server.instance().name() + server.labels().get("tier") + server.leaving())
                 .containsExactly("menu-10bfalse", "menu-2atrue", "menu-3atrue");
         assertThat(groups.servers("canary")).hasSize(1);
-        Selector tierB = new Selector("s", "menu", Set.of(), "/", "*", Map.of("tier", "b"), 1, true, CostHint.SHORT, 0);
+        Selector tierB =
+                Selector.forAllHosts("s", "menu", Set.of(), "/", "*", Map.of("tier", "b"), 1, true, CostHint.SHORT, 0);
         assertThat(groups.servers(tierB)).hasSize(1);
         Configuration next = configuration.with(2, List.of(tierB), List.of());
         assertThat(groups.update(next, list)).isSameAs(groups);
--- a/src/test/java/org/cassiabank/declaration/RequestRouterTest.java
+++ b/src/test/java/org/cassiabank/declaration/RequestRouterTest.java
@@ -26,7 +26,8 @@
     private static final List<String> PATTERNS = List.of("*", "x", "x*", "xy*", "*y", "?", "x?z", "*z*", "xyz");
 
     static Selector selector(String name, Set<String> methods, String path, String callers, int weight, int priority) {
-        return new Selector(name, "menu", methods, path, callers, Map.of(), weight, true, CostHint.LEARNED, priority);
+        return Selector.forAllHosts(
+                name, "menu", methods, path, callers, Map.of(), weight, true, CostHint.LEARNED, priority);
     }
 
     @Provide
--- a/src/test/java/org/cassiabank/declaration/RoutingBenchmark.java
+++ b/src/test/java/org/cassiabank/declaration/RoutingBenchmark.java
@@ -49,7 +49,7 @@
         String service = "service-" + number % SERVICES;
         String path = "/" + service + (byPath ? "/resource-" + number : "/resource");
         String callers = byPath ? "*" : "customer-" + number;
-        return new Selector(
+        return Selector.forAllHosts(
                 "selector-" + number,
                 service,
                 Set.of("GET"),
--- a/src/test/java/org/cassiabank/fleet/TestFleet.java
+++ b/src/test/java/org/cassiabank/fleet/TestFleet.java
@@ -143,7 +143,7 @@
 
     void publishInstances() {
         List<Instance> instances = Stream.concat(proxies.stream(), backends.stream())
-                .map(member -> new Instance(
+                .map(member -> Instance.of(
                         member.name(),
                         member.role(),
                         member.listAddress(),
--- a/src/test/java/org/cassiabank/membership/InstanceListHistoryTest.java
+++ b/src/test/java/org/cassiabank/membership/InstanceListHistoryTest.java
@@ -59,7 +59,7 @@
         List<Instance> instances = new ArrayList<>();
         for (int number = 0; number < 6; number++) {
             if (random.nextInt(3) > 0) {
-                instances.add(new Instance(
+                instances.add(Instance.of(
                         "instance-" + number,
                         InstanceRole.BACKEND,
                         "127.0.0.1:" + (1_000 + number),
--- a/src/test/java/org/cassiabank/membership/RendezvousHashBenchmark.java
+++ b/src/test/java/org/cassiabank/membership/RendezvousHashBenchmark.java
@@ -19,7 +19,7 @@
     @Setup
     public void createInstances() {
         instances = IntStream.range(0, proxies)
-                .mapToObj(number -> new Instance(
+                .mapToObj(number -> Instance.of(
                         "proxy-" + number,
                         InstanceRole.PROXY,
                         "127.0.0.1:" + (10_000 + number),
--- a/src/test/java/org/cassiabank/membership/RendezvousRankingTest.java
+++ b/src/test/java/org/cassiabank/membership/RendezvousRankingTest.java
@@ -18,7 +18,7 @@
             @ForAll @IntRange(min = 1, max = 6) int domains,
             @ForAll @IntRange(max = 4) int count) {
         List<Instance> instances = IntStream.range(0, size)
-                .mapToObj(number -> new Instance(
+                .mapToObj(number -> Instance.of(
                         "proxy-" + number,
                         InstanceRole.PROXY,
                         "127.0.0.1:1",
--- a/src/test/java/org/cassiabank/once/ClaimSimulation.java
+++ b/src/test/java/org/cassiabank/once/ClaimSimulation.java
@@ -362,7 +362,7 @@
     }
 
     private static Instance proxy(int number) {
-        return new Instance(
+        return Instance.of(
                 "proxy-" + number,
                 InstanceRole.PROXY,
                 "127.0.0.1:" + (10_000 + number),
--- a/src/test/java/org/cassiabank/once/ClaimTableBenchmark.java
+++ b/src/test/java/org/cassiabank/once/ClaimTableBenchmark.java
@@ -38,7 +38,7 @@
         }
         thousand = table.records(now).subList(0, 1_000);
         after = IntStream.range(0, proxies)
-                .mapToObj(number -> new Instance(
+                .mapToObj(number -> Instance.of(
                         "proxy-" + number,
                         InstanceRole.PROXY,
                         "127.0.0.1:" + (10_000 + number),
--- a/src/test/java/org/cassiabank/once/ClaimTableTest.java
+++ b/src/test/java/org/cassiabank/once/ClaimTableTest.java
@@ -148,7 +148,7 @@
     @Test
     void bothSurvivorsOfAKilledKeeperSendEveryRecordToItsSuccessor() {
         List<Instance> before = IntStream.range(0, 12)
-                .mapToObj(number -> new Instance(
+                .mapToObj(number -> Instance.of(
                         "proxy-" + number,
                         InstanceRole.PROXY,
                         "127.0.0.1:1",
@@ -181,7 +181,7 @@
         ProxyListHistory history = ProxyListHistory.create(10, 5);
         assertThat(history.coversWindow(0)).isFalse();
         List<Instance> second =
-                List.of(new Instance("p", InstanceRole.PROXY, "127.0.0.1:1", "r", "d", InstanceState.LIVE));
+                List.of(Instance.of("p", InstanceRole.PROXY, "127.0.0.1:1", "r", "d", InstanceState.LIVE));
         history.observe(List.of(), 0);
         history.observe(second, 100);
         assertThat(history.coversWindow(24)).isFalse();
--- a/src/test/java/org/cassiabank/platform/EntryFleetSourceTest.java
+++ b/src/test/java/org/cassiabank/platform/EntryFleetSourceTest.java
@@ -132,8 +132,7 @@
 
     private EntryFleetSource newSource() {
         KeyValueAdapter adapter = new KeyValueAdapter();
-        Instance self =
-                new Instance(SELF, InstanceRole.PROXY, "127.0.0.1:7200", "region", "domain", InstanceState.LIVE);
+        Instance self = Instance.of(SELF, InstanceRole.PROXY, "127.0.0.1:7200", "region", "domain", InstanceState.LIVE);
         return EntryFleetSource.create(
                 adapter,
                 adapter.openStore(standIn.address()),
--- a/src/test/java/org/cassiabank/proxy/FleetViewBenchmark.java
+++ b/src/test/java/org/cassiabank/proxy/FleetViewBenchmark.java
@@ -89,7 +89,7 @@
     }
 
     private static Selector selector(String service, int number) {
-        return new Selector(
+        return Selector.forAllHosts(
                 service + "-" + number,
                 service,
                 Set.of("GET"),
@@ -103,7 +103,7 @@
     }
 
     private static Instance instance(String name, InstanceRole role, int number, InstanceState state) {
-        return new Instance(
+        return Instance.of(
                 name,
                 role,
                 "10.0.0.1:" + (1_000 + number % 60_000),
--- a/src/test/java/org/cassiabank/proxy/FleetViewTest.java
+++ b/src/test/java/org/cassiabank/proxy/FleetViewTest.java
@@ -92,7 +92,7 @@
     }
 
     private static Instance instance(String name, InstanceRole role, int number) {
-        return new Instance(
+        return Instance.of(
                 name, role, "127.0.0.1:" + (1_000 + number), "region", "domain-" + number % 4, InstanceState.LIVE);
     }
 
@@ -102,9 +102,9 @@
                 .withInstances(InstanceList.of(
                         1,
                         List.of(
-                                new Instance(
+                                Instance.of(
                                         "live", InstanceRole.BACKEND, "127.0.0.1:1", "region", "d", InstanceState.LIVE),
-                                new Instance(
+                                Instance.of(
                                         "leaving",
                                         InstanceRole.BACKEND,
                                         "127.0.0.1:2",
--- a/src/test/java/org/cassiabank/proxy/OwnedShardTest.java
+++ b/src/test/java/org/cassiabank/proxy/OwnedShardTest.java
@@ -80,6 +80,7 @@
                 "caller",
                 CostHint.LEARNED,
                 false,
+                0,
                 10_000,
                 Set.of(),
                 Map.of(),
--- a/src/test/java/org/cassiabank/proxy/PeerEndpointTest.java
+++ b/src/test/java/org/cassiabank/proxy/PeerEndpointTest.java
@@ -61,7 +61,7 @@
     }
 
     private static SlotAsk ask() {
-        return new SlotAsk("proxy-2", "read", "read", "caller", CostHint.SHORT, true, 1_000, Set.of(), Map.of());
+        return SlotAsk.first("proxy-2", "read", "read", "caller", CostHint.SHORT, true, 1_000, Set.of(), Map.of());
     }
 
     private static ProxySettings settings() {
@@ -78,6 +78,6 @@
     }
 
     private static Instance instance(String name, InstanceRole role) {
-        return new Instance(name, role, "127.0.0.1:1000", "region", "domain", InstanceState.LIVE);
+        return Instance.of(name, role, "127.0.0.1:1000", "region", "domain", InstanceState.LIVE);
     }
 }
--- a/src/test/java/org/cassiabank/proxy/ReplicationTest.java
+++ b/src/test/java/org/cassiabank/proxy/ReplicationTest.java
@@ -56,6 +56,6 @@
     }
 
     private static Instance instance(String name, InstanceRole role) {
-        return new Instance(name, role, "127.0.0.1:1", "region", "domain", InstanceState.LIVE);
+        return Instance.of(name, role, "127.0.0.1:1", "region", "domain", InstanceState.LIVE);
     }
 }
--- a/src/test/java/org/cassiabank/retry/AttemptPolicyTest.java
+++ b/src/test/java/org/cassiabank/retry/AttemptPolicyTest.java
@@ -37,7 +37,7 @@
             ended++;
             AttemptResult result = trial.result(ended);
             NextStep step = AttemptPolicy.next(
-                    new AttemptState(trial.repeatable(), result, earlierNotRun, attempts, remainingMillis, true),
+                    AttemptState.usual(trial.repeatable(), result, earlierNotRun, attempts, remainingMillis, true),
                     budget);
             boolean neverRun = earlierNotRun && result.provesNotRun();
             switch (step) {
@@ -73,7 +73,7 @@
     void noResultOfAnUnrepeatableRequestButAProofAllowsAnotherAttempt() {
         for (AttemptResult result : AttemptResult.values()) {
             for (boolean earlierNotRun : new boolean[] {false, true}) {
-                NextStep step = AttemptPolicy.next(new AttemptState(false, result, earlierNotRun, 1, 1_000, true));
+                NextStep step = AttemptPolicy.next(AttemptState.usual(false, result, earlierNotRun, 1, 1_000, true));
                 boolean proven = result == AttemptResult.SHED || result == AttemptResult.NOT_SENT;
                 assertThat(step instanceof NextStep.Retry).isEqualTo(proven && earlierNotRun);
             }
--- a/src/test/java/org/cassiabank/revision/ConfigurationHistoryTest.java
+++ b/src/test/java/org/cassiabank/revision/ConfigurationHistoryTest.java
@@ -90,7 +90,7 @@
 
     @Example
     void documentsKeepAllFields() {
-        Selector selector = new Selector(
+        Selector selector = Selector.forAllHosts(
                 "s", "menu", Set.of("GET", "PUT"), "/a", "vip-*", Map.of("t", "1"), 7, true, CostHint.LONG, -3);
         Change change = new Change(
                 4,
--- a/src/test/java/org/cassiabank/revision/ExchangePlannerTest.java
+++ b/src/test/java/org/cassiabank/revision/ExchangePlannerTest.java
@@ -22,7 +22,7 @@
             @ForAll @IntRange(min = 1, max = 5) int domains,
             @ForAll long seed) {
         List<Instance> list = IntStream.range(0, proxies)
-                .mapToObj(number -> new Instance(
+                .mapToObj(number -> Instance.of(
                         "p" + number,
                         InstanceRole.PROXY,
                         "127.0.0.1:" + (1 + number),
--- a/src/test/java/org/cassiabank/source/LapseGuardTest.java
+++ b/src/test/java/org/cassiabank/source/LapseGuardTest.java
@@ -64,6 +64,6 @@
     }
 
     private static Instance instance(String name, int port, InstanceState state) {
-        return new Instance(name, InstanceRole.BACKEND, "127.0.0.1:" + port, "region", "domain", state);
+        return Instance.of(name, InstanceRole.BACKEND, "127.0.0.1:" + port, "region", "domain", state);
     }
 }
--- a/src/test/java/org/cassiabank/tls/PeerTlsTest.java
+++ b/src/test/java/org/cassiabank/tls/PeerTlsTest.java
@@ -94,7 +94,7 @@
 
     private static List<?> call(PeerSockets sockets, int port) {
         Instance peer =
-                new Instance("peer", InstanceRole.PROXY, "127.0.0.1:" + port, "region", "domain", InstanceState.LIVE);
+                Instance.of("peer", InstanceRole.PROXY, "127.0.0.1:" + port, "region", "domain", InstanceState.LIVE);
         try (PeerClients clients = PeerClients.create(sockets, ControlTraffic.ignored())) {
             return clients.call(peer, "records-for", 5_000, client -> client.recordsFor("self"));
         }
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -38,6 +38,8 @@
   15: required string failureDomain,
   /** The servers to which the entry holds an idle connection. */
   16: required list<string> connected,
+  /** The rank among requests that compete for slots; 0 is the most urgent. */
+  17: required i32 urgency,
 }
 
 struct SlotGrant {
