Apply the operators' limits on headers, bodies and idle connections

Cause: the limits were not read; the settings' idle time of 60 s could close a connection that callers may still use where the operators allow more. Ruled out: sizes without a bound of the daemon itself, because bodies are held in memory. Change: a declaration of the product, [limits.callers]; its sizes hold within those of the settings, its times replace them, the idle time also for open connections. Headers that take too long are refused with 408. The adapter translates the platform's item. A start time of a server that is no whole number makes its entry unreadable. The follower of the store reads an entry again only when its revision changes.

--- a/src/main/java/org/cassiabank/declaration/Configuration.java
+++ b/src/main/java/org/cassiabank/declaration/Configuration.java
@@ -156,6 +156,16 @@
         return find(new EntityKey(EntityKind.SERVICE, name)).map(found -> (ServiceDeclaration) found.declaration());
     }
 
+    /**
+     * Returns the limits on what callers send.
+     *
+     * @return the limits, or empty if none are declared
+     */
+    public Optional<ConnectionLimits> connectionLimits() {
+        return find(new EntityKey(EntityKind.LIMITS, ConnectionLimits.NAME))
+                .map(found -> (ConnectionLimits) found.declaration());
+    }
+
     /**
      * Returns all services.
      *
--- a/src/main/java/org/cassiabank/declaration/DeclarationFormat.java
+++ b/src/main/java/org/cassiabank/declaration/DeclarationFormat.java
@@ -54,9 +54,26 @@
                         : Optional.empty();
             }
             case SELECTOR -> readSelector(key.name(), reader, nameProblem.isEmpty());
+            case LIMITS -> {
+                boolean isNamed = key.name().equals(ConnectionLimits.NAME);
+                if (!isNamed) {
+                    problems.accept(path, "the only name of limits is " + ConnectionLimits.NAME);
+                }
+                yield readConnectionLimits(reader).filter(limits -> isNamed);
+            }
         };
     }
 
+    private static Optional<Declaration> readConnectionLimits(FieldReader reader) {
+        long headerBytes = reader.number(DeclarationRules.HEADER_BYTES, Optional.of(0));
+        long bodyBytes = reader.number(DeclarationRules.BODY_BYTES, Optional.of(0));
+        long headerMillis = reader.number(DeclarationRules.HEADER_MILLIS, Optional.of(0));
+        long idleMillis = reader.number(DeclarationRules.IDLE_MILLIS, Optional.of(0));
+        return reader.finish()
+                ? Optional.of(new ConnectionLimits(headerBytes, bodyBytes, headerMillis, idleMillis))
+                : Optional.empty();
+    }
+
     private static Optional<Declaration> readSelector(String name, FieldReader reader, boolean nameValid) {
         String service = reader.text("service", Optional.empty(), DeclarationRules::nameProblem);
         var methods = reader.texts("methods", DeclarationRules::methodProblem);
@@ -111,6 +128,11 @@
                 body.put("slots", service.slots())
                         .put("floor", service.floor())
                         .put("deadline-millis", service.deadlineMillis());
+            case ConnectionLimits limits ->
+                body.put("header-bytes", limits.headerBytes())
+                        .put("body-bytes", limits.bodyBytes())
+                        .put("header-millis", limits.headerMillis())
+                        .put("idle-millis", limits.idleMillis());
             case Selector selector -> {
                 body.put("service", selector.service());
                 var methods = body.putArray("methods");
--- a/src/main/java/org/cassiabank/declaration/DeclarationRules.java
+++ b/src/main/java/org/cassiabank/declaration/DeclarationRules.java
@@ -18,6 +18,10 @@
     static final Range TARGET_MILLIS = new Range("target-millis", 0, 3_600_000);
     static final Range MAXIMUM_ATTEMPTS = new Range("maximum-attempts", 1, 100);
     static final Range URGENCY = new Range("urgency", 0, 1_000);
+    static final Range HEADER_BYTES = new Range("header-bytes", 0, 1 << 24);
+    static final Range BODY_BYTES = new Range("body-bytes", 0, 1L << 40);
+    static final Range HEADER_MILLIS = new Range("header-millis", 0, 3_600_000);
+    static final Range IDLE_MILLIS = new Range("idle-millis", 0, 86_400_000);
 
     private static final int LONGEST_TEXT = 512;
     // Names become parts of metric labels and of rendezvous keys "service/shard", so they contain no slash.
--- a/src/main/java/org/cassiabank/declaration/EntityKind.java
+++ b/src/main/java/org/cassiabank/declaration/EntityKind.java
@@ -13,7 +13,9 @@
     /** A service. */
     SERVICE,
     /** A rule that sends requests to servers of a service. */
-    SELECTOR;
+    SELECTOR,
+    /** The limits on what callers send. */
+    LIMITS;
 
     /**
      * Returns the word for the kind in files, documents and commands.
--- a/src/main/java/org/cassiabank/platform/DocumentReader.java
+++ b/src/main/java/org/cassiabank/platform/DocumentReader.java
@@ -59,6 +59,19 @@
         return value.intValue();
     }
 
+    /** Reads a size, 0 if it is not stated. */
+    long bytes(JsonNode node, String path, String field) {
+        JsonNode value = node.path(field);
+        if (value.isMissingNode()) {
+            return 0;
+        }
+        if (!value.isIntegralNumber() || !value.canConvertToLong() || value.longValue() < 0) {
+            report(path + field, "expected a whole number of bytes");
+            return 0;
+        }
+        return value.longValue();
+    }
+
     long millis(JsonNode node, String path, String field) {
         try {
             return PlatformTimes.toMillis(text(node, path, field));
--- a/src/main/java/org/cassiabank/platform/OperatorDocuments.java
+++ b/src/main/java/org/cassiabank/platform/OperatorDocuments.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import org.cassiabank.declaration.ConnectionLimits;
 import org.cassiabank.declaration.CostHint;
 import org.cassiabank.declaration.Declaration;
 import org.cassiabank.declaration.RequestLimits;
@@ -59,12 +60,21 @@
                 // Slots are stated by each server, and the floor is a share from the daemon's settings.
                 declarations.add(new ServiceDeclaration(name, 1, 0, SERVICE_DEADLINE_MILLIS));
             }
+            case "limits" -> readLimits(body, path + "spec.");
             default -> {
-                // "limits" bound what callers send; the daemon's settings hold them. Other types are not open here.
+                // Other types belong to matters that this platform does not use here.
             }
         }
     }
 
+    private void readLimits(JsonNode body, String where) {
+        declarations.add(new ConnectionLimits(
+                reader.bytes(body, where, "max_header_bytes"),
+                reader.bytes(body, where, "max_body_bytes"),
+                body.has("header_timeout") ? reader.millis(body, where, "header_timeout") : 0,
+                body.has("idle_timeout") ? reader.millis(body, where, "idle_timeout") : 0));
+    }
+
     private void readRoute(String name, JsonNode body, String path) {
         String where = path + "spec.";
         String host = reader.text(body, where, "host").toLowerCase(Locale.ROOT);
--- a/src/main/java/org/cassiabank/platform/ServerDocuments.java
+++ b/src/main/java/org/cassiabank/platform/ServerDocuments.java
@@ -31,6 +31,9 @@
         InstanceState state = state(reader, root.path("status"));
         // "born" is the time of the server's start, which tells two starts under one name apart.
         long started = root.path("born").asLong(0);
+        if (!root.path("born").isMissingNode() && !root.path("born").isIntegralNumber()) {
+            reader.report("born", "expected the whole milliseconds of the server's start");
+        }
         if (address.indexOf(':') <= 0) {
             reader.report("address", "expected HOST:PORT");
         }
--- a/src/main/java/org/cassiabank/proxy/CallerConnection.java
+++ b/src/main/java/org/cassiabank/proxy/CallerConnection.java
@@ -37,16 +37,26 @@
     private static final int MAXIMUM_PIPELINED = 64;
 
     private final CallerServer server;
+    private final long idleStepMillis;
     private final Deque<Pending> pending = new ArrayDeque<>();
+    private long idleMillis;
     private boolean busy;
     private CallerPresence presence;
 
-    private CallerConnection(CallerServer server) {
+    private CallerConnection(CallerServer server, long idleStepMillis) {
         this.server = server;
+        this.idleStepMillis = idleStepMillis;
     }
 
-    static CallerConnection create(CallerServer server) {
-        return new CallerConnection(server);
+    /**
+     * Creates the handler of a connection.
+     *
+     * @param server the server
+     * @param idleStepMillis the time between two events of an idle connection, in milliseconds
+     * @return the handler
+     */
+    static CallerConnection create(CallerServer server, long idleStepMillis) {
+        return new CallerConnection(server, idleStepMillis);
     }
 
     @Override
@@ -69,6 +79,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+        idleMillis = 0;
         if (request.decoderResult().isFailure()) {
             pending.addLast(new Pending(null, refusalOf(request.decoderResult().cause()), false, false));
         } else {
@@ -84,8 +95,18 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
-        if ((event instanceof IdleStateEvent || event == CLOSE_IDLE) && !busy) {
+        if (event == StrictRequestDecoder.HEADERS_OVERDUE) {
+            CallerReply refusal = CallerReply.notRun(HttpResponseStatus.REQUEST_TIMEOUT.code(), "headers-overdue", 0);
+            pending.addLast(new Pending(null, refusal, false, false));
+            serveNext(context);
+        } else if (event == CLOSE_IDLE && !busy) {
             context.close();
+        } else if (event instanceof IdleStateEvent && !busy) {
+            // The limit may have been raised since the connection was opened.
+            idleMillis += idleStepMillis;
+            if (idleMillis >= server.idleMillis()) {
+                context.close();
+            }
         } else {
             context.fireUserEventTriggered(event);
         }
--- a/src/main/java/org/cassiabank/proxy/CallerServer.java
+++ b/src/main/java/org/cassiabank/proxy/CallerServer.java
@@ -1,5 +1,6 @@
 package org.cassiabank.proxy;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
@@ -20,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import org.cassiabank.declaration.ConnectionLimits;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.kernel.ErrorCode;
 import org.cassiabank.tls.TlsIdentity;
@@ -31,10 +33,11 @@
  * tell a handler that its caller has gone.
  */
 final class CallerServer implements AutoCloseable {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int EVENT_LOOPS = 2;
     private static final long OVERLOAD_RETRY_MILLIS = 1_000;
 
-    private final CallerLimits limits;
+    private final CallerLimits settings;
     private final CallerHandler handler;
     private final ProxyMetrics metrics;
     private final ExecutorService workers = Executors.newVirtualThreadPerTaskExecutor();
@@ -42,10 +45,12 @@
     private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final AtomicInteger connections = new AtomicInteger();
     private final AtomicInteger inFlight = new AtomicInteger();
+    private volatile CallerLimits limits;
     private volatile boolean draining;
     private Channel listener;
 
     private CallerServer(CallerLimits limits, CallerHandler handler, ProxyMetrics metrics) {
+        this.settings = limits;
         this.limits = limits;
         this.handler = handler;
         this.metrics = metrics;
@@ -74,15 +79,16 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
+                        CallerLimits current = limits;
                         channels.add(channel);
                         tls.ifPresent(identity -> channel.pipeline()
                                 .addLast(identity.serverContext().newHandler(channel.alloc())));
                         channel.pipeline()
-                                .addLast(new IdleStateHandler(0, 0, limits.idleMillis(), TimeUnit.MILLISECONDS))
-                                .addLast(StrictRequestDecoder.create(limits))
+                                .addLast(new IdleStateHandler(0, 0, current.idleMillis(), TimeUnit.MILLISECONDS))
+                                .addLast(StrictRequestDecoder.create(current))
                                 .addLast(new HttpResponseEncoder())
-                                .addLast(BoundedAggregator.create(limits.bodyBytes()))
-                                .addLast(CallerConnection.create(CallerServer.this));
+                                .addLast(BoundedAggregator.create(current.bodyBytes()))
+                                .addLast(CallerConnection.create(CallerServer.this, current.idleMillis()));
                     }
                 });
         try {
@@ -99,6 +105,24 @@
         }
     }
 
+    /**
+     * Applies the operators' limits. Open connections keep their sizes and take the new idle time.
+     *
+     * @param declared the operators' limits, if any
+     */
+    void useDeclared(Optional<ConnectionLimits> declared) {
+        CallerLimits next = settings.with(declared);
+        if (!next.equals(limits)) {
+            limits = next;
+            LOGGER.atInfo().log("limits of callers: declared %s, in force %s", declared, next);
+        }
+    }
+
+    /** Returns how long a connection may be idle, in milliseconds. */
+    long idleMillis() {
+        return limits.idleMillis();
+    }
+
     /** Answers further requests with a closed connection, so that callers move to other entries. */
     void startDraining() {
         draining = true;
--- a/src/main/java/org/cassiabank/proxy/ProxySettingsParser.java
+++ b/src/main/java/org/cassiabank/proxy/ProxySettingsParser.java
@@ -105,6 +105,7 @@
                 reader.positive("maximum-header-bytes", defaults.headerBytes()),
                 reader.positive("maximum-body-bytes", defaults.bodyBytes()),
                 reader.positive("maximum-answer-bytes", defaults.answerBytes()),
+                reader.positive("header-millis", (int) defaults.headerMillis()),
                 reader.positive("idle-millis", (int) defaults.idleMillis()));
     }
 
--- a/src/main/java/org/cassiabank/source/EntryFleetSource.java
+++ b/src/main/java/org/cassiabank/source/EntryFleetSource.java
@@ -48,7 +48,8 @@
     private final EntryTable table = new EntryTable();
     private final LapseGuard guard = new LapseGuard();
     private final Registration registration;
-    private final Map<String, Long> unreadable = new HashMap<>();
+    private final Map<String, ReadEntry> readEntries = new HashMap<>();
+    private long configurationEntry;
     private FleetTarget target;
     private Map<String, Instance> published = Map.of();
     private boolean loaded;
@@ -189,6 +190,7 @@
         for (StoreEntry entry : table.withPrefix(DAEMONS_PREFIX)) {
             daemon(entry).ifPresent(daemon -> listed.put(daemon.name(), daemon));
         }
+        readEntries.keySet().removeIf(key -> table.find(key).isEmpty());
         registered = listed.containsKey(self.name());
         Map<String, Instance> complete = guard.complete(listed, clock.getAsLong());
         // While the store was away, a list of a peer may have come into force instead of the last one published here.
@@ -203,16 +205,17 @@
 
     private void publishConfiguration() {
         Optional<StoreEntry> entry = table.find(adapter.configurationKey());
-        if (entry.isEmpty() || isKnownUnreadable(entry.get())) {
+        if (entry.isEmpty() || entry.get().revision() == configurationEntry) {
             return;
         }
+        configurationEntry = entry.get().revision();
         try {
             ConfigurationDocument document = adapter.configuration(entry.get());
             if (document.version() > target.revision()) {
                 target.install(document);
             }
         } catch (CassiabankException exception) {
-            noteUnreadable(entry.get(), exception);
+            logUnreadable(entry.get(), exception);
         }
     }
 
@@ -228,24 +231,21 @@
     }
 
     private Optional<Instance> read(StoreEntry entry, Supplier<Instance> reader) {
-        if (isKnownUnreadable(entry)) {
-            return Optional.empty();
+        ReadEntry known = readEntries.get(entry.key());
+        if (known != null && known.revision() == entry.revision()) {
+            return known.instance();
         }
+        Optional<Instance> instance = Optional.empty();
         try {
-            return Optional.of(reader.get());
+            instance = Optional.of(reader.get());
         } catch (CassiabankException exception) {
-            noteUnreadable(entry, exception);
-            return Optional.empty();
+            logUnreadable(entry, exception);
         }
+        readEntries.put(entry.key(), new ReadEntry(entry.revision(), instance));
+        return instance;
     }
 
-    private boolean isKnownUnreadable(StoreEntry entry) {
-        return unreadable.getOrDefault(entry.key(), 0L) == entry.revision();
-    }
-
-    private void noteUnreadable(StoreEntry entry, CassiabankException problem) {
-        unreadable.keySet().removeIf(key -> table.find(key).isEmpty());
-        unreadable.put(entry.key(), entry.revision());
+    private static void logUnreadable(StoreEntry entry, CassiabankException problem) {
         LOGGER.atWarning().log(
                 "entry %s at revision %d is not used: %s", entry.key(), entry.revision(), problem.getMessage());
     }
@@ -308,4 +308,12 @@
             Thread.currentThread().interrupt();
         }
     }
+
+    /**
+     * What an entry says at a revision of the store.
+     *
+     * @param revision the revision of the entry
+     * @param instance the instance, empty if the entry cannot be read
+     */
+    private record ReadEntry(long revision, Optional<Instance> instance) {}
 }
--- a/src/test/java/org/cassiabank/declaration/DeclarationParserTest.java
+++ b/src/test/java/org/cassiabank/declaration/DeclarationParserTest.java
@@ -88,7 +88,7 @@
                 .containsExactlyInAnyOrder(
                         new LabelRule("menu-servers", "menu-*", Map.of("service", "menu", "tier", "fast")),
                         new ServiceDeclaration("menu", 2, 5, 800),
-                        new Selector(
+                        Selector.forAllHosts(
                                 "read",
                                 "menu",
                                 Set.of("GET", "HEAD"),
@@ -99,7 +99,8 @@
                                 true,
                                 CostHint.SHORT,
                                 -1),
-                        new Selector("least", "menu", Set.of(), "/", "*", Map.of(), 1, false, CostHint.LEARNED, 0));
+                        Selector.forAllHosts(
+                                "least", "menu", Set.of(), "/", "*", Map.of(), 1, false, CostHint.LEARNED, 0));
     }
 
     @Test
@@ -128,7 +129,7 @@
                         "f.toml:22: selector.e.priority: expected an integer, but found a decimal number",
                         "f.toml:23: selector.e.repeatable: expected true or false, but found a string",
                         "f.toml:25: selector.f: TOML syntax: Unknown token",
-                        "f.toml:26: route: unknown key; expected label, service or selector",
+                        "f.toml:26: route: unknown key; expected label, service, selector or limits",
                         "f.toml:27: service.bad name: name \"bad name\" must have 1 to 128 letters, digits, dots,"
                                 + " hyphens or underscores and start with a letter or digit");
     }
--- a/src/test/java/org/cassiabank/platform/PlatformDocumentsTest.java
+++ b/src/test/java/org/cassiabank/platform/PlatformDocumentsTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Random;
 import org.cassiabank.declaration.Configuration;
+import org.cassiabank.declaration.ConnectionLimits;
 import org.cassiabank.declaration.RequestLimits;
 import org.cassiabank.declaration.RequestRouter;
 import org.cassiabank.declaration.Selector;
@@ -33,7 +34,8 @@
                 "weighted_clusters":[{"service":"blue","weight":90},{"service":"green","weight":10},
                   {"service":"off","weight":0}],"max_attempts":3}},
               {"resource_type":"services","metadata":{"name":"desk"},"spec":{"health_check_path":"/h"}},
-              {"resource_type":"limits","metadata":{},"spec":{"max_body_bytes":5}},
+              {"resource_type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":67108864,
+                "header_timeout":"3000ms","idle_timeout":"15s"}},
               {"resource_type":"of-another-time","metadata":{"name":"x"},"spec":{}}]}
             """;
     private static final String SERVER = """
@@ -58,6 +60,13 @@
         assertThat(configuration.selectors()).extracting(Selector::name).doesNotContain("menu.2");
     }
 
+    @Test
+    void limitsOfTheOperatorsAreRead() {
+        ConfigurationDocument document = adapter.configuration(entry("op/config", CONFIGURATION));
+        Configuration configuration = Configuration.empty().replacedBy(document.version(), document.declarations());
+        assertThat(configuration.connectionLimits()).contains(new ConnectionLimits(16_384, 67_108_864, 3_000, 15_000));
+    }
+
     @Test
     void partsOfARouteGetTheirShares() {
         ConfigurationDocument document = adapter.configuration(entry("op/config", CONFIGURATION));
@@ -105,6 +114,7 @@
                 "[]",
                 "\u0000\u0001",
                 "{}",
+                SERVER.replace("1767225600000", "\"today\""),
                 SERVER.replace("\"slots\":2", "\"slots\":\"two\""),
                 SERVER.replace("ready", "resting"),
                 SERVER.replace("\"service\":\"desk\",", ""),
--- a/src/test/java/org/cassiabank/proxy/CallerServerTest.java
+++ b/src/test/java/org/cassiabank/proxy/CallerServerTest.java
@@ -1,25 +1,28 @@
 package org.cassiabank.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.cassiabank.declaration.ConnectionLimits;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** Sends raw bytes to the callers' port: lengths that two readers could read differently, and sizes over limits. */
 class CallerServerTest {
-    private static final CallerLimits LIMITS = new CallerLimits(3, 2, 1_024, 100, 1_000, 300);
+    private static final CallerLimits LIMITS = new CallerLimits(3, 2, 1_024, 100, 1_000, 400, 300);
 
     private static final int LARGE_BYTES = 32 * 1_024 * 1_024;
 
@@ -94,6 +97,58 @@
         }
     }
 
+    @Test
+    void headersThatArriveTooSlowlyAreRefused() throws Exception {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(5_000);
+            for (char next : "GET /slow HTTP/1.1\r\nHost: x".toCharArray()) {
+                if (socket.getInputStream().available() > 0) {
+                    break;
+                }
+                socket.getOutputStream().write(next);
+                Thread.sleep(50);
+            }
+            byte[] answer = socket.getInputStream().readNBytes(12);
+            assertThat(new String(answer, StandardCharsets.US_ASCII)).isEqualTo("HTTP/1.1 408");
+        }
+    }
+
+    @Test
+    void aSlowBodyIsNotTakenForSlowHeaders() throws Exception {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(5_000);
+            socket.getOutputStream()
+                    .write("POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 12\r\n\r\n"
+                            .getBytes(StandardCharsets.US_ASCII));
+            for (int count = 0; count < 12; count++) {
+                Thread.sleep(50);
+                socket.getOutputStream().write('a');
+            }
+            byte[] answer = socket.getInputStream().readNBytes(12);
+            assertThat(new String(answer, StandardCharsets.US_ASCII)).isEqualTo("HTTP/1.1 200");
+        }
+    }
+
+    @Test
+    void aRaisedIdleLimitHoldsForOpenConnections() throws Exception {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(900);
+            server.useDeclared(Optional.of(new ConnectionLimits(1_024, 100, 400, 2_000)));
+            assertThatThrownBy(() -> socket.getInputStream().read()).isInstanceOf(SocketTimeoutException.class);
+            socket.setSoTimeout(5_000);
+            assertThat(socket.getInputStream().read()).isEqualTo(-1);
+        }
+    }
+
+    @Test
+    void declaredSizesHoldWithinWhatTheDaemonHasMemoryFor() throws IOException {
+        server.useDeclared(Optional.of(new ConnectionLimits(512, 1_000, 400, 300)));
+        assertThat(exchange("GET / HTTP/1.1\r\nHost: x\r\nA: " + "a".repeat(600) + "\r\n\r\n"))
+                .startsWith("HTTP/1.1 431");
+        assertThat(exchange("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 101\r\n\r\n" + "a".repeat(101)))
+                .startsWith("HTTP/1.1 413");
+    }
+
     @Test
     void aHandlerLearnsThatItsCallerHasGone() throws Exception {
         try (Socket socket = new Socket("127.0.0.1", port)) {
