Notice silent store connections in 3 s, and accept requests only when the servers are known

Ruled out: a shorter watch, which costs a priced call each time. Change: the renewal of the registration, now every 1.5 s, drops the other connections when it times out. The list is published before the configuration and logged afterwards, the first one in one line. A request that comes before both are known waits for 200 ms at most. Watches last 30 s, and a series of changes is collected for a second. The handler of SIGHUP is installed before anything else.

--- a/src/main/java/org/cassiabank/platform/KeyValueStore.java
+++ b/src/main/java/org/cassiabank/platform/KeyValueStore.java
@@ -142,6 +142,12 @@
         return post("/api/kv-txn", body, Set.of(OK, NOT_FOUND)).status() == OK;
     }
 
+    @Override
+    public void dropConnections() {
+        client.dispatcher().cancelAll();
+        client.connectionPool().evictAll();
+    }
+
     private HttpUrl.Builder url(String path) {
         return base.newBuilder().encodedPath(path);
     }
--- a/src/main/java/org/cassiabank/proxy/Entry.java
+++ b/src/main/java/org/cassiabank/proxy/Entry.java
@@ -33,7 +33,10 @@
     private static final long MAXIMUM_CLAIMED_MILLIS = TimeUnit.MINUTES.toMillis(5);
 
     private static final int LOG_INTERVAL_SECONDS = 10;
-    private static final long NO_CONFIGURATION_RETRY_MILLIS = 1_000;
+    /** A daemon that has just started learns the fleet within this time when the store answers. */
+    private static final long START_WAIT_MILLIS = 200;
+
+    private static final long NO_CONFIGURATION_RETRY_MILLIS = 500;
     private static final long CLAIM_RETRY_MILLIS = 500;
     private static final double RETRY_RATIO = 0.1;
     private static final int RETRY_CAPACITY = 10;
@@ -104,9 +107,10 @@
     }
 
     private CallerReply route(CallerRequest request, CallerPresence presence, RequestTrace trace) {
+        boolean ready = fleet.awaitReady(START_WAIT_MILLIS);
         FleetView view = fleet.view();
         trace.useView(view);
-        if (view.configuration().revision() == 0) {
+        if (!ready) {
             return refuse(CallerReply.SERVICE_UNAVAILABLE, "no-configuration", NO_CONFIGURATION_RETRY_MILLIS);
         }
         RandomGenerator random = ThreadLocalRandom.current();
--- a/src/main/java/org/cassiabank/proxy/FleetState.java
+++ b/src/main/java/org/cassiabank/proxy/FleetState.java
@@ -5,6 +5,8 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.membership.InstanceList;
@@ -25,6 +27,7 @@
     private final ConfigurationHistory history = ConfigurationHistory.create();
     private final InstanceListHistory lists = InstanceListHistory.create();
     private final List<BiConsumer<FleetView, FleetView>> listeners = new CopyOnWriteArrayList<>();
+    private final CountDownLatch ready = new CountDownLatch(1);
     private volatile FleetView view;
 
     private FleetState(String region, int floorPercent) {
@@ -56,6 +59,21 @@
         return revision() > 0 && view.instances().index() > 0;
     }
 
+    /**
+     * Waits until both are in force.
+     *
+     * @param millis the longest wait in milliseconds
+     * @return whether they are
+     */
+    boolean awaitReady(long millis) {
+        try {
+            return ready.await(millis, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
     /**
      * Adds a listener that is called with the former and the new view after each change.
      *
@@ -197,5 +215,8 @@
         for (BiConsumer<FleetView, FleetView> listener : listeners) {
             listener.accept(former, next);
         }
+        if (isReady()) {
+            ready.countDown();
+        }
     }
 }
--- a/src/main/java/org/cassiabank/proxy/ProxyMain.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyMain.java
@@ -31,6 +31,7 @@
      * @throws InterruptedException if the main thread is interrupted
      */
     public static void main(String[] arguments) throws IOException, InterruptedException {
+        SettingsReload reload = SettingsReload.listen();
         OptionParser parser = new OptionParser();
         OptionSpec<String> settingsFile = parser.nonOptions(
                         "TOML file with the settings; default is the file that CASSIABANK_SETTINGS names")
@@ -51,7 +52,8 @@
                 return;
             }
             Logging.setUp(settings.name());
-            run(file, settings);
+            reload.use(file, settings);
+            run(settings);
         } catch (OptionException exception) {
             exit(EXIT_USAGE, exception);
         } catch (CassiabankException exception) {
@@ -72,8 +74,7 @@
         return Path.of(variable);
     }
 
-    private static void run(Path file, ProxySettings settings) throws InterruptedException {
-        SettingsReload.onHangup(file, settings);
+    private static void run(ProxySettings settings) throws InterruptedException {
         ProxyDaemon daemon = ProxyDaemon.create(settings);
         daemon.start();
         Runtime.getRuntime().addShutdownHook(Thread.ofPlatform().name("drain").unstarted(() -> {
--- a/src/main/java/org/cassiabank/source/EntryFleetSource.java
+++ b/src/main/java/org/cassiabank/source/EntryFleetSource.java
@@ -1,6 +1,7 @@
 package org.cassiabank.source;
 
 import com.google.common.flogger.FluentLogger;
+import java.io.InterruptedIOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -27,14 +28,20 @@
     static final String DAEMONS_PREFIX = "cassiabank/daemons/";
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-    /** A connection that went silent is noticed when this time and the timeout of a call are over. */
-    private static final long WATCH_MILLIS = 10_000;
+    /** Silent connections are noticed by probes and by the renewal of the registration, so a watch may wait long. */
+    private static final long WATCH_MILLIS = 30_000;
     /**
      * Changes that come close together are fetched by one call. A change has to be in force within 2 s, also while the
      * store takes a quarter of a second for an answer.
      */
     private static final long BATCH_MILLIS = 600;
 
+    /** The same while changes keep coming, as in a rollout: half of the time that a change may take. */
+    private static final long SERIES_MILLIS = 1_000;
+
+    /** A change that came within this time of the call was most likely there before it. */
+    private static final long SERIES_GAP_MILLIS = 300;
+
     private static final long SHORTEST_RETRY_MILLIS = 150;
     private static final long LONGEST_RETRY_MILLIS = 350;
     private static final int LOG_INTERVAL_SECONDS = 10;
@@ -142,6 +149,7 @@
     }
 
     private void step() {
+        boolean inSeries = false;
         if (!loaded) {
             load();
         } else {
@@ -155,12 +163,13 @@
                 loaded = false;
                 return;
             }
+            inSeries = !batch.get().events().isEmpty() && clock.getAsLong() - now < SERIES_GAP_MILLIS;
             batch.get().events().forEach(table::apply);
             revision = Math.max(revision, batch.get().revision());
         }
         guard.noteAnswer(clock.getAsLong());
         publish();
-        pause(BATCH_MILLIS);
+        pause(inSeries ? SERIES_MILLIS : BATCH_MILLIS);
     }
 
     private void load() {
@@ -181,8 +190,13 @@
         loaded = true;
     }
 
+    /** Publishes the instances first: requests are accepted as soon as there is a configuration. */
     private void publish() {
+        publishInstances();
         publishConfiguration();
+    }
+
+    private void publishInstances() {
         Map<String, Instance> listed = new HashMap<>();
         for (StoreEntry entry : table.withPrefix(adapter.serversPrefix())) {
             server(entry).ifPresent(server -> listed.put(server.name(), server));
@@ -197,10 +211,16 @@
         if (complete.equals(published) && lastIndex > 0 && target.listIndex() == lastIndex) {
             return;
         }
-        logDifferences(complete);
+        Map<String, Instance> former = published;
         published = complete;
         lastIndex = Math.max(Math.max(lastIndex, target.listIndex()) + 1, revision << INDEX_STEP_BITS);
         target.install(InstanceList.of(lastIndex, complete.values()));
+        if (former.isEmpty()) {
+            // One line for each instance would take a good part of the time of a start.
+            LOGGER.atInfo().log("first instances, revision %d: %s", revision, complete.keySet());
+        } else {
+            logDifferences(former, complete);
+        }
     }
 
     private void publishConfiguration() {
@@ -250,9 +270,9 @@
                 "entry %s at revision %d is not used: %s", entry.key(), entry.revision(), problem.getMessage());
     }
 
-    private void logDifferences(Map<String, Instance> next) {
+    private void logDifferences(Map<String, Instance> formerly, Map<String, Instance> next) {
         next.forEach((name, instance) -> {
-            Instance former = published.get(name);
+            Instance former = formerly.get(name);
             if (former == null) {
                 LOGGER.atInfo().log(
                         "%s %s appears at %s, revision %d", instance.role(), name, instance.address(), revision);
@@ -260,7 +280,7 @@
                 LOGGER.atInfo().log("%s %s is %s, revision %d", instance.role(), name, instance.state(), revision);
             }
         });
-        published.forEach((name, instance) -> {
+        formerly.forEach((name, instance) -> {
             if (!next.containsKey(name)) {
                 LOGGER.atInfo().log("%s %s is gone, revision %d", instance.role(), name, revision);
             }
@@ -280,6 +300,10 @@
             } catch (CassiabankException exception) {
                 if (answered) {
                     LOGGER.atWarning().log("cannot renew the registration: %s", exception.getMessage());
+                    if (exception.getCause() instanceof InterruptedIOException) {
+                        // The call that waits for changes may use a connection that went silent as well.
+                        store.dropConnections();
+                    }
                 }
                 answered = false;
             }
--- a/src/main/java/org/cassiabank/source/EntryStore.java
+++ b/src/main/java/org/cassiabank/source/EntryStore.java
@@ -62,4 +62,10 @@
      * @return false if the lease has ended; nothing was written then
      */
     boolean put(String key, byte[] value, long lease);
+
+    /**
+     * Ends all calls under way and closes all connections. Called when a call timed out, because connections that were
+     * opened over the same way may have gone silent with it.
+     */
+    void dropConnections();
 }
--- a/src/main/java/org/cassiabank/source/Registration.java
+++ b/src/main/java/org/cassiabank/source/Registration.java
@@ -12,8 +12,12 @@
     /** Covers two lost renewals and the start of another; a daemon that is gone is listed for this long at most. */
     static final long LEASE_MILLIS = 8_000;
 
-    /** A third of the lease, less some time for a slow answer. */
-    static final long RENEWAL_MILLIS = 2_500;
+    /**
+     * A renewal also shows whether the store can still be reached while the other call waits for changes. With the
+     * timeout of a call, connections that went silent are noticed after 3 s, the time after which changes have to be in
+     * force in time again.
+     */
+    static final long RENEWAL_MILLIS = 1_500;
 
     private final EntryStore store;
     private final String key;
--- a/src/test/java/org/cassiabank/platform/EntryFleetSourceTest.java
+++ b/src/test/java/org/cassiabank/platform/EntryFleetSourceTest.java
@@ -2,11 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
+import java.net.URI;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import org.cassiabank.fleet.LinkRelay;
 import org.cassiabank.membership.Instance;
 import org.cassiabank.membership.InstanceList;
 import org.cassiabank.membership.InstanceRole;
@@ -25,7 +28,7 @@
 
     private final StoreStandIn standIn = StoreStandIn.start();
     private final Target target = new Target();
-    private final EntryFleetSource source = newSource();
+    private final EntryFleetSource source = newSource(SELF, standIn.address());
 
     @BeforeEach
     void start() {
@@ -124,26 +127,43 @@
         await(() -> target.has("i-1") && target.has("i-2"));
     }
 
+    @Test
+    void changesAreFollowedSoonAfterAllOpenConnectionsWentSilent() throws IOException {
+        URI address = standIn.address();
+        try (LinkRelay link = LinkRelay.start(address.getHost(), address.getPort())) {
+            Target other = new Target();
+            EntryFleetSource behindLink = newSource("proxy-2", URI.create("http://" + link.address()));
+            behindLink.start(other);
+            await(() -> other.revision() == 5 && other.has("proxy-2"));
+            link.silenceOpenConnections();
+            standIn.write("op/config", configuration(6));
+            // Three seconds to notice it and two for the change, which are the bounds of the platform.
+            await(Duration.ofSeconds(5), () -> other.revision() == 6);
+            behindLink.close();
+        }
+    }
+
     @Test
     void aLeavingDaemonTakesItsEntryAway() {
         source.announceLeaving();
         await(() -> !standIn.has("cassiabank/daemons/" + SELF));
     }
 
-    private EntryFleetSource newSource() {
+    private static EntryFleetSource newSource(String name, URI address) {
         KeyValueAdapter adapter = new KeyValueAdapter();
-        Instance self = Instance.of(SELF, InstanceRole.PROXY, "127.0.0.1:7200", "region", "domain", InstanceState.LIVE);
+        Instance self = Instance.of(name, InstanceRole.PROXY, "127.0.0.1:7200", "region", "domain", InstanceState.LIVE);
         return EntryFleetSource.create(
-                adapter,
-                adapter.openStore(standIn.address()),
-                self,
-                () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+                adapter, adapter.openStore(address), self, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
     }
 
     private static void await(BooleanSupplier condition) {
-        long deadline = System.nanoTime() + PATIENCE.toNanos();
+        await(PATIENCE, condition);
+    }
+
+    private static void await(Duration patience, BooleanSupplier condition) {
+        long deadline = System.nanoTime() + patience.toNanos();
         while (!condition.getAsBoolean()) {
-            assertThat(System.nanoTime()).as("waited for " + PATIENCE).isLessThan(deadline);
+            assertThat(System.nanoTime()).as("waited for " + patience).isLessThan(deadline);
             LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
         }
     }
--- a/src/test/java/org/cassiabank/platform/StoreStandIn.java
+++ b/src/test/java/org/cassiabank/platform/StoreStandIn.java
@@ -21,7 +21,7 @@
 import org.cassiabank.load.Ports;
 
 /** A stand-in for the platform's metadata store, with the faults that the platform's pages name on a switch. */
-final class StoreStandIn implements AutoCloseable {
+public final class StoreStandIn implements AutoCloseable {
     private static final int MAXIMUM_REQUEST_BYTES = 2 << 20;
 
     private final JsonMapper mapper = JsonMapper.builder().build();
@@ -36,6 +36,7 @@
     private int pageSize = 500;
     private int refusal;
     private boolean losesAnswers;
+    private volatile long delayMillis;
 
     private StoreStandIn() {
         String host = Ports.nextAddress();
@@ -43,19 +44,19 @@
         server = JoobyServer.start(host, MAXIMUM_REQUEST_BYTES, this::routes);
     }
 
-    static StoreStandIn start() {
+    public static StoreStandIn start() {
         return new StoreStandIn();
     }
 
-    URI address() {
+    public URI address() {
         return address;
     }
 
-    synchronized void write(String key, String value) {
+    public synchronized void write(String key, String value) {
         put(key, value.getBytes(StandardCharsets.UTF_8), 0);
     }
 
-    synchronized void remove(String key) {
+    public synchronized void remove(String key) {
         if (items.remove(key) != null) {
             record(mapper.createObjectNode()
                     .put("key", key)
@@ -65,7 +66,7 @@
     }
 
     /** Ends all leases and removes their keys, as after an outage during which nobody could renew. */
-    synchronized void lapseLeases() {
+    public synchronized void lapseLeases() {
         leases.clear();
         List<String> leased = items.entrySet().stream()
                 .filter(entry -> entry.getValue().lease() != 0)
@@ -74,18 +75,23 @@
         leased.forEach(this::remove);
     }
 
-    synchronized void forgetHistory() {
+    public synchronized void forgetHistory() {
         history.clear();
         oldestKnown = revision;
     }
 
     /** Answers every call with a status; 0 answers as usual. */
-    synchronized void refuseWith(int status) {
+    public synchronized void refuseWith(int status) {
         refusal = status;
     }
 
+    /** Answers every call later by a time. */
+    public void delay(long millis) {
+        delayMillis = millis;
+    }
+
     /** Carries out writes and closes their connections without an answer. */
-    synchronized void loseAnswers(boolean lose) {
+    public synchronized void loseAnswers(boolean lose) {
         losesAnswers = lose;
     }
 
@@ -93,7 +99,7 @@
         pageSize = size;
     }
 
-    synchronized boolean has(String key) {
+    public synchronized boolean has(String key) {
         return items.containsKey(key);
     }
 
@@ -107,6 +113,7 @@
     }
 
     private void routes(Jooby application) {
+        application.before(context -> TimeUnit.MILLISECONDS.sleep(delayMillis));
         application.get("/api/kv-range", this::range);
         application.get("/api/kv-watch", this::watch);
         application.post("/api/kv-txn", this::transact);
