Add a fault soak that runs the daemons as processes

Change: seeded series of faults from outside (signals, relays that delay, reset, cut or silence, a failing store, failing, crashing, leaving and replaced servers, configuration storms) against six daemons with the deployed settings; 14 promises are checked from what callers and servers see.

--- /dev/null
+++ b/src/test/java/org/cassiabank/soak/SoakFaults.java
@@ -0,0 +1,222 @@
+package org.cassiabank.soak;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+
+/** Injects faults from outside the daemons at times that a seed decides; they overlap and come in series. */
+final class SoakFaults {
+    private static final long GRACE_MILLIS = 6_000;
+    private static final long RESTART_MILLIS = 300;
+    private static final long DRAIN_MILLIS = 2_000;
+    private static final long JVM_START_MILLIS = 1_000;
+    /** An exit is noted at most this long after callers have seen it; the checks look that much earlier. */
+    static final long SETTLING_MILLIS = 400;
+
+    private final SoakFleet fleet;
+    private final Random random;
+    private final List<String> played = new ArrayList<>();
+
+    SoakFaults(SoakFleet fleet, long seed) {
+        this.fleet = fleet;
+        this.random = new Random(seed);
+    }
+
+    /**
+     * Plays faults for a time and waits until all of them are over.
+     *
+     * @param count the number of faults
+     * @param millis the time in which they begin
+     */
+    void play(int count, long millis) throws InterruptedException {
+        List<Thread> running = new ArrayList<>();
+        long start = Ledger.now();
+        long[] times = random.longs(count, 0, millis).sorted().toArray();
+        for (long time : times) {
+            TimeUnit.MILLISECONDS.sleep(Math.max(0, start + time - Ledger.now()));
+            Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
+            SoakFleet.Daemon daemon = fleet.daemons.get(random.nextInt(fleet.daemons.size()));
+            List<SoakServer> servers = fleet.servers.values().stream()
+                    .sorted(java.util.Comparator.comparing(SoakServer::name))
+                    .toList();
+            SoakServer server = servers.get(random.nextInt(servers.size()));
+            long length = 500 + random.nextInt(3_500);
+            played.add(time + " ms: " + kind + " " + daemon.name + " " + server.name() + " for " + length + " ms");
+            running.add(Thread.ofVirtual().start(() -> inject(kind, daemon, server, length)));
+        }
+        for (Thread thread : running) {
+            thread.join();
+        }
+    }
+
+    List<String> played() {
+        return played;
+    }
+
+    private void inject(Kind kind, SoakFleet.Daemon daemon, SoakServer server, long length) {
+        long from = Ledger.now();
+        try {
+            switch (kind) {
+                case PAUSE, KILL, TERMINATE -> stopDaemon(kind, daemon, length);
+                case HANGUP -> {
+                    // The signal ends a JVM that has not begun the program, which no program can prevent.
+                    while (Ledger.now() < daemon.launchedAt + JVM_START_MILLIS) {
+                        TimeUnit.MILLISECONDS.sleep(100);
+                    }
+                    daemon.process.signal("HUP");
+                }
+                case FRONT_RESET -> {
+                    daemon.disturbances.add(new SoakFleet.Span(from - SETTLING_MILLIS, from));
+                    daemon.front.resetOpenConnections();
+                }
+                case FRONT_SILENT -> {
+                    // Callers close these connections when their patience is over.
+                    daemon.disturbances.add(new SoakFleet.Span(from - SETTLING_MILLIS, from + 3_000));
+                    daemon.front.silenceOpenConnections();
+                }
+                case FRONT_SLOW -> during(daemon, length, () -> daemon.front.delay(100), () -> daemon.front.delay(0));
+                case STORE_CUT ->
+                    during(
+                            daemon,
+                            length,
+                            () -> daemon.storeLink.dropFromTarget(true),
+                            () -> daemon.storeLink.dropFromTarget(false));
+                case STORE_SILENT -> {
+                    daemon.disturbances.add(new SoakFleet.Span(from, from));
+                    daemon.storeLink.silenceOpenConnections();
+                }
+                case STORE_DOWN ->
+                    duringStore(length, () -> fleet.store.refuseWith(503), () -> fleet.store.refuseWith(0));
+                case STORE_SLOW -> duringStore(length, () -> fleet.store.delay(250), () -> fleet.store.delay(0));
+                case STORE_LOSES_ANSWERS ->
+                    duringStore(length, () -> fleet.store.loseAnswers(true), () -> fleet.store.loseAnswers(false));
+                case STORE_FORGETS -> fleet.store.forgetHistory();
+                case LEASES_LAPSE -> fleet.store.lapseLeases();
+                case SERVER_FAULT -> {
+                    server.fail(SoakServer.Fault.values()[1 + (int) (length % 7)]);
+                    TimeUnit.MILLISECONDS.sleep(2 * length);
+                    server.fail(SoakServer.Fault.NONE);
+                }
+                case SERVER_CRASH -> crash(server, length);
+                case SERVER_REPLACED -> replace(server);
+                case CONFIGURATION -> fleet.changeConfiguration();
+                case CONFIGURATION_STORM -> {
+                    for (int change = 0; change < 5; change++) {
+                        fleet.changeConfiguration();
+                        TimeUnit.MILLISECONDS.sleep(300);
+                    }
+                }
+            }
+        } catch (IOException exception) {
+            played.add("failed: " + kind + ": " + exception.getMessage());
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void stopDaemon(Kind kind, SoakFleet.Daemon daemon, long length) throws InterruptedException {
+        synchronized (daemon) {
+            if (daemon.busy) {
+                return;
+            }
+            daemon.busy = true;
+        }
+        long from = Ledger.now();
+        switch (kind) {
+            case PAUSE -> {
+                daemon.disturbances.add(new SoakFleet.Span(from, from + length + 200));
+                daemon.process.signal("STOP");
+                TimeUnit.MILLISECONDS.sleep(length);
+                daemon.process.signal("CONT");
+            }
+            case KILL -> {
+                daemon.disturbances.add(new SoakFleet.Span(from - SETTLING_MILLIS, from + RESTART_MILLIS + 3_000));
+                daemon.process.signal("KILL");
+                restart(daemon);
+            }
+            default -> {
+                daemon.terminations.add(new SoakFleet.Span(from, from + GRACE_MILLIS));
+                daemon.process.signal("TERM");
+                daemon.process.awaitExit(GRACE_MILLIS);
+                daemon.disturbances.add(new SoakFleet.Span(Ledger.now(), Ledger.now() + RESTART_MILLIS + 3_000));
+                daemon.process.signal("KILL");
+                restart(daemon);
+            }
+        }
+        daemon.busy = false;
+    }
+
+    private void restart(SoakFleet.Daemon daemon) throws InterruptedException {
+        daemon.process.awaitExit(1_000);
+        TimeUnit.MILLISECONDS.sleep(RESTART_MILLIS);
+        if (!fleet.isClosed()) {
+            fleet.launch(daemon);
+        }
+    }
+
+    private void crash(SoakServer server, long length) throws IOException, InterruptedException {
+        if (!fleet.servers.remove(server.name(), server)) {
+            return;
+        }
+        server.close();
+        TimeUnit.MILLISECONDS.sleep(length);
+        fleet.restartServer(server);
+    }
+
+    /** Empties a server and gives its address to a server of the other service. */
+    private void replace(SoakServer server) throws IOException, InterruptedException {
+        if (!fleet.servers.remove(server.name(), server)) {
+            return;
+        }
+        fleet.addServer(server.service(), org.cassiabank.load.Ports.next());
+        fleet.report(server, "draining");
+        server.announceLeaving();
+        TimeUnit.MILLISECONDS.sleep(DRAIN_MILLIS + 500);
+        fleet.store.remove("servers/" + server.name());
+        TimeUnit.MILLISECONDS.sleep(500);
+        server.close();
+        TimeUnit.MILLISECONDS.sleep(DRAIN_MILLIS);
+        fleet.addServer(server.service().equals("alpha") ? "beta" : "alpha", server.port());
+    }
+
+    private static void during(SoakFleet.Daemon daemon, long length, Runnable begin, Runnable end)
+            throws InterruptedException {
+        long from = Ledger.now();
+        daemon.disturbances.add(new SoakFleet.Span(from, from + length + 200));
+        begin.run();
+        TimeUnit.MILLISECONDS.sleep(length);
+        end.run();
+    }
+
+    private void duringStore(long length, Runnable begin, Runnable end) throws InterruptedException {
+        long from = Ledger.now();
+        fleet.disturbStore(from, from + length + 500);
+        begin.run();
+        TimeUnit.MILLISECONDS.sleep(length);
+        end.run();
+    }
+
+    private enum Kind {
+        PAUSE,
+        KILL,
+        TERMINATE,
+        HANGUP,
+        FRONT_RESET,
+        FRONT_SILENT,
+        FRONT_SLOW,
+        STORE_CUT,
+        STORE_SILENT,
+        STORE_DOWN,
+        STORE_SLOW,
+        STORE_LOSES_ANSWERS,
+        STORE_FORGETS,
+        LEASES_LAPSE,
+        SERVER_FAULT,
+        SERVER_CRASH,
+        SERVER_REPLACED,
+        CONFIGURATION,
+        CONFIGURATION_STORM
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cassiabank/soak/WireMessage.java
@@ -0,0 +1,110 @@
+package org.cassiabank.soak;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One HTTP/1.1 message as it came over a socket, read without a library that could hide a malformed one.
+ *
+ * @param startLine the first line
+ * @param headers the headers by lower-case name, the last value of each
+ * @param body the body as far as it came
+ * @param complete whether the whole body came
+ */
+record WireMessage(String startLine, Map<String, String> headers, byte[] body, boolean complete) {
+
+    /**
+     * Reads a message.
+     *
+     * @param input the stream
+     * @param isAnswer whether a message without a length ends with its connection
+     * @return the message, or empty if the stream ended before its first byte
+     * @throws IOException if the connection breaks before the headers are complete
+     */
+    static Optional<WireMessage> read(InputStream input, boolean isAnswer) throws IOException {
+        Optional<String> start = readLine(input);
+        if (start.isEmpty()) {
+            return Optional.empty();
+        }
+        Map<String, String> headers = new HashMap<>();
+        String line = readLine(input).orElseThrow(() -> new IOException("the headers end early"));
+        while (!line.isEmpty()) {
+            int colon = line.indexOf(':');
+            if (colon <= 0) {
+                throw new IOException("not a header: " + line);
+            }
+            headers.put(
+                    line.substring(0, colon).toLowerCase(Locale.ROOT),
+                    line.substring(colon + 1).strip());
+            line = readLine(input).orElseThrow(() -> new IOException("the headers end early"));
+        }
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        boolean complete;
+        try {
+            complete = readBody(input, headers, isAnswer, body);
+        } catch (IOException exception) {
+            complete = false;
+        }
+        return Optional.of(new WireMessage(start.get(), headers, body.toByteArray(), complete));
+    }
+
+    int status() throws IOException {
+        if (!startLine.matches("HTTP/1\\.1 [1-5][0-9][0-9]( .*)?")) {
+            throw new IOException("not an answer: " + startLine);
+        }
+        return Integer.parseInt(startLine.substring(9, 12));
+    }
+
+    String header(String name) {
+        return headers.getOrDefault(name, "");
+    }
+
+    private static boolean readBody(
+            InputStream input, Map<String, String> headers, boolean isAnswer, ByteArrayOutputStream body)
+            throws IOException {
+        if (headers.getOrDefault("transfer-encoding", "").equals("chunked")) {
+            while (true) {
+                int size = Integer.parseInt(readLine(input).orElse("-1"), 16);
+                byte[] chunk = input.readNBytes(Math.max(0, size));
+                body.writeBytes(chunk);
+                if (chunk.length < size || readLine(input).isEmpty()) {
+                    return false;
+                }
+                if (size == 0) {
+                    return true;
+                }
+            }
+        }
+        if (headers.containsKey("content-length")) {
+            int length = Integer.parseInt(headers.get("content-length"));
+            body.writeBytes(input.readNBytes(length));
+            return body.size() == length;
+        }
+        if (isAnswer) {
+            input.transferTo(body);
+        }
+        return true;
+    }
+
+    private static Optional<String> readLine(InputStream input) throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        int next = input.read();
+        if (next < 0) {
+            return Optional.empty();
+        }
+        while (next >= 0 && next != '\n') {
+            line.write(next);
+            next = input.read();
+        }
+        if (next < 0) {
+            throw new IOException("a line ends early");
+        }
+        return Optional.of(line.toString(StandardCharsets.ISO_8859_1).stripTrailing());
+    }
+}
