--- a/src/main/java/org/cassiabank/admission/HedgeDelay.java
+++ b/src/main/java/org/cassiabank/admission/HedgeDelay.java
@@ -3,10 +3,10 @@
 /**
  * Decides how long a first attempt runs alone before a second one at another server is worth its cost.
  *
- * <p>It answers the load of routes whose work times have a long tail: a few requests in a hundred take several times the
- * usual time, and the same request most likely takes the usual time at another server. Without a target the tail begins
- * at the 95th percentile. With one the second attempt starts early enough to end within it, but not before three of four
- * requests have their answers, so that the fleet's budget lasts.
+ * <p>It answers the load of routes whose work times have a long tail: a few requests in a hundred take several times
+ * the usual time, and the same request most likely takes the usual time at another server. Without a target the tail
+ * begins at the 95th percentile. With one the second attempt starts early enough to end within it, but not before three
+ * of four requests have their answers, so that the fleet's budget lasts.
  */
 final class HedgeDelay {
     /** What a second attempt is given, in mean times of its route. */
--- a/src/main/java/org/cassiabank/admission/ServerPool.java
+++ b/src/main/java/org/cassiabank/admission/ServerPool.java
@@ -39,7 +39,8 @@
         for (ServerCapacity capacity : capacities) {
             ServerState server = known.get(capacity.name());
             if (server == null || !server.capacity().address().equals(capacity.address())) {
-                server = new ServerState(capacity, started, nowMillis);
+                // Where few failures count, a new owner that knows no server must not fill one that fails.
+                server = new ServerState(capacity, started, untestedMillis > 0, nowMillis);
             }
             server.update(capacity, nowMillis);
             servers.put(capacity.name(), server);
--- a/src/main/java/org/cassiabank/admission/ServerState.java
+++ b/src/main/java/org/cassiabank/admission/ServerState.java
@@ -63,8 +63,18 @@
     private long probationSince;
     private double failureShare;
     private long failureShareAt;
+    private boolean unproven;
 
-    ServerState(ServerCapacity capacity, boolean cold, long nowMillis) {
+    /**
+     * Creates the state of a server that appears.
+     *
+     * @param capacity the server
+     * @param cold whether the server begins with a cold-start ramp
+     * @param unproven whether the server gets one request at a time until its first answer
+     * @param nowMillis the time in milliseconds
+     */
+    ServerState(ServerCapacity capacity, boolean cold, boolean unproven, long nowMillis) {
+        this.unproven = unproven;
         this.capacity = capacity;
         this.rampSlots = cold ? 1 : Integer.MAX_VALUE;
         this.rampSince = nowMillis;
@@ -75,6 +85,8 @@
         if (newCapacity.health() == ServerHealth.PROBATION && capacity.health() != ServerHealth.PROBATION) {
             probationSince = nowMillis;
         }
+        // The floor takes back a server that has proven nothing; at full load it would fail all its slots at once.
+        unproven |= capacity.health() == ServerHealth.EJECTED && newCapacity.health() == ServerHealth.HEALTHY;
         capacity = newCapacity;
         present = true;
     }
@@ -125,7 +137,7 @@
             return 0;
         }
         int slots = isWarm(nowMillis) ? capacity.slots() : rampSlots;
-        if (capacity.health() == ServerHealth.PROBATION) {
+        if (capacity.health() == ServerHealth.PROBATION || unproven) {
             slots = 1;
         }
         return nowMillis < blockedUntil ? Math.min(slots, blockedSlots) : slots;
@@ -196,6 +208,7 @@
 
     void answered(double relativeLatency, long nowMillis) {
         sheds = 0;
+        unproven = false;
         learnFailure(0, nowMillis);
         learnSlowness(relativeLatency, nowMillis);
         rampAnswers++;
--- a/src/main/java/org/cassiabank/admission/SlotAsk.java
+++ b/src/main/java/org/cassiabank/admission/SlotAsk.java
@@ -50,8 +50,8 @@
     }
 
     /**
-     * Creates the request for a first attempt of the highest urgency, without a target, by an entry to which all servers
-     * are alike.
+     * Creates the request for a first attempt of the highest urgency, without a target, by an entry to which all
+     * servers are alike.
      *
      * @param entry the name of the entry instance
      * @param selector the name of the selector that took the request
--- a/src/test/java/org/cassiabank/admission/SchedulerSimulation.java
+++ b/src/test/java/org/cassiabank/admission/SchedulerSimulation.java
@@ -14,7 +14,7 @@
 import org.cassiabank.health.Outcome;
 import org.cassiabank.health.ServerHealth;
 
-/** An event loop in virtual time that sends seeded arrivals through a scheduler to servers, which answer unless told. */
+/** An event loop in virtual time that sends seeded arrivals through a scheduler to servers, some of which may fail. */
 final class SchedulerSimulation {
     private static final double FAST_FAILURE_MILLIS = 10;
 
--- a/src/test/java/org/cassiabank/soak/SoakFaults.java
+++ b/src/test/java/org/cassiabank/soak/SoakFaults.java
@@ -8,13 +8,13 @@
 
 /** Injects faults from outside the daemons at times that a seed decides; they overlap and come in series. */
 final class SoakFaults {
+    /** An exit is noted at most this long after callers have seen it; the checks look that much earlier. */
+    static final long SETTLING_MILLIS = 400;
+
     private static final long GRACE_MILLIS = 6_000;
     private static final long RESTART_MILLIS = 300;
     private static final long DRAIN_MILLIS = 2_000;
     private static final long JVM_START_MILLIS = 1_000;
-    /** An exit is noted at most this long after callers have seen it; the checks look that much earlier. */
-    static final long SETTLING_MILLIS = 400;
-
     private final SoakFleet fleet;
     private final Random random;
     private final List<String> played = new ArrayList<>();
