--- a/src/main/java/org/cassiabank/health/HealthMonitor.java
+++ b/src/main/java/org/cassiabank/health/HealthMonitor.java
@@ -135,7 +135,7 @@
     /**
      * Decides about all servers.
      *
-     * @param isShort whether work waits because the servers in use are full; suspect servers are tried again sooner then
+     * @param isShort whether work waits because the servers in use are full; suspect servers are tried sooner then
      * @param nowMillis the time in milliseconds
      * @return the verdict for each server by name, in the order in which the servers became known
      */
