--- a/src/test/java/org/cassiabank/platform/EntryFleetSourceTest.java
+++ b/src/test/java/org/cassiabank/platform/EntryFleetSourceTest.java
@@ -54,6 +54,12 @@
         assertThat(source.isCurrent()).isTrue();
     }
 
+    @Test
+    void theListIsInForceBeforeTheConfiguration() {
+        // A daemon with a configuration accepts requests, and without a list it has no server for them.
+        assertThat(target.indexAtFirstConfiguration).isPositive();
+    }
+
     @Test
     void anOlderConfigurationIsNotTaken() {
         standIn.write("op/config", configuration(4));
@@ -185,6 +191,7 @@
     /** Takes what the source learns. */
     private static final class Target implements FleetTarget {
         private volatile long revision;
+        private volatile long indexAtFirstConfiguration = -1;
         private volatile InstanceList instances = InstanceList.empty();
 
         boolean has(String name) {
@@ -203,6 +210,9 @@
 
         @Override
         public boolean install(ConfigurationDocument document) {
+            if (indexAtFirstConfiguration < 0) {
+                indexAtFirstConfiguration = instances.index();
+            }
             revision = document.version();
             return true;
         }
