--- a/src/main/java/org/cassiabank/admission/ServerPool.java
+++ b/src/main/java/org/cassiabank/admission/ServerPool.java
@@ -112,7 +112,9 @@
                     continue;
                 }
                 if (soundExists && server.mostlyFails(nowMillis)) {
-                    test = lane.key().repeatable() && server.isDueForTest(nowMillis) ? server : test;
+                    if (lane.key().repeatable() && server.isDueForTest(nowMillis)) {
+                        test = server;
+                    }
                 } else if (best == null || server.isBetterThan(best, hints, nowMillis)) {
                     best = server;
                 }
@@ -129,7 +131,10 @@
                         && (lane.key().repeatable()
                                 ? probation.isWithoutGrantSince(nowMillis - PROBATION_INTERVAL_MILLIS)
                                 : untestedMillis > 0 && probation.isUntestedSince(nowMillis - untestedMillis));
-        return takesProbation ? probation : best == null ? test : best;
+        if (takesProbation) {
+            return probation;
+        }
+        return best == null ? test : best;
     }
 
     /**
--- a/src/test/java/org/cassiabank/soak/SoakFaults.java
+++ b/src/test/java/org/cassiabank/soak/SoakFaults.java
@@ -2,9 +2,11 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import org.cassiabank.load.Ports;
 
 /** Injects faults from outside the daemons at times that a seed decides; they overlap and come in series. */
 final class SoakFaults {
@@ -39,7 +41,7 @@
             Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
             SoakFleet.Daemon daemon = fleet.daemons.get(random.nextInt(fleet.daemons.size()));
             List<SoakServer> servers = fleet.servers.values().stream()
-                    .sorted(java.util.Comparator.comparing(SoakServer::name))
+                    .sorted(Comparator.comparing(SoakServer::name))
                     .toList();
             SoakServer server = servers.get(random.nextInt(servers.size()));
             long length = 500 + random.nextInt(3_500);
@@ -170,7 +172,7 @@
         if (!fleet.servers.remove(server.name(), server)) {
             return;
         }
-        fleet.addServer(server.service(), org.cassiabank.load.Ports.next());
+        fleet.addServer(server.service(), Ports.next());
         fleet.report(server, "draining");
         server.announceLeaving();
         TimeUnit.MILLISECONDS.sleep(DRAIN_MILLIS + 500);
--- a/src/test/java/org/cassiabank/soak/SoakServer.java
+++ b/src/test/java/org/cassiabank/soak/SoakServer.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -47,7 +48,7 @@
         this.random = new Random(seed);
         this.listener = new ServerSocket();
         listener.setReuseAddress(true);
-        listener.bind(new java.net.InetSocketAddress(InetAddress.getLoopbackAddress(), port), 128);
+        listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 128);
     }
 
     static SoakServer start(String name, String service, int port, Ledger ledger, long seed) throws IOException {
