Take back the trials of new owners and the early trials of suspects

A new owner that gives each of 21 servers one slot until its first answer, after 1 to 1.5 s there, predicts waits that are too long and refuses. Ruled out: keeping both for services with short work only, which was not measured. Change: new owners fill servers at once again, and suspects wait for their whole hold-off. A server that the floor takes back still gets one request until it answers.

--- a/src/main/java/org/cassiabank/admission/ServerPool.java
+++ b/src/main/java/org/cassiabank/admission/ServerPool.java
@@ -39,8 +39,7 @@
         for (ServerCapacity capacity : capacities) {
             ServerState server = known.get(capacity.name());
             if (server == null || !server.capacity().address().equals(capacity.address())) {
-                // Where few failures count, a new owner that knows no server must not fill one that fails.
-                server = new ServerState(capacity, started, untestedMillis > 0, nowMillis);
+                server = new ServerState(capacity, started, nowMillis);
             }
             server.update(capacity, nowMillis);
             servers.put(capacity.name(), server);
--- a/src/main/java/org/cassiabank/admission/ServerState.java
+++ b/src/main/java/org/cassiabank/admission/ServerState.java
@@ -65,16 +65,7 @@
     private long failureShareAt;
     private boolean unproven;
 
-    /**
-     * Creates the state of a server that appears.
-     *
-     * @param capacity the server
-     * @param cold whether the server begins with a cold-start ramp
-     * @param unproven whether the server gets one request at a time until its first answer
-     * @param nowMillis the time in milliseconds
-     */
-    ServerState(ServerCapacity capacity, boolean cold, boolean unproven, long nowMillis) {
-        this.unproven = unproven;
+    ServerState(ServerCapacity capacity, boolean cold, long nowMillis) {
         this.capacity = capacity;
         this.rampSlots = cold ? 1 : Integer.MAX_VALUE;
         this.rampSince = nowMillis;
--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -253,15 +253,6 @@
         return !leases.all().isEmpty();
     }
 
-    /**
-     * Tells whether requests wait for a slot.
-     *
-     * @return true if the servers in use cannot take all work at once
-     */
-    public boolean hasWaiting() {
-        return !shortQueue.isEmpty() || !longQueue.isEmpty();
-    }
-
     /**
      * Tells whether a server has completed its cold-start ramp.
      *
--- a/src/main/java/org/cassiabank/health/HealthMonitor.java
+++ b/src/main/java/org/cassiabank/health/HealthMonitor.java
@@ -129,17 +129,6 @@
      * @return the verdict for each server by name, in the order in which the servers became known
      */
     public Map<String, ServerHealth> evaluate(long nowMillis) {
-        return evaluate(false, nowMillis);
-    }
-
-    /**
-     * Decides about all servers.
-     *
-     * @param workWaits whether work waits for slots; suspect servers are tried sooner then
-     * @param nowMillis the time in milliseconds
-     * @return the verdict for each server by name, in the order in which the servers became known
-     */
-    public Map<String, ServerHealth> evaluate(boolean workWaits, long nowMillis) {
         List<ServerEvidence> inUse = new ArrayList<>();
         for (Server server : servers.values()) {
             advance(server, nowMillis);
@@ -158,16 +147,16 @@
         apply(EjectionPolicy.decide(candidates, floor), nowMillis);
         Map<String, ServerHealth> verdicts = LinkedHashMap.newLinkedHashMap(servers.size());
         servers.forEach((name, server) -> verdicts.put(name, server.probation.health()));
-        addSuspects(verdicts, workWaits, nowMillis);
+        addSuspects(verdicts, nowMillis);
         return verdicts;
     }
 
     /** Avoids suspect servers as far as the floor allows, those with the latest failures first. */
-    private void addSuspects(Map<String, ServerHealth> verdicts, boolean workWaits, long nowMillis) {
+    private void addSuspects(Map<String, ServerHealth> verdicts, long nowMillis) {
         List<Server> suspects = new ArrayList<>();
         int kept = 0;
         for (Server server : servers.values()) {
-            server.suspicion.ifPresent(suspicion -> suspicion.advance(workWaits, nowMillis));
+            server.suspicion.ifPresent(suspicion -> suspicion.advance(nowMillis));
             boolean isUsable = server.probation.health() == ServerHealth.HEALTHY && !server.description.leaving();
             kept += isUsable ? 1 : 0;
             if (isUsable
--- a/src/main/java/org/cassiabank/health/Suspicion.java
+++ b/src/main/java/org/cassiabank/health/Suspicion.java
@@ -67,13 +67,9 @@
         }
     }
 
-    /**
-     * Ends a hold-off that is over. While work waits for slots, the first hold-off is long enough: a trial costs one
-     * request, and each slot that a recovered server does not fill costs more.
-     */
-    void advance(boolean workWaits, long nowMillis) {
-        double wait = workWaits ? settings.firstHoldOffMillis() : holdOffMillis;
-        if (health == ServerHealth.EJECTED && nowMillis - sinceMillis >= wait) {
+    /** Ends a hold-off that is over. */
+    void advance(long nowMillis) {
+        if (health == ServerHealth.EJECTED && nowMillis - sinceMillis >= holdOffMillis) {
             enter(ServerHealth.PROBATION, nowMillis);
         }
     }
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -250,7 +250,7 @@
     private void updateServers(long nowMillis) {
         leavingSince.values().removeIf(since -> nowMillis - since > LEAVING_MARK_MILLIS);
         monitor.updateServers(monitored(server -> true), view.floor(key), nowMillis);
-        Map<String, ServerHealth> judged = Map.copyOf(monitor.evaluate(scheduler.hasWaiting(), nowMillis));
+        Map<String, ServerHealth> judged = Map.copyOf(monitor.evaluate(nowMillis));
         reportChanges(judged);
         healths = judged;
         updateScheduler(nowMillis);
