Fill servers that the floor takes back at once again

One slot until the first answer takes five of six slots of such a server out of the prediction, and orders are refused that would have been served. Conclusion: reverted.

--- a/src/main/java/org/cassiabank/admission/ServerState.java
+++ b/src/main/java/org/cassiabank/admission/ServerState.java
@@ -63,7 +63,6 @@
     private long probationSince;
     private double failureShare;
     private long failureShareAt;
-    private boolean unproven;
 
     ServerState(ServerCapacity capacity, boolean cold, long nowMillis) {
         this.capacity = capacity;
@@ -76,8 +75,6 @@
         if (newCapacity.health() == ServerHealth.PROBATION && capacity.health() != ServerHealth.PROBATION) {
             probationSince = nowMillis;
         }
-        // The floor takes back a server that has proven nothing; at full load it would fail all its slots at once.
-        unproven |= capacity.health() == ServerHealth.EJECTED && newCapacity.health() == ServerHealth.HEALTHY;
         capacity = newCapacity;
         present = true;
     }
@@ -128,7 +125,7 @@
             return 0;
         }
         int slots = isWarm(nowMillis) ? capacity.slots() : rampSlots;
-        if (capacity.health() == ServerHealth.PROBATION || unproven) {
+        if (capacity.health() == ServerHealth.PROBATION) {
             slots = 1;
         }
         return nowMillis < blockedUntil ? Math.min(slots, blockedSlots) : slots;
@@ -199,7 +196,6 @@
 
     void answered(double relativeLatency, long nowMillis) {
         sheds = 0;
-        unproven = false;
         learnFailure(0, nowMillis);
         learnSlowness(relativeLatency, nowMillis);
         rampAnswers++;
