--- a/src/main/java/org/cassiabank/admission/FairQueue.java
+++ b/src/main/java/org/cassiabank/admission/FairQueue.java
@@ -30,8 +30,8 @@
     private final Map<LaneKey, Lane> lanes = new HashMap<>();
     private final Map<String, Flow> flows = new HashMap<>();
     private final Map<Long, Ticket> tickets = new LinkedHashMap<>();
-    private double virtualTime;
     private final TreeMap<Integer, Double> queuedMicros = new TreeMap<>();
+    private double virtualTime;
     private int activeFlows;
     private int sweepAt = MIN_SWEEP;
     private long sequence;
--- a/src/main/java/org/cassiabank/admission/ServerPool.java
+++ b/src/main/java/org/cassiabank/admission/ServerPool.java
@@ -1,6 +1,7 @@
 package org.cassiabank.admission;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -102,7 +103,6 @@
         ServerState probation = null;
         EntryHints hints = lane.first().ask().hints();
         boolean healthyExists = false;
-        boolean soundExists = hasSound(lane.candidates(this), nowMillis);
         ServerState test = null;
         for (ServerState server : lane.candidates(this)) {
             if (server.isHealthy()) {
@@ -110,7 +110,7 @@
                 if (server.leases() >= server.usableSlots(nowMillis)) {
                     continue;
                 }
-                if (soundExists && server.mostlyFails(nowMillis)) {
+                if (isSpared(server, lane.candidates(this), nowMillis)) {
                     if (lane.key().repeatable() && server.isDueForTest(nowMillis)) {
                         test = server;
                     }
@@ -137,16 +137,11 @@
     }
 
     /**
-     * Tells whether some server does the work that it gets. While one does, others that the floor keeps in use although
-     * they fail get only tests: a server that fails fast always has free slots and would draw most of the work.
+     * Tells whether a server gets only tests. The floor may keep one in use that fails; while another does the work
+     * that it gets, the failing one is spared, because it always has free slots and would draw most of the work.
      */
-    private static boolean hasSound(ServerState[] servers, long nowMillis) {
-        for (ServerState server : servers) {
-            if (server.isSound(nowMillis)) {
-                return true;
-            }
-        }
-        return false;
+    private static boolean isSpared(ServerState server, ServerState[] servers, long nowMillis) {
+        return server.mostlyFails(nowMillis) && Arrays.stream(servers).anyMatch(other -> other.isSound(nowMillis));
     }
 
     /** Chooses a server for long work, or returns null if no server may take it now. */
@@ -183,11 +178,10 @@
     static int usableSlots(ServerState[] servers, long nowMillis) {
         int healthySlots = 0;
         int probationSlots = 0;
-        boolean soundExists = hasSound(servers, nowMillis);
         for (ServerState server : servers) {
             int usable = server.usableSlots(nowMillis);
             if (server.isHealthy()) {
-                healthySlots += soundExists && server.mostlyFails(nowMillis) ? 0 : usable;
+                healthySlots += isSpared(server, servers, nowMillis) ? 0 : usable;
             } else {
                 probationSlots += usable;
             }
--- a/src/main/java/org/cassiabank/admission/ServerState.java
+++ b/src/main/java/org/cassiabank/admission/ServerState.java
@@ -247,7 +247,10 @@
     }
 
     private double failureShare(long nowMillis) {
-        return failureShare * Math.pow(0.5, (nowMillis - failureShareAt) / FAILURE_HALF_LIFE_MILLIS);
+        // Asked for each server and grant; most servers never failed.
+        return failureShare == 0
+                ? 0
+                : failureShare * Math.pow(0.5, (nowMillis - failureShareAt) / FAILURE_HALF_LIFE_MILLIS);
     }
 
     private void learnFailure(double failed, long nowMillis) {
--- a/src/main/java/org/cassiabank/declaration/DeclarationParser.java
+++ b/src/main/java/org/cassiabank/declaration/DeclarationParser.java
@@ -135,7 +135,7 @@
             String word = kindTable.getKey();
             Optional<EntityKind> kind = EntityKind.ofWord(word);
             if (kind.isEmpty()) {
-                report(word, "unknown key; expected label, service, selector or limits");
+                report(word, "unknown key; expected " + EntityKind.words());
             } else if (!kindTable.getValue().isObject()) {
                 report(word, "expected tables [" + word + ".NAME]");
             } else {
--- a/src/main/java/org/cassiabank/declaration/EntityKind.java
+++ b/src/main/java/org/cassiabank/declaration/EntityKind.java
@@ -1,5 +1,7 @@
 package org.cassiabank.declaration;
 
+import java.util.Arrays;
+import java.util.List;
 import java.util.Locale;
 import java.util.Objects;
 import java.util.Optional;
@@ -26,6 +28,16 @@
         return name().toLowerCase(Locale.ROOT);
     }
 
+    /**
+     * Returns the words of all kinds for messages about one that is not known.
+     *
+     * @return the words with commas and a last {@code or}
+     */
+    public static String words() {
+        List<String> words = Arrays.stream(values()).map(EntityKind::word).toList();
+        return String.join(", ", words.subList(0, words.size() - 1)) + " or " + words.getLast();
+    }
+
     /**
      * Finds a kind by its word.
      *
--- a/src/main/java/org/cassiabank/membership/PeerEvidence.java
+++ b/src/main/java/org/cassiabank/membership/PeerEvidence.java
@@ -1,16 +1,11 @@
 package org.cassiabank.membership;
 
-import java.util.HashMap;
-import java.util.Map;
-import java.util.Objects;
-
 /**
  * What a proxy's own calls show about its peers, so that a peer behind a one-way cut does not cost every request the
  * full timeout of a call.
  *
- * <p>A peer is skipped for a time after a failed call. The time doubles with each failure that follows a skip, up to a
- * limit; calls that were already under way when the skip began do not lengthen it. Instances are not thread-safe. Times
- * have to come from one clock that does not go back.
+ * <p>A peer is skipped for a time after a failed call, see {@link SkipTimes}. Instances are not thread-safe. Times have
+ * to come from one clock that does not go back.
  */
 public final class PeerEvidence {
     private static final long FIRST_SKIP_MILLIS = 2_000;
@@ -18,7 +13,7 @@
     // After this time without a call the earlier failures say nothing about the peer's present state.
     private static final long FORGET_MILLIS = 60_000;
 
-    private final Map<String, Skip> skips = new HashMap<>();
+    private final SkipTimes skips = SkipTimes.create(FIRST_SKIP_MILLIS, MAXIMUM_SKIP_MILLIS, FORGET_MILLIS);
 
     private PeerEvidence() {}
 
@@ -38,15 +33,7 @@
      * @param nowMillis the time in milliseconds
      */
     public void recordFailure(String peer, long nowMillis) {
-        Objects.requireNonNull(peer, "peer");
-        skips.values().removeIf(skip -> nowMillis >= skip.untilMillis + FORGET_MILLIS);
-        Skip last = skips.get(peer);
-        if (last == null) {
-            skips.put(peer, new Skip(FIRST_SKIP_MILLIS, nowMillis + FIRST_SKIP_MILLIS));
-        } else if (nowMillis >= last.untilMillis) {
-            long length = Math.min(2 * last.lengthMillis, MAXIMUM_SKIP_MILLIS);
-            skips.put(peer, new Skip(length, nowMillis + length));
-        }
+        skips.recordFailure(peer, nowMillis);
     }
 
     /**
@@ -56,7 +43,7 @@
      * @param nowMillis the time in milliseconds
      */
     public void recordSuccess(String peer, long nowMillis) {
-        skips.remove(Objects.requireNonNull(peer, "peer"));
+        skips.recordSuccess(peer);
     }
 
     /**
@@ -67,15 +54,6 @@
      * @return false while the peer is skipped
      */
     public boolean isReachable(String peer, long nowMillis) {
-        Skip skip = skips.get(Objects.requireNonNull(peer, "peer"));
-        return skip == null || nowMillis >= skip.untilMillis;
+        return !skips.isSkipped(peer, nowMillis);
     }
-
-    /**
-     * The last skip of a peer.
-     *
-     * @param lengthMillis its length in milliseconds
-     * @param untilMillis its end in milliseconds
-     */
-    private record Skip(long lengthMillis, long untilMillis) {}
 }
--- a/src/main/java/org/cassiabank/operator/OperatorCommands.java
+++ b/src/main/java/org/cassiabank/operator/OperatorCommands.java
@@ -241,7 +241,7 @@
 
     private static EntityKind kind(String word) {
         return EntityKind.ofWord(word)
-                .orElseThrow(() -> usage("unknown kind " + word + "; expected label, service, selector or limits"));
+                .orElseThrow(() -> usage("unknown kind " + word + "; expected " + EntityKind.words()));
     }
 
     private static CassiabankException usage(String message) {
--- a/src/main/java/org/cassiabank/proxy/Attempts.java
+++ b/src/main/java/org/cassiabank/proxy/Attempts.java
@@ -2,7 +2,6 @@
 
 import java.util.HashSet;
 import java.util.HexFormat;
-import java.util.Locale;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -230,7 +229,7 @@
     }
 
     private String requestIdentifier(CallerRequest request) {
-        return Optional.of(profile.requestIdentifier().toLowerCase(Locale.ROOT))
+        return Optional.of(profile.requestIdentifier())
                 .filter(name -> profile.keepsCallerIdentifier())
                 .flatMap(request::header)
                 .filter(identifier -> !identifier.isBlank())
--- a/src/main/java/org/cassiabank/proxy/CallerReply.java
+++ b/src/main/java/org/cassiabank/proxy/CallerReply.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.cassiabank.backend.OwnMessages;
 
 /**
  * The reply to a caller: an answer of a backend server, or one of the two other outcomes.
@@ -19,7 +20,6 @@
     static final int SERVICE_UNAVAILABLE = 503;
     static final int GATEWAY_TIMEOUT = 504;
     static final int CONFLICT = 409;
-    private static final long MILLIS_PER_SECOND = 1_000;
 
     static CallerReply answered(int status, Map<String, List<String>> headers, byte[] body) {
         Map<String, List<String>> all = new LinkedHashMap<>(headers);
@@ -34,8 +34,7 @@
     static CallerReply notRun(int status, String reason, long retryAfterMillis) {
         Map<String, List<String>> headers = outcome("not-run", reason);
         if (retryAfterMillis > 0) {
-            long seconds = (retryAfterMillis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
-            headers.put("Retry-After", List.of(Long.toString(seconds)));
+            headers.put("Retry-After", List.of(OwnMessages.create().retryAfter(retryAfterMillis)));
             headers.put(RETRY_AFTER_MILLIS_HEADER, List.of(Long.toString(retryAfterMillis)));
         }
         return new CallerReply(status, headers, text("not run: " + reason));
--- a/src/main/java/org/cassiabank/proxy/CallerRequest.java
+++ b/src/main/java/org/cassiabank/proxy/CallerRequest.java
@@ -1,6 +1,7 @@
 package org.cassiabank.proxy;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 
@@ -16,8 +17,14 @@
 record CallerRequest(
         String method, String target, Map<String, List<String>> headers, byte[] body, String remoteAddress) {
 
-    Optional<String> header(String lowerCaseName) {
-        List<String> values = headers.getOrDefault(lowerCaseName, List.of());
+    /**
+     * Returns the first value of a header.
+     *
+     * @param name the name of the header, in any case
+     * @return the value, or empty if there is none
+     */
+    Optional<String> header(String name) {
+        List<String> values = headers.getOrDefault(name.toLowerCase(Locale.ROOT), List.of());
         return values.isEmpty() ? Optional.empty() : Optional.of(values.getFirst());
     }
 
--- a/src/main/java/org/cassiabank/proxy/ClaimKeeper.java
+++ b/src/main/java/org/cassiabank/proxy/ClaimKeeper.java
@@ -42,9 +42,8 @@
     private final Set<String> collectedFrom = new HashSet<>();
     private final ScheduledExecutorService worker = Executors.newSingleThreadScheduledExecutor(
             Thread.ofPlatform().name("claim-handover").daemon().factory());
-    private long startMillis;
-
     private final boolean enabled;
+    private long startMillis;
 
     private ClaimKeeper(Instance self, FleetState fleet, PeerDirectory peers, ProxyListHistory lists, boolean enabled) {
         this.self = self;
--- a/src/main/java/org/cassiabank/proxy/Entry.java
+++ b/src/main/java/org/cassiabank/proxy/Entry.java
@@ -6,7 +6,6 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -86,7 +85,7 @@
     @Override
     public CallerReply handle(CallerRequest request, CallerPresence presence) {
         String header = profile.requestIdentifier();
-        Optional<String> identifier = request.header(header.toLowerCase(Locale.ROOT));
+        Optional<String> identifier = request.header(header);
         RequestTrace trace = RequestTrace.start(identifier.orElse(""));
         CallerReply reply = handle(request, presence, trace);
         trace.log(reply);
@@ -122,7 +121,7 @@
         long deadlineMillis = view.service(selector.get().service())
                 .map(ServiceDeclaration::deadlineMillis)
                 .orElse(0L);
-        Optional<String> asked = request.header(profile.deadlineMillis().toLowerCase(Locale.ROOT));
+        Optional<String> asked = request.header(profile.deadlineMillis());
         if (asked.isPresent()) {
             try {
                 deadlineMillis = Math.min(Long.parseLong(asked.get().strip()), MAXIMUM_DEADLINE_MILLIS);
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -3,7 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -32,6 +31,7 @@
 import org.cassiabank.health.Observation;
 import org.cassiabank.health.Outcome;
 import org.cassiabank.health.ServerHealth;
+import org.cassiabank.membership.Instance;
 import org.cassiabank.retry.FleetRetryBudget;
 
 /**
@@ -58,7 +58,7 @@
     private final Map<Long, CompletableFuture<SlotDecision>> waiting = new HashMap<>();
     private final Map<Long, Uncollected> uncollected = new HashMap<>();
     private final Map<String, Long> leavingSince = new HashMap<>();
-    private final Map<String, Long> incarnations = new HashMap<>();
+    private Map<String, Long> incarnations = Map.of();
     private Map<String, ServerHealth> healths = Map.of();
     private FleetView view;
     private long nextEvaluationMillis;
@@ -140,26 +140,21 @@
 
     /** Forgets what is known of a server that started again under its name: it holds nothing of before. */
     private void forgetFormerStarts(long nowMillis) {
-        Set<String> restarted = new HashSet<>();
-        for (LabeledServer server : view.servers(key)) {
-            long incarnation = server.instance().incarnation();
-            Long former = incarnations.put(server.instance().name(), incarnation);
-            if (former != null && former != incarnation) {
-                restarted.add(server.instance().name());
-            }
-        }
-        incarnations
-                .keySet()
-                .retainAll(view.servers(key).stream()
-                        .map(server -> server.instance().name())
-                        .collect(Collectors.toSet()));
+        Map<String, Long> former = incarnations;
+        incarnations = view.servers(key).stream()
+                .map(LabeledServer::instance)
+                .collect(Collectors.toMap(Instance::name, Instance::incarnation));
+        Set<String> restarted = incarnations.entrySet().stream()
+                .filter(known -> !known.getValue().equals(former.getOrDefault(known.getKey(), known.getValue())))
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toSet());
         if (!restarted.isEmpty()) {
             LOGGER.atInfo().log("%s: servers %s started again", key, restarted);
             leavingSince.keySet().removeAll(restarted);
-            monitor.updateServers(
-                    monitored(server -> !restarted.contains(server.instance().name())), view.floor(key), nowMillis);
-            scheduler.updateServers(
-                    capacities(server -> !restarted.contains(server.instance().name())), nowMillis);
+            Predicate<LabeledServer> stayed =
+                    server -> !restarted.contains(server.instance().name());
+            monitor.updateServers(monitored(stayed), view.floor(key), nowMillis);
+            scheduler.updateServers(capacities(stayed), nowMillis);
         }
     }
 
--- a/src/main/java/org/cassiabank/proxy/ProxyMetrics.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyMetrics.java
@@ -36,20 +36,15 @@
             "cassiabank_control_bytes_total", "Bytes of requests and replies of calls of peers, by kind.", "kind");
     private final Counter storeCalls =
             counter("cassiabank_store_calls_total", "Calls of the platform, by kind.", "kind");
-    private final Histogram requestTime = Histogram.builder()
-            .name("cassiabank_request_seconds")
-            .help("Time from a read request to its reply, by outcome.")
-            .labelNames("outcome")
-            .register(registry);
-    private final Histogram attemptTime = Histogram.builder()
-            .name("cassiabank_attempt_seconds")
-            .help("Time of attempts at backend servers, by service and result.")
-            .labelNames("service", "result")
-            .register(registry);
-    private final Histogram addedTime = Histogram.builder()
-            .name("cassiabank_added_seconds")
-            .help("Time from the request to its first attempt at a backend server.")
-            .register(registry);
+    private final Histogram requestTime =
+            histogram("cassiabank_request_seconds", "Time from a read request to its reply, by outcome.", "outcome");
+    private final Histogram attemptTime = histogram(
+            "cassiabank_attempt_seconds",
+            "Time of attempts at backend servers, by service and result.",
+            "service",
+            "result");
+    private final Histogram addedTime =
+            histogram("cassiabank_added_seconds", "Time from the request to its first attempt at a backend server.");
 
     private ProxyMetrics() {}
 
@@ -130,6 +125,10 @@
         return output.toString(StandardCharsets.UTF_8);
     }
 
+    private Histogram histogram(String name, String help, String... labels) {
+        return Histogram.builder().name(name).help(help).labelNames(labels).register(registry);
+    }
+
     private Counter counter(String name, String help, String label) {
         return Counter.builder().name(name).help(help).labelNames(label).register(registry);
     }
--- a/src/main/java/org/cassiabank/proxy/ServerReach.java
+++ b/src/main/java/org/cassiabank/proxy/ServerReach.java
@@ -1,9 +1,8 @@
 package org.cassiabank.proxy;
 
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.cassiabank.membership.SkipTimes;
 
 /**
  * The servers to which this entry could not open a connection lately. The owner of a shard does not hold that against a
@@ -18,7 +17,7 @@
     /** More servers than this cannot be named in each request for a slot; the rest is tried again. */
     private static final int MOST_SKIPPED = 8;
 
-    private final Map<String, Skip> skips = new HashMap<>();
+    private final SkipTimes skips = SkipTimes.create(FIRST_SKIP_MILLIS, LONGEST_SKIP_MILLIS, FORGET_MILLIS);
 
     private ServerReach() {}
 
@@ -27,37 +26,15 @@
     }
 
     synchronized void recordFailure(String server, long nowMillis) {
-        skips.values().removeIf(skip -> nowMillis >= skip.untilMillis() + FORGET_MILLIS);
-        Skip last = skips.get(server);
-        if (last == null) {
-            skips.put(server, new Skip(FIRST_SKIP_MILLIS, nowMillis + FIRST_SKIP_MILLIS));
-        } else if (nowMillis >= last.untilMillis()) {
-            long length = Math.min(2 * last.lengthMillis(), LONGEST_SKIP_MILLIS);
-            skips.put(server, new Skip(length, nowMillis + length));
-        }
+        skips.recordFailure(server, nowMillis);
     }
 
     synchronized void recordSuccess(String server) {
-        skips.remove(server);
+        skips.recordSuccess(server);
     }
 
     /** Returns the servers that are not to be used now. */
     synchronized Set<String> skipped(long nowMillis) {
-        if (skips.isEmpty()) {
-            return Set.of();
-        }
-        return skips.entrySet().stream()
-                .filter(entry -> nowMillis < entry.getValue().untilMillis())
-                .map(Map.Entry::getKey)
-                .limit(MOST_SKIPPED)
-                .collect(Collectors.toUnmodifiableSet());
+        return skips.skipped(nowMillis).stream().limit(MOST_SKIPPED).collect(Collectors.toUnmodifiableSet());
     }
-
-    /**
-     * The last time during which a server is not used.
-     *
-     * @param lengthMillis its length in milliseconds
-     * @param untilMillis its end in milliseconds
-     */
-    private record Skip(long lengthMillis, long untilMillis) {}
 }
--- a/src/main/java/org/cassiabank/revision/ChangeDocuments.java
+++ b/src/main/java/org/cassiabank/revision/ChangeDocuments.java
@@ -116,7 +116,7 @@
         String name = text(node, path, "name");
         long readRevision = number(node, path, "read-revision");
         if (kind.isEmpty()) {
-            report(path + ".kind", "expected label, service, selector or limits");
+            report(path + ".kind", "expected " + EntityKind.words());
             return Optional.empty();
         }
         EntityKey key = new EntityKey(kind.get(), name);
--- a/src/main/java/org/cassiabank/source/EntryFleetSource.java
+++ b/src/main/java/org/cassiabank/source/EntryFleetSource.java
@@ -56,6 +56,7 @@
     private final LapseGuard guard = new LapseGuard();
     private final Registration registration;
     private final Map<String, ReadEntry> readEntries = new HashMap<>();
+    private final CountDownLatch leaving = new CountDownLatch(1);
     private long configurationEntry;
     private FleetTarget target;
     private Map<String, Instance> published = Map.of();
@@ -65,7 +66,6 @@
     private long lastIndex;
     private volatile boolean current;
     private volatile boolean registered;
-    private final CountDownLatch leaving = new CountDownLatch(1);
     private volatile boolean stopped;
 
     private EntryFleetSource(PlatformAdapter adapter, EntryStore store, Instance self, LongSupplier clock) {
--- a/src/test/java/org/cassiabank/soak/SoakCaller.java
+++ b/src/test/java/org/cassiabank/soak/SoakCaller.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
@@ -132,10 +131,4 @@
         ledger.ended(id, status, proper);
         return !answer.get().header("connection").equalsIgnoreCase("close");
     }
-
-    /** Returns the address as a socket address. */
-    static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
-    }
 }
--- a/src/test/java/org/cassiabank/soak/SoakFleet.java
+++ b/src/test/java/org/cassiabank/soak/SoakFleet.java
@@ -16,24 +16,22 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.cassiabank.fleet.LinkRelay;
 import org.cassiabank.load.ChildProcess;
 import org.cassiabank.load.Ports;
 import org.cassiabank.platform.StoreStandIn;
+import org.cassiabank.proxy.SocketAddress;
 
 /** Daemons as processes with the settings that the platform would give them, a store and backend servers. */
 final class SoakFleet implements AutoCloseable {
     static final int DAEMONS = 6;
     private static final int DOMAINS = 3;
     private static final int SERVERS = 4;
-    private static final List<String> OPTIONS = List.of(
-            "-Xmx112m",
-            "-Xss256k",
-            "-XX:+UseSerialGC",
-            "-XX:TieredStopAtLevel=1",
-            "-Djdk.virtualThreadScheduler.parallelism=1",
-            "-Djdk.pollerMode=1",
-            "-Dio.netty.noUnsafe=true");
+    /** The options before the one for the class archive, which the tests do not build. */
+    private static final Pattern JAVA_OPTIONS = Pattern.compile("bin/java (.+) -XX:SharedArchiveFile");
+
     private static final long START_MILLIS = 60_000;
     private static final Duration CHECK_TIMEOUT = Duration.ofMillis(800);
 
@@ -48,14 +46,16 @@
     private final Ledger ledger;
     private final Path directory;
     private final Random random;
+    private final List<String> javaOptions;
     private volatile int version;
     private volatile boolean closed;
     private int nextServer;
 
-    private SoakFleet(Ledger ledger, Path directory, long seed) {
+    private SoakFleet(Ledger ledger, Path directory, long seed) throws IOException {
         this.ledger = ledger;
         this.directory = directory;
         this.random = new Random(seed);
+        this.javaOptions = deployedJavaOptions();
     }
 
     static SoakFleet start(Ledger ledger, Path directory, long seed) throws IOException, InterruptedException {
@@ -98,7 +98,8 @@
     }
 
     InetSocketAddress front(int daemon) {
-        return SoakCaller.address(daemons.get(daemon).front.address());
+        SocketAddress address = SocketAddress.parse(daemons.get(daemon).front.address());
+        return new InetSocketAddress(address.host(), address.port());
     }
 
     int startCount(int daemon) {
@@ -164,7 +165,7 @@
         daemon.process = ChildProcess.start(
                 daemon.name,
                 "org.cassiabank.proxy.ProxyMain",
-                OPTIONS,
+                javaOptions,
                 List.of(daemon.settings.toString()),
                 directory.resolve(daemon.name + ".log"));
     }
@@ -196,6 +197,14 @@
         store.close();
     }
 
+    private static List<String> deployedJavaOptions() throws IOException {
+        Matcher matcher = JAVA_OPTIONS.matcher(Files.readString(Path.of("deploy", "system.toml")));
+        if (!matcher.find()) {
+            throw new IOException("deploy/system.toml has no options for Java");
+        }
+        return List.of(matcher.group(1).split(" "));
+    }
+
     private Daemon newDaemon(int number) throws IOException {
         String callers = Ports.nextAddress();
         String peers = Ports.nextAddress();
@@ -203,7 +212,7 @@
         URI address = store.address();
         LinkRelay storeLink = LinkRelay.start(address.getHost(), address.getPort());
         LinkRelay front =
-                LinkRelay.start("127.0.0.1", SoakCaller.address(callers).getPort());
+                LinkRelay.start("127.0.0.1", SocketAddress.parse(callers).port());
         String name = "proxy-" + number;
         String settings = Files.readString(Path.of("deploy", "proxy.toml.template"))
                 .replace("{{node_name|json}}", '"' + name + '"')
