Bound what a server can send, keep loops alive, and answer each request in its turn

OkHttp buffers a chunk line, interim responses and the like without a limit, so one response without end filled the heap; threads that met the OutOfMemoryError ended for good while the health check went on succeeding. 2. The 413 of a body over the limit was written by Netty's aggregator past the queue of the connection, so a pipelining caller read it as the reply to an earlier request that still ran. 100 Continue and the 413 after Expect had the same fault. 3. Host was not checked, and the key of the router was host and path without a separator.

Change: the socket counts the bytes of each response: 256 KiB plus eight bytes for each byte of the body. All responses in flight share a quarter of the heap; beyond it the largest is cut off, not the one that happens to read. Background loops and periodic tasks run again after any exception or error and are counted in cassiabank_task_failures_total; a handler or an attempt that fails with an error still ends its request; a dead Netty thread ends the process. A peer's frame may take an eighth of the heap. Refusals and 100 Continue wait for the replies before them and are counted; nothing behind a refusal is read. Host is checked (RFC 9112, section 3.2) and separated from the path. Kernel.close stops the remaining services after a stop that throws.

Ruled out: a limit of OkHttp (there is one for headers only), a parser of our own at the socket.

--- a/src/main/java/org/cassiabank/backend/AttemptTrace.java
+++ b/src/main/java/org/cassiabank/backend/AttemptTrace.java
@@ -21,9 +21,10 @@
     private volatile boolean headersStarted;
     private volatile boolean writesNotCounted;
     private volatile boolean writtenOnEarlierConnection;
-    private volatile WriteCountingSocket countingSocket;
+    private volatile MeteredSocket countingSocket;
     private volatile long writesAtAcquisition;
     private volatile Headers responseHeaders;
+    private volatile ResponseMeter responseMeter;
 
     /**
      * Tells whether a write operation of this attempt may have started.
@@ -34,6 +35,15 @@
         return writtenOnEarlierConnection || (headersStarted && (writesNotCounted || hasWrittenSinceAcquisition()));
     }
 
+    /**
+     * Sets the meter for the bytes of the response.
+     *
+     * @param newMeter the meter, set before the call is executed
+     */
+    void setResponseMeter(ResponseMeter newMeter) {
+        responseMeter = newMeter;
+    }
+
     /** Returns the headers of the response as the server sent them, null until the head is complete. */
     Headers responseHeaders() {
         return responseHeaders;
@@ -43,8 +53,9 @@
     public void connectionAcquired(Call call, Connection connection) {
         writtenOnEarlierConnection = mayHaveWritten();
         headersStarted = false;
-        if (connection.socket() instanceof WriteCountingSocket acquiredSocket) {
+        if (connection.socket() instanceof MeteredSocket acquiredSocket) {
             countingSocket = acquiredSocket;
+            acquiredSocket.setResponseMeter(responseMeter);
             writesAtAcquisition = acquiredSocket.startedWrites();
             writesNotCounted = false;
         } else {
@@ -52,6 +63,13 @@
         }
     }
 
+    @Override
+    public void connectionReleased(Call call, Connection connection) {
+        if (connection.socket() instanceof MeteredSocket releasedSocket) {
+            releasedSocket.setResponseMeter(null);
+        }
+    }
+
     @Override
     public void requestHeadersStart(Call call) {
         headersStarted = true;
@@ -76,7 +94,7 @@
     }
 
     private boolean hasWrittenSinceAcquisition() {
-        WriteCountingSocket currentSocket = countingSocket;
+        MeteredSocket currentSocket = countingSocket;
         return currentSocket != null && currentSocket.startedWrites() > writesAtAcquisition;
     }
 }
--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -1,26 +1,36 @@
 package org.cassiabank.backend;
 
+import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.io.InterruptedIOException;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import okhttp3.Call;
 import okhttp3.Headers;
 import okhttp3.Response;
+import okio.Buffer;
 import okio.BufferedSource;
 
 /**
  * One attempt at a request to a backend server, which another thread can cancel.
  */
 public final class BackendCall {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final int LOG_INTERVAL_SECONDS = 10;
+
+    /** The most bytes of a body that are decoded before they are counted. */
+    private static final long READ_BYTES = 8_192;
+
     private final BackendRequest request;
     private final Call call;
     private final AttemptTrace trace;
     private final int maximumResponseBytes;
     private final HeaderConventions conventions;
     private final Runnable onValidResponse;
+    private final ResponseMemory responseMemory;
     private volatile boolean cancelled;
 
     private BackendCall(
@@ -29,13 +39,15 @@
             AttemptTrace trace,
             int maximumResponseBytes,
             HeaderConventions conventions,
-            Runnable onValidResponse) {
+            Runnable onValidResponse,
+            ResponseMemory responseMemory) {
         this.request = request;
         this.call = call;
         this.trace = trace;
         this.maximumResponseBytes = maximumResponseBytes;
         this.conventions = conventions;
         this.onValidResponse = onValidResponse;
+        this.responseMemory = responseMemory;
     }
 
     static BackendCall of(
@@ -44,18 +56,34 @@
             AttemptTrace trace,
             int maximumResponseBytes,
             HeaderConventions conventions,
-            Runnable onValidResponse) {
-        return new BackendCall(request, call, trace, maximumResponseBytes, conventions, onValidResponse);
+            Runnable onValidResponse,
+            ResponseMemory responseMemory) {
+        return new BackendCall(
+                request, call, trace, maximumResponseBytes, conventions, onValidResponse, responseMemory);
     }
 
     /**
      * Sends the request and waits for the complete response. Blocks the thread; may be called only once.
      *
-     * @return the result of the attempt; a failure of the server or the network is a result too, not an exception
+     * @return the result of the attempt; a failure of the server, the network or this process is a result too, not an
+     *     exception
      */
     public BackendResult execute() {
+        try (ResponseMeter meter = ResponseMeter.create(responseMemory.open(call::cancel))) {
+            trace.setResponseMeter(meter);
+            return execute(meter);
+        } catch (RuntimeException | Error failure) {
+            // The slot has to be reported and the caller answered even if this process runs out of memory.
+            call.cancel();
+            LOGGER.atSevere().withCause(failure).atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                    "unexpected error in the attempt of request %s at %s", request.requestId(), request.address());
+            return toResult(failure.toString());
+        }
+    }
+
+    private BackendResult execute(ResponseMeter meter) {
         try (Response response = call.execute()) {
-            BackendResult result = readResponse(response);
+            BackendResult result = readResponse(response, meter);
             if (result instanceof NoValidResponse) {
                 // Without the cancellation, OkHttp would read the rest of the unread response and reuse the connection.
                 call.cancel();
@@ -64,7 +92,9 @@
             }
             return result;
         } catch (IOException exception) {
-            return toResult(exception);
+            // An exception while a body is read leaves its connection open.
+            call.cancel();
+            return toResult(exception, meter);
         }
     }
 
@@ -77,16 +107,22 @@
         call.cancel();
     }
 
-    private BackendResult readResponse(Response response) throws IOException {
+    private BackendResult readResponse(Response response, ResponseMeter meter) throws IOException {
         Optional<BackendResult> invalidHead = findInvalidHead(response);
         if (invalidHead.isPresent()) {
             return invalidHead.get();
         }
         BufferedSource source = response.body().source();
-        return source.request(maximumResponseBytes + 1L)
+        Buffer body = new Buffer();
+        long readBytes = source.read(body, READ_BYTES);
+        while (readBytes >= 0 && body.size() <= maximumResponseBytes) {
+            meter.recordBody(readBytes);
+            readBytes = source.read(body, READ_BYTES);
+        }
+        return body.size() > maximumResponseBytes
                 ? new NoValidResponse(
                         NoValidResponseReason.RESPONSE_TOO_LARGE, "more than " + maximumResponseBytes + " bytes")
-                : toResult(response.code(), source.readByteArray());
+                : toResult(response.code(), body.readByteArray());
     }
 
     private Optional<BackendResult> findInvalidHead(Response response) {
@@ -131,7 +167,13 @@
                 .isPresent();
     }
 
-    private BackendResult toResult(IOException exception) {
+    private BackendResult toResult(String failure) {
+        return trace.mayHaveWritten()
+                ? new NoValidResponse(NoValidResponseReason.CONNECTION_LOST, failure)
+                : new NotSent(failure);
+    }
+
+    private BackendResult toResult(IOException exception, ResponseMeter meter) {
         boolean mayHaveWritten = trace.mayHaveWritten();
         String detail = exception.toString();
         if (cancelled || Thread.currentThread().isInterrupted()) {
@@ -140,6 +182,9 @@
         if (!mayHaveWritten) {
             return new NotSent(detail);
         }
+        if (exception instanceof ResponseTooLargeException || meter.isRevoked()) {
+            return new NoValidResponse(NoValidResponseReason.RESPONSE_TOO_LARGE, detail);
+        }
         // OkHttp reports the timeout of a call as InterruptedIOException.
         if (exception instanceof InterruptedIOException) {
             return new NoValidResponse(NoValidResponseReason.TIMEOUT, detail);
--- a/src/main/java/org/cassiabank/backend/BackendClient.java
+++ b/src/main/java/org/cassiabank/backend/BackendClient.java
@@ -31,14 +31,17 @@
 
     private final BackendClientSettings settings;
     private final HeaderConventions conventions;
+    private final ResponseMemory responseMemory;
     /** Closes each connection after its response. */
     private final OkHttpClient singleUseClient;
     /** A pool for each address, because an OkHttp pool limits its idle connections in total, not for each server. */
     private final Map<String, PooledServer> serversByAddress = new ConcurrentHashMap<>();
 
-    private BackendClient(BackendClientSettings settings, HeaderConventions conventions) {
+    private BackendClient(
+            BackendClientSettings settings, HeaderConventions conventions, ResponseMemory responseMemory) {
         this.settings = settings;
         this.conventions = conventions;
+        this.responseMemory = responseMemory;
         this.singleUseClient = new OkHttpClient.Builder()
                 .protocols(List.of(Protocol.HTTP_1_1))
                 .proxy(Proxy.NO_PROXY)
@@ -49,7 +52,7 @@
                 .connectTimeout(settings.connectTimeoutMillis(), TimeUnit.MILLISECONDS)
                 .readTimeout(0, TimeUnit.MILLISECONDS)
                 .writeTimeout(0, TimeUnit.MILLISECONDS)
-                .socketFactory(new WriteCountingSocketFactory())
+                .socketFactory(new MeteredSocketFactory())
                 .connectionPool(new ConnectionPool(0, 1, TimeUnit.NANOSECONDS))
                 .eventListenerFactory(call -> call.request().tag(AttemptTrace.class))
                 .addNetworkInterceptor(
@@ -58,13 +61,13 @@
     }
 
     /**
-     * Creates a client that uses the {@link DefaultHeaderConventions}.
+     * Creates a client that uses the {@link DefaultHeaderConventions} and {@link ResponseMemory#ofHeap()}.
      *
      * @param settings the limits for connections and responses
      * @return the client
      */
     public static BackendClient create(BackendClientSettings settings) {
-        return create(settings, DefaultHeaderConventions.instance());
+        return create(settings, DefaultHeaderConventions.instance(), ResponseMemory.ofHeap());
     }
 
     /**
@@ -72,11 +75,15 @@
      *
      * @param settings the limits for connections and responses
      * @param conventions the headers that the servers expect and send
+     * @param responseMemory the memory for all responses that are being received
      * @return the client
      */
-    public static BackendClient create(BackendClientSettings settings, HeaderConventions conventions) {
+    public static BackendClient create(
+            BackendClientSettings settings, HeaderConventions conventions, ResponseMemory responseMemory) {
         return new BackendClient(
-                Objects.requireNonNull(settings, "settings"), Objects.requireNonNull(conventions, "conventions"));
+                Objects.requireNonNull(settings, "settings"),
+                Objects.requireNonNull(conventions, "conventions"),
+                Objects.requireNonNull(responseMemory, "responseMemory"));
     }
 
     /**
@@ -127,7 +134,8 @@
 
     private BackendCall toBackendCall(BackendRequest request, Call call, AttemptTrace trace, Runnable onValidResponse) {
         call.timeout().timeout(request.timeoutMillis(), TimeUnit.MILLISECONDS);
-        return BackendCall.of(request, call, trace, settings.maximumResponseBytes(), conventions, onValidResponse);
+        return BackendCall.of(
+                request, call, trace, settings.maximumResponseBytes(), conventions, onValidResponse, responseMemory);
     }
 
     /**
--- /dev/null
+++ b/src/main/java/org/cassiabank/backend/MeteredSocket.java
@@ -0,0 +1,77 @@
+package org.cassiabank.backend;
+
+import java.io.FilterInputStream;
+import java.io.FilterOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * A socket that counts the write operations that have started, and reports the bytes that it reads to the meter of the
+ * current response.
+ *
+ * <p>The count of writes increases before the operating system is called, because a failing write may have sent bytes.
+ */
+final class MeteredSocket extends Socket {
+    private final AtomicLong startedWrites = new AtomicLong();
+    private volatile ResponseMeter responseMeter;
+
+    /** Returns the number of write operations since the socket was created. */
+    long startedWrites() {
+        return startedWrites.get();
+    }
+
+    /**
+     * Sets the meter for the bytes that are read from now on.
+     *
+     * @param newMeter the meter of the attempt that uses the connection, null while no attempt does
+     */
+    void setResponseMeter(ResponseMeter newMeter) {
+        responseMeter = newMeter;
+    }
+
+    @Override
+    public InputStream getInputStream() throws IOException {
+        return new FilterInputStream(super.getInputStream()) {
+            @Override
+            public int read() throws IOException {
+                int value = in.read();
+                recordRead(value < 0 ? 0 : 1);
+                return value;
+            }
+
+            @Override
+            public int read(byte[] bytes, int offset, int length) throws IOException {
+                int readBytes = in.read(bytes, offset, length);
+                recordRead(readBytes);
+                return readBytes;
+            }
+        };
+    }
+
+    @Override
+    public OutputStream getOutputStream() throws IOException {
+        return new FilterOutputStream(super.getOutputStream()) {
+            @Override
+            public void write(int value) throws IOException {
+                startedWrites.incrementAndGet();
+                out.write(value);
+            }
+
+            @Override
+            public void write(byte[] bytes, int offset, int length) throws IOException {
+                startedWrites.incrementAndGet();
+                out.write(bytes, offset, length);
+            }
+        };
+    }
+
+    private void recordRead(int readBytes) throws ResponseTooLargeException {
+        ResponseMeter meter = responseMeter;
+        if (meter != null && readBytes > 0) {
+            meter.recordRead(readBytes);
+        }
+    }
+}
--- a/src/main/java/org/cassiabank/backend/WriteCountingSocketFactory.java
+++ b/src/main/java/org/cassiabank/backend/MeteredSocketFactory.java
@@ -9,11 +9,11 @@
 /**
  * Creates sockets that count their write operations.
  */
-final class WriteCountingSocketFactory extends SocketFactory {
+final class MeteredSocketFactory extends SocketFactory {
 
     @Override
     public Socket createSocket() {
-        return new WriteCountingSocket();
+        return new MeteredSocket();
     }
 
     @Override
@@ -38,7 +38,7 @@
     }
 
     private static Socket connect(InetSocketAddress remoteAddress, InetSocketAddress localAddress) throws IOException {
-        Socket socket = new WriteCountingSocket();
+        Socket socket = new MeteredSocket();
         if (localAddress != null) {
             socket.bind(localAddress);
         }
--- a/src/main/java/org/cassiabank/backend/NoValidResponseReason.java
+++ b/src/main/java/org/cassiabank/backend/NoValidResponseReason.java
@@ -14,7 +14,10 @@
     TRUNCATED_RESPONSE(AttemptResult.TRUNCATED_RESPONSE),
     /** The response does not carry the identifier of this request, or lacks a required signature. */
     REQUEST_ID_MISMATCH(AttemptResult.REQUEST_ID_MISMATCH),
-    /** The body exceeds {@link BackendClientSettings#maximumResponseBytes()}. */
+    /**
+     * The body exceeds {@link BackendClientSettings#maximumResponseBytes()}, too many bytes arrived outside of it, or
+     * it was the largest response when all together exceeded the {@link ResponseMemory}.
+     */
     RESPONSE_TOO_LARGE(AttemptResult.RESPONSE_TOO_LARGE);
 
     private final AttemptResult attemptResult;
--- a/src/main/java/org/cassiabank/declaration/RequestRouter.java
+++ b/src/main/java/org/cassiabank/declaration/RequestRouter.java
@@ -21,11 +21,14 @@
     private static final int MAXIMUM_PATH_CHARACTERS = 512;
     private static final Comparator<Selector> BY_PRIORITY_AND_NAME =
             Comparator.comparingInt(Selector::priority).reversed().thenComparing(Selector::name);
+    /** Separates host and path in a key; neither contains it, so no host with a slash matches another host's path. */
+    private static final char KEY_SEPARATOR = '\n';
+
     private static final GlobIndex<Selector> EMPTY_INDEX = GlobIndex.empty(BY_PRIORITY_AND_NAME);
     private static final RequestRouter EMPTY = new RequestRouter(Configuration.empty(), PersistentMap.empty());
 
     private final Configuration configuration;
-    /** The key is the host followed by the path; the host is empty for selectors that match all hosts. */
+    /** The keys come from {@link #key}; the host is empty for selectors that match all hosts. */
     private final PersistentMap<String, GlobIndex<Selector>> selectorsByHostAndPath;
 
     private RequestRouter(
@@ -126,7 +129,7 @@
                 prefixLength--) {
             if (isBoundary(selector.path(), prefixLength)) {
                 GlobIndex<Selector> index =
-                        selectorsByHostAndPath.get(host + selector.path().substring(0, prefixLength));
+                        selectorsByHostAndPath.get(key(host, selector.path().substring(0, prefixLength)));
                 if (index != null) {
                     index.forEachCoveringCandidateList(customerPattern, entries -> {
                         for (GlobIndex.Entry<Selector> entry : entries) {
@@ -147,7 +150,7 @@
     private void collectMatches(String host, String path, MatchCollector matchCollector) {
         for (int prefixLength = Math.min(path.length(), MAXIMUM_PATH_CHARACTERS); prefixLength > 0; prefixLength--) {
             if (isBoundary(path, prefixLength)) {
-                GlobIndex<Selector> index = selectorsByHostAndPath.get(host + path.substring(0, prefixLength));
+                GlobIndex<Selector> index = selectorsByHostAndPath.get(key(host, path.substring(0, prefixLength)));
                 if (index != null) {
                     // Any path of a selector that names the host ranks above all paths of selectors for all hosts.
                     matchCollector.pathRank = host.isEmpty() ? prefixLength : MAXIMUM_PATH_CHARACTERS + prefixLength;
@@ -157,6 +160,10 @@
         }
     }
 
+    private static String key(String host, String path) {
+        return host + KEY_SEPARATOR + path;
+    }
+
     private static boolean coversMethods(Selector covering, Selector covered) {
         return covering.methods().isEmpty()
                 || !covered.methods().isEmpty() && covering.methods().containsAll(covered.methods());
@@ -178,14 +185,14 @@
         }
 
         void add(Selector selector) {
-            String key = selector.host() + selector.path();
+            String key = key(selector.host(), selector.path());
             GlobIndex<Selector> existing = selectorsByHostAndPath.getOrDefault(key, EMPTY_INDEX);
             selectorsByHostAndPath =
                     selectorsByHostAndPath.with(key, existing.with(selector.customerPattern(), selector));
         }
 
         void remove(Selector selector) {
-            String key = selector.host() + selector.path();
+            String key = key(selector.host(), selector.path());
             GlobIndex<Selector> remaining =
                     selectorsByHostAndPath.get(key).without(selector.customerPattern(), selector);
             selectorsByHostAndPath = remaining.isEmpty()
--- a/src/main/java/org/cassiabank/kernel/Kernel.java
+++ b/src/main/java/org/cassiabank/kernel/Kernel.java
@@ -92,12 +92,27 @@
     }
 
     /**
-     * Stops the started services in reverse order of their start. A second call has no effect.
+     * Stops the started services in reverse order of their start, also if one of them fails to stop. A second call has
+     * no effect.
+     *
+     * @throws RuntimeException the first exception of a service that failed to stop, after all were asked to
      */
     @Override
     public void close() {
+        RuntimeException firstFailure = null;
         while (!startedServices.isEmpty()) {
-            startedServices.removeLast().stop();
+            try {
+                startedServices.removeLast().stop();
+            } catch (RuntimeException exception) {
+                if (firstFailure == null) {
+                    firstFailure = exception;
+                } else {
+                    firstFailure.addSuppressed(exception);
+                }
+            }
+        }
+        if (firstFailure != null) {
+            throw firstFailure;
         }
     }
 }
--- a/src/main/java/org/cassiabank/logging/BoundedLogHandler.java
+++ b/src/main/java/org/cassiabank/logging/BoundedLogHandler.java
@@ -124,6 +124,9 @@
             } catch (InterruptedException exception) {
                 Thread.currentThread().interrupt();
                 return;
+            } catch (RuntimeException | Error failure) {
+                // Logging the failure would fail in the same way; the count tells of it with the next line.
+                droppedLines.incrementAndGet();
             }
         }
     }
--- a/src/main/java/org/cassiabank/peer/PeerServer.java
+++ b/src/main/java/org/cassiabank/peer/PeerServer.java
@@ -12,6 +12,7 @@
 import org.apache.thrift.transport.TServerSocket;
 import org.apache.thrift.transport.TTransportException;
 import org.apache.thrift.transport.layered.TFramedTransport;
+import org.cassiabank.kernel.BackgroundTasks;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.kernel.ErrorCode;
 import org.cassiabank.peer.generated.Peer;
@@ -20,7 +21,10 @@
  * Serves the calls of other proxies, with one virtual thread for each connection.
  */
 public final class PeerServer implements AutoCloseable {
-    static final int MAXIMUM_FRAME_BYTES = 64 * 1024 * 1024;
+    /** A frame is allocated before it is read, so a false length must not take a large part of the heap. */
+    static final int MAXIMUM_FRAME_BYTES =
+            (int) Math.min(64 * 1024 * 1024, Runtime.getRuntime().maxMemory() / 8);
+
     /** Clients close idle connections after 2 s, so a connection that is silent for longer has lost its client. */
     private static final int IDLE_TIMEOUT_MILLIS = 30_000;
 
@@ -28,6 +32,7 @@
 
     private final TServer server;
     private final ExecutorService workers;
+    private volatile boolean closed;
 
     private PeerServer(TServer server, ExecutorService workers) {
         this.server = server;
@@ -60,8 +65,9 @@
             // In seconds, the default unit of Thrift.
             arguments.stopTimeoutVal = 1;
             TServer server = new TThreadPoolServer(arguments);
-            Thread.ofVirtual().name("peer-server").start(server::serve);
-            return new PeerServer(server, workers);
+            PeerServer peerServer = new PeerServer(server, workers);
+            BackgroundTasks.startLoop(Thread.ofVirtual(), "peer-server", () -> !peerServer.closed, server::serve);
+            return peerServer;
         } catch (IOException | TTransportException exception) {
             throw CassiabankException.withCause(
                     ErrorCode.START_FAILED,
@@ -72,6 +78,7 @@
 
     @Override
     public void close() {
+        closed = true;
         server.stop();
         workers.shutdownNow();
     }
--- a/src/main/java/org/cassiabank/proxy/BoundedAggregator.java
+++ b/src/main/java/org/cassiabank/proxy/BoundedAggregator.java
@@ -1,21 +1,24 @@
 package org.cassiabank.proxy;
 
-import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.HttpUtil;
 
 /**
- * Collects the body of a request in memory. A body over the limit gets status 413, and its connection is closed.
+ * Collects the body of a request in memory.
+ *
+ * <p>It writes nothing itself, because an earlier request on the connection may still wait for its reply: it reports a
+ * body over the limit and an expected {@code 100 Continue} as events to {@link CallerConnection}.
  */
 final class BoundedAggregator extends HttpObjectAggregator {
+    /** The event that is fired when a body exceeds the limit. The rest of the body is discarded. */
+    static final Object BODY_TOO_LARGE = new Object();
+
+    /** The event that is fired when a caller waits for {@code 100 Continue} before it sends a body. */
+    static final Object CONTINUE_EXPECTED = new Object();
 
     private BoundedAggregator(int maximumBytes) {
         super(maximumBytes, true);
@@ -25,17 +28,17 @@
         return new BoundedAggregator(maximumBytes);
     }
 
+    @Override
+    protected Object newContinueResponse(HttpMessage start, int maximumBytes, ChannelPipeline pipeline) {
+        if (HttpUtil.is100ContinueExpected(start) && HttpUtil.getContentLength(start, 0L) <= maximumBytes) {
+            start.headers().remove(HttpHeaderNames.EXPECT);
+            pipeline.context(this).fireUserEventTriggered(CONTINUE_EXPECTED);
+        }
+        return null;
+    }
+
     @Override
     protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-        CallerReply refusal =
-                CallerReply.notRun(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE.code(), "body-too-large", 0);
-        FullHttpResponse response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1,
-                HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
-                Unpooled.wrappedBuffer(refusal.body()));
-        refusal.headers().forEach((name, values) -> response.headers().set(name, values));
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, refusal.body().length);
-        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        context.fireUserEventTriggered(BODY_TOO_LARGE);
     }
 }
--- a/src/main/java/org/cassiabank/proxy/CallerConnection.java
+++ b/src/main/java/org/cassiabank/proxy/CallerConnection.java
@@ -25,6 +25,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.RejectedExecutionException;
 
 /**
  * Handles one connection of a caller. Pipelined requests are answered one at a time, in the order of arrival.
@@ -44,6 +45,11 @@
     private final Deque<PendingRequest> pendingRequests = new ArrayDeque<>();
     private long elapsedIdleMillis;
     private boolean requestInProgress;
+    /** Whether the last pending request closes the connection, so that nothing behind it is read. */
+    private boolean refusalPending;
+    /** Whether the caller waits for {@code 100 Continue} before it sends the body of the next request. */
+    private boolean continueExpected;
+
     private CallerPresence currentPresence;
 
     private CallerConnection(CallerServer server, long idleEventIntervalMillis) {
@@ -83,14 +89,23 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
         elapsedIdleMillis = 0;
+        continueExpected = false;
+        if (refusalPending) {
+            return;
+        }
         if (request.decoderResult().isFailure()) {
-            pendingRequests.addLast(
-                    new PendingRequest(null, toRefusal(request.decoderResult().cause()), false, false));
-        } else {
-            boolean keepAlive = HttpUtil.isKeepAlive(request);
-            pendingRequests.addLast(new PendingRequest(
-                    toCallerRequest(context, request), null, keepAlive, HttpMethod.HEAD.equals(request.method())));
+            refuse(context, toRefusal(request.decoderResult().cause()));
+            return;
         }
+        if (!HostHeader.isValid(
+                request.headers().getAll(HttpHeaderNames.HOST),
+                request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0)) {
+            refuse(context, CallerReply.notRun(HttpResponseStatus.BAD_REQUEST.code(), "malformed-host", 0));
+            return;
+        }
+        boolean keepAlive = HttpUtil.isKeepAlive(request);
+        pendingRequests.addLast(new PendingRequest(
+                toCallerRequest(context, request), null, keepAlive, HttpMethod.HEAD.equals(request.method())));
         if (pendingRequests.size() >= MAXIMUM_PIPELINED_REQUESTS) {
             context.channel().config().setAutoRead(false);
         }
@@ -100,8 +115,13 @@
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event == StrictRequestDecoder.HEADERS_OVERDUE) {
-            CallerReply refusal = CallerReply.notRun(HttpResponseStatus.REQUEST_TIMEOUT.code(), "headers-overdue", 0);
-            pendingRequests.addLast(new PendingRequest(null, refusal, false, false));
+            refuse(context, CallerReply.notRun(HttpResponseStatus.REQUEST_TIMEOUT.code(), "headers-overdue", 0));
+        } else if (event == BoundedAggregator.BODY_TOO_LARGE) {
+            refuse(
+                    context,
+                    CallerReply.notRun(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE.code(), "body-too-large", 0));
+        } else if (event == BoundedAggregator.CONTINUE_EXPECTED) {
+            continueExpected = true;
             serveNextRequest(context);
         } else if (event == CLOSE_IF_IDLE && !requestInProgress) {
             context.close();
@@ -122,8 +142,27 @@
         context.close();
     }
 
+    /** Answers a request that cannot be read, after the replies to all earlier ones, and closes the connection. */
+    private void refuse(ChannelHandlerContext context, CallerReply refusal) {
+        if (refusalPending) {
+            return;
+        }
+        refusalPending = true;
+        continueExpected = false;
+        server.recordRefusal(refusal);
+        pendingRequests.addLast(new PendingRequest(null, refusal, false, false));
+        serveNextRequest(context);
+    }
+
     private void serveNextRequest(ChannelHandlerContext context) {
-        if (requestInProgress || pendingRequests.isEmpty()) {
+        if (requestInProgress) {
+            return;
+        }
+        if (pendingRequests.isEmpty()) {
+            if (continueExpected) {
+                continueExpected = false;
+                context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+            }
             return;
         }
         PendingRequest next = pendingRequests.removeFirst();
@@ -137,8 +176,17 @@
         }
         currentPresence = CallerPresence.create();
         CallerPresence presence = currentPresence;
-        server.handleRequest(next.request(), presence, result -> context.executor()
-                .execute(() -> writeReply(context, next, result)));
+        server.handleRequest(
+                next.request(), presence, result -> replyOnEventLoop(context, () -> writeReply(context, next, result)));
+    }
+
+    private void replyOnEventLoop(ChannelHandlerContext context, Runnable reply) {
+        try {
+            context.executor().execute(reply);
+        } catch (RejectedExecutionException exception) {
+            // The server was closed while the request ran, and its connections with it.
+            server.completeRequest();
+        }
     }
 
     private void writeReply(ChannelHandlerContext context, PendingRequest pending, CallerReply reply) {
--- a/src/main/java/org/cassiabank/proxy/CallerServer.java
+++ b/src/main/java/org/cassiabank/proxy/CallerServer.java
@@ -16,12 +16,14 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.cassiabank.declaration.ConnectionLimits;
+import org.cassiabank.kernel.BackgroundTasks;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.kernel.ErrorCode;
 import org.cassiabank.tls.TlsIdentity;
@@ -47,6 +49,7 @@
     private final AtomicInteger inFlight = new AtomicInteger();
     private volatile CallerLimits limits;
     private volatile boolean draining;
+    private volatile boolean closed;
     private Channel listener;
 
     private CallerServer(CallerLimits limits, CallerHandler handler, ProxyMetrics metrics) {
@@ -176,7 +179,28 @@
             replyConsumer.accept(CallerReply.notRun("entry-overloaded", OVERLOAD_RETRY_AFTER_MILLIS));
             return;
         }
-        workers.execute(() -> replyConsumer.accept(handler.handle(request, presence)));
+        workers.execute(() -> replyConsumer.accept(handleGuarded(request, presence)));
+    }
+
+    /** Counts a refusal of a request that could not be read. */
+    void recordRefusal(CallerReply refusal) {
+        metrics.recordRefusedRequest(refusal.firstHeader(CallerReply.REASON_HEADER));
+    }
+
+    /**
+     * Waits until a thread that serves callers has ended although the server was not closed, as after an error in
+     * Netty. The callers on its connections get no replies any more.
+     *
+     * @throws InterruptedException if the waiting thread is interrupted
+     */
+    void awaitUnexpectedEnd() throws InterruptedException {
+        CountDownLatch ended = new CountDownLatch(1);
+        eventLoops.forEach(loop -> loop.terminationFuture().addListener(future -> {
+            if (!closed) {
+                ended.countDown();
+            }
+        }));
+        ended.await();
     }
 
     /** Stops counting a request as in flight, after its reply was written or its connection was lost. */
@@ -184,8 +208,20 @@
         inFlight.decrementAndGet();
     }
 
+    /** Handles a request. After an error the caller still gets a reply, and the request is not in flight for ever. */
+    private CallerReply handleGuarded(CallerRequest request, CallerPresence presence) {
+        try {
+            return handler.handle(request, presence);
+        } catch (RuntimeException | Error failure) {
+            BackgroundTasks.recordFailure("request", failure);
+            metrics.recordUnknownOutcome("internal-error");
+            return CallerReply.unknown("internal-error");
+        }
+    }
+
     @Override
     public void close() {
+        closed = true;
         if (listener != null) {
             listener.close();
         }
--- a/src/main/java/org/cassiabank/proxy/ClaimKeeper.java
+++ b/src/main/java/org/cassiabank/proxy/ClaimKeeper.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.cassiabank.kernel.BackgroundTasks;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.kernel.Kernel;
 import org.cassiabank.kernel.KernelService;
@@ -85,7 +86,7 @@
         fleet.addListener((formerView, newView) -> {
             if (!formerView.regionProxies().equals(newView.regionProxies())) {
                 proxyLists.observe(newView.regionProxies(), MonotonicClock.millis());
-                Runnable handOver = PeriodicTasks.guarded(
+                Runnable handOver = BackgroundTasks.guarded(
                         "claim handover", () -> handOver(formerView.regionProxies(), newView.regionProxies()));
                 executor.execute(handOver);
                 // Until the new list has reached every entry proxy, some still claim at the former keepers; the second
@@ -94,7 +95,7 @@
             }
         });
         executor.scheduleWithFixedDelay(
-                PeriodicTasks.guarded("claim collection", this::collectRecords),
+                BackgroundTasks.guarded("claim collection", this::collectRecords),
                 settings.claimTimeoutMillis(),
                 COLLECTION_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
--- a/src/main/java/org/cassiabank/proxy/OwnedShards.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShards.java
@@ -11,6 +11,7 @@
 import org.cassiabank.admission.SlotDecision;
 import org.cassiabank.health.AttemptOutcome;
 import org.cassiabank.health.ServerHealth;
+import org.cassiabank.kernel.BackgroundTasks;
 import org.cassiabank.kernel.Kernel;
 import org.cassiabank.kernel.KernelService;
 import org.cassiabank.membership.InstanceRole;
@@ -97,7 +98,7 @@
     }
 
     private void tickAndReschedule() {
-        PeriodicTasks.guarded("shards", this::tick).run();
+        BackgroundTasks.guarded("shards", this::tick).run();
         boolean isBusy = shards.values().stream().anyMatch(OwnedShard::isBusy);
         if (!tickExecutor.isShutdown()) {
             tickExecutor.schedule(
--- a/src/main/java/org/cassiabank/proxy/PlatformWatch.java
+++ b/src/main/java/org/cassiabank/proxy/PlatformWatch.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import org.cassiabank.kernel.BackgroundTasks;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.revision.ChangeReader;
 import org.cassiabank.revision.ChangeStore;
@@ -60,8 +61,16 @@
 
     @Override
     public void start(FleetUpdateListener listener) {
-        Thread.ofVirtual().name("list-watch").start(() -> readRepeatedly("instance list", this::readInstanceList));
-        Thread.ofVirtual().name("change-watch").start(() -> readRepeatedly("configuration", this::readChanges));
+        BackgroundTasks.startLoop(
+                Thread.ofVirtual(),
+                "list-watch",
+                () -> !stopped,
+                () -> readRepeatedly("instance list", this::readInstanceList));
+        BackgroundTasks.startLoop(
+                Thread.ofVirtual(),
+                "change-watch",
+                () -> !stopped,
+                () -> readRepeatedly("configuration", this::readChanges));
     }
 
     @Override
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -11,8 +11,10 @@
 import org.cassiabank.backend.BackendClientSettings;
 import org.cassiabank.backend.DefaultHeaderConventions;
 import org.cassiabank.backend.HeaderConventions;
+import org.cassiabank.backend.ResponseMemory;
 import org.cassiabank.health.HealthSettings;
 import org.cassiabank.health.SuspicionSettings;
+import org.cassiabank.kernel.BackgroundTasks;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.kernel.ErrorCode;
 import org.cassiabank.kernel.Kernel;
@@ -94,7 +96,7 @@
         ClaimClient claimClient = ClaimClient.create(peerTransport, claimKeeper, proxyLists);
         HeaderConventions conventions =
                 adapter.map(PlatformAdapter::headerConventions).orElseGet(DefaultHeaderConventions::instance);
-        BackendClient backendClient = BackendClient.create(backendClientSettings(settings), conventions);
+        BackendClient backendClient = newBackendClient(settings, conventions);
         AttemptExecutor attemptExecutor = AttemptExecutor.create(
                 settings.name(), settings.failureDomain(), fleet, slotBroker, backendClient, metrics, conventions);
         RequestHandler requestHandler = RequestHandler.create(
@@ -142,6 +144,12 @@
                 settings.name(), settings.callersAddress(), settings.peerAddress(), settings.adminAddress());
     }
 
+    /** Waits until the daemon can no longer serve callers although it was not stopped. */
+    void awaitUnexpectedEnd() throws InterruptedException {
+        callerServer.awaitUnexpectedEnd();
+        LOGGER.atSevere().log("%s ends: a thread that serves callers has ended unexpectedly", settings.name());
+    }
+
     /**
      * Stops the daemon without interrupting a request: first the load balancer's check fails, then requests in flight
      * complete, then claims are handed over and the services stop. After {@code longest-drain-millis} it returns with
@@ -233,14 +241,15 @@
         return new PeerSocketFactories(TlsSocketFactory.of(identity), TlsServerSocketFactory.of(identity));
     }
 
-    private static BackendClientSettings backendClientSettings(ProxySettings settings) {
+    private static BackendClient newBackendClient(ProxySettings settings, HeaderConventions conventions) {
         BackendClientSettings defaults = BackendClientSettings.defaults();
-        return new BackendClientSettings(
+        BackendClientSettings clientSettings = new BackendClientSettings(
                 settings.platform().connectMillis().orElse(defaults.connectTimeoutMillis()),
                 settings.limits().answerBytes(),
                 defaults.maximumIdleConnectionsPerServer(),
                 settings.platform().serverIdleMillis().orElse(defaults.maximumIdleMillis()),
                 settings.platform().unrepeatableIdleMillis());
+        return BackendClient.create(clientSettings, conventions, ResponseMemory.ofHeap());
     }
 
     private static KernelService connectionCleanupService(
@@ -251,10 +260,13 @@
             @Override
             public void start(Kernel startedKernel) {
                 executor.scheduleAtFixedRate(
-                        PeriodicTasks.guarded("idle peers", clientPool::closeIdleConnections), 1, 1, TimeUnit.SECONDS);
+                        BackgroundTasks.guarded("idle peers", clientPool::closeIdleConnections),
+                        1,
+                        1,
+                        TimeUnit.SECONDS);
                 // Servers are replaced all day; otherwise the pools of former servers would stay in memory for ever.
                 executor.scheduleAtFixedRate(
-                        PeriodicTasks.guarded(
+                        BackgroundTasks.guarded(
                                 "former servers",
                                 () -> backendClient.retainServers(fleet.view().serverAddresses())),
                         1,
--- a/src/main/java/org/cassiabank/proxy/ProxyMain.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyMain.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
@@ -84,7 +83,10 @@
             Logging.flush();
             Runtime.getRuntime().halt(EXIT_SUCCESS);
         }));
-        new CountDownLatch(1).await();
+        daemon.awaitUnexpectedEnd();
+        // The platform starts the daemon again; an orderly stop would wait for callers that get no reply.
+        Logging.flush();
+        Runtime.getRuntime().halt(EXIT_FAILURE);
     }
 
     private static void exit(int status, RuntimeException exception) {
--- a/src/main/java/org/cassiabank/proxy/ProxyMetrics.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyMetrics.java
@@ -1,6 +1,7 @@
 package org.cassiabank.proxy;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
@@ -10,6 +11,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.function.DoubleSupplier;
+import org.cassiabank.kernel.BackgroundTasks;
 import org.cassiabank.peer.ControlTrafficRecorder;
 
 /**
@@ -45,7 +47,15 @@
     private final Histogram addedSeconds =
             histogram("cassiabank_added_seconds", "Time from the request to its first attempt at a backend server.");
 
-    private ProxyMetrics() {}
+    private ProxyMetrics() {
+        CounterWithCallback.builder()
+                .name("cassiabank_task_failures_total")
+                .help("Unexpected failures of background tasks, which run again, by task.")
+                .labelNames("task")
+                .callback(callback -> BackgroundTasks.failuresByTask()
+                        .forEach((task, failures) -> callback.call(failures.doubleValue(), task)))
+                .register(registry);
+    }
 
     static ProxyMetrics create() {
         ProxyMetrics metrics = new ProxyMetrics();
--- a/src/main/java/org/cassiabank/proxy/Replication.java
+++ b/src/main/java/org/cassiabank/proxy/Replication.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import org.cassiabank.kernel.BackgroundTasks;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.kernel.Kernel;
 import org.cassiabank.kernel.KernelService;
@@ -65,7 +66,7 @@
         fleetSource = kernel.get(ServiceNames.FLEET_SOURCE);
         fleet.addListener(this::updatePlannerAndPush);
         exchangeExecutor.scheduleAtFixedRate(
-                PeriodicTasks.guarded("exchange", this::exchangeWithRandomPeer),
+                BackgroundTasks.guarded("exchange", this::exchangeWithRandomPeer),
                 ThreadLocalRandom.current().nextLong(EXCHANGE_INTERVAL_MILLIS),
                 EXCHANGE_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
@@ -121,7 +122,7 @@
             return;
         }
         for (Instance target : planner.pushTargets(ThreadLocalRandom.current())) {
-            pushExecutor.execute(PeriodicTasks.guarded("push", () -> exchange(target, formerRevision, formerIndex)));
+            pushExecutor.execute(BackgroundTasks.guarded("push", () -> exchange(target, formerRevision, formerIndex)));
         }
     }
 
--- a/src/main/java/org/cassiabank/proxy/RequestHandler.java
+++ b/src/main/java/org/cassiabank/proxy/RequestHandler.java
@@ -1,6 +1,5 @@
 package org.cassiabank.proxy;
 
-import com.google.common.flogger.FluentLogger;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
@@ -17,6 +16,7 @@
 import org.cassiabank.backend.ResponseReceived;
 import org.cassiabank.declaration.Selector;
 import org.cassiabank.declaration.ServiceDeclaration;
+import org.cassiabank.kernel.BackgroundTasks;
 import org.cassiabank.once.ClaimConclusion;
 import org.cassiabank.once.ClaimDecision;
 import org.cassiabank.once.RecordedResponse;
@@ -26,7 +26,6 @@
  * Answers requests of callers: finds the selector, claims the key of an unrepeatable request, and runs the request.
  */
 final class RequestHandler implements CallerHandler {
-    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final long MAXIMUM_DEADLINE_MILLIS = TimeUnit.MINUTES.toMillis(30);
 
     /**
@@ -35,8 +34,6 @@
      */
     private static final long MAXIMUM_CLAIMED_DEADLINE_MILLIS = TimeUnit.MINUTES.toMillis(5);
 
-    private static final int LOG_INTERVAL_SECONDS = 10;
-
     /** When the store answers, a daemon that has just started gets the state of the fleet within this time. */
     private static final long MAXIMUM_START_WAIT_MILLIS = 200;
 
@@ -107,9 +104,8 @@
     private CallerReply handleTraced(CallerRequest request, CallerPresence presence, RequestTrace trace) {
         try {
             return route(request, presence, trace);
-        } catch (RuntimeException exception) {
-            LOGGER.atSevere().withCause(exception).atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
-                    "unexpected error while handling a request; replying with an unknown outcome");
+        } catch (RuntimeException | Error failure) {
+            BackgroundTasks.recordFailure("request", failure);
             metrics.recordUnknownOutcome("internal-error");
             return CallerReply.unknown("internal-error");
         }
--- a/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
+++ b/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.cassiabank.kernel.BackgroundTasks;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.membership.Instance;
 import org.cassiabank.membership.InstanceList;
@@ -44,7 +45,6 @@
 
     private static final long MINIMUM_RETRY_DELAY_MILLIS = 150;
     private static final long MAXIMUM_RETRY_DELAY_MILLIS = 350;
-    private static final int LOG_INTERVAL_SECONDS = 10;
     /** Lists of one store revision that differ in the instances retained after an outage have consecutive indexes. */
     private static final int INDEX_BITS_PER_REVISION = 8;
 
@@ -100,8 +100,9 @@
     @Override
     public void start(FleetUpdateListener newListener) {
         listener = Objects.requireNonNull(newListener, "newListener");
-        Thread.ofPlatform().name("store-follower").daemon().start(this::followStore);
-        Thread.ofPlatform().name("store-registration").daemon().start(this::keepRegistered);
+        BackgroundTasks.startLoop(Thread.ofPlatform().daemon(), "store-follower", () -> !closed, this::followStore);
+        BackgroundTasks.startLoop(
+                Thread.ofPlatform().daemon(), "store-registration", () -> !closed, this::keepRegistered);
     }
 
     @Override
@@ -141,10 +142,11 @@
                 storeAvailable = false;
                 upToDate = false;
                 pause(ThreadLocalRandom.current().nextLong(MINIMUM_RETRY_DELAY_MILLIS, MAXIMUM_RETRY_DELAY_MILLIS));
-            } catch (RuntimeException exception) {
-                LOGGER.atSevere().withCause(exception).atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
-                        "reading the store failed unexpectedly; reading all entries again");
+            } catch (RuntimeException | Error failure) {
+                // The table may hold a part of the changes only, so all entries are read again.
                 entriesLoaded = false;
+                upToDate = false;
+                BackgroundTasks.recordFailure("store-follower", failure);
                 pause(MAXIMUM_RETRY_DELAY_MILLIS);
             }
         }
--- a/src/test/java/org/cassiabank/backend/BackendClientTest.java
+++ b/src/test/java/org/cassiabank/backend/BackendClientTest.java
@@ -319,7 +319,7 @@
         ScriptedServer server = startServer((request, socket) -> {});
         AttemptTrace trace = new AttemptTrace();
         OkHttpClient okHttp = new OkHttpClient.Builder()
-                .socketFactory(new WriteCountingSocketFactory())
+                .socketFactory(new MeteredSocketFactory())
                 .eventListener(trace)
                 .build();
         RequestBody failingBody = new RequestBody() {
--- a/src/test/java/org/cassiabank/backend/HeaderConventionsTest.java
+++ b/src/test/java/org/cassiabank/backend/HeaderConventionsTest.java
@@ -24,7 +24,8 @@
     /** Connects within 300 ms, accepts 1 MB and keeps 2 idle connections for 5 s. */
     private final BackendClient client = BackendClient.create(
             new BackendClientSettings(300, 1_000_000, 2, 5_000, UNREPEATABLE_IDLE_MILLIS),
-            new PlatformLikeHeaderConventions());
+            new PlatformLikeHeaderConventions(),
+            ResponseMemory.ofHeap());
 
     private final List<AutoCloseable> resources = new ArrayList<>(List.of(client));
 
--- a/src/test/java/org/cassiabank/declaration/RequestRouterTest.java
+++ b/src/test/java/org/cassiabank/declaration/RequestRouterTest.java
@@ -72,6 +72,9 @@
         assertThat(router.route("Shop.Example", "GET", "/a", "x", random)).contains(shop);
         assertThat(router.route("other.example", "GET", "/a/b", "x", random)).contains(everywhere);
         assertThat(router.route("other.example", "GET", "/a", "x", random)).isEmpty();
+        // The host and the path together read like the host and the path of the selector.
+        assertThat(router.route("shop.example/a", "GET", "/x", "x", random)).isEmpty();
+        assertThat(router.route("shop.exampl", "GET", "e/a", "x", random)).isEmpty();
         assertThat(router.route("shop.example", "PUT", "/a", "x", random)).contains(urgent);
         RequestRouter routerWithoutShop =
                 router.withConfiguration(Configuration.empty().withChanges(2, List.of(everywhere), List.of()));
