Follow the store through the watchers of the failure domain, and hold an upload once

A store that is down was called four times a second by each daemon. Change: two daemons of a failure domain watch the store; the others ask one of them in turn for changes after their own revision (call storeChanges), so the state of each daemon still is a table of the store at one revision that never steps back. A watcher answers only while the store has confirmed its state within 1.7 s, by a watch or a renewal, keeps the changes that a peer lacks without gaps (at most 4 MiB) and says how long entries that expired in an outage are to be retained. A daemon that no watcher answers watches the store itself; one that cannot reach the store follows a watcher. In an outage the renewal, a tenth of the price, tells when to watch again. Ruled out: the exchange of lists between peers (indexes of lists, not revisions of the store; DRAIN faults came from it), and one watcher (its freeze or partition would hold a failure domain back). Also: OkHttp copied a whole request body into the buffer of its connection; it is now written in pieces. PeerClientPool lost a connection when closeIdleConnections removed its empty list at the same moment.

The set-up of MetadataStoreFleetSourceTest now waits until the source is up to date (known race).

--- a/src/main/java/org/cassiabank/backend/BackendClient.java
+++ b/src/main/java/org/cassiabank/backend/BackendClient.java
@@ -113,7 +113,7 @@
         if (headers.get("Accept-Encoding") == null) {
             okHttpHeaders.set("Accept-Encoding", "identity");
         }
-        RequestBody body = METHODS_WITHOUT_BODY.contains(request.method()) ? null : RequestBody.create(request.body());
+        RequestBody body = METHODS_WITHOUT_BODY.contains(request.method()) ? null : ArrayRequestBody.of(request.body());
         Request okHttpRequest = new Request.Builder()
                 .url(HttpUrl.get("http://" + request.address() + request.target()))
                 .headers(okHttpHeaders.build())
--- a/src/main/java/org/cassiabank/peer/PeerClientPool.java
+++ b/src/main/java/org/cassiabank/peer/PeerClientPool.java
@@ -87,7 +87,10 @@
                 }
             }
         }
-        idleConnectionsByAddress.values().removeIf(ConcurrentLinkedDeque::isEmpty);
+        for (String address : idleConnectionsByAddress.keySet()) {
+            idleConnectionsByAddress.computeIfPresent(
+                    address, (key, connections) -> connections.isEmpty() ? null : connections);
+        }
     }
 
     @Override
@@ -102,9 +105,13 @@
             R result = connection.call(call, timeoutMillis);
             trafficRecorder.record(kind, connection.bytesSent(), connection.bytesReceived());
             connection.markIdle(nowMillis());
-            idleConnectionsByAddress
-                    .computeIfAbsent(peer.address(), address -> new ConcurrentLinkedDeque<>())
-                    .addFirst(connection);
+            // Within compute, because closeIdleConnections removes empty lists in the same way.
+            idleConnectionsByAddress.compute(peer.address(), (address, connections) -> {
+                ConcurrentLinkedDeque<PeerConnection> idle =
+                        connections == null ? new ConcurrentLinkedDeque<>() : connections;
+                idle.addFirst(connection);
+                return idle;
+            });
             return result;
         } catch (TException | RuntimeException exception) {
             // A late reply may still arrive on the connection, so it must not be used again.
--- a/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
+++ b/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
@@ -17,17 +17,23 @@
 import org.cassiabank.peer.generated.SlotOutcome;
 import org.cassiabank.peer.generated.SlotReply;
 import org.cassiabank.peer.generated.SlotRequest;
+import org.cassiabank.peer.generated.StoreChanges;
+import org.cassiabank.source.FleetSource;
 
 /**
  * Serves the Thrift calls of other proxies: slots, exchanges of fleet state and claims.
  */
 final class PeerEndpoint implements KernelService, Peer.Iface {
+    /** Peers call again after this time, so that a connection that has gone silent holds a thread no longer. */
+    private static final long MAXIMUM_RELAY_WAIT_MILLIS = 10_000;
+
     private final ProxySettings settings;
     private final PeerSocketFactories socketFactories;
     private FleetState fleet;
     private OwnedShards ownedShards;
     private ClaimKeeper claimKeeper;
     private Replication replication;
+    private FleetSource fleetSource;
     private PeerServer peerServer;
 
     private PeerEndpoint(ProxySettings settings, PeerSocketFactories socketFactories) {
@@ -47,6 +53,7 @@
         ownedShards = kernel.get(ServiceNames.OWNED_SHARDS);
         claimKeeper = kernel.get(ServiceNames.CLAIM_KEEPER);
         replication = kernel.get(ServiceNames.REPLICATION);
+        fleetSource = kernel.get(ServiceNames.FLEET_SOURCE);
         HostAndPort address = settings.peerAddress();
         peerServer = PeerServer.start(address.host(), address.port(), socketFactories, this);
     }
@@ -81,6 +88,12 @@
         return replication.answerExchange(request);
     }
 
+    @Override
+    public StoreChanges storeChanges(long afterRevision, long waitMillis) {
+        return PeerMessageConverter.toMessage(
+                fleetSource.awaitChanges(afterRevision, Math.clamp(waitMillis, 0, MAXIMUM_RELAY_WAIT_MILLIS)));
+    }
+
     @Override
     public ClaimReply claim(String key, String claimId, long requestDigest) {
         return PeerMessageConverter.toMessage(claimKeeper.claim(key, claimId, requestDigest));
--- a/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
+++ b/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
@@ -29,6 +29,13 @@
 import org.cassiabank.peer.generated.SlotRefusal;
 import org.cassiabank.peer.generated.SlotReply;
 import org.cassiabank.peer.generated.SlotRequest;
+import org.cassiabank.peer.generated.StoreChange;
+import org.cassiabank.peer.generated.StoreChanges;
+import org.cassiabank.peer.generated.StoreRelayState;
+import org.cassiabank.source.StoreEntry;
+import org.cassiabank.source.StoreEvent;
+import org.cassiabank.source.StoreRelayReply;
+import org.cassiabank.source.StoreWatchResult;
 
 /**
  * Converts between the project's own types and the generated Thrift messages between proxies.
@@ -188,4 +195,48 @@
     private static RecordedResponse toRecordedResponse(org.cassiabank.peer.generated.RecordedAnswer response) {
         return new RecordedResponse(response.getStatus(), response.getHeaders(), response.getBody());
     }
+
+    static StoreChanges toMessage(StoreRelayReply reply) {
+        return switch (reply) {
+            case StoreRelayReply.Current current ->
+                new StoreChanges(
+                        StoreRelayState.CURRENT,
+                        current.changes().revision(),
+                        current.changes().events().stream()
+                                .map(PeerMessageConverter::toMessage)
+                                .toList(),
+                        current.graceMillis());
+            case StoreRelayReply.Unavailable unavailable ->
+                new StoreChanges(StoreRelayState.UNAVAILABLE, 0, List.of(), 0);
+        };
+    }
+
+    static StoreRelayReply toStoreRelayReply(StoreChanges message) {
+        return switch (message.getState()) {
+            case CURRENT ->
+                new StoreRelayReply.Current(
+                        new StoreWatchResult(
+                                message.getChanges().stream()
+                                        .map(PeerMessageConverter::toStoreEvent)
+                                        .toList(),
+                                message.getRevision()),
+                        message.getGraceMillis());
+            case UNAVAILABLE -> new StoreRelayReply.Unavailable();
+        };
+    }
+
+    private static StoreChange toMessage(StoreEvent event) {
+        return switch (event) {
+            case StoreEvent.Written written ->
+                new StoreChange(written.entry().key(), written.revision())
+                        .setValue(ByteBuffer.wrap(written.entry().value()));
+            case StoreEvent.Removed removed -> new StoreChange(removed.key(), removed.revision());
+        };
+    }
+
+    private static StoreEvent toStoreEvent(StoreChange message) {
+        return message.isSetValue()
+                ? new StoreEvent.Written(new StoreEntry(message.getKey(), message.getValue(), message.getRevision()))
+                : new StoreEvent.Removed(message.getKey(), message.getRevision());
+    }
 }
--- /dev/null
+++ b/src/main/java/org/cassiabank/proxy/PeerStoreRelay.java
@@ -0,0 +1,85 @@
+package org.cassiabank.proxy;
+
+import java.util.List;
+import java.util.Objects;
+import org.apache.thrift.TApplicationException;
+import org.apache.thrift.TException;
+import org.cassiabank.kernel.CassiabankException;
+import org.cassiabank.membership.Instance;
+import org.cassiabank.peer.generated.Peer;
+import org.cassiabank.peer.generated.StoreChanges;
+import org.cassiabank.peer.generated.StoreRelayState;
+import org.cassiabank.source.StoreRelay;
+import org.cassiabank.source.StoreRelayReply;
+
+/**
+ * Follows the store through the watchers of this daemon's failure domain, a different one at each call: if one of them
+ * no longer gets changes, the other one tells them at the next call.
+ */
+final class PeerStoreRelay implements StoreRelay {
+    /** Added to the wait for changes; a watcher that does not answer by then is frozen, cut off or has failed. */
+    private static final int REPLY_TIMEOUT_MILLIS = 300;
+
+    private final Replication replication;
+    private final PeerTransport peerTransport;
+    /** Confined to the thread that follows the store. */
+    private int nextWatcher;
+
+    private PeerStoreRelay(Replication replication, PeerTransport peerTransport) {
+        this.replication = replication;
+        this.peerTransport = peerTransport;
+    }
+
+    static PeerStoreRelay create(Replication replication, PeerTransport peerTransport) {
+        return new PeerStoreRelay(
+                Objects.requireNonNull(replication, "replication"),
+                Objects.requireNonNull(peerTransport, "peerTransport"));
+    }
+
+    @Override
+    public boolean isWatcher() {
+        return replication.planner().isWatcher();
+    }
+
+    @Override
+    public StoreRelayReply awaitChanges(long afterRevision, long waitMillis) {
+        List<Instance> watchers = replication.planner().otherWatchers();
+        for (int attempt = 0; attempt < watchers.size(); attempt++) {
+            nextWatcher = (nextWatcher + 1) % watchers.size();
+            Instance watcher = watchers.get(nextWatcher);
+            if (peerTransport.isReachable(watcher)) {
+                StoreRelayReply reply = ask(watcher, afterRevision, waitMillis);
+                if (!(reply instanceof StoreRelayReply.Unavailable)) {
+                    return reply;
+                }
+            }
+        }
+        return new StoreRelayReply.Unavailable();
+    }
+
+    private StoreRelayReply ask(Instance watcher, long afterRevision, long waitMillis) {
+        try {
+            int timeoutMillis = Math.toIntExact(waitMillis + REPLY_TIMEOUT_MILLIS);
+            return peerTransport.call(
+                    watcher,
+                    "store-changes",
+                    timeoutMillis,
+                    client -> PeerMessageConverter.toStoreRelayReply(storeChanges(client, afterRevision, waitMillis)));
+        } catch (CassiabankException exception) {
+            // The transport has recorded the failure; the next watcher or the store is asked instead.
+            return new StoreRelayReply.Unavailable();
+        }
+    }
+
+    /** Calls a watcher. One of a release without this call is no less reachable for other calls. */
+    private static StoreChanges storeChanges(Peer.Iface client, long afterRevision, long waitMillis) throws TException {
+        try {
+            return client.storeChanges(afterRevision, waitMillis);
+        } catch (TApplicationException exception) {
+            if (exception.getType() == TApplicationException.UNKNOWN_METHOD) {
+                return new StoreChanges(StoreRelayState.UNAVAILABLE, 0, List.of(), 0);
+            }
+            throw exception;
+        }
+    }
+}
--- a/src/main/java/org/cassiabank/proxy/PlatformWatch.java
+++ b/src/main/java/org/cassiabank/proxy/PlatformWatch.java
@@ -11,6 +11,7 @@
 import org.cassiabank.revision.ExchangePlanner;
 import org.cassiabank.source.FleetSource;
 import org.cassiabank.source.FleetUpdateListener;
+import org.cassiabank.source.StoreRelayReply;
 import org.cassiabank.store.InstanceListClient;
 
 /**
@@ -78,6 +79,12 @@
         return false;
     }
 
+    @Override
+    public StoreRelayReply awaitChanges(long afterRevision, long waitMillis) {
+        // Peers get the changes of this origin by exchanges.
+        return new StoreRelayReply.Unavailable();
+    }
+
     @Override
     public void announceLeaving() {
         // The platform itself lists this instance as leaving.
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -31,6 +31,7 @@
 import org.cassiabank.source.PlatformAdapter;
 import org.cassiabank.source.PlatformAdapters;
 import org.cassiabank.source.RetryBudgetSettings;
+import org.cassiabank.source.StoreRelay;
 import org.cassiabank.store.InstanceListClient;
 import org.cassiabank.store.StoreClient;
 import org.cassiabank.tls.TlsIdentity;
@@ -101,7 +102,8 @@
                 settings.name(), settings.failureDomain(), fleet, slotBroker, backendClient, metrics, conventions);
         RequestHandler requestHandler = RequestHandler.create(
                 fleet, attemptExecutor, claimClient, metrics, conventions, retryBudgetSettings.isPresent());
-        FleetSource source = adapter.map(found -> createMetadataStoreSource(found, settings, self))
+        FleetSource source = adapter.map(found -> createMetadataStoreSource(
+                        found, settings, self, PeerStoreRelay.create(replication, peerTransport)))
                 .orElseGet(() -> createPlatformWatch(settings, fleet, replication, metrics));
         CallerServer callerServer = CallerServer.create(settings.limits(), requestHandler, metrics);
         fleet.addListener((formerView, newView) ->
@@ -204,9 +206,9 @@
     }
 
     private static FleetSource createMetadataStoreSource(
-            PlatformAdapter adapter, ProxySettings settings, Instance self) {
+            PlatformAdapter adapter, ProxySettings settings, Instance self, StoreRelay relay) {
         return MetadataStoreFleetSource.create(
-                adapter, adapter.openStore(settings.store()), self, MonotonicClock::millis);
+                adapter, adapter.openStore(settings.store()), self, MonotonicClock::millis, relay);
     }
 
     private static FleetSource createPlatformWatch(
--- a/src/main/java/org/cassiabank/revision/ExchangePlanner.java
+++ b/src/main/java/org/cassiabank/revision/ExchangePlanner.java
@@ -27,12 +27,16 @@
     private final String qualifiedDomain;
     private final List<Instance> peers;
     private final boolean watcher;
+    /** The watchers of the failure domain other than this daemon. */
+    private final List<Instance> otherWatchers;
 
-    private ExchangePlanner(String name, String qualifiedDomain, List<Instance> peers, boolean watcher) {
+    private ExchangePlanner(String name, String qualifiedDomain, List<Instance> peers, List<Instance> watchers) {
         this.name = name;
         this.qualifiedDomain = qualifiedDomain;
         this.peers = peers;
-        this.watcher = watcher;
+        this.watcher = watchers.stream().anyMatch(proxy -> proxy.name().equals(name));
+        this.otherWatchers =
+                watchers.stream().filter(proxy -> !proxy.name().equals(name)).toList();
     }
 
     /**
@@ -55,10 +59,10 @@
                 }
             }
         }
-        boolean watcher = RendezvousHash.order(WATCH_KEY, domainProxies).stream()
+        List<Instance> watchers = RendezvousHash.order(WATCH_KEY, domainProxies).stream()
                 .limit(WATCHERS_PER_DOMAIN)
-                .anyMatch(proxy -> proxy.name().equals(self.name()));
-        return new ExchangePlanner(self.name(), qualifiedDomain, List.copyOf(peers), watcher);
+                .toList();
+        return new ExchangePlanner(self.name(), qualifiedDomain, List.copyOf(peers), watchers);
     }
 
     /**
@@ -70,6 +74,15 @@
         return watcher;
     }
 
+    /**
+     * Returns the watchers of the daemon's failure domain other than the daemon itself.
+     *
+     * @return at most two daemons, in an order that all daemons of the failure domain share
+     */
+    public List<Instance> otherWatchers() {
+        return otherWatchers;
+    }
+
     /**
      * Selects at random the peers to which a newly received change is pushed.
      *
--- a/src/main/java/org/cassiabank/source/FleetSource.java
+++ b/src/main/java/org/cassiabank/source/FleetSource.java
@@ -19,6 +19,15 @@
      */
     boolean isUpToDate();
 
+    /**
+     * Answers a peer that follows the origin through this daemon.
+     *
+     * @param afterRevision the revision after which the peer needs changes, exclusive
+     * @param waitMillis the longest wait for changes in milliseconds
+     * @return the changes, or why this daemon cannot tell them
+     */
+    StoreRelayReply awaitChanges(long afterRevision, long waitMillis);
+
     /**
      * Announces to peers and to the platform that this daemon accepts no new work.
      */
--- a/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
+++ b/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
@@ -22,7 +22,8 @@
 /**
  * Publishes the operators' configuration, the backend servers and the daemons of the fleet from a metadata store.
  *
- * <p>One thread reads all entries once and then watches for changes; another keeps this daemon registered.
+ * <p>One thread reads all entries once and then waits for changes: at the store if this daemon is one of the watchers of
+ * its failure domain, otherwise at a watcher. Another thread keeps this daemon registered.
  */
 public final class MetadataStoreFleetSource implements FleetSource {
     /** The common prefix of the keys under which daemons register. */
@@ -43,8 +44,24 @@
     /** A change that a watch returns within this time most likely happened before the call. */
     private static final long SERIES_DETECTION_MILLIS = 300;
 
+    /** The wait at a peer that is current; after it the other watcher is asked, which may know of more. */
+    private static final long RELAY_WAIT_MILLIS = 1_000;
+
+    /** Pause after changes that a peer has passed on, which arrive in the batches of that peer. */
+    private static final long RELAY_BATCH_INTERVAL_MILLIS = 200;
+
+    /** The wait at the store while no peer answers, after which the peers are asked again. */
+    private static final long FALLBACK_WATCH_WAIT_MILLIS = 2_000;
+
     private static final long MINIMUM_RETRY_DELAY_MILLIS = 150;
     private static final long MAXIMUM_RETRY_DELAY_MILLIS = 350;
+
+    /**
+     * The longest wait in an outage for a renewal of the registration to succeed, which costs the store less than a
+     * watch, before a watch is tried all the same.
+     */
+    private static final long MAXIMUM_REACHABLE_WAIT_MILLIS = 2_000;
+
     /** Lists of one store revision that differ in the instances retained after an outage have consecutive indexes. */
     private static final int INDEX_BITS_PER_REVISION = 8;
 
@@ -52,6 +69,8 @@
     private final MetadataStore store;
     private final Instance self;
     private final LongSupplier clockMillis;
+    private final StoreRelay relay;
+    private final StoreChangeLog changeLog;
     private final StoreEntryTable entryTable = new StoreEntryTable();
     private final OutageGracePeriod outageGracePeriod = new OutageGracePeriod();
     private final Registration registration;
@@ -66,14 +85,19 @@
     private long publishedIndex;
     private volatile boolean upToDate;
     private volatile boolean selfListed;
+    /** False from a failed call to the store until the next successful one of this daemon itself. */
+    private volatile boolean storeReachable = true;
+
     private volatile boolean closed;
 
     private MetadataStoreFleetSource(
-            PlatformAdapter adapter, MetadataStore store, Instance self, LongSupplier clockMillis) {
+            PlatformAdapter adapter, MetadataStore store, Instance self, LongSupplier clockMillis, StoreRelay relay) {
         this.adapter = adapter;
         this.store = store;
         this.self = self;
         this.clockMillis = clockMillis;
+        this.relay = relay;
+        this.changeLog = StoreChangeLog.create(clockMillis);
         this.registration =
                 Registration.create(store, DAEMONS_PREFIX + self.name(), InstanceListCodec.toJson(List.of(self)));
     }
@@ -85,16 +109,18 @@
      * @param store the store that holds the entries
      * @param self this daemon, as it is registered for its peers
      * @param clockMillis a monotonic clock in milliseconds
+     * @param relay reads changes through peers if others watch the store, or if this daemon cannot reach it
      * @return the source
      * @throws NullPointerException if an argument is null
      */
     public static MetadataStoreFleetSource create(
-            PlatformAdapter adapter, MetadataStore store, Instance self, LongSupplier clockMillis) {
+            PlatformAdapter adapter, MetadataStore store, Instance self, LongSupplier clockMillis, StoreRelay relay) {
         return new MetadataStoreFleetSource(
                 Objects.requireNonNull(adapter, "adapter"),
                 Objects.requireNonNull(store, "store"),
                 Objects.requireNonNull(self, "self"),
-                Objects.requireNonNull(clockMillis, "clockMillis"));
+                Objects.requireNonNull(clockMillis, "clockMillis"),
+                Objects.requireNonNull(relay, "relay"));
     }
 
     @Override
@@ -110,6 +136,11 @@
         return upToDate;
     }
 
+    @Override
+    public StoreRelayReply awaitChanges(long afterRevision, long waitMillis) {
+        return changeLog.awaitChanges(afterRevision, waitMillis);
+    }
+
     @Override
     public void announceLeaving() {
         leavingLatch.countDown();
@@ -133,18 +164,25 @@
                 storeAvailable = true;
                 upToDate = entriesLoaded;
             } catch (CassiabankException exception) {
+                setStoreReachable(false);
+                changeLog.setWatching(false);
                 outageGracePeriod.recordFailure(clockMillis.getAsLong());
                 if (storeAvailable) {
                     LOGGER.atWarning().log(
                             "the store does not answer, revision %d stays in force: %s",
                             storeRevision, exception.getMessage());
                 }
+                boolean firstFailure = storeAvailable;
                 storeAvailable = false;
                 upToDate = false;
                 pause(ThreadLocalRandom.current().nextLong(MINIMUM_RETRY_DELAY_MILLIS, MAXIMUM_RETRY_DELAY_MILLIS));
+                if (!firstFailure) {
+                    awaitStoreReachable();
+                }
             } catch (RuntimeException | Error failure) {
                 // The table may hold a part of the changes only, so all entries are read again.
                 entriesLoaded = false;
+                changeLog.setWatching(false);
                 upToDate = false;
                 BackgroundTasks.recordFailure("store-follower", failure);
                 pause(MAXIMUM_RETRY_DELAY_MILLIS);
@@ -153,31 +191,63 @@
     }
 
     private void readAndPublish() {
-        boolean inSeries = false;
+        long pauseMillis = BATCH_INTERVAL_MILLIS;
         if (!entriesLoaded) {
             loadAllEntries();
+            outageGracePeriod.recordResponse(clockMillis.getAsLong());
         } else {
             long callStartMillis = clockMillis.getAsLong();
-            // The first call after a failure waits only 1 ms, so that the grace period starts without delay.
-            long waitMillis = storeAvailable
-                    ? Math.clamp(outageGracePeriod.nextEvaluationMillis() - callStartMillis, 1, WATCH_WAIT_MILLIS)
-                    : 1;
-            listener.recordStoreCall("watch");
-            Optional<StoreWatchResult> result = store.watch("", storeRevision, waitMillis);
-            if (result.isEmpty()) {
+            boolean watching = relay.isWatcher() && storeReachable;
+            changeLog.setWatching(watching);
+            StoreRelayReply reply =
+                    watching ? new StoreRelayReply.Unavailable() : relay.awaitChanges(storeRevision, RELAY_WAIT_MILLIS);
+            boolean relayed = reply instanceof StoreRelayReply.Current;
+            Optional<StoreWatchResult> changes =
+                    switch (reply) {
+                        case StoreRelayReply.Current current -> {
+                            outageGracePeriod.recordResponse(clockMillis.getAsLong());
+                            outageGracePeriod.retainFor(current.graceMillis(), clockMillis.getAsLong());
+                            yield Optional.of(current.changes());
+                        }
+                        case StoreRelayReply.Unavailable unavailable -> watchStore(watching);
+                    };
+            if (changes.isEmpty()) {
                 LOGGER.atInfo().log(
                         "the store has discarded changes after revision %d; reading all entries again", storeRevision);
                 entriesLoaded = false;
                 return;
             }
-            inSeries = !result.get().events().isEmpty()
-                    && clockMillis.getAsLong() - callStartMillis < SERIES_DETECTION_MILLIS;
-            result.get().events().forEach(entryTable::apply);
-            storeRevision = Math.max(storeRevision, result.get().revision());
+            pauseMillis = pauseMillis(changes.get(), relayed, clockMillis.getAsLong() - callStartMillis);
+            changes.get().events().forEach(entryTable::apply);
+            changeLog.append(changes.get());
+            storeRevision = Math.max(storeRevision, changes.get().revision());
         }
-        outageGracePeriod.recordResponse(clockMillis.getAsLong());
         publish();
-        pause(inSeries ? SERIES_BATCH_INTERVAL_MILLIS : BATCH_INTERVAL_MILLIS);
+        pause(pauseMillis);
+    }
+
+    private Optional<StoreWatchResult> watchStore(boolean watching) {
+        // The first call after a failure waits only 1 ms, so that the grace period starts without delay.
+        long nowMillis = clockMillis.getAsLong();
+        long longestWaitMillis = watching ? WATCH_WAIT_MILLIS : FALLBACK_WATCH_WAIT_MILLIS;
+        long waitMillis = storeAvailable
+                ? Math.clamp(outageGracePeriod.nextEvaluationMillis() - nowMillis, 1, longestWaitMillis)
+                : 1;
+        listener.recordStoreCall("watch");
+        Optional<StoreWatchResult> changes = store.watch("", storeRevision, waitMillis);
+        setStoreReachable(true);
+        // Peers must learn of the grace period before they learn that entries have expired.
+        outageGracePeriod.recordResponse(clockMillis.getAsLong());
+        changeLog.recordContact(outageGracePeriod.graceEndMillis());
+        return changes;
+    }
+
+    private static long pauseMillis(StoreWatchResult changes, boolean relayed, long callMillis) {
+        if (relayed) {
+            return changes.events().isEmpty() ? 0 : RELAY_BATCH_INTERVAL_MILLIS;
+        }
+        boolean inSeries = !changes.events().isEmpty() && callMillis < SERIES_DETECTION_MILLIS;
+        return inSeries ? SERIES_BATCH_INTERVAL_MILLIS : BATCH_INTERVAL_MILLIS;
     }
 
     private void loadAllEntries() {
@@ -195,6 +265,8 @@
         }
         entryTable.replaceAll(allEntries);
         storeRevision = lowestRevision;
+        changeLog.restart(storeRevision);
+        changeLog.recordContact(outageGracePeriod.graceEndMillis());
         entriesLoaded = true;
     }
 
@@ -298,6 +370,25 @@
         });
     }
 
+    private synchronized void setStoreReachable(boolean reachable) {
+        storeReachable = reachable;
+        notifyAll();
+    }
+
+    /** Waits until a call of this daemon to the store has succeeded, or for the longest wait. */
+    private synchronized void awaitStoreReachable() {
+        long endMillis = clockMillis.getAsLong() + MAXIMUM_REACHABLE_WAIT_MILLIS;
+        try {
+            long remainingMillis = MAXIMUM_REACHABLE_WAIT_MILLIS;
+            while (!storeReachable && !closed && remainingMillis > 0) {
+                TimeUnit.MILLISECONDS.timedWait(this, remainingMillis);
+                remainingMillis = endMillis - clockMillis.getAsLong();
+            }
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void keepRegistered() {
         boolean renewed = true;
         boolean isLeaving = false;
@@ -308,6 +399,8 @@
                     LOGGER.atInfo().log("registered as %s", self.name());
                 }
                 renewed = true;
+                setStoreReachable(true);
+                changeLog.recordContact(Long.MIN_VALUE);
             } catch (CassiabankException exception) {
                 if (renewed) {
                     LOGGER.atWarning().log("cannot renew the registration: %s", exception.getMessage());
--- a/src/main/java/org/cassiabank/source/OutageGracePeriod.java
+++ b/src/main/java/org/cassiabank/source/OutageGracePeriod.java
@@ -39,6 +39,23 @@
         unavailableSinceMillis = Long.MAX_VALUE;
     }
 
+    /**
+     * Starts the grace period of an outage that a peer has noticed.
+     *
+     * @param remainingMillis the time that is left of it, in milliseconds, 0 if there was no outage
+     * @param nowMillis the current time in milliseconds
+     */
+    void retainFor(long remainingMillis, long nowMillis) {
+        if (remainingMillis > 0) {
+            graceEndMillis = Math.max(graceEndMillis, nowMillis + Math.min(remainingMillis, GRACE_MILLIS));
+        }
+    }
+
+    /** Returns the time in milliseconds when the latest grace period ends or ended. */
+    long graceEndMillis() {
+        return graceEndMillis;
+    }
+
     /**
      * Adds instances that were published before and have no entry now, while the grace period lasts. An instance that
      * was leaving, or whose address belongs to a listed instance now, is not retained.
--- /dev/null
+++ b/src/main/java/org/cassiabank/source/StoreChangeLog.java
@@ -0,0 +1,141 @@
+package org.cassiabank.source;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * Keeps the latest changes of the store for the peers that follow it through this daemon.
+ *
+ * <p>It answers only while the store has confirmed the state of this daemon recently: a daemon that is cut off from the
+ * store would otherwise keep its peers at an old state, although they can reach the store. Instances are thread-safe.
+ */
+final class StoreChangeLog {
+    /**
+     * The age of the last response of the store from which on this daemon does not answer peers. A watching daemon
+     * calls the store at least every {@link Registration#RENEWAL_INTERVAL_MILLIS}, and a call takes some milliseconds.
+     */
+    static final long MAXIMUM_CONTACT_AGE_MILLIS = Registration.RENEWAL_INTERVAL_MILLIS + 200;
+
+    /** A daemon that is further behind reads all entries again. */
+    private static final int MAXIMUM_EVENTS = 4_096;
+
+    /** Holds the largest values of the store, such as a configuration with many routes, at least twice. */
+    private static final long MAXIMUM_VALUE_BYTES = 4 * 1_024 * 1_024;
+
+    private final LongSupplier clockMillis;
+    private final Deque<StoreEvent> events = new ArrayDeque<>();
+    /** The total size of the values of {@link #events}. */
+    private long valueBytes;
+
+    /** The revision after which all changes are in the log. */
+    private long firstRevision;
+
+    private long lastRevision;
+    private long lastContactMillis;
+    private long graceEndMillis;
+    private boolean watching;
+
+    private StoreChangeLog(LongSupplier clockMillis) {
+        this.clockMillis = clockMillis;
+        this.lastContactMillis = clockMillis.getAsLong();
+        this.graceEndMillis = lastContactMillis;
+    }
+
+    /**
+     * Creates a log that answers no peer before {@link #append}.
+     *
+     * @param clockMillis a monotonic clock in milliseconds
+     * @return the log
+     */
+    static StoreChangeLog create(LongSupplier clockMillis) {
+        return new StoreChangeLog(Objects.requireNonNull(clockMillis, "clockMillis"));
+    }
+
+    /** Forgets all changes after a complete read of the store at the given revision. */
+    synchronized void restart(long revision) {
+        events.clear();
+        valueBytes = 0;
+        firstRevision = revision;
+        lastRevision = revision;
+        notifyAll();
+    }
+
+    /**
+     * Appends the changes up to a revision. They may come from the store or from a peer.
+     *
+     * @param changes the changes after the last revision of this log
+     */
+    synchronized void append(StoreWatchResult changes) {
+        for (StoreEvent event : changes.events()) {
+            events.addLast(event);
+            valueBytes += valueBytes(event);
+        }
+        lastRevision = Math.max(lastRevision, changes.revision());
+        while (events.size() > MAXIMUM_EVENTS || valueBytes > MAXIMUM_VALUE_BYTES) {
+            firstRevision = events.getFirst().revision();
+            // One transaction may change several keys at one revision, which are complete only together.
+            while (!events.isEmpty() && events.getFirst().revision() <= firstRevision) {
+                valueBytes -= valueBytes(events.removeFirst());
+            }
+        }
+        notifyAll();
+    }
+
+    /**
+     * Records a response of the store to this daemon.
+     *
+     * @param newGraceEndMillis the time until which entries that expired in an outage are retained, on the clock of
+     *     this log
+     */
+    synchronized void recordContact(long newGraceEndMillis) {
+        lastContactMillis = clockMillis.getAsLong();
+        graceEndMillis = Math.max(graceEndMillis, newGraceEndMillis);
+    }
+
+    /** Sets whether this daemon watches the store itself; otherwise peers have to ask another daemon. */
+    synchronized void setWatching(boolean newWatching) {
+        watching = newWatching;
+        notifyAll();
+    }
+
+    /**
+     * Waits for changes after a revision.
+     *
+     * @param afterRevision the revision, exclusive
+     * @param waitMillis the longest wait in milliseconds
+     * @return the reply to the peer
+     */
+    synchronized StoreRelayReply awaitChanges(long afterRevision, long waitMillis) {
+        long endMillis = clockMillis.getAsLong() + waitMillis;
+        try {
+            while (isCurrent() && lastRevision <= afterRevision && clockMillis.getAsLong() < endMillis) {
+                long staleMillis = lastContactMillis + MAXIMUM_CONTACT_AGE_MILLIS;
+                long remainingMillis = Math.min(endMillis, staleMillis) - clockMillis.getAsLong();
+                TimeUnit.MILLISECONDS.timedWait(this, Math.max(1, remainingMillis));
+            }
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            return new StoreRelayReply.Unavailable();
+        }
+        if (!isCurrent() || afterRevision < firstRevision) {
+            return new StoreRelayReply.Unavailable();
+        }
+        List<StoreEvent> newerEvents = events.stream()
+                .filter(event -> event.revision() > afterRevision)
+                .toList();
+        long graceMillis = Math.max(0, graceEndMillis - clockMillis.getAsLong());
+        return new StoreRelayReply.Current(new StoreWatchResult(newerEvents, lastRevision), graceMillis);
+    }
+
+    private static long valueBytes(StoreEvent event) {
+        return event instanceof StoreEvent.Written written ? written.entry().value().length : 0;
+    }
+
+    private boolean isCurrent() {
+        return watching && clockMillis.getAsLong() - lastContactMillis < MAXIMUM_CONTACT_AGE_MILLIS;
+    }
+}
--- a/src/main/java/org/cassiabank/source/StoreEvent.java
+++ b/src/main/java/org/cassiabank/source/StoreEvent.java
@@ -7,6 +7,13 @@
  */
 public sealed interface StoreEvent {
 
+    /**
+     * Returns the revision of the store at which the key changed.
+     *
+     * @return the revision
+     */
+    long revision();
+
     /**
      * A value was written.
      *
@@ -23,6 +30,11 @@
         public Written {
             Objects.requireNonNull(entry, "entry");
         }
+
+        @Override
+        public long revision() {
+            return entry.revision();
+        }
     }
 
     /**
--- /dev/null
+++ b/src/main/java/org/cassiabank/source/StoreRelay.java
@@ -0,0 +1,43 @@
+package org.cassiabank.source;
+
+/**
+ * Reads changes of the store through the peers that watch it, so that the calls to the store do not grow with the number
+ * of daemons.
+ */
+public interface StoreRelay {
+
+    /**
+     * Tells whether this daemon is one of those that watch the store for the others.
+     *
+     * @return true if this daemon has to watch the store itself
+     */
+    boolean isWatcher();
+
+    /**
+     * Waits for changes at one peer after the other until one of them is current.
+     *
+     * @param afterRevision the revision after which changes are returned, exclusive
+     * @param waitMillis the longest wait at a peer that is current, in milliseconds
+     * @return the reply of the first peer that watches the store; {@link StoreRelayReply.Unavailable} if there is none
+     */
+    StoreRelayReply awaitChanges(long afterRevision, long waitMillis);
+
+    /**
+     * Returns a relay for a daemon that watches the store itself and has no peers to ask.
+     *
+     * @return the relay
+     */
+    static StoreRelay none() {
+        return new StoreRelay() {
+            @Override
+            public boolean isWatcher() {
+                return true;
+            }
+
+            @Override
+            public StoreRelayReply awaitChanges(long afterRevision, long waitMillis) {
+                return new StoreRelayReply.Unavailable();
+            }
+        };
+    }
+}
--- a/src/test/java/org/cassiabank/platform/MetadataStoreFleetSourceTest.java
+++ b/src/test/java/org/cassiabank/platform/MetadataStoreFleetSourceTest.java
@@ -14,9 +14,8 @@
 import org.cassiabank.membership.InstanceList;
 import org.cassiabank.membership.InstanceRole;
 import org.cassiabank.membership.InstanceState;
-import org.cassiabank.source.FleetUpdateListener;
 import org.cassiabank.source.MetadataStoreFleetSource;
-import org.cassiabank.source.VersionedConfiguration;
+import org.cassiabank.source.StoreRelay;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -31,19 +30,20 @@
     private static final String PROXY_NAME = "proxy-1";
 
     private final StoreStandIn standIn = StoreStandIn.start();
-    private final RecordingListener listener = new RecordingListener();
+    private final RecordingFleetListener listener = new RecordingFleetListener();
     private final MetadataStoreFleetSource source = newSource(PROXY_NAME, standIn.address());
 
     @BeforeEach
     void startAndAwaitFirstEntries() {
-        standIn.write("op/config", configurationDocument(5));
-        standIn.write("servers/i-1", serverDocument(8081));
-        standIn.write("servers/i-2", serverDocument(8082));
+        standIn.write("op/config", PlatformTestDocuments.configuration(5));
+        standIn.write("servers/i-1", PlatformTestDocuments.server(8081));
+        standIn.write("servers/i-2", PlatformTestDocuments.server(8082));
         source.start(listener);
         await(() -> listener.configurationRevision() == 5
                 && listener.has("i-1")
                 && listener.has("i-2")
-                && listener.has(PROXY_NAME));
+                && listener.has(PROXY_NAME)
+                && source.isUpToDate());
     }
 
     @AfterEach
@@ -54,7 +54,7 @@
 
     @Test
     void changesOfTheStoreArePublished() {
-        standIn.write("op/config", configurationDocument(9));
+        standIn.write("op/config", PlatformTestDocuments.configuration(9));
         standIn.remove("servers/i-1");
         await(() -> listener.configurationRevision() == 9 && !listener.has("i-1"));
         assertThat(listener.has("i-2")).isTrue();
@@ -64,13 +64,13 @@
     @Test
     void theInstanceListIsInstalledBeforeTheConfiguration() {
         // A daemon with a configuration accepts requests, and without an instance list it has no server for them.
-        assertThat(listener.indexAtFirstConfiguration).isPositive();
+        assertThat(listener.indexAtFirstConfiguration()).isPositive();
     }
 
     @Test
     void anOlderConfigurationIsNotInstalled() {
-        standIn.write("op/config", configurationDocument(4));
-        standIn.write("servers/i-3", serverDocument(8083));
+        standIn.write("op/config", PlatformTestDocuments.configuration(4));
+        standIn.write("servers/i-3", PlatformTestDocuments.server(8083));
         await(() -> listener.has("i-3"));
         assertThat(listener.configurationRevision()).isEqualTo(5);
     }
@@ -79,12 +79,12 @@
     void unreadableEntriesDoNotAffectOtherEntries() {
         standIn.write("servers/i-9", "{\"address\":7}");
         standIn.write("op/config", "not a configuration");
-        standIn.write("servers/i-3", serverDocument(8083));
+        standIn.write("servers/i-3", PlatformTestDocuments.server(8083));
         await(() -> listener.has("i-3"));
         assertThat(listener.has("i-9")).isFalse();
         assertThat(listener.has("i-2")).isTrue();
         assertThat(listener.configurationRevision()).isEqualTo(5);
-        standIn.write("op/config", configurationDocument(6));
+        standIn.write("op/config", PlatformTestDocuments.configuration(6));
         await(() -> listener.configurationRevision() == 6);
     }
 
@@ -93,7 +93,7 @@
         standIn.failWithStatus(503);
         await(() -> !source.isUpToDate());
         standIn.remove("servers/i-1");
-        standIn.write("op/config", configurationDocument(7));
+        standIn.write("op/config", PlatformTestDocuments.configuration(7));
         standIn.compactHistory();
         standIn.failWithStatus(0);
         await(() -> listener.configurationRevision() == 7 && !listener.has("i-1"));
@@ -126,7 +126,7 @@
         standIn.failWithStatus(0);
         await(source::isUpToDate);
         assertThat(listener.has("i-1")).isTrue();
-        standIn.write("servers/i-2", serverDocument(8082));
+        standIn.write("servers/i-2", PlatformTestDocuments.server(8082));
         await(() -> !listener.has("i-1"));
         assertThat(listener.has("i-2")).isTrue();
     }
@@ -144,12 +144,12 @@
     void changesArePublishedWithinFiveSecondsAfterOpenConnectionsStopResponding() throws IOException {
         URI address = standIn.address();
         try (TcpFaultRelay relay = TcpFaultRelay.start(address.getHost(), address.getPort())) {
-            RecordingListener relayedListener = new RecordingListener();
+            RecordingFleetListener relayedListener = new RecordingFleetListener();
             MetadataStoreFleetSource relayedSource = newSource("proxy-2", URI.create("http://" + relay.address()));
             relayedSource.start(relayedListener);
             await(() -> relayedListener.configurationRevision() == 5 && relayedListener.has("proxy-2"));
             relay.blackholeOpenConnections();
-            standIn.write("op/config", configurationDocument(6));
+            standIn.write("op/config", PlatformTestDocuments.configuration(6));
             // The bounds of the platform: 3 s to detect the silent connections and 2 s to put the change into force.
             await(Duration.ofSeconds(5), () -> relayedListener.configurationRevision() == 6);
             relayedSource.close();
@@ -166,7 +166,11 @@
         KeyValueAdapter adapter = new KeyValueAdapter();
         Instance self = Instance.of(name, InstanceRole.PROXY, "127.0.0.1:7200", "region", "domain", InstanceState.LIVE);
         return MetadataStoreFleetSource.create(
-                adapter, adapter.openStore(address), self, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+                adapter,
+                adapter.openStore(address),
+                self,
+                () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
+                StoreRelay.none());
     }
 
     private static void await(BooleanSupplier condition) {
@@ -182,60 +186,4 @@
             LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
         }
     }
-
-    private static String configurationDocument(int version) {
-        return """
-                {"version":"%08x","resources":[
-                  {"resource_type":"services","metadata":{"name":"desk"},"spec":{}}]}
-                """.formatted(version);
-    }
-
-    private static String serverDocument(int port) {
-        return """
-                {"address":"127.0.0.1:%d","status":{"state":"ready"},
-                 "info":{"service":"desk","version":"v1","zone":"domain","slots":2}}
-                """.formatted(port);
-    }
-
-    /** Holds the last configuration and instance list that the source published. */
-    private static final class RecordingListener implements FleetUpdateListener {
-        private volatile long revision;
-        private volatile long indexAtFirstConfiguration = -1;
-        private volatile InstanceList instances = InstanceList.empty();
-
-        boolean has(String name) {
-            return instances.find(name).isPresent();
-        }
-
-        @Override
-        public long configurationRevision() {
-            return revision;
-        }
-
-        @Override
-        public long instanceListIndex() {
-            return instances.index();
-        }
-
-        @Override
-        public boolean install(VersionedConfiguration versionedConfiguration) {
-            if (indexAtFirstConfiguration < 0) {
-                indexAtFirstConfiguration = instances.index();
-            }
-            revision = versionedConfiguration.revision();
-            return true;
-        }
-
-        @Override
-        public boolean install(InstanceList newInstances) {
-            assertThat(newInstances.index()).isGreaterThan(instances.index());
-            instances = newInstances;
-            return true;
-        }
-
-        @Override
-        public void recordStoreCall(String kind) {
-            // Calls are not asserted in this test.
-        }
-    }
 }
--- a/src/test/java/org/cassiabank/proxy/NoOpFleetSource.java
+++ b/src/test/java/org/cassiabank/proxy/NoOpFleetSource.java
@@ -2,6 +2,7 @@
 
 import org.cassiabank.source.FleetSource;
 import org.cassiabank.source.FleetUpdateListener;
+import org.cassiabank.source.StoreRelayReply;
 
 /** A fleet source that never installs anything. */
 final class NoOpFleetSource implements FleetSource {
@@ -23,6 +24,11 @@
         return upToDate;
     }
 
+    @Override
+    public StoreRelayReply awaitChanges(long afterRevision, long waitMillis) {
+        return new StoreRelayReply.Unavailable();
+    }
+
     @Override
     public void announceLeaving() {}
 
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -121,6 +121,30 @@
   5: optional ChangeDocument snapshot,
 }
 
+enum StoreRelayState {
+  /** The changes are complete up to the revision, which the store confirmed a moment ago. */
+  CURRENT = 1,
+  /** The peer does not watch the store, has not heard from it for too long, or no longer keeps all these changes. */
+  UNAVAILABLE = 2,
+}
+
+/** A change of a key in the platform's store. */
+struct StoreChange {
+  1: required string key,
+  /** Missing if the key was removed. */
+  2: optional binary value,
+  3: required i64 revision,
+}
+
+/** The changes of the store after a revision, as a daemon that watches the store passes them on. */
+struct StoreChanges {
+  1: required StoreRelayState state,
+  2: required i64 revision,
+  3: required list<StoreChange> changes,
+  /** How long entries that expired in an outage of the store are still to be retained. */
+  4: required i64 graceMillis,
+}
+
 enum ClaimState {
   /** The key was not known; it is now held by the claim of this request. */
   GRANTED = 1,
@@ -160,6 +184,8 @@
   SlotReply acquire(1: SlotRequest request) throws (1: NotReady notReady),
   void report(1: SlotOutcome outcome),
   ExchangeReply exchange(1: ExchangeRequest request),
+  /** Waits for changes of the store after a revision. */
+  StoreChanges storeChanges(1: i64 afterRevision, 2: i64 waitMillis),
   ClaimReply claim(1: string key, 2: string claim, 3: i64 requestDigest),
   /** Ends a claim: ANSWERED with an answer, UNKNOWN, or GRANTED to release a claim whose request never ran. */
   void conclude(1: string key, 2: string claim, 3: ClaimState state, 4: RecordedAnswer answer),
