--- a/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
+++ b/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
@@ -22,8 +22,8 @@
 /**
  * Publishes the operators' configuration, the backend servers and the daemons of the fleet from a metadata store.
  *
- * <p>One thread reads all entries once and then waits for changes: at the store if this daemon is one of the watchers of
- * its failure domain, otherwise at a watcher. Another thread keeps this daemon registered.
+ * <p>One thread reads all entries once and then waits for changes: at the store if this daemon is one of the watchers
+ * of its failure domain, otherwise at a watcher. Another thread keeps this daemon registered.
  */
 public final class MetadataStoreFleetSource implements FleetSource {
     /** The common prefix of the keys under which daemons register. */
--- a/src/main/java/org/cassiabank/source/StoreRelay.java
+++ b/src/main/java/org/cassiabank/source/StoreRelay.java
@@ -1,8 +1,8 @@
 package org.cassiabank.source;
 
 /**
- * Reads changes of the store through the peers that watch it, so that the calls to the store do not grow with the number
- * of daemons.
+ * Reads changes of the store through the peers that watch it, so that the calls to the store do not grow with the
+ * number of daemons.
  */
 public interface StoreRelay {
 
--- a/src/main/java/org/cassiabank/source/StoreRelayReply.java
+++ b/src/main/java/org/cassiabank/source/StoreRelayReply.java
@@ -19,6 +19,8 @@
         /**
          * Checks the changes.
          *
+         * @param changes the changes, not null
+         * @param graceMillis the remaining grace period in milliseconds
          * @throws NullPointerException if the changes are null
          */
         public Current {
