Keep a shard while leases run, and requests queued while all its servers restart

When all servers of a shard restarted in one list change, the scheduler saw an empty shard for a moment and told queued requests that there was no server. An error outside the guarded part of the ticker ended it. Change: a shard is retired under its lock only when nothing is queued or running, and a retired shard sends the request to a new one; the scheduler forgets restarted servers without refusing anything; the ticker reschedules itself after any error.

--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -75,6 +75,17 @@
         }
     }
 
+    /**
+     * Forgets the servers that restarted, whose new processes run none of the former requests. Unlike
+     * {@link #replaceServers(List, long)}, which has to follow, it refuses no queued request.
+     *
+     * @param otherServers the servers of the shard that did not restart
+     * @param nowMillis the current time in milliseconds
+     */
+    public void forgetRestartedServers(List<SchedulableServer> otherServers, long nowMillis) {
+        pool.update(otherServers, advanceClock(nowMillis));
+    }
+
     /**
      * Requests a slot. The call returns without waiting; the final decision about a queued request is returned by
      * {@link #advance(long)} or {@link #renewTicket(long, long)}.
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -73,6 +73,8 @@
     private FleetView view;
     private long nextEvaluationMillis;
     private long lastRequestMillis;
+    /** Set when the shard is removed; later requests and leases belong to a new shard. */
+    private boolean retired;
 
     private OwnedShard(
             ShardKey key, OwnerSettings settings, ProxyMetrics metrics, Optional<FleetRetryBudget> retryBudget) {
@@ -103,28 +105,31 @@
      *
      * @param request the request
      * @param presentedTicketId the ticket of an earlier {@link Queued} decision, 0 for a new request
-     * @return the decision; {@link Queued} if none was made in this time
+     * @return the decision, {@link Queued} if none was made in this time; empty if the shard has been removed
      */
-    SlotDecision acquire(AdmissionRequest request, long presentedTicketId) {
+    Optional<SlotDecision> acquire(AdmissionRequest request, long presentedTicketId) {
         CompletableFuture<SlotDecision> future = new CompletableFuture<>();
         long ticketId;
         synchronized (this) {
             long nowMillis = MonotonicClock.millis();
+            if (retired) {
+                return Optional.empty();
+            }
             lastRequestMillis = nowMillis;
             if (presentedTicketId == 0 && !trySpendRetryBudget(request, nowMillis)) {
-                return new Refused(RefusalReason.RETRY_BUDGET, RETRY_BUDGET_RETRY_AFTER_MILLIS);
+                return Optional.of(new Refused(RefusalReason.RETRY_BUDGET, RETRY_BUDGET_RETRY_AFTER_MILLIS));
             }
             SlotDecision decision = presentedTicketId == 0
                     ? scheduler.acquire(request, nowMillis)
                     : renewTicket(presentedTicketId, nowMillis);
             advanceScheduler(nowMillis);
             if (!(decision instanceof Queued queued)) {
-                return decision;
+                return Optional.of(decision);
             }
             ticketId = queued.ticketId();
             waitingPolls.put(ticketId, future);
         }
-        return awaitDecision(ticketId, future);
+        return Optional.of(awaitDecision(ticketId, future));
     }
 
     synchronized void completeLease(long leaseId, AttemptOutcome outcome, long latencyMicros, boolean serverLeaving) {
@@ -174,7 +179,7 @@
             Predicate<LabeledServer> notRestarted =
                     server -> !restarted.contains(server.instance().name());
             monitor.replaceServers(monitoredServers(notRestarted), view.ejectionFloor(key), nowMillis);
-            scheduler.replaceServers(schedulableServers(notRestarted), nowMillis);
+            scheduler.forgetRestartedServers(schedulableServers(notRestarted), nowMillis);
         }
     }
 
@@ -191,8 +196,15 @@
         releaseUncollectedDecisions(nowMillis);
     }
 
-    synchronized boolean isIdleSince(long sinceMillis) {
-        return lastRequestMillis < sinceMillis && waitingPolls.isEmpty();
+    /**
+     * Retires the shard unless it is in use, so that it can be removed.
+     *
+     * @param sinceMillis the time before which the last request must have come
+     * @return false if there was a later request, or if a request is queued or running
+     */
+    synchronized boolean retireIfIdleSince(long sinceMillis) {
+        retired = lastRequestMillis < sinceMillis && !isBusy();
+        return retired;
     }
 
     synchronized Map<String, ServerHealth> healthByServer() {
--- a/src/main/java/org/cassiabank/proxy/OwnedShards.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShards.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
@@ -27,7 +28,7 @@
     /** Applies while all shards are idle: only hold-offs of ejected servers expire then, and they last for seconds. */
     private static final long IDLE_TICK_INTERVAL_MILLIS = 200;
 
-    /** A shard without requests for this long is removed. */
+    /** A shard on which nothing is queued or running is removed this long after its last request. */
     private static final long SHARD_IDLE_TIMEOUT_MILLIS = 60_000;
 
     private final Map<ShardKey, OwnedShard> shards = new ConcurrentHashMap<>();
@@ -63,10 +64,15 @@
     }
 
     SlotDecision acquire(ShardKey key, AdmissionRequest request, long ticketId) {
-        return shards.computeIfAbsent(
-                        key,
-                        newKey -> OwnedShard.create(newKey, settings, metrics, fleet.view(), MonotonicClock.millis()))
-                .acquire(request, ticketId);
+        while (true) {
+            OwnedShard shard = shards.computeIfAbsent(
+                    key, newKey -> OwnedShard.create(newKey, settings, metrics, fleet.view(), MonotonicClock.millis()));
+            Optional<SlotDecision> decision = shard.acquire(request, ticketId);
+            if (decision.isPresent()) {
+                return decision.get();
+            }
+            shards.remove(key, shard);
+        }
     }
 
     void completeLease(ShardKey key, long leaseId, AttemptOutcome outcome, long latencyMicros, boolean serverLeaving) {
@@ -98,19 +104,22 @@
     }
 
     private void tickAndReschedule() {
-        BackgroundTasks.guarded("shards", this::tick).run();
-        boolean isBusy = shards.values().stream().anyMatch(OwnedShard::isBusy);
+        long intervalMillis = BUSY_TICK_INTERVAL_MILLIS;
+        try {
+            tick();
+            boolean isBusy = shards.values().stream().anyMatch(OwnedShard::isBusy);
+            intervalMillis = isBusy ? BUSY_TICK_INTERVAL_MILLIS : IDLE_TICK_INTERVAL_MILLIS;
+        } catch (RuntimeException | Error failure) {
+            BackgroundTasks.recordFailure("shards", failure);
+        }
         if (!tickExecutor.isShutdown()) {
-            tickExecutor.schedule(
-                    this::tickAndReschedule,
-                    isBusy ? BUSY_TICK_INTERVAL_MILLIS : IDLE_TICK_INTERVAL_MILLIS,
-                    TimeUnit.MILLISECONDS);
+            tickExecutor.schedule(this::tickAndReschedule, intervalMillis, TimeUnit.MILLISECONDS);
         }
     }
 
     private void tick() {
         long nowMillis = MonotonicClock.millis();
         shards.values().forEach(shard -> shard.tick(nowMillis));
-        shards.values().removeIf(shard -> shard.isIdleSince(nowMillis - SHARD_IDLE_TIMEOUT_MILLIS));
+        shards.values().removeIf(shard -> shard.retireIfIdleSince(nowMillis - SHARD_IDLE_TIMEOUT_MILLIS));
     }
 }
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -42,6 +42,9 @@
  * Assembles and starts the services of a daemon, and stops them without interrupting requests in flight.
  */
 final class ProxyDaemon implements AutoCloseable {
+    private static final ServiceName<KernelService> IDLE_CONNECTIONS =
+            ServiceName.of("idle-connections", KernelService.class);
+
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final long DRAIN_POLL_INTERVAL_MILLIS = 20;
 
@@ -102,8 +105,8 @@
                 settings.name(), settings.failureDomain(), fleet, slotBroker, backendClient, metrics, conventions);
         RequestHandler requestHandler = RequestHandler.create(
                 fleet, attemptExecutor, claimClient, metrics, conventions, retryBudgetSettings.isPresent());
-        FleetSource source = adapter.map(found -> createMetadataStoreSource(
-                        found, settings, self, PeerStoreRelay.create(replication, peerTransport)))
+        PeerStoreRelay relay = PeerStoreRelay.create(replication, peerTransport);
+        FleetSource source = adapter.map(found -> createMetadataStoreSource(found, settings, self, relay))
                 .orElseGet(() -> createPlatformWatch(settings, fleet, replication, metrics));
         CallerServer callerServer = CallerServer.create(settings.limits(), requestHandler, metrics);
         fleet.addListener((formerView, newView) ->
@@ -115,9 +118,7 @@
                 .register(ServiceNames.FLEET_STATE, fleet)
                 .register(ServiceNames.PEER_CLIENTS, clientPool)
                 .register(ServiceNames.PEER_TRANSPORT, peerTransport)
-                .register(
-                        ServiceName.of("idle-connections", KernelService.class),
-                        connectionCleanupService(clientPool, backendClient, fleet))
+                .register(IDLE_CONNECTIONS, connectionCleanupService(clientPool, backendClient, fleet))
                 .register(ServiceNames.OWNED_SHARDS, ownedShards)
                 .register(ServiceNames.SLOT_BROKER, slotBroker)
                 .register(ServiceNames.CLAIM_KEEPER, claimKeeper)
--- a/src/test/java/org/cassiabank/platform/StoreRelayFollowerTest.java
+++ b/src/test/java/org/cassiabank/platform/StoreRelayFollowerTest.java
@@ -23,8 +23,8 @@
 import org.junit.jupiter.api.Timeout;
 
 /**
- * Guards against daemons that call the store as often as if each of them watched it, and against daemons that stay at an
- * old state because the watchers that they follow are gone, cut off from the store or behind.
+ * Guards against daemons that call the store as often as if each of them watched it, and against daemons that stay at
+ * an old state because the watchers that they follow are gone, cut off from the store or behind.
  */
 @Timeout(60)
 class StoreRelayFollowerTest {
--- a/src/test/java/org/cassiabank/proxy/OwnedShardTest.java
+++ b/src/test/java/org/cassiabank/proxy/OwnedShardTest.java
@@ -9,6 +9,7 @@
 import org.cassiabank.admission.AdmissionRequest;
 import org.cassiabank.admission.Granted;
 import org.cassiabank.admission.PlacementHints;
+import org.cassiabank.admission.Queued;
 import org.cassiabank.admission.RefusalReason;
 import org.cassiabank.admission.Refused;
 import org.cassiabank.admission.SchedulerSettings;
@@ -43,14 +44,14 @@
     @Test
     void slotsThatAServerDeclaresOverrideTheSlotsOfItsService() {
         for (int request = 0; request < 6; request++) {
-            assertThat(shard.acquire(request(1), 0)).isInstanceOf(Granted.class);
+            assertThat(acquire(1)).isInstanceOf(Granted.class);
         }
-        assertThat(shard.acquire(request(1), 0)).isNotInstanceOf(Granted.class);
+        assertThat(acquire(1)).isNotInstanceOf(Granted.class);
     }
 
     @Test
     void serverThatRestartsUnderItsNameIsHealthyAgain() {
-        Granted granted = (Granted) shard.acquire(request(1), 0);
+        Granted granted = (Granted) acquire(1);
         shard.completeLease(granted.leaseId(), AttemptOutcome.BROKEN, 5_000, false);
         assertThat(shard.healthByServer()).containsEntry(granted.serverName(), ServerHealth.EJECTED);
         shard.updateView(view(2, 1), nowMillis());
@@ -64,7 +65,7 @@
         int grantedCount = 0;
         SlotDecision decision = null;
         for (int retry = 0; retry < 10; retry++) {
-            decision = shard.acquire(request(2), 0);
+            decision = acquire(2);
             if (decision instanceof Granted slot) {
                 grantedCount++;
                 shard.completeLease(slot.leaseId(), AttemptOutcome.ANSWERED, 1_000, false);
@@ -72,7 +73,39 @@
         }
         assertThat(grantedCount).isBetween(1, 5);
         assertThat(((Refused) decision).reason()).isEqualTo(RefusalReason.RETRY_BUDGET);
-        assertThat(shard.acquire(request(1), 0)).isInstanceOf(Granted.class);
+        assertThat(acquire(1)).isInstanceOf(Granted.class);
+    }
+
+    @Test
+    void aShardIsNotRemovedWhileALeaseRuns() {
+        Granted granted = (Granted) acquire(1);
+        // A lease may run for 30 minutes; a new shard would not count its slot as occupied.
+        assertThat(shard.retireIfIdleSince(nowMillis() + 3_600_000)).isFalse();
+        shard.completeLease(granted.leaseId(), AttemptOutcome.ANSWERED, 1_000, false);
+        assertThat(shard.retireIfIdleSince(nowMillis() + 3_600_000)).isTrue();
+    }
+
+    @Test
+    void aShardThatHasBeenRemovedGrantsNothing() {
+        assertThat(shard.retireIfIdleSince(nowMillis() + 3_600_000)).isTrue();
+        assertThat(shard.acquire(request(1), 0)).isEmpty();
+    }
+
+    @Test
+    void aQueuedRequestStaysQueuedWhenAllServersRestartAtOnce() {
+        for (int request = 0; request < 6; request++) {
+            acquire(1);
+        }
+        SlotDecision queued = acquire(1);
+        assertThat(queued).isInstanceOf(Queued.class);
+        shard.updateView(view(2, 2, 2), nowMillis());
+        SlotDecision decision =
+                shard.acquire(request(1), ((Queued) queued).ticketId()).orElseThrow();
+        assertThat(decision).isNotInstanceOf(Refused.class);
+    }
+
+    private SlotDecision acquire(int attemptNumber) {
+        return shard.acquire(request(attemptNumber), 0).orElseThrow();
     }
 
     private static AdmissionRequest request(int attemptNumber) {
@@ -92,11 +125,16 @@
     }
 
     private static FleetView view(long index, long incarnation) {
+        return view(index, incarnation, 1);
+    }
+
+    private static FleetView view(long index, long incarnation, long secondIncarnation) {
         Configuration configuration =
                 Configuration.empty().withEntities(1, List.of(new ServiceDeclaration("desk", 1, 0, 1_000)));
         return FleetView.empty("region")
                 .withConfiguration(configuration)
-                .withInstances(InstanceList.of(index, List.of(server("a", incarnation), server("b", 1))));
+                .withInstances(
+                        InstanceList.of(index, List.of(server("a", incarnation), server("b", secondIncarnation))));
     }
 
     private static Instance server(String name, long incarnation) {
