Use no stale or dirty connection, and let no entry of the store stop the others

A connection on which a second copy of a response had arrived was used again; the next request failed, and an order with it, though never with a wrong answer. An entry `[]` or `null` below cassiabank/daemons/ stopped all publishing, as did a version of 0. Registration.renew reported a write that the store had rejected. A list with a name twice, null or a missing name had no finding. Change: each connection knows its last response; before anything is written, one that is too old or holds bytes nobody asked for is left and the attempt goes on with a new one. Any exception of an entry concerns that entry only. parseOne and clear findings. Left: a second copy in the same segment as the response stays in OkHttp's buffer; the next request then ends as REQUEST_ID_MISMATCH.

--- a/src/main/java/org/cassiabank/backend/AttemptTrace.java
+++ b/src/main/java/org/cassiabank/backend/AttemptTrace.java
@@ -18,6 +18,7 @@
  * written. If the writes of a connection cannot be counted, bytes count as written from {@code requestHeadersStart} on.
  */
 final class AttemptTrace extends EventListener implements Interceptor {
+    private final long maximumIdleNanos;
     private volatile boolean headersStarted;
     private volatile boolean writesNotCounted;
     private volatile boolean writtenOnEarlierConnection;
@@ -26,6 +27,27 @@
     private volatile Headers responseHeaders;
     private volatile ResponseMeter responseMeter;
 
+    private AttemptTrace(long maximumIdleNanos) {
+        this.maximumIdleNanos = maximumIdleNanos;
+    }
+
+    /**
+     * Creates the trace of an attempt.
+     *
+     * @param maximumIdleNanos the maximum age of the last response of a pooled connection, in nanoseconds
+     */
+    static AttemptTrace create(long maximumIdleNanos) {
+        return new AttemptTrace(maximumIdleNanos);
+    }
+
+    /** Records on the connection that the response is complete and valid. */
+    void recordValidResponse() {
+        MeteredSocket currentSocket = countingSocket;
+        if (currentSocket != null) {
+            currentSocket.recordResponse();
+        }
+    }
+
     /**
      * Tells whether a write operation of this attempt may have started.
      *
@@ -82,6 +104,7 @@
     @Override
     public Response intercept(Chain chain) throws IOException {
         Request request = chain.request();
+        requireUsableConnection();
         Headers headersToSend = request.tag(Headers.class);
         Request.Builder builder = request.newBuilder();
         for (String headerName : new String[] {"Accept-Encoding", "Connection", "User-Agent"}) {
@@ -93,6 +116,20 @@
         return response.newBuilder().removeHeader("Retry-After").build();
     }
 
+    /** Checks the connection before anything is written; a new one always passes. */
+    private void requireUsableConnection() throws IOException {
+        MeteredSocket acquiredSocket = countingSocket;
+        if (acquiredSocket == null) {
+            return;
+        }
+        if (acquiredSocket.isIdleLongerThan(maximumIdleNanos)) {
+            throw UnusableConnectionException.of("the connection has been idle for too long for this request");
+        }
+        if (acquiredSocket.hasUnreadBytes()) {
+            throw UnusableConnectionException.of("bytes that no request asked for have arrived on the connection");
+        }
+    }
+
     private boolean hasWrittenSinceAcquisition() {
         MeteredSocket currentSocket = countingSocket;
         return currentSocket != null && currentSocket.startedWrites() > writesAtAcquisition;
--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -25,11 +25,14 @@
     private static final long READ_BYTES = 8_192;
 
     private final BackendRequest request;
-    private final Call call;
+    /** Replaced by a copy if the first connection turns out to be unusable. */
+    private volatile Call call;
+
     private final AttemptTrace trace;
     private final int maximumResponseBytes;
     private final HeaderConventions conventions;
     private final Runnable onValidResponse;
+    private final Runnable onUnusableConnection;
     private final ResponseMemory responseMemory;
     private volatile boolean cancelled;
 
@@ -40,6 +43,7 @@
             int maximumResponseBytes,
             HeaderConventions conventions,
             Runnable onValidResponse,
+            Runnable onUnusableConnection,
             ResponseMemory responseMemory) {
         this.request = request;
         this.call = call;
@@ -47,6 +51,7 @@
         this.maximumResponseBytes = maximumResponseBytes;
         this.conventions = conventions;
         this.onValidResponse = onValidResponse;
+        this.onUnusableConnection = onUnusableConnection;
         this.responseMemory = responseMemory;
     }
 
@@ -57,9 +62,17 @@
             int maximumResponseBytes,
             HeaderConventions conventions,
             Runnable onValidResponse,
+            Runnable onUnusableConnection,
             ResponseMemory responseMemory) {
         return new BackendCall(
-                request, call, trace, maximumResponseBytes, conventions, onValidResponse, responseMemory);
+                request,
+                call,
+                trace,
+                maximumResponseBytes,
+                conventions,
+                onValidResponse,
+                onUnusableConnection,
+                responseMemory);
     }
 
     /**
@@ -69,9 +82,9 @@
      *     exception
      */
     public BackendResult execute() {
-        try (ResponseMeter meter = ResponseMeter.create(responseMemory.open(call::cancel))) {
+        try (ResponseMeter meter = ResponseMeter.create(responseMemory.open(this::cancelCall))) {
             trace.setResponseMeter(meter);
-            return execute(meter);
+            return executeOnUsableConnection(meter);
         } catch (RuntimeException | Error failure) {
             // The slot has to be reported and the caller answered even if this process runs out of memory.
             call.cancel();
@@ -81,16 +94,38 @@
         }
     }
 
-    private BackendResult execute(ResponseMeter meter) {
+    /** Executes the call, again on a new connection if a pooled one must not be used and nothing was written to it. */
+    private BackendResult executeOnUsableConnection(ResponseMeter meter) {
+        try {
+            return execute(meter);
+        } catch (UnusableConnectionException exception) {
+            onUnusableConnection.run();
+            call = call.clone();
+            if (cancelled) {
+                // The cancellation may have reached only the former call.
+                call.cancel();
+            }
+        }
+        try {
+            return execute(meter);
+        } catch (UnusableConnectionException exception) {
+            return new NotSent(exception.toString());
+        }
+    }
+
+    private BackendResult execute(ResponseMeter meter) throws UnusableConnectionException {
         try (Response response = call.execute()) {
             BackendResult result = readResponse(response, meter);
             if (result instanceof NoValidResponse) {
                 // Without the cancellation, OkHttp would read the rest of the unread response and reuse the connection.
                 call.cancel();
             } else {
+                trace.recordValidResponse();
                 onValidResponse.run();
             }
             return result;
+        } catch (UnusableConnectionException exception) {
+            throw exception;
         } catch (IOException exception) {
             // An exception while a body is read leaves its connection open.
             call.cancel();
@@ -104,6 +139,10 @@
      */
     public void cancel() {
         cancelled = true;
+        cancelCall();
+    }
+
+    private void cancelCall() {
         call.cancel();
     }
 
--- a/src/main/java/org/cassiabank/backend/BackendClient.java
+++ b/src/main/java/org/cassiabank/backend/BackendClient.java
@@ -107,7 +107,10 @@
     public BackendCall newCall(BackendRequest request) {
         boolean mayReuseConnection = request.repeatable() || settings.unrepeatableIdleMillis() > 0;
         Headers headers = BackendHeaders.requestHeaders(request, conventions, mayReuseConnection);
-        AttemptTrace trace = new AttemptTrace();
+        AttemptTrace trace = AttemptTrace.create(
+                request.repeatable()
+                        ? Long.MAX_VALUE
+                        : TimeUnit.MILLISECONDS.toNanos(settings.unrepeatableIdleMillis()));
         // If the caller names no encoding, "identity" keeps OkHttp from requesting gzip; the trace removes it again.
         Headers.Builder okHttpHeaders = headers.newBuilder();
         if (headers.get("Accept-Encoding") == null) {
@@ -122,20 +125,35 @@
                 .tag(Headers.class, headers)
                 .build();
         if (!mayReuseConnection) {
-            return toBackendCall(request, singleUseClient.newCall(okHttpRequest), trace, () -> {});
+            return toBackendCall(request, singleUseClient.newCall(okHttpRequest), trace, () -> {}, () -> {});
         }
         PooledServer server = pooledServer(request);
         if (!request.repeatable() && !server.hasRespondedSince(oldestUnrepeatableResponseNanos())) {
             // Closes only the old connections; the new one stays in the pool after its response.
             server.client().connectionPool().evictAll();
         }
-        return toBackendCall(request, server.client().newCall(okHttpRequest), trace, server::recordResponse);
+        return toBackendCall(
+                request, server.client().newCall(okHttpRequest), trace, server::recordResponse, () -> server.client()
+                        .connectionPool()
+                        .evictAll());
     }
 
-    private BackendCall toBackendCall(BackendRequest request, Call call, AttemptTrace trace, Runnable onValidResponse) {
+    private BackendCall toBackendCall(
+            BackendRequest request,
+            Call call,
+            AttemptTrace trace,
+            Runnable onValidResponse,
+            Runnable onUnusableConnection) {
         call.timeout().timeout(request.timeoutMillis(), TimeUnit.MILLISECONDS);
         return BackendCall.of(
-                request, call, trace, settings.maximumResponseBytes(), conventions, onValidResponse, responseMemory);
+                request,
+                call,
+                trace,
+                settings.maximumResponseBytes(),
+                conventions,
+                onValidResponse,
+                onUnusableConnection,
+                responseMemory);
     }
 
     /**
--- a/src/main/java/org/cassiabank/backend/MeteredSocket.java
+++ b/src/main/java/org/cassiabank/backend/MeteredSocket.java
@@ -17,6 +17,9 @@
 final class MeteredSocket extends Socket {
     private final AtomicLong startedWrites = new AtomicLong();
     private volatile ResponseMeter responseMeter;
+    private volatile boolean hasResponded;
+    /** The {@link System#nanoTime()} at which the last valid response was complete, if there was one. */
+    private volatile long lastResponseNanos;
 
     /** Returns the number of write operations since the socket was created. */
     long startedWrites() {
@@ -32,6 +35,27 @@
         responseMeter = newMeter;
     }
 
+    /** Records that a valid response is complete. */
+    void recordResponse() {
+        lastResponseNanos = System.nanoTime();
+        hasResponded = true;
+    }
+
+    /**
+     * Tells whether the last valid response is older than a limit.
+     *
+     * @param maximumNanos the limit in nanoseconds
+     * @return false also if there was no response yet, because the connection is new
+     */
+    boolean isIdleLongerThan(long maximumNanos) {
+        return hasResponded && System.nanoTime() - lastResponseNanos > maximumNanos;
+    }
+
+    /** Tells whether bytes have arrived that no request has asked for, such as a second copy of a response. */
+    boolean hasUnreadBytes() throws IOException {
+        return super.getInputStream().available() > 0;
+    }
+
     @Override
     public InputStream getInputStream() throws IOException {
         return new FilterInputStream(super.getInputStream()) {
--- a/src/main/java/org/cassiabank/membership/InstanceListCodec.java
+++ b/src/main/java/org/cassiabank/membership/InstanceListCodec.java
@@ -8,9 +8,12 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.kernel.ErrorCode;
 import org.cassiabank.kernel.Finding;
@@ -39,7 +42,8 @@
     public static InstanceList parse(long index, byte[] document) {
         List<Map<String, String>> entries;
         try {
-            entries = MAPPER.readValue(document, new TypeReference<List<Map<String, String>>>() {});
+            entries = Objects.requireNonNullElse(
+                    MAPPER.readValue(document, new TypeReference<List<Map<String, String>>>() {}), List.of());
         } catch (IOException exception) {
             throw CassiabankException.withCause(
                     ErrorCode.INVALID_INPUT,
@@ -48,10 +52,15 @@
         }
         FindingCollector findings = FindingCollector.create();
         List<Instance> instances = new ArrayList<>(entries.size());
+        Set<String> names = new HashSet<>();
         for (int position = 0; position < entries.size(); position++) {
             try {
-                instances.add(toInstance(entries.get(position)));
-            } catch (IllegalArgumentException | NullPointerException exception) {
+                Instance instance = toInstance(entries.get(position));
+                if (!names.add(instance.name())) {
+                    throw new IllegalArgumentException("a second instance named " + instance.name());
+                }
+                instances.add(instance);
+            } catch (IllegalArgumentException exception) {
                 findings.add(Finding.of(SOURCE, "[" + position + "]", exception.getMessage()));
             }
         }
@@ -59,6 +68,22 @@
         return InstanceList.of(index, instances);
     }
 
+    /**
+     * Reads a list that consists of one instance.
+     *
+     * @param document a JSON document in the form that {@link #parse} reads
+     * @return the instance
+     * @throws CassiabankException with code INVALID_INPUT if the document is not a valid list of one instance
+     */
+    public static Instance parseOne(byte[] document) {
+        Collection<Instance> instances = parse(1, document).instances();
+        if (instances.size() != 1) {
+            throw CassiabankException.of(
+                    ErrorCode.INVALID_INPUT, SOURCE + ": expected one instance, found " + instances.size());
+        }
+        return instances.iterator().next();
+    }
+
     /**
      * Writes an instance list in the form that {@link #parse} reads.
      *
@@ -94,12 +119,15 @@
     }
 
     private static Instance toInstance(Map<String, String> entry) {
+        if (entry == null) {
+            throw new IllegalArgumentException("expected an object, found null");
+        }
         return new Instance(
-                entry.get("name"),
+                required(entry, "name"),
                 InstanceRole.valueOf(upperCase(entry, "role")),
-                entry.get("address"),
-                entry.get("region"),
-                entry.get("failureDomain"),
+                required(entry, "address"),
+                required(entry, "region"),
+                required(entry, "failureDomain"),
                 InstanceState.valueOf(upperCase(entry, "state")),
                 labels(entry),
                 Integer.parseInt(entry.getOrDefault("slots", "0")),
@@ -117,10 +145,14 @@
     }
 
     private static String upperCase(Map<String, String> entry, String key) {
+        return required(entry, key).toUpperCase(Locale.ROOT);
+    }
+
+    private static String required(Map<String, String> entry, String key) {
         String value = entry.get(key);
         if (value == null) {
             throw new IllegalArgumentException("key " + key + " is missing");
         }
-        return value.toUpperCase(Locale.ROOT);
+        return value;
     }
 }
--- a/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
+++ b/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
@@ -317,7 +317,8 @@
             if (versionedConfiguration.revision() > listener.configurationRevision()) {
                 listener.install(versionedConfiguration);
             }
-        } catch (CassiabankException exception) {
+        } catch (RuntimeException exception) {
+            // Other writers may store anything; an entry that cannot be used must not stop the others.
             logRejectedEntry(entry.get(), exception);
         }
     }
@@ -327,10 +328,7 @@
     }
 
     private Optional<Instance> parseDaemon(StoreEntry entry) {
-        return parseIfChanged(entry, () -> InstanceListCodec.parse(1, entry.value())
-                .instances()
-                .iterator()
-                .next());
+        return parseIfChanged(entry, () -> InstanceListCodec.parseOne(entry.value()));
     }
 
     private Optional<Instance> parseIfChanged(StoreEntry entry, Supplier<Instance> parser) {
@@ -341,16 +339,15 @@
         Optional<Instance> instance = Optional.empty();
         try {
             instance = Optional.of(parser.get());
-        } catch (CassiabankException exception) {
+        } catch (RuntimeException exception) {
             logRejectedEntry(entry, exception);
         }
         parsedEntries.put(entry.key(), new ParsedEntry(entry.revision(), instance));
         return instance;
     }
 
-    private static void logRejectedEntry(StoreEntry entry, CassiabankException problem) {
-        LOGGER.atWarning().log(
-                "ignoring invalid entry %s at revision %d: %s", entry.key(), entry.revision(), problem.getMessage());
+    private static void logRejectedEntry(StoreEntry entry, RuntimeException problem) {
+        LOGGER.atWarning().log("ignoring invalid entry %s at revision %d: %s", entry.key(), entry.revision(), problem);
     }
 
     private void logDifferences(Map<String, Instance> previousInstances, Map<String, Instance> newInstances) {
--- a/src/main/java/org/cassiabank/source/Registration.java
+++ b/src/main/java/org/cassiabank/source/Registration.java
@@ -41,7 +41,8 @@
      * Renews the lease, and writes the entry again if the lease has ended or the entry is missing.
      *
      * @param entryListed whether the entry was in the store when this daemon last read it
-     * @return true if a write of the entry was attempted, also if the store rejected it because the lease had ended
+     * @return true if the entry was written; false if that was not needed, or if the store rejected it because the lease
+     *     had ended, after which the next call creates a lease
      * @throws org.cassiabank.kernel.CassiabankException if the store is unavailable; the call can be repeated
      */
     boolean renew(boolean entryListed) {
@@ -53,10 +54,11 @@
             leaseId = OptionalLong.empty();
             leaseId = OptionalLong.of(store.grantLease(LEASE_DURATION_MILLIS));
         }
-        if (!store.put(key, value, leaseId.getAsLong())) {
+        boolean written = store.put(key, value, leaseId.getAsLong());
+        if (!written) {
             leaseId = OptionalLong.empty();
         }
-        return true;
+        return written;
     }
 
     /** Revokes the lease and so removes the entry; does nothing without a lease. */
--- a/src/test/java/org/cassiabank/backend/BackendClientTest.java
+++ b/src/test/java/org/cassiabank/backend/BackendClientTest.java
@@ -237,6 +237,23 @@
                 .isEqualTo("1");
     }
 
+    @Test
+    void aSecondCopyOfAResponseThatArrivesLateTakesItsConnectionOutOfUse() throws Exception {
+        ScriptedServer server = startServer((request, socket) -> {
+            ScriptedServer.respondingWith(request.header("Cassiabank-Request-Id"))
+                    .respond(request, socket);
+            TimeUnit.MILLISECONDS.sleep(30);
+            ScriptedServer.respondingWith(request.header("Cassiabank-Request-Id"))
+                    .respond(request, socket);
+        });
+        for (String requestId : List.of("one", "two", "three")) {
+            assertThat(bodyText(client.send(request(server.address(), "GET", requestId, true, 5_000))))
+                    .isEqualTo(requestId);
+            TimeUnit.MILLISECONDS.sleep(60);
+        }
+        assertThat(server.acceptedConnections).hasValue(3);
+    }
+
     @Test
     void anAttemptWithoutAResponseTimesOutAndClosesItsConnection() throws Exception {
         ScriptedServer server = startServer((request, socket) -> {});
@@ -317,7 +334,7 @@
     @Test
     void aHeadThatIsOnlyBufferedIsReportedAsUnsent() throws Exception {
         ScriptedServer server = startServer((request, socket) -> {});
-        AttemptTrace trace = new AttemptTrace();
+        AttemptTrace trace = AttemptTrace.create(Long.MAX_VALUE);
         OkHttpClient okHttp = new OkHttpClient.Builder()
                 .socketFactory(new MeteredSocketFactory())
                 .eventListener(trace)
--- a/src/test/java/org/cassiabank/backend/HeaderConventionsTest.java
+++ b/src/test/java/org/cassiabank/backend/HeaderConventionsTest.java
@@ -95,6 +95,25 @@
         assertThat(server.acceptedConnections).as("the new connection is kept").hasValue(2);
     }
 
+    @Test
+    void anUnrepeatableRequestUsesNoOldConnectionBesideARecentOne() throws Exception {
+        ScriptedServer server = startServer((request, socket) -> {
+            TimeUnit.MILLISECONDS.sleep(request.connectionNumber() == 1 ? 50 : 4 * UNREPEATABLE_IDLE_MILLIS);
+            respondingSigned("text").respond(request, socket);
+        });
+        List<Thread> requests = new ArrayList<>();
+        for (int index = 0; index < 2; index++) {
+            requests.add(Thread.startVirtualThread(() -> send(server, "GET", true)));
+        }
+        for (Thread request : requests) {
+            request.join();
+        }
+        assertThat(server.acceptedConnections).hasValue(2);
+        // The first connection has been idle for too long, the second one has just responded.
+        send(server, "POST", false);
+        assertThat(server.receivedRequests.getLast().connectionNumber()).isNotEqualTo(1);
+    }
+
     @Test
     void anAddressThatMovedToAnotherServerStartsWithANewConnection() throws IOException {
         ScriptedServer server = startServer(respondingSigned("text"));
--- a/src/test/java/org/cassiabank/platform/MetadataStoreFleetSourceTest.java
+++ b/src/test/java/org/cassiabank/platform/MetadataStoreFleetSourceTest.java
@@ -78,12 +78,19 @@
     @Test
     void unreadableEntriesDoNotAffectOtherEntries() {
         standIn.write("servers/i-9", "{\"address\":7}");
+        standIn.write("cassiabank/daemons/empty", "[]");
+        standIn.write("cassiabank/daemons/null", "null");
+        standIn.write("cassiabank/daemons/null-entry", "[null]");
+        standIn.write("cassiabank/daemons/nameless", "[{\"role\":\"proxy\",\"state\":\"live\"}]");
         standIn.write("op/config", "not a configuration");
         standIn.write("servers/i-3", PlatformTestDocuments.server(8083));
         await(() -> listener.has("i-3"));
         assertThat(listener.has("i-9")).isFalse();
         assertThat(listener.has("i-2")).isTrue();
         assertThat(listener.configurationRevision()).isEqualTo(5);
+        standIn.write("op/config", PlatformTestDocuments.configuration(0));
+        standIn.write("servers/i-4", PlatformTestDocuments.server(8084));
+        await(() -> listener.has("i-4"));
         standIn.write("op/config", PlatformTestDocuments.configuration(6));
         await(() -> listener.configurationRevision() == 6);
     }
