--- a/src/main/java/org/cassiabank/proxy/CallerConnection.java
+++ b/src/main/java/org/cassiabank/proxy/CallerConnection.java
@@ -153,7 +153,7 @@
         }
         refusalPending = true;
         continueExpected = false;
-        server.recordRefusal(refusal);
+        server.recordRefusal(refusal, remoteAddress(context));
         pendingRequests.addLast(new PendingRequest(null, refusal, false, false));
         serveNextRequest(context);
     }
@@ -232,13 +232,19 @@
         request.headers().forEach(header -> headers.computeIfAbsent(
                         header.getKey().toLowerCase(Locale.ROOT), name -> new ArrayList<>())
                 .add(header.getValue()));
-        InetSocketAddress remoteAddress = (InetSocketAddress) context.channel().remoteAddress();
         return new CallerRequest(
                 request.method().name(),
                 request.uri(),
                 headers,
                 ByteBufUtil.getBytes(request.content()),
-                remoteAddress.getAddress().getHostAddress());
+                remoteAddress(context));
+    }
+
+    private static String remoteAddress(ChannelHandlerContext context) {
+        // The address is null once the caller has closed the connection.
+        return context.channel().remoteAddress() instanceof InetSocketAddress address
+                ? address.getAddress().getHostAddress()
+                : "";
     }
 
     private static CallerReply toRefusal(Throwable cause) {
--- a/src/main/java/org/cassiabank/proxy/CallerServer.java
+++ b/src/main/java/org/cassiabank/proxy/CallerServer.java
@@ -190,8 +190,11 @@
         workers.execute(() -> replyConsumer.accept(handleGuarded(request, presence)));
     }
 
-    /** Counts a refusal of a request that could not be read. */
-    void recordRefusal(CallerReply refusal) {
+    /** Counts and logs a refusal of a request that could not be read, and so has no identifier. */
+    void recordRefusal(CallerReply refusal, String remoteAddress) {
+        LOGGER.atInfo().log(
+                "refused an unreadable request from %s: reason=%s status=%d",
+                remoteAddress, refusal.firstHeader(CallerReply.REASON_HEADER), refusal.status());
         metrics.recordRefusedRequest(refusal.firstHeader(CallerReply.REASON_HEADER));
     }
 
--- a/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
+++ b/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
@@ -3,7 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import java.io.InterruptedIOException;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -12,7 +11,6 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import java.util.function.Supplier;
 import org.cassiabank.kernel.BackgroundTasks;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.membership.Instance;
@@ -26,9 +24,6 @@
  * of its failure domain, otherwise at a watcher. Another thread keeps this daemon registered.
  */
 public final class MetadataStoreFleetSource implements FleetSource {
-    /** The common prefix of the keys under which daemons register. */
-    static final String DAEMONS_PREFIX = "cassiabank/daemons/";
-
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     /** A watch may wait this long because TCP keep-alive probes and lease renewals detect silent connections. */
     private static final long WATCH_WAIT_MILLIS = 30_000;
@@ -74,9 +69,12 @@
     private final StoreEntryTable entryTable = new StoreEntryTable();
     private final OutageGracePeriod outageGracePeriod = new OutageGracePeriod();
     private final Registration registration;
-    private final Map<String, ParsedEntry> parsedEntries = new HashMap<>();
+    private final InstanceEntries instanceEntries;
     private final CountDownLatch leavingLatch = new CountDownLatch(1);
     private long configurationEntryRevision;
+    /** Where the latest changes came from, for the log. */
+    private String changeOrigin = "nowhere";
+
     private FleetUpdateListener listener;
     private Map<String, Instance> publishedInstances = Map.of();
     private boolean entriesLoaded;
@@ -98,8 +96,9 @@
         this.clockMillis = clockMillis;
         this.relay = relay;
         this.changeLog = StoreChangeLog.create(clockMillis);
-        this.registration =
-                Registration.create(store, DAEMONS_PREFIX + self.name(), InstanceListCodec.toJson(List.of(self)));
+        this.instanceEntries = InstanceEntries.create(adapter, self.region());
+        this.registration = Registration.create(
+                store, InstanceEntries.DAEMONS_PREFIX + self.name(), InstanceListCodec.toJson(List.of(self)));
     }
 
     /**
@@ -202,6 +201,8 @@
             StoreRelayReply reply =
                     watching ? new StoreRelayReply.Unavailable() : relay.awaitChanges(storeRevision, RELAY_WAIT_MILLIS);
             boolean relayed = reply instanceof StoreRelayReply.Current;
+            recordOrigin(
+                    watching ? "the store, as a watcher" : relayed ? "a watcher" : "the store, for want of a watcher");
             Optional<StoreWatchResult> changes =
                     switch (reply) {
                         case StoreRelayReply.Current current -> {
@@ -226,6 +227,14 @@
         pause(pauseMillis);
     }
 
+    private void recordOrigin(String newOrigin) {
+        if (!newOrigin.equals(changeOrigin)) {
+            LOGGER.atInfo().log(
+                    "changes after revision %d come from %s, before from %s", storeRevision, newOrigin, changeOrigin);
+            changeOrigin = newOrigin;
+        }
+    }
+
     private Optional<StoreWatchResult> watchStore(boolean watching) {
         // The first call after a failure waits only 1 ms, so that the grace period starts without delay.
         long nowMillis = clockMillis.getAsLong();
@@ -277,14 +286,7 @@
     }
 
     private void publishInstances() {
-        Map<String, Instance> listed = new HashMap<>();
-        for (StoreEntry entry : entryTable.withPrefix(adapter.serverKeyPrefix())) {
-            parseServer(entry).ifPresent(server -> listed.put(server.name(), server));
-        }
-        for (StoreEntry entry : entryTable.withPrefix(DAEMONS_PREFIX)) {
-            parseDaemon(entry).ifPresent(daemon -> listed.put(daemon.name(), daemon));
-        }
-        parsedEntries.keySet().removeIf(key -> entryTable.find(key).isEmpty());
+        Map<String, Instance> listed = instanceEntries.instancesIn(entryTable);
         selfListed = listed.containsKey(self.name());
         Map<String, Instance> instancesToPublish = outageGracePeriod.addRetained(listed, clockMillis.getAsLong());
         // During an outage of the store a list from a peer may have replaced the last list published here.
@@ -319,35 +321,8 @@
             }
         } catch (RuntimeException exception) {
             // Other writers may store anything; an entry that cannot be used must not stop the others.
-            logRejectedEntry(entry.get(), exception);
-        }
-    }
-
-    private Optional<Instance> parseServer(StoreEntry entry) {
-        return parseIfChanged(entry, () -> adapter.parseServer(entry, self.region()));
-    }
-
-    private Optional<Instance> parseDaemon(StoreEntry entry) {
-        return parseIfChanged(entry, () -> InstanceListCodec.parseOne(entry.value()));
-    }
-
-    private Optional<Instance> parseIfChanged(StoreEntry entry, Supplier<Instance> parser) {
-        ParsedEntry cached = parsedEntries.get(entry.key());
-        if (cached != null && cached.revision() == entry.revision()) {
-            return cached.instance();
-        }
-        Optional<Instance> instance = Optional.empty();
-        try {
-            instance = Optional.of(parser.get());
-        } catch (RuntimeException exception) {
-            logRejectedEntry(entry, exception);
+            InstanceEntries.logRejected(entry.get(), exception);
         }
-        parsedEntries.put(entry.key(), new ParsedEntry(entry.revision(), instance));
-        return instance;
-    }
-
-    private static void logRejectedEntry(StoreEntry entry, RuntimeException problem) {
-        LOGGER.atWarning().log("ignoring invalid entry %s at revision %d: %s", entry.key(), entry.revision(), problem);
     }
 
     private void logDifferences(Map<String, Instance> previousInstances, Map<String, Instance> newInstances) {
@@ -434,12 +409,4 @@
             Thread.currentThread().interrupt();
         }
     }
-
-    /**
-     * The result of parsing an entry, cached until the entry changes.
-     *
-     * @param revision the revision of the parsed entry
-     * @param instance the instance, empty if the entry is invalid
-     */
-    private record ParsedEntry(long revision, Optional<Instance> instance) {}
 }
