Flush the last log line, and let the combined-fault test fail if its faults stop

The thread that injects faults in FleetFaultTest could end with an exception (faults posted to a server that was not listening yet) and the test passed without faults. Change: lines count as unwritten from before they are queued until they are written. The test waits until a restarted server listens, fails with the failure of its thread, and needs at least five injected faults.

--- a/src/main/java/org/cassiabank/logging/BoundedLogHandler.java
+++ b/src/main/java/org/cassiabank/logging/BoundedLogHandler.java
@@ -2,6 +2,7 @@
 
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.time.Instant;
 import java.util.Objects;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
@@ -34,8 +35,8 @@
     /** The {@link System#nanoTime()} up to which {@link #availableBytes} was refilled. */
     private long lastRefillNanos = System.nanoTime();
 
-    /** Whether the thread writes a line that it has already removed from the queue. */
-    private volatile boolean writing;
+    /** The lines that were queued and are not written completely. */
+    private final AtomicLong unwrittenLines = new AtomicLong();
 
     private BoundedLogHandler(PrintStream output, Formatter formatter, String process) {
         this.output = output;
@@ -68,7 +69,10 @@
             return;
         }
         byte[] line = getFormatter().format(record).getBytes(StandardCharsets.UTF_8);
+        // Counted before the line is queued, so that flush() does not miss a line that the writer has just removed.
+        unwrittenLines.incrementAndGet();
         if (!tryAcquireBytes(line.length) || !queuedLines.offer(line)) {
+            unwrittenLines.decrementAndGet();
             droppedLines.incrementAndGet();
         }
     }
@@ -77,7 +81,7 @@
     @Override
     public void flush() {
         long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(FLUSH_TIMEOUT_MILLIS);
-        while ((writing || !queuedLines.isEmpty()) && System.nanoTime() < deadlineNanos) {
+        while (unwrittenLines.get() > 0 && System.nanoTime() < deadlineNanos) {
             Thread.onSpinWait();
         }
     }
@@ -107,10 +111,12 @@
         long reportedLines = 0;
         while (true) {
             try {
-                writing = false;
                 byte[] line = queuedLines.take();
-                writing = true;
-                output.write(line, 0, line.length);
+                try {
+                    output.write(line, 0, line.length);
+                } finally {
+                    unwrittenLines.decrementAndGet();
+                }
                 long totalDroppedLines = droppedLines.get();
                 if (queuedLines.isEmpty() && totalDroppedLines > reportedLines) {
                     byte[] notice = droppedLinesNotice(totalDroppedLines - reportedLines)
@@ -132,7 +138,7 @@
     }
 
     private String droppedLinesNotice(long droppedCount) {
-        return "level=warning process=" + process + " logger=BoundedLogHandler message=\"" + droppedCount
-                + " log lines dropped\"" + System.lineSeparator();
+        return "time=" + Instant.now() + " level=warning process=" + process + " logger=BoundedLogHandler message=\""
+                + droppedCount + " log lines dropped\"" + System.lineSeparator();
     }
 }
--- a/src/test/java/org/cassiabank/fleet/FleetFaultTest.java
+++ b/src/test/java/org/cassiabank/fleet/FleetFaultTest.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import org.cassiabank.fleet.TestFleet.Member;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.AfterEach;
@@ -129,7 +131,15 @@
     void noOrderRunsTwiceAndEveryOutcomeIsCorrectUnderCombinedFaults() throws Exception {
         Random random = new Random(SEED);
         AtomicBoolean running = new AtomicBoolean(true);
-        Thread faults = Thread.ofVirtual().start(() -> injectFaults(random, running));
+        AtomicInteger injectedFaults = new AtomicInteger();
+        AtomicReference<Throwable> faultFailure = new AtomicReference<>();
+        Thread faults = Thread.ofVirtual().start(() -> {
+            try {
+                injectFaults(random, running, injectedFaults);
+            } catch (RuntimeException | Error failure) {
+                faultFailure.set(failure);
+            }
+        });
         Map<String, List<TestCaller.CallResult>> results = Collections.synchronizedMap(new HashMap<>());
         try (ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor()) {
             for (int number = 0; number < 600; number++) {
@@ -141,6 +151,9 @@
         }
         running.set(false);
         faults.join();
+        assertThat(faultFailure.get()).isNull();
+        // A fault takes at most 3 s of the 15 s; without faults the test would show nothing.
+        assertThat(injectedFaults).hasValueGreaterThanOrEqualTo(5);
         Map<String, Integer> executions = fleet.executionsByKey();
         results.forEach((key, orderResults) -> {
             int count = executions.getOrDefault(key, 0);
@@ -284,8 +297,9 @@
         return orderResults;
     }
 
-    private void injectFaults(Random random, AtomicBoolean running) {
+    private void injectFaults(Random random, AtomicBoolean running, AtomicInteger injectedFaults) {
         while (running.get()) {
+            injectedFaults.incrementAndGet();
             Member proxy = fleet.proxies.get(random.nextInt(fleet.proxies.size()));
             Member backend = fleet.backends.get(random.nextInt(fleet.backends.size()));
             switch (random.nextInt(7)) {
@@ -314,6 +328,7 @@
                 case 4 -> {
                     backend.kill();
                     backend.start();
+                    fleet.awaitListening(backend);
                 }
                 case 5 -> {
                     fleet.setBackendFaults(backend, "{\"stall\": 0.3, \"cut\": 0.2, \"fail\": 0.2}");
--- a/src/test/java/org/cassiabank/fleet/TestFleet.java
+++ b/src/test/java/org/cassiabank/fleet/TestFleet.java
@@ -191,6 +191,17 @@
                 () -> adminClient.send("GET", proxy.adminUrl() + "/health", "").status() == 200);
     }
 
+    /** Waits until a backend server accepts calls, and ends its faults. */
+    void awaitListening(Member backend) {
+        await(
+                START_TIMEOUT_MILLIS,
+                backend.name() + " has no faults",
+                () -> adminClient
+                                .send("POST", backend.adminUrl() + "/control/faults", "{}")
+                                .status()
+                        == 200);
+    }
+
     /** Ends all faults, starts processes that are not running and waits until all proxies are healthy. */
     void clearFaultsAndAwaitHealthy() {
         setPlatformFaults("{}");
@@ -205,15 +216,7 @@
         Stream.concat(proxies.stream(), backends.stream())
                 .filter(member -> !member.process().isAlive())
                 .forEach(Member::start);
-        for (Member backend : backends) {
-            await(
-                    START_TIMEOUT_MILLIS,
-                    backend.name() + " has no faults",
-                    () -> adminClient
-                                    .send("POST", backend.adminUrl() + "/control/faults", "{}")
-                                    .status()
-                            == 200);
-        }
+        backends.forEach(this::awaitListening);
         for (Member proxy : proxies) {
             awaitClaimsReady(proxy);
             awaitHealthy(proxy);
--- a/src/test/java/org/cassiabank/logging/BoundedLogHandlerTest.java
+++ b/src/test/java/org/cassiabank/logging/BoundedLogHandlerTest.java
@@ -59,6 +59,20 @@
         while (!textOf(writtenBytes).contains("log lines dropped")) {
             Thread.onSpinWait();
         }
+        assertThat(textOf(writtenBytes).lines().filter(line -> line.contains("log lines dropped")))
+                .allMatch(line -> line.startsWith("time="));
+    }
+
+    /** A daemon flushes the log before it ends, and its last line says why. */
+    @Test
+    void flushingWaitsForALineThatTheWriterHasJustTaken() {
+        for (int round = 0; round < 300; round++) {
+            ByteArrayOutputStream output = new ByteArrayOutputStream();
+            BoundedLogHandler handler = startHandler(output);
+            handler.publish(new LogRecord(Level.INFO, "last"));
+            handler.flush();
+            assertThat(output.size()).as("round %d", round).isPositive();
+        }
     }
 
     private static String textOf(ByteArrayOutputStream writtenBytes) {
