--- a/src/test/java/org/cassiabank/proxy/CallerReplyOrderTest.java
+++ b/src/test/java/org/cassiabank/proxy/CallerReplyOrderTest.java
@@ -148,6 +148,25 @@
         }
     }
 
+    @Test
+    void aReplyThatClosesTheConnectionIsNotLostToRequestsBehindIt() throws Exception {
+        server.startDraining();
+        for (int round = 0; round < 20; round++) {
+            try (Socket socket = new Socket("127.0.0.1", port)) {
+                socket.setSoTimeout(5_000);
+                write(socket, "GET /first HTTP/1.1\r\nHost: x\r\n\r\n");
+                TimeUnit.MILLISECONDS.sleep(20);
+                // The reply has been sent and closes the connection; the caller has not read it and sends on.
+                write(socket, "GET /behind HTTP/1.1\r\nHost: x\r\n\r\n");
+                TimeUnit.MILLISECONDS.sleep(20);
+                assertThat(readUntil(socket, "path=/first"))
+                        .startsWith("HTTP/1.1 200")
+                        .contains("path=/first");
+            }
+        }
+        assertThat(handledTargets).doesNotContain("/behind");
+    }
+
     @Test
     void aHandlerThatFailsWithAnErrorLeavesNoRequestInFlight() throws Exception {
         assertThat(exchange("GET /error HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"))
