Bound the time of an attempt that leaves an unusable connection

Cause: the call on the new connection is a copy, and OkHttp gives copies no timeout. Change: the copy gets what is left of the time.

--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -35,6 +35,8 @@
     private final Runnable onUnusableConnection;
     private final ResponseMemory responseMemory;
     private volatile boolean cancelled;
+    /** The start of {@link #execute()}; confined to its thread. */
+    private long startNanos;
 
     private BackendCall(
             BackendRequest request,
@@ -82,6 +84,7 @@
      *     exception
      */
     public BackendResult execute() {
+        startNanos = System.nanoTime();
         try (ResponseMeter meter = ResponseMeter.create(responseMemory.open(this::cancelCall))) {
             trace.setResponseMeter(meter);
             return executeOnUsableConnection(meter);
@@ -100,7 +103,10 @@
             return execute(meter);
         } catch (UnusableConnectionException exception) {
             onUnusableConnection.run();
-            call = call.clone();
+            Call nextCall = call.clone();
+            // A copy has no timeout of its own.
+            nextCall.timeout().timeout(remainingNanos(), TimeUnit.NANOSECONDS);
+            call = nextCall;
             if (cancelled) {
                 // The cancellation may have reached only the former call.
                 call.cancel();
@@ -113,6 +119,11 @@
         }
     }
 
+    /** Returns what is left of the time of the attempt, at least 1 ns because 0 would mean no timeout. */
+    private long remainingNanos() {
+        return Math.max(1, TimeUnit.MILLISECONDS.toNanos(request.timeoutMillis()) - (System.nanoTime() - startNanos));
+    }
+
     private BackendResult execute(ResponseMeter meter) throws UnusableConnectionException {
         try (Response response = call.execute()) {
             BackendResult result = readResponse(response, meter);
--- a/src/test/java/org/cassiabank/backend/BackendClientTest.java
+++ b/src/test/java/org/cassiabank/backend/BackendClientTest.java
@@ -254,6 +254,26 @@
         assertThat(server.acceptedConnections).hasValue(3);
     }
 
+    /** The call on the new connection is another one to OkHttp, without the timeout of the first. */
+    @Test
+    void anAttemptThatLeavesADirtyConnectionStillEndsInItsTime() throws Exception {
+        ScriptedServer server = startServer((request, socket) -> {
+            if (request.connectionNumber() == 1) {
+                ScriptedServer.respondingWith("one").respond(request, socket);
+                TimeUnit.MILLISECONDS.sleep(30);
+                ScriptedServer.respondingWith("one").respond(request, socket);
+            }
+        });
+        client.send(request(server.address(), "GET", "one", true, 5_000));
+        TimeUnit.MILLISECONDS.sleep(60);
+        long startNanos = System.nanoTime();
+        assertThat(noValidResponseReason(client.send(request(server.address(), "GET", "two", true, 300))))
+                .isEqualTo(NoValidResponseReason.TIMEOUT);
+        assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos))
+                .isBetween(250L, 2_000L);
+        assertThat(server.acceptedConnections).hasValue(2);
+    }
+
     @Test
     void anAttemptWithoutAResponseTimesOutAndClosesItsConnection() throws Exception {
         ScriptedServer server = startServer((request, socket) -> {});
