--- a/src/test/java/org/cassiabank/kernel/KernelTest.java
+++ b/src/test/java/org/cassiabank/kernel/KernelTest.java
@@ -30,6 +30,24 @@
         assertThat(events).containsExactly("start first", "stop first");
     }
 
+    @Test
+    void aServiceThatFailsToStopDoesNotKeepTheOthersRunning() {
+        Kernel kernel = kernelWith(recordingService("first", false), new KernelService() {
+            @Override
+            public void start(Kernel startedKernel) {
+                events.add("start second");
+            }
+
+            @Override
+            public void stop() {
+                throw new IllegalStateException("second cannot stop");
+            }
+        });
+        kernel.start();
+        assertThatThrownBy(kernel::close).hasMessage("second cannot stop");
+        assertThat(events).containsExactly("start first", "start second", "stop first");
+    }
+
     @Test
     void aMissingServiceIsReportedByNameAndADuplicateNameIsRejected() {
         Kernel kernel = Kernel.create();
