Log the limits of requests that servers name

Change: the header is read (PlatformHeaderConventions, DefaultHeaderConventions) and checked, and reported to the owner of the shard with the outcome of the attempt; the owner logs each change and counts limited servers; the step of the attempt shows the limit. Values that are no decimal number, and repeated headers, are logged and count as no limit. A response without a limit ends it only if its attempt began after the limit had been named. Nothing is decided by it yet.

--- a/src/main/java/org/cassiabank/admission/CompletedLease.java
+++ b/src/main/java/org/cassiabank/admission/CompletedLease.java
@@ -7,8 +7,9 @@
  *
  * @param serverName the name of the server
  * @param route the route of the request
+ * @param grantedAtMillis the time of the grant in milliseconds
  */
-public record CompletedLease(String serverName, String route) {
+public record CompletedLease(String serverName, String route, long grantedAtMillis) {
 
     /**
      * Checks the names.
--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -216,7 +216,8 @@
         }
         return Optional.of(new CompletedLease(
                 server.schedulableServer().name(),
-                completedLease.get().request().route()));
+                completedLease.get().request().route(),
+                completedLease.get().grantedAtMillis()));
     }
 
     /**
--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -13,6 +13,8 @@
 import okhttp3.Response;
 import okio.Buffer;
 import okio.BufferedSource;
+import org.cassiabank.admission.RateLimitNotice;
+import org.cassiabank.admission.ServerNotice;
 
 /**
  * One attempt at a request to a backend server, which another thread can cancel.
@@ -20,6 +22,7 @@
 public final class BackendCall {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int LOG_INTERVAL_SECONDS = 10;
+    private static final int MISDIRECTED_REQUEST_STATUS = 421;
 
     /** The most bytes of a body that are decoded before they are counted. */
     private static final long READ_BYTES = 8_192;
@@ -204,10 +207,26 @@
     private BackendResult toResult(int status, byte[] body) {
         Headers headers = trace.responseHeaders();
         Map<String, List<String>> headersByName = headers.toMultimap();
-        boolean leaving = conventions.announcesLeaving(headersByName);
+        ServerNotice notice = readNotice(status, headers);
         return conventions.provesNotRun(status, headersByName)
-                ? new RequestShed(leaving)
-                : new ResponseReceived(status, BackendHeaders.endToEnd(headers), body, leaving);
+                ? new RequestShed(notice)
+                : new ResponseReceived(status, BackendHeaders.endToEnd(headers), body, notice);
+    }
+
+    private ServerNotice readNotice(int status, Headers headers) {
+        boolean leaving = conventions.announcesLeaving(headers.toMultimap());
+        if (status == MISDIRECTED_REQUEST_STATUS) {
+            // Another server answered.
+            return new ServerNotice(leaving, new RateLimitNotice.Unknown());
+        }
+        List<String> values = headers.values(conventions.rateLimitHeader());
+        Optional<RateLimitNotice> limit = RateLimitHeader.parse(values);
+        if (limit.isEmpty()) {
+            LOGGER.atWarning().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                    "server %s at %s sent %s: %s, expected one decimal number; it counts as a server without a limit",
+                    request.server(), request.address(), conventions.rateLimitHeader(), values);
+        }
+        return new ServerNotice(leaving, limit.orElseGet(RateLimitNotice.Unlimited::new));
     }
 
     private boolean lacksRequiredSignature(Headers headers) {
--- a/src/main/java/org/cassiabank/backend/BackendHeaders.java
+++ b/src/main/java/org/cassiabank/backend/BackendHeaders.java
@@ -25,6 +25,9 @@
     /** With the value {@code true}: the server is leaving the fleet. */
     public static final String LEAVING = "Cassiabank-Leaving";
 
+    /** The requests a second that the server accepts from all proxies together, as a decimal number. */
+    public static final String RATE_LIMIT = "Cassiabank-Rate-Limit";
+
     private static final Set<String> HOP_BY_HOP_HEADERS = Set.of(
             "connection",
             "keep-alive",
--- a/src/main/java/org/cassiabank/backend/BackendResult.java
+++ b/src/main/java/org/cassiabank/backend/BackendResult.java
@@ -1,5 +1,6 @@
 package org.cassiabank.backend;
 
+import org.cassiabank.admission.ServerNotice;
 import org.cassiabank.health.AttemptOutcome;
 import org.cassiabank.retry.AttemptResult;
 
@@ -21,4 +22,13 @@
      * @return the result of the attempt
      */
     AttemptResult attemptResult();
+
+    /**
+     * Returns what the response says about the server.
+     *
+     * @return the notice, {@link ServerNotice#none()} without a response
+     */
+    default ServerNotice notice() {
+        return ServerNotice.none();
+    }
 }
--- a/src/main/java/org/cassiabank/backend/DefaultHeaderConventions.java
+++ b/src/main/java/org/cassiabank/backend/DefaultHeaderConventions.java
@@ -64,6 +64,11 @@
         return BackendHeaders.hasOnlyValue(headers, BackendHeaders.LEAVING, "true");
     }
 
+    @Override
+    public String rateLimitHeader() {
+        return BackendHeaders.RATE_LIMIT;
+    }
+
     @Override
     public boolean allowsCloseDelimitedResponses() {
         return false;
--- a/src/main/java/org/cassiabank/backend/HeaderConventions.java
+++ b/src/main/java/org/cassiabank/backend/HeaderConventions.java
@@ -72,6 +72,14 @@
      */
     boolean announcesLeaving(Map<String, List<String>> headers);
 
+    /**
+     * Returns the header in which a backend server names the requests a second that it accepts from all proxies together,
+     * as a decimal number. The limit holds until a response does not name it.
+     *
+     * @return the name of the header
+     */
+    String rateLimitHeader();
+
     /**
      * Tells whether a response without a declared length may end with its connection.
      *
--- a/src/main/java/org/cassiabank/backend/RequestShed.java
+++ b/src/main/java/org/cassiabank/backend/RequestShed.java
@@ -1,5 +1,7 @@
 package org.cassiabank.backend;
 
+import java.util.Objects;
+import org.cassiabank.admission.ServerNotice;
 import org.cassiabank.health.AttemptOutcome;
 import org.cassiabank.retry.AttemptResult;
 
@@ -7,9 +9,18 @@
  * The server refused the request with a response that proves that the request did not run. By default that is status
  * 503 with {@code Cassiabank-Not-Run: true}; see {@link HeaderConventions#provesNotRun}.
  *
- * @param serverLeaving whether the response states that the server is leaving the fleet
+ * @param notice what the response says about the server
  */
-public record RequestShed(boolean serverLeaving) implements BackendResult {
+public record RequestShed(ServerNotice notice) implements BackendResult {
+
+    /**
+     * Checks the notice.
+     *
+     * @throws NullPointerException if the notice is null
+     */
+    public RequestShed {
+        Objects.requireNonNull(notice, "notice");
+    }
 
     @Override
     public AttemptOutcome outcome() {
--- a/src/main/java/org/cassiabank/backend/ResponseReceived.java
+++ b/src/main/java/org/cassiabank/backend/ResponseReceived.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import org.cassiabank.admission.ServerNotice;
 import org.cassiabank.health.AttemptOutcome;
 import org.cassiabank.retry.AttemptResult;
 
@@ -12,9 +13,9 @@
  * @param status the HTTP status
  * @param headers the end-to-end headers, with names in the spelling of the server
  * @param body the complete body, not decompressed and not copied
- * @param serverLeaving whether the response states that the server is leaving the fleet
+ * @param notice what the response says about the server
  */
-public record ResponseReceived(int status, Map<String, List<String>> headers, byte[] body, boolean serverLeaving)
+public record ResponseReceived(int status, Map<String, List<String>> headers, byte[] body, ServerNotice notice)
         implements BackendResult {
 
     /**
@@ -25,6 +26,7 @@
     public ResponseReceived {
         headers = Map.copyOf(headers);
         Objects.requireNonNull(body, "body");
+        Objects.requireNonNull(notice, "notice");
     }
 
     /**
--- a/src/main/java/org/cassiabank/platform/PlatformHeaderConventions.java
+++ b/src/main/java/org/cassiabank/platform/PlatformHeaderConventions.java
@@ -58,6 +58,11 @@
         return false;
     }
 
+    @Override
+    public String rateLimitHeader() {
+        return "Server-Limit";
+    }
+
     @Override
     public boolean allowsCloseDelimitedResponses() {
         return true;
--- a/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
+++ b/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import org.cassiabank.admission.AdmissionRequest;
 import org.cassiabank.admission.PlacementHints;
+import org.cassiabank.admission.ServerNotice;
 import org.cassiabank.backend.BackendCall;
 import org.cassiabank.backend.BackendClient;
 import org.cassiabank.backend.BackendRequest;
@@ -21,8 +22,6 @@
 import org.cassiabank.backend.NoValidResponse;
 import org.cassiabank.backend.NoValidResponseReason;
 import org.cassiabank.backend.NotSent;
-import org.cassiabank.backend.RequestShed;
-import org.cassiabank.backend.ResponseReceived;
 import org.cassiabank.declaration.Selector;
 import org.cassiabank.health.AttemptOutcome;
 import org.cassiabank.retry.RetryReason;
@@ -150,7 +149,7 @@
 
     /** Returns a slot without an attempt, which is reported as cancelled; does not wait for the report. */
     void release(SlotResult.Slot slot) {
-        workers.execute(() -> broker.report(slot, AttemptOutcome.CANCELLED, 0, false));
+        workers.execute(() -> broker.report(slot, AttemptOutcome.CANCELLED, 0, ServerNotice.none()));
     }
 
     /** Counts an additional attempt in the metrics. */
@@ -259,18 +258,10 @@
         metrics.recordAttempt(result.attemptResult().label());
         metrics.recordAttemptDuration(
                 attempt.slot().shard().service(), result.attemptResult().label(), latencyMicros);
-        workers.execute(() -> broker.report(attempt.slot(), result.outcome(), latencyMicros, isServerLeaving(result)));
+        workers.execute(() -> broker.report(attempt.slot(), result.outcome(), latencyMicros, result.notice()));
         return result;
     }
 
-    private static boolean isServerLeaving(BackendResult result) {
-        return switch (result) {
-            case ResponseReceived response -> response.serverLeaving();
-            case RequestShed shed -> shed.serverLeaving();
-            default -> false;
-        };
-    }
-
     /**
      * An attempt that may still be running.
      *
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -21,6 +22,8 @@
 import org.cassiabank.admission.RefusalReason;
 import org.cassiabank.admission.Refused;
 import org.cassiabank.admission.SchedulableServer;
+import org.cassiabank.admission.ServerNotice;
+import org.cassiabank.admission.ServerRateLimits;
 import org.cassiabank.admission.SlotDecision;
 import org.cassiabank.admission.SlotScheduler;
 import org.cassiabank.admission.TicketDecision;
@@ -68,6 +71,7 @@
     private final Map<Long, CompletableFuture<SlotDecision>> waitingPolls = new HashMap<>();
     private final Map<Long, UncollectedDecision> uncollectedDecisions = new HashMap<>();
     private final Map<String, Long> leavingReportMillis = new HashMap<>();
+    private final ServerRateLimits rateLimits = ServerRateLimits.create();
     private Map<String, Long> incarnationByServer = Map.of();
     private Map<String, ServerHealth> healthByServer = Map.of();
     private FleetView view;
@@ -132,7 +136,7 @@
         return Optional.of(awaitDecision(ticketId, future));
     }
 
-    synchronized void completeLease(long leaseId, AttemptOutcome outcome, long latencyMicros, boolean serverLeaving) {
+    synchronized void completeLease(long leaseId, AttemptOutcome outcome, long latencyMicros, ServerNotice notice) {
         long nowMillis = MonotonicClock.millis();
         Optional<CompletedLease> completedLease = scheduler.completeLease(leaseId, outcome, latencyMicros, nowMillis);
         completedLease.ifPresent(completed -> {
@@ -144,7 +148,10 @@
                 // The next grant depends on the new health, which must not wait for the periodic evaluation.
                 updateServers(nowMillis);
             }
-            if (serverLeaving && leavingReportMillis.put(completed.serverName(), nowMillis) == null) {
+            if (rateLimits.record(completed.serverName(), notice.rateLimit(), completed.grantedAtMillis(), nowMillis)) {
+                reportRateLimit(completed.serverName());
+            }
+            if (notice.leaving() && leavingReportMillis.put(completed.serverName(), nowMillis) == null) {
                 LOGGER.atInfo().log("%s: server %s reported that it is leaving", key, completed.serverName());
                 updateScheduler(nowMillis);
             }
@@ -168,6 +175,7 @@
         incarnationByServer = view.servers(key).stream()
                 .map(LabeledServer::instance)
                 .collect(Collectors.toMap(Instance::name, Instance::incarnation));
+        rateLimits.retain(incarnationByServer.keySet());
         Set<String> restarted = incarnationByServer.entrySet().stream()
                 .filter(entry -> !entry.getValue()
                         .equals(formerIncarnationByServer.getOrDefault(entry.getKey(), entry.getValue())))
@@ -176,6 +184,7 @@
         if (!restarted.isEmpty()) {
             LOGGER.atInfo().log("%s: servers %s restarted", key, restarted);
             leavingReportMillis.keySet().removeAll(restarted);
+            rateLimits.forget(restarted);
             Predicate<LabeledServer> notRestarted =
                     server -> !restarted.contains(server.instance().name());
             monitor.replaceServers(monitoredServers(notRestarted), view.ejectionFloor(key), nowMillis);
@@ -207,6 +216,10 @@
         return retired;
     }
 
+    synchronized int rateLimitCount() {
+        return rateLimits.all(MonotonicClock.millis()).size();
+    }
+
     synchronized Map<String, ServerHealth> healthByServer() {
         return healthByServer;
     }
@@ -327,6 +340,15 @@
                 || leavingReportMillis.containsKey(server.instance().name());
     }
 
+    private void reportRateLimit(String serverName) {
+        OptionalDouble limit = rateLimits.limit(serverName);
+        if (limit.isPresent()) {
+            LOGGER.atInfo().log("%s: server %s accepts %s requests a second", key, serverName, limit.getAsDouble());
+        } else {
+            LOGGER.atInfo().log("%s: server %s names no limit of requests any longer", key, serverName);
+        }
+    }
+
     private void reportHealthChanges(Map<String, ServerHealth> newHealthByServer) {
         newHealthByServer.forEach((serverName, newHealth) -> {
             ServerHealth formerHealth = healthByServer.getOrDefault(serverName, ServerHealth.HEALTHY);
--- a/src/main/java/org/cassiabank/proxy/OwnedShards.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShards.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.cassiabank.admission.AdmissionRequest;
+import org.cassiabank.admission.ServerNotice;
 import org.cassiabank.admission.SlotDecision;
 import org.cassiabank.health.AttemptOutcome;
 import org.cassiabank.health.ServerHealth;
@@ -56,6 +57,12 @@
         fleet.addListener(this::updateShards);
         tickExecutor.schedule(this::tickAndReschedule, IDLE_TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         metrics.registerGauge("cassiabank_owned_shards", "Shards scheduled by this daemon.", shards::size);
+        metrics.registerGauge(
+                "cassiabank_rate_limited_servers",
+                "Servers of shards scheduled by this daemon that name a limit of requests a second.",
+                () -> shards.values().stream()
+                        .mapToInt(OwnedShard::rateLimitCount)
+                        .sum());
     }
 
     @Override
@@ -75,10 +82,10 @@
         }
     }
 
-    void completeLease(ShardKey key, long leaseId, AttemptOutcome outcome, long latencyMicros, boolean serverLeaving) {
+    void completeLease(ShardKey key, long leaseId, AttemptOutcome outcome, long latencyMicros, ServerNotice notice) {
         OwnedShard shard = shards.get(key);
         if (shard != null) {
-            shard.completeLease(leaseId, outcome, latencyMicros, serverLeaving);
+            shard.completeLease(leaseId, outcome, latencyMicros, notice);
         }
     }
 
--- a/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
+++ b/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import org.cassiabank.admission.ServerNotice;
 import org.cassiabank.kernel.Kernel;
 import org.cassiabank.kernel.KernelService;
 import org.cassiabank.peer.PeerServer;
@@ -80,7 +81,7 @@
                 outcome.getLease(),
                 PeerMessageConverter.toAttemptOutcome(outcome.getKind()),
                 outcome.getLatencyMicros(),
-                outcome.isServerLeaving());
+                new ServerNotice(outcome.isServerLeaving(), PeerMessageConverter.toRateLimitNotice(outcome)));
     }
 
     @Override
--- a/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
+++ b/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
@@ -10,6 +10,7 @@
 import org.cassiabank.admission.Granted;
 import org.cassiabank.admission.PlacementHints;
 import org.cassiabank.admission.Queued;
+import org.cassiabank.admission.RateLimitNotice;
 import org.cassiabank.admission.RefusalReason;
 import org.cassiabank.admission.Refused;
 import org.cassiabank.admission.SlotDecision;
@@ -24,7 +25,9 @@
 import org.cassiabank.once.RecordedResponse;
 import org.cassiabank.peer.generated.ClaimReply;
 import org.cassiabank.peer.generated.OutcomeKind;
+import org.cassiabank.peer.generated.RateLimit;
 import org.cassiabank.peer.generated.SlotGrant;
+import org.cassiabank.peer.generated.SlotOutcome;
 import org.cassiabank.peer.generated.SlotQueued;
 import org.cassiabank.peer.generated.SlotRefusal;
 import org.cassiabank.peer.generated.SlotReply;
@@ -122,6 +125,27 @@
         return AttemptOutcome.valueOf(kind.name());
     }
 
+    static Optional<RateLimit> toMessage(RateLimitNotice notice) {
+        return switch (notice) {
+            case RateLimitNotice.Limited limited ->
+                Optional.of(RateLimit.requestsPerSecond(limited.requestsPerSecond()));
+            case RateLimitNotice.Unlimited unlimited -> Optional.of(RateLimit.unlimited(true));
+            case RateLimitNotice.Unknown unknown -> Optional.empty();
+        };
+    }
+
+    /** Returns what a report says of the server's limit; a peer of a release without the field says nothing. */
+    static RateLimitNotice toRateLimitNotice(SlotOutcome message) {
+        if (!message.isSetRateLimit()) {
+            return new RateLimitNotice.Unknown();
+        }
+        return switch (message.getRateLimit().getSetField()) {
+            case REQUESTS_PER_SECOND ->
+                new RateLimitNotice.Limited(message.getRateLimit().getRequestsPerSecond());
+            case UNLIMITED -> new RateLimitNotice.Unlimited();
+        };
+    }
+
     static ClaimReply toMessage(KeeperVote vote) {
         ClaimReply reply = new ClaimReply(toMessage(vote.state()));
         vote.response().ifPresent(recorded -> reply.setAnswer(toMessage(recorded)));
--- a/src/main/java/org/cassiabank/proxy/RequestRun.java
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.cassiabank.admission.AdmissionRequest;
+import org.cassiabank.admission.RateLimitNotice;
 import org.cassiabank.backend.BackendResult;
 import org.cassiabank.backend.NotSent;
 import org.cassiabank.backend.ResponseReceived;
@@ -126,8 +127,7 @@
                 attemptExecutor.recordAddedLatencyMicros((System.nanoTime() - startNanos) / 1_000);
             }
             BackendResult backendResult = makeAttempt(slot);
-            trace.addStep(
-                    slot.serverName() + " " + backendResult.attemptResult().label());
+            trace.addStep(describeResult(slot.serverName(), backendResult));
             Optional<RequestResult> requestResult = resultUnlessRetried(backendResult);
             if (requestResult.isPresent()) {
                 return requestResult.get();
@@ -135,6 +135,13 @@
         }
     }
 
+    private static String describeResult(String serverName, BackendResult result) {
+        String label = serverName + " " + result.attemptResult().label();
+        return result.notice().rateLimit() instanceof RateLimitNotice.Limited limited
+                ? label + " limit=" + limited.requestsPerSecond() + "/s"
+                : label;
+    }
+
     private Optional<RequestResult> resultUnlessRetried(BackendResult result) {
         notSentCount += result instanceof NotSent ? 1 : 0;
         // Attempts that reached no server are not counted, up to a limit that keeps a request from trying all servers.
--- a/src/main/java/org/cassiabank/proxy/SlotBroker.java
+++ b/src/main/java/org/cassiabank/proxy/SlotBroker.java
@@ -8,6 +8,7 @@
 import org.cassiabank.admission.Queued;
 import org.cassiabank.admission.RefusalReason;
 import org.cassiabank.admission.Refused;
+import org.cassiabank.admission.ServerNotice;
 import org.cassiabank.admission.SlotDecision;
 import org.cassiabank.health.AttemptOutcome;
 import org.cassiabank.kernel.CassiabankException;
@@ -89,11 +90,11 @@
      * @param slot the slot
      * @param outcome the outcome
      * @param latencyMicros the duration of the attempt in microseconds
-     * @param serverLeaving whether the response announced that the server is leaving
+     * @param notice what the response said about the server
      */
-    void report(SlotResult.Slot slot, AttemptOutcome outcome, long latencyMicros, boolean serverLeaving) {
+    void report(SlotResult.Slot slot, AttemptOutcome outcome, long latencyMicros, ServerNotice notice) {
         if (slot.owner().isEmpty()) {
-            ownedShards.completeLease(slot.shard(), slot.leaseId(), outcome, latencyMicros, serverLeaving);
+            ownedShards.completeLease(slot.shard(), slot.leaseId(), outcome, latencyMicros, notice);
             return;
         }
         SlotOutcome message = new SlotOutcome(
@@ -102,7 +103,8 @@
                 slot.leaseId(),
                 PeerMessageConverter.toMessage(outcome),
                 latencyMicros,
-                serverLeaving);
+                notice.leaving());
+        PeerMessageConverter.toMessage(notice.rateLimit()).ifPresent(message::setRateLimit);
         try {
             peerTransport.call(slot.owner().get(), "report", REPORT_TIMEOUT_MILLIS, client -> {
                 client.report(message);
--- a/src/test/java/org/cassiabank/admission/SlotSchedulerPropertiesTest.java
+++ b/src/test/java/org/cassiabank/admission/SlotSchedulerPropertiesTest.java
@@ -237,7 +237,8 @@
                                 AttemptOutcome.values()[random.nextInt(AttemptOutcome.values().length)];
                         HeldLease heldLease = heldLeases.remove(leaseId);
                         assertThat(scheduler.completeLease(leaseId, outcome, 1_000L * random.nextInt(300), nowMillis))
-                                .contains(new CompletedLease(heldLease.serverName, heldLease.request.route()));
+                                .contains(new CompletedLease(
+                                        heldLease.serverName, heldLease.request.route(), heldLease.grantedAtMillis));
                         assertThat(scheduler.completeLease(leaseId, outcome, 0, nowMillis))
                                 .isEmpty();
                     });
@@ -312,7 +313,7 @@
             assertThat(leases).isLessThan(server.slots());
             heldLeases.put(
                     granted.leaseId(),
-                    new HeldLease(server.name(), request, nowMillis + granted.leaseDurationMillis()));
+                    new HeldLease(server.name(), request, nowMillis, nowMillis + granted.leaseDurationMillis()));
         }
 
         private static boolean isHealthyAndMatching(SchedulableServer server, AdmissionRequest request) {
@@ -350,6 +351,7 @@
             return numbers.isEmpty() ? List.of() : List.of(numbers.get(random.nextInt(numbers.size())));
         }
 
-        private record HeldLease(String serverName, AdmissionRequest request, long expiresAtMillis) {}
+        private record HeldLease(
+                String serverName, AdmissionRequest request, long grantedAtMillis, long expiresAtMillis) {}
     }
 }
--- a/src/test/java/org/cassiabank/backend/BackendClientTest.java
+++ b/src/test/java/org/cassiabank/backend/BackendClientTest.java
@@ -139,7 +139,7 @@
         ResponseReceived response = (ResponseReceived) client.send(BackendRequest.forAddress(
                 server.address(), "POST", "/a%2Fb?c", headers, compressed, "id-1", true, 5_000));
         assertThat(response.body()).isEqualTo(compressed);
-        assertThat(response.serverLeaving()).isTrue();
+        assertThat(response.notice().leaving()).isTrue();
         assertThat(response.headers()).containsEntry("X-A", List.of("1", "2")).doesNotContainKey("Keep-Alive");
         ScriptedServer.ReceivedRequest received = server.receivedRequests.getFirst();
         assertThat(received.body()).isEqualTo(compressed);
--- a/src/test/java/org/cassiabank/backend/HeaderConventionsTest.java
+++ b/src/test/java/org/cassiabank/backend/HeaderConventionsTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import org.cassiabank.admission.RateLimitNotice;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -123,6 +124,19 @@
         assertThat(client.serversWithIdleConnection("service", true)).containsExactly("server-2");
     }
 
+    @Test
+    void aResponseNamesTheLimitOfItsServerButNotThatOfTheServerThatWasMeant() throws IOException {
+        ScriptedServer limited = startServer((request, socket) -> ScriptedServer.write(
+                socket, request.responseHead(200) + "Signed: s\r\nAccepts: 1.6\r\nContent-Length: 0\r\n\r\n"));
+        assertThat(send(limited, "GET", true).notice().rateLimit()).isEqualTo(new RateLimitNotice.Limited(1.6));
+        ScriptedServer other = startServer((request, socket) ->
+                ScriptedServer.write(socket, request.responseHead(421) + "Accepts: 1.6\r\nContent-Length: 0\r\n\r\n"));
+        assertThat(send(other, "GET", true).notice().rateLimit()).isEqualTo(new RateLimitNotice.Unknown());
+        ScriptedServer invalid = startServer((request, socket) -> ScriptedServer.write(
+                socket, request.responseHead(200) + "Signed: s\r\nAccepts: NaN\r\nContent-Length: 0\r\n\r\n"));
+        assertThat(send(invalid, "GET", true).notice().rateLimit()).isEqualTo(new RateLimitNotice.Unlimited());
+    }
+
     private static ScriptedServer.Script respondingSigned(String text) {
         return (request, socket) -> ScriptedServer.write(
                 socket,
--- a/src/test/java/org/cassiabank/backend/PlatformLikeHeaderConventions.java
+++ b/src/test/java/org/cassiabank/backend/PlatformLikeHeaderConventions.java
@@ -50,6 +50,11 @@
         return false;
     }
 
+    @Override
+    public String rateLimitHeader() {
+        return "Accepts";
+    }
+
     @Override
     public boolean allowsCloseDelimitedResponses() {
         return true;
--- a/src/test/java/org/cassiabank/proxy/OwnedShardTest.java
+++ b/src/test/java/org/cassiabank/proxy/OwnedShardTest.java
@@ -13,6 +13,7 @@
 import org.cassiabank.admission.RefusalReason;
 import org.cassiabank.admission.Refused;
 import org.cassiabank.admission.SchedulerSettings;
+import org.cassiabank.admission.ServerNotice;
 import org.cassiabank.admission.SlotDecision;
 import org.cassiabank.declaration.Configuration;
 import org.cassiabank.declaration.CostHint;
@@ -52,7 +53,7 @@
     @Test
     void serverThatRestartsUnderItsNameIsHealthyAgain() {
         Granted granted = (Granted) acquire(1);
-        shard.completeLease(granted.leaseId(), AttemptOutcome.BROKEN, 5_000, false);
+        shard.completeLease(granted.leaseId(), AttemptOutcome.BROKEN, 5_000, ServerNotice.none());
         assertThat(shard.healthByServer()).containsEntry(granted.serverName(), ServerHealth.EJECTED);
         shard.updateView(view(2, 1), nowMillis());
         assertThat(shard.healthByServer()).containsEntry(granted.serverName(), ServerHealth.EJECTED);
@@ -68,7 +69,7 @@
             decision = acquire(2);
             if (decision instanceof Granted slot) {
                 grantedCount++;
-                shard.completeLease(slot.leaseId(), AttemptOutcome.ANSWERED, 1_000, false);
+                shard.completeLease(slot.leaseId(), AttemptOutcome.ANSWERED, 1_000, ServerNotice.none());
             }
         }
         assertThat(grantedCount).isBetween(1, 5);
@@ -81,7 +82,7 @@
         Granted granted = (Granted) acquire(1);
         // A lease may run for 30 minutes; a new shard would not count its slot as occupied.
         assertThat(shard.retireIfIdleSince(nowMillis() + 3_600_000)).isFalse();
-        shard.completeLease(granted.leaseId(), AttemptOutcome.ANSWERED, 1_000, false);
+        shard.completeLease(granted.leaseId(), AttemptOutcome.ANSWERED, 1_000, ServerNotice.none());
         assertThat(shard.retireIfIdleSince(nowMillis() + 3_600_000)).isTrue();
     }
 
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -74,6 +74,13 @@
   3: SlotQueued queued,
 }
 
+/** What a response says of the rate of requests that its server accepts from all proxies together. */
+union RateLimit {
+  1: double requestsPerSecond,
+  /** The response names no limit. */
+  2: bool unlimited,
+}
+
 struct SlotOutcome {
   1: required string serviceName,
   2: required i32 shard,
@@ -82,6 +89,8 @@
   5: required i64 latencyMicros,
   /** The server's answer said that it is leaving. */
   6: required bool serverLeaving,
+  /** Missing if there was no response. */
+  7: optional RateLimit rateLimit,
 }
 
 /** One configuration change as its JSON document in the store. */
