--- a/src/main/java/org/cassiabank/standin/BackendFaults.java
+++ b/src/main/java/org/cassiabank/standin/BackendFaults.java
@@ -16,6 +16,7 @@
  * @param flapMillis the period of flapping in milliseconds, at least 0: faults are on in the first half of each
  *     period; 0 for always on
  * @param lie whether {@code /health} reports good health despite other faults or draining
+ * @param rateLimit the requests a second that the server names as its limit in all responses; 0 for no limit
  * @param silence whether all connections except that of the control request transfer no more bytes, for good
  */
 public record BackendFaults(
@@ -28,6 +29,7 @@
         double shed,
         long flapMillis,
         boolean lie,
+        double rateLimit,
         boolean silence) {
 
     /**
@@ -43,8 +45,8 @@
             }
         }
         slowFactor = slowFactor == 0 ? 10 : slowFactor;
-        if (!(slowFactor >= 1) || flapMillis < 0) {
-            throw new IllegalArgumentException("slowFactor is below 1 or flapMillis is negative");
+        if (!(slowFactor >= 1) || flapMillis < 0 || !(rateLimit >= 0)) {
+            throw new IllegalArgumentException("slowFactor is below 1, or flapMillis or rateLimit is negative");
         }
     }
 
@@ -54,7 +56,7 @@
      * @return all shares 0 and all flags false
      */
     public static BackendFaults none() {
-        return new BackendFaults(0, 0, 0, 0, 0, 0, 0, 0, false, false);
+        return new BackendFaults(0, 0, 0, 0, 0, 0, 0, 0, false, 0, false);
     }
 
     /**
--- a/src/main/java/org/cassiabank/standin/BackendRequestHandler.java
+++ b/src/main/java/org/cassiabank/standin/BackendRequestHandler.java
@@ -19,6 +19,7 @@
     /** The response header that states that the request was not started. */
     static final String NOT_RUN_HEADER = "Cassiabank-Not-Run";
 
+    private static final String RATE_LIMIT_HEADER = "Cassiabank-Rate-Limit";
     private static final String REQUEST_ID_HEADER = "Cassiabank-Request-Id";
     private static final String DEADLINE_HEADER = "Cassiabank-Deadline-Millis";
     private static final int MAXIMUM_PADDING_BYTES = 16 * 1024 * 1024;
@@ -71,6 +72,9 @@
         if (!requestId.isEmpty()) {
             context.setResponseHeader(REQUEST_ID_HEADER, requestId);
         }
+        if (faults.rateLimit() > 0) {
+            context.setResponseHeader(RATE_LIMIT_HEADER, Double.toString(faults.rateLimit()));
+        }
         long remainingMillis = context.header(DEADLINE_HEADER).longValue(Long.MAX_VALUE);
         if (remainingMillis <= 0 || drawBoolean(faults.shed()) || !slots.tryAcquire()) {
             return sendShedResponse(context);
