Keep the requests of a server within the limit that it names

What the users saw: a server that named a limit of 1.6 or 2 requests a second got 18 to 26 in 4 s, where 15 and 17 are allowed. Cause: nobody knew the limit. The owner of a shard granted slots, which bound the requests that run at a time, not those of a second: two slots and 140 ms of work are up to 14 requests a second. Ruled out by the logs of the incident: further attempts and several owners. Change: the limit is a second dimension of the owner's grant, a token bucket for each server that starts empty (RequestRateLimiter). All ways to a server pass it, because attempts, retries, hedges and tests of suspected servers need a grant. Entry proxies pass on what they know with requests for slots, so that a new owner knows the limits before its first grant (KnownRateLimits). Owners of several regions divide the limit. A request whose predicted wait behind limits is too long is refused on arrival.

--- a/src/main/java/org/cassiabank/admission/AdmissionRequest.java
+++ b/src/main/java/org/cassiabank/admission/AdmissionRequest.java
@@ -1,5 +1,6 @@
 package org.cassiabank.admission;
 
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
@@ -113,6 +114,30 @@
                 hints);
     }
 
+    /**
+     * Returns a copy of the request that excludes further servers.
+     *
+     * @param servers the names of the servers that must not be used in addition
+     * @return the request
+     */
+    public AdmissionRequest withFurtherExcludedServers(Set<String> servers) {
+        Set<String> allExcludedServers = new HashSet<>(excludedServers);
+        allExcludedServers.addAll(servers);
+        return new AdmissionRequest(
+                entryProxy,
+                selector,
+                route,
+                customer,
+                costHint,
+                repeatable,
+                urgencyRank,
+                remainingMillis,
+                targetLatencyMillis,
+                allExcludedServers,
+                requiredLabels,
+                hints);
+    }
+
     /**
      * Returns a copy of the request with another remaining time.
      *
--- a/src/main/java/org/cassiabank/admission/AdmissionRule.java
+++ b/src/main/java/org/cassiabank/admission/AdmissionRule.java
@@ -71,8 +71,8 @@
         Lane lane = queue.laneFor(ticket.laneKey());
         double aheadMicros = queue.workAheadMicros(ticket, overtakesUrgentWork);
         double aheadInLaneMicros = Math.min(aheadMicros, Math.max(0, lane.queuedMicros() - ticket.costMicros()));
-        double allSlots = slotsForCostClass(pool.presentServers(), longWork, nowMillis);
-        double laneSlots = slotsForCostClass(lane.candidates(pool), longWork, nowMillis);
+        double allSlots = slotsForCostClass(pool.presentServers(), ticket.costMicros(), longWork, nowMillis);
+        double laneSlots = slotsForCostClass(lane.candidates(pool), ticket.costMicros(), longWork, nowMillis);
         if (!overtakesUrgentWork) {
             allSlots = urgencyShares.availableSlots(allSlots, urgencyRank, nowMillis);
             laneSlots = urgencyShares.availableSlots(laneSlots, urgencyRank, nowMillis);
@@ -82,12 +82,15 @@
         return Math.max(allServersWaitMicros, laneWaitMicros) / 1000;
     }
 
-    private int slotsForCostClass(ServerState[] servers, boolean longWork, long nowMillis) {
+    private double slotsForCostClass(ServerState[] servers, double costMicros, boolean longWork, long nowMillis) {
         int usableSlots = ServerPool.usableSlots(servers, nowMillis);
         int costClassSlots = longWork
                 ? longWorkShare.slotLimit(usableSlots, 0, nowMillis)
                 : usableSlots - ServerPool.longWorkLeases(servers);
-        return Math.max(1, costClassSlots);
+        double slots = Math.max(1, costClassSlots);
+        double capacity = ServerPool.usableCapacity(servers, Math.max(1, costMicros), nowMillis);
+        // Below a slot only if the servers' limits of requests a second leave no more.
+        return capacity > 0 && capacity < usableSlots ? Math.min(slots, capacity) : slots;
     }
 
     private static Refused refusal(RefusalReason reason, double waitMillis, double excessMillis) {
--- a/src/main/java/org/cassiabank/admission/SchedulableServer.java
+++ b/src/main/java/org/cassiabank/admission/SchedulableServer.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalDouble;
 import org.cassiabank.health.ServerHealth;
 
 /**
@@ -14,6 +15,7 @@
  * @param leaving whether the server is about to stop and must get no new work
  * @param labels the labels of the server
  * @param failureDomain the failure domain of the server, empty if placement ignores it
+ * @param requestsPerSecond the requests a second that this scheduler may grant at most, empty if the server names no limit
  */
 public record SchedulableServer(
         String name,
@@ -22,7 +24,8 @@
         ServerHealth health,
         boolean leaving,
         Map<String, String> labels,
-        String failureDomain) {
+        String failureDomain,
+        OptionalDouble requestsPerSecond) {
 
     /**
      * Checks the number of slots and copies the labels.
@@ -35,6 +38,7 @@
         Objects.requireNonNull(address, "address");
         Objects.requireNonNull(health, "health");
         Objects.requireNonNull(failureDomain, "failureDomain");
+        Objects.requireNonNull(requestsPerSecond, "requestsPerSecond");
         labels = Map.copyOf(labels);
         if (slots < 1) {
             throw new IllegalArgumentException("server " + name + " has " + slots + " slots, expected at least 1");
@@ -42,7 +46,7 @@
     }
 
     /**
-     * Creates a server with an empty failure domain.
+     * Creates a server with an empty failure domain and without a limit of requests a second.
      *
      * @param name the unique name of the server
      * @param address the host and port for requests
@@ -54,6 +58,6 @@
      */
     public static SchedulableServer of(
             String name, String address, int slots, ServerHealth health, boolean leaving, Map<String, String> labels) {
-        return new SchedulableServer(name, address, slots, health, leaving, labels, "");
+        return new SchedulableServer(name, address, slots, health, leaving, labels, "", OptionalDouble.empty());
     }
 }
--- a/src/main/java/org/cassiabank/admission/ServerPool.java
+++ b/src/main/java/org/cassiabank/admission/ServerPool.java
@@ -120,7 +120,7 @@
         for (ServerState server : lane.candidates(this)) {
             if (server.isHealthy()) {
                 healthyExists = true;
-                if (server.leases() >= server.usableSlots(nowMillis)) {
+                if (!server.hasFreeSlot(nowMillis)) {
                     continue;
                 }
                 if (isLimitedToTests(server, lane.candidates(this), nowMillis)) {
@@ -131,7 +131,7 @@
                     bestHealthy = server;
                 }
             } else if (server.isOnProbation()
-                    && server.leases() < server.usableSlots(nowMillis)
+                    && server.hasFreeSlot(nowMillis)
                     && (bestOnProbation == null || server.isBetterThan(bestOnProbation, hints, nowMillis))) {
                 bestOnProbation = server;
             }
@@ -184,7 +184,7 @@
             if (server != chosen
                     && server.isHealthy()
                     && !server.isMostlyFailing(nowMillis)
-                    && server.leases() < server.usableSlots(nowMillis)) {
+                    && server.hasFreeSlot(nowMillis)) {
                 return true;
             }
         }
@@ -206,6 +206,24 @@
         return healthySlots > 0 ? healthySlots : probationSlots;
     }
 
+    /**
+     * Returns the capacity in slots for requests of a mean cost. It is less than the usable slots if servers accept
+     * fewer requests a second than their slots could run.
+     */
+    static double usableCapacity(ServerState[] servers, double costMicros, long nowMillis) {
+        double healthyCapacity = 0;
+        double probationCapacity = 0;
+        for (ServerState server : servers) {
+            double capacity = server.usableCapacity(costMicros, nowMillis);
+            if (server.isHealthy()) {
+                healthyCapacity += isLimitedToTests(server, servers, nowMillis) ? 0 : capacity;
+            } else {
+                probationCapacity += capacity;
+            }
+        }
+        return healthyCapacity > 0 ? healthyCapacity : probationCapacity;
+    }
+
     static int longWorkLeases(ServerState[] servers) {
         int count = 0;
         for (ServerState server : servers) {
--- a/src/main/java/org/cassiabank/admission/ServerState.java
+++ b/src/main/java/org/cassiabank/admission/ServerState.java
@@ -1,6 +1,8 @@
 package org.cassiabank.admission;
 
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.function.LongPredicate;
 import org.cassiabank.health.ServerHealth;
 
@@ -47,6 +49,8 @@
     /** The minimum interval between repeatable test requests to a server that mostly fails. */
     private static final long FAILING_SERVER_TEST_INTERVAL_MILLIS = 250;
 
+    private static final double MICROS_PER_SECOND = 1_000_000;
+
     private static final double LATENCY_AVERAGE_RESPONSES = 16;
 
     /** The latency average is ignored after this time without attempts, so that an avoided server is tried again. */
@@ -63,6 +67,9 @@
 
     private SchedulableServer schedulableServer;
     private boolean present = true;
+    /** Present while the server names a limit of requests a second. */
+    private Optional<RequestRateLimiter> rateLimiter = Optional.empty();
+
     private int leases;
     private int longWorkLeases;
     private int rampSlots;
@@ -95,6 +102,18 @@
         }
         schedulableServer = newServer;
         present = true;
+        updateRateLimiter(nowMillis);
+    }
+
+    private void updateRateLimiter(long nowMillis) {
+        OptionalDouble requestsPerSecond = schedulableServer.requestsPerSecond();
+        if (requestsPerSecond.isEmpty()) {
+            rateLimiter = Optional.empty();
+        } else if (rateLimiter.isEmpty()) {
+            rateLimiter = Optional.of(RequestRateLimiter.create(requestsPerSecond.getAsDouble(), nowMillis));
+        } else {
+            rateLimiter.get().setRate(requestsPerSecond.getAsDouble(), nowMillis);
+        }
     }
 
     void markRemoved() {
@@ -156,6 +175,23 @@
         return backsOff ? Math.min(slots, backoffSlots) : slots;
     }
 
+    /** Tells whether the server has a free slot and accepts another request now. */
+    boolean hasFreeSlot(long nowMillis) {
+        return leases < usableSlots(nowMillis) && allowsRequest(nowMillis);
+    }
+
+    /** Returns the requests of a mean cost in microseconds that the server can run at once on average, in slots. */
+    double usableCapacity(double costMicros, long nowMillis) {
+        double slots = usableSlots(nowMillis);
+        return rateLimiter.isEmpty()
+                ? slots
+                : Math.min(slots, rateLimiter.get().requestsPerSecond() * costMicros / MICROS_PER_SECOND);
+    }
+
+    private boolean allowsRequest(long nowMillis) {
+        return rateLimiter.isEmpty() || rateLimiter.get().allowsRequest(nowMillis);
+    }
+
     /** Tells whether the server has shed a request so recently that its slots are limited. */
     boolean isBackingOff(long nowMillis) {
         return nowMillis < backoffEndMillis;
@@ -170,7 +206,7 @@
      */
     boolean hasSlotForLongWork(boolean prioritized, boolean shortWorkQueued, long nowMillis) {
         int usable = usableSlots(nowMillis);
-        if (usable <= leases) {
+        if (!hasFreeSlot(nowMillis)) {
             return false;
         }
         if (usable == 1) {
@@ -209,6 +245,7 @@
         leases++;
         lastLeaseId = leaseId;
         lastGrantAtMillis = nowMillis;
+        rateLimiter.ifPresent(limiter -> limiter.recordGrant(nowMillis));
         if (longWork) {
             longWorkLeases++;
             shortGrantsSinceLong = 0;
--- a/src/main/java/org/cassiabank/proxy/FleetView.java
+++ b/src/main/java/org/cassiabank/proxy/FleetView.java
@@ -127,6 +127,27 @@
         return regionProxies;
     }
 
+    /**
+     * Returns the live proxies of all regions.
+     *
+     * @return the proxies in list order
+     */
+    List<Instance> liveProxies() {
+        return instances.instancesWithRole(InstanceRole.PROXY).stream()
+                .filter(Instance::isLive)
+                .toList();
+    }
+
+    /**
+     * Returns how many regions have owners that schedule the same servers independently.
+     *
+     * @return the number of regions with live proxies, at least 1
+     */
+    int schedulingRegionCount() {
+        return Math.max(
+                1, (int) liveProxies().stream().map(Instance::region).distinct().count());
+    }
+
     /**
      * Returns the addresses of all listed backend servers.
      *
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -23,6 +23,7 @@
 import org.cassiabank.admission.Refused;
 import org.cassiabank.admission.SchedulableServer;
 import org.cassiabank.admission.ServerNotice;
+import org.cassiabank.admission.ServerRateLimit;
 import org.cassiabank.admission.ServerRateLimits;
 import org.cassiabank.admission.SlotDecision;
 import org.cassiabank.admission.SlotScheduler;
@@ -150,6 +151,7 @@
             }
             if (rateLimits.record(completed.serverName(), notice.rateLimit(), completed.grantedAtMillis(), nowMillis)) {
                 reportRateLimit(completed.serverName());
+                updateScheduler(nowMillis);
             }
             if (notice.leaving() && leavingReportMillis.put(completed.serverName(), nowMillis) == null) {
                 LOGGER.atInfo().log("%s: server %s reported that it is leaving", key, completed.serverName());
@@ -159,6 +161,21 @@
         advanceScheduler(nowMillis);
     }
 
+    /** Adds limits of servers that an entry proxy knows, perhaps from the time of a former owner. */
+    synchronized void mergeRateLimits(List<ServerRateLimit> limits) {
+        long nowMillis = MonotonicClock.millis();
+        boolean changed = false;
+        for (ServerRateLimit limit : limits) {
+            if (incarnationByServer.containsKey(limit.server()) && rateLimits.merge(limit, nowMillis)) {
+                reportRateLimit(limit.server());
+                changed = true;
+            }
+        }
+        if (changed) {
+            updateScheduler(nowMillis);
+        }
+    }
+
     synchronized void removeEntryProxy(String entryProxyName) {
         scheduler.removeEntryProxy(entryProxyName, MonotonicClock.millis());
     }
@@ -330,11 +347,18 @@
                     healthByServer.getOrDefault(name, ServerHealth.HEALTHY),
                     isLeaving(server),
                     server.labels(),
-                    server.instance().failureDomain()));
+                    server.instance().failureDomain(),
+                    schedulableRate(name)));
         }
         return schedulableServers;
     }
 
+    /** Returns this region's part of the limit that a server names. */
+    private OptionalDouble schedulableRate(String serverName) {
+        OptionalDouble limit = rateLimits.limit(serverName);
+        return limit.isEmpty() ? limit : OptionalDouble.of(limit.getAsDouble() / view.schedulingRegionCount());
+    }
+
     private boolean isLeaving(LabeledServer server) {
         return server.leaving()
                 || leavingReportMillis.containsKey(server.instance().name());
--- a/src/main/java/org/cassiabank/proxy/OwnedShards.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShards.java
@@ -1,5 +1,6 @@
 package org.cassiabank.proxy;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -10,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import org.cassiabank.admission.AdmissionRequest;
 import org.cassiabank.admission.ServerNotice;
+import org.cassiabank.admission.ServerRateLimit;
 import org.cassiabank.admission.SlotDecision;
 import org.cassiabank.health.AttemptOutcome;
 import org.cassiabank.health.ServerHealth;
@@ -70,10 +72,20 @@
         tickExecutor.shutdown();
     }
 
-    SlotDecision acquire(ShardKey key, AdmissionRequest request, long ticketId) {
+    /**
+     * Requests a slot as {@link OwnedShard#acquire} does.
+     *
+     * @param key the shard, which is created if it does not exist
+     * @param request the request
+     * @param ticketId the ticket of an earlier decision, 0 for a new request
+     * @param rateLimits the limits of servers that the entry proxy knows
+     * @return the decision
+     */
+    SlotDecision acquire(ShardKey key, AdmissionRequest request, long ticketId, List<ServerRateLimit> rateLimits) {
         while (true) {
             OwnedShard shard = shards.computeIfAbsent(
                     key, newKey -> OwnedShard.create(newKey, settings, metrics, fleet.view(), MonotonicClock.millis()));
+            shard.mergeRateLimits(rateLimits);
             Optional<SlotDecision> decision = shard.acquire(request, ticketId);
             if (decision.isPresent()) {
                 return decision.get();
--- a/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
+++ b/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
@@ -70,8 +70,11 @@
             throw new NotReady("no configuration or instance list yet");
         }
         ShardKey shard = new ShardKey(request.getServiceName(), request.getShard());
-        return PeerMessageConverter.toMessage(
-                ownedShards.acquire(shard, PeerMessageConverter.toAdmissionRequest(request), request.getTicket()));
+        return PeerMessageConverter.toMessage(ownedShards.acquire(
+                shard,
+                PeerMessageConverter.toAdmissionRequest(request),
+                request.getTicket(),
+                PeerMessageConverter.toServerRateLimits(request)));
     }
 
     @Override
--- a/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
+++ b/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
@@ -13,6 +13,7 @@
 import org.cassiabank.admission.RateLimitNotice;
 import org.cassiabank.admission.RefusalReason;
 import org.cassiabank.admission.Refused;
+import org.cassiabank.admission.ServerRateLimit;
 import org.cassiabank.admission.SlotDecision;
 import org.cassiabank.declaration.CostHint;
 import org.cassiabank.health.AttemptOutcome;
@@ -24,6 +25,7 @@
 import org.cassiabank.once.KeeperVote;
 import org.cassiabank.once.RecordedResponse;
 import org.cassiabank.peer.generated.ClaimReply;
+import org.cassiabank.peer.generated.KnownRateLimit;
 import org.cassiabank.peer.generated.OutcomeKind;
 import org.cassiabank.peer.generated.RateLimit;
 import org.cassiabank.peer.generated.SlotGrant;
@@ -146,6 +148,20 @@
         };
     }
 
+    static KnownRateLimit toMessage(ServerRateLimit limit) {
+        return new KnownRateLimit(limit.server(), limit.requestsPerSecond(), limit.ageMillis());
+    }
+
+    /** Returns the limits of servers that an entry proxy passes on with a request for a slot. */
+    static List<ServerRateLimit> toServerRateLimits(SlotRequest message) {
+        return message.isSetRateLimits()
+                ? message.getRateLimits().stream()
+                        .map(limit -> new ServerRateLimit(
+                                limit.getServer(), limit.getRequestsPerSecond(), limit.getAgeMillis()))
+                        .toList()
+                : List.of();
+    }
+
     static ClaimReply toMessage(KeeperVote vote) {
         ClaimReply reply = new ClaimReply(toMessage(vote.state()));
         vote.response().ifPresent(recorded -> reply.setAnswer(toMessage(recorded)));
--- a/src/main/java/org/cassiabank/proxy/SlotBroker.java
+++ b/src/main/java/org/cassiabank/proxy/SlotBroker.java
@@ -1,5 +1,6 @@
 package org.cassiabank.proxy;
 
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
@@ -9,6 +10,7 @@
 import org.cassiabank.admission.RefusalReason;
 import org.cassiabank.admission.Refused;
 import org.cassiabank.admission.ServerNotice;
+import org.cassiabank.admission.ServerRateLimit;
 import org.cassiabank.admission.SlotDecision;
 import org.cassiabank.health.AttemptOutcome;
 import org.cassiabank.kernel.CassiabankException;
@@ -41,6 +43,7 @@
     private final FleetState fleet;
     private final OwnedShards ownedShards;
     private final PeerTransport peerTransport;
+    private final KnownRateLimits rateLimits = KnownRateLimits.create();
     private final RetryBudget fallbackRetryBudget = RetryBudget.create(FALLBACK_RETRY_RATIO, FALLBACK_RETRY_CAPACITY);
 
     private SlotBroker(ProxySettings settings, FleetState fleet, OwnedShards ownedShards, PeerTransport peerTransport) {
@@ -52,11 +55,13 @@
 
     static SlotBroker create(
             ProxySettings settings, FleetState fleet, OwnedShards ownedShards, PeerTransport peerTransport) {
-        return new SlotBroker(
+        SlotBroker broker = new SlotBroker(
                 Objects.requireNonNull(settings, "settings"),
                 Objects.requireNonNull(fleet, "fleet"),
                 Objects.requireNonNull(ownedShards, "ownedShards"),
                 Objects.requireNonNull(peerTransport, "peerTransport"));
+        fleet.addListener(broker.rateLimits::update);
+        return broker;
     }
 
     /**
@@ -93,6 +98,7 @@
      * @param notice what the response said about the server
      */
     void report(SlotResult.Slot slot, AttemptOutcome outcome, long latencyMicros, ServerNotice notice) {
+        rateLimits.record(slot.serverName(), notice.rateLimit(), latencyMicros);
         if (slot.owner().isEmpty()) {
             ownedShards.completeLease(slot.shard(), slot.leaseId(), outcome, latencyMicros, notice);
             return;
@@ -140,7 +146,9 @@
             return new SlotResult.NoSlot(RefusalReason.RETRY_BUDGET.label(), FALLBACK_RETRY_AFTER_MILLIS, "self");
         }
         fallbackRetryBudget.recordRequest();
-        return acquireFrom(Optional.empty(), shard, request, deadlineMillis, presence);
+        AdmissionRequest requestInTurn =
+                request.withFurtherExcludedServers(rateLimits.serversOfOtherTurns(settings.name(), view));
+        return acquireFrom(Optional.empty(), shard, requestInTurn, deadlineMillis, presence);
     }
 
     private SlotResult acquireFrom(
@@ -154,9 +162,11 @@
             long nowMillis = MonotonicClock.millis();
             AdmissionRequest current = request.withRemainingMillis(Math.max(0, deadlineMillis - nowMillis));
             long presentedTicketId = ticketId;
+            List<ServerRateLimit> news =
+                    rateLimits.takeNews(owner.map(Instance::name).orElse(settings.name()), shard, fleet.view());
             SlotDecision decision = owner.isEmpty()
-                    ? ownedShards.acquire(shard, current, presentedTicketId)
-                    : acquireFromPeer(owner.get(), shard, current, presentedTicketId);
+                    ? ownedShards.acquire(shard, current, presentedTicketId, news)
+                    : acquireFromPeer(owner.get(), shard, current, presentedTicketId, news);
             switch (decision) {
                 case Granted granted -> {
                     return new SlotResult.Slot(
@@ -190,8 +200,13 @@
         }
     }
 
-    private SlotDecision acquireFromPeer(Instance owner, ShardKey shard, AdmissionRequest request, long ticketId) {
+    private SlotDecision acquireFromPeer(
+            Instance owner, ShardKey shard, AdmissionRequest request, long ticketId, List<ServerRateLimit> news) {
         SlotRequest message = PeerMessageConverter.toMessage(request, shard, ticketId);
+        if (!news.isEmpty()) {
+            message.setRateLimits(
+                    news.stream().map(PeerMessageConverter::toMessage).toList());
+        }
         SlotReply reply =
                 peerTransport.call(owner, "acquire", ACQUIRE_TIMEOUT_MILLIS, client -> client.acquire(message));
         return PeerMessageConverter.toDecision(reply);
--- a/src/test/java/org/cassiabank/admission/SchedulerSimulation.java
+++ b/src/test/java/org/cassiabank/admission/SchedulerSimulation.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -27,6 +28,7 @@
     private final Map<Long, Arrival> queuedArrivals = new HashMap<>();
     private final List<Arrival> arrivals = new ArrayList<>();
     private final SlotScheduler scheduler;
+    private final List<SchedulableServer> servers;
     private final Random random;
     private double messageMillis;
     private int urgencyRank;
@@ -39,7 +41,8 @@
 
     private SchedulerSimulation(SchedulerSettings settings, int serverCount, int slotsPerServer, long seed) {
         scheduler = SlotScheduler.create(settings);
-        scheduler.replaceServers(servers(serverCount, slotsPerServer), 0);
+        servers = servers(serverCount, slotsPerServer);
+        scheduler.replaceServers(servers, 0);
         random = new Random(seed);
     }
 
@@ -72,6 +75,24 @@
         return this;
     }
 
+    /** Makes the first servers accept a limited rate of requests from the start. */
+    SchedulerSimulation setRateLimits(int limitedServers, double requestsPerSecond) {
+        List<SchedulableServer> limited = new ArrayList<>();
+        for (SchedulableServer server : servers) {
+            limited.add(new SchedulableServer(
+                    server.name(),
+                    server.address(),
+                    server.slots(),
+                    server.health(),
+                    server.leaving(),
+                    server.labels(),
+                    server.failureDomain(),
+                    limited.size() < limitedServers ? OptionalDouble.of(requestsPerSecond) : OptionalDouble.empty()));
+        }
+        scheduler.replaceServers(limited, 0);
+        return this;
+    }
+
     /** Makes the requests of the loads that are added afterwards unrepeatable. */
     SchedulerSimulation setUnrepeatable() {
         repeatable = false;
@@ -192,6 +213,7 @@
         switch (decision) {
             case Granted granted -> {
                 arrival.startedAtMillis = nowMillis + 2 * messageMillis;
+                arrival.serverName = granted.serverName();
                 boolean sheds = shedShares.containsKey(granted.serverName())
                         && random.nextDouble() < shedShares.get(granted.serverName());
                 if (sheds) {
@@ -255,6 +277,7 @@
         private double endedAtMillis = Double.NaN;
         private double refusedAtMillis = Double.NaN;
         private Refused refusal;
+        private String serverName = "";
         private boolean failed;
 
         private Arrival(AdmissionRequest request, double arrivedAtMillis, double serviceMillis) {
@@ -275,6 +298,15 @@
             return failed;
         }
 
+        /** Returns the server that the request was sent to, empty if there is none. */
+        String serverName() {
+            return serverName;
+        }
+
+        double startedAtMillis() {
+            return startedAtMillis;
+        }
+
         boolean isRefused() {
             return refusal != null;
         }
--- a/src/test/java/org/cassiabank/admission/SlotSchedulerTest.java
+++ b/src/test/java/org/cassiabank/admission/SlotSchedulerTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.cassiabank.declaration.CostHint;
 import org.cassiabank.health.AttemptOutcome;
@@ -279,7 +280,15 @@
     }
 
     private static SchedulableServer serverInFailureDomain(String name, String failureDomain) {
-        return new SchedulableServer(name, "127.0.0.1:20000", 2, ServerHealth.HEALTHY, false, Map.of(), failureDomain);
+        return new SchedulableServer(
+                name,
+                "127.0.0.1:20000",
+                2,
+                ServerHealth.HEALTHY,
+                false,
+                Map.of(),
+                failureDomain,
+                OptionalDouble.empty());
     }
 
     private RefusalReason refusalReason(Set<String> excludedServers, Map<String, String> requiredLabels) {
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -16,6 +16,13 @@
   OVERDUE = 6,
 }
 
+/** A limit that a backend server named in a response to the entry. */
+struct KnownRateLimit {
+  1: required string server,
+  2: required double requestsPerSecond,
+  3: required i64 ageMillis,
+}
+
 struct SlotRequest {
   1: required string entry,
   2: required string serviceName,
@@ -42,6 +49,8 @@
   17: required i32 urgency,
   /** What is left of the time in which the caller expects an answer, 0 if none is stated or left. */
   18: required i64 targetMillis,
+  /** The limits of servers of the shard; missing if there are none or the owner was told a moment ago. */
+  19: optional list<KnownRateLimit> rateLimits,
 }
 
 struct SlotGrant {
