Let the servers of the soak name limits of requests

Two servers of a run name a limit after each other; GuaranteeChecks counts their requests in windows of 4 s, with the excuses of the users' rule. Drawn from a random source of its own, so that the kept seeds play their former order of faults.

--- a/src/test/java/org/cassiabank/soak/GuaranteeChecks.java
+++ b/src/test/java/org/cassiabank/soak/GuaranteeChecks.java
@@ -26,6 +26,13 @@
     private static final int TOLERATED_REQUESTS = 3;
     /** Late responses violate a guarantee from this number on, if they are over a quarter of those at the timeout. */
     private static final int MINIMUM_LATE_REQUESTS = 8;
+    /** In a window a limited server may get this many times what its limit allows, and the slack. */
+    private static final double RATE_LIMIT_FACTOR = 1.5;
+
+    private static final int RATE_LIMIT_SLACK = 5;
+    private static final long RATE_LIMIT_WINDOW_MILLIS = 4_000;
+    /** The requests of a daemon count from this time on after it passed on a response with the limit. */
+    private static final long RATE_LIMIT_NOTICE_MILLIS = 500;
     /** The share of requests with status 200 that is required after recovery. */
     private static final double MINIMUM_SERVED_SHARE = 0.95;
     /** The statuses which guarantee that a request has not run and will not run. */
@@ -65,6 +72,7 @@
         checks.checkRoutes();
         checks.checkRetryBudget("alpha");
         checks.checkRetryBudget("beta");
+        fleet.rateLimitSpans().forEach(checks::checkRateLimit);
         checks.checkRecovery(recoveredSinceMillis);
         checks.checkProcesses();
         checks.reportIf(
@@ -204,6 +212,44 @@
                 .count();
     }
 
+    /** Counts the requests of a limited server from undisturbed daemons that had passed on a response with the limit. */
+    private void checkRateLimit(SoakFleet.RateLimitSpan limit) {
+        Map<Integer, Long> toldMillisByDaemon = new HashMap<>();
+        List<Map.Entry<RequestHistory.SentRequest, RequestHistory.Arrival>> arrivals = new ArrayList<>();
+        history.arrivalsById().forEach((id, list) -> list.stream()
+                .filter(arrival -> arrival.server().equals(limit.server())
+                        && arrival.atMillis() >= limit.span().fromMillis()
+                        && arrival.atMillis() <= limit.span().untilMillis()
+                        && history.sentRequests().containsKey(id))
+                .forEach(
+                        arrival -> arrivals.add(Map.entry(history.sentRequests().get(id), arrival))));
+        for (var arrival : arrivals) {
+            history.completion(arrival.getKey().id())
+                    .filter(completion -> completion.status() == 200)
+                    .ifPresent(completion -> toldMillisByDaemon.merge(
+                            arrival.getKey().daemonNumber(), completion.atMillis(), Math::min));
+        }
+        List<Long> countedMillis = arrivals.stream()
+                .filter(arrival -> arrival.getValue().atMillis()
+                                >= toldMillisByDaemon.getOrDefault(
+                                                arrival.getKey().daemonNumber(), Long.MAX_VALUE / 2)
+                                        + RATE_LIMIT_NOTICE_MILLIS
+                        && fleet.isUndisturbed(
+                                arrival.getKey().daemonNumber(),
+                                limit.span().fromMillis(),
+                                arrival.getValue().atMillis()))
+                .map(arrival -> arrival.getValue().atMillis())
+                .toList();
+        long allowed = (long) Math.ceil(
+                RATE_LIMIT_FACTOR * limit.requestsPerSecond() * RATE_LIMIT_WINDOW_MILLIS / 1_000 + RATE_LIMIT_SLACK);
+        countedMillis.stream()
+                .map(untilMillis -> countBetween(countedMillis, untilMillis - RATE_LIMIT_WINDOW_MILLIS, untilMillis))
+                .max(Comparator.naturalOrder())
+                .filter(count -> count > allowed)
+                .ifPresent(count -> violations.add(limit.server() + " accepts " + limit.requestsPerSecond()
+                        + " requests a second and got " + count + " in 4 s, " + allowed + " are allowed"));
+    }
+
     private void checkRecovery(long recoveredSinceMillis) {
         List<RequestHistory.Completion> completions = history.sentRequests().values().stream()
                 .filter(request -> request.atMillis() > recoveredSinceMillis + CHANGE_BOUND_MILLIS)
--- a/src/test/java/org/cassiabank/soak/SoakFaults.java
+++ b/src/test/java/org/cassiabank/soak/SoakFaults.java
@@ -20,13 +20,18 @@
     private static final long RESTART_DELAY_MILLIS = 300;
     private static final long DRAIN_MILLIS = 2_000;
     private static final long JVM_START_MILLIS = 1_000;
+    private static final long RATE_LIMIT_MILLIS = 5_000;
     private final SoakFleet fleet;
     private final Random random;
+    /** Draws what came to the soak later, so that a seed keeps the order of the other faults. */
+    private final Random mannerRandom;
+
     private final List<String> log = new ArrayList<>();
 
     SoakFaults(SoakFleet fleet, long seed) {
         this.fleet = fleet;
         this.random = new Random(seed);
+        this.mannerRandom = new Random(seed + 1);
     }
 
     /**
@@ -37,6 +42,7 @@
      */
     void injectAll(int count, long periodMillis) throws InterruptedException {
         List<Thread> injections = new ArrayList<>();
+        injections.add(Thread.ofVirtual().start(() -> limitServers(periodMillis)));
         long startMillis = RequestHistory.nowMillis();
         long[] offsetsMillis = random.longs(count, 0, periodMillis).sorted().toArray();
         for (long offsetMillis : offsetsMillis) {
@@ -122,6 +128,28 @@
         }
     }
 
+    /** Makes two servers after each other name limits of requests a second. */
+    private void limitServers(long periodMillis) {
+        try {
+            for (int count = 0; count < 2; count++) {
+                TimeUnit.MILLISECONDS.sleep(mannerRandom.nextLong(periodMillis / 4));
+                List<SoakServer> servers = fleet.servers.values().stream()
+                        .sorted(Comparator.comparing(SoakServer::name))
+                        .toList();
+                SoakServer server = servers.get(mannerRandom.nextInt(servers.size()));
+                double requestsPerSecond = 1 + mannerRandom.nextInt(40) / 10.0;
+                long fromMillis = RequestHistory.nowMillis();
+                server.setRateLimit(requestsPerSecond);
+                TimeUnit.MILLISECONDS.sleep(RATE_LIMIT_MILLIS + mannerRandom.nextInt(2_000));
+                server.setRateLimit(0);
+                fleet.recordRateLimit(new SoakFleet.RateLimitSpan(
+                        server.name(), requestsPerSecond, new SoakFleet.Span(fromMillis, RequestHistory.nowMillis())));
+            }
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void disturbDaemon(FaultKind kind, SoakFleet.Daemon daemon, long durationMillis)
             throws InterruptedException {
         synchronized (daemon) {
--- a/src/test/java/org/cassiabank/soak/SoakFleet.java
+++ b/src/test/java/org/cassiabank/soak/SoakFleet.java
@@ -40,6 +40,7 @@
     final Map<String, SoakServer> servers = new ConcurrentHashMap<>();
     final List<TcpFaultRelay> serverRelays = new ArrayList<>();
     private final List<Span> storeDisturbances = new CopyOnWriteArrayList<>();
+    private final List<RateLimitSpan> rateLimitSpans = new CopyOnWriteArrayList<>();
     private final Map<Integer, Long> acknowledgedMillisByVersion = new ConcurrentHashMap<>();
     private final HttpClient readinessClient =
             HttpClient.newBuilder().connectTimeout(READINESS_TIMEOUT).build();
@@ -179,6 +180,15 @@
         storeDisturbances.add(new Span(fromMillis, untilMillis));
     }
 
+    /** Records that a server names a limit in its responses during a time. */
+    void recordRateLimit(RateLimitSpan span) {
+        rateLimitSpans.add(span);
+    }
+
+    List<RateLimitSpan> rateLimitSpans() {
+        return rateLimitSpans;
+    }
+
     /** Returns whether only announced changes affected a daemon or the store in a time span and the 3 s before it. */
     boolean isUndisturbed(int daemonNumber, long fromMillis, long untilMillis) {
         return !overlapsAny(daemons.get(daemonNumber).disturbances, fromMillis, untilMillis)
@@ -314,6 +324,9 @@
         }
     }
 
+    /** The time in which a server names a limit of requests a second. */
+    record RateLimitSpan(String server, double requestsPerSecond, Span span) {}
+
     /** A time span by {@link RequestHistory#nowMillis()}, both ends included. */
     record Span(long fromMillis, long untilMillis) {}
 }
--- a/src/test/java/org/cassiabank/soak/SoakServer.java
+++ b/src/test/java/org/cassiabank/soak/SoakServer.java
@@ -40,6 +40,7 @@
     private final Semaphore slots = new Semaphore(SLOTS, true);
     private final AtomicInteger admittedRequests = new AtomicInteger();
     private volatile Fault fault = Fault.NONE;
+    private volatile double rateLimit;
     private volatile long leavingSinceMillis = Long.MAX_VALUE;
 
     private SoakServer(String name, String service, int port, RequestHistory history, long seed) throws IOException {
@@ -80,6 +81,11 @@
         fault = newFault;
     }
 
+    /** Names a limit of requests a second in all responses, 0 for none. */
+    void setRateLimit(double newRequestsPerSecond) {
+        rateLimit = newRequestsPerSecond;
+    }
+
     void announceLeaving() {
         leavingSinceMillis = RequestHistory.nowMillis();
     }
@@ -139,7 +145,11 @@
         try {
             if (!isAdmitted || deadlineMillis <= 0 || !slots.tryAcquire(deadlineMillis, TimeUnit.MILLISECONDS)) {
                 recordArrival(id, request, false);
-                write(output, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n", "", Framing.LENGTH);
+                write(
+                        output,
+                        "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n" + rateLimitHeader(),
+                        "",
+                        Framing.LENGTH);
                 return true;
             }
             try {
@@ -173,7 +183,8 @@
             throws IOException, InterruptedException {
         OutputStream output = socket.getOutputStream();
         String body = id + " by " + name + " " + "x".repeat(random.nextInt(3_000));
-        String headers = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Seal: " + seal(id, body) + "\r\n";
+        String headers = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Seal: " + seal(id, body) + "\r\n"
+                + rateLimitHeader();
         switch (requestFault) {
             case NONE, SLOW, SHED -> {
                 Framing framing = Framing.values()[random.nextInt(Framing.values().length)];
@@ -201,6 +212,11 @@
         return false;
     }
 
+    private String rateLimitHeader() {
+        double limit = rateLimit;
+        return limit > 0 ? "Server-Limit: " + limit + "\r\n" : "";
+    }
+
     /** Returns the header value Response-Seal: the hexadecimal CRC-32 of request id and body. */
     static String seal(String id, String body) {
         CRC32 checksum = new CRC32();
