Log which calls are the same request, and what a server had when its connection broke

Cause: the lines of calls have identifiers that are new each time a caller comes again, and the owner does not log which request a server ran when its connection broke, so that a fleet that forgets requests cannot be told from one that loses its memory or retries too often. Change: a digest of caller, method, target and body goes from the entry proxy to the owner of the shard and into both logs. Nothing is decided by it yet.

--- a/src/main/java/org/cassiabank/admission/AdmissionRequest.java
+++ b/src/main/java/org/cassiabank/admission/AdmissionRequest.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Set;
 import org.cassiabank.declaration.CostHint;
+import org.cassiabank.health.RequestDigest;
 
 /**
  * An entry proxy's request for one slot.
@@ -21,6 +22,7 @@
  * @param excludedServers the names of servers that must not be used, for example because an attempt failed there
  * @param requiredLabels the labels that a server must carry
  * @param hints the attempt number and what makes one server cheaper for the entry proxy than another
+ * @param digest identifies the request in further attempts and repetitions by its caller
  */
 public record AdmissionRequest(
         String entryProxy,
@@ -34,7 +36,8 @@
         long targetLatencyMillis,
         Set<String> excludedServers,
         Map<String, String> requiredLabels,
-        PlacementHints hints) {
+        PlacementHints hints,
+        RequestDigest digest) {
 
     /**
      * Copies the collections.
@@ -48,13 +51,14 @@
         Objects.requireNonNull(customer, "customer");
         Objects.requireNonNull(costHint, "costHint");
         Objects.requireNonNull(hints, "hints");
+        Objects.requireNonNull(digest, "digest");
         excludedServers = Set.copyOf(excludedServers);
         requiredLabels = Map.copyOf(requiredLabels);
     }
 
     /**
-     * Creates the request for a first attempt of the highest urgency, without a target latency, by an entry proxy that
-     * reaches all servers at the same cost.
+     * Creates the request for a first attempt of the highest urgency, without a target latency and a digest, by an
+     * entry proxy that reaches all servers at the same cost.
      *
      * @param entryProxy the name of the entry proxy
      * @param selector the name of the selector that matched the request
@@ -89,7 +93,8 @@
                 0,
                 excludedServers,
                 requiredLabels,
-                PlacementHints.none());
+                PlacementHints.none(),
+                RequestDigest.none());
     }
 
     /**
@@ -111,7 +116,8 @@
                 targetLatencyMillis,
                 excludedServers,
                 requiredLabels,
-                hints);
+                hints,
+                digest);
     }
 
     /**
@@ -135,7 +141,8 @@
                 targetLatencyMillis,
                 allExcludedServers,
                 requiredLabels,
-                hints);
+                hints,
+                digest);
     }
 
     /**
@@ -157,6 +164,7 @@
                 targetLatencyMillis,
                 excludedServers,
                 requiredLabels,
-                hints);
+                hints,
+                digest);
     }
 }
--- a/src/main/java/org/cassiabank/admission/CompletedLease.java
+++ b/src/main/java/org/cassiabank/admission/CompletedLease.java
@@ -1,23 +1,26 @@
 package org.cassiabank.admission;
 
 import java.util.Objects;
+import org.cassiabank.health.RequestDigest;
 
 /**
  * The server and the route of a lease that was released by the report of its outcome.
  *
  * @param serverName the name of the server
  * @param route the route of the request
+ * @param digest identifies the request
  * @param grantedAtMillis the time of the grant in milliseconds
  */
-public record CompletedLease(String serverName, String route, long grantedAtMillis) {
+public record CompletedLease(String serverName, String route, RequestDigest digest, long grantedAtMillis) {
 
     /**
-     * Checks the names.
+     * Checks the components.
      *
-     * @throws NullPointerException if the server name or the route is null
+     * @throws NullPointerException if a component is null
      */
     public CompletedLease {
         Objects.requireNonNull(serverName, "serverName");
         Objects.requireNonNull(route, "route");
+        Objects.requireNonNull(digest, "digest");
     }
 }
--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -217,6 +217,7 @@
         return Optional.of(new CompletedLease(
                 server.schedulableServer().name(),
                 completedLease.get().request().route(),
+                completedLease.get().request().digest(),
                 completedLease.get().grantedAtMillis()));
     }
 
--- a/src/main/java/org/cassiabank/proxy/CallerRequest.java
+++ b/src/main/java/org/cassiabank/proxy/CallerRequest.java
@@ -4,6 +4,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import org.cassiabank.health.RequestDigest;
 
 /**
  * A request of a caller, read in full.
@@ -57,6 +58,15 @@
         return statedIdentity().orElse(remoteAddress);
     }
 
+    /**
+     * Returns the digest by which repetitions of the request are recognized at any proxy.
+     *
+     * @return the digest of customer, method, target and body
+     */
+    RequestDigest digest() {
+        return RequestDigest.of(customer(), method, target, body);
+    }
+
     /**
      * Returns the identity that the caller states in a header.
      *
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -143,6 +143,11 @@
         completedLease.ifPresent(completed -> {
             monitor.record(
                     new CompletedAttempt(completed.serverName(), completed.route(), outcome, latencyMicros), nowMillis);
+            if (outcome == AttemptOutcome.BROKEN) {
+                LOGGER.atInfo().log(
+                        "%s: the connection of server %s broke while it had request %s",
+                        key, completed.serverName(), completed.digest().shortText());
+            }
             if (outcome == AttemptOutcome.BROKEN
                     || outcome == AttemptOutcome.FAILED
                     || outcome == AttemptOutcome.OVERDUE) {
--- a/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
+++ b/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
@@ -17,6 +17,7 @@
 import org.cassiabank.admission.SlotDecision;
 import org.cassiabank.declaration.CostHint;
 import org.cassiabank.health.AttemptOutcome;
+import org.cassiabank.health.RequestDigest;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.kernel.ErrorCode;
 import org.cassiabank.once.ClaimConclusion;
@@ -50,7 +51,7 @@
     private PeerMessageConverter() {}
 
     static SlotRequest toMessage(AdmissionRequest request, ShardKey shard, long ticketId) {
-        return new SlotRequest(
+        SlotRequest message = new SlotRequest(
                 request.entryProxy(),
                 shard.service(),
                 request.selector(),
@@ -68,6 +69,7 @@
                 List.copyOf(request.hints().connectedServers()),
                 request.urgencyRank(),
                 request.targetLatencyMillis());
+        return request.digest().isKnown() ? message.setDigest(request.digest().hex()) : message;
     }
 
     static AdmissionRequest toAdmissionRequest(SlotRequest message) {
@@ -84,7 +86,8 @@
                 Set.copyOf(message.getExcluded()),
                 message.getServers(),
                 new PlacementHints(
-                        message.getAttempt(), message.getFailureDomain(), Set.copyOf(message.getConnected())));
+                        message.getAttempt(), message.getFailureDomain(), Set.copyOf(message.getConnected())),
+                message.isSetDigest() ? new RequestDigest(message.getDigest()) : RequestDigest.none());
     }
 
     static SlotReply toMessage(SlotDecision decision) {
--- a/src/main/java/org/cassiabank/proxy/RequestRun.java
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -14,6 +14,7 @@
 import org.cassiabank.backend.NotSent;
 import org.cassiabank.backend.ResponseReceived;
 import org.cassiabank.declaration.Selector;
+import org.cassiabank.health.RequestDigest;
 import org.cassiabank.retry.HedgePolicy;
 import org.cassiabank.retry.RetryBudget;
 import org.cassiabank.retry.RetryContext;
@@ -48,6 +49,7 @@
     private final AttemptExecutor attemptExecutor;
     private final RetryBudget retryBudget;
     private final RequestTrace trace;
+    private final RequestDigest digest;
     private final Set<String> excludedServers = new HashSet<>();
     private int attemptCount;
     private int notSentCount;
@@ -69,6 +71,8 @@
         this.attemptExecutor = attemptExecutor;
         this.retryBudget = retryBudget;
         this.trace = trace;
+        this.digest = request.digest();
+        trace.recordDigest(digest);
     }
 
     static RequestRun create(
@@ -250,7 +254,8 @@
                 remainingTargetMillis(),
                 attemptExecutor.addUnreachableServers(excludedServers),
                 selector.requiredLabels(),
-                attemptExecutor.placementHints(selector, attemptCount - notSentCount + 1));
+                attemptExecutor.placementHints(selector, attemptCount - notSentCount + 1),
+                digest);
     }
 
     /** Returns the remaining part of the target latency in milliseconds, 0 if none is declared or none remains. */
--- a/src/main/java/org/cassiabank/proxy/RequestTrace.java
+++ b/src/main/java/org/cassiabank/proxy/RequestTrace.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.List;
+import org.cassiabank.health.RequestDigest;
 
 /**
  * Collects the decisions about one request for one log line, so that a failed request can be explained afterwards.
@@ -16,6 +17,7 @@
     private final List<String> steps = new ArrayList<>(4);
     private final String requestId;
     private String selector = "none";
+    private RequestDigest digest = RequestDigest.none();
     private long deadlineMillis;
     private long revision;
     private long listIndex;
@@ -46,6 +48,11 @@
         deadlineMillis = remainingMillis;
     }
 
+    /** Records the digest, which connects the lines of all attempts of a caller at the same request. */
+    void recordDigest(RequestDigest requestDigest) {
+        digest = requestDigest;
+    }
+
     /** Records a decision with the time since the request was read, in milliseconds. */
     void addStep(String step) {
         steps.add(step + "@" + elapsedMillis());
@@ -59,9 +66,10 @@
     /** Writes the log line of the request. */
     void log(CallerReply reply) {
         LOGGER.atInfo().log(
-                "request=%s selector=%s outcome=%s reason=%s status=%d retry-after-millis=%s millis=%d "
+                "request=%s digest=%s selector=%s outcome=%s reason=%s status=%d retry-after-millis=%s millis=%d "
                         + "deadline-millis=%d revision=%d list=%d steps=%s",
                 requestId.isEmpty() ? "-" : requestId,
+                digest.shortText(),
                 selector,
                 reply.firstHeader(CallerReply.OUTCOME_HEADER),
                 reply.firstHeader(CallerReply.REASON_HEADER),
--- a/src/test/java/org/cassiabank/admission/SlotSchedulerPropertiesTest.java
+++ b/src/test/java/org/cassiabank/admission/SlotSchedulerPropertiesTest.java
@@ -238,7 +238,10 @@
                         HeldLease heldLease = heldLeases.remove(leaseId);
                         assertThat(scheduler.completeLease(leaseId, outcome, 1_000L * random.nextInt(300), nowMillis))
                                 .contains(new CompletedLease(
-                                        heldLease.serverName, heldLease.request.route(), heldLease.grantedAtMillis));
+                                        heldLease.serverName,
+                                        heldLease.request.route(),
+                                        heldLease.request.digest(),
+                                        heldLease.grantedAtMillis));
                         assertThat(scheduler.completeLease(leaseId, outcome, 0, nowMillis))
                                 .isEmpty();
                     });
--- a/src/test/java/org/cassiabank/admission/SlotSchedulerTest.java
+++ b/src/test/java/org/cassiabank/admission/SlotSchedulerTest.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.cassiabank.declaration.CostHint;
 import org.cassiabank.health.AttemptOutcome;
+import org.cassiabank.health.RequestDigest;
 import org.cassiabank.health.ServerHealth;
 import org.junit.jupiter.api.Test;
 
@@ -276,7 +277,19 @@
 
     private static AdmissionRequest request(PlacementHints hints) {
         return new AdmissionRequest(
-                "other", "menu", "menu", "customer", CostHint.SHORT, true, 0, 10_000, 0, Set.of(), Map.of(), hints);
+                "other",
+                "menu",
+                "menu",
+                "customer",
+                CostHint.SHORT,
+                true,
+                0,
+                10_000,
+                0,
+                Set.of(),
+                Map.of(),
+                hints,
+                RequestDigest.none());
     }
 
     private static SchedulableServer serverInFailureDomain(String name, String failureDomain) {
--- a/src/test/java/org/cassiabank/proxy/OwnedShardTest.java
+++ b/src/test/java/org/cassiabank/proxy/OwnedShardTest.java
@@ -20,6 +20,7 @@
 import org.cassiabank.declaration.ServiceDeclaration;
 import org.cassiabank.health.AttemptOutcome;
 import org.cassiabank.health.HealthSettings;
+import org.cassiabank.health.RequestDigest;
 import org.cassiabank.health.ServerHealth;
 import org.cassiabank.health.SuspicionSettings;
 import org.cassiabank.membership.Instance;
@@ -122,7 +123,8 @@
                 0,
                 Set.of(),
                 Map.of(),
-                new PlacementHints(attemptNumber, "domain", Set.of()));
+                new PlacementHints(attemptNumber, "domain", Set.of()),
+                RequestDigest.none());
     }
 
     private static FleetView view(long index, long incarnation) {
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -51,6 +51,8 @@
   18: required i64 targetMillis,
   /** The limits of servers of the shard; missing if there are none or the owner was told a moment ago. */
   19: optional list<KnownRateLimit> rateLimits,
+  /** Identifies the request in further attempts and repetitions by its caller, as hexadecimal digits. */
+  20: optional string digest,
 }
 
 struct SlotGrant {
