--- a/src/main/java/org/cassiabank/standin/BackendRequestHandler.java
+++ b/src/main/java/org/cassiabank/standin/BackendRequestHandler.java
@@ -13,7 +13,8 @@
  *
  * <p>The body of a response begins with a line {@code token=...} that repeats the query parameter {@code token} (or the
  * request id) and ends with a line {@code end=...} with the same value, so that callers can tell complete
- * responses from truncated ones and from those of other requests.
+ * responses from truncated ones and from those of other requests. A request with the query parameter {@code crash=true}
+ * ends the process when it begins to run.
  */
 final class BackendRequestHandler {
     /** The response header that states that the request was not started. */
@@ -22,6 +23,7 @@
     private static final String RATE_LIMIT_HEADER = "Cassiabank-Rate-Limit";
     private static final String REQUEST_ID_HEADER = "Cassiabank-Request-Id";
     private static final String DEADLINE_HEADER = "Cassiabank-Deadline-Millis";
+    private static final int CRASH_STATUS = 134;
     private static final int MAXIMUM_PADDING_BYTES = 16 * 1024 * 1024;
 
     private final BackendSettings settings;
@@ -82,6 +84,10 @@
         boolean isFinished = false;
         try {
             executionRecord.recordStarted(executionKey);
+            if (context.query("crash").booleanValue(false)) {
+                // Ends as a process that is killed: connections are reset and nothing is written any more.
+                Runtime.getRuntime().halt(CRASH_STATUS);
+            }
             Optional<BackendConnection> connection = connections.connectionOf(context);
             boolean isStalled = drawBoolean(faults.stall());
             try {
--- a/src/test/java/org/cassiabank/fleet/TestCaller.java
+++ b/src/test/java/org/cassiabank/fleet/TestCaller.java
@@ -33,6 +33,14 @@
                 .build());
     }
 
+    /** Sends an order without an idempotency key. */
+    CallResult post(String address, String path, String body) {
+        return send(new Request.Builder()
+                .url("http://" + address + path)
+                .post(RequestBody.create(body, MediaType.get("text/plain")))
+                .build());
+    }
+
     private CallResult send(Request request) {
         try (Response response = client.newCall(request).execute()) {
             return new CallResult(
--- a/src/test/java/org/cassiabank/fleet/TestFleet.java
+++ b/src/test/java/org/cassiabank/fleet/TestFleet.java
@@ -143,13 +143,16 @@
 
     void publishInstances() {
         List<Instance> instances = Stream.concat(proxies.stream(), backends.stream())
-                .map(member -> Instance.of(
+                .map(member -> new Instance(
                         member.name(),
                         member.role(),
                         member.publishedAddress(),
                         "region-1",
                         member.failureDomain(),
-                        leavingNames.contains(member.name()) ? InstanceState.LEAVING : InstanceState.LIVE))
+                        leavingNames.contains(member.name()) ? InstanceState.LEAVING : InstanceState.LIVE,
+                        Map.of(),
+                        0,
+                        member.incarnation))
                 .toList();
         String document = new String(InstanceListCodec.toJson(instances), StandardCharsets.UTF_8);
         requireSuccess(adminClient.send("PUT", platformUrl() + "/control/instances", document));
@@ -339,6 +342,7 @@
         private final TcpFaultRelay relay;
         private final Supplier<ChildProcess> launcher;
         private volatile ChildProcess process;
+        private volatile long incarnation;
 
         private Member(
                 String name,
@@ -391,7 +395,9 @@
             return process;
         }
 
+        /** Starts the process; the next published list shows a backend server as a new incarnation. */
         void start() {
+            incarnation += role == InstanceRole.BACKEND ? 1 : 0;
             process = launcher.get();
         }
 
