Keep requests that end servers from further ones

Cause: nobody remembered a request. Each time its caller came again, at any machine, it got a first attempt and a retry at servers that still lived. Change: the owner of a shard, which grants every attempt, counts the different server processes whose connections broke while they ran a request (FatalRequests). A request that is answered anywhere is cleared, and a break at a process that answers later attempts does not count, so that those that ran beside it are not refused. What is known goes to the other candidates of the shard several times within 16 s, and a new owner asks them (FatalRequestExchange); a broken connection that cannot be reported to the owner is told to its successor.

--- a/src/main/java/org/cassiabank/admission/RefusalReason.java
+++ b/src/main/java/org/cassiabank/admission/RefusalReason.java
@@ -23,7 +23,9 @@
     /** The entry proxy that queued the request left the fleet. */
     ENTRY_LOST,
     /** The retry budget of the service has no token for an additional attempt. */
-    RETRY_BUDGET;
+    RETRY_BUDGET,
+    /** Servers ended while they ran the request, or another attempt at such a request is still running. */
+    ENDS_SERVERS;
 
     private final String label = name().toLowerCase(Locale.ROOT).replace('_', '-');
 
--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import org.cassiabank.health.AttemptOutcome;
+import org.cassiabank.health.RequestDigest;
 
 /**
  * Grants, queues and refuses requests for the slots of the backend servers of one shard.
@@ -273,6 +274,19 @@
                 .toList();
     }
 
+    /**
+     * Returns the requests that hold leases on a server.
+     *
+     * @param serverName the name of the server
+     * @return their digests in the order of the grants
+     */
+    public List<RequestDigest> requestsAt(String serverName) {
+        return leases.all().stream()
+                .filter(lease -> lease.server().schedulableServer().name().equals(serverName))
+                .map(lease -> lease.request().digest())
+                .toList();
+    }
+
     /**
      * Tells whether any request holds a lease.
      *
--- /dev/null
+++ b/src/main/java/org/cassiabank/proxy/FatalRequestExchange.java
@@ -0,0 +1,184 @@
+package org.cassiabank.proxy;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.cassiabank.health.FatalRequests;
+import org.cassiabank.health.RequestDigest;
+import org.cassiabank.health.SuspectedRequest;
+import org.cassiabank.kernel.BackgroundTasks;
+import org.cassiabank.kernel.CassiabankException;
+import org.cassiabank.kernel.KernelService;
+import org.cassiabank.membership.Instance;
+
+/**
+ * The requests that this daemon suspects of ending servers, shared with the daemons that may own their shards next.
+ *
+ * <p>A change is sent several times, over longer than a machine usually stands still, because the owner that takes over may
+ * be frozen or cut off when it is sent first. A daemon that begins to own a shard asks the other candidates. Thread-safe.
+ */
+final class FatalRequestExchange implements KernelService {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final int CALL_TIMEOUT_MILLIS = 500;
+    private static final long FIRST_REPEAT_MILLIS = 500;
+    /** Intervals between repeats double until the sum of 16 s is reached. */
+    private static final long LAST_REPEAT_MILLIS = 8_000;
+
+    /** A message with more requests would take too long; the rest follows with their next change. */
+    private static final int MAXIMUM_REQUESTS_IN_MESSAGE = 256;
+
+    private final FatalRequests fatalRequests = FatalRequests.create();
+    private final FleetState fleet;
+    private final PeerTransport peerTransport;
+    private final ExecutorService workers = Executors.newVirtualThreadPerTaskExecutor();
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(
+            Thread.ofPlatform().name("fatal-requests").daemon().factory());
+
+    private FatalRequestExchange(FleetState fleet, PeerTransport peerTransport) {
+        this.fleet = fleet;
+        this.peerTransport = peerTransport;
+    }
+
+    static FatalRequestExchange create(FleetState fleet, PeerTransport peerTransport, ProxyMetrics metrics) {
+        FatalRequestExchange exchange = new FatalRequestExchange(
+                Objects.requireNonNull(fleet, "fleet"), Objects.requireNonNull(peerTransport, "peerTransport"));
+        metrics.registerGauge(
+                "cassiabank_fatal_requests",
+                "Requests that ended three servers and are kept from further ones.",
+                exchange::countFatal);
+        return exchange;
+    }
+
+    @Override
+    public void stop() {
+        timer.shutdown();
+        workers.shutdown();
+    }
+
+    /** Decides as {@link FatalRequests#refusalMillis} does. */
+    synchronized OptionalLong refusalMillis(RequestDigest digest, boolean additionalAttempt, long attemptMillis) {
+        return fatalRequests.refusalMillis(digest, additionalAttempt, attemptMillis, MonotonicClock.millis());
+    }
+
+    /** Records as {@link FatalRequests#recordCrash} does, and tells the other candidates of the shards. */
+    void recordCrash(RequestDigest digest, String service, String server, long incarnation) {
+        int processes;
+        long nowMillis = MonotonicClock.millis();
+        synchronized (this) {
+            processes = fatalRequests.recordCrash(digest, service, server, incarnation, nowMillis);
+        }
+        if (processes >= FatalRequests.SUSPECTED_PROCESSES) {
+            LOGGER.atInfo().log(
+                    "request %s for %s broke the connections of %d server processes, the last one %s",
+                    digest.shortText(), service, processes, server);
+            sendChanges(nowMillis, 0);
+        }
+    }
+
+    /** Records as {@link FatalRequests#recordEnd} does. */
+    synchronized void recordEnd(RequestDigest digest, boolean answered) {
+        fatalRequests.recordEnd(digest, answered, MonotonicClock.millis());
+    }
+
+    /** Records as {@link FatalRequests#recordLivingServer} does. */
+    synchronized void recordLivingServer(String server, long incarnation, long attemptStartMillis) {
+        fatalRequests.recordLivingServer(server, incarnation, attemptStartMillis, MonotonicClock.millis());
+    }
+
+    /** Adds what other daemons observed. */
+    synchronized void merge(List<SuspectedRequest> requests) {
+        requests.forEach(request -> fatalRequests.merge(request, MonotonicClock.millis()));
+    }
+
+    /** Returns what this daemon knows about suspected requests for a service. */
+    synchronized List<SuspectedRequest> suspects(String service) {
+        return fatalRequests.changedSince(Long.MIN_VALUE, MonotonicClock.millis()).stream()
+                .filter(request -> request.service().equals(service))
+                .limit(MAXIMUM_REQUESTS_IN_MESSAGE)
+                .toList();
+    }
+
+    /** Asks the other candidates of a shard that this daemon begins to own; does not wait for their replies. */
+    void fetchSuspects(ShardKey shard) {
+        for (Instance candidate : fleet.view().ownerCandidates(shard)) {
+            if (!peerTransport.isSelf(candidate)) {
+                callInBackground(
+                        candidate,
+                        "suspects",
+                        () -> merge(peerTransport.call(
+                                candidate,
+                                "suspects",
+                                CALL_TIMEOUT_MILLIS,
+                                client -> PeerMessageConverter.toSuspectedRequests(client.suspects(shard.service())))));
+            }
+        }
+    }
+
+    private synchronized int countFatal() {
+        return fatalRequests.countFatal();
+    }
+
+    private void sendChanges(long sinceMillis, long delayMillis) {
+        List<SuspectedRequest> changes;
+        synchronized (this) {
+            changes = fatalRequests.changedSince(sinceMillis, MonotonicClock.millis()).stream()
+                    .limit(MAXIMUM_REQUESTS_IN_MESSAGE)
+                    .toList();
+        }
+        for (Instance candidate : candidates(changes)) {
+            callInBackground(candidate, "record-suspects", () -> send(candidate, changes));
+        }
+        long nextDelayMillis = Math.max(FIRST_REPEAT_MILLIS, 2 * delayMillis);
+        if (nextDelayMillis <= LAST_REPEAT_MILLIS && !timer.isShutdown()) {
+            timer.schedule(() -> repeatChanges(sinceMillis, nextDelayMillis), nextDelayMillis, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void repeatChanges(long sinceMillis, long delayMillis) {
+        try {
+            sendChanges(sinceMillis, delayMillis);
+        } catch (RuntimeException | Error failure) {
+            BackgroundTasks.recordFailure("fatal-requests", failure);
+        }
+    }
+
+    private void send(Instance peer, List<SuspectedRequest> requests) {
+        peerTransport.call(peer, "record-suspects", CALL_TIMEOUT_MILLIS, client -> {
+            client.recordSuspects(
+                    requests.stream().map(PeerMessageConverter::toMessage).toList());
+            return true;
+        });
+    }
+
+    /** Returns the other daemons that may own a shard of the services of some requests. */
+    private Set<Instance> candidates(List<SuspectedRequest> requests) {
+        FleetView view = fleet.view();
+        Set<Instance> candidates = new HashSet<>();
+        requests.stream().map(SuspectedRequest::service).distinct().forEach(service -> {
+            for (int number = 0; number < view.shardCount(service); number++) {
+                candidates.addAll(view.ownerCandidates(new ShardKey(service, number)));
+            }
+        });
+        candidates.removeIf(peerTransport::isSelf);
+        return candidates;
+    }
+
+    private void callInBackground(Instance peer, String kind, Runnable call) {
+        workers.execute(() -> {
+            try {
+                call.run();
+            } catch (CassiabankException exception) {
+                LOGGER.atFine().withCause(exception).log("%s did not answer %s", peer.name(), kind);
+            } catch (RuntimeException | Error failure) {
+                BackgroundTasks.recordFailure("fatal-requests", failure);
+            }
+        });
+    }
+}
--- a/src/main/java/org/cassiabank/proxy/FleetView.java
+++ b/src/main/java/org/cassiabank/proxy/FleetView.java
@@ -170,6 +170,16 @@
         return instances.find(serverName).filter(Instance::isLive).isPresent();
     }
 
+    /**
+     * Returns the start of a server according to this daemon's instance list.
+     *
+     * @param serverName the name of the server
+     * @return its incarnation, 0 if the server is not listed or the platform does not report it
+     */
+    long incarnation(String serverName) {
+        return instances.find(serverName).map(Instance::incarnation).orElse(0L);
+    }
+
     /**
      * Returns the proxies that are asked for slots of a shard, in this order: the owner, then those that replace it.
      *
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -65,6 +66,7 @@
     private static final long LEAVING_REPORT_VALIDITY_MILLIS = 60_000;
 
     private final ShardKey key;
+    private final FatalRequestExchange fatalRequests;
     private final ProxyMetrics metrics;
     private final SlotScheduler scheduler;
     private final HealthMonitor monitor;
@@ -82,8 +84,13 @@
     private boolean retired;
 
     private OwnedShard(
-            ShardKey key, OwnerSettings settings, ProxyMetrics metrics, Optional<FleetRetryBudget> retryBudget) {
+            ShardKey key,
+            OwnerSettings settings,
+            FatalRequestExchange fatalRequests,
+            ProxyMetrics metrics,
+            Optional<FleetRetryBudget> retryBudget) {
         this.key = key;
+        this.fatalRequests = fatalRequests;
         this.metrics = metrics;
         this.scheduler = SlotScheduler.create(settings.scheduler());
         this.monitor = HealthMonitor.create(settings.health());
@@ -91,7 +98,12 @@
     }
 
     static OwnedShard create(
-            ShardKey key, OwnerSettings settings, ProxyMetrics metrics, FleetView view, long nowMillis) {
+            ShardKey key,
+            OwnerSettings settings,
+            FatalRequestExchange fatalRequests,
+            ProxyMetrics metrics,
+            FleetView view,
+            long nowMillis) {
         int shardCount = view.shardCount(key.service());
         Optional<FleetRetryBudget> retryBudget = settings.retryBudgetSettings()
                 .map(retryBudgetSettings -> FleetRetryBudget.create(
@@ -99,7 +111,7 @@
                         retryBudgetSettings.retryAllowancePerWindow() / shardCount,
                         retryBudgetSettings.retryWindowMillis(),
                         nowMillis));
-        OwnedShard shard = new OwnedShard(key, settings, metrics, retryBudget);
+        OwnedShard shard = new OwnedShard(key, settings, fatalRequests, metrics, retryBudget);
         shard.lastRequestMillis = nowMillis;
         shard.updateView(view, nowMillis);
         return shard;
@@ -121,6 +133,13 @@
                 return Optional.empty();
             }
             lastRequestMillis = nowMillis;
+            if (presentedTicketId == 0) {
+                OptionalLong refusalMillis = fatalRequests.refusalMillis(
+                        request.digest(), request.hints().isAdditionalAttempt(), request.remainingMillis());
+                if (refusalMillis.isPresent()) {
+                    return Optional.of(new Refused(RefusalReason.ENDS_SERVERS, refusalMillis.getAsLong()));
+                }
+            }
             if (presentedTicketId == 0 && !trySpendRetryBudget(request, nowMillis)) {
                 return Optional.of(new Refused(RefusalReason.RETRY_BUDGET, RETRY_BUDGET_RETRY_AFTER_MILLIS));
             }
@@ -137,17 +156,14 @@
         return Optional.of(awaitDecision(ticketId, future));
     }
 
-    synchronized void completeLease(long leaseId, AttemptOutcome outcome, long latencyMicros, ServerNotice notice) {
+    /** Releases a lease; returns false if it is not known. */
+    synchronized boolean completeLease(long leaseId, AttemptOutcome outcome, long latencyMicros, ServerNotice notice) {
         long nowMillis = MonotonicClock.millis();
         Optional<CompletedLease> completedLease = scheduler.completeLease(leaseId, outcome, latencyMicros, nowMillis);
         completedLease.ifPresent(completed -> {
+            recordForRequest(completed, outcome);
             monitor.record(
                     new CompletedAttempt(completed.serverName(), completed.route(), outcome, latencyMicros), nowMillis);
-            if (outcome == AttemptOutcome.BROKEN) {
-                LOGGER.atInfo().log(
-                        "%s: the connection of server %s broke while it had request %s",
-                        key, completed.serverName(), completed.digest().shortText());
-            }
             if (outcome == AttemptOutcome.BROKEN
                     || outcome == AttemptOutcome.FAILED
                     || outcome == AttemptOutcome.OVERDUE) {
@@ -164,6 +180,24 @@
             }
         });
         advanceScheduler(nowMillis);
+        return completedLease.isPresent();
+    }
+
+    private void recordForRequest(CompletedLease completed, AttemptOutcome outcome) {
+        long incarnation = incarnationByServer.getOrDefault(completed.serverName(), 0L);
+        switch (outcome) {
+            case BROKEN -> {
+                LOGGER.atInfo().log(
+                        "%s: the connection of server %s broke while it had request %s",
+                        key, completed.serverName(), completed.digest().shortText());
+                fatalRequests.recordCrash(completed.digest(), key.service(), completed.serverName(), incarnation);
+            }
+            case ANSWERED -> {
+                fatalRequests.recordEnd(completed.digest(), true);
+                fatalRequests.recordLivingServer(completed.serverName(), incarnation, completed.grantedAtMillis());
+            }
+            case FAILED, OVERDUE, NOT_RUN, CANCELLED -> fatalRequests.recordEnd(completed.digest(), false);
+        }
     }
 
     /** Adds limits of servers that an entry proxy knows, perhaps from the time of a former owner. */
@@ -207,6 +241,10 @@
             LOGGER.atInfo().log("%s: servers %s restarted", key, restarted);
             leavingReportMillis.keySet().removeAll(restarted);
             rateLimits.forget(restarted);
+            restarted.forEach(server -> scheduler
+                    .requestsAt(server)
+                    .forEach(digest -> fatalRequests.recordCrash(
+                            digest, key.service(), server, formerIncarnationByServer.get(server))));
             Predicate<LabeledServer> notRestarted =
                     server -> !restarted.contains(server.instance().name());
             monitor.replaceServers(monitoredServers(notRestarted), view.ejectionFloor(key), nowMillis);
--- a/src/main/java/org/cassiabank/proxy/OwnedShards.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShards.java
@@ -14,6 +14,7 @@
 import org.cassiabank.admission.ServerRateLimit;
 import org.cassiabank.admission.SlotDecision;
 import org.cassiabank.health.AttemptOutcome;
+import org.cassiabank.health.RequestDigest;
 import org.cassiabank.health.ServerHealth;
 import org.cassiabank.kernel.BackgroundTasks;
 import org.cassiabank.kernel.Kernel;
@@ -37,20 +38,25 @@
     private final Map<ShardKey, OwnedShard> shards = new ConcurrentHashMap<>();
     private final OwnerSettings settings;
     private final FleetState fleet;
+    private final FatalRequestExchange fatalRequests;
     private final ProxyMetrics metrics;
     private final ScheduledExecutorService tickExecutor = Executors.newSingleThreadScheduledExecutor(
             Thread.ofPlatform().name("shard-ticker").daemon().factory());
 
-    private OwnedShards(OwnerSettings settings, FleetState fleet, ProxyMetrics metrics) {
+    private OwnedShards(
+            OwnerSettings settings, FleetState fleet, FatalRequestExchange fatalRequests, ProxyMetrics metrics) {
         this.settings = settings;
         this.fleet = fleet;
+        this.fatalRequests = fatalRequests;
         this.metrics = metrics;
     }
 
-    static OwnedShards create(OwnerSettings settings, FleetState fleet, ProxyMetrics metrics) {
+    static OwnedShards create(
+            OwnerSettings settings, FleetState fleet, FatalRequestExchange fatalRequests, ProxyMetrics metrics) {
         return new OwnedShards(
                 Objects.requireNonNull(settings, "settings"),
                 Objects.requireNonNull(fleet, "fleet"),
+                Objects.requireNonNull(fatalRequests, "fatalRequests"),
                 Objects.requireNonNull(metrics, "metrics"));
     }
 
@@ -83,8 +89,7 @@
      */
     SlotDecision acquire(ShardKey key, AdmissionRequest request, long ticketId, List<ServerRateLimit> rateLimits) {
         while (true) {
-            OwnedShard shard = shards.computeIfAbsent(
-                    key, newKey -> OwnedShard.create(newKey, settings, metrics, fleet.view(), MonotonicClock.millis()));
+            OwnedShard shard = shards.computeIfAbsent(key, this::createShard);
             shard.mergeRateLimits(rateLimits);
             Optional<SlotDecision> decision = shard.acquire(request, ticketId);
             if (decision.isPresent()) {
@@ -94,13 +99,39 @@
         }
     }
 
-    void completeLease(ShardKey key, long leaseId, AttemptOutcome outcome, long latencyMicros, ServerNotice notice) {
+    /**
+     * Releases a lease with the outcome of its attempt. A broken connection counts against the request even if the lease
+     * is not known, because this daemon has taken over the shard or has restarted since the grant.
+     *
+     * @param key the shard
+     * @param leaseId the identifier of the lease
+     * @param outcome the outcome
+     * @param latencyMicros the duration of the attempt in microseconds
+     * @param notice what the response said about the server
+     * @param server the name of the server, empty if the connection did not break
+     * @param digest identifies the request, none if the connection did not break
+     */
+    void completeLease(
+            ShardKey key,
+            long leaseId,
+            AttemptOutcome outcome,
+            long latencyMicros,
+            ServerNotice notice,
+            String server,
+            RequestDigest digest) {
         OwnedShard shard = shards.get(key);
-        if (shard != null) {
-            shard.completeLease(leaseId, outcome, latencyMicros, notice);
+        boolean known = shard != null && shard.completeLease(leaseId, outcome, latencyMicros, notice);
+        if (!known && outcome == AttemptOutcome.BROKEN) {
+            fatalRequests.recordCrash(
+                    digest, key.service(), server, fleet.view().incarnation(server));
         }
     }
 
+    private OwnedShard createShard(ShardKey key) {
+        fatalRequests.fetchSuspects(key);
+        return OwnedShard.create(key, settings, fatalRequests, metrics, fleet.view(), MonotonicClock.millis());
+    }
+
     /**
      * Returns the health of the servers of all shards that this daemon schedules.
      *
--- a/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
+++ b/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Objects;
 import org.cassiabank.admission.ServerNotice;
+import org.cassiabank.health.RequestDigest;
 import org.cassiabank.kernel.Kernel;
 import org.cassiabank.kernel.KernelService;
 import org.cassiabank.peer.PeerServer;
@@ -19,6 +20,7 @@
 import org.cassiabank.peer.generated.SlotReply;
 import org.cassiabank.peer.generated.SlotRequest;
 import org.cassiabank.peer.generated.StoreChanges;
+import org.cassiabank.peer.generated.Suspect;
 import org.cassiabank.source.FleetSource;
 
 /**
@@ -32,6 +34,7 @@
     private final PeerSocketFactories socketFactories;
     private FleetState fleet;
     private OwnedShards ownedShards;
+    private FatalRequestExchange fatalRequests;
     private ClaimKeeper claimKeeper;
     private Replication replication;
     private FleetSource fleetSource;
@@ -52,6 +55,7 @@
     public void start(Kernel kernel) {
         fleet = kernel.get(ServiceNames.FLEET_STATE);
         ownedShards = kernel.get(ServiceNames.OWNED_SHARDS);
+        fatalRequests = kernel.get(ServiceNames.FATAL_REQUESTS);
         claimKeeper = kernel.get(ServiceNames.CLAIM_KEEPER);
         replication = kernel.get(ServiceNames.REPLICATION);
         fleetSource = kernel.get(ServiceNames.FLEET_SOURCE);
@@ -84,7 +88,21 @@
                 outcome.getLease(),
                 PeerMessageConverter.toAttemptOutcome(outcome.getKind()),
                 outcome.getLatencyMicros(),
-                new ServerNotice(outcome.isServerLeaving(), PeerMessageConverter.toRateLimitNotice(outcome)));
+                new ServerNotice(outcome.isServerLeaving(), PeerMessageConverter.toRateLimitNotice(outcome)),
+                outcome.isSetServer() ? outcome.getServer() : "",
+                outcome.isSetDigest() ? new RequestDigest(outcome.getDigest()) : RequestDigest.none());
+    }
+
+    @Override
+    public void recordSuspects(List<Suspect> suspects) {
+        fatalRequests.merge(PeerMessageConverter.toSuspectedRequests(suspects));
+    }
+
+    @Override
+    public List<Suspect> suspects(String serviceName) {
+        return fatalRequests.suspects(serviceName).stream()
+                .map(PeerMessageConverter::toMessage)
+                .toList();
     }
 
     @Override
--- a/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
+++ b/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
@@ -18,6 +18,8 @@
 import org.cassiabank.declaration.CostHint;
 import org.cassiabank.health.AttemptOutcome;
 import org.cassiabank.health.RequestDigest;
+import org.cassiabank.health.ServerCrash;
+import org.cassiabank.health.SuspectedRequest;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.kernel.ErrorCode;
 import org.cassiabank.once.ClaimConclusion;
@@ -25,6 +27,7 @@
 import org.cassiabank.once.ClaimState;
 import org.cassiabank.once.KeeperVote;
 import org.cassiabank.once.RecordedResponse;
+import org.cassiabank.peer.generated.BrokenProcess;
 import org.cassiabank.peer.generated.ClaimReply;
 import org.cassiabank.peer.generated.KnownRateLimit;
 import org.cassiabank.peer.generated.OutcomeKind;
@@ -38,6 +41,7 @@
 import org.cassiabank.peer.generated.StoreChange;
 import org.cassiabank.peer.generated.StoreChanges;
 import org.cassiabank.peer.generated.StoreRelayState;
+import org.cassiabank.peer.generated.Suspect;
 import org.cassiabank.source.StoreEntry;
 import org.cassiabank.source.StoreEvent;
 import org.cassiabank.source.StoreRelayReply;
@@ -155,6 +159,29 @@
         return new KnownRateLimit(limit.server(), limit.requestsPerSecond(), limit.ageMillis());
     }
 
+    static Suspect toMessage(SuspectedRequest request) {
+        List<BrokenProcess> processes = request.crashes().stream()
+                .map(crash ->
+                        new BrokenProcess(crash.server(), crash.incarnation(), crash.ageMillis(), crash.refuted()))
+                .toList();
+        return new Suspect(request.digest().hex(), request.service(), processes);
+    }
+
+    static List<SuspectedRequest> toSuspectedRequests(List<Suspect> messages) {
+        return messages.stream()
+                .map(message -> new SuspectedRequest(
+                        new RequestDigest(message.getDigest()),
+                        message.getServiceName(),
+                        message.getProcesses().stream()
+                                .map(process -> new ServerCrash(
+                                        process.getServer(),
+                                        process.getIncarnation(),
+                                        process.getAgeMillis(),
+                                        process.isRefuted()))
+                                .toList()))
+                .toList();
+    }
+
     /** Returns the limits of servers that an entry proxy passes on with a request for a slot. */
     static List<ServerRateLimit> toServerRateLimits(SlotRequest message) {
         return message.isSetRateLimits()
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -92,8 +92,10 @@
         Replication replication = Replication.create(self, fleet, peerTransport);
         Optional<PlatformAdapter> adapter = settings.platform().adapterName().map(PlatformAdapters::forName);
         Optional<RetryBudgetSettings> retryBudgetSettings = adapter.map(found -> retryBudgetSettings(found, settings));
-        OwnedShards ownedShards = OwnedShards.create(ownerSettings(settings, retryBudgetSettings), fleet, metrics);
-        SlotBroker slotBroker = SlotBroker.create(settings, fleet, ownedShards, peerTransport);
+        FatalRequestExchange fatalRequests = FatalRequestExchange.create(fleet, peerTransport, metrics);
+        OwnedShards ownedShards =
+                OwnedShards.create(ownerSettings(settings, retryBudgetSettings), fleet, fatalRequests, metrics);
+        SlotBroker slotBroker = SlotBroker.create(settings, fleet, ownedShards, fatalRequests, peerTransport);
         ProxyListHistory proxyLists = ClaimTimes.newProxyListHistory();
         ClaimKeeper claimKeeper = ClaimKeeper.create(
                 self, fleet, peerTransport, proxyLists, settings.platform().claimsEnabled());
@@ -119,6 +121,7 @@
                 .register(ServiceNames.PEER_CLIENTS, clientPool)
                 .register(ServiceNames.PEER_TRANSPORT, peerTransport)
                 .register(IDLE_CONNECTIONS, connectionCleanupService(clientPool, backendClient, fleet))
+                .register(ServiceNames.FATAL_REQUESTS, fatalRequests)
                 .register(ServiceNames.OWNED_SHARDS, ownedShards)
                 .register(ServiceNames.SLOT_BROKER, slotBroker)
                 .register(ServiceNames.CLAIM_KEEPER, claimKeeper)
--- a/src/main/java/org/cassiabank/proxy/ServiceNames.java
+++ b/src/main/java/org/cassiabank/proxy/ServiceNames.java
@@ -17,6 +17,8 @@
     static final ServiceName<Replication> REPLICATION = ServiceName.of("replication", Replication.class);
     static final ServiceName<OwnedShards> OWNED_SHARDS = ServiceName.of("owned-shards", OwnedShards.class);
     static final ServiceName<SlotBroker> SLOT_BROKER = ServiceName.of("slot-broker", SlotBroker.class);
+    static final ServiceName<FatalRequestExchange> FATAL_REQUESTS =
+            ServiceName.of("fatal-requests", FatalRequestExchange.class);
     static final ServiceName<ClaimKeeper> CLAIM_KEEPER = ServiceName.of("claim-keeper", ClaimKeeper.class);
     static final ServiceName<ClaimClient> CLAIM_CLIENT = ServiceName.of("claim-client", ClaimClient.class);
     static final ServiceName<PeerEndpoint> PEER_ENDPOINT = ServiceName.of("peer-endpoint", PeerEndpoint.class);
--- a/src/main/java/org/cassiabank/proxy/SlotBroker.java
+++ b/src/main/java/org/cassiabank/proxy/SlotBroker.java
@@ -13,6 +13,8 @@
 import org.cassiabank.admission.ServerRateLimit;
 import org.cassiabank.admission.SlotDecision;
 import org.cassiabank.health.AttemptOutcome;
+import org.cassiabank.health.ServerCrash;
+import org.cassiabank.health.SuspectedRequest;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.membership.Instance;
 import org.cassiabank.peer.generated.SlotOutcome;
@@ -42,23 +44,35 @@
     private final ProxySettings settings;
     private final FleetState fleet;
     private final OwnedShards ownedShards;
+    private final FatalRequestExchange fatalRequests;
     private final PeerTransport peerTransport;
     private final KnownRateLimits rateLimits = KnownRateLimits.create();
     private final RetryBudget fallbackRetryBudget = RetryBudget.create(FALLBACK_RETRY_RATIO, FALLBACK_RETRY_CAPACITY);
 
-    private SlotBroker(ProxySettings settings, FleetState fleet, OwnedShards ownedShards, PeerTransport peerTransport) {
+    private SlotBroker(
+            ProxySettings settings,
+            FleetState fleet,
+            OwnedShards ownedShards,
+            FatalRequestExchange fatalRequests,
+            PeerTransport peerTransport) {
         this.settings = settings;
         this.fleet = fleet;
         this.ownedShards = ownedShards;
+        this.fatalRequests = fatalRequests;
         this.peerTransport = peerTransport;
     }
 
     static SlotBroker create(
-            ProxySettings settings, FleetState fleet, OwnedShards ownedShards, PeerTransport peerTransport) {
+            ProxySettings settings,
+            FleetState fleet,
+            OwnedShards ownedShards,
+            FatalRequestExchange fatalRequests,
+            PeerTransport peerTransport) {
         SlotBroker broker = new SlotBroker(
                 Objects.requireNonNull(settings, "settings"),
                 Objects.requireNonNull(fleet, "fleet"),
                 Objects.requireNonNull(ownedShards, "ownedShards"),
+                Objects.requireNonNull(fatalRequests, "fatalRequests"),
                 Objects.requireNonNull(peerTransport, "peerTransport"));
         fleet.addListener(broker.rateLimits::update);
         return broker;
@@ -100,7 +114,8 @@
     void report(SlotResult.Slot slot, AttemptOutcome outcome, long latencyMicros, ServerNotice notice) {
         rateLimits.record(slot.serverName(), notice.rateLimit(), latencyMicros);
         if (slot.owner().isEmpty()) {
-            ownedShards.completeLease(slot.shard(), slot.leaseId(), outcome, latencyMicros, notice);
+            ownedShards.completeLease(
+                    slot.shard(), slot.leaseId(), outcome, latencyMicros, notice, slot.serverName(), slot.digest());
             return;
         }
         SlotOutcome message = new SlotOutcome(
@@ -111,14 +126,44 @@
                 latencyMicros,
                 notice.leaving());
         PeerMessageConverter.toMessage(notice.rateLimit()).ifPresent(message::setRateLimit);
+        if (outcome == AttemptOutcome.BROKEN) {
+            message.setServer(slot.serverName()).setDigest(slot.digest().hex());
+        }
         try {
             peerTransport.call(slot.owner().get(), "report", REPORT_TIMEOUT_MILLIS, client -> {
                 client.report(message);
                 return true;
             });
         } catch (CassiabankException exception) {
-            // The lease expires at the owner; no other proxy needs the report.
-            return;
+            // The lease expires at the owner, but its successor has to know which request broke a connection.
+            if (outcome == AttemptOutcome.BROKEN) {
+                reportCrashToSuccessor(slot);
+            }
+        }
+    }
+
+    private void reportCrashToSuccessor(SlotResult.Slot slot) {
+        FleetView view = fleet.view();
+        ServerCrash crash = new ServerCrash(slot.serverName(), view.incarnation(slot.serverName()), 0, false);
+        SuspectedRequest request =
+                new SuspectedRequest(slot.digest(), slot.shard().service(), List.of(crash));
+        for (Instance candidate : view.ownerCandidates(slot.shard())) {
+            if (peerTransport.isSelf(candidate)) {
+                fatalRequests.merge(List.of(request));
+                return;
+            }
+            if (peerTransport.isReachable(candidate)) {
+                try {
+                    peerTransport.call(candidate, "record-suspects", REPORT_TIMEOUT_MILLIS, client -> {
+                        client.recordSuspects(List.of(PeerMessageConverter.toMessage(request)));
+                        return true;
+                    });
+                    return;
+                } catch (CassiabankException exception) {
+                    // The peer transport has recorded the failure; the next candidate may own the shard as well.
+                    continue;
+                }
+            }
         }
     }
 
@@ -176,6 +221,7 @@
                             granted.serverName(),
                             granted.address(),
                             nowMillis + granted.leaseDurationMillis(),
+                            request.digest(),
                             granted.hedgeDelayMillis());
                 }
                 case Refused refused
--- a/src/main/java/org/cassiabank/proxy/SlotResult.java
+++ b/src/main/java/org/cassiabank/proxy/SlotResult.java
@@ -1,6 +1,7 @@
 package org.cassiabank.proxy;
 
 import java.util.Optional;
+import org.cassiabank.health.RequestDigest;
 import org.cassiabank.membership.Instance;
 
 /**
@@ -19,6 +20,7 @@
      * @param serverName the name of the backend server
      * @param address the address of the backend server
      * @param leaseExpiryMillis the time at which the lease expires, in milliseconds on the monotonic clock
+     * @param digest identifies the request
      * @param hedgeDelayMillis the delay in milliseconds after which a hedge is worth its cost, 0 if none is
      */
     record Slot(
@@ -28,6 +30,7 @@
             String serverName,
             String address,
             long leaseExpiryMillis,
+            RequestDigest digest,
             long hedgeDelayMillis)
             implements SlotResult {
 
--- a/src/test/java/org/cassiabank/proxy/OwnedShardTest.java
+++ b/src/test/java/org/cassiabank/proxy/OwnedShardTest.java
@@ -27,6 +27,9 @@
 import org.cassiabank.membership.InstanceList;
 import org.cassiabank.membership.InstanceRole;
 import org.cassiabank.membership.InstanceState;
+import org.cassiabank.peer.ControlTrafficRecorder;
+import org.cassiabank.peer.PeerClientPool;
+import org.cassiabank.peer.PeerSocketFactories;
 import org.cassiabank.source.RetryBudgetSettings;
 import org.junit.jupiter.api.Test;
 
@@ -41,7 +44,8 @@
             HealthSettings.defaults().withSuspicion(SuspicionSettings.of(60_000)),
             Optional.of(new RetryBudgetSettings(0, 10, 10_000)));
 
-    private final OwnedShard shard = OwnedShard.create(KEY, SETTINGS, ProxyMetrics.create(), view(1, 1), nowMillis());
+    private final OwnedShard shard =
+            OwnedShard.create(KEY, SETTINGS, newFatalRequests(), ProxyMetrics.create(), view(1, 1), nowMillis());
 
     @Test
     void slotsThatAServerDeclaresOverrideTheSlotsOfItsService() {
@@ -106,6 +110,14 @@
         assertThat(decision).isNotInstanceOf(Refused.class);
     }
 
+    private static FatalRequestExchange newFatalRequests() {
+        return FatalRequestExchange.create(
+                FleetState.create("region"),
+                PeerTransport.create(
+                        "proxy-1", PeerClientPool.create(PeerSocketFactories.plain(), ControlTrafficRecorder.noOp())),
+                ProxyMetrics.create());
+    }
+
     private SlotDecision acquire(int attemptNumber) {
         return shard.acquire(request(attemptNumber), 0).orElseThrow();
     }
--- a/src/test/java/org/cassiabank/proxy/PeerEndpointTest.java
+++ b/src/test/java/org/cassiabank/proxy/PeerEndpointTest.java
@@ -36,11 +36,15 @@
         ProxyMetrics metrics = ProxyMetrics.create();
         PeerTransport peerTransport = PeerTransport.create(
                 "proxy-1", PeerClientPool.create(PeerSocketFactories.plain(), ControlTrafficRecorder.noOp()));
+        FatalRequestExchange fatalRequests = FatalRequestExchange.create(fleet, peerTransport, metrics);
         ProxyListHistory lists = ClaimTimes.newProxyListHistory();
         PeerEndpoint endpoint = PeerEndpoint.create(settings(), PeerSocketFactories.plain());
         try (Kernel kernel = Kernel.create()
                 .register(ServiceNames.FLEET_STATE, fleet)
-                .register(ServiceNames.OWNED_SHARDS, OwnedShards.create(OwnerSettings.defaults(), fleet, metrics))
+                .register(ServiceNames.FATAL_REQUESTS, fatalRequests)
+                .register(
+                        ServiceNames.OWNED_SHARDS,
+                        OwnedShards.create(OwnerSettings.defaults(), fleet, fatalRequests, metrics))
                 .register(ServiceNames.CLAIM_KEEPER, ClaimKeeper.create(SELF, fleet, peerTransport, lists, true))
                 .register(ServiceNames.FLEET_SOURCE, NoOpFleetSource.create(false))
                 .register(ServiceNames.REPLICATION, Replication.create(SELF, fleet, peerTransport))
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -102,6 +102,25 @@
   6: required bool serverLeaving,
   /** Missing if there was no response. */
   7: optional RateLimit rateLimit,
+  /** With BROKEN: the digest of the request and the server, for an owner that does not know the lease. */
+  8: optional string digest,
+  9: optional string server,
+}
+
+/** A server process whose connection broke while it ran a request. */
+struct BrokenProcess {
+  1: required string server,
+  2: required i64 incarnation,
+  3: required i64 ageMillis,
+  /** A later answer showed that the request did not end the process. */
+  4: required bool refuted,
+}
+
+/** A request that may end the servers that run it. */
+struct Suspect {
+  1: required string digest,
+  2: required string serviceName,
+  3: required list<BrokenProcess> processes,
 }
 
 /** One configuration change as its JSON document in the store. */
@@ -211,6 +230,10 @@
   void conclude(1: string key, 2: string claim, 3: ClaimState state, 4: RecordedAnswer answer),
   /** Hands records to a new keeper. */
   void handOver(1: list<ClaimRecord> records),
+  /** Tells a daemon that may own the shards of the requests next. */
+  void recordSuspects(1: list<Suspect> suspects),
+  /** The suspected requests for a service, asked for by a daemon that begins to own a shard. */
+  list<Suspect> suspects(1: string serviceName),
   /** Records that the caller should keep, asked for by a daemon that has just started. */
   list<ClaimRecord> recordsFor(1: string peer),
 }
