Let callers of the soak repeat a request that ends servers

One request of a run ends each server that begins to run it and is repeated at daemons that are chosen anew, beside the other faults; GuaranteeChecks counts the servers that it reaches after it has ended three.

--- a/src/test/java/org/cassiabank/soak/GuaranteeChecks.java
+++ b/src/test/java/org/cassiabank/soak/GuaranteeChecks.java
@@ -33,6 +33,11 @@
     private static final long RATE_LIMIT_WINDOW_MILLIS = 4_000;
     /** The requests of a daemon count from this time on after it passed on a response with the limit. */
     private static final long RATE_LIMIT_NOTICE_MILLIS = 500;
+    /** From this time on after a request ended three servers, it may reach three more. */
+    private static final long FATAL_STABILITY_MILLIS = 3_000;
+
+    private static final int FATAL_SERVERS = 3;
+    private static final int FATAL_ATTEMPTS = 3;
     /** The share of requests with status 200 that is required after recovery. */
     private static final double MINIMUM_SERVED_SHARE = 0.95;
     /** The statuses which guarantee that a request has not run and will not run. */
@@ -73,6 +78,7 @@
         checks.checkRetryBudget("alpha");
         checks.checkRetryBudget("beta");
         fleet.rateLimitSpans().forEach(checks::checkRateLimit);
+        checks.checkFatalRequest();
         checks.checkRecovery(recoveredSinceMillis);
         checks.checkProcesses();
         checks.reportIf(
@@ -250,6 +256,32 @@
                         + " requests a second and got " + count + " in 4 s, " + allowed + " are allowed"));
     }
 
+    /** Counts the servers that the fatal request reached through undisturbed daemons, after it had ended three. */
+    private void checkFatalRequest() {
+        List<Map.Entry<RequestHistory.SentRequest, RequestHistory.Arrival>> runs = new ArrayList<>();
+        history.sentRequests().values().stream()
+                .filter(request -> request.path().equals(SoakCaller.FATAL_PATH))
+                .forEach(request -> history.arrivals(request.id()).stream()
+                        .filter(RequestHistory.Arrival::isExecuted)
+                        .forEach(arrival -> runs.add(Map.entry(request, arrival))));
+        runs.sort(Comparator.comparingLong(run -> run.getValue().atMillis()));
+        if (runs.size() <= FATAL_SERVERS) {
+            return;
+        }
+        long countedFromMillis = runs.get(FATAL_SERVERS - 1).getValue().atMillis() + FATAL_STABILITY_MILLIS;
+        List<String> counted = runs.stream()
+                .filter(run -> run.getValue().atMillis() > countedFromMillis
+                        && fleet.isUndisturbed(
+                                run.getKey().daemonNumber(),
+                                run.getKey().atMillis(),
+                                run.getValue().atMillis()))
+                .map(run -> run.getKey() + " at " + run.getValue().server())
+                .toList();
+        reportIf(
+                counted.size() > FATAL_ATTEMPTS,
+                "a request that had ended " + FATAL_SERVERS + " servers ended " + counted);
+    }
+
     private void checkRecovery(long recoveredSinceMillis) {
         List<RequestHistory.Completion> completions = history.sentRequests().values().stream()
                 .filter(request -> request.atMillis() > recoveredSinceMillis + CHANGE_BOUND_MILLIS)
--- a/src/test/java/org/cassiabank/soak/SoakCaller.java
+++ b/src/test/java/org/cassiabank/soak/SoakCaller.java
@@ -20,6 +20,10 @@
  */
 final class SoakCaller implements Runnable {
     static final int REQUEST_TIMEOUT_MILLIS = 1_500;
+    /** The path of a request that ends the servers that run it. */
+    static final String FATAL_PATH = "/read/fatal";
+
+    private static final int FATAL_REPEAT_MILLIS = 150;
     private static final int READ_TIMEOUT_MILLIS = REQUEST_TIMEOUT_MILLIS + 1_000;
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final int PAUSE_LIMIT_MILLIS = 150;
@@ -59,6 +63,23 @@
         }
     }
 
+    /** Sends the request that ends servers again and again for a time, to daemons that are chosen anew. */
+    void repeatFatalRequest(long durationMillis) throws InterruptedException {
+        long endMillis = RequestHistory.nowMillis() + durationMillis;
+        while (RequestHistory.nowMillis() < endMillis && !fleet.isStopping()) {
+            int daemonNumber = fleet.chooseDaemon(random);
+            try (Socket socket = new Socket()) {
+                socket.connect(fleet.frontAddress(daemonNumber), CONNECT_TIMEOUT_MILLIS);
+                socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+                String id = sendRequest(socket, daemonNumber, "GET", FATAL_PATH);
+                receiveResponse(new BufferedInputStream(socket.getInputStream()), id);
+            } catch (IOException ignored) {
+                // The daemon or its link is down; the next connection goes to a daemon that is chosen anew.
+            }
+            TimeUnit.MILLISECONDS.sleep(FATAL_REPEAT_MILLIS);
+        }
+    }
+
     private void sendRequests(Socket socket, int daemonNumber) throws IOException, InterruptedException {
         InputStream input = new BufferedInputStream(socket.getInputStream());
         int requestCount = 1 + random.nextInt(MAXIMUM_REQUESTS_PER_CONNECTION);
--- a/src/test/java/org/cassiabank/soak/SoakFaults.java
+++ b/src/test/java/org/cassiabank/soak/SoakFaults.java
@@ -22,14 +22,18 @@
     private static final long JVM_START_MILLIS = 1_000;
     private static final long RATE_LIMIT_MILLIS = 5_000;
     private final SoakFleet fleet;
+    private final RequestHistory history;
+    private final long callerSeed;
     private final Random random;
     /** Draws what came to the soak later, so that a seed keeps the order of the other faults. */
     private final Random mannerRandom;
 
     private final List<String> log = new ArrayList<>();
 
-    SoakFaults(SoakFleet fleet, long seed) {
+    SoakFaults(SoakFleet fleet, RequestHistory history, long seed) {
         this.fleet = fleet;
+        this.history = history;
+        this.callerSeed = seed + 2;
         this.random = new Random(seed);
         this.mannerRandom = new Random(seed + 1);
     }
@@ -43,6 +47,7 @@
     void injectAll(int count, long periodMillis) throws InterruptedException {
         List<Thread> injections = new ArrayList<>();
         injections.add(Thread.ofVirtual().start(() -> limitServers(periodMillis)));
+        injections.add(Thread.ofVirtual().start(() -> sendFatalRequests(periodMillis)));
         long startMillis = RequestHistory.nowMillis();
         long[] offsetsMillis = random.longs(count, 0, periodMillis).sorted().toArray();
         for (long offsetMillis : offsetsMillis) {
@@ -128,6 +133,17 @@
         }
     }
 
+    /** Repeats a request that ends the servers that run it. */
+    private void sendFatalRequests(long periodMillis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(periodMillis / 8);
+            SoakCaller caller = new SoakCaller(fleet, history, callerSeed);
+            caller.repeatFatalRequest(periodMillis);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Makes two servers after each other name limits of requests a second. */
     private void limitServers(long periodMillis) {
         try {
--- a/src/test/java/org/cassiabank/soak/SoakFleet.java
+++ b/src/test/java/org/cassiabank/soak/SoakFleet.java
@@ -1,6 +1,7 @@
 package org.cassiabank.soak;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -27,6 +28,7 @@
 /** Daemons as processes with the settings that the platform deploys, a stand-in for the store, and backend servers. */
 final class SoakFleet implements AutoCloseable {
     static final int DAEMON_COUNT = 6;
+    private static final long CRASH_MILLIS = 1_500;
     private static final int FAILURE_DOMAIN_COUNT = 3;
     private static final int SERVERS_PER_SERVICE = 4;
     /** Matches the options before the one for the class archive, which the tests do not build. */
@@ -140,7 +142,8 @@
     }
 
     synchronized SoakServer addServer(String service, int port) throws IOException {
-        SoakServer server = SoakServer.start("i-" + nextServerNumber++, service, port, history, random.nextLong());
+        SoakServer server =
+                SoakServer.start("i-" + nextServerNumber++, service, port, history, random.nextLong(), this::crash);
         servers.put(server.name(), server);
         publishServer(server, "ready");
         return server;
@@ -148,12 +151,32 @@
 
     /** Starts a server again with the name, service and port of the former one. */
     synchronized void restartServer(SoakServer former) throws IOException {
-        SoakServer server =
-                SoakServer.start(former.name(), former.service(), former.port(), history, random.nextLong());
+        SoakServer server = SoakServer.start(
+                former.name(), former.service(), former.port(), history, random.nextLong(), this::crash);
         servers.put(server.name(), server);
         publishServer(server, "ready");
     }
 
+    /** Ends a server and starts it again after some time, unless another fault has ended it. */
+    private void crash(SoakServer server) {
+        if (!servers.remove(server.name(), server)) {
+            return;
+        }
+        server.close();
+        Thread.ofVirtual().start(() -> {
+            try {
+                TimeUnit.MILLISECONDS.sleep(CRASH_MILLIS);
+                if (!stopping) {
+                    restartServer(server);
+                }
+            } catch (IOException exception) {
+                throw new UncheckedIOException(exception);
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
     void publishServer(SoakServer server, String state) {
         store.write(
                 "servers/" + server.name(),
--- a/src/test/java/org/cassiabank/soak/SoakServer.java
+++ b/src/test/java/org/cassiabank/soak/SoakServer.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import java.util.zip.CRC32;
 
 /** A backend server with the protocol of the platform, which injects the faults that the protocol describes. */
@@ -34,6 +35,7 @@
     private final int port;
     private final long bornMillis = System.currentTimeMillis();
     private final RequestHistory history;
+    private final Consumer<SoakServer> onFatalRequest;
     private final Random random;
     private final ServerSocket listener;
     private final Queue<Socket> sockets = new ConcurrentLinkedQueue<>();
@@ -43,20 +45,39 @@
     private volatile double rateLimit;
     private volatile long leavingSinceMillis = Long.MAX_VALUE;
 
-    private SoakServer(String name, String service, int port, RequestHistory history, long seed) throws IOException {
+    private SoakServer(
+            String name,
+            String service,
+            int port,
+            RequestHistory history,
+            long seed,
+            Consumer<SoakServer> onFatalRequest)
+            throws IOException {
         this.name = name;
         this.service = service;
         this.port = port;
         this.history = history;
+        this.onFatalRequest = onFatalRequest;
         this.random = new Random(seed);
         this.listener = new ServerSocket();
         listener.setReuseAddress(true);
         listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 128);
     }
 
-    static SoakServer start(String name, String service, int port, RequestHistory history, long seed)
+    /**
+     * Starts a server.
+     *
+     * @param onFatalRequest has to end the server when it begins to run a request for {@link SoakCaller#FATAL_PATH}
+     */
+    static SoakServer start(
+            String name,
+            String service,
+            int port,
+            RequestHistory history,
+            long seed,
+            Consumer<SoakServer> onFatalRequest)
             throws IOException {
-        SoakServer server = new SoakServer(name, service, port, history, seed);
+        SoakServer server = new SoakServer(name, service, port, history, seed, onFatalRequest);
         Thread.ofVirtual().start(server::acceptConnections);
         return server;
     }
@@ -154,6 +175,10 @@
             }
             try {
                 recordArrival(id, request, true);
+                if (request.startLine().contains(SoakCaller.FATAL_PATH)) {
+                    onFatalRequest.accept(this);
+                    return false;
+                }
                 int workMillis = MINIMUM_WORK_MILLIS + random.nextInt(WORK_RANGE_MILLIS);
                 TimeUnit.MILLISECONDS.sleep(requestFault == Fault.SLOW ? SLOW_FACTOR * workMillis : workMillis);
             } finally {
--- a/src/test/java/org/cassiabank/soak/SoakTest.java
+++ b/src/test/java/org/cassiabank/soak/SoakTest.java
@@ -62,7 +62,7 @@
                 callers.add(Thread.ofVirtual().start(new SoakCaller(fleet, history, random.nextLong())));
             }
             TimeUnit.MILLISECONDS.sleep(WARM_UP_MILLIS);
-            SoakFaults faults = new SoakFaults(fleet, random.nextLong());
+            SoakFaults faults = new SoakFaults(fleet, history, random.nextLong());
             faults.injectAll(FAULT_COUNT, FAULT_PERIOD_MILLIS);
             long recoveredSinceMillis = RequestHistory.nowMillis() + RECOVERY_MILLIS;
             TimeUnit.MILLISECONDS.sleep(RECOVERY_MILLIS + FAULT_FREE_MILLIS);
