--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -133,20 +133,18 @@
                 return Optional.empty();
             }
             lastRequestMillis = nowMillis;
-            if (presentedTicketId == 0) {
-                OptionalLong refusalMillis = fatalRequests.refusalMillis(
-                        request.digest(), request.hints().isAdditionalAttempt(), request.remainingMillis());
-                if (refusalMillis.isPresent()) {
-                    return Optional.of(new Refused(RefusalReason.ENDS_SERVERS, refusalMillis.getAsLong()));
-                }
-            }
-            if (presentedTicketId == 0 && !trySpendRetryBudget(request, nowMillis)) {
-                return Optional.of(new Refused(RefusalReason.RETRY_BUDGET, RETRY_BUDGET_RETRY_AFTER_MILLIS));
+            Optional<Refused> refused =
+                    presentedTicketId == 0 ? refuseNewRequest(request, nowMillis) : Optional.empty();
+            if (refused.isPresent()) {
+                return Optional.of(refused.get());
             }
             SlotDecision decision = presentedTicketId == 0
                     ? scheduler.acquire(request, nowMillis)
                     : renewTicket(presentedTicketId, nowMillis);
             advanceScheduler(nowMillis);
+            if (decision instanceof Refused) {
+                fatalRequests.recordEnd(request.digest(), false);
+            }
             if (!(decision instanceof Queued queued)) {
                 return Optional.of(decision);
             }
@@ -289,6 +287,18 @@
         return !waitingPolls.isEmpty() || !uncollectedDecisions.isEmpty() || scheduler.hasLeases();
     }
 
+    /** Refuses a request that ends servers, or an additional attempt beyond the retry budget. */
+    private Optional<Refused> refuseNewRequest(AdmissionRequest request, long nowMillis) {
+        OptionalLong refusalMillis = fatalRequests.refusalMillis(
+                request.digest(), request.hints().isAdditionalAttempt(), request.remainingMillis());
+        if (refusalMillis.isPresent()) {
+            return Optional.of(new Refused(RefusalReason.ENDS_SERVERS, refusalMillis.getAsLong()));
+        }
+        return trySpendRetryBudget(request, nowMillis)
+                ? Optional.empty()
+                : Optional.of(new Refused(RefusalReason.RETRY_BUDGET, RETRY_BUDGET_RETRY_AFTER_MILLIS));
+    }
+
     /** Counts a first attempt for the retry budget or spends the budget for an additional one; false if it is spent. */
     private boolean trySpendRetryBudget(AdmissionRequest request, long nowMillis) {
         if (retryBudget.isEmpty()) {
