Recognize a repeated request whatever address it comes from

On the platform the address of a connection does not identify a caller, as HeaderConventions.identifiesCustomersByAddress says, and the digest contained it. Change: the digest contains the customer between which slots are shared, which is the address only where it identifies a caller.

--- a/src/main/java/org/cassiabank/health/RequestDigest.java
+++ b/src/main/java/org/cassiabank/health/RequestDigest.java
@@ -12,7 +12,8 @@
  * Identifies the requests of one caller with the same target and body, whatever proxy receives them. The host is not a
  * part of it, because a caller may address each proxy by its own name.
  *
- * <p>The identity of the caller is a part of it, so that no caller can produce the digest of another one's request.
+ * <p>The identity of the caller is a part of it, so that no caller can produce the digest of another one's request. Where
+ * callers state none and their addresses change, equal requests of all callers have one digest.
  *
  * @param hex the first 128 bits of a SHA-256 digest as 32 hexadecimal digits; empty for a request without a digest
  */
@@ -46,7 +47,7 @@
     /**
      * Computes the digest of a request.
      *
-     * @param caller the identity or address of the caller
+     * @param caller the identity of the caller
      * @param method the HTTP method
      * @param target the path with the query
      * @param body the body, empty if there is none
--- a/src/main/java/org/cassiabank/proxy/CallerRequest.java
+++ b/src/main/java/org/cassiabank/proxy/CallerRequest.java
@@ -61,10 +61,12 @@
     /**
      * Returns the digest by which repetitions of the request are recognized at any proxy.
      *
+     * @param customerIdentity the customer as {@link AttemptExecutor#customerIdentity} returns it; the address of the
+     *     connection is a part of it only where it stays the same for a caller
      * @return the digest of customer, method, target and body
      */
-    RequestDigest digest() {
-        return RequestDigest.of(customer(), method, target, body);
+    RequestDigest digest(String customerIdentity) {
+        return RequestDigest.of(customerIdentity, method, target, body);
     }
 
     /**
--- a/src/main/java/org/cassiabank/proxy/RequestRun.java
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -71,7 +71,7 @@
         this.attemptExecutor = attemptExecutor;
         this.retryBudget = retryBudget;
         this.trace = trace;
-        this.digest = request.digest();
+        this.digest = request.digest(attemptExecutor.customerIdentity(request));
         trace.recordDigest(digest);
     }
 
--- a/src/test/java/org/cassiabank/fleet/TestCaller.java
+++ b/src/test/java/org/cassiabank/fleet/TestCaller.java
@@ -24,6 +24,13 @@
         return send(new Request.Builder().url("http://" + address + path).build());
     }
 
+    CallResult getAs(String customer, String address, String path) {
+        return send(new Request.Builder()
+                .url("http://" + address + path)
+                .header("Cassiabank-Caller", customer)
+                .build());
+    }
+
     CallResult order(String address, String key, int workMillis) {
         return send(new Request.Builder()
                 .url("http://" + address + "/orders?work-millis=" + workMillis)
