Repeat to the candidates of a shard only what is known of fatal requests

Requests of two processes are mostly innocent ones that met two failing servers. Change: a suspected request is sent once; only requests of three processes and more are sent again.

--- a/src/main/java/org/cassiabank/health/FatalRequests.java
+++ b/src/main/java/org/cassiabank/health/FatalRequests.java
@@ -25,7 +25,8 @@
     /** The number of processes from which on a request is sent to one server at a time. */
     public static final int SUSPECTED_PROCESSES = 2;
 
-    private static final int FATAL_PROCESSES = 3;
+    /** The number of processes from which on a request is refused. */
+    public static final int FATAL_PROCESSES = 3;
 
     /** Longer than callers repeat a request on their own. */
     private static final long FIRST_REFUSAL_MILLIS = 60_000;
--- a/src/main/java/org/cassiabank/proxy/FatalRequestExchange.java
+++ b/src/main/java/org/cassiabank/proxy/FatalRequestExchange.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.cassiabank.health.FatalRequests;
 import org.cassiabank.health.RequestDigest;
@@ -21,8 +23,8 @@
 /**
  * The requests that this daemon suspects of ending servers, shared with the daemons that may own their shards next.
  *
- * <p>A change is sent several times, over longer than a machine usually stands still, because the owner that takes over may
- * be frozen or cut off when it is sent first. A daemon that begins to own a shard asks the other candidates. Thread-safe.
+ * <p>A fatal request is sent several times, over longer than a machine usually stands still, because the owner that takes
+ * over may be frozen or cut off when it is sent first. A daemon that begins to own a shard asks the other candidates. Thread-safe.
  */
 final class FatalRequestExchange implements KernelService {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -38,8 +40,9 @@
     private final FleetState fleet;
     private final PeerTransport peerTransport;
     private final ExecutorService workers = Executors.newVirtualThreadPerTaskExecutor();
-    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(
-            Thread.ofPlatform().name("fatal-requests").daemon().factory());
+    /** Discards repeats that a report schedules while the daemon stops. */
+    private final ScheduledExecutorService timer = new ScheduledThreadPoolExecutor(
+            1, Thread.ofPlatform().name("fatal-requests").daemon().factory(), new ThreadPoolExecutor.DiscardPolicy());
 
     private FatalRequestExchange(FleetState fleet, PeerTransport peerTransport) {
         this.fleet = fleet;
@@ -58,8 +61,7 @@
 
     @Override
     public void stop() {
-        timer.shutdown();
-        workers.shutdown();
+        timer.shutdownNow();
     }
 
     /** Decides as {@link FatalRequests#refusalMillis} does. */
@@ -78,7 +80,10 @@
             LOGGER.atInfo().log(
                     "request %s for %s broke the connections of %d server processes, the last one %s",
                     digest.shortText(), service, processes, server);
-            sendChanges(nowMillis, 0);
+            sendChanges(nowMillis, FatalRequests.SUSPECTED_PROCESSES);
+        }
+        if (processes >= FatalRequests.FATAL_PROCESSES) {
+            repeatChanges(nowMillis, FIRST_REPEAT_MILLIS);
         }
     }
 
@@ -125,28 +130,36 @@
         return fatalRequests.countFatal();
     }
 
-    private void sendChanges(long sinceMillis, long delayMillis) {
+    /** Sends the requests that changed since a time and broke the connections of a number of processes. */
+    private void sendChanges(long sinceMillis, int minimumProcesses) {
         List<SuspectedRequest> changes;
         synchronized (this) {
             changes = fatalRequests.changedSince(sinceMillis, MonotonicClock.millis()).stream()
+                    .filter(request -> request.crashes().size() >= minimumProcesses)
                     .limit(MAXIMUM_REQUESTS_IN_MESSAGE)
                     .toList();
         }
         for (Instance candidate : candidates(changes)) {
             callInBackground(candidate, "record-suspects", () -> send(candidate, changes));
         }
-        long nextDelayMillis = Math.max(FIRST_REPEAT_MILLIS, 2 * delayMillis);
-        if (nextDelayMillis <= LAST_REPEAT_MILLIS && !timer.isShutdown()) {
-            timer.schedule(() -> repeatChanges(sinceMillis, nextDelayMillis), nextDelayMillis, TimeUnit.MILLISECONDS);
-        }
     }
 
+    /** Sends fatal requests again after a delay, and then after twice that delay. */
     private void repeatChanges(long sinceMillis, long delayMillis) {
-        try {
-            sendChanges(sinceMillis, delayMillis);
-        } catch (RuntimeException | Error failure) {
-            BackgroundTasks.recordFailure("fatal-requests", failure);
+        if (delayMillis > LAST_REPEAT_MILLIS) {
+            return;
         }
+        timer.schedule(
+                () -> {
+                    try {
+                        sendChanges(sinceMillis, FatalRequests.FATAL_PROCESSES);
+                    } catch (RuntimeException | Error failure) {
+                        BackgroundTasks.recordFailure("fatal-requests", failure);
+                    }
+                    repeatChanges(sinceMillis, 2 * delayMillis);
+                },
+                delayMillis,
+                TimeUnit.MILLISECONDS);
     }
 
     private void send(Instance peer, List<SuspectedRequest> requests) {
