Keep peers of the former release reachable that do not know the calls about suspected requests

Cause: a daemon of the former release answers a call that it does not know with an exception, which counted as an unreachable peer; in a rolling upgrade each new owner would have skipped the old candidates of its shards for two seconds and more. Change: the rule that the relay of store changes had for itself is part of PeerCall now and serves both. Result: FatalRequestExchangeTest#aPeerOfAReleaseWithoutTheCallsStaysReachable; the tests of the relay pass.

--- a/src/main/java/org/cassiabank/proxy/FatalRequestExchange.java
+++ b/src/main/java/org/cassiabank/proxy/FatalRequestExchange.java
@@ -19,6 +19,7 @@
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.kernel.KernelService;
 import org.cassiabank.membership.Instance;
+import org.cassiabank.peer.PeerCall;
 
 /**
  * The requests that this daemon suspects of ending servers, shared with the daemons that may own their shards next.
@@ -121,7 +122,10 @@
                                 candidate,
                                 "suspects",
                                 CALL_TIMEOUT_MILLIS,
-                                client -> PeerMessageConverter.toSuspectedRequests(client.suspects(shard.service())))));
+                                PeerCall.withResultIfUnknown(
+                                        client -> PeerMessageConverter.toSuspectedRequests(
+                                                client.suspects(shard.service())),
+                                        List.of()))));
             }
         }
     }
@@ -162,12 +166,20 @@
                 TimeUnit.MILLISECONDS);
     }
 
-    private void send(Instance peer, List<SuspectedRequest> requests) {
-        peerTransport.call(peer, "record-suspects", CALL_TIMEOUT_MILLIS, client -> {
+    /**
+     * Tells a peer about suspected requests and waits for its reply.
+     *
+     * @param peer the peer
+     * @param requests the requests
+     * @throws CassiabankException if the peer does not answer
+     */
+    void send(Instance peer, List<SuspectedRequest> requests) {
+        PeerCall<Boolean> call = client -> {
             client.recordSuspects(
                     requests.stream().map(PeerMessageConverter::toMessage).toList());
             return true;
-        });
+        };
+        peerTransport.call(peer, "record-suspects", CALL_TIMEOUT_MILLIS, PeerCall.withResultIfUnknown(call, false));
     }
 
     /** Returns the other daemons that may own a shard of the services of some requests. */
--- a/src/main/java/org/cassiabank/proxy/PeerStoreRelay.java
+++ b/src/main/java/org/cassiabank/proxy/PeerStoreRelay.java
@@ -2,13 +2,9 @@
 
 import java.util.List;
 import java.util.Objects;
-import org.apache.thrift.TApplicationException;
-import org.apache.thrift.TException;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.membership.Instance;
-import org.cassiabank.peer.generated.Peer;
-import org.cassiabank.peer.generated.StoreChanges;
-import org.cassiabank.peer.generated.StoreRelayState;
+import org.cassiabank.peer.PeerCall;
 import org.cassiabank.source.StoreRelay;
 import org.cassiabank.source.StoreRelayReply;
 
@@ -64,22 +60,13 @@
                     watcher,
                     "store-changes",
                     timeoutMillis,
-                    client -> PeerMessageConverter.toStoreRelayReply(storeChanges(client, afterRevision, waitMillis)));
+                    PeerCall.withResultIfUnknown(
+                            client -> PeerMessageConverter.toStoreRelayReply(
+                                    client.storeChanges(afterRevision, waitMillis)),
+                            new StoreRelayReply.Unavailable()));
         } catch (CassiabankException exception) {
             // The transport has recorded the failure; the next watcher or the store is asked instead.
             return new StoreRelayReply.Unavailable();
         }
     }
-
-    /** Calls a watcher. One of a release without this call is no less reachable for other calls. */
-    private static StoreChanges storeChanges(Peer.Iface client, long afterRevision, long waitMillis) throws TException {
-        try {
-            return client.storeChanges(afterRevision, waitMillis);
-        } catch (TApplicationException exception) {
-            if (exception.getType() == TApplicationException.UNKNOWN_METHOD) {
-                return new StoreChanges(StoreRelayState.UNAVAILABLE, 0, List.of(), 0);
-            }
-            throw exception;
-        }
-    }
 }
--- a/src/main/java/org/cassiabank/proxy/SlotBroker.java
+++ b/src/main/java/org/cassiabank/proxy/SlotBroker.java
@@ -154,10 +154,7 @@
             }
             if (peerTransport.isReachable(candidate)) {
                 try {
-                    peerTransport.call(candidate, "record-suspects", REPORT_TIMEOUT_MILLIS, client -> {
-                        client.recordSuspects(List.of(PeerMessageConverter.toMessage(request)));
-                        return true;
-                    });
+                    fatalRequests.send(candidate, List.of(request));
                     return;
                 } catch (CassiabankException exception) {
                     // The peer transport has recorded the failure; the next candidate may own the shard as well.
--- a/src/test/java/org/cassiabank/proxy/FatalRequestExchangeTest.java
+++ b/src/test/java/org/cassiabank/proxy/FatalRequestExchangeTest.java
@@ -1,6 +1,7 @@
 package org.cassiabank.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatCode;
 
 import java.lang.reflect.Proxy;
 import java.nio.charset.StandardCharsets;
@@ -10,6 +11,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import org.apache.thrift.TApplicationException;
+import org.apache.thrift.TException;
 import org.cassiabank.declaration.LabelRule;
 import org.cassiabank.declaration.ServiceDeclaration;
 import org.cassiabank.health.RequestDigest;
@@ -75,6 +78,18 @@
         await(() -> restarted.refusalMillis(REQUEST, false, 1_000).isPresent());
     }
 
+    @Test
+    void aPeerOfAReleaseWithoutTheCallsStaysReachable() {
+        List<FatalRequestExchange> exchanges = startExchanges(1);
+        Instance older = instance("proxy-older", InstanceRole.PROXY, FreePorts.nextLoopbackAddress());
+        HostAndPort address = HostAndPort.parse(older.address());
+        Peer.Iface peer = peerOf((method, arguments) -> {
+            throw new TApplicationException(TApplicationException.UNKNOWN_METHOD, "Invalid method name");
+        });
+        peerServers.add(PeerServer.start(address.host(), address.port(), PeerSocketFactories.plain(), peer));
+        assertThatCode(() -> exchanges.getFirst().send(older, List.of())).doesNotThrowAnyException();
+    }
+
     private static void endServers(FatalRequestExchange exchange, int count) {
         for (int server = 0; server < count; server++) {
             exchange.recordCrash(REQUEST, "menu", "menu-" + server, 0);
@@ -113,25 +128,31 @@
     /** Serves the two calls of the exchange; the others are not made. */
     @SuppressWarnings("unchecked")
     private static PeerServer startPeerServer(Instance self, FatalRequestExchange exchange) {
-        Peer.Iface peer = (Peer.Iface) Proxy.newProxyInstance(
-                Peer.Iface.class.getClassLoader(), new Class<?>[] {Peer.Iface.class}, (proxy, method, arguments) -> {
-                    switch (method.getName()) {
-                        case "recordSuspects" -> {
-                            exchange.merge(PeerMessageConverter.toSuspectedRequests((List<Suspect>) arguments[0]));
-                            return null;
-                        }
-                        case "suspects" -> {
-                            return exchange.suspects((String) arguments[0]).stream()
-                                    .map(PeerMessageConverter::toMessage)
-                                    .toList();
-                        }
-                        default -> throw new IllegalStateException("unexpected call " + method.getName());
-                    }
-                });
+        Peer.Iface peer = peerOf((method, arguments) -> {
+            switch (method) {
+                case "recordSuspects" -> {
+                    exchange.merge(PeerMessageConverter.toSuspectedRequests((List<Suspect>) arguments[0]));
+                    return null;
+                }
+                case "suspects" -> {
+                    return exchange.suspects((String) arguments[0]).stream()
+                            .map(PeerMessageConverter::toMessage)
+                            .toList();
+                }
+                default -> throw new IllegalStateException("unexpected call " + method);
+            }
+        });
         HostAndPort address = HostAndPort.parse(self.address());
         return PeerServer.start(address.host(), address.port(), PeerSocketFactories.plain(), peer);
     }
 
+    private static Peer.Iface peerOf(PeerCalls calls) {
+        return (Peer.Iface) Proxy.newProxyInstance(
+                Peer.Iface.class.getClassLoader(),
+                new Class<?>[] {Peer.Iface.class},
+                (proxy, method, arguments) -> calls.answer(method.getName(), arguments));
+    }
+
     private static Instance instance(String name, InstanceRole role, String address) {
         return Instance.of(name, role, address, "region", "domain", InstanceState.LIVE);
     }
@@ -143,4 +164,9 @@
             LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(10));
         }
     }
+
+    /** Answers the calls of peers by name. */
+    private interface PeerCalls {
+        Object answer(String method, Object[] arguments) throws TException;
+    }
 }
