--- a/src/main/java/org/cassiabank/admission/Lease.java
+++ b/src/main/java/org/cassiabank/admission/Lease.java
@@ -50,6 +50,11 @@
         return longWork;
     }
 
+    CompletedLease toCompletedLease() {
+        return new CompletedLease(
+                server.schedulableServer().name(), request.route(), request.digest(), grantedAtMillis);
+    }
+
     void setLongWork(boolean value) {
         longWork = value;
     }
--- a/src/main/java/org/cassiabank/admission/RateLimitNotice.java
+++ b/src/main/java/org/cassiabank/admission/RateLimitNotice.java
@@ -15,6 +15,7 @@
         /**
          * Checks the rate.
          *
+         * @param requestsPerSecond the requests a second that the server accepts from all proxies together, at least 0
          * @throws IllegalArgumentException if the rate is negative, infinite or not a number
          */
         public Limited {
--- a/src/main/java/org/cassiabank/admission/RateLimitShare.java
+++ b/src/main/java/org/cassiabank/admission/RateLimitShare.java
@@ -3,8 +3,8 @@
 /**
  * Divides the limit of a server among entry proxies that reach no owner of its shard and so cannot count together.
  *
- * <p>The proxies take turns of the time in which the server accepts one request. A turn that is not used is lost, so that
- * proxies that were idle do not send a burst together.
+ * <p>The proxies take turns of the time in which the server accepts one request. A turn that is not used is lost, so
+ * that proxies that were idle do not send a burst together.
  */
 public final class RateLimitShare {
     private static final double MILLIS_PER_SECOND = 1_000;
--- a/src/main/java/org/cassiabank/admission/RequestRateLimiter.java
+++ b/src/main/java/org/cassiabank/admission/RequestRateLimiter.java
@@ -11,7 +11,8 @@
     private static final double BURST_SECONDS = 0.25;
 
     /**
-     * A server with a lower limit still gets a request in 10 s, because only its responses tell that the limit has ended.
+     * A server with a lower limit still gets a request in 10 s, because only its responses tell that the limit has
+     * ended.
      */
     private static final double MINIMUM_REQUESTS_PER_SECOND = 0.1;
 
--- a/src/main/java/org/cassiabank/admission/SchedulableServer.java
+++ b/src/main/java/org/cassiabank/admission/SchedulableServer.java
@@ -15,7 +15,8 @@
  * @param leaving whether the server is about to stop and must get no new work
  * @param labels the labels of the server
  * @param failureDomain the failure domain of the server, empty if placement ignores it
- * @param requestsPerSecond the requests a second that this scheduler may grant at most, empty if the server names no limit
+ * @param requestsPerSecond the requests a second that this scheduler may grant at most, empty if the server names no
+ *     limit
  */
 public record SchedulableServer(
         String name,
--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import org.cassiabank.health.AttemptOutcome;
-import org.cassiabank.health.RequestDigest;
 
 /**
  * Grants, queues and refuses requests for the slots of the backend servers of one shard.
@@ -215,11 +214,7 @@
                 // The time until a cancellation is no measure of the route or the server.
             }
         }
-        return Optional.of(new CompletedLease(
-                server.schedulableServer().name(),
-                completedLease.get().request().route(),
-                completedLease.get().request().digest(),
-                completedLease.get().grantedAtMillis()));
+        return completedLease.map(Lease::toCompletedLease);
     }
 
     /**
@@ -270,23 +265,11 @@
                 .map(lease -> new InFlightAttempt(
                         lease.server().schedulableServer().name(),
                         lease.request().route(),
+                        lease.request().digest(),
                         (currentMillis - lease.grantedAtMillis()) * 1000))
                 .toList();
     }
 
-    /**
-     * Returns the requests that hold leases on a server.
-     *
-     * @param serverName the name of the server
-     * @return their digests in the order of the grants
-     */
-    public List<RequestDigest> requestsAt(String serverName) {
-        return leases.all().stream()
-                .filter(lease -> lease.server().schedulableServer().name().equals(serverName))
-                .map(lease -> lease.request().digest())
-                .toList();
-    }
-
     /**
      * Tells whether any request holds a lease.
      *
--- a/src/main/java/org/cassiabank/backend/HeaderConventions.java
+++ b/src/main/java/org/cassiabank/backend/HeaderConventions.java
@@ -73,8 +73,8 @@
     boolean announcesLeaving(Map<String, List<String>> headers);
 
     /**
-     * Returns the header in which a backend server names the requests a second that it accepts from all proxies together,
-     * as a decimal number. The limit holds until a response does not name it.
+     * Returns the header in which a backend server names the requests a second that it accepts from all proxies
+     * together, as a decimal number. The limit holds until a response does not name it.
      *
      * @return the name of the header
      */
--- a/src/main/java/org/cassiabank/health/FatalRequests.java
+++ b/src/main/java/org/cassiabank/health/FatalRequests.java
@@ -13,11 +13,11 @@
 /**
  * Finds requests that end each server that runs them, and keeps them from further servers.
  *
- * <p>When a connection breaks, the server may have ended, and any request that it ran may be the reason. Three different
- * processes tell the reason from the requests that were beside it: those are answered elsewhere, which clears them. A
- * break also proves nothing if the same process answers a later request. From the second process on, a request is sent to
- * one server at a time and not retried; from the third one on, it is refused for a time that doubles with each further
- * process. Then one attempt shows whether it is still fatal.
+ * <p>When a connection breaks, the server may have ended, and any request that it ran may be the reason. Three
+ * different processes tell the reason from the requests that were beside it: those are answered elsewhere, which clears
+ * them. A break also proves nothing if the same process answers a later request. From the second process on, a request
+ * is sent to one server at a time and not retried; from the third one on, it is refused for a time that doubles with
+ * each further process. Then one attempt shows whether it is still fatal.
  *
  * <p>Instances are not thread-safe.
  */
--- a/src/main/java/org/cassiabank/health/RequestDigest.java
+++ b/src/main/java/org/cassiabank/health/RequestDigest.java
@@ -9,11 +9,11 @@
 import java.util.Objects;
 
 /**
- * Identifies the requests of one caller with the same target and body, whatever proxy receives them. The host is not a
- * part of it, because a caller may address each proxy by its own name.
+ * Identifies the requests of one caller with the same target and body, whatever proxy receives them. The host is not
+ * a part of it, because a caller may address each proxy by its own name.
  *
- * <p>The identity of the caller is a part of it, so that no caller can produce the digest of another one's request. Where
- * callers state none and their addresses change, equal requests of all callers have one digest.
+ * <p>The identity of the caller is a part of it, so that no caller can produce the digest of another one's request.
+ * Where callers state none and their addresses change, equal requests of all callers have one digest.
  *
  * @param hex the first 128 bits of a SHA-256 digest as 32 hexadecimal digits; empty for a request without a digest
  */
--- a/src/main/java/org/cassiabank/proxy/FatalRequestExchange.java
+++ b/src/main/java/org/cassiabank/proxy/FatalRequestExchange.java
@@ -24,8 +24,9 @@
 /**
  * The requests that this daemon suspects of ending servers, shared with the daemons that may own their shards next.
  *
- * <p>A fatal request is sent several times, over longer than a machine usually stands still, because the owner that takes
- * over may be frozen or cut off when it is sent first. A daemon that begins to own a shard asks the other candidates.
+ * <p>A fatal request is sent several times, over longer than a machine usually stands still, because the owner that
+ * takes over may be frozen or cut off when it is sent first. A daemon that begins to own a shard asks the other
+ * candidates.
  *
  * <p>Instances are thread-safe.
  */
--- a/src/main/java/org/cassiabank/proxy/KnownRateLimits.java
+++ b/src/main/java/org/cassiabank/proxy/KnownRateLimits.java
@@ -13,8 +13,8 @@
 import org.cassiabank.membership.Instance;
 
 /**
- * The limits that backend servers named in responses to this entry proxy. They are passed on to each owner with requests
- * for slots, so that a new owner of a shard knows them before it grants the first slot. Thread-safe.
+ * The limits that backend servers named in responses to this entry proxy. They are passed on to each owner with
+ * requests for slots, so that a new owner of a shard knows them before it grants the first slot. Thread-safe.
  */
 final class KnownRateLimits {
     /** An owner is told again after this time, because it may have restarted in the meantime. */
@@ -47,7 +47,7 @@
         });
     }
 
-    /** Returns the limits of servers of a shard that its owner has not been told of recently, and records that it is. */
+    /** Returns the limits of servers of a shard unless its owner was told recently, and records that it is told now. */
     synchronized List<ServerRateLimit> takeNews(String ownerName, ShardKey shard, FleetView view) {
         long nowMillis = MonotonicClock.millis();
         Collection<ServerRateLimit> all = limits.all(nowMillis);
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -239,10 +239,13 @@
             LOGGER.atInfo().log("%s: servers %s restarted", key, restarted);
             leavingReportMillis.keySet().removeAll(restarted);
             rateLimits.forget(restarted);
-            restarted.forEach(server -> scheduler
-                    .requestsAt(server)
-                    .forEach(digest -> fatalRequests.recordCrash(
-                            digest, key.service(), server, formerIncarnationByServer.get(server))));
+            scheduler.inFlightAttempts(nowMillis).stream()
+                    .filter(attempt -> restarted.contains(attempt.serverName()))
+                    .forEach(attempt -> fatalRequests.recordCrash(
+                            attempt.digest(),
+                            key.service(),
+                            attempt.serverName(),
+                            formerIncarnationByServer.get(attempt.serverName())));
             Predicate<LabeledServer> notRestarted =
                     server -> !restarted.contains(server.instance().name());
             monitor.replaceServers(monitoredServers(notRestarted), view.ejectionFloor(key), nowMillis);
--- a/src/main/java/org/cassiabank/proxy/OwnedShards.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShards.java
@@ -100,8 +100,8 @@
     }
 
     /**
-     * Releases a lease with the outcome of its attempt. A broken connection counts against the request even if the lease
-     * is not known, because this daemon has taken over the shard or has restarted since the grant.
+     * Releases a lease with the outcome of its attempt. A broken connection counts against the request even if the
+     * lease is not known, because this daemon has taken over the shard or has restarted since the grant.
      *
      * @param key the shard
      * @param leaseId the identifier of the lease
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -76,13 +76,7 @@
      */
     static ProxyDaemon create(ProxySettings settings) {
         Objects.requireNonNull(settings, "settings");
-        Instance self = Instance.of(
-                settings.name(),
-                InstanceRole.PROXY,
-                settings.peerAddress().toString(),
-                settings.region(),
-                settings.failureDomain(),
-                InstanceState.LIVE);
+        Instance self = selfInstance(settings);
         PeerSocketFactories socketFactories = peerSocketFactories(settings);
         ProxyMetrics metrics = ProxyMetrics.create();
         FleetState fleet =
@@ -137,6 +131,16 @@
         return new ProxyDaemon(settings, kernel, adminEndpoint, callerServer);
     }
 
+    private static Instance selfInstance(ProxySettings settings) {
+        return Instance.of(
+                settings.name(),
+                InstanceRole.PROXY,
+                settings.peerAddress().toString(),
+                settings.region(),
+                settings.failureDomain(),
+                InstanceState.LIVE);
+    }
+
     /**
      * Starts all services and listens for callers.
      *
--- a/src/test/java/org/cassiabank/admission/SlotSchedulerTest.java
+++ b/src/test/java/org/cassiabank/admission/SlotSchedulerTest.java
@@ -198,7 +198,8 @@
         assertThat(scheduler.advance(350)).extracting(TicketDecision::ticketId).containsExactly(queued.ticketId());
         assertThat(scheduler.completeLease(expired.leaseId(), AttemptOutcome.ANSWERED, 10_000, 351))
                 .isEmpty();
-        assertThat(scheduler.inFlightAttempts(360)).containsExactly(new InFlightAttempt("server-0", "menu", 10_000));
+        assertThat(scheduler.inFlightAttempts(360))
+                .containsExactly(new InFlightAttempt("server-0", "menu", RequestDigest.none(), 10_000));
     }
 
     @Test
--- a/src/test/java/org/cassiabank/soak/GuaranteeChecks.java
+++ b/src/test/java/org/cassiabank/soak/GuaranteeChecks.java
@@ -218,7 +218,7 @@
                 .count();
     }
 
-    /** Counts the requests of a limited server from undisturbed daemons that had passed on a response with the limit. */
+    /** Counts the requests of a limited server from undisturbed daemons that had passed on its limit. */
     private void checkRateLimit(SoakFleet.RateLimitSpan limit) {
         Map<Integer, Long> toldMillisByDaemon = new HashMap<>();
         List<Map.Entry<RequestHistory.SentRequest, RequestHistory.Arrival>> arrivals = new ArrayList<>();
