Log the era of the store, the revision of a complete read, and a watcher that is behind

Needed to tell the hypotheses of the change that was missed apart: whether followers were told of no change, or dropped it, or whether watchers passed on changes of before the outage. No decision depends on these lines.

--- a/src/main/java/org/cassiabank/platform/KeyValueStore.java
+++ b/src/main/java/org/cassiabank/platform/KeyValueStore.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.net.URI;
 import java.time.Duration;
@@ -12,6 +13,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
 import okhttp3.HttpUrl;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
@@ -33,18 +35,24 @@
  * <p>Instances are thread-safe.
  */
 final class KeyValueStore implements MetadataStore {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
     private static final MediaType JSON = MediaType.get("application/json");
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
     /** The store responds within 4 ms, and within up to 60 times that when it is slow. */
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(1_500);
 
+    /** Rises by one each time the store comes back from an older copy of its contents. */
+    private static final String ERA_HEADER = "Store-Era";
+
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
     private static final int GONE = 410;
 
     private final HttpUrl baseUrl;
     private final OkHttpClient client;
+    /** The highest era that a response named, 0 before the first one. */
+    private final AtomicLong latestEra = new AtomicLong();
 
     private KeyValueStore(HttpUrl baseUrl, OkHttpClient client) {
         this.baseUrl = baseUrl;
@@ -180,6 +188,7 @@
                 ? client
                 : client.newBuilder().callTimeout(CALL_TIMEOUT.plus(serverWait)).build();
         try (Response response = clientWithTimeout.newCall(request).execute()) {
+            recordEra(response);
             byte[] body = response.body().bytes();
             if (!expectedStatuses.contains(response.code())) {
                 throw unavailable(describe(request), "status " + response.code(), null);
@@ -191,6 +200,21 @@
         }
     }
 
+    private void recordEra(Response response) {
+        String text = response.header(ERA_HEADER, "0");
+        try {
+            long era = Long.parseLong(text.strip());
+            long formerEra = latestEra.getAndAccumulate(era, Math::max);
+            if (era != formerEra && formerEra > 0) {
+                LOGGER.atWarning().log(
+                        "the store names era %d in its response to %s, before era %d",
+                        era, describe(response.request()), formerEra);
+            }
+        } catch (NumberFormatException exception) {
+            throw unavailable(describe(response.request()), ERA_HEADER + " is not a number: " + text, exception);
+        }
+    }
+
     private static StoreEntry parseEntry(JsonNode item) {
         try {
             return new StoreEntry(
--- a/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
+++ b/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
@@ -48,6 +48,7 @@
     /** The wait at the store while no peer answers, after which the peers are asked again. */
     private static final long FALLBACK_WATCH_WAIT_MILLIS = 2_000;
 
+    private static final int LOG_INTERVAL_SECONDS = 10;
     private static final long MINIMUM_RETRY_DELAY_MILLIS = 150;
     private static final long MAXIMUM_RETRY_DELAY_MILLIS = 350;
 
@@ -219,6 +220,11 @@
                 return;
             }
             pauseMillis = pauseMillis(changes.get(), relayed, clockMillis.getAsLong() - callStartMillis);
+            if (changes.get().revision() < storeRevision) {
+                LOGGER.atWarning().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                        "%s is at revision %d, behind revision %d of this daemon",
+                        changeOrigin, changes.get().revision(), storeRevision);
+            }
             changes.get().events().forEach(entryTable::apply);
             changeLog.append(changes.get());
             storeRevision = Math.max(storeRevision, changes.get().revision());
@@ -279,6 +285,7 @@
         changeLog.restart(storeRevision);
         changeLog.recordContact(outageGracePeriod.graceEndMillis());
         entriesLoaded = true;
+        LOGGER.atInfo().log("read all %d entries of the store at revision %d", allEntries.size(), storeRevision);
     }
 
     /** Publishes the instances before the configuration, because a daemon with a configuration accepts requests. */
