--- a/src/test/java/org/cassiabank/platform/RecordingFleetListener.java
+++ b/src/test/java/org/cassiabank/platform/RecordingFleetListener.java
@@ -19,6 +19,10 @@
         return instances.find(name).isPresent();
     }
 
+    boolean isLeaving(String name) {
+        return instances.find(name).filter(instance -> !instance.isLive()).isPresent();
+    }
+
     /** Returns the index of the instance list that was in force when the first configuration came, or -1. */
     long indexAtFirstConfiguration() {
         return indexAtFirstConfiguration;
--- a/src/test/java/org/cassiabank/platform/StoreStandIn.java
+++ b/src/test/java/org/cassiabank/platform/StoreStandIn.java
@@ -12,9 +12,10 @@
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import org.cassiabank.http.JoobyServer;
@@ -23,13 +24,15 @@
 /** A stand-in for the platform's metadata store that can inject the faults which the platform documents. */
 public final class StoreStandIn implements AutoCloseable {
     private static final int MAXIMUM_REQUEST_BYTES = 2 << 20;
+    private static final String ERA_HEADER = "Store-Era";
 
     private final JsonMapper mapper = JsonMapper.builder().build();
     private final TreeMap<String, Item> itemsByKey = new TreeMap<>();
     private final List<ObjectNode> history = new ArrayList<>();
-    private final Map<Long, Boolean> activeLeases = new HashMap<>();
+    private final Set<Long> activeLeases = new HashSet<>();
     private final JoobyServer server;
     private final URI address;
+    private long era = 1;
     private long revision = 100;
     private long oldestWatchableRevision = 100;
     private long lastLeaseId;
@@ -80,6 +83,32 @@
         oldestWatchableRevision = revision;
     }
 
+    /** Returns a copy of everything that the store holds now, for {@link #restore}. */
+    public synchronized Copy copy() {
+        return new Copy(
+                new TreeMap<>(itemsByKey),
+                List.copyOf(history),
+                Set.copyOf(activeLeases),
+                revision,
+                oldestWatchableRevision,
+                lastLeaseId);
+    }
+
+    /** Replaces the contents with those of a copy and begins a new era: later revisions and leases are given out again. */
+    public synchronized void restore(Copy copy) {
+        itemsByKey.clear();
+        itemsByKey.putAll(copy.items());
+        history.clear();
+        history.addAll(copy.history());
+        activeLeases.clear();
+        activeLeases.addAll(copy.leases());
+        revision = copy.revision();
+        oldestWatchableRevision = copy.oldestWatchableRevision();
+        lastLeaseId = copy.lastLeaseId();
+        era++;
+        notifyAll();
+    }
+
     /** Responds to calls with an HTTP status, except to the revocation of a lease; 0 restores normal responses. */
     public synchronized void failWithStatus(int status) {
         failureStatus = status;
@@ -103,6 +132,18 @@
         return itemsByKey.containsKey(key);
     }
 
+    /** Returns the lease of a key, 0 if it is held by none. */
+    synchronized long leaseOf(String key) {
+        return itemsByKey.get(key).leaseId();
+    }
+
+    /** Grants the next lease to another client, which writes a key under it, and returns the number of the lease. */
+    synchronized long grantLeaseToAnother(String key) {
+        activeLeases.add(++lastLeaseId);
+        put(key, new byte[0], lastLeaseId);
+        return lastLeaseId;
+    }
+
     synchronized long revision() {
         return revision;
     }
@@ -156,7 +197,7 @@
                 if (failureStatus != 0) {
                     return respondWithStatus(context, failureStatus);
                 }
-                if (afterRevision < oldestWatchableRevision) {
+                if (afterRevision < oldestWatchableRevision || afterRevision > revision) {
                     return respondWithStatus(context, 410);
                 }
                 ArrayNode events = mapper.createArrayNode();
@@ -182,7 +223,7 @@
         JsonNode body = mapper.readTree(context.body().bytes());
         for (JsonNode write : body.path("set_keys")) {
             long leaseId = write.path("lease").asLong();
-            if (leaseId != 0 && !activeLeases.containsKey(leaseId)) {
+            if (leaseId != 0 && !activeLeases.contains(leaseId)) {
                 return respondWithStatus(context, 404);
             }
         }
@@ -192,6 +233,9 @@
                     write.path("value").binaryValue(),
                     write.path("lease").asLong());
         }
+        for (JsonNode key : body.path("remove")) {
+            remove(key.asText());
+        }
         if (dropsWriteResponses) {
             return respondWithStatus(context, 500);
         }
@@ -202,7 +246,7 @@
         if (failureStatus != 0) {
             return respondWithStatus(context, failureStatus);
         }
-        activeLeases.put(++lastLeaseId, true);
+        activeLeases.add(++lastLeaseId);
         JsonNode request = mapper.readTree(context.body().bytes());
         return respondWithJson(
                 context,
@@ -215,7 +259,7 @@
         if (failureStatus != 0) {
             return respondWithStatus(context, failureStatus);
         }
-        return activeLeases.containsKey(context.path("lease").longValue())
+        return activeLeases.contains(context.path("lease").longValue())
                 ? respondWithJson(context, mapper.createObjectNode().put("ttl_time", "8000ms"))
                 : respondWithStatus(context, 404);
     }
@@ -251,15 +295,26 @@
                 .put("lease", item.leaseId());
     }
 
-    private static Object respondWithStatus(Context context, int status) {
+    private Object respondWithStatus(Context context, int status) {
+        context.setResponseHeader(ERA_HEADER, era);
         context.setResponseCode(StatusCode.valueOf(status));
         return "{}";
     }
 
-    private static Object respondWithJson(Context context, ObjectNode body) {
+    private Object respondWithJson(Context context, ObjectNode body) {
+        context.setResponseHeader(ERA_HEADER, era);
         context.setResponseType(MediaType.json);
         return body.toString();
     }
 
-    private record Item(byte[] value, long revision, long leaseId) {}
+    record Item(byte[] value, long revision, long leaseId) {}
+
+    /** The contents of the store at one moment. */
+    public record Copy(
+            Map<String, Item> items,
+            List<ObjectNode> history,
+            Set<Long> leases,
+            long revision,
+            long oldestWatchableRevision,
+            long lastLeaseId) {}
 }
