Order the facts of the store by era and revision

Cause: every fact of the store was ordered by its revision alone. Daemons that follow a watcher asked for changes after the highest number that they had seen; the watchers had read the copy again at a lower number and answered that there are none (logged on: "a watcher is at revision 64, behind revision 65 of this daemon" at 14 daemons). A change at a number up to 65 was taken as seen.

The class of fault: a number is compared across histories that it does not identify. The same comparison stood in the table of entries, the change log for peers, the cache of parsed entries, the entry of the configuration, the index of instance lists, and the number of the lease, which may be given to another holder.

Fix: a position in the store is (era, number), one type with one order (StoreRevision); it travels with pages, events, changes to peers and leases. Changes of another era do not continue the entries of a daemon: all are read again. A peer of another era is told the era. Each daemon registers anew in a new era, spread over 1.5 s, and at its stop removes its key instead of ending a lease. A lower version of the configuration stays out of force, the same version with other content comes into force; for 10 s after a start or a new era, and while the store holds an older version than the one in force, daemons exchange the configuration with peers. Servers that had left or were leaving do not come back with the copy until their entries could have expired; servers that the copy lacks stay for the 2 s of an outage. The change log and the table also skip changes of the same era that arrive late, which the property test found.

StoreRestoredFromOlderCopyTest failed 5 of 7 before and passes.

RecordingFleetListener asserted that no configuration of an equal version is handed over; equal versions are now allowed, because their content may differ, and are still not installed twice. StoreStandIn ends no leases any more, which no daemon asks for. The soak brings the store back from a copy twice in a run, drawn from a random source of its own.

--- a/src/main/java/org/cassiabank/membership/Instance.java
+++ b/src/main/java/org/cassiabank/membership/Instance.java
@@ -85,6 +85,16 @@
         return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
     }
 
+    /**
+     * Returns the same instance in another state.
+     *
+     * @param newState the state
+     * @return the instance in that state
+     */
+    public Instance withState(InstanceState newState) {
+        return new Instance(name, role, address, region, failureDomain, newState, labels, slots, incarnation);
+    }
+
     /**
      * Tells whether the platform lists the instance as live.
      *
--- a/src/main/java/org/cassiabank/platform/KeyValueStore.java
+++ b/src/main/java/org/cassiabank/platform/KeyValueStore.java
@@ -26,7 +26,9 @@
 import org.cassiabank.source.MetadataStore;
 import org.cassiabank.source.StoreEntry;
 import org.cassiabank.source.StoreEvent;
+import org.cassiabank.source.StoreLease;
 import org.cassiabank.source.StorePage;
+import org.cassiabank.source.StoreRevision;
 import org.cassiabank.source.StoreWatchResult;
 
 /**
@@ -83,6 +85,11 @@
                         .build());
     }
 
+    @Override
+    public long era() {
+        return latestEra.get();
+    }
+
     @Override
     public StorePage list(String prefix, String afterKey) {
         HttpUrl.Builder urlBuilder = urlBuilder("/api/kv-range").addQueryParameter("prefix", prefix);
@@ -92,17 +99,17 @@
         StoreResponse response = call(new Request.Builder().url(urlBuilder.build()), Duration.ZERO, Set.of(OK));
         List<StoreEntry> entries = new ArrayList<>();
         for (JsonNode item : response.body().path("items")) {
-            entries.add(parseEntry(item));
+            entries.add(parseEntry(item, response.era()));
         }
-        return new StorePage(entries, response.body().path("more_pages").asBoolean(), storeRevision(response.body()));
+        return new StorePage(entries, response.body().path("more_pages").asBoolean(), storeRevision(response));
     }
 
     @Override
-    public Optional<StoreWatchResult> watch(String prefix, long afterRevision, long waitMillis) {
+    public Optional<StoreWatchResult> watch(String prefix, StoreRevision afterRevision, long waitMillis) {
         // The query parameter "after" is a revision in a watch and a key in a range read.
         HttpUrl url = urlBuilder("/api/kv-watch")
                 .addQueryParameter("prefix", prefix)
-                .addQueryParameter("after", Long.toString(afterRevision))
+                .addQueryParameter("after", Long.toString(afterRevision.number()))
                 .addQueryParameter("wait_ms", Long.toString(waitMillis))
                 .build();
         StoreResponse response = call(new Request.Builder().url(url), Duration.ofMillis(waitMillis), Set.of(OK, GONE));
@@ -113,52 +120,52 @@
         for (JsonNode event : response.body().path("events")) {
             events.add(
                     event.path("deleted").asBoolean()
-                            ? new StoreEvent.Removed(
-                                    event.path("key").asText(),
-                                    event.path("rev").asLong())
-                            : new StoreEvent.Written(parseEntry(event)));
+                            ? new StoreEvent.Removed(event.path("key").asText(), revisionOf(event, response.era()))
+                            : new StoreEvent.Written(parseEntry(event, response.era())));
         }
-        return Optional.of(new StoreWatchResult(events, storeRevision(response.body())));
+        return Optional.of(new StoreWatchResult(events, storeRevision(response)));
     }
 
     @Override
-    public long grantLease(long durationMillis) {
+    public StoreLease grantLease(long durationMillis) {
         ObjectNode body = MAPPER.createObjectNode().put("ttl_time", PlatformDurations.formatMillis(durationMillis));
-        JsonNode response = post("/api/kv-lease", body, Set.of(OK)).body();
-        if (!response.path("lease").canConvertToLong()) {
+        StoreResponse response = post("/api/kv-lease", body, Set.of(OK));
+        JsonNode leaseId = response.body().path("lease");
+        if (!leaseId.canConvertToLong()) {
             throw unavailable("POST /api/kv-lease", "the response has no lease", null);
         }
-        return response.path("lease").asLong();
+        return new StoreLease(leaseId.asLong(), response.era());
     }
 
     @Override
-    public boolean renewLease(long leaseId) {
-        return post("/api/kv-keep/" + leaseId, MAPPER.createObjectNode(), Set.of(OK, NOT_FOUND))
+    public boolean renewLease(StoreLease lease) {
+        return post("/api/kv-keep/" + lease.id(), MAPPER.createObjectNode(), Set.of(OK, NOT_FOUND))
                         .status()
                 == OK;
     }
 
     @Override
-    public void revokeLease(long leaseId) {
-        Request.Builder request = new Request.Builder()
-                .url(urlBuilder("/api/kv-lease-end/" + leaseId).build())
-                .delete();
-        call(request, Duration.ZERO, Set.of(OK, NOT_FOUND));
-    }
-
-    @Override
-    public boolean put(String key, byte[] value, long leaseId) {
+    public boolean put(String key, byte[] value, StoreLease lease) {
         ObjectNode body = MAPPER.createObjectNode();
         body.putArray("expected_rev");
         body.putArray("set_keys")
                 .addObject()
                 .put("key", key)
                 .put("value", value)
-                .put("lease", leaseId);
+                .put("lease", lease.id());
         body.putArray("remove");
         return post("/api/kv-txn", body, Set.of(OK, NOT_FOUND)).status() == OK;
     }
 
+    @Override
+    public void remove(String key) {
+        ObjectNode body = MAPPER.createObjectNode();
+        body.putArray("expected_rev");
+        body.putArray("set_keys");
+        body.putArray("remove").add(key);
+        post("/api/kv-txn", body, Set.of(OK));
+    }
+
     @Override
     public void closeConnections() {
         client.dispatcher().cancelAll();
@@ -188,49 +195,53 @@
                 ? client
                 : client.newBuilder().callTimeout(CALL_TIMEOUT.plus(serverWait)).build();
         try (Response response = clientWithTimeout.newCall(request).execute()) {
-            recordEra(response);
+            long era = recordEra(response);
             byte[] body = response.body().bytes();
             if (!expectedStatuses.contains(response.code())) {
                 throw unavailable(describe(request), "status " + response.code(), null);
             }
             return new StoreResponse(
-                    response.code(), response.code() == OK ? MAPPER.readTree(body) : MAPPER.nullNode());
+                    response.code(), era, response.code() == OK ? MAPPER.readTree(body) : MAPPER.nullNode());
         } catch (IOException exception) {
             throw unavailable(describe(request), exception.toString(), exception);
         }
     }
 
-    private void recordEra(Response response) {
+    /** Records the era that a response names and returns it. */
+    private long recordEra(Response response) {
         String text = response.header(ERA_HEADER, "0");
         try {
-            long era = Long.parseLong(text.strip());
+            long era = Long.parseUnsignedLong(text.strip());
             long formerEra = latestEra.getAndAccumulate(era, Math::max);
             if (era != formerEra && formerEra > 0) {
                 LOGGER.atWarning().log(
                         "the store names era %d in its response to %s, before era %d",
                         era, describe(response.request()), formerEra);
             }
+            return era;
         } catch (NumberFormatException exception) {
             throw unavailable(describe(response.request()), ERA_HEADER + " is not a number: " + text, exception);
         }
     }
 
-    private static StoreEntry parseEntry(JsonNode item) {
+    private static StoreEntry parseEntry(JsonNode item, long era) {
         try {
-            return new StoreEntry(
-                    item.path("key").asText(),
-                    item.path("value").binaryValue(),
-                    item.path("rev").asLong());
+            return new StoreEntry(item.path("key").asText(), item.path("value").binaryValue(), revisionOf(item, era));
         } catch (IOException | NullPointerException exception) {
             throw unavailable("entry " + item.path("key"), "the value is missing or not base64", exception);
         }
     }
 
-    private static long storeRevision(JsonNode response) {
-        if (!response.path("store_revision").canConvertToLong()) {
+    private static StoreRevision revisionOf(JsonNode item, long era) {
+        return new StoreRevision(era, Math.max(0, item.path("rev").asLong()));
+    }
+
+    private static StoreRevision storeRevision(StoreResponse response) {
+        JsonNode revision = response.body().path("store_revision");
+        if (!revision.canConvertToLong() || revision.asLong() < 0) {
             throw unavailable("read", "the response has no store_revision", null);
         }
-        return response.path("store_revision").asLong();
+        return new StoreRevision(response.era(), revision.asLong());
     }
 
     private static String describe(Request request) {
@@ -246,7 +257,8 @@
      * A response of the store.
      *
      * @param status the HTTP status
+     * @param era the era of the store, 0 if the response names none
      * @param body the document, a JSON null unless the status is 200
      */
-    private record StoreResponse(int status, JsonNode body) {}
+    private record StoreResponse(int status, long era, JsonNode body) {}
 }
--- a/src/main/java/org/cassiabank/proxy/FleetState.java
+++ b/src/main/java/org/cassiabank/proxy/FleetState.java
@@ -100,7 +100,7 @@
                 }
             }
         } finally {
-            publishConfiguration(formerRevision, "from a peer");
+            publishConfiguration("from a peer");
         }
         return revision() > formerRevision;
     }
@@ -113,7 +113,6 @@
      * @return true if it was installed
      */
     synchronized boolean install(byte[] snapshot) {
-        long formerRevision = revision();
         try {
             if (!configurationHistory.installSnapshot(snapshot)) {
                 return false;
@@ -123,23 +122,22 @@
                     "snapshot rejected; revision %d stays in force: %s", revision(), exception.getMessage());
             return false;
         }
-        publishConfiguration(formerRevision, "from a snapshot");
+        publishConfiguration("from a snapshot");
         return true;
     }
 
     /**
-     * Installs a complete configuration of the store if it is newer.
+     * Installs a complete configuration of the store if it is newer, or another one of the same revision.
      *
      * @param versionedConfiguration the configuration and its revision
      * @return true if it was installed
      */
     synchronized boolean install(VersionedConfiguration versionedConfiguration) {
-        long formerRevision = revision();
         if (!configurationHistory.installConfiguration(
                 versionedConfiguration.revision(), versionedConfiguration.declarations())) {
             return false;
         }
-        publishConfiguration(formerRevision, "from the store");
+        publishConfiguration("from the store");
         return true;
     }
 
@@ -191,7 +189,7 @@
             reader.catchUp(configurationHistory);
         } finally {
             synchronized (this) {
-                publishConfiguration(revision(), "from the store");
+                publishConfiguration("from the store");
             }
         }
         return revision() > formerRevision;
@@ -205,8 +203,8 @@
         return configurationHistory.encodeSnapshot();
     }
 
-    private void publishConfiguration(long formerRevision, String origin) {
-        if (configurationHistory.configuration().revision() > formerRevision) {
+    private void publishConfiguration(String origin) {
+        if (configurationHistory.configuration() != view.configuration()) {
             publish(view.withConfiguration(configurationHistory.configuration()));
             LOGGER.atInfo().log("configuration revision %d is in force, %s", revision(), origin);
         }
--- a/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
+++ b/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
@@ -22,6 +22,7 @@
 import org.cassiabank.peer.generated.StoreChanges;
 import org.cassiabank.peer.generated.Suspect;
 import org.cassiabank.source.FleetSource;
+import org.cassiabank.source.StoreRevision;
 
 /**
  * Serves the Thrift calls of other proxies: slots, exchanges of fleet state and claims.
@@ -111,9 +112,9 @@
     }
 
     @Override
-    public StoreChanges storeChanges(long afterRevision, long waitMillis) {
-        return PeerMessageConverter.toMessage(
-                fleetSource.awaitChanges(afterRevision, Math.clamp(waitMillis, 0, MAXIMUM_RELAY_WAIT_MILLIS)));
+    public StoreChanges storeChanges(long afterRevision, long waitMillis, long afterEra) {
+        return PeerMessageConverter.toMessage(fleetSource.awaitChanges(
+                new StoreRevision(afterEra, afterRevision), Math.clamp(waitMillis, 0, MAXIMUM_RELAY_WAIT_MILLIS)));
     }
 
     @Override
--- a/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
+++ b/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
@@ -45,6 +45,7 @@
 import org.cassiabank.source.StoreEntry;
 import org.cassiabank.source.StoreEvent;
 import org.cassiabank.source.StoreRelayReply;
+import org.cassiabank.source.StoreRevision;
 import org.cassiabank.source.StoreWatchResult;
 
 /**
@@ -270,12 +271,15 @@
         return switch (reply) {
             case StoreRelayReply.Current current ->
                 new StoreChanges(
-                        StoreRelayState.CURRENT,
-                        current.changes().revision(),
-                        current.changes().events().stream()
-                                .map(PeerMessageConverter::toMessage)
-                                .toList(),
-                        current.graceMillis());
+                                StoreRelayState.CURRENT,
+                                current.changes().revision().number(),
+                                current.changes().events().stream()
+                                        .map(PeerMessageConverter::toMessage)
+                                        .toList(),
+                                current.graceMillis())
+                        .setEra(current.changes().revision().era());
+            case StoreRelayReply.OtherEra other ->
+                new StoreChanges(StoreRelayState.UNAVAILABLE, 0, List.of(), 0).setEra(other.era());
             case StoreRelayReply.Unavailable unavailable ->
                 new StoreChanges(StoreRelayState.UNAVAILABLE, 0, List.of(), 0);
         };
@@ -287,26 +291,29 @@
                 new StoreRelayReply.Current(
                         new StoreWatchResult(
                                 message.getChanges().stream()
-                                        .map(PeerMessageConverter::toStoreEvent)
+                                        .map(change -> toStoreEvent(change, message.getEra()))
                                         .toList(),
-                                message.getRevision()),
+                                new StoreRevision(message.getEra(), message.getRevision())),
                         message.getGraceMillis());
-            case UNAVAILABLE -> new StoreRelayReply.Unavailable();
+            case UNAVAILABLE ->
+                message.isSetEra() ? new StoreRelayReply.OtherEra(message.getEra()) : new StoreRelayReply.Unavailable();
         };
     }
 
     private static StoreChange toMessage(StoreEvent event) {
         return switch (event) {
             case StoreEvent.Written written ->
-                new StoreChange(written.entry().key(), written.revision())
+                new StoreChange(written.entry().key(), written.revision().number())
                         .setValue(ByteBuffer.wrap(written.entry().value()));
-            case StoreEvent.Removed removed -> new StoreChange(removed.key(), removed.revision());
+            case StoreEvent.Removed removed ->
+                new StoreChange(removed.key(), removed.revision().number());
         };
     }
 
-    private static StoreEvent toStoreEvent(StoreChange message) {
+    private static StoreEvent toStoreEvent(StoreChange message, long era) {
+        StoreRevision revision = new StoreRevision(era, message.getRevision());
         return message.isSetValue()
-                ? new StoreEvent.Written(new StoreEntry(message.getKey(), message.getValue(), message.getRevision()))
-                : new StoreEvent.Removed(message.getKey(), message.getRevision());
+                ? new StoreEvent.Written(new StoreEntry(message.getKey(), message.getValue(), revision))
+                : new StoreEvent.Removed(message.getKey(), revision);
     }
 }
--- a/src/main/java/org/cassiabank/proxy/PeerStoreRelay.java
+++ b/src/main/java/org/cassiabank/proxy/PeerStoreRelay.java
@@ -7,6 +7,7 @@
 import org.cassiabank.peer.PeerCall;
 import org.cassiabank.source.StoreRelay;
 import org.cassiabank.source.StoreRelayReply;
+import org.cassiabank.source.StoreRevision;
 
 /**
  * Follows the store through the watchers of this daemon's failure domain, a different one at each call: if one of them
@@ -38,7 +39,7 @@
     }
 
     @Override
-    public StoreRelayReply awaitChanges(long afterRevision, long waitMillis) {
+    public StoreRelayReply awaitChanges(StoreRevision afterRevision, long waitMillis) {
         List<Instance> watchers = replication.planner().otherWatchers();
         for (int attempt = 0; attempt < watchers.size(); attempt++) {
             nextWatcher = (nextWatcher + 1) % watchers.size();
@@ -53,7 +54,7 @@
         return new StoreRelayReply.Unavailable();
     }
 
-    private StoreRelayReply ask(Instance watcher, long afterRevision, long waitMillis) {
+    private StoreRelayReply ask(Instance watcher, StoreRevision afterRevision, long waitMillis) {
         try {
             int timeoutMillis = Math.toIntExact(waitMillis + REPLY_TIMEOUT_MILLIS);
             return peerTransport.call(
@@ -62,7 +63,7 @@
                     timeoutMillis,
                     PeerCall.withResultIfUnknown(
                             client -> PeerMessageConverter.toStoreRelayReply(
-                                    client.storeChanges(afterRevision, waitMillis)),
+                                    client.storeChanges(afterRevision.number(), waitMillis, afterRevision.era())),
                             new StoreRelayReply.Unavailable()));
         } catch (CassiabankException exception) {
             // The transport has recorded the failure; the next watcher or the store is asked instead.
--- a/src/main/java/org/cassiabank/proxy/PlatformWatch.java
+++ b/src/main/java/org/cassiabank/proxy/PlatformWatch.java
@@ -12,6 +12,7 @@
 import org.cassiabank.source.FleetSource;
 import org.cassiabank.source.FleetUpdateListener;
 import org.cassiabank.source.StoreRelayReply;
+import org.cassiabank.source.StoreRevision;
 import org.cassiabank.store.InstanceListClient;
 
 /**
@@ -80,7 +81,13 @@
     }
 
     @Override
-    public StoreRelayReply awaitChanges(long afterRevision, long waitMillis) {
+    public boolean isConfigurationSettled() {
+        // Peers are asked anyway, because this source is never up to date by itself.
+        return true;
+    }
+
+    @Override
+    public StoreRelayReply awaitChanges(StoreRevision afterRevision, long waitMillis) {
         // Peers get the changes of this origin by exchanges.
         return new StoreRelayReply.Unavailable();
     }
--- a/src/main/java/org/cassiabank/proxy/Replication.java
+++ b/src/main/java/org/cassiabank/proxy/Replication.java
@@ -36,6 +36,9 @@
     private static final long EXCHANGE_INTERVAL_MILLIS = 1_000;
     private static final int EXCHANGE_TIMEOUT_MILLIS = 1_000;
 
+    /** A list index that no list exceeds, so that neither side sends its list. */
+    private static final long LIST_NOT_EXCHANGED = Long.MAX_VALUE;
+
     private final Instance self;
     private final FleetState fleet;
     private final PeerTransport peerTransport;
@@ -129,6 +132,9 @@
     private void exchangeWithRandomPeer() {
         if (fleetSource.isUpToDate()) {
             lastExchangeMillis = MonotonicClock.millis();
+            if (!fleetSource.isConfigurationSettled()) {
+                planner.exchangePeer(ThreadLocalRandom.current()).ifPresent(this::exchangeConfiguration);
+            }
             return;
         }
         planner.exchangePeer(ThreadLocalRandom.current())
@@ -139,13 +145,30 @@
     /** Exchanges state with a peer that is assumed to have the given revision and list index already. */
     private void exchange(Instance peer, long assumedRevision, long assumedIndex) {
         try {
-            ExchangeReply reply = sendExchange(peer, assumedRevision, assumedIndex);
+            ExchangeReply reply = sendExchange(peer, announcedListIndex(), assumedRevision, assumedIndex);
             lastExchangeMillis = MonotonicClock.millis();
             installReceivedState(reply.getInstances(), reply.getSnapshot(), reply.getChanges());
             boolean peerIsBehind = reply.getRevision() < fleet.revision()
                     || reply.getListIndex() < fleet.view().instances().index();
             if (peerIsBehind) {
-                sendExchange(peer, reply.getRevision(), reply.getListIndex());
+                sendExchange(peer, announcedListIndex(), reply.getRevision(), reply.getListIndex());
+            }
+        } catch (CassiabankException exception) {
+            // The peer transport has recorded the failure, and the next exchange selects a peer at random again.
+            return;
+        }
+    }
+
+    /**
+     * Exchanges only the configuration with a peer. A store that has come back from an older copy may lack a configuration
+     * that operators had been told is accepted; it stays in force, also at daemons that have only seen the copy.
+     */
+    private void exchangeConfiguration(Instance peer) {
+        try {
+            ExchangeReply reply = sendExchange(peer, LIST_NOT_EXCHANGED, fleet.revision(), LIST_NOT_EXCHANGED);
+            installReceivedState(null, reply.getSnapshot(), reply.getChanges());
+            if (reply.getRevision() < fleet.revision()) {
+                sendExchange(peer, LIST_NOT_EXCHANGED, reply.getRevision(), LIST_NOT_EXCHANGED);
             }
         } catch (CassiabankException exception) {
             // The peer transport has recorded the failure, and the next exchange selects a peer at random again.
@@ -153,8 +176,9 @@
         }
     }
 
-    private ExchangeReply sendExchange(Instance peer, long assumedRevision, long assumedIndex) {
-        ExchangeRequest request = new ExchangeRequest(self.name(), fleet.revision(), announcedListIndex());
+    /** Tells a peer this daemon's state, and what it lacks if it has the assumed revision and list index. */
+    private ExchangeReply sendExchange(Instance peer, long announcedIndex, long assumedRevision, long assumedIndex) {
+        ExchangeRequest request = new ExchangeRequest(self.name(), fleet.revision(), announcedIndex);
         MissingState missing = missingStateSince(assumedRevision, assumedIndex);
         missing.changes().ifPresent(request::setChanges);
         missing.snapshot().ifPresent(request::setSnapshot);
--- a/src/main/java/org/cassiabank/source/FleetSource.java
+++ b/src/main/java/org/cassiabank/source/FleetSource.java
@@ -19,14 +19,21 @@
      */
     boolean isUpToDate();
 
+    /**
+     * Returns whether no peer is expected to know a newer configuration than the origin.
+     *
+     * @return false while the origin may have lost changes that it had confirmed, so that peers have to be asked
+     */
+    boolean isConfigurationSettled();
+
     /**
      * Answers a peer that follows the origin through this daemon.
      *
-     * @param afterRevision the revision after which the peer needs changes, exclusive
+     * @param afterRevision the position after which the peer needs changes, exclusive
      * @param waitMillis the longest wait for changes in milliseconds
      * @return the changes, or why this daemon cannot tell them
      */
-    StoreRelayReply awaitChanges(long afterRevision, long waitMillis);
+    StoreRelayReply awaitChanges(StoreRevision afterRevision, long waitMillis);
 
     /**
      * Announces to peers and to the platform that this daemon accepts no new work.
--- a/src/main/java/org/cassiabank/source/FleetUpdateListener.java
+++ b/src/main/java/org/cassiabank/source/FleetUpdateListener.java
@@ -23,7 +23,7 @@
     long instanceListIndex();
 
     /**
-     * Puts a configuration into force if it is newer than the one in force.
+     * Puts a configuration into force if it is newer than the one in force, or another one of the same revision.
      *
      * @param versionedConfiguration the complete configuration
      * @return true if it was installed
--- a/src/main/java/org/cassiabank/source/InstanceEntries.java
+++ b/src/main/java/org/cassiabank/source/InstanceEntries.java
@@ -62,12 +62,12 @@
 
     /** Logs that an entry is ignored. */
     static void logRejected(StoreEntry entry, RuntimeException problem) {
-        LOGGER.atWarning().log("ignoring invalid entry %s at revision %d: %s", entry.key(), entry.revision(), problem);
+        LOGGER.atWarning().log("ignoring invalid entry %s at revision %s: %s", entry.key(), entry.revision(), problem);
     }
 
     private Optional<Instance> parseIfChanged(StoreEntry entry, Supplier<Instance> parser) {
         ParsedEntry cached = parsedEntries.get(entry.key());
-        if (cached != null && cached.revision() == entry.revision()) {
+        if (cached != null && cached.revision().equals(entry.revision())) {
             return cached.instance();
         }
         Optional<Instance> instance = Optional.empty();
@@ -87,5 +87,5 @@
      * @param revision the revision of the parsed entry
      * @param instance the instance, empty if the entry is invalid
      */
-    private record ParsedEntry(long revision, Optional<Instance> instance) {}
+    private record ParsedEntry(StoreRevision revision, Optional<Instance> instance) {}
 }
--- a/src/main/java/org/cassiabank/source/MetadataStore.java
+++ b/src/main/java/org/cassiabank/source/MetadataStore.java
@@ -11,6 +11,14 @@
  */
 public interface MetadataStore {
 
+    /**
+     * Returns the latest era that a response of the store has named, including responses to failed calls. The era rises
+     * each time the store comes back from an older copy of its contents.
+     *
+     * @return the era, 0 before the first response or if the store names none
+     */
+    long era();
+
     /**
      * Reads one page of the entries whose keys start with a prefix.
      *
@@ -24,44 +32,45 @@
      * Waits for changes of keys that start with a prefix.
      *
      * @param prefix the prefix, empty for all keys
-     * @param afterRevision the revision after which changes are returned, exclusive
+     * @param afterRevision the position after which changes are returned, exclusive
      * @param waitMillis the longest wait in milliseconds
-     * @return the changes, or empty if the store has discarded changes after the revision
+     * @return the changes, or empty if the store has no complete history after the position. A store of a later era
+     *     answers by the number alone, so the era of the result has to be compared
      */
-    Optional<StoreWatchResult> watch(String prefix, long afterRevision, long waitMillis);
+    Optional<StoreWatchResult> watch(String prefix, StoreRevision afterRevision, long waitMillis);
 
     /**
      * Creates a lease that expires unless it is renewed.
      *
      * @param durationMillis the time from the grant or a renewal to the expiry, in milliseconds
-     * @return the identifier of the lease
+     * @return the lease
      */
-    long grantLease(long durationMillis);
+    StoreLease grantLease(long durationMillis);
 
     /**
      * Renews a lease for its full duration.
      *
-     * @param leaseId the identifier of the lease
-     * @return false if the lease has expired or was revoked
+     * @param lease the lease
+     * @return false if no lease has this identifier
      */
-    boolean renewLease(long leaseId);
+    boolean renewLease(StoreLease lease);
 
     /**
-     * Revokes a lease and removes its keys. A lease that has ended already is ignored.
+     * Writes a key that the store removes when its lease ends.
      *
-     * @param leaseId the identifier of the lease
+     * @param key the key
+     * @param value the value
+     * @param lease the lease
+     * @return false if the lease has ended, and nothing was written
      */
-    void revokeLease(long leaseId);
+    boolean put(String key, byte[] value, StoreLease lease);
 
     /**
-     * Writes a key that the store removes when its lease ends.
+     * Removes a key. A key that does not exist is ignored.
      *
      * @param key the key
-     * @param value the value
-     * @param leaseId the identifier of the lease
-     * @return false if the lease has ended, and nothing was written
      */
-    boolean put(String key, byte[] value, long leaseId);
+    void remove(String key);
 
     /**
      * Cancels all pending calls and closes all connections. Called after a call timed out, because other connections on
--- a/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
+++ b/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
@@ -4,7 +4,6 @@
 import java.io.InterruptedIOException;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
@@ -13,8 +12,8 @@
 import java.util.function.LongSupplier;
 import org.cassiabank.kernel.BackgroundTasks;
 import org.cassiabank.kernel.CassiabankException;
+import org.cassiabank.kernel.ErrorCode;
 import org.cassiabank.membership.Instance;
-import org.cassiabank.membership.InstanceList;
 import org.cassiabank.membership.InstanceListCodec;
 
 /**
@@ -58,8 +57,8 @@
      */
     private static final long MAXIMUM_REACHABLE_WAIT_MILLIS = 2_000;
 
-    /** Lists of one store revision that differ in the instances retained after an outage have consecutive indexes. */
-    private static final int INDEX_BITS_PER_REVISION = 8;
+    /** After this time in a new era each daemon has exchanged its configuration with several peers. */
+    private static final long CONFIGURATION_SETTLING_MILLIS = 10_000;
 
     private final PlatformAdapter adapter;
     private final MetadataStore store;
@@ -70,20 +69,21 @@
     private final StoreEntryTable entryTable = new StoreEntryTable();
     private final OutageGracePeriod outageGracePeriod = new OutageGracePeriod();
     private final Registration registration;
-    private final InstanceEntries instanceEntries;
+    private final EntryPublisher publisher;
     private final CountDownLatch leavingLatch = new CountDownLatch(1);
-    private long configurationEntryRevision;
     /** Where the latest changes came from, for the log. */
     private String changeOrigin = "nowhere";
 
     private FleetUpdateListener listener;
-    private Map<String, Instance> publishedInstances = Map.of();
-    private boolean entriesLoaded;
     private boolean storeAvailable = true;
-    private long storeRevision;
-    private long publishedIndex;
+    /** The era in which the entries were last read; a peer may have named a later one. */
+    private volatile long followedEra;
+
+    private volatile boolean watchingStore;
     private volatile boolean upToDate;
     private volatile boolean selfListed;
+    private volatile boolean storeBehind;
+    private volatile long settledMillis = Long.MAX_VALUE;
     /** False from a failed call to the store until the next successful one of this daemon itself. */
     private volatile boolean storeReachable = true;
 
@@ -97,9 +97,8 @@
         this.clockMillis = clockMillis;
         this.relay = relay;
         this.changeLog = StoreChangeLog.create(clockMillis);
-        this.instanceEntries = InstanceEntries.create(adapter, self.region());
-        this.registration = Registration.create(
-                store, InstanceEntries.DAEMONS_PREFIX + self.name(), InstanceListCodec.toJson(List.of(self)));
+        this.publisher = EntryPublisher.create(adapter, self.region(), outageGracePeriod);
+        this.registration = Registration.create(store, daemonKey(self), InstanceListCodec.toJson(List.of(self)));
     }
 
     /**
@@ -137,7 +136,12 @@
     }
 
     @Override
-    public StoreRelayReply awaitChanges(long afterRevision, long waitMillis) {
+    public boolean isConfigurationSettled() {
+        return !storeBehind && clockMillis.getAsLong() >= settledMillis;
+    }
+
+    @Override
+    public StoreRelayReply awaitChanges(StoreRevision afterRevision, long waitMillis) {
         return changeLog.awaitChanges(afterRevision, waitMillis);
     }
 
@@ -158,19 +162,19 @@
                 readAndPublish();
                 if (!storeAvailable) {
                     LOGGER.atInfo().log(
-                            "the store answers again at revision %d; %d unlisted instances are retained",
-                            storeRevision, outageGracePeriod.retainedCount());
+                            "the store answers again at revision %s; %d unlisted instances are retained",
+                            entryTable.revision(), outageGracePeriod.retainedCount());
                 }
                 storeAvailable = true;
-                upToDate = entriesLoaded;
+                upToDate = entryTable.isCompleteIn(store.era());
             } catch (CassiabankException exception) {
                 setStoreReachable(false);
                 changeLog.setWatching(false);
                 outageGracePeriod.recordFailure(clockMillis.getAsLong());
                 if (storeAvailable) {
                     LOGGER.atWarning().log(
-                            "the store does not answer, revision %d stays in force: %s",
-                            storeRevision, exception.getMessage());
+                            "the store does not answer, revision %s stays in force: %s",
+                            entryTable.revision(), exception.getMessage());
                 }
                 boolean firstFailure = storeAvailable;
                 storeAvailable = false;
@@ -181,7 +185,7 @@
                 }
             } catch (RuntimeException | Error failure) {
                 // The table may hold a part of the changes only, so all entries are read again.
-                entriesLoaded = false;
+                entryTable.invalidate();
                 changeLog.setWatching(false);
                 upToDate = false;
                 BackgroundTasks.recordFailure("store-follower", failure);
@@ -192,42 +196,40 @@
 
     private void readAndPublish() {
         long pauseMillis = BATCH_INTERVAL_MILLIS;
-        if (!entriesLoaded) {
-            loadAllEntries();
-            outageGracePeriod.recordResponse(clockMillis.getAsLong());
-        } else {
+        if (entryTable.isCompleteIn(store.era())) {
             long callStartMillis = clockMillis.getAsLong();
             boolean watching = relay.isWatcher() && storeReachable;
             changeLog.setWatching(watching);
-            StoreRelayReply reply =
-                    watching ? new StoreRelayReply.Unavailable() : relay.awaitChanges(storeRevision, RELAY_WAIT_MILLIS);
-            boolean relayed = reply instanceof StoreRelayReply.Current;
+            StoreRelayReply reply = watching
+                    ? new StoreRelayReply.Unavailable()
+                    : relay.awaitChanges(entryTable.revision(), RELAY_WAIT_MILLIS);
+            boolean relayed = reply instanceof StoreRelayReply.Current current && continuesEntries(current.changes());
             recordOrigin(
                     watching ? "the store, as a watcher" : relayed ? "a watcher" : "the store, for want of a watcher");
             Optional<StoreWatchResult> changes =
                     switch (reply) {
-                        case StoreRelayReply.Current current -> {
+                        case StoreRelayReply.Current current
+                        when relayed -> {
                             outageGracePeriod.recordResponse(clockMillis.getAsLong());
                             outageGracePeriod.retainFor(current.graceMillis(), clockMillis.getAsLong());
                             yield Optional.of(current.changes());
                         }
+                        case StoreRelayReply.OtherEra other
+                        when other.era() > entryTable.revision().era() -> Optional.empty();
+                        case StoreRelayReply.Current current -> watchStore(watching);
+                        case StoreRelayReply.OtherEra other -> watchStore(watching);
                         case StoreRelayReply.Unavailable unavailable -> watchStore(watching);
                     };
-            if (changes.isEmpty()) {
+            if (changes.isEmpty() || !apply(changes.get())) {
                 LOGGER.atInfo().log(
-                        "the store has discarded changes after revision %d; reading all entries again", storeRevision);
-                entriesLoaded = false;
+                        "no changes continue the entries at revision %s (era %d of the store); reading all entries again",
+                        entryTable.revision(), store.era());
+                entryTable.invalidate();
                 return;
             }
             pauseMillis = pauseMillis(changes.get(), relayed, clockMillis.getAsLong() - callStartMillis);
-            if (changes.get().revision() < storeRevision) {
-                LOGGER.atWarning().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
-                        "%s is at revision %d, behind revision %d of this daemon",
-                        changeOrigin, changes.get().revision(), storeRevision);
-            }
-            changes.get().events().forEach(entryTable::apply);
-            changeLog.append(changes.get());
-            storeRevision = Math.max(storeRevision, changes.get().revision());
+        } else {
+            loadAllEntries();
         }
         publish();
         // Before the pause: until then Replication asks peers for lists that this daemon already has.
@@ -235,10 +237,30 @@
         pause(pauseMillis);
     }
 
+    /** Tells whether changes from a peer are of the same era; a peer of a release without eras names none. */
+    private boolean continuesEntries(StoreWatchResult changes) {
+        return changes.revision().era() == entryTable.revision().era();
+    }
+
+    private boolean apply(StoreWatchResult changes) {
+        if (changes.revision().era() == entryTable.revision().era()
+                && entryTable.revision().isAfter(changes.revision())) {
+            LOGGER.atWarning().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                    "%s is at revision %s, behind revision %s of this daemon",
+                    changeOrigin, changes.revision(), entryTable.revision());
+        }
+        if (!entryTable.apply(changes)) {
+            return false;
+        }
+        changeLog.append(changes);
+        return true;
+    }
+
     private void recordOrigin(String newOrigin) {
         if (!newOrigin.equals(changeOrigin)) {
             LOGGER.atInfo().log(
-                    "changes after revision %d come from %s, before from %s", storeRevision, newOrigin, changeOrigin);
+                    "changes after revision %s come from %s, before from %s",
+                    entryTable.revision(), newOrigin, changeOrigin);
             changeOrigin = newOrigin;
         }
     }
@@ -247,15 +269,22 @@
         // The first call after a failure waits only 1 ms, so that the grace period starts without delay.
         long nowMillis = clockMillis.getAsLong();
         long longestWaitMillis = watching ? WATCH_WAIT_MILLIS : FALLBACK_WATCH_WAIT_MILLIS;
-        long waitMillis = storeAvailable
-                ? Math.clamp(outageGracePeriod.nextEvaluationMillis() - nowMillis, 1, longestWaitMillis)
-                : 1;
+        long waitMillis =
+                storeAvailable ? Math.clamp(publisher.nextEvaluationMillis() - nowMillis, 1, longestWaitMillis) : 1;
         listener.recordStoreCall("watch");
-        Optional<StoreWatchResult> changes = store.watch("", storeRevision, waitMillis);
+        watchingStore = true;
+        Optional<StoreWatchResult> changes;
+        try {
+            changes = store.watch("", entryTable.revision(), waitMillis);
+        } finally {
+            watchingStore = false;
+        }
         setStoreReachable(true);
         // Peers must learn of the grace period before they learn that entries have expired.
         outageGracePeriod.recordResponse(clockMillis.getAsLong());
-        changeLog.recordContact(outageGracePeriod.graceEndMillis());
+        if (store.era() == followedEra) {
+            changeLog.recordContact(outageGracePeriod.graceEndMillis());
+        }
         return changes;
     }
 
@@ -268,87 +297,50 @@
     }
 
     private void loadAllEntries() {
-        List<StoreEntry> allEntries = new ArrayList<>();
-        long lowestRevision = Long.MAX_VALUE;
+        List<StorePage> pages = new ArrayList<>();
         String afterKey = "";
         boolean hasMore = true;
         while (hasMore) {
             listener.recordStoreCall("list");
             StorePage page = store.list("", afterKey);
-            lowestRevision = Math.min(lowestRevision, page.revision());
-            allEntries.addAll(page.entries());
+            pages.add(page);
             hasMore = page.hasMore() && !page.entries().isEmpty();
             afterKey = hasMore ? page.entries().getLast().key() : afterKey;
         }
-        entryTable.replaceAll(allEntries);
-        storeRevision = lowestRevision;
-        changeLog.restart(storeRevision);
-        changeLog.recordContact(outageGracePeriod.graceEndMillis());
-        entriesLoaded = true;
-        LOGGER.atInfo().log("read all %d entries of the store at revision %d", allEntries.size(), storeRevision);
-    }
-
-    /** Publishes the instances before the configuration, because a daemon with a configuration accepts requests. */
-    private void publish() {
-        publishInstances();
-        publishConfiguration();
-    }
-
-    private void publishInstances() {
-        Map<String, Instance> listed = instanceEntries.instancesIn(entryTable);
-        selfListed = listed.containsKey(self.name());
-        Map<String, Instance> instancesToPublish = outageGracePeriod.addRetained(listed, clockMillis.getAsLong());
-        // During an outage of the store a list from a peer may have replaced the last list published here.
-        if (instancesToPublish.equals(publishedInstances)
-                && publishedIndex > 0
-                && listener.instanceListIndex() == publishedIndex) {
-            return;
+        long nowMillis = clockMillis.getAsLong();
+        outageGracePeriod.recordResponse(nowMillis);
+        StoreRevision formerRevision = entryTable.revision();
+        if (!entryTable.replaceAll(pages)) {
+            throw CassiabankException.of(
+                    ErrorCode.STORE_UNAVAILABLE,
+                    "the store came back from an older copy while its entries were read: "
+                            + pages.stream().map(StorePage::revision).toList());
         }
-        Map<String, Instance> previousInstances = publishedInstances;
-        publishedInstances = instancesToPublish;
-        publishedIndex = Math.max(
-                Math.max(publishedIndex, listener.instanceListIndex()) + 1, storeRevision << INDEX_BITS_PER_REVISION);
-        listener.install(InstanceList.of(publishedIndex, instancesToPublish.values()));
-        if (previousInstances.isEmpty()) {
-            // One log line for each instance would take a considerable part of the startup time.
-            LOGGER.atInfo().log("first instance list, revision %d: %s", storeRevision, instancesToPublish.keySet());
-        } else {
-            logDifferences(previousInstances, instancesToPublish);
+        StoreRevision revision = entryTable.revision();
+        followedEra = revision.era();
+        boolean firstRead = formerRevision.equals(StoreRevision.none());
+        if (firstRead || revision.era() > formerRevision.era()) {
+            settledMillis = nowMillis + CONFIGURATION_SETTLING_MILLIS;
+        }
+        if (!firstRead && revision.era() > formerRevision.era()) {
+            LOGGER.atWarning().log(
+                    "the store came back from an older copy at revision %s, before revision %s",
+                    revision, formerRevision);
+            publisher.recordRestoration(revision, nowMillis);
         }
+        changeLog.restart(revision);
+        changeLog.recordContact(outageGracePeriod.graceEndMillis());
+        LOGGER.atInfo().log("read all entries of the store in %d pages at revision %s", pages.size(), revision);
     }
 
-    private void publishConfiguration() {
-        Optional<StoreEntry> entry = entryTable.find(adapter.configurationKey());
-        if (entry.isEmpty() || entry.get().revision() == configurationEntryRevision) {
-            return;
-        }
-        configurationEntryRevision = entry.get().revision();
-        try {
-            VersionedConfiguration versionedConfiguration = adapter.parseConfiguration(entry.get());
-            if (versionedConfiguration.revision() > listener.configurationRevision()) {
-                listener.install(versionedConfiguration);
-            }
-        } catch (RuntimeException exception) {
-            // Other writers may store anything; an entry that cannot be used must not stop the others.
-            InstanceEntries.logRejected(entry.get(), exception);
-        }
+    private void publish() {
+        publisher.publish(entryTable, listener, clockMillis.getAsLong());
+        selfListed = entryTable.find(daemonKey(self)).isPresent();
+        storeBehind = publisher.isStoreBehind(listener);
     }
 
-    private void logDifferences(Map<String, Instance> previousInstances, Map<String, Instance> newInstances) {
-        newInstances.forEach((name, instance) -> {
-            Instance previous = previousInstances.get(name);
-            if (previous == null) {
-                LOGGER.atInfo().log(
-                        "%s %s was added at %s, revision %d", instance.role(), name, instance.address(), storeRevision);
-            } else if (previous.state() != instance.state()) {
-                LOGGER.atInfo().log("%s %s is %s, revision %d", instance.role(), name, instance.state(), storeRevision);
-            }
-        });
-        previousInstances.forEach((name, instance) -> {
-            if (!newInstances.containsKey(name)) {
-                LOGGER.atInfo().log("%s %s was removed, revision %d", instance.role(), name, storeRevision);
-            }
-        });
+    private static String daemonKey(Instance daemon) {
+        return InstanceEntries.DAEMONS_PREFIX + daemon.name();
     }
 
     private synchronized void setStoreReachable(boolean reachable) {
@@ -381,7 +373,12 @@
                 }
                 renewed = true;
                 setStoreReachable(true);
-                changeLog.recordContact(Long.MIN_VALUE);
+                if (store.era() == followedEra) {
+                    changeLog.recordContact(Long.MIN_VALUE);
+                } else if (watchingStore) {
+                    // A watch may wait for changes after a revision that the store gives out again in the new era.
+                    store.closeConnections();
+                }
             } catch (CassiabankException exception) {
                 if (renewed) {
                     LOGGER.atWarning().log("cannot renew the registration: %s", exception.getMessage());
@@ -392,7 +389,7 @@
                 }
                 renewed = false;
             }
-            isLeaving = awaitLeaving(renewed ? Registration.RENEWAL_INTERVAL_MILLIS : MAXIMUM_RETRY_DELAY_MILLIS);
+            isLeaving = awaitLeaving(nextRenewalMillis(renewed));
         }
         try {
             registration.remove();
@@ -402,6 +399,13 @@
         }
     }
 
+    private long nextRenewalMillis(boolean renewed) {
+        if (registration.isOutdated()) {
+            return ThreadLocalRandom.current().nextLong(Registration.REGISTRATION_SPREAD_MILLIS);
+        }
+        return renewed ? Registration.RENEWAL_INTERVAL_MILLIS : MAXIMUM_RETRY_DELAY_MILLIS;
+    }
+
     private boolean awaitLeaving(long timeoutMillis) {
         try {
             return leavingLatch.await(timeoutMillis, TimeUnit.MILLISECONDS);
--- a/src/main/java/org/cassiabank/source/OutageGracePeriod.java
+++ b/src/main/java/org/cassiabank/source/OutageGracePeriod.java
@@ -39,6 +39,11 @@
         unavailableSinceMillis = Long.MAX_VALUE;
     }
 
+    /** Starts the grace period because the store has come back from an older copy, which may lack live instances. */
+    void recordRestoration(long nowMillis) {
+        graceEndMillis = Math.max(graceEndMillis, nowMillis + GRACE_MILLIS);
+    }
+
     /**
      * Starts the grace period of an outage that a peer has noticed.
      *
--- a/src/main/java/org/cassiabank/source/StoreChangeLog.java
+++ b/src/main/java/org/cassiabank/source/StoreChangeLog.java
@@ -31,10 +31,10 @@
     /** The total size of the values of {@link #events}. */
     private long valueBytes;
 
-    /** The revision after which all changes are in the log. */
-    private long firstRevision;
+    /** The position after which all changes are in the log, of the same era as {@link #lastRevision}. */
+    private StoreRevision firstRevision = StoreRevision.none();
 
-    private long lastRevision;
+    private StoreRevision lastRevision = StoreRevision.none();
     private long lastContactMillis;
     private long graceEndMillis;
     private boolean watching;
@@ -55,8 +55,8 @@
         return new StoreChangeLog(Objects.requireNonNull(clockMillis, "clockMillis"));
     }
 
-    /** Forgets all changes after a complete read of the store at the given revision. */
-    synchronized void restart(long revision) {
+    /** Forgets all changes after a complete read of the store at the given position. */
+    synchronized void restart(StoreRevision revision) {
         events.clear();
         valueBytes = 0;
         firstRevision = revision;
@@ -67,18 +67,20 @@
     /**
      * Appends the changes up to a revision. They may come from the store or from a peer.
      *
-     * @param changes the changes after the last revision of this log
+     * @param changes the changes after the last position of this log, of the same era
      */
     synchronized void append(StoreWatchResult changes) {
         for (StoreEvent event : changes.events()) {
-            events.addLast(event);
-            valueBytes += valueBytes(event);
+            if (event.revision().isAfter(lastRevision)) {
+                events.addLast(event);
+                valueBytes += valueBytes(event);
+            }
         }
-        lastRevision = Math.max(lastRevision, changes.revision());
+        lastRevision = lastRevision.latest(changes.revision());
         while (events.size() > MAXIMUM_EVENTS || valueBytes > MAXIMUM_VALUE_BYTES) {
             firstRevision = events.getFirst().revision();
             // One transaction may change several keys at one revision, which are complete only together.
-            while (!events.isEmpty() && events.getFirst().revision() <= firstRevision) {
+            while (!events.isEmpty() && !events.getFirst().revision().isAfter(firstRevision)) {
                 valueBytes -= valueBytes(events.removeFirst());
             }
         }
@@ -103,16 +105,19 @@
     }
 
     /**
-     * Waits for changes after a revision.
+     * Waits for changes after a position.
      *
-     * @param afterRevision the revision, exclusive
+     * @param afterRevision the position, exclusive
      * @param waitMillis the longest wait in milliseconds
      * @return the reply to the peer
      */
-    synchronized StoreRelayReply awaitChanges(long afterRevision, long waitMillis) {
+    synchronized StoreRelayReply awaitChanges(StoreRevision afterRevision, long waitMillis) {
         long endMillis = clockMillis.getAsLong() + waitMillis;
         try {
-            while (isCurrent() && lastRevision <= afterRevision && clockMillis.getAsLong() < endMillis) {
+            while (isCurrent()
+                    && lastRevision.era() == afterRevision.era()
+                    && !lastRevision.isAfter(afterRevision)
+                    && clockMillis.getAsLong() < endMillis) {
                 long staleMillis = lastContactMillis + MAXIMUM_CONTACT_AGE_MILLIS;
                 long remainingMillis = Math.min(endMillis, staleMillis) - clockMillis.getAsLong();
                 TimeUnit.MILLISECONDS.timedWait(this, Math.max(1, remainingMillis));
@@ -121,11 +126,14 @@
             Thread.currentThread().interrupt();
             return new StoreRelayReply.Unavailable();
         }
-        if (!isCurrent() || afterRevision < firstRevision) {
+        if (isCurrent() && lastRevision.era() != afterRevision.era()) {
+            return new StoreRelayReply.OtherEra(lastRevision.era());
+        }
+        if (!isCurrent() || firstRevision.isAfter(afterRevision)) {
             return new StoreRelayReply.Unavailable();
         }
         List<StoreEvent> newerEvents = events.stream()
-                .filter(event -> event.revision() > afterRevision)
+                .filter(event -> event.revision().isAfter(afterRevision))
                 .toList();
         long graceMillis = Math.max(0, graceEndMillis - clockMillis.getAsLong());
         return new StoreRelayReply.Current(new StoreWatchResult(newerEvents, lastRevision), graceMillis);
--- a/src/main/java/org/cassiabank/source/StoreEntry.java
+++ b/src/main/java/org/cassiabank/source/StoreEntry.java
@@ -7,17 +7,18 @@
  *
  * @param key the key
  * @param value the value; not copied
- * @param revision the revision of the store at which the value was written
+ * @param revision the position in the history of the store at which the value was written
  */
-public record StoreEntry(String key, byte[] value, long revision) {
+public record StoreEntry(String key, byte[] value, StoreRevision revision) {
 
     /**
-     * Checks that key and value are not null.
+     * Checks that no component is null.
      *
-     * @throws NullPointerException if the key or the value is null
+     * @throws NullPointerException if a component is null
      */
     public StoreEntry {
         Objects.requireNonNull(key, "key");
         Objects.requireNonNull(value, "value");
+        Objects.requireNonNull(revision, "revision");
     }
 }
--- a/src/main/java/org/cassiabank/source/StoreEvent.java
+++ b/src/main/java/org/cassiabank/source/StoreEvent.java
@@ -8,11 +8,11 @@
 public sealed interface StoreEvent {
 
     /**
-     * Returns the revision of the store at which the key changed.
+     * Returns the position in the history of the store at which the key changed.
      *
-     * @return the revision
+     * @return the position
      */
-    long revision();
+    StoreRevision revision();
 
     /**
      * A value was written.
@@ -32,7 +32,7 @@
         }
 
         @Override
-        public long revision() {
+        public StoreRevision revision() {
             return entry.revision();
         }
     }
@@ -41,19 +41,20 @@
      * A key was removed, explicitly or because its lease ended.
      *
      * @param key the key
-     * @param revision the revision of the store at which it was removed
+     * @param revision the position in the history of the store at which it was removed
      */
-    record Removed(String key, long revision) implements StoreEvent {
+    record Removed(String key, StoreRevision revision) implements StoreEvent {
 
         /**
-         * Checks that the key is not null.
+         * Checks that no component is null.
          *
          * @param key the key, not null
-         * @param revision the revision of the store at which it was removed
-         * @throws NullPointerException if the key is null
+         * @param revision the position at which it was removed, not null
+         * @throws NullPointerException if a component is null
          */
         public Removed {
             Objects.requireNonNull(key, "key");
+            Objects.requireNonNull(revision, "revision");
         }
     }
 }
--- a/src/main/java/org/cassiabank/source/StoreRelay.java
+++ b/src/main/java/org/cassiabank/source/StoreRelay.java
@@ -16,11 +16,11 @@
     /**
      * Waits for changes at one peer after the other until one of them is current.
      *
-     * @param afterRevision the revision after which changes are returned, exclusive
+     * @param afterRevision the position after which changes are returned, exclusive
      * @param waitMillis the longest wait at a peer that is current, in milliseconds
      * @return the reply of the first peer that watches the store; {@link StoreRelayReply.Unavailable} if there is none
      */
-    StoreRelayReply awaitChanges(long afterRevision, long waitMillis);
+    StoreRelayReply awaitChanges(StoreRevision afterRevision, long waitMillis);
 
     /**
      * Returns a relay for a daemon that watches the store itself and has no peers to ask.
@@ -35,7 +35,7 @@
             }
 
             @Override
-            public StoreRelayReply awaitChanges(long afterRevision, long waitMillis) {
+            public StoreRelayReply awaitChanges(StoreRevision afterRevision, long waitMillis) {
                 return new StoreRelayReply.Unavailable();
             }
         };
--- a/src/main/java/org/cassiabank/source/StoreRelayReply.java
+++ b/src/main/java/org/cassiabank/source/StoreRelayReply.java
@@ -8,7 +8,7 @@
 public sealed interface StoreRelayReply {
 
     /**
-     * The changes are complete up to a revision that the store confirmed a moment ago.
+     * The changes are complete up to a position that the store confirmed a moment ago.
      *
      * @param changes the changes, empty if none happened during the wait
      * @param graceMillis how long entries that expired in an outage of the store are still to be retained, in
@@ -28,6 +28,14 @@
         }
     }
 
+    /**
+     * The daemon has read the store in another era than the one of the requested revision, so its changes do not continue
+     * the entries of the peer.
+     *
+     * @param era the era of the daemon
+     */
+    record OtherEra(long era) implements StoreRelayReply {}
+
     /**
      * The daemon does not watch the store, has not heard from it for too long, or no longer keeps all changes after the
      * requested revision.
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -163,7 +163,10 @@
 enum StoreRelayState {
   /** The changes are complete up to the revision, which the store confirmed a moment ago. */
   CURRENT = 1,
-  /** The peer does not watch the store, has not heard from it for too long, or no longer keeps all these changes. */
+  /**
+   * The peer does not watch the store, has not heard from it for too long, or no longer keeps all these changes. If it
+   * names an era, it has read the store in that era, which is not the requested one.
+   */
   UNAVAILABLE = 2,
 }
 
@@ -182,6 +185,8 @@
   3: required list<StoreChange> changes,
   /** How long entries that expired in an outage of the store are still to be retained. */
   4: required i64 graceMillis,
+  /** The era of the store to which the revisions belong, 0 or missing if the store names none. */
+  5: optional i64 era,
 }
 
 enum ClaimState {
@@ -223,8 +228,8 @@
   SlotReply acquire(1: SlotRequest request) throws (1: NotReady notReady),
   void report(1: SlotOutcome outcome),
   ExchangeReply exchange(1: ExchangeRequest request),
-  /** Waits for changes of the store after a revision. */
-  StoreChanges storeChanges(1: i64 afterRevision, 2: i64 waitMillis),
+  /** Waits for changes of the store after a revision of an era; a peer of a release without eras names none. */
+  StoreChanges storeChanges(1: i64 afterRevision, 2: i64 waitMillis, 3: i64 afterEra),
   ClaimReply claim(1: string key, 2: string claim, 3: i64 requestDigest),
   /** Ends a claim: ANSWERED with an answer, UNKNOWN, or GRANTED to release a claim whose request never ran. */
   void conclude(1: string key, 2: string claim, 3: ClaimState state, 4: RecordedAnswer answer),
