--- a/src/main/java/org/cassiabank/proxy/Replication.java
+++ b/src/main/java/org/cassiabank/proxy/Replication.java
@@ -160,8 +160,8 @@
     }
 
     /**
-     * Exchanges only the configuration with a peer. A store that has come back from an older copy may lack a configuration
-     * that operators had been told is accepted; it stays in force, also at daemons that have only seen the copy.
+     * Exchanges only the configuration with a peer. A store that has come back from an older copy may lack a
+     * configuration that it had accepted; that one stays in force, also at daemons that have only seen the copy.
      */
     private void exchangeConfiguration(Instance peer) {
         try {
--- a/src/main/java/org/cassiabank/revision/ConfigurationHistory.java
+++ b/src/main/java/org/cassiabank/revision/ConfigurationHistory.java
@@ -87,9 +87,9 @@
     }
 
     /**
-     * Installs a complete configuration if it is newer, or if its revision is the one in force and its entities are not:
-     * operators may write a revision again that the store had lost. The kept changes are dropped. Unchanged entities are shared
-     * with the former configuration to save memory.
+     * Installs a complete configuration if it is newer, or if its revision is the one in force and its entities are
+     * not: operators may write a revision again that the store had lost. The kept changes are dropped. Unchanged
+     * entities are shared with the former configuration to save memory.
      *
      * @param revision the revision of the new configuration
      * @param declarations the declarations of all its entities
--- a/src/main/java/org/cassiabank/source/DepartedServers.java
+++ b/src/main/java/org/cassiabank/source/DepartedServers.java
@@ -88,7 +88,7 @@
         publishedByName = published;
     }
 
-    /** Returns the time in milliseconds when corrected entries count again, {@link Long#MAX_VALUE} if there are none. */
+    /** Returns the time in milliseconds when corrected entries count again, {@link Long#MAX_VALUE} without any. */
     long nextEvaluationMillis() {
         return corrected ? distrustEndMillis : Long.MAX_VALUE;
     }
--- a/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
+++ b/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
@@ -222,7 +222,7 @@
                     };
             if (changes.isEmpty() || !apply(changes.get())) {
                 LOGGER.atInfo().log(
-                        "no changes continue the entries at revision %s (era %d of the store); reading all entries again",
+                        "no changes continue the entries at revision %s, era %d of the store; reading all entries",
                         entryTable.revision(), store.era());
                 entryTable.invalidate();
                 return;
--- a/src/main/java/org/cassiabank/source/StoreEntryTable.java
+++ b/src/main/java/org/cassiabank/source/StoreEntryTable.java
@@ -75,8 +75,9 @@
     }
 
     /**
-     * Applies changes of the era of this copy, each unless the stored entry of its key has the same or a later revision.
-     * Changes of an earlier era have arrived late and are ignored; those of a later one require a complete read.
+     * Applies changes of the era of this copy, each unless the stored entry of its key has the same or a later
+     * revision. Changes of an earlier era have arrived late and are ignored; those of a later one require a complete
+     * read.
      *
      * @param changes the changes
      * @return true if the changes are of the era of this copy
--- a/src/main/java/org/cassiabank/source/StoreRelayReply.java
+++ b/src/main/java/org/cassiabank/source/StoreRelayReply.java
@@ -29,8 +29,8 @@
     }
 
     /**
-     * The daemon has read the store in another era than the one of the requested revision, so its changes do not continue
-     * the entries of the peer.
+     * The daemon has read the store in another era than the one of the requested revision, so its changes do not
+     * continue the entries of the peer.
      *
      * @param era the era of the daemon
      */
--- a/src/test/java/org/cassiabank/platform/StoreRestoredFromOlderCopyTest.java
+++ b/src/test/java/org/cassiabank/platform/StoreRestoredFromOlderCopyTest.java
@@ -19,8 +19,8 @@
 import org.junit.jupiter.api.Timeout;
 
 /**
- * Guards against daemons that hold on to the numbers of a store that has come back from an older copy: its revisions and
- * leases are given out again, so a known number may stand for another change or another holder.
+ * Guards against daemons that hold on to the numbers of a store that has come back from an older copy: its revisions
+ * and leases are given out again, so a known number may stand for another change or another holder.
  */
 @Timeout(60)
 class StoreRestoredFromOlderCopyTest {
@@ -164,7 +164,7 @@
         }
     }
 
-    /** Takes the store away for 1.2 s and brings it back from a copy, with writes that follow before any daemon reads. */
+    /** Takes the store away for 1.2 s and brings it back from a copy, with writes that no daemon has read before. */
     private void restore(StoreStandIn.Copy copy, Runnable firstWrites) {
         store.failWithStatus(503);
         LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1_200));
--- a/src/test/java/org/cassiabank/platform/StoreStandIn.java
+++ b/src/test/java/org/cassiabank/platform/StoreStandIn.java
@@ -94,7 +94,7 @@
                 lastLeaseId);
     }
 
-    /** Replaces the contents with those of a copy and begins a new era: later revisions and leases are given out again. */
+    /** Replaces the contents with those of a copy and begins a new era, in which revisions and leases are reused. */
     public synchronized void restore(Copy copy) {
         itemsByKey.clear();
         itemsByKey.putAll(copy.items());
--- a/src/test/java/org/cassiabank/source/StoreErasPropertiesTest.java
+++ b/src/test/java/org/cassiabank/source/StoreErasPropertiesTest.java
@@ -20,8 +20,8 @@
 
 /**
  * Plays random histories of a store that comes back from older copies, with late responses, reads in pages and changes
- * passed on between daemons. Guards against a configuration that goes back and against daemons that end in another state
- * than the store.
+ * passed on between daemons. Guards against a configuration that goes back and against daemons that end in another
+ * state than the store.
  */
 class StoreErasPropertiesTest {
     private static final int STEPS = 250;
