Log which daemon's attempts count against a server, and which servers a daemon cannot reach

The hypotheses about daemons without a path to the servers differ in whether owners eject servers because of attempts of these daemons. No decision depends on the new lines; the three outcomes that count against a server have a name now.

--- a/src/main/java/org/cassiabank/admission/CompletedLease.java
+++ b/src/main/java/org/cassiabank/admission/CompletedLease.java
@@ -4,14 +4,16 @@
 import org.cassiabank.health.RequestDigest;
 
 /**
- * The server and the route of a lease that was released by the report of its outcome.
+ * The server, the route and the holder of a lease that was released by the report of its outcome.
  *
  * @param serverName the name of the server
  * @param route the route of the request
+ * @param entryProxy the name of the entry proxy that held the lease
  * @param digest identifies the request
  * @param grantedAtMillis the time of the grant in milliseconds
  */
-public record CompletedLease(String serverName, String route, RequestDigest digest, long grantedAtMillis) {
+public record CompletedLease(
+        String serverName, String route, String entryProxy, RequestDigest digest, long grantedAtMillis) {
 
     /**
      * Checks the components.
@@ -21,6 +23,7 @@
     public CompletedLease {
         Objects.requireNonNull(serverName, "serverName");
         Objects.requireNonNull(route, "route");
+        Objects.requireNonNull(entryProxy, "entryProxy");
         Objects.requireNonNull(digest, "digest");
     }
 }
--- a/src/main/java/org/cassiabank/admission/Lease.java
+++ b/src/main/java/org/cassiabank/admission/Lease.java
@@ -52,7 +52,11 @@
 
     CompletedLease toCompletedLease() {
         return new CompletedLease(
-                server.schedulableServer().name(), request.route(), request.digest(), grantedAtMillis);
+                server.schedulableServer().name(),
+                request.route(),
+                request.entryProxy(),
+                request.digest(),
+                grantedAtMillis);
     }
 
     void setLongWork(boolean value) {
--- a/src/main/java/org/cassiabank/health/AttemptOutcome.java
+++ b/src/main/java/org/cassiabank/health/AttemptOutcome.java
@@ -17,5 +17,14 @@
     /**
      * The entry proxy cancelled the attempt because its caller had disconnected or another attempt had been answered.
      */
-    CANCELLED
+    CANCELLED;
+
+    /**
+     * Tells whether an attempt with this outcome counts against its server.
+     *
+     * @return true if the server failed, or did not respond in time
+     */
+    public boolean isEvidenceAgainstServer() {
+        return this == FAILED || this == BROKEN || this == OVERDUE;
+    }
 }
--- a/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
+++ b/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
@@ -1,5 +1,6 @@
 package org.cassiabank.proxy;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.HashSet;
 import java.util.HexFormat;
 import java.util.Objects;
@@ -30,6 +31,8 @@
  * Sends attempts to backend servers and reports their outcomes to the owners of the slots.
  */
 final class AttemptExecutor {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final int LOG_INTERVAL_SECONDS = 1;
     private static final String ANONYMOUS_CUSTOMER = "*";
     private static final long RETRY_AFTER_MILLIS = 200;
 
@@ -251,6 +254,12 @@
                 || result instanceof NoValidResponse noValidResponse
                         && noValidResponse.reason() == NoValidResponseReason.TIMEOUT) {
             unreachableServers.recordFailure(attempt.slot().serverName(), MonotonicClock.millis());
+            LOGGER.atInfo().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                    "server %s at %s could not be reached: %s; servers avoided: %s",
+                    attempt.slot().serverName(),
+                    attempt.slot().address(),
+                    result,
+                    unreachableServers.serversInBackoff(MonotonicClock.millis()));
         } else {
             unreachableServers.recordSuccess(attempt.slot().serverName());
         }
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -67,7 +67,7 @@
 
     private final ShardKey key;
     private final FatalRequestExchange fatalRequests;
-    private final ProxyMetrics metrics;
+    private final ServerHealthLog healthLog;
     private final SlotScheduler scheduler;
     private final HealthMonitor monitor;
     private final Optional<FleetRetryBudget> retryBudget;
@@ -76,6 +76,7 @@
     private final Map<String, Long> leavingReportMillis = new HashMap<>();
     private final ServerRateLimits rateLimits = ServerRateLimits.create();
     private Map<String, Long> incarnationByServer = Map.of();
+
     private Map<String, ServerHealth> healthByServer = Map.of();
     private FleetView view;
     private long nextEvaluationMillis;
@@ -91,7 +92,7 @@
             Optional<FleetRetryBudget> retryBudget) {
         this.key = key;
         this.fatalRequests = fatalRequests;
-        this.metrics = metrics;
+        this.healthLog = ServerHealthLog.create(key, metrics);
         this.scheduler = SlotScheduler.create(settings.scheduler());
         this.monitor = HealthMonitor.create(settings.health());
         this.retryBudget = retryBudget;
@@ -160,11 +161,12 @@
         Optional<CompletedLease> completedLease = scheduler.completeLease(leaseId, outcome, latencyMicros, nowMillis);
         completedLease.ifPresent(completed -> {
             recordForRequest(completed, outcome);
+            if (outcome.isEvidenceAgainstServer()) {
+                healthLog.recordFailure(completed.serverName(), outcome, completed.entryProxy());
+            }
             monitor.record(
                     new CompletedAttempt(completed.serverName(), completed.route(), outcome, latencyMicros), nowMillis);
-            if (outcome == AttemptOutcome.BROKEN
-                    || outcome == AttemptOutcome.FAILED
-                    || outcome == AttemptOutcome.OVERDUE) {
+            if (outcome.isEvidenceAgainstServer()) {
                 // The next grant depends on the new health, which must not wait for the periodic evaluation.
                 updateServers(nowMillis);
             }
@@ -186,8 +188,8 @@
         switch (outcome) {
             case BROKEN -> {
                 LOGGER.atInfo().log(
-                        "%s: the connection of server %s broke while it had request %s",
-                        key, completed.serverName(), completed.digest().shortText());
+                        "%s: the connection of server %s broke while it had request %s of %s",
+                        key, completed.serverName(), completed.digest().shortText(), completed.entryProxy());
                 fatalRequests.recordCrash(completed.digest(), key.service(), completed.serverName(), incarnation);
             }
             case ANSWERED -> {
@@ -367,7 +369,7 @@
                 .removeIf(reportMillis -> nowMillis - reportMillis > LEAVING_REPORT_VALIDITY_MILLIS);
         monitor.replaceServers(monitoredServers(server -> true), view.ejectionFloor(key), nowMillis);
         Map<String, ServerHealth> newHealthByServer = Map.copyOf(monitor.evaluate(nowMillis));
-        reportHealthChanges(newHealthByServer);
+        healthLog.report(healthByServer, newHealthByServer);
         healthByServer = newHealthByServer;
         updateScheduler(nowMillis);
     }
@@ -429,18 +431,6 @@
         }
     }
 
-    private void reportHealthChanges(Map<String, ServerHealth> newHealthByServer) {
-        newHealthByServer.forEach((serverName, newHealth) -> {
-            ServerHealth formerHealth = healthByServer.getOrDefault(serverName, ServerHealth.HEALTHY);
-            if (formerHealth != newHealth) {
-                LOGGER.atInfo().log("%s: server %s is %s, was %s", key, serverName, newHealth, formerHealth);
-                if (newHealth == ServerHealth.EJECTED) {
-                    metrics.recordEjection(key.service());
-                }
-            }
-        });
-    }
-
     /** A decision that was made at {@code decidedMillis} while its entry proxy was between two polls. */
     private record UncollectedDecision(SlotDecision decision, long decidedMillis) {}
 }
--- /dev/null
+++ b/src/main/java/org/cassiabank/proxy/ServerHealthLog.java
@@ -0,0 +1,53 @@
+package org.cassiabank.proxy;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import org.cassiabank.health.AttemptOutcome;
+import org.cassiabank.health.ServerHealth;
+
+/**
+ * Logs and counts the changes of the health of a shard's servers, each with the latest attempt that counted against the
+ * server. Instances are not thread-safe.
+ */
+final class ServerHealthLog {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final ShardKey key;
+    private final ProxyMetrics metrics;
+    /** The outcome and the entry proxy of the latest failed attempt. */
+    private final Map<String, String> latestFailureByServer = new HashMap<>();
+
+    private ServerHealthLog(ShardKey key, ProxyMetrics metrics) {
+        this.key = key;
+        this.metrics = metrics;
+    }
+
+    static ServerHealthLog create(ShardKey key, ProxyMetrics metrics) {
+        return new ServerHealthLog(Objects.requireNonNull(key, "key"), Objects.requireNonNull(metrics, "metrics"));
+    }
+
+    void recordFailure(String serverName, AttemptOutcome outcome, String entryProxy) {
+        latestFailureByServer.put(serverName, outcome + " at " + entryProxy);
+    }
+
+    void report(Map<String, ServerHealth> formerHealthByServer, Map<String, ServerHealth> newHealthByServer) {
+        latestFailureByServer.keySet().retainAll(newHealthByServer.keySet());
+        newHealthByServer.forEach((serverName, newHealth) -> {
+            ServerHealth formerHealth = formerHealthByServer.getOrDefault(serverName, ServerHealth.HEALTHY);
+            if (formerHealth != newHealth) {
+                LOGGER.atInfo().log(
+                        "%s: server %s is %s, was %s; latest failure: %s",
+                        key,
+                        serverName,
+                        newHealth,
+                        formerHealth,
+                        latestFailureByServer.getOrDefault(serverName, "none"));
+                if (newHealth == ServerHealth.EJECTED) {
+                    metrics.recordEjection(key.service());
+                }
+            }
+        });
+    }
+}
--- a/src/test/java/org/cassiabank/admission/SlotSchedulerPropertiesTest.java
+++ b/src/test/java/org/cassiabank/admission/SlotSchedulerPropertiesTest.java
@@ -240,6 +240,7 @@
                                 .contains(new CompletedLease(
                                         heldLease.serverName,
                                         heldLease.request.route(),
+                                        heldLease.request.entryProxy(),
                                         heldLease.request.digest(),
                                         heldLease.grantedAtMillis));
                         assertThat(scheduler.completeLease(leaseId, outcome, 0, nowMillis))
