--- a/src/test/java/org/cassiabank/fleet/TestCaller.java
+++ b/src/test/java/org/cassiabank/fleet/TestCaller.java
@@ -19,6 +19,20 @@
             .callTimeout(15, TimeUnit.SECONDS)
             .readTimeout(15, TimeUnit.SECONDS)
             .build();
+    private final Optional<String> deadlineMillis;
+
+    TestCaller() {
+        this(Optional.empty());
+    }
+
+    private TestCaller(Optional<String> deadlineMillis) {
+        this.deadlineMillis = deadlineMillis;
+    }
+
+    /** Returns a caller that states how long it waits for each reply. */
+    static TestCaller withDeadlineMillis(long deadlineMillis) {
+        return new TestCaller(Optional.of(Long.toString(deadlineMillis)));
+    }
 
     CallResult get(String address, String path) {
         return send(new Request.Builder().url("http://" + address + path).build());
@@ -49,7 +63,9 @@
     }
 
     private CallResult send(Request request) {
-        try (Response response = client.newCall(request).execute()) {
+        Request.Builder builder = request.newBuilder();
+        deadlineMillis.ifPresent(millis -> builder.header("Cassiabank-Deadline-Millis", millis));
+        try (Response response = client.newCall(builder.build()).execute()) {
             return new CallResult(
                     response.code(),
                     response.header("Cassiabank-Outcome", "none"),
--- a/src/test/java/org/cassiabank/fleet/TestFleet.java
+++ b/src/test/java/org/cassiabank/fleet/TestFleet.java
@@ -64,14 +64,25 @@
     final String platformAddress = FreePorts.nextLoopbackAddress();
     private final Path directory;
     private final Set<String> leavingNames = new HashSet<>();
+    private final boolean connectsThroughRelays;
     private ChildProcess platform;
 
-    private TestFleet(Path directory) {
+    private TestFleet(Path directory, boolean connectsThroughRelays) {
         this.directory = directory;
+        this.connectsThroughRelays = connectsThroughRelays;
     }
 
     static TestFleet start(int proxyCount, int backendCount) throws Exception {
-        TestFleet fleet = new TestFleet(Files.createTempDirectory("cassiabank-test"));
+        return start(proxyCount, backendCount, false);
+    }
+
+    /** Starts a fleet in which each proxy makes all its connections through a relay of its own. */
+    static TestFleet startWithConnectionRelays(int proxyCount, int backendCount) throws Exception {
+        return start(proxyCount, backendCount, true);
+    }
+
+    private static TestFleet start(int proxyCount, int backendCount, boolean connectsThroughRelays) throws Exception {
+        TestFleet fleet = new TestFleet(Files.createTempDirectory("cassiabank-test"), connectsThroughRelays);
         try {
             fleet.platform = ChildProcess.start(
                     "platform",
@@ -284,6 +295,7 @@
                 address,
                 "http://" + address,
                 null,
+                null,
                 () -> ChildProcess.start(
                         name,
                         "org.cassiabank.standin.BackendMain",
@@ -298,6 +310,10 @@
         int peerPort = FreePorts.nextPort();
         String adminAddress = FreePorts.nextLoopbackAddress();
         TcpFaultRelay relay = TcpFaultRelay.start("127.0.0.1", peerPort);
+        SocksFaultRelay connectionRelay = connectsThroughRelays ? SocksFaultRelay.start() : null;
+        Stream<String> relayOptions = connectsThroughRelays ? connectionRelay.javaOptions().stream() : Stream.empty();
+        List<String> javaOptions =
+                Stream.concat(JAVA_OPTIONS.stream(), relayOptions).toList();
         Path settingsFile = Files.writeString(directory.resolve(name + ".toml"), """
                 name = "%s"
                 region = "region-1"
@@ -307,6 +323,7 @@
                 admin-address = "%s"
                 store = "%s"
                 drain-millis = 300
+                connect-millis = 200
                 """.formatted(
                         name, number % 4, callersAddress, peerPort, adminAddress, platformUrl()));
         return new Member(
@@ -317,10 +334,11 @@
                 relay.address(),
                 "http://" + adminAddress,
                 relay,
+                connectionRelay,
                 () -> ChildProcess.start(
                         name,
                         "org.cassiabank.proxy.ProxyMain",
-                        JAVA_OPTIONS,
+                        javaOptions,
                         List.of(settingsFile.toString()),
                         directory.resolve(name + ".log")));
     }
@@ -340,6 +358,7 @@
         private final String publishedAddress;
         private final String adminUrl;
         private final TcpFaultRelay relay;
+        private final SocksFaultRelay connectionRelay;
         private final Supplier<ChildProcess> launcher;
         private volatile ChildProcess process;
         private volatile long incarnation;
@@ -352,6 +371,7 @@
                 String publishedAddress,
                 String adminUrl,
                 TcpFaultRelay relay,
+                SocksFaultRelay connectionRelay,
                 Supplier<ChildProcess> launcher) {
             this.name = name;
             this.role = role;
@@ -360,6 +380,7 @@
             this.publishedAddress = publishedAddress;
             this.adminUrl = adminUrl;
             this.relay = relay;
+            this.connectionRelay = connectionRelay;
             this.launcher = launcher;
         }
 
@@ -391,6 +412,11 @@
             return relay;
         }
 
+        /** Returns the relay of all connections that the proxy makes, null in a fleet without such relays. */
+        SocksFaultRelay connectionRelay() {
+            return connectionRelay;
+        }
+
         ChildProcess process() {
             return process;
         }
@@ -412,6 +438,9 @@
             if (relay != null) {
                 try {
                     relay.close();
+                    if (connectionRelay != null) {
+                        connectionRelay.close();
+                    }
                 } catch (IOException ignored) {
                     // Closing a socket that is already closed is harmless.
                 }
