Pass requests on to peers while a proxy reaches no backend server

Cause: a proxy had no notion of its own path. It excluded each server that it could not reach for a second or a few, eight at most, and there was always another one to try; owners went on granting it slots, each held for 200 ms by a connection that did not open: 451 attempts and 90 slot seconds in 12 s at 20 of 32 daemons. That took the slots, and the trial slots of servers that were coming back, from the others.

The class of fault: evidence about many things is judged one thing at a time, so that their common cause, here the observer, is never found.

A proxy that is cut off asks for no slots, closes its idle connections, cancels repeatable attempts that may hang, and passes each request that has not run, or may run again, on to a peer, also one whose first two connections did not open. The peer carries it out as its own, with the remaining deadline, the customer and the attempts already made, never passes it on, and declines if it is cut off, draining or short of memory. A call reaches a peer once: without a reply an unrepeatable request ends with an unknown outcome. If no peer takes it, the request is refused at once.

Connections to servers are probed by TCP keep-alive, so that one that hangs is broken after about 4 s.

--- a/src/main/java/org/cassiabank/backend/AttemptTrace.java
+++ b/src/main/java/org/cassiabank/backend/AttemptTrace.java
@@ -1,11 +1,14 @@
 package org.cassiabank.backend;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Proxy;
 import okhttp3.Call;
 import okhttp3.Connection;
 import okhttp3.EventListener;
 import okhttp3.Headers;
 import okhttp3.Interceptor;
+import okhttp3.Protocol;
 import okhttp3.Request;
 import okhttp3.Response;
 
@@ -19,6 +22,7 @@
  */
 final class AttemptTrace extends EventListener implements Interceptor {
     private final long maximumIdleNanos;
+    private volatile boolean connectionOpened;
     private volatile boolean headersStarted;
     private volatile boolean writesNotCounted;
     private volatile boolean writtenOnEarlierConnection;
@@ -71,6 +75,16 @@
         return responseHeaders;
     }
 
+    /** Tells whether this attempt has opened a connection, rather than using a pooled one or failing to open one. */
+    boolean hasOpenedConnection() {
+        return connectionOpened;
+    }
+
+    @Override
+    public void connectEnd(Call call, InetSocketAddress address, Proxy proxy, Protocol protocol) {
+        connectionOpened = true;
+    }
+
     @Override
     public void connectionAcquired(Call call, Connection connection) {
         writtenOnEarlierConnection = mayHaveWritten();
--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -147,6 +147,15 @@
         }
     }
 
+    /**
+     * Tells whether the attempt has opened a connection to the server.
+     *
+     * @return false if it used a pooled connection or could not open one
+     */
+    public boolean hasOpenedConnection() {
+        return trace.hasOpenedConnection();
+    }
+
     /**
      * Cancels the attempt and closes its connection, so that the server can stop its work. May be called from any
      * thread at any time; has no effect once the attempt has ended.
--- a/src/main/java/org/cassiabank/backend/BackendClient.java
+++ b/src/main/java/org/cassiabank/backend/BackendClient.java
@@ -1,6 +1,10 @@
 package org.cassiabank.backend;
 
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.Proxy;
+import java.net.Socket;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -24,6 +28,7 @@
  * <p>Instances are thread-safe. Calls block, so callers run them on virtual threads.
  */
 public final class BackendClient implements AutoCloseable {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     /** Offers the scheduler a choice and keeps the list of servers in each slot request short. */
     private static final int MAXIMUM_CONNECTED_SERVERS = 4;
 
@@ -170,6 +175,31 @@
         });
     }
 
+    /**
+     * Tells whether a connection to a server can be opened, which is closed again.
+     *
+     * @param address the host and port of the server
+     * @return true if it opens within the connect timeout
+     */
+    public boolean canConnect(String address) {
+        HttpUrl url = HttpUrl.get("http://" + address);
+        try (Socket socket = new Socket()) {
+            socket.connect(
+                    new InetSocketAddress(url.host(), url.port()), Math.toIntExact(settings.connectTimeoutMillis()));
+            return true;
+        } catch (IOException exception) {
+            LOGGER.atFine().withCause(exception).log("no connection to %s", address);
+            return false;
+        }
+    }
+
+    /** Closes all idle connections, because the path to the servers was lost. Running attempts continue. */
+    public void closeIdleConnections() {
+        serversByAddress
+                .values()
+                .forEach(server -> server.client().connectionPool().evictAll());
+    }
+
     /**
      * Closes all idle connections. Running attempts continue.
      */
--- a/src/main/java/org/cassiabank/backend/MeteredSocketFactory.java
+++ b/src/main/java/org/cassiabank/backend/MeteredSocketFactory.java
@@ -5,15 +5,19 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import javax.net.SocketFactory;
+import org.cassiabank.http.KeepAliveSocketFactory;
 
 /**
- * Creates sockets that count their write operations.
+ * Creates sockets that count their write operations. A connection whose server cannot be reached any more is broken by
+ * the operating system, so that no request waits on it for long.
  */
 final class MeteredSocketFactory extends SocketFactory {
 
     @Override
-    public Socket createSocket() {
-        return new MeteredSocket();
+    public Socket createSocket() throws IOException {
+        Socket socket = new MeteredSocket();
+        KeepAliveSocketFactory.enableKeepAlive(socket);
+        return socket;
     }
 
     @Override
@@ -39,6 +43,7 @@
 
     private static Socket connect(InetSocketAddress remoteAddress, InetSocketAddress localAddress) throws IOException {
         Socket socket = new MeteredSocket();
+        KeepAliveSocketFactory.enableKeepAlive(socket);
         if (localAddress != null) {
             socket.bind(localAddress);
         }
--- a/src/main/java/org/cassiabank/http/KeepAliveSocketFactory.java
+++ b/src/main/java/org/cassiabank/http/KeepAliveSocketFactory.java
@@ -29,13 +29,24 @@
         return new KeepAliveSocketFactory();
     }
 
-    @Override
-    public Socket createSocket() throws IOException {
-        Socket socket = new Socket();
+    /**
+     * Makes the operating system probe a connection while nothing is received on it, and break it when the other side
+     * does not answer for about 4 s.
+     *
+     * @param socket the socket, connected or not
+     * @throws IOException if the operating system does not support the options
+     */
+    public static void enableKeepAlive(Socket socket) throws IOException {
         socket.setOption(StandardSocketOptions.SO_KEEPALIVE, true);
         socket.setOption(ExtendedSocketOptions.TCP_KEEPIDLE, IDLE_BEFORE_PROBE_SECONDS);
         socket.setOption(ExtendedSocketOptions.TCP_KEEPINTERVAL, PROBE_INTERVAL_SECONDS);
         socket.setOption(ExtendedSocketOptions.TCP_KEEPCOUNT, MAXIMUM_UNANSWERED_PROBES);
+    }
+
+    @Override
+    public Socket createSocket() throws IOException {
+        Socket socket = new Socket();
+        enableKeepAlive(socket);
         return socket;
     }
 
--- a/src/main/java/org/cassiabank/kernel/ErrorCode.java
+++ b/src/main/java/org/cassiabank/kernel/ErrorCode.java
@@ -12,6 +12,8 @@
     STORE_UNAVAILABLE,
     /** A peer did not respond or refused the connection. */
     PEER_UNAVAILABLE,
+    /** A peer may have carried out a call but did not reply. */
+    PEER_REPLY_MISSING,
     /** No service is registered in the kernel under the requested name and type. */
     SERVICE_MISSING,
     /** A service could not be started, for example because its port is in use. */
--- a/src/main/java/org/cassiabank/operator/OperatorMain.java
+++ b/src/main/java/org/cassiabank/operator/OperatorMain.java
@@ -60,7 +60,7 @@
                 case INVALID_INPUT -> USAGE_EXIT_CODE;
                 case CONFLICT -> CONFLICT_EXIT_CODE;
                 case STORE_UNAVAILABLE -> STORE_UNAVAILABLE_EXIT_CODE;
-                case PEER_UNAVAILABLE, SERVICE_MISSING, START_FAILED -> FAILURE_EXIT_CODE;
+                case PEER_UNAVAILABLE, PEER_REPLY_MISSING, SERVICE_MISSING, START_FAILED -> FAILURE_EXIT_CODE;
             };
         }
     }
--- a/src/main/java/org/cassiabank/peer/PeerClientPool.java
+++ b/src/main/java/org/cassiabank/peer/PeerClientPool.java
@@ -75,6 +75,33 @@
         }
     }
 
+    /**
+     * Calls a peer on a new connection, once. For calls that must not reach the peer twice.
+     *
+     * @param <R> the type of the result
+     * @param peer the peer
+     * @param kind the kind of the call, for the traffic recorder
+     * @param connectTimeoutMillis the longest wait for the connection in milliseconds
+     * @param timeoutMillis the longest wait for the reply in milliseconds
+     * @param call the call
+     * @return the result of the call
+     * @throws CassiabankException with {@link ErrorCode#PEER_UNAVAILABLE} if the connection cannot be opened, so that
+     *     the call has not been made; with {@link ErrorCode#PEER_REPLY_MISSING} if it may have been carried out
+     */
+    public <R> R callOnce(Instance peer, String kind, int connectTimeoutMillis, int timeoutMillis, PeerCall<R> call) {
+        PeerConnection connection;
+        try {
+            connection = PeerConnection.open(socketFactories, peer.host(), peer.port(), connectTimeoutMillis);
+        } catch (TException exception) {
+            throw failure(ErrorCode.PEER_UNAVAILABLE, peer, kind, exception);
+        }
+        try {
+            return callOn(connection, peer, kind, timeoutMillis, call);
+        } catch (TException exception) {
+            throw failure(ErrorCode.PEER_REPLY_MISSING, peer, kind, exception);
+        }
+    }
+
     /**
      * Closes connections that have been idle for more than 2 s. To be called once a second.
      */
@@ -138,8 +165,12 @@
     }
 
     private static CassiabankException unavailable(Instance peer, String kind, TException cause) {
+        return failure(ErrorCode.PEER_UNAVAILABLE, peer, kind, cause);
+    }
+
+    private static CassiabankException failure(ErrorCode code, Instance peer, String kind, TException cause) {
         return CassiabankException.withCause(
-                ErrorCode.PEER_UNAVAILABLE,
+                code,
                 "peer " + peer.name() + " at " + peer.address() + " did not complete call " + kind + ": "
                         + cause.getMessage(),
                 cause);
--- a/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
+++ b/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
@@ -25,6 +25,7 @@
 import org.cassiabank.backend.NotSent;
 import org.cassiabank.declaration.Selector;
 import org.cassiabank.health.AttemptOutcome;
+import org.cassiabank.membership.Instance;
 import org.cassiabank.retry.RetryReason;
 
 /**
@@ -43,6 +44,7 @@
     private final BackendClient backendClient;
     private final ProxyMetrics metrics;
     private final HeaderConventions conventions;
+    private final ServerPathMonitor serverPath;
     private final UnreachableServers unreachableServers = UnreachableServers.create();
     private final ExecutorService workers = Executors.newVirtualThreadPerTaskExecutor();
     private final ScheduledExecutorService cancellationTimer = Executors.newSingleThreadScheduledExecutor(
@@ -54,6 +56,7 @@
             FleetState fleet,
             SlotBroker broker,
             BackendClient backendClient,
+            ServerPathMonitor serverPath,
             ProxyMetrics metrics,
             HeaderConventions conventions) {
         this.entryName = entryName;
@@ -61,24 +64,26 @@
         this.fleet = fleet;
         this.broker = broker;
         this.backendClient = backendClient;
+        this.serverPath = serverPath;
         this.metrics = metrics;
         this.conventions = conventions;
     }
 
     static AttemptExecutor create(
-            String entryName,
-            String failureDomain,
+            Instance self,
             FleetState fleet,
             SlotBroker broker,
             BackendClient backendClient,
+            ServerPathMonitor serverPath,
             ProxyMetrics metrics,
             HeaderConventions conventions) {
         return new AttemptExecutor(
-                Objects.requireNonNull(entryName, "entryName"),
-                Objects.requireNonNull(failureDomain, "failureDomain"),
+                self.name(),
+                self.failureDomain(),
                 Objects.requireNonNull(fleet, "fleet"),
                 Objects.requireNonNull(broker, "broker"),
                 Objects.requireNonNull(backendClient, "backendClient"),
+                Objects.requireNonNull(serverPath, "serverPath"),
                 Objects.requireNonNull(metrics, "metrics"),
                 Objects.requireNonNull(conventions, "conventions"));
     }
@@ -87,6 +92,11 @@
         return entryName;
     }
 
+    /** Tells whether this entry proxy reaches no backend server, so that attempts are of no use. */
+    boolean isCutOff() {
+        return serverPath.isCutOff();
+    }
+
     /** Returns the delay in milliseconds after which a caller may retry a request that no backend server ran. */
     long retryAfterMillis() {
         return RETRY_AFTER_MILLIS;
@@ -235,7 +245,7 @@
                 requestIdFor(request),
                 selector.repeatable(),
                 timeoutMillis);
-        return new RunningAttempt(slot, backendClient.newCall(backendRequest));
+        return new RunningAttempt(slot, backendClient.newCall(backendRequest), selector.repeatable());
     }
 
     private String requestIdFor(CallerRequest request) {
@@ -249,7 +259,17 @@
 
     private BackendResult execute(RunningAttempt attempt) {
         long startNanos = System.nanoTime();
+        Runnable cancellation = attempt::cancel;
+        if (attempt.repeatable()) {
+            serverPath.cancelWhenCutOff(cancellation);
+        }
         BackendResult result = attempt.call().execute();
+        serverPath.attemptCompleted(cancellation);
+        if (attempt.call().hasOpenedConnection()) {
+            serverPath.recordOpened();
+        } else if (result instanceof NotSent) {
+            serverPath.recordNotOpened(attempt.slot().serverName());
+        }
         if (result instanceof NotSent
                 || result instanceof NoValidResponse noValidResponse
                         && noValidResponse.reason() == NoValidResponseReason.TIMEOUT) {
@@ -276,8 +296,9 @@
      *
      * @param slot the slot that the attempt occupies
      * @param call the call to the backend server
+     * @param repeatable whether the request may run more than once
      */
-    record RunningAttempt(SlotResult.Slot slot, BackendCall call) {
+    record RunningAttempt(SlotResult.Slot slot, BackendCall call, boolean repeatable) {
 
         /** Cancels the attempt; has no effect if it has completed. */
         void cancel() {
--- /dev/null
+++ b/src/main/java/org/cassiabank/proxy/ForwardedRequests.java
@@ -0,0 +1,82 @@
+package org.cassiabank.proxy;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.cassiabank.peer.generated.ForwardedReply;
+import org.cassiabank.peer.generated.ForwardedRequest;
+
+/**
+ * Carries out requests that peers pass on because they reach no backend server.
+ */
+final class ForwardedRequests {
+    /** The bodies of forwarded requests may take this part of the heap. */
+    private static final int HEAP_PARTS = 16;
+
+    private final RequestHandler requestHandler;
+    private final ServerPathMonitor serverPath;
+    private final long maximumBodyBytes = Runtime.getRuntime().maxMemory() / HEAP_PARTS;
+    private final AtomicLong bodyBytes = new AtomicLong();
+    private final Map<String, CallerPresence> presencesById = new ConcurrentHashMap<>();
+    private volatile boolean draining;
+
+    private ForwardedRequests(RequestHandler requestHandler, ServerPathMonitor serverPath) {
+        this.requestHandler = requestHandler;
+        this.serverPath = serverPath;
+    }
+
+    static ForwardedRequests create(RequestHandler requestHandler, ServerPathMonitor serverPath) {
+        return new ForwardedRequests(
+                Objects.requireNonNull(requestHandler, "requestHandler"),
+                Objects.requireNonNull(serverPath, "serverPath"));
+    }
+
+    /** Declines further requests. */
+    void startDraining() {
+        draining = true;
+    }
+
+    boolean isBusy() {
+        return !presencesById.isEmpty();
+    }
+
+    /**
+     * Carries out a request, or declines it without having run it.
+     *
+     * @param message the request of a peer
+     * @return the reply to the peer
+     */
+    ForwardedReply carryOut(ForwardedRequest message) {
+        if (draining) {
+            return ForwardedReply.declined("draining");
+        }
+        if (serverPath.isCutOff()) {
+            return ForwardedReply.declined("cut-off");
+        }
+        CallerRequest request = PeerMessageConverter.toCallerRequest(message);
+        int size = request.body().length;
+        CallerPresence presence = CallerPresence.create();
+        presencesById.put(message.getId(), presence);
+        try {
+            if (bodyBytes.addAndGet(size) > maximumBodyBytes) {
+                return ForwardedReply.declined("busy");
+            }
+            Optional<RequestResult> result =
+                    requestHandler.runForwarded(request, message.getRemainingMillis(), message.getAttempts(), presence);
+            return result.map(PeerMessageConverter::toMessage).orElseGet(() -> ForwardedReply.declined("not-run"));
+        } finally {
+            bodyBytes.addAndGet(-size);
+            presencesById.remove(message.getId());
+        }
+    }
+
+    /** Ends a request whose caller has gone; does nothing if it has ended. */
+    void cancel(String id) {
+        CallerPresence presence = presencesById.get(id);
+        if (presence != null) {
+            presence.markGone();
+        }
+    }
+}
--- a/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
+++ b/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
@@ -13,6 +13,8 @@
 import org.cassiabank.peer.generated.ClaimState;
 import org.cassiabank.peer.generated.ExchangeReply;
 import org.cassiabank.peer.generated.ExchangeRequest;
+import org.cassiabank.peer.generated.ForwardedReply;
+import org.cassiabank.peer.generated.ForwardedRequest;
 import org.cassiabank.peer.generated.NotReady;
 import org.cassiabank.peer.generated.Peer;
 import org.cassiabank.peer.generated.RecordedAnswer;
@@ -39,6 +41,7 @@
     private ClaimKeeper claimKeeper;
     private Replication replication;
     private FleetSource fleetSource;
+    private ForwardedRequests forwardedRequests;
     private PeerServer peerServer;
 
     private PeerEndpoint(ProxySettings settings, PeerSocketFactories socketFactories) {
@@ -60,6 +63,7 @@
         claimKeeper = kernel.get(ServiceNames.CLAIM_KEEPER);
         replication = kernel.get(ServiceNames.REPLICATION);
         fleetSource = kernel.get(ServiceNames.FLEET_SOURCE);
+        forwardedRequests = kernel.get(ServiceNames.FORWARDED_REQUESTS);
         HostAndPort address = settings.peerAddress();
         peerServer = PeerServer.start(address.host(), address.port(), socketFactories, this);
     }
@@ -117,6 +121,16 @@
                 new StoreRevision(afterEra, afterRevision), Math.clamp(waitMillis, 0, MAXIMUM_RELAY_WAIT_MILLIS)));
     }
 
+    @Override
+    public ForwardedReply forward(ForwardedRequest request) {
+        return forwardedRequests.carryOut(request);
+    }
+
+    @Override
+    public void cancelForwarded(String id) {
+        forwardedRequests.cancel(id);
+    }
+
     @Override
     public ClaimReply claim(String key, String claimId, long requestDigest) {
         return PeerMessageConverter.toMessage(claimKeeper.claim(key, claimId, requestDigest));
--- a/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
+++ b/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
@@ -13,8 +13,10 @@
 import org.cassiabank.admission.RateLimitNotice;
 import org.cassiabank.admission.RefusalReason;
 import org.cassiabank.admission.Refused;
+import org.cassiabank.admission.ServerNotice;
 import org.cassiabank.admission.ServerRateLimit;
 import org.cassiabank.admission.SlotDecision;
+import org.cassiabank.backend.ResponseReceived;
 import org.cassiabank.declaration.CostHint;
 import org.cassiabank.health.AttemptOutcome;
 import org.cassiabank.health.RequestDigest;
@@ -29,6 +31,8 @@
 import org.cassiabank.once.RecordedResponse;
 import org.cassiabank.peer.generated.BrokenProcess;
 import org.cassiabank.peer.generated.ClaimReply;
+import org.cassiabank.peer.generated.ForwardedReply;
+import org.cassiabank.peer.generated.ForwardedRequest;
 import org.cassiabank.peer.generated.KnownRateLimit;
 import org.cassiabank.peer.generated.OutcomeKind;
 import org.cassiabank.peer.generated.RateLimit;
@@ -267,6 +271,46 @@
         return new RecordedResponse(response.getStatus(), response.getHeaders(), response.getBody());
     }
 
+    /** Converts a request that a peer passes on; the headers keep their lower case. */
+    static CallerRequest toCallerRequest(ForwardedRequest message) {
+        return new CallerRequest(
+                message.getMethod(),
+                message.getTarget(),
+                message.getHeaders(),
+                message.getBody(),
+                message.getRemoteAddress());
+    }
+
+    static ForwardedReply toMessage(RequestResult result) {
+        return switch (result) {
+            case RequestResult.Delivered delivered ->
+                ForwardedReply.answer(new org.cassiabank.peer.generated.RecordedAnswer(
+                        delivered.response().status(),
+                        delivered.response().headers(),
+                        ByteBuffer.wrap(delivered.response().body())));
+            case RequestResult.NotRun notRun ->
+                ForwardedReply.notRun(new SlotRefusal(notRun.reason(), notRun.retryAfterMillis()));
+            case RequestResult.Unknown unknown -> ForwardedReply.unknown(unknown.reason());
+        };
+    }
+
+    /** Converts the reply to a request that was passed on; empty if the peer declined it. */
+    static Optional<RequestResult> toRequestResult(ForwardedReply reply) {
+        return switch (reply.getSetField()) {
+            case ANSWER ->
+                Optional.of(RequestResult.delivered(new ResponseReceived(
+                        reply.getAnswer().getStatus(),
+                        reply.getAnswer().getHeaders(),
+                        reply.getAnswer().getBody(),
+                        ServerNotice.none())));
+            case NOT_RUN ->
+                Optional.of(RequestResult.notRun(
+                        reply.getNotRun().getReason(), reply.getNotRun().getRetryAfterMillis()));
+            case UNKNOWN -> Optional.of(RequestResult.unknown(reply.getUnknown()));
+            case DECLINED -> Optional.empty();
+        };
+    }
+
     static StoreChanges toMessage(StoreRelayReply reply) {
         return switch (reply) {
             case StoreRelayReply.Current current ->
--- a/src/main/java/org/cassiabank/proxy/PeerTransport.java
+++ b/src/main/java/org/cassiabank/proxy/PeerTransport.java
@@ -1,6 +1,7 @@
 package org.cassiabank.proxy;
 
 import java.util.Objects;
+import java.util.function.Supplier;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.membership.Instance;
 import org.cassiabank.membership.PeerReachability;
@@ -47,8 +48,30 @@
      * @throws CassiabankException with {@link org.cassiabank.kernel.ErrorCode#PEER_UNAVAILABLE} if there is no reply
      */
     <R> R call(Instance peer, String kind, int timeoutMillis, PeerCall<R> call) {
+        return recordReachability(peer, () -> clientPool.call(peer, kind, timeoutMillis, call));
+    }
+
+    /**
+     * Calls a peer once on a new connection and records whether it answered.
+     *
+     * @param <R> the type of the result
+     * @param peer the peer
+     * @param kind the kind of the call, the label of the traffic metrics
+     * @param connectTimeoutMillis the longest wait for the connection in milliseconds
+     * @param timeoutMillis the longest wait for the reply in milliseconds
+     * @param call the call, which reaches the peer at most once
+     * @return the result
+     * @throws CassiabankException with {@link org.cassiabank.kernel.ErrorCode#PEER_UNAVAILABLE} if the call has not
+     *     been made, or {@link org.cassiabank.kernel.ErrorCode#PEER_REPLY_MISSING} if it may have been carried out
+     */
+    <R> R callOnce(Instance peer, String kind, int connectTimeoutMillis, int timeoutMillis, PeerCall<R> call) {
+        return recordReachability(
+                peer, () -> clientPool.callOnce(peer, kind, connectTimeoutMillis, timeoutMillis, call));
+    }
+
+    private <R> R recordReachability(Instance peer, Supplier<R> call) {
         try {
-            R result = clientPool.call(peer, kind, timeoutMillis, call);
+            R result = call.get();
             synchronized (reachability) {
                 reachability.recordSuccess(peer.name(), MonotonicClock.millis());
             }
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -97,10 +97,12 @@
         HeaderConventions conventions =
                 adapter.map(PlatformAdapter::headerConventions).orElseGet(DefaultHeaderConventions::instance);
         BackendClient backendClient = newBackendClient(settings, conventions);
-        AttemptExecutor attemptExecutor = AttemptExecutor.create(
-                settings.name(), settings.failureDomain(), fleet, slotBroker, backendClient, metrics, conventions);
+        ServerPathMonitor serverPath = ServerPathMonitor.create(fleet, backendClient, metrics);
+        AttemptExecutor attemptExecutor =
+                AttemptExecutor.create(self, fleet, slotBroker, backendClient, serverPath, metrics, conventions);
+        RequestForwarder forwarder = RequestForwarder.create(self, fleet, peerTransport, metrics);
         RequestHandler requestHandler = RequestHandler.create(
-                fleet, attemptExecutor, claimClient, metrics, conventions, retryBudgetSettings.isPresent());
+                fleet, attemptExecutor, forwarder, claimClient, metrics, conventions, retryBudgetSettings.isPresent());
         PeerStoreRelay relay = PeerStoreRelay.create(replication, peerTransport);
         FleetSource source = adapter.map(found -> createMetadataStoreSource(found, settings, self, relay))
                 .orElseGet(() -> createPlatformWatch(settings, fleet, replication, metrics));
@@ -121,6 +123,8 @@
                 .register(ServiceNames.CLAIM_KEEPER, claimKeeper)
                 .register(ServiceNames.CLAIM_CLIENT, claimClient)
                 .register(ServiceNames.REPLICATION, replication)
+                .register(ServiceNames.SERVER_PATH, serverPath)
+                .register(ServiceNames.FORWARDED_REQUESTS, ForwardedRequests.create(requestHandler, serverPath))
                 .register(ServiceNames.PEER_ENDPOINT, PeerEndpoint.create(settings, socketFactories))
                 .register(ServiceNames.FLEET_SOURCE, source)
                 .register(
@@ -171,11 +175,13 @@
         long deadlineMillis = MonotonicClock.millis() + settings.longestDrainMillis();
         adminEndpoint.startDraining();
         callerServer.startDraining();
+        ForwardedRequests forwardedRequests = kernel.get(ServiceNames.FORWARDED_REQUESTS);
+        forwardedRequests.startDraining();
         // Peers choose other owners while this daemon still answers.
         kernel.get(ServiceNames.FLEET_SOURCE).announceLeaving();
         sleep(settings.drainMillis());
         callerServer.stopListening();
-        while (callerServer.isBusy() && MonotonicClock.millis() < deadlineMillis) {
+        while ((callerServer.isBusy() || forwardedRequests.isBusy()) && MonotonicClock.millis() < deadlineMillis) {
             sleep(DRAIN_POLL_INTERVAL_MILLIS);
         }
         kernel.get(ServiceNames.CLAIM_KEEPER).handOverAll();
--- a/src/main/java/org/cassiabank/proxy/ProxyMetrics.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyMetrics.java
@@ -30,6 +30,8 @@
             counter("cassiabank_retries_total", "Further attempts at backend servers, by reason.", "reason");
     private final Counter attempts =
             counter("cassiabank_attempts_total", "Attempts at backend servers, by outcome.", "outcome");
+    private final Counter forwardedRequests = counter(
+            "cassiabank_forwarded_requests_total", "Requests passed on to a peer, by what it replied.", "reply");
     private final Counter ejections = counter("cassiabank_ejections_total", "Ejections of servers.", "service");
     private final Counter controlMessages =
             counter("cassiabank_control_messages_total", "Calls of peers, by kind.", "kind");
@@ -85,6 +87,10 @@
         attempts.labelValues(outcome).inc();
     }
 
+    void recordForwardedRequest(String reply) {
+        forwardedRequests.labelValues(reply).inc();
+    }
+
     void recordEjection(String service) {
         ejections.labelValues(service).inc();
     }
--- a/src/main/java/org/cassiabank/proxy/RequestHandler.java
+++ b/src/main/java/org/cassiabank/proxy/RequestHandler.java
@@ -20,6 +20,7 @@
 import org.cassiabank.once.ClaimConclusion;
 import org.cassiabank.once.ClaimDecision;
 import org.cassiabank.once.RecordedResponse;
+import org.cassiabank.retry.AttemptResult;
 import org.cassiabank.retry.RetryBudget;
 
 /**
@@ -52,6 +53,7 @@
 
     private final FleetState fleet;
     private final AttemptExecutor attemptExecutor;
+    private final RequestForwarder forwarder;
     private final ClaimClient claimClient;
     private final ProxyMetrics metrics;
     private final HeaderConventions conventions;
@@ -61,12 +63,14 @@
     private RequestHandler(
             FleetState fleet,
             AttemptExecutor attemptExecutor,
+            RequestForwarder forwarder,
             ClaimClient claims,
             ProxyMetrics metrics,
             HeaderConventions conventions,
             boolean ownersLimitRetries) {
         this.fleet = fleet;
         this.attemptExecutor = attemptExecutor;
+        this.forwarder = forwarder;
         this.claimClient = claims;
         this.metrics = metrics;
         this.conventions = conventions;
@@ -76,6 +80,7 @@
     static RequestHandler create(
             FleetState fleet,
             AttemptExecutor attemptExecutor,
+            RequestForwarder forwarder,
             ClaimClient claims,
             ProxyMetrics metrics,
             HeaderConventions conventions,
@@ -83,6 +88,7 @@
         return new RequestHandler(
                 Objects.requireNonNull(fleet, "fleet"),
                 Objects.requireNonNull(attemptExecutor, "attemptExecutor"),
+                Objects.requireNonNull(forwarder, "forwarder"),
                 Objects.requireNonNull(claims, "claims"),
                 Objects.requireNonNull(metrics, "metrics"),
                 Objects.requireNonNull(conventions, "conventions"),
@@ -155,10 +161,57 @@
             RequestTrace trace) {
         RetryBudget budget = retryBudgets.computeIfAbsent(selector.service(), service -> newBudget());
         budget.recordRequest();
-        return RequestRun.create(request, selector, presence, deadlineMillis, attemptExecutor, budget, trace)
+        return RequestRun.create(request, selector, presence, deadlineMillis, attemptExecutor, budget, forwarder, trace)
                 .run();
     }
 
+    /**
+     * Runs a request that a peer has passed on because it reaches no backend server. The peer has claimed its key.
+     *
+     * @param request the request of the peer's caller
+     * @param remainingMillis the time until its deadline in milliseconds
+     * @param formerAttempts the attempts of the peer that may have reached a backend server
+     * @param presence tells whether the caller is still connected to the peer
+     * @return the result; empty if the request has not run and another peer may be asked
+     */
+    Optional<RequestResult> runForwarded(
+            CallerRequest request, long remainingMillis, int formerAttempts, CallerPresence presence) {
+        RequestTrace trace =
+                RequestTrace.start(request.header(conventions.requestIdHeader()).orElse(""));
+        FleetView view = fleet.view();
+        trace.recordView(view);
+        Optional<Selector> selector = view.router()
+                .route(
+                        request.host(),
+                        request.method(),
+                        request.path(),
+                        request.customer(),
+                        ThreadLocalRandom.current());
+        if (!fleet.isReady() || selector.isEmpty()) {
+            return Optional.empty();
+        }
+        long deadlineMillis = selector.get().limits().capMillis(remainingMillis);
+        trace.recordRoute(selector.get().name(), deadlineMillis);
+        RetryBudget budget = retryBudgets.computeIfAbsent(selector.get().service(), service -> newBudget());
+        budget.recordRequest();
+        RequestResult result = RequestRun.createForwarded(
+                        request,
+                        selector.get(),
+                        presence,
+                        deadlineMillis,
+                        formerAttempts,
+                        attemptExecutor,
+                        budget,
+                        trace)
+                .run();
+        trace.addStep("for a peer");
+        trace.log(toReply(result));
+        boolean reachedNoServer = result instanceof RequestResult.NotRun notRun
+                && (notRun.reason().equals(RequestRun.NO_SERVER_REACHED)
+                        || notRun.reason().equals(AttemptResult.NOT_SENT.label()));
+        return reachedNoServer ? Optional.empty() : Optional.of(result);
+    }
+
     private RetryBudget newBudget() {
         return ownersLimitRetries
                 ? RetryBudget.unlimited()
--- a/src/main/java/org/cassiabank/proxy/RequestRun.java
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -26,6 +26,9 @@
  * Runs one request of a caller: acquires slots, makes attempts, retries and hedges them, and determines the result.
  */
 final class RequestRun {
+    /** The reason of a refusal when neither this daemon nor a peer that it asked reaches a server. */
+    static final String NO_SERVER_REACHED = "no-server-reached";
+
     /**
      * The time for which the first attempt of a hedged request runs on after its hedge won, as a multiple of the hedge
      * delay. The outlier detection counts a latency of four times the usual one as slow, and the hedge delay is at
@@ -39,6 +42,12 @@
      */
     private static final int MAXIMUM_ATTEMPTS_INCLUDING_NOT_SENT = 5;
 
+    /** The attempts that reach no server after which a peer is asked, which may have a path to one. */
+    private static final int NOT_SENT_BEFORE_FORWARDING = 2;
+
+    /** The path is tried again within this time. */
+    private static final long CUT_OFF_RETRY_AFTER_MILLIS = 500;
+
     private final CallerRequest request;
     private final Selector selector;
     private final CallerPresence presence;
@@ -48,10 +57,15 @@
     private final long startNanos = System.nanoTime();
     private final AttemptExecutor attemptExecutor;
     private final RetryBudget retryBudget;
+    /** Empty for a request that a peer has passed on. */
+    private final Optional<RequestForwarder> forwarder;
+
     private final RequestTrace trace;
     private final RequestDigest digest;
     private final Set<String> excludedServers = new HashSet<>();
+    /** Attempts of the peer that passed the request on are included. */
     private int attemptCount;
+
     private int notSentCount;
     private boolean provablyNotRun = true;
     private Optional<ResponseReceived> lastServerError = Optional.empty();
@@ -61,8 +75,10 @@
             Selector selector,
             CallerPresence presence,
             long remainingMillis,
+            int formerAttempts,
             AttemptExecutor attemptExecutor,
             RetryBudget retryBudget,
+            Optional<RequestForwarder> forwarder,
             RequestTrace trace) {
         this.request = request;
         this.selector = selector;
@@ -70,11 +86,14 @@
         this.deadlineMillis = MonotonicClock.millis() + remainingMillis;
         this.attemptExecutor = attemptExecutor;
         this.retryBudget = retryBudget;
+        this.forwarder = forwarder;
+        this.attemptCount = formerAttempts;
         this.trace = trace;
         this.digest = request.digest(attemptExecutor.customerIdentity(request));
         trace.recordDigest(digest);
     }
 
+    /** Creates a run of a request that reached this daemon from its caller. */
     static RequestRun create(
             CallerRequest request,
             Selector selector,
@@ -82,14 +101,39 @@
             long remainingMillis,
             AttemptExecutor attemptExecutor,
             RetryBudget retryBudget,
+            RequestForwarder forwarder,
+            RequestTrace trace) {
+        return new RequestRun(
+                Objects.requireNonNull(request, "request"),
+                Objects.requireNonNull(selector, "selector"),
+                Objects.requireNonNull(presence, "presence"),
+                remainingMillis,
+                0,
+                Objects.requireNonNull(attemptExecutor, "attemptExecutor"),
+                Objects.requireNonNull(retryBudget, "retryBudget"),
+                Optional.of(forwarder),
+                Objects.requireNonNull(trace, "trace"));
+    }
+
+    /** Creates a run of a request that a peer has passed on after some attempts of its own. */
+    static RequestRun createForwarded(
+            CallerRequest request,
+            Selector selector,
+            CallerPresence presence,
+            long remainingMillis,
+            int formerAttempts,
+            AttemptExecutor attemptExecutor,
+            RetryBudget retryBudget,
             RequestTrace trace) {
         return new RequestRun(
                 Objects.requireNonNull(request, "request"),
                 Objects.requireNonNull(selector, "selector"),
                 Objects.requireNonNull(presence, "presence"),
                 remainingMillis,
+                formerAttempts,
                 Objects.requireNonNull(attemptExecutor, "attemptExecutor"),
                 Objects.requireNonNull(retryBudget, "retryBudget"),
+                Optional.empty(),
                 Objects.requireNonNull(trace, "trace"));
     }
 
@@ -100,6 +144,9 @@
      */
     RequestResult run() {
         while (true) {
+            if (attemptExecutor.isCutOff()) {
+                return forward().orElseGet(() -> resultWithoutSlot(NO_SERVER_REACHED, CUT_OFF_RETRY_AFTER_MILLIS));
+            }
             SlotResult slotResult = attemptExecutor.acquire(selector.service(), admissionRequest(), presence);
             if (slotResult instanceof SlotResult.NoSlot noSlot) {
                 trace.addStep("no-slot " + noSlot.reason() + " of " + noSlot.ownerName());
@@ -132,13 +179,40 @@
             }
             BackendResult backendResult = makeAttempt(slot);
             trace.addStep(describeResult(slot.serverName(), backendResult));
-            Optional<RequestResult> requestResult = resultUnlessRetried(backendResult);
+            recordResult(backendResult);
+            Optional<RequestResult> requestResult = shouldForward(backendResult) ? forward() : Optional.empty();
+            if (requestResult.isEmpty()) {
+                requestResult = resultUnlessRetried(backendResult);
+            }
             if (requestResult.isPresent()) {
                 return requestResult.get();
             }
         }
     }
 
+    /** Tells whether no further attempt of this daemon is of use, but one of a peer may be. */
+    private boolean shouldForward(BackendResult result) {
+        boolean mayRunAgain = selector.repeatable() || provablyNotRun;
+        boolean pathLost = attemptExecutor.isCutOff() && !(result instanceof ResponseReceived);
+        boolean noServerReached = result instanceof NotSent && notSentCount >= NOT_SENT_BEFORE_FORWARDING;
+        return mayRunAgain && !presence.isGone() && (pathLost || noServerReached);
+    }
+
+    /** Passes the request on to a peer; empty if a peer has passed it on to this daemon, or if no peer takes it. */
+    private Optional<RequestResult> forward() {
+        int attemptsThatMayHaveArrived = Math.max(0, attemptCount - notSentCount);
+        return forwarder.flatMap(peers -> peers.forward(
+                request, selector.repeatable(), attemptsThatMayHaveArrived, deadlineMillis, presence, trace));
+    }
+
+    private void recordResult(BackendResult result) {
+        notSentCount += result instanceof NotSent ? 1 : 0;
+        provablyNotRun = provablyNotRun && result.attemptResult().provesNotRun();
+        if (result instanceof ResponseReceived response && response.isServerError()) {
+            lastServerError = Optional.of(response);
+        }
+    }
+
     private static String describeResult(String serverName, BackendResult result) {
         String label = serverName + " " + result.attemptResult().label();
         return result.notice().rateLimit() instanceof RateLimitNotice.Limited limited
@@ -147,7 +221,6 @@
     }
 
     private Optional<RequestResult> resultUnlessRetried(BackendResult result) {
-        notSentCount += result instanceof NotSent ? 1 : 0;
         // Attempts that reached no server are not counted, up to a limit that keeps a request from trying all servers.
         int countedAttempts =
                 attemptCount < MAXIMUM_ATTEMPTS_INCLUDING_NOT_SENT ? attemptCount - notSentCount : Integer.MAX_VALUE;
@@ -159,10 +232,6 @@
                 deadlineMillis - MonotonicClock.millis(),
                 selector.limits().maximumAttempts(),
                 true);
-        provablyNotRun = context.provablyNotRun();
-        if (result instanceof ResponseReceived response && response.isServerError()) {
-            lastServerError = Optional.of(response);
-        }
         return switch (RetryPolicy.decide(context, retryBudget)) {
             case RetryDecision.DeliverResponse deliver ->
                 Optional.of(RequestResult.delivered((ResponseReceived) result));
--- a/src/main/java/org/cassiabank/proxy/ServiceNames.java
+++ b/src/main/java/org/cassiabank/proxy/ServiceNames.java
@@ -19,6 +19,9 @@
     static final ServiceName<SlotBroker> SLOT_BROKER = ServiceName.of("slot-broker", SlotBroker.class);
     static final ServiceName<FatalRequestExchange> FATAL_REQUESTS =
             ServiceName.of("fatal-requests", FatalRequestExchange.class);
+    static final ServiceName<ServerPathMonitor> SERVER_PATH = ServiceName.of("server-path", ServerPathMonitor.class);
+    static final ServiceName<ForwardedRequests> FORWARDED_REQUESTS =
+            ServiceName.of("forwarded-requests", ForwardedRequests.class);
     static final ServiceName<ClaimKeeper> CLAIM_KEEPER = ServiceName.of("claim-keeper", ClaimKeeper.class);
     static final ServiceName<ClaimClient> CLAIM_CLIENT = ServiceName.of("claim-client", ClaimClient.class);
     static final ServiceName<PeerEndpoint> PEER_ENDPOINT = ServiceName.of("peer-endpoint", PeerEndpoint.class);
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -224,6 +224,31 @@
   2: optional RecordedAnswer answer,
 }
 
+/** A request of a caller that an entry which reaches no backend server passes on. */
+struct ForwardedRequest {
+  /** Names the request in cancelForwarded. */
+  1: required string id,
+  2: required string method,
+  3: required string target,
+  4: required map<string, list<string>> headers,
+  5: required binary body,
+  /** The address of the caller. */
+  6: required string remoteAddress,
+  7: required i64 remainingMillis,
+  /** The attempts that may have reached a backend server already. */
+  8: required i32 attempts,
+}
+
+union ForwardedReply {
+  /** The answer of a backend server. */
+  1: RecordedAnswer answer,
+  2: SlotRefusal notRun,
+  /** The request may have run, for this reason. */
+  3: string unknown,
+  /** The peer does not carry out the request, for this reason. It has not run; another peer may be asked. */
+  4: string declined,
+}
+
 service Peer {
   SlotReply acquire(1: SlotRequest request) throws (1: NotReady notReady),
   void report(1: SlotOutcome outcome),
@@ -235,6 +260,10 @@
   void conclude(1: string key, 2: string claim, 3: ClaimState state, 4: RecordedAnswer answer),
   /** Hands records to a new keeper. */
   void handOver(1: list<ClaimRecord> records),
+  /** Carries out a request for an entry that reaches no backend server; it is not passed on again. */
+  ForwardedReply forward(1: ForwardedRequest request),
+  /** Ends a forwarded request whose caller has gone. */
+  void cancelForwarded(1: string id),
   /** Tells a daemon that may own the shards of the requests next. */
   void recordSuspects(1: list<Suspect> suspects),
   /** The suspected requests for a service, asked for by a daemon that begins to own a shard. */
