Cut daemons of the soak off from all servers

Each daemon of the soak connects through a relay of its own. In each run up to all but one of them lose their paths to all servers for 4 s to 8 s: connections hang, are reset, or only new ones are refused. From 3 s on they have to serve at least two thirds as often as the others. Drawn from a random source of its own.

--- a/src/test/java/org/cassiabank/fleet/ServersCutOffTest.java
+++ b/src/test/java/org/cassiabank/fleet/ServersCutOffTest.java
@@ -97,7 +97,7 @@
                     .as("share before the cut, %s", before)
                     .isGreaterThan(0.98);
             for (int number : cutOff) {
-                fleet.proxies.get(number).connectionRelay().cut(serverPorts, manner);
+                fleet.proxies.get(number).connectionRelay().cut(serverPorts::contains, manner);
             }
             measure(callers, cutOff, STABILITY_MILLIS);
             Measurement during = measure(callers, cutOff, MEASURED_MILLIS);
--- a/src/test/java/org/cassiabank/fleet/SocksFaultRelay.java
+++ b/src/test/java/org/cassiabank/fleet/SocksFaultRelay.java
@@ -11,12 +11,13 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.IntPredicate;
 
 /**
  * A SOCKS proxy through which one daemon makes all its connections, so that its paths to some targets can be cut while
  * the other targets, and other daemons, are not affected.
  */
-final class SocksFaultRelay implements AutoCloseable {
+public final class SocksFaultRelay implements AutoCloseable {
     private static final int BUFFER_BYTES = 16 * 1_024;
     private static final int SOCKS_VERSION = 5;
     private static final byte[] NO_AUTHENTICATION = {SOCKS_VERSION, 0};
@@ -25,31 +26,31 @@
 
     private final ServerSocket listener;
     private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
-    private volatile Set<Integer> cutPorts = Set.of();
+    private volatile IntPredicate cutPorts = port -> false;
     private volatile Manner manner = Manner.SILENT;
 
     private SocksFaultRelay(ServerSocket listener) {
         this.listener = listener;
     }
 
-    static SocksFaultRelay start() throws IOException {
+    public static SocksFaultRelay start() throws IOException {
         SocksFaultRelay relay = new SocksFaultRelay(new ServerSocket(0, 128, InetAddress.getByName("127.0.0.1")));
         Thread.ofVirtual().start(relay::acceptConnections);
         return relay;
     }
 
     /** Returns the options that make a JVM connect through this relay, also to loopback addresses. */
-    List<String> javaOptions() {
+    public List<String> javaOptions() {
         return List.of(
                 "-DsocksProxyHost=127.0.0.1", "-DsocksProxyPort=" + listener.getLocalPort(), "-DsocksNonProxyHosts=");
     }
 
-    /** Cuts the paths to all targets with one of the ports. */
-    void cut(Set<Integer> ports, Manner newManner) {
+    /** Cuts the paths to all targets whose ports match. */
+    public void cut(IntPredicate ports, Manner newManner) {
         manner = newManner;
-        cutPorts = Set.copyOf(ports);
+        cutPorts = ports;
         connections.stream()
-                .filter(connection -> cutPorts.contains(connection.targetPort))
+                .filter(connection -> ports.test(connection.targetPort))
                 .forEach(connection -> {
                     switch (newManner) {
                         case SILENT -> connection.silent = true;
@@ -60,8 +61,8 @@
     }
 
     /** Lets new connections through again; those that have become silent stay so. */
-    void heal() {
-        cutPorts = Set.of();
+    public void heal() {
+        cutPorts = port -> false;
     }
 
     @Override
@@ -94,7 +95,7 @@
             input.skipNBytes(4);
             InetAddress host = InetAddress.getByAddress(input.readNBytes(4));
             int port = input.readUnsignedShort();
-            if (cutPorts.contains(port)) {
+            if (cutPorts.test(port)) {
                 if (manner == Manner.SILENT) {
                     input.read();
                 } else {
@@ -117,7 +118,7 @@
     }
 
     /** What a cut path does to connections. */
-    enum Manner {
+    public enum Manner {
         /** Open connections carry nothing any more, and new ones do not open. */
         SILENT,
         /** Open connections are reset and new ones refused. */
--- a/src/test/java/org/cassiabank/soak/GuaranteeChecks.java
+++ b/src/test/java/org/cassiabank/soak/GuaranteeChecks.java
@@ -36,6 +36,8 @@
     /** From this time on after a request ended three servers, it may reach three more. */
     private static final long FATAL_STABILITY_MILLIS = 3_000;
 
+    private static final long CUT_STABILITY_MILLIS = 3_000;
+    private static final int MINIMUM_CUT_REQUESTS = 20;
     private static final int FATAL_SERVERS = 3;
     private static final int FATAL_ATTEMPTS = 3;
     /** The share of requests with status 200 that is required after recovery. */
@@ -78,6 +80,7 @@
         checks.checkRetryBudget("alpha");
         checks.checkRetryBudget("beta");
         fleet.rateLimitSpans().forEach(checks::checkRateLimit);
+        fleet.serverCuts().forEach(checks::checkServerCut);
         checks.checkFatalRequest();
         checks.checkRecovery(recoveredSinceMillis);
         checks.checkProcesses();
@@ -282,6 +285,27 @@
                 "a request that had ended " + FATAL_SERVERS + " servers ended " + counted);
     }
 
+    /** From some time after a cut on, daemons without a path to the servers have to serve almost like the others. */
+    private void checkServerCut(SoakFleet.ServerCut cut) {
+        int[] sent = new int[2];
+        int[] served = new int[2];
+        for (RequestHistory.SentRequest request : history.sentRequests().values()) {
+            if (request.atMillis() >= cut.span().fromMillis() + CUT_STABILITY_MILLIS
+                    && request.atMillis() < cut.span().untilMillis()
+                    && history.completion(request.id()).isPresent()
+                    && fleet.isDaemonUndisturbed(request.daemonNumber(), request.atMillis(), request.atMillis())) {
+                int group = cut.daemonNumbers().contains(request.daemonNumber()) ? 0 : 1;
+                sent[group]++;
+                served[group] += history.completion(request.id()).orElseThrow().status() == 200 ? 1 : 0;
+            }
+        }
+        reportIf(
+                Math.min(sent[0], sent[1]) >= MINIMUM_CUT_REQUESTS
+                        && 3L * served[0] * sent[1] < 2L * served[1] * sent[0],
+                "daemons that were cut off from the servers served " + served[0] + " of " + sent[0]
+                        + " requests, the others " + served[1] + " of " + sent[1]);
+    }
+
     private void checkRecovery(long recoveredSinceMillis) {
         List<RequestHistory.Completion> completions = history.sentRequests().values().stream()
                 .filter(request -> request.atMillis() > recoveredSinceMillis + CHANGE_BOUND_MILLIS)
--- a/src/test/java/org/cassiabank/soak/SoakFaults.java
+++ b/src/test/java/org/cassiabank/soak/SoakFaults.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.cassiabank.fleet.SocksFaultRelay;
 import org.cassiabank.load.FreePorts;
 import org.cassiabank.platform.StoreStandIn;
 
@@ -35,6 +37,7 @@
     private final Random mannerRandom;
 
     private final Random restorationRandom;
+    private final Random cutRandom;
 
     private final List<String> log = Collections.synchronizedList(new ArrayList<>());
 
@@ -45,6 +48,7 @@
         this.random = new Random(seed);
         this.mannerRandom = new Random(seed + 1);
         this.restorationRandom = new Random(seed + 3);
+        this.cutRandom = new Random(seed + 4);
     }
 
     /**
@@ -58,6 +62,7 @@
         injections.add(Thread.ofVirtual().start(() -> limitServers(periodMillis)));
         injections.add(Thread.ofVirtual().start(() -> sendFatalRequests(periodMillis)));
         injections.add(Thread.ofVirtual().start(() -> restoreStore(periodMillis)));
+        injections.add(Thread.ofVirtual().start(() -> cutDaemonsFromServers(periodMillis)));
         long startMillis = RequestHistory.nowMillis();
         long[] offsetsMillis = random.longs(count, 0, periodMillis).sorted().toArray();
         for (long offsetMillis : offsetsMillis) {
@@ -177,6 +182,30 @@
         }
     }
 
+    /** Cuts some daemons, up to all but one, off from all servers; peers, callers and the store stay reachable. */
+    private void cutDaemonsFromServers(long periodMillis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(cutRandom.nextLong(periodMillis / 2));
+            List<SoakFleet.Daemon> daemons = new ArrayList<>(fleet.daemons);
+            Collections.shuffle(daemons, cutRandom);
+            List<SoakFleet.Daemon> cutDaemons = daemons.subList(0, 1 + cutRandom.nextInt(daemons.size() - 1));
+            SocksFaultRelay.Manner manner =
+                    SocksFaultRelay.Manner.values()[cutRandom.nextInt(SocksFaultRelay.Manner.values().length)];
+            long durationMillis = 4_000 + cutRandom.nextInt(4_000);
+            long fromMillis = RequestHistory.nowMillis();
+            log.add("cut from all servers for " + durationMillis + " ms, " + manner + ": "
+                    + cutDaemons.stream().map(daemon -> daemon.name).toList());
+            cutDaemons.forEach(daemon -> daemon.connectionRelay.cut(port -> !fleet.isPeerOrStorePort(port), manner));
+            TimeUnit.MILLISECONDS.sleep(durationMillis);
+            cutDaemons.forEach(daemon -> daemon.connectionRelay.heal());
+            fleet.recordServerCut(new SoakFleet.ServerCut(
+                    cutDaemons.stream().map(daemon -> daemon.number).collect(Collectors.toSet()),
+                    new SoakFleet.Span(fromMillis, RequestHistory.nowMillis())));
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Makes two servers after each other name limits of requests a second. */
     private void limitServers(long periodMillis) {
         try {
--- a/src/test/java/org/cassiabank/soak/SoakFleet.java
+++ b/src/test/java/org/cassiabank/soak/SoakFleet.java
@@ -14,11 +14,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.cassiabank.fleet.SocksFaultRelay;
 import org.cassiabank.fleet.TcpFaultRelay;
 import org.cassiabank.load.ChildProcess;
 import org.cassiabank.load.FreePorts;
@@ -43,6 +46,7 @@
     final Map<String, SoakServer> servers = new ConcurrentHashMap<>();
     final List<TcpFaultRelay> serverRelays = new ArrayList<>();
     private final List<Span> storeDisturbances = new CopyOnWriteArrayList<>();
+    private final List<ServerCut> serverCuts = new CopyOnWriteArrayList<>();
     private final List<RateLimitSpan> rateLimitSpans = new CopyOnWriteArrayList<>();
     private final Map<Integer, Long> acknowledgedMillisByVersion = new ConcurrentHashMap<>();
     private final Map<String, PublishedServer> publishedServers = new ConcurrentHashMap<>();
@@ -219,7 +223,8 @@
         daemon.process = ChildProcess.start(
                 daemon.name,
                 "org.cassiabank.proxy.ProxyMain",
-                javaOptions,
+                Stream.concat(javaOptions.stream(), daemon.connectionRelay.javaOptions().stream())
+                        .toList(),
                 List.of(daemon.settingsFile.toString()),
                 directory.resolve(daemon.name + ".log"));
     }
@@ -229,6 +234,27 @@
         storeDisturbances.add(new Span(fromMillis, untilMillis));
     }
 
+    /** Tells whether a port belongs to a daemon or the store, rather than to a server. */
+    boolean isPeerOrStorePort(int port) {
+        return daemons.stream().anyMatch(daemon -> daemon.peerPort == port || daemon.storePort() == port);
+    }
+
+    /** Records that some daemons reached no server during a time. */
+    void recordServerCut(ServerCut cut) {
+        serverCuts.add(cut);
+    }
+
+    List<ServerCut> serverCuts() {
+        return serverCuts;
+    }
+
+    /** Returns whether no fault at all affected a daemon itself in a time span and the 3 s before it. */
+    boolean isDaemonUndisturbed(int daemonNumber, long fromMillis, long untilMillis) {
+        Daemon daemon = daemons.get(daemonNumber);
+        return !overlapsAny(daemon.disturbances, fromMillis, untilMillis)
+                && !overlapsAny(daemon.terminations, fromMillis, untilMillis);
+    }
+
     /** Records that a server names a limit in its responses during a time. */
     void recordRateLimit(RateLimitSpan span) {
         rateLimitSpans.add(span);
@@ -256,6 +282,7 @@
             daemon.process.close();
             daemon.front.close();
             daemon.storeRelay.close();
+            daemon.connectionRelay.close();
         }
         servers.values().forEach(SoakServer::close);
         store.close();
@@ -293,7 +320,15 @@
                                 + GuaranteeChecks.RETRY_BUDGET_SLACK + ",budget_window=10s");
         Path settingsFile = directory.resolve(name + ".toml");
         Files.writeString(settingsFile, settings);
-        return new Daemon(number, name, settingsFile, adminAddress, front, storeRelay);
+        return new Daemon(
+                number,
+                name,
+                settingsFile,
+                adminAddress,
+                HostAndPort.parse(peerAddress).port(),
+                front,
+                storeRelay,
+                SocksFaultRelay.start());
     }
 
     private void checkReadiness() {
@@ -348,6 +383,10 @@
         final String adminAddress;
         final TcpFaultRelay front;
         final TcpFaultRelay storeRelay;
+        /** Carries all connections that the daemon makes. */
+        final SocksFaultRelay connectionRelay;
+
+        final int peerPort;
         final List<Span> disturbances = new CopyOnWriteArrayList<>();
         final List<Span> terminations = new CopyOnWriteArrayList<>();
         volatile ChildProcess process;
@@ -362,17 +401,28 @@
                 String name,
                 Path settingsFile,
                 String adminAddress,
+                int peerPort,
                 TcpFaultRelay front,
-                TcpFaultRelay storeRelay) {
+                TcpFaultRelay storeRelay,
+                SocksFaultRelay connectionRelay) {
             this.number = number;
             this.name = name;
             this.settingsFile = settingsFile;
             this.adminAddress = adminAddress;
             this.front = front;
             this.storeRelay = storeRelay;
+            this.peerPort = peerPort;
+            this.connectionRelay = connectionRelay;
+        }
+
+        private int storePort() {
+            return HostAndPort.parse(storeRelay.address()).port();
         }
     }
 
+    /** The time in which some daemons reached no server. */
+    record ServerCut(Set<Integer> daemonNumbers, Span span) {}
+
     /** A server with the state that it reported last. */
     private record PublishedServer(SoakServer server, String state) {}
 
