Test what a peer does with requests that are passed on to it

The handler behind it is an interface now, so that declining, memory, cancelling and stopping are tested without a daemon; messages keep the era and the outcome, also beside a peer of the former release.

--- a/src/main/java/org/cassiabank/proxy/ForwardedRequests.java
+++ b/src/main/java/org/cassiabank/proxy/ForwardedRequests.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 import org.cassiabank.peer.generated.ForwardedReply;
 import org.cassiabank.peer.generated.ForwardedRequest;
 
@@ -15,22 +16,22 @@
     /** The bodies of forwarded requests may take this part of the heap. */
     private static final int HEAP_PARTS = 16;
 
-    private final RequestHandler requestHandler;
-    private final ServerPathMonitor serverPath;
+    private final ForwardedRequestHandler requestHandler;
+    private final BooleanSupplier cutOffFromServers;
     private final long maximumBodyBytes = Runtime.getRuntime().maxMemory() / HEAP_PARTS;
     private final AtomicLong bodyBytes = new AtomicLong();
     private final Map<String, CallerPresence> presencesById = new ConcurrentHashMap<>();
     private volatile boolean draining;
 
-    private ForwardedRequests(RequestHandler requestHandler, ServerPathMonitor serverPath) {
+    private ForwardedRequests(ForwardedRequestHandler requestHandler, BooleanSupplier cutOffFromServers) {
         this.requestHandler = requestHandler;
-        this.serverPath = serverPath;
+        this.cutOffFromServers = cutOffFromServers;
     }
 
-    static ForwardedRequests create(RequestHandler requestHandler, ServerPathMonitor serverPath) {
+    static ForwardedRequests create(ForwardedRequestHandler requestHandler, BooleanSupplier cutOffFromServers) {
         return new ForwardedRequests(
                 Objects.requireNonNull(requestHandler, "requestHandler"),
-                Objects.requireNonNull(serverPath, "serverPath"));
+                Objects.requireNonNull(cutOffFromServers, "cutOffFromServers"));
     }
 
     /** Declines further requests. */
@@ -52,7 +53,7 @@
         if (draining) {
             return ForwardedReply.declined("draining");
         }
-        if (serverPath.isCutOff()) {
+        if (cutOffFromServers.getAsBoolean()) {
             return ForwardedReply.declined("cut-off");
         }
         CallerRequest request = PeerMessageConverter.toCallerRequest(message);
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -124,7 +124,8 @@
                 .register(ServiceNames.CLAIM_CLIENT, claimClient)
                 .register(ServiceNames.REPLICATION, replication)
                 .register(ServiceNames.SERVER_PATH, serverPath)
-                .register(ServiceNames.FORWARDED_REQUESTS, ForwardedRequests.create(requestHandler, serverPath))
+                .register(
+                        ServiceNames.FORWARDED_REQUESTS, ForwardedRequests.create(requestHandler, serverPath::isCutOff))
                 .register(ServiceNames.PEER_ENDPOINT, PeerEndpoint.create(settings, socketFactories))
                 .register(ServiceNames.FLEET_SOURCE, source)
                 .register(
--- a/src/main/java/org/cassiabank/proxy/RequestHandler.java
+++ b/src/main/java/org/cassiabank/proxy/RequestHandler.java
@@ -26,7 +26,7 @@
 /**
  * Answers requests of callers: finds the selector, claims the key of an unrepeatable request, and runs the request.
  */
-final class RequestHandler implements CallerHandler {
+final class RequestHandler implements CallerHandler, ForwardedRequestHandler {
     private static final long MAXIMUM_DEADLINE_MILLIS = TimeUnit.MINUTES.toMillis(30);
 
     /**
@@ -165,16 +165,8 @@
                 .run();
     }
 
-    /**
-     * Runs a request that a peer has passed on because it reaches no backend server. The peer has claimed its key.
-     *
-     * @param request the request of the peer's caller
-     * @param remainingMillis the time until its deadline in milliseconds
-     * @param formerAttempts the attempts of the peer that may have reached a backend server
-     * @param presence tells whether the caller is still connected to the peer
-     * @return the result; empty if the request has not run and another peer may be asked
-     */
-    Optional<RequestResult> runForwarded(
+    @Override
+    public Optional<RequestResult> runForwarded(
             CallerRequest request, long remainingMillis, int formerAttempts, CallerPresence presence) {
         RequestTrace trace =
                 RequestTrace.start(request.header(conventions.requestIdHeader()).orElse(""));
--- /dev/null
+++ b/src/test/java/org/cassiabank/proxy/ForwardedRequestsTest.java
@@ -0,0 +1,86 @@
+package org.cassiabank.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.cassiabank.peer.generated.ForwardedReply;
+import org.cassiabank.peer.generated.ForwardedRequest;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Guards against a proxy that takes requests of its peers which it cannot serve, or cuts them off when it stops. */
+@Timeout(30)
+class ForwardedRequestsTest {
+    private final AtomicBoolean cutOff = new AtomicBoolean();
+    private final CompletableFuture<CallerPresence> running = new CompletableFuture<>();
+    private final CompletableFuture<Optional<RequestResult>> result = new CompletableFuture<>();
+    private final ForwardedRequests requests = ForwardedRequests.create(
+            (request, remainingMillis, formerAttempts, presence) -> {
+                running.complete(presence);
+                return result.join();
+            },
+            cutOff::get);
+
+    @Test
+    void aProxyThatReachesNoServerOrIsStoppingDeclines() {
+        cutOff.set(true);
+        assertThat(requests.carryOut(request("a", 1))).isEqualTo(ForwardedReply.declined("cut-off"));
+        cutOff.set(false);
+        requests.startDraining();
+        assertThat(requests.carryOut(request("a", 1))).isEqualTo(ForwardedReply.declined("draining"));
+        assertThat(running).isNotDone();
+    }
+
+    @Test
+    void aRequestThatHasNotRunIsDeclinedAndOthersKeepTheirOutcome() {
+        result.complete(Optional.empty());
+        assertThat(requests.carryOut(request("a", 1))).isEqualTo(ForwardedReply.declined("not-run"));
+        ForwardedRequests others = ForwardedRequests.create(
+                (request, remainingMillis, formerAttempts, presence) ->
+                        Optional.of(RequestResult.unknown(remainingMillis + "/" + formerAttempts)),
+                cutOff::get);
+        assertThat(others.carryOut(request("a", 1))).isEqualTo(ForwardedReply.unknown("900/2"));
+    }
+
+    @Test
+    void bodiesThatTakeTooMuchMemoryAreDeclined() {
+        int tooMany = Math.toIntExact(Math.min(1 << 30, Runtime.getRuntime().maxMemory() / 16 + 1));
+        assertThat(requests.carryOut(request("a", tooMany))).isEqualTo(ForwardedReply.declined("busy"));
+        result.complete(Optional.of(RequestResult.unknown("timeout")));
+        assertThat(requests.carryOut(request("a", 1))).isEqualTo(ForwardedReply.unknown("timeout"));
+    }
+
+    @Test
+    void aRunningRequestKeepsAStoppingProxyBusyAndEndsWhenItsCallerLeaves() throws Exception {
+        CompletableFuture<ForwardedReply> reply =
+                CompletableFuture.supplyAsync(() -> requests.carryOut(request("a", 1)));
+        CallerPresence presence = running.get(5, TimeUnit.SECONDS);
+        requests.startDraining();
+        assertThat(requests.isBusy()).isTrue();
+        requests.cancel("another");
+        assertThat(presence.isGone()).isFalse();
+        requests.cancel("a");
+        assertThat(presence.isGone()).isTrue();
+        result.complete(Optional.of(RequestResult.unknown("cancelled")));
+        assertThat(reply.get(5, TimeUnit.SECONDS)).isEqualTo(ForwardedReply.unknown("cancelled"));
+        assertThat(requests.isBusy()).isFalse();
+    }
+
+    private static ForwardedRequest request(String id, int bodyBytes) {
+        return new ForwardedRequest(
+                id,
+                "POST",
+                "/orders",
+                Map.of("host", List.of("shop")),
+                ByteBuffer.allocate(bodyBytes),
+                "10.0.0.9",
+                900,
+                2);
+    }
+}
--- a/src/test/java/org/cassiabank/proxy/PeerEndpointTest.java
+++ b/src/test/java/org/cassiabank/proxy/PeerEndpointTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.cassiabank.admission.AdmissionRequest;
 import org.cassiabank.declaration.CostHint;
@@ -48,6 +49,10 @@
                 .register(ServiceNames.CLAIM_KEEPER, ClaimKeeper.create(SELF, fleet, peerTransport, lists, true))
                 .register(ServiceNames.FLEET_SOURCE, NoOpFleetSource.create(false))
                 .register(ServiceNames.REPLICATION, Replication.create(SELF, fleet, peerTransport))
+                .register(
+                        ServiceNames.FORWARDED_REQUESTS,
+                        ForwardedRequests.create(
+                                (forwarded, millis, attempts, presence) -> Optional.empty(), () -> false))
                 .register(ServiceNames.PEER_ENDPOINT, endpoint)) {
             kernel.start();
             SlotRequest request = PeerMessageConverter.toMessage(request(), new ShardKey("menu", 0), 0);
--- a/src/test/java/org/cassiabank/proxy/RequestForwarderTest.java
+++ b/src/test/java/org/cassiabank/proxy/RequestForwarderTest.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.apache.thrift.TApplicationException;
+import org.apache.thrift.TException;
 import org.cassiabank.load.FreePorts;
 import org.cassiabank.membership.Instance;
 import org.cassiabank.membership.InstanceList;
@@ -54,7 +56,9 @@
     @Test
     void theNextPeerIsAskedWhenOneDeclinesOrIsDownOrDoesNotKnowTheCall() {
         startPeer(request -> ForwardedReply.declined("cut-off"));
-        startPeer(request -> ForwardedReply.declined("draining"));
+        startPeer(request -> {
+            throw new TApplicationException(TApplicationException.UNKNOWN_METHOD, "a former release");
+        });
         peers.add(proxy("down", FreePorts.nextPort()));
         startPeer(request -> ForwardedReply.answer(new RecordedAnswer(200, Map.of(), ByteBuffer.wrap(new byte[] {1}))));
         for (int round = 0; round < 6; round++) {
@@ -158,6 +162,6 @@
     }
 
     private interface PeerBehaviour {
-        ForwardedReply reply(ForwardedRequest request);
+        ForwardedReply reply(ForwardedRequest request) throws TException;
     }
 }
