--- a/src/main/java/org/cassiabank/proxy/ForwardedRequests.java
+++ b/src/main/java/org/cassiabank/proxy/ForwardedRequests.java
@@ -18,20 +18,28 @@
 
     private final ForwardedRequestHandler requestHandler;
     private final BooleanSupplier cutOffFromServers;
-    private final long maximumBodyBytes = Runtime.getRuntime().maxMemory() / HEAP_PARTS;
+    private final long maximumBodyBytes;
     private final AtomicLong bodyBytes = new AtomicLong();
     private final Map<String, CallerPresence> presencesById = new ConcurrentHashMap<>();
     private volatile boolean draining;
 
-    private ForwardedRequests(ForwardedRequestHandler requestHandler, BooleanSupplier cutOffFromServers) {
+    private ForwardedRequests(
+            ForwardedRequestHandler requestHandler, BooleanSupplier cutOffFromServers, long maximumBodyBytes) {
         this.requestHandler = requestHandler;
         this.cutOffFromServers = cutOffFromServers;
+        this.maximumBodyBytes = maximumBodyBytes;
     }
 
     static ForwardedRequests create(ForwardedRequestHandler requestHandler, BooleanSupplier cutOffFromServers) {
+        return create(requestHandler, cutOffFromServers, Runtime.getRuntime().maxMemory() / HEAP_PARTS);
+    }
+
+    static ForwardedRequests create(
+            ForwardedRequestHandler requestHandler, BooleanSupplier cutOffFromServers, long maximumBodyBytes) {
         return new ForwardedRequests(
                 Objects.requireNonNull(requestHandler, "requestHandler"),
-                Objects.requireNonNull(cutOffFromServers, "cutOffFromServers"));
+                Objects.requireNonNull(cutOffFromServers, "cutOffFromServers"),
+                maximumBodyBytes);
     }
 
     /** Declines further requests. */
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -103,6 +103,7 @@
         RequestForwarder forwarder = RequestForwarder.create(self, fleet, peerTransport, metrics);
         RequestHandler requestHandler = RequestHandler.create(
                 fleet, attemptExecutor, forwarder, claimClient, metrics, conventions, retryBudgetSettings.isPresent());
+        ForwardedRequests forwardedRequests = ForwardedRequests.create(requestHandler, serverPath::isCutOff);
         PeerStoreRelay relay = PeerStoreRelay.create(replication, peerTransport);
         FleetSource source = adapter.map(found -> createMetadataStoreSource(found, settings, self, relay))
                 .orElseGet(() -> createPlatformWatch(settings, fleet, replication, metrics));
@@ -124,8 +125,7 @@
                 .register(ServiceNames.CLAIM_CLIENT, claimClient)
                 .register(ServiceNames.REPLICATION, replication)
                 .register(ServiceNames.SERVER_PATH, serverPath)
-                .register(
-                        ServiceNames.FORWARDED_REQUESTS, ForwardedRequests.create(requestHandler, serverPath::isCutOff))
+                .register(ServiceNames.FORWARDED_REQUESTS, forwardedRequests)
                 .register(ServiceNames.PEER_ENDPOINT, PeerEndpoint.create(settings, socketFactories))
                 .register(ServiceNames.FLEET_SOURCE, source)
                 .register(
--- a/src/test/java/org/cassiabank/proxy/ForwardedRequestsTest.java
+++ b/src/test/java/org/cassiabank/proxy/ForwardedRequestsTest.java
@@ -17,6 +17,8 @@
 /** Guards against a proxy that takes requests of its peers which it cannot serve, or cuts them off when it stops. */
 @Timeout(30)
 class ForwardedRequestsTest {
+    private static final int MAXIMUM_BODY_BYTES = 1_000;
+
     private final AtomicBoolean cutOff = new AtomicBoolean();
     private final CompletableFuture<CallerPresence> running = new CompletableFuture<>();
     private final CompletableFuture<Optional<RequestResult>> result = new CompletableFuture<>();
@@ -25,7 +27,8 @@
                 running.complete(presence);
                 return result.join();
             },
-            cutOff::get);
+            cutOff::get,
+            MAXIMUM_BODY_BYTES);
 
     @Test
     void aProxyThatReachesNoServerOrIsStoppingDeclines() {
@@ -50,10 +53,9 @@
 
     @Test
     void bodiesThatTakeTooMuchMemoryAreDeclined() {
-        int tooMany = Math.toIntExact(Math.min(1 << 30, Runtime.getRuntime().maxMemory() / 16 + 1));
-        assertThat(requests.carryOut(request("a", tooMany))).isEqualTo(ForwardedReply.declined("busy"));
+        assertThat(requests.carryOut(request("a", MAXIMUM_BODY_BYTES + 1))).isEqualTo(ForwardedReply.declined("busy"));
         result.complete(Optional.of(RequestResult.unknown("timeout")));
-        assertThat(requests.carryOut(request("a", 1))).isEqualTo(ForwardedReply.unknown("timeout"));
+        assertThat(requests.carryOut(request("a", MAXIMUM_BODY_BYTES))).isEqualTo(ForwardedReply.unknown("timeout"));
     }
 
     @Test
