--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -42,6 +42,8 @@
  * Assembles and starts the services of a daemon, and stops them without interrupting requests in flight.
  */
 final class ProxyDaemon implements AutoCloseable {
+    private static final ServiceName<KernelService> FLEET_SOURCE_SERVICE =
+            ServiceName.of("fleet-source-service", KernelService.class);
     private static final ServiceName<KernelService> IDLE_CONNECTIONS =
             ServiceName.of("idle-connections", KernelService.class);
 
@@ -128,9 +130,7 @@
                 .register(ServiceNames.FORWARDED_REQUESTS, forwardedRequests)
                 .register(ServiceNames.PEER_ENDPOINT, PeerEndpoint.create(settings, socketFactories))
                 .register(ServiceNames.FLEET_SOURCE, source)
-                .register(
-                        ServiceName.of("fleet-source-service", KernelService.class),
-                        fleetSourceService(source, FleetStateUpdater.create(fleet, metrics)))
+                .register(FLEET_SOURCE_SERVICE, fleetSourceService(source, FleetStateUpdater.create(fleet, metrics)))
                 .register(ServiceNames.REQUEST_HANDLER, requestHandler)
                 .register(ServiceNames.ADMIN, adminEndpoint);
         return new ProxyDaemon(settings, kernel, adminEndpoint, callerServer);
