Give each request that was read one owner of its reply, and accept only heads that can be passed on

Cause: the HTTP client accepts heads that the server side refuses to write. The refusal is an exception on the event loop, after the connection had forgotten the request and before anything was written. Evidence: request c17-9 logged outcome=answered after 25 ms, followed by 'Validation failed for header Content-Type' in CallerConnection.writeReply, once for each request without a reply.

Fix: ResponseHeads decides where a response is read which heads are valid; anything else counts against the server. PendingReply owns the only reply: what cannot be written becomes 504 of unknown outcome, a partly written reply ends the connection, and a handler that has not returned 400 ms after the deadline is given up, logged and counted. The slot of an attempt is reported before any other record of it, and a failure of these records no longer loses the result.

--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -195,18 +195,26 @@
                     NoValidResponseReason.REQUEST_ID_MISMATCH, "response carries request identifiers " + requestIds));
         }
         int status = response.code();
+        boolean hasBody = status != 204 && status != 304 && !request.method().equals("HEAD");
+        Optional<String> defect = ResponseHeads.findDefect(status, headers, hasBody);
+        if (defect.isPresent()) {
+            LOGGER.atInfo().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                    "server %s at %s sent a malformed head in response to request %s: %s",
+                    request.server(), request.address(), request.requestId(), defect.get());
+            return Optional.of(new NoValidResponse(NoValidResponseReason.MALFORMED_HEAD, defect.get()));
+        }
         if (response.isSuccessful() && lacksRequiredSignature(headers)) {
             return Optional.of(new NoValidResponse(
                     NoValidResponseReason.REQUEST_ID_MISMATCH, "successful response without a signature"));
         }
-        if (status == 204 || status == 304 || request.method().equals("HEAD")) {
+        if (!hasBody) {
             return Optional.empty();
         }
-        boolean chunked = "chunked".equalsIgnoreCase(headers.get("Transfer-Encoding"));
+        boolean chunked = headers.get("Transfer-Encoding") != null;
         List<String> contentLengths = headers.values("Content-Length");
         boolean lengthDeclared = response.body().contentLength() >= 0 && new HashSet<>(contentLengths).size() == 1;
         boolean closeDelimited = conventions.allowsCloseDelimitedResponses() && contentLengths.isEmpty();
-        return status >= 200 && (chunked || lengthDeclared || closeDelimited)
+        return chunked || lengthDeclared || closeDelimited
                 ? Optional.empty()
                 : Optional.of(new NoValidResponse(
                         NoValidResponseReason.TRUNCATED_RESPONSE,
--- a/src/main/java/org/cassiabank/backend/NoValidResponseReason.java
+++ b/src/main/java/org/cassiabank/backend/NoValidResponseReason.java
@@ -14,6 +14,8 @@
     TRUNCATED_RESPONSE(AttemptResult.TRUNCATED_RESPONSE),
     /** The response does not carry the identifier of this request, or lacks a required signature. */
     REQUEST_ID_MISMATCH(AttemptResult.REQUEST_ID_MISMATCH),
+    /** The status or a header of the response cannot be passed on unchanged, as after a spoiled byte. */
+    MALFORMED_HEAD(AttemptResult.MALFORMED_HEAD),
     /**
      * The body exceeds {@link BackendClientSettings#maximumResponseBytes()}, too many bytes arrived outside of it, or
      * it was the largest response when all together exceeded the {@link ResponseMemory}.
--- /dev/null
+++ b/src/main/java/org/cassiabank/backend/ResponseHeads.java
@@ -0,0 +1,100 @@
+package org.cassiabank.backend;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import okhttp3.Headers;
+
+/**
+ * Decides which heads of responses can be passed on to a caller unchanged.
+ *
+ * <p>OkHttp accepts more than HTTP/1.1 permits: control bytes in values, names that are not tokens, lines without a
+ * colon, folded lines and any three characters that form a number as the status. Such a head stands for a server that
+ * spoils its responses.
+ */
+final class ResponseHeads {
+    private static final int LOWEST_FINAL_STATUS = 200;
+    private static final int HIGHEST_STATUS = 599;
+    private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
+    private static final char DELETE = 0x7f;
+    /** Stands where OkHttp could not decode a value as UTF-8, so that the original bytes are lost. */
+    private static final char REPLACEMENT_CHARACTER = '\ufffd';
+
+    /** A length of this many digits always fits a long. */
+    private static final int MAXIMUM_LENGTH_DIGITS = 18;
+
+    private ResponseHeads() {}
+
+    /**
+     * Looks for a part of a head that cannot be passed on.
+     *
+     * @param status the status, which is valid if it is final: neither interim nor beyond 599
+     * @param headers the headers as OkHttp has read them
+     * @param hasBody whether the response has a body, whose end the declared length decides
+     * @return what is wrong, or empty if the head can be passed on
+     */
+    static Optional<String> findDefect(int status, Headers headers, boolean hasBody) {
+        if (status < LOWEST_FINAL_STATUS || status > HIGHEST_STATUS) {
+            return Optional.of("status " + status + " is not a final status");
+        }
+        for (int index = 0; index < headers.size(); index++) {
+            String name = headers.name(index);
+            if (!isToken(name)) {
+                return Optional.of("header name [" + printable(name) + "] is not a token");
+            }
+            if (!isFieldValue(headers.value(index))) {
+                return Optional.of("value of header " + name + " has a byte that is not permitted: ["
+                        + printable(headers.value(index)) + "]");
+            }
+        }
+        List<String> transferEncodings = headers.values("Transfer-Encoding");
+        if (!transferEncodings.isEmpty()
+                && (transferEncodings.size() > 1
+                        || !transferEncodings.getFirst().equalsIgnoreCase("chunked"))) {
+            return Optional.of("transfer encoding " + transferEncodings + " is not supported");
+        }
+        List<String> lengths = headers.values("Content-Length");
+        boolean validLength =
+                new HashSet<>(lengths).size() <= 1 && lengths.stream().allMatch(ResponseHeads::isLength);
+        return hasBody || validLength ? Optional.empty() : Optional.of("content lengths " + lengths);
+    }
+
+    private static boolean isToken(String name) {
+        return !name.isEmpty()
+                && name.chars()
+                        .allMatch(
+                                character -> isAsciiLetterOrDigit(character) || TOKEN_SYMBOLS.indexOf(character) >= 0);
+    }
+
+    private static boolean isAsciiLetterOrDigit(int character) {
+        return character >= 'a' && character <= 'z'
+                || character >= 'A' && character <= 'Z'
+                || character >= '0' && character <= '9';
+    }
+
+    private static boolean isFieldValue(String value) {
+        return value.chars()
+                .allMatch(character -> (character >= ' ' || character == '\t')
+                        && character != DELETE
+                        && character != REPLACEMENT_CHARACTER);
+    }
+
+    private static boolean isLength(String value) {
+        return !value.isEmpty()
+                && value.length() <= MAXIMUM_LENGTH_DIGITS
+                && value.chars().allMatch(character -> character >= '0' && character <= '9');
+    }
+
+    /** Replaces characters that would break a log line. */
+    private static String printable(String text) {
+        StringBuilder printable = new StringBuilder();
+        text.chars().limit(100).forEach(character -> {
+            if (character >= ' ' && character < DELETE) {
+                printable.append((char) character);
+            } else {
+                printable.append(String.format("\\u%04x", character));
+            }
+        });
+        return printable.toString();
+    }
+}
--- a/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
+++ b/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
@@ -25,6 +25,7 @@
 import org.cassiabank.backend.NotSent;
 import org.cassiabank.declaration.Selector;
 import org.cassiabank.health.AttemptOutcome;
+import org.cassiabank.kernel.BackgroundTasks;
 import org.cassiabank.membership.Instance;
 import org.cassiabank.retry.RetryReason;
 
@@ -264,6 +265,18 @@
             serverPath.cancelWhenCutOff(cancellation);
         }
         BackendResult result = attempt.call().execute();
+        try {
+            recordResult(attempt, result, cancellation, (System.nanoTime() - startNanos) / 1_000);
+        } catch (RuntimeException | Error failure) {
+            // A failure of the records must not cost the caller the result.
+            BackgroundTasks.recordFailure("attempt-record", failure);
+        }
+        return result;
+    }
+
+    private void recordResult(RunningAttempt attempt, BackendResult result, Runnable cancellation, long latencyMicros) {
+        // First, so that the slot is free again whatever happens to the other records.
+        workers.execute(() -> broker.report(attempt.slot(), result.outcome(), latencyMicros, result.notice()));
         serverPath.attemptCompleted(cancellation);
         if (attempt.call().hasOpenedConnection()) {
             serverPath.recordOpened();
@@ -283,12 +296,9 @@
         } else {
             unreachableServers.recordSuccess(attempt.slot().serverName());
         }
-        long latencyMicros = (System.nanoTime() - startNanos) / 1_000;
         metrics.recordAttempt(result.attemptResult().label());
         metrics.recordAttemptDuration(
                 attempt.slot().shard().service(), result.attemptResult().label(), latencyMicros);
-        workers.execute(() -> broker.report(attempt.slot(), result.outcome(), latencyMicros, result.notice()));
-        return result;
     }
 
     /**
--- a/src/main/java/org/cassiabank/proxy/CallerConnection.java
+++ b/src/main/java/org/cassiabank/proxy/CallerConnection.java
@@ -1,5 +1,6 @@
 package org.cassiabank.proxy;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
@@ -17,7 +18,9 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.handler.timeout.IdleStateEvent;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -25,12 +28,15 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicReference;
+import org.cassiabank.kernel.BackgroundTasks;
 
 /**
  * Handles one connection of a caller. Pipelined requests are answered one at a time, in the order of arrival.
  */
 final class CallerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
     /** The event that closes a connection unless a request is being read or answered on it. */
     static final Object CLOSE_IF_IDLE = new Object();
 
@@ -143,6 +149,11 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         // A connection error affects this caller only; channelInactive notifies the request in flight.
+        if (cause instanceof IOException) {
+            LOGGER.atFine().withCause(cause).log("the connection of a caller failed");
+        } else {
+            BackgroundTasks.recordFailure("caller-connection", cause);
+        }
         context.close();
     }
 
@@ -178,28 +189,29 @@
             writeReply(context, next, next.refusal());
             return;
         }
-        currentPresence = CallerPresence.create();
-        CallerPresence presence = currentPresence;
-        server.handleRequest(
-                next.request(), presence, result -> replyOnEventLoop(context, () -> writeReply(context, next, result)));
+        PendingReply pendingReply = newPendingReply(context, next);
+        currentPresence = CallerPresence.create(pendingReply::expectWithin);
+        server.handleRequest(next.request(), currentPresence, pendingReply);
     }
 
-    private void replyOnEventLoop(ChannelHandlerContext context, Runnable reply) {
-        try {
-            context.executor().execute(reply);
-        } catch (RejectedExecutionException exception) {
-            // The server was closed while the request ran, and its connections with it.
-            server.completeRequest();
-        }
+    private PendingReply newPendingReply(ChannelHandlerContext context, PendingRequest pending) {
+        AtomicReference<PendingReply> created = new AtomicReference<>();
+        created.set(PendingReply.create(
+                context.executor(),
+                reply -> writeReply(context, pending, reply),
+                server::completeRequest,
+                () -> created.get().complete(server.replyWhenOverdue(pending.request()))));
+        return created.get();
     }
 
     private void writeReply(ChannelHandlerContext context, PendingRequest pending, CallerReply reply) {
         requestInProgress = false;
         currentPresence = null;
         boolean keepAlive = pending.keepAlive() && !server.isDraining();
-        FullHttpResponse response = toResponse(reply, pending.headRequest());
+        FullHttpResponse response = toWritableResponse(pending, reply);
         HttpUtil.setKeepAlive(response, keepAlive);
         ChannelFuture writeFuture = context.writeAndFlush(response);
+        writeFuture.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
         if (pending.request() != null) {
             // A graceful stop waits until the last byte is written; a slow caller may still be reading long after the
             // handler has returned.
@@ -213,12 +225,25 @@
         }
     }
 
+    /** Converts the reply, or another one of unknown outcome if a header or the status cannot be written. */
+    private FullHttpResponse toWritableResponse(PendingRequest pending, CallerReply reply) {
+        try {
+            return toResponse(reply, pending.headRequest());
+        } catch (RuntimeException | Error failure) {
+            if (pending.request() == null) {
+                throw failure;
+            }
+            return toResponse(server.replyAfterFailure(pending.request(), failure), pending.headRequest());
+        }
+    }
+
     private static FullHttpResponse toResponse(CallerReply reply, boolean headRequest) {
         FullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(reply.status()),
                 headRequest ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(reply.body()));
-        reply.headers().forEach((name, values) -> response.headers().set(name, values));
+        reply.headers().forEach((name, values) -> response.headers()
+                .set(name, values.stream().map(CallerConnection::toWireText).toList()));
         response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
         boolean keepsContentLength = headRequest && response.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
         if (!keepsContentLength && reply.status() != HttpResponseStatus.NO_CONTENT.code()) {
@@ -227,6 +252,13 @@
         return response;
     }
 
+    /** Netty writes each character as one byte, so a value beyond ASCII becomes one character a byte of its UTF-8 form. */
+    private static String toWireText(String value) {
+        return value.chars().allMatch(character -> character < 0x80)
+                ? value
+                : new String(value.getBytes(StandardCharsets.UTF_8), StandardCharsets.ISO_8859_1);
+    }
+
     private static CallerRequest toCallerRequest(ChannelHandlerContext context, FullHttpRequest request) {
         Map<String, List<String>> headers = new HashMap<>();
         request.headers().forEach(header -> headers.computeIfAbsent(
--- a/src/main/java/org/cassiabank/proxy/CallerHandler.java
+++ b/src/main/java/org/cassiabank/proxy/CallerHandler.java
@@ -14,4 +14,15 @@
      * @return the reply, never null
      */
     CallerReply handle(CallerRequest request, CallerPresence presence);
+
+    /**
+     * Returns the reply to a request that {@link #handle} has not answered, or whose reply cannot be written.
+     *
+     * @param request the request, which may have run
+     * @param reason the value of {@code Cassiabank-Reason}
+     * @return the reply
+     */
+    default CallerReply replyWithoutResult(CallerRequest request, String reason) {
+        return CallerReply.unknown(reason);
+    }
 }
--- a/src/main/java/org/cassiabank/proxy/CallerPresence.java
+++ b/src/main/java/org/cassiabank/proxy/CallerPresence.java
@@ -1,6 +1,7 @@
 package org.cassiabank.proxy;
 
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.LongConsumer;
 
 /**
  * Tells whether a caller is still connected while its request is answered, and runs an action when it disconnects.
@@ -13,10 +14,25 @@
 
     private final AtomicReference<Runnable> departureAction = new AtomicReference<>(NO_ACTION);
 
-    private CallerPresence() {}
+    private final LongConsumer replyDeadline;
 
+    private CallerPresence(LongConsumer replyDeadline) {
+        this.replyDeadline = replyDeadline;
+    }
+
+    /** Creates the presence of a caller whose wait for the reply is limited elsewhere. */
     static CallerPresence create() {
-        return new CallerPresence();
+        return create(millis -> {});
+    }
+
+    /**
+     * Creates the presence of a caller.
+     *
+     * @param replyDeadline receives the time in milliseconds for which the caller waits for the reply
+     * @return the presence
+     */
+    static CallerPresence create(LongConsumer replyDeadline) {
+        return new CallerPresence(replyDeadline);
     }
 
     boolean isGone() {
@@ -31,6 +47,15 @@
         }
     }
 
+    /**
+     * States how long the caller waits for the reply from now on, as soon as this is known.
+     *
+     * @param millis the time in milliseconds
+     */
+    void awaitReplyFor(long millis) {
+        replyDeadline.accept(millis);
+    }
+
     void markGone() {
         departureAction.getAndSet(CALLER_GONE).run();
     }
--- a/src/main/java/org/cassiabank/proxy/CallerServer.java
+++ b/src/main/java/org/cassiabank/proxy/CallerServer.java
@@ -21,7 +21,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.Consumer;
 import org.cassiabank.declaration.ConnectionLimits;
 import org.cassiabank.kernel.BackgroundTasks;
 import org.cassiabank.kernel.CassiabankException;
@@ -38,6 +37,9 @@
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int EVENT_LOOP_THREADS = 2;
     private static final long OVERLOAD_RETRY_AFTER_MILLIS = 1_000;
+    private static final String OVERDUE_REASON = "overdue";
+    private static final String INTERNAL_ERROR_REASON = "internal-error";
+    private static final int LOG_INTERVAL_SECONDS = 1;
 
     private final CallerLimits configuredLimits;
     private final CallerHandler handler;
@@ -179,15 +181,52 @@
      *
      * @param request the request
      * @param presence tells whether the caller is still connected
-     * @param replyConsumer receives the reply, exactly once
+     * @param pendingReply receives the reply
      */
-    void handleRequest(CallerRequest request, CallerPresence presence, Consumer<CallerReply> replyConsumer) {
+    void handleRequest(CallerRequest request, CallerPresence presence, PendingReply pendingReply) {
         if (inFlight.incrementAndGet() > limits.requestsInFlight()) {
             metrics.recordRefusedRequest("entry-overloaded");
-            replyConsumer.accept(CallerReply.notRun("entry-overloaded", OVERLOAD_RETRY_AFTER_MILLIS));
+            pendingReply.complete(CallerReply.notRun("entry-overloaded", OVERLOAD_RETRY_AFTER_MILLIS));
             return;
         }
-        workers.execute(() -> replyConsumer.accept(handleGuarded(request, presence)));
+        try {
+            workers.execute(() -> pendingReply.complete(handleGuarded(request, presence)));
+        } catch (RuntimeException | Error failure) {
+            // No thread could be started, for want of memory or because this server was closed.
+            pendingReply.complete(replyAfterFailure(request, failure));
+        }
+    }
+
+    /**
+     * Returns the reply to a request whose handler has not returned in time, and logs that it was given up.
+     *
+     * @param request the request
+     * @return a reply of unknown outcome
+     */
+    CallerReply replyWhenOverdue(CallerRequest request) {
+        metrics.recordUnknownOutcome(OVERDUE_REASON);
+        CallerReply reply = handler.replyWithoutResult(request, OVERDUE_REASON);
+        LOGGER.atSevere().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                "gave up a request that was not answered after its deadline: %s %s, headers of the reply: %s",
+                request.method(), request.path(), reply.headers());
+        return reply;
+    }
+
+    /**
+     * Returns the reply to a request after an unexpected failure, which is logged and counted.
+     *
+     * @param request the request
+     * @param failure the exception or error
+     * @return a reply of unknown outcome
+     */
+    CallerReply replyAfterFailure(CallerRequest request, Throwable failure) {
+        BackgroundTasks.recordFailure("request", failure);
+        metrics.recordUnknownOutcome(INTERNAL_ERROR_REASON);
+        CallerReply reply = handler.replyWithoutResult(request, INTERNAL_ERROR_REASON);
+        LOGGER.atWarning().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                "no reply could be made to %s %s: %s; headers of the reply instead: %s",
+                request.method(), request.path(), failure, reply.headers());
+        return reply;
     }
 
     /** Counts and logs a refusal of a request that could not be read, and so has no identifier. */
@@ -222,11 +261,9 @@
     /** Handles a request. After an error the caller still gets a reply, and the request is not in flight for ever. */
     private CallerReply handleGuarded(CallerRequest request, CallerPresence presence) {
         try {
-            return handler.handle(request, presence);
+            return Objects.requireNonNull(handler.handle(request, presence), "reply of the handler");
         } catch (RuntimeException | Error failure) {
-            BackgroundTasks.recordFailure("request", failure);
-            metrics.recordUnknownOutcome("internal-error");
-            return CallerReply.unknown("internal-error");
+            return replyAfterFailure(request, failure);
         }
     }
 
--- /dev/null
+++ b/src/main/java/org/cassiabank/proxy/PendingReply.java
@@ -0,0 +1,114 @@
+package org.cassiabank.proxy;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.util.concurrent.EventExecutor;
+import java.util.concurrent.Future;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+
+/**
+ * The only reply to a request that was read. The first reply counts, whichever thread it comes from; if the handler
+ * returns none, the request is given up soon after its deadline, because later requests of its connection wait behind it.
+ *
+ * <p>Instances are thread-safe.
+ */
+final class PendingReply {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final int LOG_INTERVAL_SECONDS = 1;
+
+    /** The time after its deadline within which a handler replies, those that wait for the reply of a peer included. */
+    private static final long OVERDUE_MILLIS = 400;
+
+    /** A timer that fires later than this after its time shows that the process was paused. */
+    private static final long PAUSE_MILLIS = 100;
+
+    private final EventExecutor eventLoop;
+    private final Consumer<CallerReply> writer;
+    private final Runnable onConnectionLost;
+    private final Runnable onOverdue;
+    private final AtomicBoolean complete = new AtomicBoolean();
+    private volatile Future<?> overdueTimer;
+
+    private PendingReply(
+            EventExecutor eventLoop, Consumer<CallerReply> writer, Runnable onConnectionLost, Runnable onOverdue) {
+        this.eventLoop = eventLoop;
+        this.writer = writer;
+        this.onConnectionLost = onConnectionLost;
+        this.onOverdue = onOverdue;
+    }
+
+    /**
+     * Creates the pending reply to a request.
+     *
+     * @param eventLoop the event loop of the connection
+     * @param writer writes the reply; called exactly once, on the event loop
+     * @param onConnectionLost called instead of the writer if the event loop has ended, and the connection with it
+     * @param onOverdue called on the event loop when the handler has not replied in time; it completes this reply
+     * @return the pending reply
+     */
+    static PendingReply create(
+            EventExecutor eventLoop, Consumer<CallerReply> writer, Runnable onConnectionLost, Runnable onOverdue) {
+        return new PendingReply(eventLoop, writer, onConnectionLost, onOverdue);
+    }
+
+    /**
+     * Replies to the request, unless it has been replied to.
+     *
+     * @param reply the reply
+     */
+    void complete(CallerReply reply) {
+        if (!complete.compareAndSet(false, true)) {
+            LOGGER.atWarning().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                    "a reply with status %d came after its request had been given up", reply.status());
+            return;
+        }
+        try {
+            eventLoop.execute(() -> {
+                cancelTimer();
+                writer.accept(reply);
+            });
+        } catch (RejectedExecutionException exception) {
+            LOGGER.atFine().withCause(exception).log("the server was closed while a request ran");
+            onConnectionLost.run();
+        }
+    }
+
+    /**
+     * States when the handler has to have replied.
+     *
+     * @param millis the time from now in milliseconds
+     */
+    void expectWithin(long millis) {
+        schedule(millis + OVERDUE_MILLIS);
+    }
+
+    private void schedule(long delayMillis) {
+        long dueNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(delayMillis);
+        try {
+            overdueTimer = eventLoop.schedule(() -> giveUpUnlessPaused(dueNanos), delayMillis, TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException exception) {
+            LOGGER.atFine().withCause(exception).log("the server was closed while a request ran");
+        }
+    }
+
+    private void giveUpUnlessPaused(long dueNanos) {
+        if (complete.get()) {
+            return;
+        }
+        if (System.nanoTime() - dueNanos > TimeUnit.MILLISECONDS.toNanos(PAUSE_MILLIS)) {
+            // The response of the server may have arrived during the pause, and the handler has not run either.
+            schedule(OVERDUE_MILLIS);
+            return;
+        }
+        onOverdue.run();
+    }
+
+    private void cancelTimer() {
+        Future<?> timer = overdueTimer;
+        if (timer != null) {
+            timer.cancel(false);
+        }
+    }
+}
--- a/src/main/java/org/cassiabank/proxy/RequestHandler.java
+++ b/src/main/java/org/cassiabank/proxy/RequestHandler.java
@@ -107,6 +107,15 @@
         return requestId.map(value -> reply.withHeader(requestIdHeader, value)).orElse(reply);
     }
 
+    @Override
+    public CallerReply replyWithoutResult(CallerRequest request, String reason) {
+        String requestIdHeader = conventions.requestIdHeader();
+        CallerReply reply = CallerReply.unknown(reason);
+        return request.header(requestIdHeader)
+                .map(value -> reply.withHeader(requestIdHeader, value))
+                .orElse(reply);
+    }
+
     private CallerReply handleTraced(CallerRequest request, CallerPresence presence, RequestTrace trace) {
         try {
             return route(request, presence, trace);
@@ -144,6 +153,7 @@
         }
         deadlineMillis = selector.get().limits().capMillis(deadlineMillis);
         trace.recordRoute(selector.get().name(), deadlineMillis);
+        presence.awaitReplyFor(deadlineMillis);
         if (!BackendRequests.canForward(request)) {
             return notRunReply(BAD_REQUEST, "malformed-request", 0);
         }
--- a/src/main/java/org/cassiabank/retry/AttemptResult.java
+++ b/src/main/java/org/cassiabank/retry/AttemptResult.java
@@ -22,6 +22,8 @@
     TRUNCATED_RESPONSE("cut-answer", false, RetryReason.TRUNCATED_RESPONSE),
     /** The response carried the identifier of another request or none. */
     REQUEST_ID_MISMATCH("wrong-request-id", false, RetryReason.REQUEST_ID_MISMATCH),
+    /** The head of the response holds bytes that cannot be passed on. */
+    MALFORMED_HEAD("malformed-head", false, RetryReason.MALFORMED_HEAD),
     /** The response exceeded the limit. Another attempt would most likely exceed it too. */
     RESPONSE_TOO_LARGE("answer-too-large", false, null),
     /** The entry proxy cancelled the attempt after bytes were written; the request may have run. */
--- a/src/main/java/org/cassiabank/retry/RetryReason.java
+++ b/src/main/java/org/cassiabank/retry/RetryReason.java
@@ -16,6 +16,8 @@
     TRUNCATED_RESPONSE("cut-answer"),
     /** The response carried the identifier of another request or none. */
     REQUEST_ID_MISMATCH("wrong-request-id"),
+    /** The head of the response cannot be passed on. */
+    MALFORMED_HEAD("malformed-head"),
     /** The response reported a server error. */
     SERVER_ERROR("server-error"),
     /** The first attempt is slower than usual, and a second one starts while it is running. */
--- /dev/null
+++ b/src/test/java/org/cassiabank/proxy/ResponseDeliveryFuzzTest.java
@@ -0,0 +1,166 @@
+package org.cassiabank.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.lifecycle.AfterContainer;
+import net.jqwik.api.lifecycle.BeforeContainer;
+import org.cassiabank.backend.BackendClient;
+import org.cassiabank.backend.BackendClientSettings;
+import org.cassiabank.backend.BackendRequest;
+import org.cassiabank.backend.BackendResult;
+import org.cassiabank.backend.ResponseReceived;
+
+/**
+ * Guards against response heads that are accepted from a server and cannot be delivered to a caller, or are delivered
+ * changed. A valid head has one byte replaced or added at any place; the response goes the whole way from the server's
+ * connection to the caller's.
+ */
+class ResponseDeliveryFuzzTest {
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nCassiabank-Request-Id: id-1\r\nContent-Type: text/plain\r\n"
+            + "X-Seal: 3e1b.07.5a2.600\r\nContent-Length: 4\r\n\r\n";
+    private static final String BODY = "whole";
+    private static final int HANDLER_TIMEOUT_MILLIS = 500;
+
+    private static volatile byte[] scriptedResponse;
+    private static ServerSocket backend;
+    private static BackendClient client;
+    private static CallerServer server;
+    private static int port;
+
+    @BeforeContainer
+    static void start() throws IOException {
+        backend = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Thread.startVirtualThread(ResponseDeliveryFuzzTest::serveBackend);
+        client = BackendClient.create(new BackendClientSettings(300, 1_000, 2, 1_000, 0));
+        server = CallerServer.create(
+                new CallerLimits(10, 10, 8_192, 100, 5_000, 20_000, 5_000),
+                ResponseDeliveryFuzzTest::forward,
+                ProxyMetrics.create());
+        try (ServerSocket socket = new ServerSocket(0)) {
+            port = socket.getLocalPort();
+        }
+        server.start(new HostAndPort("127.0.0.1", port), Optional.empty());
+    }
+
+    @AfterContainer
+    static void stop() throws IOException {
+        server.close();
+        client.close();
+        backend.close();
+    }
+
+    @Provide
+    Arbitrary<byte[]> spoiledHeads() {
+        Arbitrary<Integer> positions = Arbitraries.integers().between(0, HEAD.length() - 1);
+        Arbitrary<Integer> bytes = Arbitraries.oneOf(
+                Arbitraries.integers().between(0, 0x20),
+                Arbitraries.integers().between(0, 0xff),
+                Arbitraries.of((int) ':', (int) ' ', (int) '\t', (int) '\n', 0x7f, 0xff));
+        return Combinators.combine(positions, bytes, Arbitraries.of(true, false))
+                .as((position, value, replaces) -> {
+                    StringBuilder head = new StringBuilder(HEAD);
+                    head.insert(position, Character.toString(value));
+                    if (replaces) {
+                        head.deleteCharAt(position + 1);
+                    }
+                    return (head + BODY.substring(0, 4)).getBytes(StandardCharsets.ISO_8859_1);
+                });
+    }
+
+    @Property(tries = 1_000, shrinking = ShrinkingMode.OFF)
+    void aSpoiledHeadEndsInExactlyOneReplyWithTheBytesOfTheServerOrWithoutThem(@ForAll("spoiledHeads") byte[] response)
+            throws IOException {
+        scriptedResponse = response;
+        String received = requestOnce();
+        assertThat(received).matches("(?s)HTTP/1\\.1 (200|504) .*");
+        assertThat(received.split("HTTP/1\\.1 \\d\\d\\d", -1)).hasSize(2);
+        if (received.startsWith("HTTP/1.1 200")) {
+            assertThat(received).contains("Cassiabank-Outcome: answered").endsWith(BODY.substring(0, 4));
+            assertFieldsAreThoseOfTheServer(new String(response, StandardCharsets.ISO_8859_1), received);
+        }
+        assertThat(server.requestsInFlight()).isLessThanOrEqualTo(1);
+    }
+
+    /** Checks that no value reaches the caller that the server has not sent under that name. */
+    private static void assertFieldsAreThoseOfTheServer(String sent, String received) {
+        received.lines().skip(1).takeWhile(line -> !line.isEmpty()).forEach(line -> {
+            String name = line.substring(0, line.indexOf(':'));
+            boolean own = Set.of("cassiabank-outcome", "content-length", "connection")
+                    .contains(name.toLowerCase(Locale.ROOT));
+            assertThat(own || sent.lines().anyMatch(sentLine -> isSameField(sentLine, line)))
+                    .as("field [%s] of response [%s]", line, sent)
+                    .isTrue();
+        });
+    }
+
+    /** Compares fields without the white space around their values, which is not a part of them. */
+    private static boolean isSameField(String sentLine, String receivedLine) {
+        int colon = sentLine.indexOf(':');
+        return colon > 0
+                && receivedLine.equalsIgnoreCase(sentLine.substring(0, colon) + ": "
+                        + sentLine.substring(colon + 1).strip());
+    }
+
+    private static CallerReply forward(CallerRequest request, CallerPresence presence) {
+        BackendResult result = client.send(BackendRequest.forAddress(
+                "127.0.0.1:" + backend.getLocalPort(),
+                "GET",
+                "/",
+                Map.of(),
+                new byte[0],
+                "id-1",
+                true,
+                HANDLER_TIMEOUT_MILLIS));
+        return result instanceof ResponseReceived response
+                ? CallerReply.answered(response.status(), response.headers(), response.body())
+                : CallerReply.unknown(result.attemptResult().label());
+    }
+
+    private static String requestOnce() throws IOException {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(3 * HANDLER_TIMEOUT_MILLIS);
+            socket.getOutputStream()
+                    .write("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+                            .getBytes(StandardCharsets.US_ASCII));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    private static void serveBackend() {
+        try {
+            while (true) {
+                try (Socket socket = backend.accept()) {
+                    InputStream input = socket.getInputStream();
+                    OutputStream output = socket.getOutputStream();
+                    int matched = 0;
+                    while (matched < 4) {
+                        int next = input.read();
+                        matched = next == "\r\n\r\n".charAt(matched) ? matched + 1 : next == '\r' ? 1 : 0;
+                    }
+                    output.write(scriptedResponse);
+                    output.flush();
+                }
+            }
+        } catch (IOException expected) {
+            // The listener was closed.
+        }
+    }
+}
