--- a/src/main/java/org/cassiabank/proxy/CallerConnection.java
+++ b/src/main/java/org/cassiabank/proxy/CallerConnection.java
@@ -35,11 +35,11 @@
  * Handles one connection of a caller. Pipelined requests are answered one at a time, in the order of arrival.
  */
 final class CallerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
-    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-
     /** The event that closes a connection unless a request is being read or answered on it. */
     static final Object CLOSE_IF_IDLE = new Object();
 
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
     /**
      * The number of waiting requests at which the connection is no longer read. While it is not read, a disconnect of
      * the caller is not noticed either.
@@ -252,7 +252,7 @@
         return response;
     }
 
-    /** Netty writes each character as one byte, so a value beyond ASCII becomes one character a byte of its UTF-8 form. */
+    /** Returns a value with one character for each byte of its UTF-8 form, since Netty writes a character as a byte. */
     private static String toWireText(String value) {
         return value.chars().allMatch(character -> character < 0x80)
                 ? value
--- a/src/main/java/org/cassiabank/proxy/PendingReply.java
+++ b/src/main/java/org/cassiabank/proxy/PendingReply.java
@@ -10,7 +10,8 @@
 
 /**
  * The only reply to a request that was read. The first reply counts, whichever thread it comes from; if the handler
- * returns none, the request is given up soon after its deadline, because later requests of its connection wait behind it.
+ * returns none, the request is given up soon after its deadline, because later requests of its connection wait behind
+ * it.
  *
  * <p>Instances are thread-safe.
  */
