Let the waits at silent watchers fit into the time within which a change has to be in force

Cause: a follower waits 1.3 s for one watcher and 1.3 s for the other before it asks the store, constants that do not know the bound. Evidence: the line 'changes ... come from the store, for want of a watcher' is written 2.2 s after the change and the change is in force 5 to 12 ms later.

Fix: the waits are parts of the platform's bound. A peer call that is repeated on a new connection has the rest of its time.

--- a/src/main/java/org/cassiabank/peer/PeerClientPool.java
+++ b/src/main/java/org/cassiabank/peer/PeerClientPool.java
@@ -49,7 +49,8 @@
      * @param <R> the type of the result
      * @param peer the peer
      * @param kind the kind of the call, for the traffic recorder
-     * @param timeoutMillis the longest wait for the connection, and again for the reply, in milliseconds
+     * @param timeoutMillis the longest wait for the connection, and again for the reply, in milliseconds; a call that
+     *     is repeated on a new connection has the rest of it
      * @param call the call, which must be safe to repeat
      * @return the result of the call
      * @throws CassiabankException with {@link ErrorCode#PEER_UNAVAILABLE} if the peer does not respond in time or the
@@ -57,19 +58,21 @@
      */
     public <R> R call(Instance peer, String kind, int timeoutMillis, PeerCall<R> call) {
         long startMillis = nowMillis();
+        int remainingMillis = timeoutMillis;
         PeerConnection pooled = pollIdleConnection(peer);
         if (pooled != null) {
             try {
                 return callOn(pooled, peer, kind, timeoutMillis, call);
             } catch (TException exception) {
-                if (nowMillis() - startMillis >= timeoutMillis) {
+                remainingMillis = Math.toIntExact(Math.max(0, timeoutMillis - (nowMillis() - startMillis)));
+                if (remainingMillis == 0) {
                     throw unavailable(peer, kind, exception);
                 }
             }
         }
         try {
-            PeerConnection fresh = PeerConnection.open(socketFactories, peer.host(), peer.port(), timeoutMillis);
-            return callOn(fresh, peer, kind, timeoutMillis, call);
+            PeerConnection fresh = PeerConnection.open(socketFactories, peer.host(), peer.port(), remainingMillis);
+            return callOn(fresh, peer, kind, remainingMillis, call);
         } catch (TException exception) {
             throw unavailable(peer, kind, exception);
         }
--- a/src/main/java/org/cassiabank/platform/KeyValueAdapter.java
+++ b/src/main/java/org/cassiabank/platform/KeyValueAdapter.java
@@ -3,10 +3,12 @@
 import java.net.URI;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.cassiabank.backend.HeaderConventions;
 import org.cassiabank.membership.Instance;
 import org.cassiabank.source.MetadataStore;
 import org.cassiabank.source.PlatformAdapter;
+import org.cassiabank.source.PropagationTimes;
 import org.cassiabank.source.RetryBudgetSettings;
 import org.cassiabank.source.StoreEntry;
 import org.cassiabank.source.VersionedConfiguration;
@@ -40,19 +42,19 @@
 
     @Override
     public RetryBudgetSettings parseRetryBudget(String text) {
-        Map<String, String> limitsByName = new HashMap<>();
-        for (String limit : text.split(",")) {
-            int equalsIndex = limit.indexOf('=');
-            if (equalsIndex > 0) {
-                limitsByName.put(
-                        limit.substring(0, equalsIndex).strip(),
-                        limit.substring(equalsIndex + 1).strip());
-            }
-        }
+        Map<String, String> boundsByName = boundsByName(text);
         return new RetryBudgetSettings(
-                Double.parseDouble(requiredLimit(limitsByName, "retry_budget_ratio")),
-                Double.parseDouble(requiredLimit(limitsByName, "budget_slack")),
-                PlatformDurations.parseMillis(requiredLimit(limitsByName, "budget_window")));
+                Double.parseDouble(requiredBound(boundsByName, "retry_budget_ratio")),
+                Double.parseDouble(requiredBound(boundsByName, "budget_slack")),
+                PlatformDurations.parseMillis(requiredBound(boundsByName, "budget_window")));
+    }
+
+    /** The bound {@code config} counts from the store's acknowledgement. */
+    @Override
+    public PropagationTimes parsePropagationTimes(String text) {
+        return PropagationTimes.of(Optional.ofNullable(boundsByName(text).get("config"))
+                .map(PlatformDurations::parseMillis)
+                .orElse(PropagationTimes.DEFAULT_BOUND_MILLIS));
     }
 
     @Override
@@ -75,10 +77,23 @@
         return ServerDocuments.read(entry, defaultRegion, serverKeyPrefix());
     }
 
-    private static String requiredLimit(Map<String, String> limitsByName, String name) {
-        String value = limitsByName.get(name);
+    private static Map<String, String> boundsByName(String text) {
+        Map<String, String> boundsByName = new HashMap<>();
+        for (String bound : text.split(",")) {
+            int equalsIndex = bound.indexOf('=');
+            if (equalsIndex > 0) {
+                boundsByName.put(
+                        bound.substring(0, equalsIndex).strip(),
+                        bound.substring(equalsIndex + 1).strip());
+            }
+        }
+        return boundsByName;
+    }
+
+    private static String requiredBound(Map<String, String> boundsByName, String name) {
+        String value = boundsByName.get(name);
         if (value == null) {
-            throw new IllegalArgumentException("limit " + name + " is missing in " + limitsByName);
+            throw new IllegalArgumentException("limit " + name + " is missing in " + boundsByName);
         }
         return value;
     }
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.cassiabank.admission.SchedulerSettings;
 import org.cassiabank.backend.BackendClient;
 import org.cassiabank.backend.BackendClientSettings;
@@ -30,8 +31,8 @@
 import org.cassiabank.source.MetadataStoreFleetSource;
 import org.cassiabank.source.PlatformAdapter;
 import org.cassiabank.source.PlatformAdapters;
+import org.cassiabank.source.PropagationTimes;
 import org.cassiabank.source.RetryBudgetSettings;
-import org.cassiabank.source.StoreRelay;
 import org.cassiabank.store.InstanceListClient;
 import org.cassiabank.store.StoreClient;
 import org.cassiabank.tls.TlsIdentity;
@@ -87,7 +88,8 @@
         PeerTransport peerTransport = PeerTransport.create(settings.name(), clientPool);
         Replication replication = Replication.create(self, fleet, peerTransport);
         Optional<PlatformAdapter> adapter = settings.platform().adapterName().map(PlatformAdapters::forName);
-        Optional<RetryBudgetSettings> retryBudgetSettings = adapter.map(found -> retryBudgetSettings(found, settings));
+        Optional<RetryBudgetSettings> retryBudgetSettings =
+                adapter.map(found -> parseBounds(found::parseRetryBudget, settings));
         FatalRequestExchange fatalRequests = FatalRequestExchange.create(fleet, peerTransport, metrics);
         OwnedShards ownedShards =
                 OwnedShards.create(ownerSettings(settings, retryBudgetSettings), fleet, fatalRequests, metrics);
@@ -106,8 +108,8 @@
         RequestHandler requestHandler = RequestHandler.create(
                 fleet, attemptExecutor, forwarder, claimClient, metrics, conventions, retryBudgetSettings.isPresent());
         ForwardedRequests forwardedRequests = ForwardedRequests.create(requestHandler, serverPath::isCutOff);
-        PeerStoreRelay relay = PeerStoreRelay.create(replication, peerTransport);
-        FleetSource source = adapter.map(found -> createMetadataStoreSource(found, settings, self, relay))
+        FleetSource source = adapter.map(
+                        found -> createMetadataStoreSource(found, settings, self, replication, peerTransport))
                 .orElseGet(() -> createPlatformWatch(settings, fleet, replication, metrics));
         CallerServer callerServer = CallerServer.create(settings.limits(), requestHandler, metrics);
         fleet.addListener((formerView, newView) ->
@@ -198,9 +200,9 @@
         LOGGER.atInfo().log("%s has stopped", settings.name());
     }
 
-    private static RetryBudgetSettings retryBudgetSettings(PlatformAdapter adapter, ProxySettings settings) {
+    private static <T> T parseBounds(Function<String, T> parser, ProxySettings settings) {
         try {
-            return adapter.parseRetryBudget(settings.platform().platformLimits());
+            return parser.apply(settings.platform().platformLimits());
         } catch (IllegalArgumentException exception) {
             throw CassiabankException.withCause(
                     ErrorCode.INVALID_INPUT, "platform-bounds: " + exception.getMessage(), exception);
@@ -221,9 +223,19 @@
     }
 
     private static FleetSource createMetadataStoreSource(
-            PlatformAdapter adapter, ProxySettings settings, Instance self, StoreRelay relay) {
+            PlatformAdapter adapter,
+            ProxySettings settings,
+            Instance self,
+            Replication replication,
+            PeerTransport peerTransport) {
+        PropagationTimes times = parseBounds(adapter::parsePropagationTimes, settings);
         return MetadataStoreFleetSource.create(
-                adapter, adapter.openStore(settings.store()), self, MonotonicClock::millis, relay);
+                adapter,
+                adapter.openStore(settings.store()),
+                self,
+                MonotonicClock::millis,
+                PeerStoreRelay.create(replication, peerTransport, times),
+                times);
     }
 
     private static FleetSource createPlatformWatch(
--- a/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
+++ b/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
@@ -38,9 +38,6 @@
     /** A change that a watch returns within this time most likely happened before the call. */
     private static final long SERIES_DETECTION_MILLIS = 300;
 
-    /** The wait at a peer that is current; after it the other watcher is asked, which may know of more. */
-    private static final long RELAY_WAIT_MILLIS = 1_000;
-
     /** Pause after changes that a peer has passed on, which arrive in the batches of that peer. */
     private static final long RELAY_BATCH_INTERVAL_MILLIS = 200;
 
@@ -65,6 +62,7 @@
     private final Instance self;
     private final LongSupplier clockMillis;
     private final StoreRelay relay;
+    private final PropagationTimes times;
     private final StoreChangeLog changeLog;
     private final StoreEntryTable entryTable = new StoreEntryTable();
     private final OutageGracePeriod outageGracePeriod = new OutageGracePeriod();
@@ -90,8 +88,14 @@
     private volatile boolean closed;
 
     private MetadataStoreFleetSource(
-            PlatformAdapter adapter, MetadataStore store, Instance self, LongSupplier clockMillis, StoreRelay relay) {
+            PlatformAdapter adapter,
+            MetadataStore store,
+            Instance self,
+            LongSupplier clockMillis,
+            StoreRelay relay,
+            PropagationTimes times) {
         this.adapter = adapter;
+        this.times = times;
         this.store = store;
         this.self = self;
         this.clockMillis = clockMillis;
@@ -109,17 +113,24 @@
      * @param self this daemon, as it is registered for its peers
      * @param clockMillis a monotonic clock in milliseconds
      * @param relay reads changes through peers if others watch the store, or if this daemon cannot reach it
+     * @param times the times within which a change has to be in force
      * @return the source
      * @throws NullPointerException if an argument is null
      */
     public static MetadataStoreFleetSource create(
-            PlatformAdapter adapter, MetadataStore store, Instance self, LongSupplier clockMillis, StoreRelay relay) {
+            PlatformAdapter adapter,
+            MetadataStore store,
+            Instance self,
+            LongSupplier clockMillis,
+            StoreRelay relay,
+            PropagationTimes times) {
         return new MetadataStoreFleetSource(
                 Objects.requireNonNull(adapter, "adapter"),
                 Objects.requireNonNull(store, "store"),
                 Objects.requireNonNull(self, "self"),
                 Objects.requireNonNull(clockMillis, "clockMillis"),
-                Objects.requireNonNull(relay, "relay"));
+                Objects.requireNonNull(relay, "relay"),
+                Objects.requireNonNull(times, "times"));
     }
 
     @Override
@@ -202,7 +213,7 @@
             changeLog.setWatching(watching);
             StoreRelayReply reply = watching
                     ? new StoreRelayReply.Unavailable()
-                    : relay.awaitChanges(entryTable.revision(), RELAY_WAIT_MILLIS);
+                    : relay.awaitChanges(entryTable.revision(), times.relayWaitMillis());
             boolean relayed = reply instanceof StoreRelayReply.Current current && continuesEntries(current.changes());
             recordOrigin(
                     watching ? "the store, as a watcher" : relayed ? "a watcher" : "the store, for want of a watcher");
--- a/src/main/java/org/cassiabank/source/PlatformAdapter.java
+++ b/src/main/java/org/cassiabank/source/PlatformAdapter.java
@@ -44,6 +44,15 @@
      */
     RetryBudgetSettings parseRetryBudget(String text);
 
+    /**
+     * Parses the time within which the platform requires a change of the configuration to be in force.
+     *
+     * @param text the bounds in the platform's format, the value of the setting {@code platform-bounds}
+     * @return the times, those of the default bound if the platform names none
+     * @throws IllegalArgumentException if the bound is malformed or out of range
+     */
+    PropagationTimes parsePropagationTimes(String text);
+
     /**
      * Returns the key that holds the operators' configuration.
      *
--- a/src/test/java/org/cassiabank/platform/MetadataStoreFleetSourceTest.java
+++ b/src/test/java/org/cassiabank/platform/MetadataStoreFleetSourceTest.java
@@ -15,6 +15,7 @@
 import org.cassiabank.membership.InstanceRole;
 import org.cassiabank.membership.InstanceState;
 import org.cassiabank.source.MetadataStoreFleetSource;
+import org.cassiabank.source.PropagationTimes;
 import org.cassiabank.source.StoreRelay;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -188,7 +189,8 @@
                 adapter.openStore(address),
                 self,
                 () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
-                StoreRelay.none());
+                StoreRelay.none(),
+                PropagationTimes.of(2_000));
     }
 
     private static void await(BooleanSupplier condition) {
--- a/src/test/java/org/cassiabank/platform/StoreRelayFollowerTest.java
+++ b/src/test/java/org/cassiabank/platform/StoreRelayFollowerTest.java
@@ -15,6 +15,7 @@
 import org.cassiabank.membership.InstanceRole;
 import org.cassiabank.membership.InstanceState;
 import org.cassiabank.source.MetadataStoreFleetSource;
+import org.cassiabank.source.PropagationTimes;
 import org.cassiabank.source.StoreRelay;
 import org.cassiabank.source.StoreRelayReply;
 import org.cassiabank.source.StoreRevision;
@@ -153,7 +154,8 @@
                 adapter.openStore(URI.create("http://" + path.address())),
                 self,
                 () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
-                storeRelay);
+                storeRelay,
+                PropagationTimes.of(2_000));
     }
 
     private static void await(BooleanSupplier condition) {
--- a/src/test/java/org/cassiabank/platform/StoreRestoredFromOlderCopyTest.java
+++ b/src/test/java/org/cassiabank/platform/StoreRestoredFromOlderCopyTest.java
@@ -10,6 +10,7 @@
 import org.cassiabank.membership.InstanceRole;
 import org.cassiabank.membership.InstanceState;
 import org.cassiabank.source.MetadataStoreFleetSource;
+import org.cassiabank.source.PropagationTimes;
 import org.cassiabank.source.StoreRelay;
 import org.cassiabank.source.StoreRelayReply;
 import org.cassiabank.source.StoreRevision;
@@ -180,7 +181,8 @@
                 adapter.openStore(store.address()),
                 Instance.of(name, InstanceRole.PROXY, "127.0.0.1:7200", "region", "domain", InstanceState.LIVE),
                 () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
-                relay);
+                relay,
+                PropagationTimes.of(2_000));
     }
 
     private static void await(BooleanSupplier condition) {
--- a/src/test/java/org/cassiabank/source/StoreErasPropertiesTest.java
+++ b/src/test/java/org/cassiabank/source/StoreErasPropertiesTest.java
@@ -299,6 +299,11 @@
             throw new UnsupportedOperationException();
         }
 
+        @Override
+        public PropagationTimes parsePropagationTimes(String text) {
+            throw new UnsupportedOperationException();
+        }
+
         @Override
         public RetryBudgetSettings parseRetryBudget(String text) {
             throw new UnsupportedOperationException();
