Ignore entries of the store whose address nobody can connect to

What callers saw: with each entry below servers/ whose port is 99999, -1 or 400 digits long, or whose address is [::1, one more of 20 repeatable requests was answered 504 although a good server was there.

Cause: the address of an entry was only searched for a colon. Fix: an instance tells whether its address can be connected to, and entries of servers and daemons that cannot name nobody and are logged.

Test: MetadataStoreFleetSourceTest#anOddEntryNamesNoServerAndDoesNotStopTheOthers failed for 12 of 23 entries before and passes; deep nesting, long numbers, binary and cut entries were ignored before too.

--- a/src/main/java/org/cassiabank/membership/Instance.java
+++ b/src/main/java/org/cassiabank/membership/Instance.java
@@ -2,6 +2,8 @@
 
 import java.util.Map;
 import java.util.Objects;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * An instance in the platform's instance list.
@@ -27,6 +29,11 @@
         Map<String, String> labels,
         int slots,
         long incarnation) {
+    /** A host name, an IPv4 address or an IPv6 address in brackets, and a port without leading zeros. */
+    private static final Pattern ADDRESS =
+            Pattern.compile("([A-Za-z0-9][A-Za-z0-9._-]*|\\[[0-9A-Fa-f:.]+]):(?<port>[1-9][0-9]{0,4})");
+
+    private static final int MAXIMUM_PORT = 65_535;
 
     /**
      * Checks the components and copies the labels.
@@ -66,6 +73,16 @@
         return new Instance(name, role, address, region, failureDomain, state, Map.of(), 0, 0);
     }
 
+    /**
+     * Tells whether a connection to the address can be tried at all.
+     *
+     * @return false if the host is no host name or IP address, or the port is not from 1 to 65535
+     */
+    public boolean hasUsableAddress() {
+        Matcher parts = ADDRESS.matcher(address);
+        return parts.matches() && Integer.parseInt(parts.group("port")) <= MAXIMUM_PORT;
+    }
+
     /**
      * Returns the host part of the address.
      *
--- a/src/main/java/org/cassiabank/source/InstanceEntries.java
+++ b/src/main/java/org/cassiabank/source/InstanceEntries.java
@@ -72,7 +72,11 @@
         }
         Optional<Instance> instance = Optional.empty();
         try {
-            instance = Optional.of(parser.get());
+            Instance parsed = parser.get();
+            if (!parsed.hasUsableAddress()) {
+                throw new IllegalArgumentException("the address cannot be connected to: " + parsed.address());
+            }
+            instance = Optional.of(parsed);
         } catch (RuntimeException exception) {
             // Other writers may store anything; an entry that cannot be used must not stop the others.
             logRejected(entry, exception);
--- a/src/test/java/org/cassiabank/platform/MetadataStoreFleetSourceTest.java
+++ b/src/test/java/org/cassiabank/platform/MetadataStoreFleetSourceTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 import org.cassiabank.fleet.TcpFaultRelay;
 import org.cassiabank.membership.Instance;
 import org.cassiabank.membership.InstanceList;
@@ -20,6 +21,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /**
  * Guards against outdated, incomplete or missing configurations, instance lists and registrations. They come about when
@@ -107,6 +110,56 @@
         await(() -> listener.configurationRevision() == 6);
     }
 
+    /** Guards against entries of other writers that end the daemon or its reading, or name a server nobody can reach. */
+    @ParameterizedTest
+    @MethodSource("oddServerEntries")
+    void anOddEntryNamesNoServerAndDoesNotStopTheOthers(String oddEntry) {
+        standIn.write("servers/i-9", oddEntry);
+        standIn.write("servers/i-3", PlatformTestDocuments.server(8083));
+        await(() -> listener.has("i-3"));
+        assertThat(listener.has("i-9")).isFalse();
+        assertThat(listener.has("i-2")).isTrue();
+        RecordingFleetListener startingListener = new RecordingFleetListener();
+        MetadataStoreFleetSource startingSource = newSource("proxy-4", standIn.address());
+        startingSource.start(startingListener);
+        await(() -> startingListener.configurationRevision() == 5);
+        assertThat(startingListener.has("i-9")).isFalse();
+        assertThat(startingListener.has("i-3")).isTrue();
+        startingSource.close();
+    }
+
+    static Stream<String> oddServerEntries() {
+        String entry = PlatformTestDocuments.server(8089);
+        return Stream.concat(
+                Stream.of(
+                        "[".repeat(100_000) + "]".repeat(100_000),
+                        "{\"a\":".repeat(100_000) + "1" + "}".repeat(100_000),
+                        "",
+                        "\u0000\u0001",
+                        entry.substring(0, entry.length() / 2),
+                        entry.replace("\"slots\":2", "\"slots\":" + "9".repeat(400)),
+                        entry.replace("\"slots\":2", "\"slots\":1e999999999"),
+                        entry.replace("\"slots\":2", "\"slots\":2,\"born\":1")
+                                .replace("\"status\"", "\"born\":1.5,\"status\"")),
+                Stream.of(
+                                "127.0.0.1:99999",
+                                "127.0.0.1:0",
+                                "127.0.0.1:-1",
+                                "127.0.0.1:+80",
+                                "127.0.0.1:" + "9".repeat(400),
+                                "127.0.0.1:",
+                                "127.0.0.1",
+                                "[::1",
+                                "[::1:80",
+                                "::1:80",
+                                "127.0.0.1/a:80",
+                                "user@127.0.0.1:80",
+                                "127.0.0.1 :80",
+                                "127.0.0.1?:80",
+                                ":80")
+                        .map(address -> entry.replace("127.0.0.1:8089", address)));
+    }
+
     @Test
     void allEntriesAreReadAgainAfterTheHistoryIsCompacted() {
         standIn.failWithStatus(503);
