Count what cannot be sent to a server as a result of the attempt, and refuse what nobody can pass on

What callers saw: an attempt that fails before anything is sent, because the name or address of a server cannot stand in a request, ended the request as internal-error, was not repeated at another server and kept its slot until the lease ended. A caller whose identifier has a byte beyond ASCII got 504 and cost a slot each time.

Cause: BackendClient.newCall throws on the request's thread, after the slot was granted, and nobody takes that for a result. Fix: the attempt ends as not-sent, its slot is reported, the server is avoided for a while; it does not count as a lost path. What the caller's part makes impossible is found before a slot is asked for and refused with 400.

--- a/src/main/java/org/cassiabank/backend/BackendClient.java
+++ b/src/main/java/org/cassiabank/backend/BackendClient.java
@@ -102,6 +102,17 @@
         return newCall(request).execute();
     }
 
+    /**
+     * Checks whether a request can be sent to a server at all. The server need not exist.
+     *
+     * @param request the request
+     * @param conventions the headers that the servers expect
+     * @throws IllegalArgumentException if the address, the method or a header cannot be sent
+     */
+    public static void requireSendable(BackendRequest request, HeaderConventions conventions) {
+        toOkHttpRequest(request, BackendHeaders.requestHeaders(request, conventions, true));
+    }
+
     /**
      * Prepares an attempt that can be cancelled while it runs. Nothing is sent before {@link BackendCall#execute()}.
      *
@@ -116,19 +127,8 @@
                 request.repeatable()
                         ? Long.MAX_VALUE
                         : TimeUnit.MILLISECONDS.toNanos(settings.unrepeatableIdleMillis()));
-        // If the caller names no encoding, "identity" keeps OkHttp from requesting gzip; the trace removes it again.
-        Headers.Builder okHttpHeaders = headers.newBuilder();
-        if (headers.get("Accept-Encoding") == null) {
-            okHttpHeaders.set("Accept-Encoding", "identity");
-        }
-        RequestBody body = METHODS_WITHOUT_BODY.contains(request.method()) ? null : ArrayRequestBody.of(request.body());
-        Request okHttpRequest = new Request.Builder()
-                .url(HttpUrl.get("http://" + request.address() + request.target()))
-                .headers(okHttpHeaders.build())
-                .method(request.method(), body)
-                .tag(AttemptTrace.class, trace)
-                .tag(Headers.class, headers)
-                .build();
+        Request okHttpRequest =
+                toOkHttpRequest(request, headers).tag(AttemptTrace.class, trace).build();
         if (!mayReuseConnection) {
             return toBackendCall(request, singleUseClient.newCall(okHttpRequest), trace, () -> {}, () -> {});
         }
@@ -143,6 +143,20 @@
                         .evictAll());
     }
 
+    private static Request.Builder toOkHttpRequest(BackendRequest request, Headers headers) {
+        // If the caller names no encoding, "identity" keeps OkHttp from requesting gzip; the trace removes it again.
+        Headers.Builder okHttpHeaders = headers.newBuilder();
+        if (headers.get("Accept-Encoding") == null) {
+            okHttpHeaders.set("Accept-Encoding", "identity");
+        }
+        RequestBody body = METHODS_WITHOUT_BODY.contains(request.method()) ? null : ArrayRequestBody.of(request.body());
+        return new Request.Builder()
+                .url(HttpUrl.get("http://" + request.address() + request.target()))
+                .headers(okHttpHeaders.build())
+                .method(request.method(), body)
+                .tag(Headers.class, headers);
+    }
+
     private BackendCall toBackendCall(
             BackendRequest request,
             Call call,
--- a/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
+++ b/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
@@ -235,18 +235,31 @@
 
     private RunningAttempt newAttempt(
             CallerRequest request, SlotResult.Slot slot, Selector selector, long timeoutMillis) {
-        BackendRequest backendRequest = new BackendRequest(
-                slot.shard().service(),
-                slot.serverName(),
-                slot.address(),
-                request.method(),
-                request.target(),
-                request.headers(),
-                request.body(),
-                requestIdFor(request),
-                selector.repeatable(),
-                timeoutMillis);
-        return new RunningAttempt(slot, backendClient.newCall(backendRequest), selector.repeatable());
+        return new RunningAttempt(
+                slot, newCall(request, slot, selector.repeatable(), timeoutMillis), selector.repeatable());
+    }
+
+    /** Prepares the call; empty if nothing can be sent to the server, whose name or address is not usable. */
+    private Optional<BackendCall> newCall(
+            CallerRequest request, SlotResult.Slot slot, boolean repeatable, long timeoutMillis) {
+        try {
+            return Optional.of(backendClient.newCall(new BackendRequest(
+                    slot.shard().service(),
+                    slot.serverName(),
+                    slot.address(),
+                    request.method(),
+                    request.target(),
+                    request.headers(),
+                    request.body(),
+                    requestIdFor(request),
+                    repeatable,
+                    timeoutMillis)));
+        } catch (IllegalArgumentException exception) {
+            LOGGER.atWarning().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                    "no request can be sent to server %s at %s: %s",
+                    slot.serverName(), slot.address(), exception.getMessage());
+            return Optional.empty();
+        }
     }
 
     private String requestIdFor(CallerRequest request) {
@@ -264,7 +277,8 @@
         if (attempt.repeatable()) {
             serverPath.cancelWhenCutOff(cancellation);
         }
-        BackendResult result = attempt.call().execute();
+        BackendResult result =
+                attempt.call().map(BackendCall::execute).orElseGet(() -> new NotSent("the server cannot be addressed"));
         try {
             recordResult(attempt, result, cancellation, (System.nanoTime() - startNanos) / 1_000);
         } catch (RuntimeException | Error failure) {
@@ -278,9 +292,9 @@
         // First, so that the slot is free again whatever happens to the other records.
         workers.execute(() -> broker.report(attempt.slot(), result.outcome(), latencyMicros, result.notice()));
         serverPath.attemptCompleted(cancellation);
-        if (attempt.call().hasOpenedConnection()) {
+        if (attempt.call().filter(BackendCall::hasOpenedConnection).isPresent()) {
             serverPath.recordOpened();
-        } else if (result instanceof NotSent) {
+        } else if (result instanceof NotSent && attempt.call().isPresent()) {
             serverPath.recordNotOpened(attempt.slot().serverName());
         }
         if (result instanceof NotSent
@@ -305,14 +319,14 @@
      * An attempt that may still be running.
      *
      * @param slot the slot that the attempt occupies
-     * @param call the call to the backend server
+     * @param call the call to the backend server, empty if nothing can be sent to it
      * @param repeatable whether the request may run more than once
      */
-    record RunningAttempt(SlotResult.Slot slot, BackendCall call, boolean repeatable) {
+    record RunningAttempt(SlotResult.Slot slot, Optional<BackendCall> call, boolean repeatable) {
 
         /** Cancels the attempt; has no effect if it has completed. */
         void cancel() {
-            call.cancel();
+            call.ifPresent(BackendCall::cancel);
         }
     }
 }
--- a/src/main/java/org/cassiabank/proxy/RequestHandler.java
+++ b/src/main/java/org/cassiabank/proxy/RequestHandler.java
@@ -154,7 +154,7 @@
         deadlineMillis = selector.get().limits().capMillis(deadlineMillis);
         trace.recordRoute(selector.get().name(), deadlineMillis);
         presence.awaitReplyFor(deadlineMillis);
-        if (!BackendRequests.canForward(request)) {
+        if (!BackendRequests.canForward(request, conventions)) {
             return notRunReply(BAD_REQUEST, "malformed-request", 0);
         }
         Optional<String> idempotencyKey = request.header("idempotency-key");
