Send a request over no connection that has carried its identifier

What other operators saw: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran.

Cause: the identifier tells a late copy from the response to another request, but not from the response to the same request sent to the same server again. Fix: a connection remembers its latest 32 identifiers, and an attempt with one of them uses another connection.

--- a/src/main/java/org/cassiabank/backend/AttemptTrace.java
+++ b/src/main/java/org/cassiabank/backend/AttemptTrace.java
@@ -22,6 +22,7 @@
  */
 final class AttemptTrace extends EventListener implements Interceptor {
     private final long maximumIdleNanos;
+    private final String requestId;
     private volatile boolean connectionOpened;
     private volatile boolean headersStarted;
     private volatile boolean writesNotCounted;
@@ -31,17 +32,19 @@
     private volatile Headers responseHeaders;
     private volatile ResponseMeter responseMeter;
 
-    private AttemptTrace(long maximumIdleNanos) {
+    private AttemptTrace(long maximumIdleNanos, String requestId) {
         this.maximumIdleNanos = maximumIdleNanos;
+        this.requestId = requestId;
     }
 
     /**
      * Creates the trace of an attempt.
      *
      * @param maximumIdleNanos the maximum age of the last response of a pooled connection, in nanoseconds
+     * @param requestId the identifier that the server has to echo
      */
-    static AttemptTrace create(long maximumIdleNanos) {
-        return new AttemptTrace(maximumIdleNanos);
+    static AttemptTrace create(long maximumIdleNanos, String requestId) {
+        return new AttemptTrace(maximumIdleNanos, requestId);
     }
 
     /** Records on the connection that the response is complete and valid. */
@@ -142,6 +145,10 @@
         if (acquiredSocket.hasUnreadBytes()) {
             throw UnusableConnectionException.of("bytes that no request asked for have arrived on the connection");
         }
+        if (!acquiredSocket.recordRequest(requestId)) {
+            // A late copy of the first response could not be told from the response to this attempt.
+            throw UnusableConnectionException.of("a request with the same identifier was sent on the connection");
+        }
     }
 
     private boolean hasWrittenSinceAcquisition() {
--- a/src/main/java/org/cassiabank/backend/BackendClient.java
+++ b/src/main/java/org/cassiabank/backend/BackendClient.java
@@ -126,7 +126,8 @@
         AttemptTrace trace = AttemptTrace.create(
                 request.repeatable()
                         ? Long.MAX_VALUE
-                        : TimeUnit.MILLISECONDS.toNanos(settings.unrepeatableIdleMillis()));
+                        : TimeUnit.MILLISECONDS.toNanos(settings.unrepeatableIdleMillis()),
+                request.requestId());
         Request okHttpRequest =
                 toOkHttpRequest(request, headers).tag(AttemptTrace.class, trace).build();
         if (!mayReuseConnection) {
--- a/src/main/java/org/cassiabank/backend/MeteredSocket.java
+++ b/src/main/java/org/cassiabank/backend/MeteredSocket.java
@@ -6,6 +6,8 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.Socket;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -15,6 +17,12 @@
  * <p>The count of writes increases before the operating system is called, because a failing write may have sent bytes.
  */
 final class MeteredSocket extends Socket {
+    /** A copy of a response to an older request has arrived long before, and takes the connection out of use. */
+    private static final int REMEMBERED_REQUESTS = 32;
+
+    /** The latest identifiers, the oldest first; guarded by itself. */
+    private final Set<String> requestIds = new LinkedHashSet<>();
+
     private final AtomicLong startedWrites = new AtomicLong();
     private volatile ResponseMeter responseMeter;
     private volatile boolean hasResponded;
@@ -51,6 +59,24 @@
         return hasResponded && System.nanoTime() - lastResponseNanos > maximumNanos;
     }
 
+    /**
+     * Records a request that is about to be sent on the connection.
+     *
+     * @param requestId the identifier of the request
+     * @return false if one of the latest requests on the connection had the same identifier
+     */
+    boolean recordRequest(String requestId) {
+        synchronized (requestIds) {
+            if (!requestIds.add(requestId)) {
+                return false;
+            }
+            if (requestIds.size() > REMEMBERED_REQUESTS) {
+                requestIds.remove(requestIds.iterator().next());
+            }
+            return true;
+        }
+    }
+
     /** Tells whether bytes have arrived that no request has asked for, such as a second copy of a response. */
     boolean hasUnreadBytes() throws IOException {
         return super.getInputStream().available() > 0;
--- a/src/test/java/org/cassiabank/proxy/UnsendableAttemptTest.java
+++ b/src/test/java/org/cassiabank/proxy/UnsendableAttemptTest.java
@@ -19,8 +19,8 @@
 import org.junit.jupiter.api.Timeout;
 
 /**
- * Guards against attempts that fail before anything is sent, because of what an entry of the store or a caller says, and
- * that cost the caller its request or the fleet a slot. A server whose name cannot stand in a header stands for all
+ * Guards against attempts that fail before anything is sent, because of what an entry of the store or a caller says,
+ * and that cost the caller its request or the fleet a slot. A server whose name cannot stand in a header stands for all
  * entries that nobody can send a request to.
  */
 @Timeout(60)
