Keep what a caller sends to a TLS port, or outside of HTTP, out of the failures of the product

A decoder that fails because of a caller's bytes ends that connection only. Since the connection's errors are logged, such callers would have counted in cassiabank_task_failures_total, which stands for faults of the product.

--- a/src/main/java/org/cassiabank/proxy/CallerConnection.java
+++ b/src/main/java/org/cassiabank/proxy/CallerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -149,7 +150,8 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         // A connection error affects this caller only; channelInactive notifies the request in flight.
-        if (cause instanceof IOException) {
+        // A decoder fails because of what the caller sent, such as a request without TLS.
+        if (cause instanceof IOException || cause instanceof DecoderException) {
             LOGGER.atFine().withCause(cause).log("the connection of a caller failed");
         } else {
             BackgroundTasks.recordFailure("caller-connection", cause);
