Log what an owner keeps out and why, and that a process was paused

New: one line a second for each shard out of the ordinary, the cause in the lines of health changes, avoided servers in the steps of a request, late periodic tasks (line and cassiabank_late_ticks_total), and a line when a request past its deadline is given more time. No logic is changed.

--- a/src/main/java/org/cassiabank/admission/LeaseTable.java
+++ b/src/main/java/org/cassiabank/admission/LeaseTable.java
@@ -17,6 +17,7 @@
     private final TreeSet<Lease> leasesByExpiry =
             new TreeSet<>(Comparator.comparingLong(Lease::expiresAtMillis).thenComparingLong(Lease::id));
     private long lastLeaseId;
+    private long expiredLeases;
 
     Lease grant(Ticket ticket, ServerState server, boolean longWork, long expiresAtMillis, long nowMillis) {
         Lease lease = new Lease(++lastLeaseId, ticket, server, longWork, expiresAtMillis, nowMillis);
@@ -43,9 +44,15 @@
     void expire(long nowMillis) {
         while (!leasesByExpiry.isEmpty() && leasesByExpiry.first().expiresAtMillis() <= nowMillis) {
             release(leasesByExpiry.first().id());
+            expiredLeases++;
         }
     }
 
+    /** Returns how many leases have ended without a report. */
+    long expiredLeases() {
+        return expiredLeases;
+    }
+
     void releaseIf(Predicate<Lease> condition) {
         leasesById.values().stream().filter(condition).toList().forEach(lease -> release(lease.id()));
     }
--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -1,6 +1,7 @@
 package org.cassiabank.admission;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -270,6 +271,26 @@
                 .toList();
     }
 
+    /**
+     * Returns how busy the servers are.
+     *
+     * @param nowMillis the current time in milliseconds
+     * @return the load
+     */
+    public ShardLoad load(long nowMillis) {
+        long currentMillis = advanceClock(nowMillis);
+        ServerState[] servers = pool.presentServers();
+        int fullServers = (int) Arrays.stream(servers)
+                .filter(server -> server.isHealthy() && !server.hasFreeSlot(currentMillis))
+                .count();
+        return new ShardLoad(
+                leases.all().size(),
+                ServerPool.usableSlots(servers, currentMillis),
+                fullServers,
+                shortQueue.size() + longQueue.size(),
+                leases.expiredLeases());
+    }
+
     /**
      * Tells whether any request holds a lease.
      *
--- a/src/main/java/org/cassiabank/health/HealthMonitor.java
+++ b/src/main/java/org/cassiabank/health/HealthMonitor.java
@@ -154,12 +154,30 @@
         return healthByName;
     }
 
+    /**
+     * Returns why a server is not healthy.
+     *
+     * @param serverName the name of the server
+     * @return the cause, empty for a server that is healthy, not known, or kept in use by the floor only
+     */
+    public Optional<ExclusionCause> exclusionCause(String serverName) {
+        TrackedServer server = servers.get(Objects.requireNonNull(serverName, "serverName"));
+        if (server == null) {
+            return Optional.empty();
+        }
+        if (server.ejectionState.health() != ServerHealth.HEALTHY) {
+            return Optional.of(ExclusionCause.OUTLIER);
+        }
+        return server.isExcludedAsSuspect ? Optional.of(ExclusionCause.SUSPICION) : Optional.empty();
+    }
+
     /** Excludes suspect servers as far as the floor allows, those with the latest failures first. */
     private void excludeSuspects(Map<String, ServerHealth> healthByName, long nowMillis) {
         List<TrackedServer> suspects = new ArrayList<>();
         int usableCount = 0;
         for (TrackedServer server : servers.values()) {
             server.suspicion.ifPresent(suspicion -> suspicion.advance(nowMillis));
+            server.isExcludedAsSuspect = false;
             boolean isUsable = server.ejectionState.health() == ServerHealth.HEALTHY && !server.description.leaving();
             usableCount += isUsable ? 1 : 0;
             if (isUsable
@@ -172,6 +190,7 @@
                         (TrackedServer server) -> server.suspicion.orElseThrow().stateStartMillis())
                 .reversed());
         for (TrackedServer server : suspects.subList(0, Math.clamp(usableCount - floor, 0, suspects.size()))) {
+            server.isExcludedAsSuspect = true;
             healthByName.put(
                     server.description.name(), server.suspicion.orElseThrow().health());
         }
@@ -228,6 +247,7 @@
         private ServerEvidence evidence;
         private EjectionState ejectionState;
         private Optional<Suspicion> suspicion = Optional.empty();
+        private boolean isExcludedAsSuspect;
         private long coldUntilMillis;
 
         private EjectionPolicy.Candidate toCandidate(boolean isOutlier) {
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -68,6 +68,7 @@
     private final ShardKey key;
     private final FatalRequestExchange fatalRequests;
     private final ServerHealthLog healthLog;
+    private final ShardLoadLog loadLog;
     private final SlotScheduler scheduler;
     private final HealthMonitor monitor;
     private final Optional<FleetRetryBudget> retryBudget;
@@ -93,6 +94,7 @@
         this.key = key;
         this.fatalRequests = fatalRequests;
         this.healthLog = ServerHealthLog.create(key, metrics);
+        this.loadLog = ShardLoadLog.create(key);
         this.scheduler = SlotScheduler.create(settings.scheduler());
         this.monitor = HealthMonitor.create(settings.health());
         this.retryBudget = retryBudget;
@@ -137,6 +139,7 @@
             Optional<Refused> refused =
                     presentedTicketId == 0 ? refuseNewRequest(request, nowMillis) : Optional.empty();
             if (refused.isPresent()) {
+                loadLog.recordRefusal();
                 return Optional.of(refused.get());
             }
             SlotDecision decision = presentedTicketId == 0
@@ -144,6 +147,7 @@
                     : renewTicket(presentedTicketId, nowMillis);
             advanceScheduler(nowMillis);
             if (decision instanceof Refused) {
+                loadLog.recordRefusal();
                 fatalRequests.recordEnd(request.digest(), false);
             }
             if (!(decision instanceof Queued queued)) {
@@ -265,6 +269,9 @@
             updateServers(nowMillis);
         }
         advanceScheduler(nowMillis);
+        if (loadLog.isDue(nowMillis)) {
+            reportLoad(nowMillis);
+        }
         releaseUncollectedDecisions(nowMillis);
     }
 
@@ -369,11 +376,17 @@
                 .removeIf(reportMillis -> nowMillis - reportMillis > LEAVING_REPORT_VALIDITY_MILLIS);
         monitor.replaceServers(monitoredServers(server -> true), view.ejectionFloor(key), nowMillis);
         Map<String, ServerHealth> newHealthByServer = Map.copyOf(monitor.evaluate(nowMillis));
-        healthLog.report(healthByServer, newHealthByServer);
+        healthLog.report(healthByServer, newHealthByServer, monitor);
         healthByServer = newHealthByServer;
         updateScheduler(nowMillis);
     }
 
+    private void reportLoad(long nowMillis) {
+        int leavingServers =
+                (int) view.servers(key).stream().filter(this::isLeaving).count();
+        loadLog.report(healthByServer.values(), leavingServers, scheduler.load(nowMillis), nowMillis);
+    }
+
     private List<MonitoredServer> monitoredServers(Predicate<LabeledServer> filter) {
         return view.servers(key).stream()
                 .filter(filter)
--- a/src/main/java/org/cassiabank/proxy/OwnedShards.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShards.java
@@ -1,5 +1,6 @@
 package org.cassiabank.proxy;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -29,6 +30,12 @@
     /** Applies while a shard has queued or running requests; the longest delay of a decision that depends on time. */
     private static final long BUSY_TICK_INTERVAL_MILLIS = 20;
 
+    /** Entry proxies give up on an owner that does not answer for this long. */
+    private static final long LATE_TICK_MILLIS = 250;
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final int LOG_INTERVAL_SECONDS = 1;
+
     /** Applies while all shards are idle: only hold-offs of ejected servers expire then, and they last for seconds. */
     private static final long IDLE_TICK_INTERVAL_MILLIS = 200;
 
@@ -63,7 +70,7 @@
     @Override
     public void start(Kernel kernel) {
         fleet.addListener(this::updateShards);
-        tickExecutor.schedule(this::tickAndReschedule, IDLE_TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        scheduleTick(IDLE_TICK_INTERVAL_MILLIS);
         metrics.registerGauge("cassiabank_owned_shards", "Shards scheduled by this daemon.", shards::size);
         metrics.registerGauge(
                 "cassiabank_rate_limited_servers",
@@ -153,7 +160,8 @@
         });
     }
 
-    private void tickAndReschedule() {
+    private void tickAndReschedule(long dueMillis) {
+        reportIfLate(dueMillis);
         long intervalMillis = BUSY_TICK_INTERVAL_MILLIS;
         try {
             tick();
@@ -163,7 +171,22 @@
             BackgroundTasks.recordFailure("shards", failure);
         }
         if (!tickExecutor.isShutdown()) {
-            tickExecutor.schedule(this::tickAndReschedule, intervalMillis, TimeUnit.MILLISECONDS);
+            scheduleTick(intervalMillis);
+        }
+    }
+
+    private void scheduleTick(long delayMillis) {
+        long dueMillis = MonotonicClock.millis() + delayMillis;
+        tickExecutor.schedule(() -> tickAndReschedule(dueMillis), delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Logs and counts a tick that shows that this process was paused or short of processor time. */
+    private void reportIfLate(long dueMillis) {
+        long lateMillis = MonotonicClock.millis() - dueMillis;
+        if (lateMillis >= LATE_TICK_MILLIS) {
+            metrics.recordLateTick();
+            LOGGER.atWarning().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                    "this process was paused or short of processor time: a periodic task ran %d ms late", lateMillis);
         }
     }
 
--- a/src/main/java/org/cassiabank/proxy/PendingReply.java
+++ b/src/main/java/org/cassiabank/proxy/PendingReply.java
@@ -99,6 +99,9 @@
             return;
         }
         if (System.nanoTime() - dueNanos > TimeUnit.MILLISECONDS.toNanos(PAUSE_MILLIS)) {
+            LOGGER.atWarning().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                    "a request past its deadline gets %d ms more: this process was paused, its timer is %d ms late",
+                    OVERDUE_MILLIS, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - dueNanos));
             // The response of the server may have arrived during the pause, and the handler has not run either.
             schedule(OVERDUE_MILLIS);
             return;
--- a/src/main/java/org/cassiabank/proxy/ProxyMetrics.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyMetrics.java
@@ -37,6 +37,8 @@
             counter("cassiabank_control_messages_total", "Calls of peers, by kind.", "kind");
     private final Counter controlBytes = counter(
             "cassiabank_control_bytes_total", "Bytes of requests and replies of calls of peers, by kind.", "kind");
+    private final Counter lateTicks = counter(
+            "cassiabank_late_ticks_total", "Periodic tasks that ran 250 ms late or more: this process was paused.");
     private final Counter storeCalls =
             counter("cassiabank_store_calls_total", "Calls of the platform, by kind.", "kind");
     private final Histogram requestSeconds =
@@ -95,6 +97,10 @@
         ejections.labelValues(service).inc();
     }
 
+    void recordLateTick() {
+        lateTicks.inc();
+    }
+
     void recordStoreCall(String kind) {
         storeCalls.labelValues(kind).inc();
     }
@@ -144,7 +150,7 @@
         return Histogram.builder().name(name).help(help).labelNames(labels).register(registry);
     }
 
-    private Counter counter(String name, String help, String label) {
-        return Counter.builder().name(name).help(help).labelNames(label).register(registry);
+    private Counter counter(String name, String help, String... labels) {
+        return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
     }
 }
--- a/src/main/java/org/cassiabank/proxy/RequestRun.java
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -63,6 +63,8 @@
     private final RequestTrace trace;
     private final RequestDigest digest;
     private final Set<String> excludedServers = new HashSet<>();
+    /** The servers that the latest request for a slot left out because this entry proxy recently failed to reach them. */
+    private int avoidedServerCount;
     /** Attempts of the peer that passed the request on are included. */
     private int attemptCount;
 
@@ -153,7 +155,7 @@
                 return resultWithoutSlot(noSlot.reason(), noSlot.retryAfterMillis());
             }
             SlotResult.Slot slot = (SlotResult.Slot) slotResult;
-            trace.addStep("slot " + slot.serverName() + " of " + slot.ownerName());
+            trace.addStep("slot " + slot.serverName() + " of " + slot.ownerName() + describeAvoidedServers());
             long nowMillis = MonotonicClock.millis();
             if (nowMillis >= deadlineMillis) {
                 attemptExecutor.release(slot);
@@ -310,7 +312,13 @@
         return chosenResult;
     }
 
+    private String describeAvoidedServers() {
+        return avoidedServerCount == 0 ? "" : " avoiding " + avoidedServerCount;
+    }
+
     private AdmissionRequest admissionRequest() {
+        Set<String> unusableServers = attemptExecutor.addUnreachableServers(excludedServers);
+        avoidedServerCount = unusableServers.size() - excludedServers.size();
         return new AdmissionRequest(
                 attemptExecutor.entryName(),
                 selector.name(),
@@ -321,7 +329,7 @@
                 selector.limits().urgencyRank(),
                 Math.max(0, deadlineMillis - MonotonicClock.millis()),
                 remainingTargetMillis(),
-                attemptExecutor.addUnreachableServers(excludedServers),
+                unusableServers,
                 selector.requiredLabels(),
                 attemptExecutor.placementHints(selector, attemptCount - notSentCount + 1),
                 digest);
--- a/src/main/java/org/cassiabank/proxy/ServerHealthLog.java
+++ b/src/main/java/org/cassiabank/proxy/ServerHealthLog.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Objects;
 import org.cassiabank.health.AttemptOutcome;
+import org.cassiabank.health.HealthMonitor;
 import org.cassiabank.health.ServerHealth;
 
 /**
@@ -32,17 +33,28 @@
         latestFailureByServer.put(serverName, outcome + " at " + entryProxy);
     }
 
-    void report(Map<String, ServerHealth> formerHealthByServer, Map<String, ServerHealth> newHealthByServer) {
+    /**
+     * Logs the servers whose health has changed.
+     *
+     * @param formerHealthByServer the health until now
+     * @param newHealthByServer the health from now on
+     * @param monitor knows why a server is not healthy
+     */
+    void report(
+            Map<String, ServerHealth> formerHealthByServer,
+            Map<String, ServerHealth> newHealthByServer,
+            HealthMonitor monitor) {
         latestFailureByServer.keySet().retainAll(newHealthByServer.keySet());
         newHealthByServer.forEach((serverName, newHealth) -> {
             ServerHealth formerHealth = formerHealthByServer.getOrDefault(serverName, ServerHealth.HEALTHY);
             if (formerHealth != newHealth) {
                 LOGGER.atInfo().log(
-                        "%s: server %s is %s, was %s; latest failure: %s",
+                        "%s: server %s is %s, was %s; cause: %s; latest failure: %s",
                         key,
                         serverName,
                         newHealth,
                         formerHealth,
+                        monitor.exclusionCause(serverName).map(Enum::name).orElse("none"),
                         latestFailureByServer.getOrDefault(serverName, "none"));
                 if (newHealth == ServerHealth.EJECTED) {
                     metrics.recordEjection(key.service());
