--- /dev/null
+++ b/src/test/java/org/cassiabank/proxy/ConnectionResetLoadTest.java
@@ -0,0 +1,79 @@
+package org.cassiabank.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against sound servers that get no requests because connections to many of them broke at one moment. */
+class ConnectionResetLoadTest {
+    /** The platform's share of the sound servers of a service that must get requests while some are not served. */
+    private static final double FLOOR_SHARE = 0.7;
+
+    private static final double FLOOR_WINDOW_MILLIS = 2_000;
+    private static final double DURATION_MILLIS = 24_000;
+    private static final int SEEDS = 5;
+
+    /** Slots that the requests of 1,100 ms occupy in the mean, of 126. */
+    @ParameterizedTest
+    @ValueSource(ints = {27, 43, 65})
+    void soundServersStayInUseWhenConnectionsOfAThirdOfTheEntriesAreReset(int occupiedSlots) {
+        List<String> violations = new ArrayList<>();
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            OwnerSimulation simulation = OwnerSimulation.create(21, 6, 48, seed)
+                    .addLoad(1_100, true, 5_000, DURATION_MILLIS, time -> occupiedSlots / 1.1)
+                    .addReset(6_000, 0.35, 0.55)
+                    .addReset(12_000, 0.35, 0.55)
+                    .addReset(14_000, 0.35, 0.55)
+                    .run();
+            addViolations(violations, seed, simulation, 5_000);
+        }
+        assertThat(violations).isEmpty();
+    }
+
+    @Test
+    void soundServersStayInUseWhenHalfOfAllConnectionsAreResetThreeTimes() {
+        List<String> violations = new ArrayList<>();
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            OwnerSimulation simulation = OwnerSimulation.create(20, 6, 4, seed)
+                    .addLoad(200, true, 5_000, DURATION_MILLIS, time -> 450)
+                    .addReset(6_000, 1, 0.5)
+                    .addReset(7_500, 1, 0.5)
+                    .addReset(9_000, 1, 0.5)
+                    .run();
+            addViolations(violations, seed, simulation, 5_000);
+        }
+        assertThat(violations).isEmpty();
+    }
+
+    @Test
+    void soundServersOfOrdersStayInUseWhenConnectionsAreReset() {
+        List<String> violations = new ArrayList<>();
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            OwnerSimulation simulation = OwnerSimulation.create(9, 6, 48, seed)
+                    .addLoad(390, false, 2_500, DURATION_MILLIS, time -> 75)
+                    .addReset(6_000, 0.35, 0.55)
+                    .addReset(12_000, 0.35, 0.55)
+                    .addReset(14_000, 0.35, 0.55)
+                    .run();
+            addViolations(violations, seed, simulation, 5_000);
+        }
+        assertThat(violations).isEmpty();
+    }
+
+    private static void addViolations(
+            List<String> violations, int seed, OwnerSimulation simulation, double fromMillis) {
+        double used = simulation.smallestUsedShare(fromMillis, DURATION_MILLIS, FLOOR_WINDOW_MILLIS);
+        double served = simulation.servedShare(fromMillis, DURATION_MILLIS);
+        if (used < FLOOR_SHARE) {
+            violations.add("seed %d: %.2f of the sound servers got a request within 2 s, %.3f served"
+                    .formatted(seed, used, served));
+        }
+        if (served < 0.95) {
+            violations.add("seed %d: %.3f served, %.2f of the servers in use".formatted(seed, served, used));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cassiabank/proxy/OwnerSimulation.java
@@ -0,0 +1,401 @@
+package org.cassiabank.proxy;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.DoubleUnaryOperator;
+import java.util.stream.IntStream;
+import org.cassiabank.admission.AdmissionRequest;
+import org.cassiabank.admission.CompletedLease;
+import org.cassiabank.admission.Granted;
+import org.cassiabank.admission.PlacementHints;
+import org.cassiabank.admission.Queued;
+import org.cassiabank.admission.Refused;
+import org.cassiabank.admission.SchedulableServer;
+import org.cassiabank.admission.SchedulerSettings;
+import org.cassiabank.admission.SlotDecision;
+import org.cassiabank.admission.SlotScheduler;
+import org.cassiabank.admission.TicketDecision;
+import org.cassiabank.declaration.CostHint;
+import org.cassiabank.health.AttemptOutcome;
+import org.cassiabank.health.CompletedAttempt;
+import org.cassiabank.health.HealthMonitor;
+import org.cassiabank.health.HealthSettings;
+import org.cassiabank.health.MonitoredServer;
+import org.cassiabank.health.RequestDigest;
+import org.cassiabank.health.ServerHealth;
+import org.cassiabank.health.SuspicionSettings;
+import org.cassiabank.retry.FleetRetryBudget;
+
+/**
+ * Plays requests, retries, faulty servers and resets of connections against the scheduler and the health monitor of one
+ * shard in virtual time, joined as {@link OwnedShard} joins them. Times are in virtual milliseconds.
+ */
+final class OwnerSimulation {
+    private static final double EVALUATION_INTERVAL_MILLIS = 50;
+    private static final double RENEWAL_INTERVAL_MILLIS = 100;
+    private static final double FAULT_MILLIS = 5;
+    private static final double MAXIMUM_REPORT_MILLIS = 15;
+    private static final int MAXIMUM_ATTEMPTS = 3;
+    private static final int FAILURE_DOMAINS = 4;
+    private static final long SUSPICION_MILLIS = 2_500;
+    private static final long UNREPEATABLE_PROBE_DELAY_MILLIS = 500;
+    private static final int FLOOR_PERCENT = 25;
+    private static final double RETRY_RATIO = 0.2;
+    private static final double RETRY_SLACK = 64;
+    private static final long RETRY_WINDOW_MILLIS = 10_000;
+
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingDouble(Event::timeMillis).thenComparingLong(Event::order));
+    private final Map<Long, Call> queuedCalls = new HashMap<>();
+    private final Set<Attempt> attemptsInFlight = new LinkedHashSet<>();
+    private final List<Call> calls = new ArrayList<>();
+    private final List<Start> starts = new ArrayList<>();
+    private final List<FaultyTime> faultyTimes = new ArrayList<>();
+    private final SlotScheduler scheduler;
+    private final HealthMonitor monitor;
+    private final FleetRetryBudget retryBudget;
+    private final int serverCount;
+    private final int slots;
+    private final int entryCount;
+    private final Random random;
+    private double nowMillis;
+    private double endMillis;
+    private long lastOrder;
+
+    private OwnerSimulation(int serverCount, int slots, int entryCount, long seed) {
+        this.serverCount = serverCount;
+        this.slots = slots;
+        this.entryCount = entryCount;
+        this.random = new Random(seed);
+        this.scheduler = SlotScheduler.create(SchedulerSettings.defaults()
+                .withSeparateLongWork(false)
+                .withUnrepeatableProbeDelayMillis(UNREPEATABLE_PROBE_DELAY_MILLIS));
+        this.monitor =
+                HealthMonitor.create(HealthSettings.defaults().withSuspicion(SuspicionSettings.of(SUSPICION_MILLIS)));
+        this.retryBudget = FleetRetryBudget.create(RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_MILLIS, 0);
+        updateServers();
+    }
+
+    static OwnerSimulation create(int serverCount, int slots, int entryCount, long seed) {
+        return new OwnerSimulation(serverCount, slots, entryCount, seed);
+    }
+
+    /** Adds Poisson arrivals; the service times are uniform between half and one and a half times the mean. */
+    OwnerSimulation addLoad(
+            double meanServiceMillis,
+            boolean repeatable,
+            long deadlineMillis,
+            double untilMillis,
+            DoubleUnaryOperator requestsPerSecond) {
+        double maximumRate = IntStream.rangeClosed(0, 1_000)
+                .mapToDouble(step -> requestsPerSecond.applyAsDouble(untilMillis * step / 1_000))
+                .max()
+                .orElseThrow();
+        endMillis = Math.max(endMillis, untilMillis);
+        double timeMillis = 0;
+        while (true) {
+            timeMillis -= Math.log(1 - random.nextDouble()) * 1_000 / maximumRate;
+            if (timeMillis >= untilMillis) {
+                return this;
+            }
+            if (random.nextDouble() * maximumRate < requestsPerSecond.applyAsDouble(timeMillis)) {
+                Call call = new Call(
+                        "entry-" + random.nextInt(entryCount),
+                        repeatable,
+                        timeMillis,
+                        timeMillis + deadlineMillis,
+                        meanServiceMillis * (0.5 + random.nextDouble()));
+                calls.add(call);
+                schedule(timeMillis, () -> acquire(call));
+            }
+        }
+    }
+
+    /** Makes a server break a share of the connections soon after it has read a request. */
+    OwnerSimulation addFaultyTime(int server, double fromMillis, double untilMillis, double share) {
+        faultyTimes.add(new FaultyTime(name(server), fromMillis, untilMillis, share));
+        return this;
+    }
+
+    /** Resets a share of the connections of a share of the entry proxies; the servers are sound. */
+    OwnerSimulation addReset(double atMillis, double entryShare, double connectionShare) {
+        schedule(atMillis, () -> {
+            Set<String> entries = new HashSet<>();
+            for (int entry = 0; entry < entryCount; entry++) {
+                if (random.nextDouble() < entryShare) {
+                    entries.add("entry-" + entry);
+                }
+            }
+            List.copyOf(attemptsInFlight).stream()
+                    .filter(attempt -> entries.contains(attempt.call.entry) && random.nextDouble() < connectionShare)
+                    .forEach(attempt -> end(attempt, AttemptOutcome.BROKEN));
+        });
+        return this;
+    }
+
+    /** Ends servers for good: their connections break, and new ones are refused. */
+    OwnerSimulation addCrash(double atMillis, Set<Integer> crashed) {
+        schedule(atMillis, () -> {
+            for (int server : crashed) {
+                addFaultyTime(server, atMillis, Double.MAX_VALUE, 1);
+                List.copyOf(attemptsInFlight).stream()
+                        .filter(attempt -> attempt.server.equals(name(server)))
+                        .forEach(attempt -> end(attempt, AttemptOutcome.BROKEN));
+            }
+        });
+        return this;
+    }
+
+    /** Processes events until none is left. */
+    OwnerSimulation run() {
+        for (double time = 0; time < endMillis; time += EVALUATION_INTERVAL_MILLIS) {
+            schedule(time, this::evaluate);
+        }
+        while (!events.isEmpty()) {
+            Event event = events.remove();
+            nowMillis = event.timeMillis();
+            event.action().run();
+            for (TicketDecision decided : scheduler.advance((long) nowMillis)) {
+                apply(queuedCalls.remove(decided.ticketId()), decided.decision());
+            }
+        }
+        return this;
+    }
+
+    /** Returns the share of the requests of a time that were answered in time. */
+    double servedShare(double fromMillis, double untilMillis) {
+        List<Call> selected = calls.stream()
+                .filter(call -> call.arrivedAtMillis >= fromMillis && call.arrivedAtMillis < untilMillis)
+                .toList();
+        return selected.isEmpty()
+                ? 1
+                : (double) selected.stream().filter(call -> call.answered).count() / selected.size();
+    }
+
+    /** Returns how many requests ended at a server that failed them and were not answered by another one. */
+    long lostCalls() {
+        return calls.stream().filter(call -> call.failed && !call.answered).count();
+    }
+
+    int callCount() {
+        return calls.size();
+    }
+
+    /** Returns the smallest share of the sound servers that got a request within a time of the given length. */
+    double smallestUsedShare(double fromMillis, double untilMillis, double lengthMillis) {
+        double smallest = 1;
+        for (double start = fromMillis; start + lengthMillis <= untilMillis; start += EVALUATION_INTERVAL_MILLIS) {
+            smallest = Math.min(smallest, usedShare(start, start + lengthMillis));
+        }
+        return smallest;
+    }
+
+    private double usedShare(double fromMillis, double untilMillis) {
+        Set<String> sound = new HashSet<>();
+        for (int server = 0; server < serverCount; server++) {
+            String name = name(server);
+            if (faultyTimes.stream()
+                    .noneMatch(time -> time.server().equals(name)
+                            && time.fromMillis() < untilMillis
+                            && time.untilMillis() + lengthAfterFault() > fromMillis)) {
+                sound.add(name);
+            }
+        }
+        long used = starts.stream()
+                .filter(start -> start.atMillis() >= fromMillis && start.atMillis() < untilMillis)
+                .map(Start::server)
+                .filter(sound::contains)
+                .distinct()
+                .count();
+        return sound.isEmpty() ? 1 : (double) used / sound.size();
+    }
+
+    /** The users count a server that failed by itself as sound again after this time. */
+    private static double lengthAfterFault() {
+        return 2_000;
+    }
+
+    private void evaluate() {
+        scheduler
+                .inFlightAttempts((long) nowMillis)
+                .forEach(attempt -> monitor.recordInFlight(
+                        attempt.serverName(), attempt.route(), attempt.elapsedMicros(), (long) nowMillis));
+        updateServers();
+    }
+
+    private void updateServers() {
+        List<MonitoredServer> monitored = IntStream.range(0, serverCount)
+                .mapToObj(server -> new MonitoredServer(name(server), false, true))
+                .toList();
+        monitor.replaceServers(monitored, (serverCount * FLOOR_PERCENT + 99) / 100, (long) nowMillis);
+        Map<String, ServerHealth> health = monitor.evaluate((long) nowMillis);
+        scheduler.replaceServers(
+                IntStream.range(0, serverCount)
+                        .mapToObj(server -> new SchedulableServer(
+                                name(server),
+                                "127.0.0.1:" + (20_000 + server),
+                                slots,
+                                health.get(name(server)),
+                                false,
+                                Map.of(),
+                                domain(server),
+                                OptionalDouble.empty()))
+                        .toList(),
+                (long) nowMillis);
+    }
+
+    private void acquire(Call call) {
+        long now = (long) nowMillis;
+        if (call.excludedServers.isEmpty()) {
+            retryBudget.recordRequest(now);
+        }
+        AdmissionRequest request = new AdmissionRequest(
+                call.entry,
+                "route",
+                "route",
+                "*",
+                CostHint.LEARNED,
+                call.repeatable,
+                0,
+                Math.max(0, (long) (call.deadlineMillis - nowMillis)),
+                0,
+                call.excludedServers,
+                Map.of(),
+                new PlacementHints(call.excludedServers.size() + 1, "", Set.of()),
+                RequestDigest.none());
+        apply(call, scheduler.acquire(request, now));
+    }
+
+    private void apply(Call call, SlotDecision decision) {
+        switch (decision) {
+            case Granted granted -> start(call, granted);
+            case Refused refused -> call.failed |= !call.excludedServers.isEmpty();
+            case Queued queued -> {
+                queuedCalls.put(queued.ticketId(), call);
+                scheduleRenewal(queued.ticketId());
+            }
+        }
+    }
+
+    private void scheduleRenewal(long ticketId) {
+        schedule(nowMillis + RENEWAL_INTERVAL_MILLIS, () -> {
+            if (queuedCalls.containsKey(ticketId)) {
+                scheduler
+                        .renewTicket(ticketId, (long) nowMillis)
+                        .ifPresent(decision -> apply(queuedCalls.remove(ticketId), decision));
+                scheduleRenewal(ticketId);
+            }
+        });
+    }
+
+    private void start(Call call, Granted granted) {
+        Attempt attempt = new Attempt(call, granted.leaseId(), granted.serverName(), nowMillis);
+        attemptsInFlight.add(attempt);
+        starts.add(new Start(granted.serverName(), nowMillis));
+        boolean fails = faultyTimes.stream()
+                .filter(time -> time.server().equals(granted.serverName())
+                        && time.fromMillis() <= nowMillis
+                        && time.untilMillis() > nowMillis)
+                .anyMatch(time -> random.nextDouble() < time.share());
+        schedule(
+                nowMillis + (fails ? FAULT_MILLIS : call.serviceMillis),
+                () -> end(attempt, fails ? AttemptOutcome.BROKEN : AttemptOutcome.ANSWERED));
+    }
+
+    private void end(Attempt attempt, AttemptOutcome outcome) {
+        if (!attemptsInFlight.remove(attempt)) {
+            return;
+        }
+        long latencyMicros = (long) ((nowMillis - attempt.startedAtMillis) * 1_000);
+        Call call = attempt.call;
+        schedule(
+                nowMillis + 1 + random.nextDouble() * (MAXIMUM_REPORT_MILLIS - 1),
+                () -> report(attempt, outcome, latencyMicros));
+        if (outcome == AttemptOutcome.ANSWERED) {
+            call.answered = nowMillis <= call.deadlineMillis;
+            return;
+        }
+        call.excludedServers.add(attempt.server);
+        call.failed = true;
+        if (call.repeatable
+                && call.excludedServers.size() < MAXIMUM_ATTEMPTS
+                && nowMillis < call.deadlineMillis
+                && retryBudget.trySpend((long) nowMillis)) {
+            acquire(call);
+        }
+    }
+
+    private void report(Attempt attempt, AttemptOutcome outcome, long latencyMicros) {
+        long now = (long) nowMillis;
+        for (CompletedLease completed : scheduler.completeLease(attempt.leaseId, outcome, latencyMicros, now).stream()
+                .toList()) {
+            monitor.record(
+                    new CompletedAttempt(completed.serverName(), completed.route(), outcome, latencyMicros), now);
+            if (outcome.isEvidenceAgainstServer()) {
+                updateServers();
+            }
+        }
+    }
+
+    private void schedule(double timeMillis, Runnable action) {
+        events.add(new Event(timeMillis, ++lastOrder, action));
+    }
+
+    private static String name(int server) {
+        return "server-" + server;
+    }
+
+    private static String domain(int server) {
+        return "domain-" + server % FAILURE_DOMAINS;
+    }
+
+    private record Event(double timeMillis, long order, Runnable action) {}
+
+    private record FaultyTime(String server, double fromMillis, double untilMillis, double share) {}
+
+    /** An attempt that began at a server. */
+    private record Start(String server, double atMillis) {}
+
+    private static final class Call {
+        private final String entry;
+        private final boolean repeatable;
+        private final double arrivedAtMillis;
+        private final double deadlineMillis;
+        private final double serviceMillis;
+        private final Set<String> excludedServers = new HashSet<>();
+        private boolean answered;
+        private boolean failed;
+
+        private Call(
+                String entry, boolean repeatable, double arrivedAtMillis, double deadlineMillis, double serviceMillis) {
+            this.entry = entry;
+            this.repeatable = repeatable;
+            this.arrivedAtMillis = arrivedAtMillis;
+            this.deadlineMillis = deadlineMillis;
+            this.serviceMillis = serviceMillis;
+        }
+    }
+
+    private static final class Attempt {
+        private final Call call;
+        private final long leaseId;
+        private final String server;
+        private final double startedAtMillis;
+
+        private Attempt(Call call, long leaseId, String server, double startedAtMillis) {
+            this.call = call;
+            this.leaseId = leaseId;
+            this.server = server;
+            this.startedAtMillis = startedAtMillis;
+        }
+    }
+}
