--- a/src/test/java/org/cassiabank/health/SuspicionTest.java
+++ b/src/test/java/org/cassiabank/health/SuspicionTest.java
@@ -88,7 +88,7 @@
         for (int server = 0; server < 5; server++) {
             monitor.record(
                     CompletedAttempt.ofUnknownEntryProxy("s" + server, "order", AttemptOutcome.BROKEN, 5_000),
-                    100 + server);
+                    100 + 10 * server);
         }
         Map<String, ServerHealth> healthByName = monitor.evaluate(200);
         assertThat(healthByName.values().stream().filter(health -> health == ServerHealth.HEALTHY))
