Try a suspected server again sooner while the others cannot carry the load

Cause: each failed trial doubled the hold-off of a suspected server up to 7.5 s, and two good responses were asked, whatever the load; a fault of 3.6 s cost about 8 s. What an exclusion costs depends on what the others can carry, and no judgement asked for it.

The crash in ConnectionResetLoadTest now refuses connections, as a server does that is gone.

--- a/src/main/java/org/cassiabank/admission/ShardLoad.java
+++ b/src/main/java/org/cassiabank/admission/ShardLoad.java
@@ -9,4 +9,16 @@
  * @param queuedRequests the requests that wait for a slot
  * @param expiredLeases the leases whose outcome was not reported in time, since the scheduler was created
  */
-public record ShardLoad(int leasedSlots, int usableSlots, int fullServers, int queuedRequests, long expiredLeases) {}
+public record ShardLoad(int leasedSlots, int usableSlots, int fullServers, int queuedRequests, long expiredLeases) {
+    /** Above this share of leased slots a burst of a few requests has to wait. */
+    private static final double NEARLY_FULL_SHARE = 0.8;
+
+    /**
+     * Tells whether the servers in use can hardly carry the load.
+     *
+     * @return true if requests wait, or if most of the usable slots are leased
+     */
+    public boolean isNearlyFull() {
+        return queuedRequests > 0 || leasedSlots >= NEARLY_FULL_SHARE * usableSlots;
+    }
+}
--- a/src/main/java/org/cassiabank/health/HealthMonitor.java
+++ b/src/main/java/org/cassiabank/health/HealthMonitor.java
@@ -160,6 +160,17 @@
      * @return the health state of each server by name, in the order in which the servers were added
      */
     public Map<String, ServerHealth> evaluate(long nowMillis) {
+        return evaluate(false, nowMillis);
+    }
+
+    /**
+     * Updates the health states of all servers from the evidence recorded so far.
+     *
+     * @param capacityNeeded whether the servers in use cannot carry the load, so that suspects are tried sooner
+     * @param nowMillis the time in milliseconds
+     * @return the health state of each server by name, in the order in which the servers were added
+     */
+    public Map<String, ServerHealth> evaluate(boolean capacityNeeded, long nowMillis) {
         List<ServerEvidence> healthyEvidence = new ArrayList<>();
         for (TrackedServer server : servers.values()) {
             advanceServer(server, nowMillis);
@@ -178,7 +189,7 @@
         applyDecision(EjectionPolicy.decide(candidates, floor), nowMillis);
         Map<String, ServerHealth> healthByName = LinkedHashMap.newLinkedHashMap(servers.size());
         servers.forEach((name, server) -> healthByName.put(name, server.ejectionState.health()));
-        excludeSuspects(healthByName, nowMillis);
+        excludeSuspects(healthByName, capacityNeeded, nowMillis);
         return healthByName;
     }
 
@@ -200,11 +211,11 @@
     }
 
     /** Excludes suspect servers as far as the floor allows, those with the latest failures first. */
-    private void excludeSuspects(Map<String, ServerHealth> healthByName, long nowMillis) {
+    private void excludeSuspects(Map<String, ServerHealth> healthByName, boolean capacityNeeded, long nowMillis) {
         List<TrackedServer> suspects = new ArrayList<>();
         int usableCount = 0;
         for (TrackedServer server : servers.values()) {
-            server.suspicion.ifPresent(suspicion -> suspicion.advance(nowMillis));
+            server.suspicion.ifPresent(suspicion -> suspicion.advance(capacityNeeded, nowMillis));
             server.isExcludedAsSuspect = false;
             boolean isUsable = server.ejectionState.health() == ServerHealth.HEALTHY && !server.description.leaving();
             usableCount += isUsable ? 1 : 0;
--- a/src/main/java/org/cassiabank/health/Suspicion.java
+++ b/src/main/java/org/cassiabank/health/Suspicion.java
@@ -19,7 +19,7 @@
     /** The score falls by half in this time. */
     private static final double SCORE_HALF_LIFE_MILLIS = 5_000;
 
-    private static final double HOLD_OFF_GROWTH_FACTOR = 2;
+    private static final double HOLD_OFF_GROWTH_FACTOR = 1.5;
     /** The hold-off starts from the first one again after the server has been healthy for this time. */
     private static final long HOLD_OFF_RESET_MILLIS = 10_000;
 
@@ -28,6 +28,9 @@
     private double score;
     private long scoreUpdatedMillis;
     private double holdOffMillis;
+    /** Whether the servers in use can hardly carry the load. */
+    private boolean isNeeded;
+
     private long stateStartMillis;
     private int goodResponses;
     /** The state before the latest broken connections; empty if there were none, or if they were excused. */
@@ -96,9 +99,16 @@
         stateBeforeBreaks = Optional.empty();
     }
 
-    /** Begins the probation if the hold-off is over. */
-    void advance(long nowMillis) {
-        if (health == ServerHealth.EJECTED && nowMillis - stateStartMillis >= holdOffMillis) {
+    /**
+     * Begins the probation if the hold-off is over.
+     *
+     * @param needed whether the servers in use can hardly carry the load, which shortens the hold-off and the probation
+     * @param nowMillis the time in milliseconds
+     */
+    void advance(boolean needed, long nowMillis) {
+        isNeeded = needed;
+        double effectiveMillis = needed ? settings.neededHoldOffMillis() : holdOffMillis;
+        if (health == ServerHealth.EJECTED && nowMillis - stateStartMillis >= effectiveMillis) {
             enterState(ServerHealth.PROBATION, nowMillis);
         }
     }
@@ -126,7 +136,7 @@
         switch (outcome) {
             case ANSWERED -> {
                 goodResponses++;
-                if (goodResponses >= settings.requiredResponses()) {
+                if (goodResponses >= (isNeeded ? 1 : settings.requiredResponses())) {
                     enterState(ServerHealth.HEALTHY, nowMillis);
                 }
             }
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -381,7 +381,8 @@
                 .values()
                 .removeIf(reportMillis -> nowMillis - reportMillis > LEAVING_REPORT_VALIDITY_MILLIS);
         monitor.replaceServers(monitoredServers(server -> true), view.ejectionFloor(key), nowMillis);
-        Map<String, ServerHealth> newHealthByServer = Map.copyOf(monitor.evaluate(nowMillis));
+        Map<String, ServerHealth> newHealthByServer =
+                Map.copyOf(monitor.evaluate(scheduler.load(nowMillis).isNearlyFull(), nowMillis));
         healthLog.report(healthByServer, newHealthByServer, monitor);
         healthByServer = newHealthByServer;
         updateScheduler(nowMillis);
--- a/src/test/java/org/cassiabank/health/SuspicionTest.java
+++ b/src/test/java/org/cassiabank/health/SuspicionTest.java
@@ -13,6 +13,7 @@
  */
 class SuspicionTest {
     private static final long HOLD_OFF_MILLIS = 2_500;
+    private static final long NEEDED_HOLD_OFF_MILLIS = 1_000;
     private static final int SERVER_COUNT = 8;
 
     @Test
@@ -56,9 +57,9 @@
     void aServerIsTriedAfterItsHoldOffAndIsHealthyAfterTwoResponses() {
         Suspicion suspicion = newSuspicion();
         suspicion.recordAttempt(AttemptOutcome.BROKEN, 0, 0);
-        suspicion.advance(HOLD_OFF_MILLIS - 1);
+        suspicion.advance(false, HOLD_OFF_MILLIS - 1);
         assertThat(suspicion.health()).isEqualTo(ServerHealth.EJECTED);
-        suspicion.advance(HOLD_OFF_MILLIS);
+        suspicion.advance(false, HOLD_OFF_MILLIS);
         assertThat(suspicion.health()).isEqualTo(ServerHealth.PROBATION);
         suspicion.recordAttempt(AttemptOutcome.BROKEN, 10, HOLD_OFF_MILLIS + 5);
         assertThat(suspicion.health()).as("an attempt from before the hold-off").isEqualTo(ServerHealth.PROBATION);
@@ -67,6 +68,34 @@
         assertThat(suspicion.health()).isEqualTo(ServerHealth.HEALTHY);
     }
 
+    @Test
+    void aServerThatTheLoadNeedsIsTriedSoonerAndIsHealthyAfterOneResponse() {
+        Suspicion suspicion = newSuspicion();
+        suspicion.recordAttempt(AttemptOutcome.BROKEN, 0, 0);
+        suspicion.advance(true, NEEDED_HOLD_OFF_MILLIS - 1);
+        assertThat(suspicion.health()).isEqualTo(ServerHealth.EJECTED);
+        suspicion.advance(false, NEEDED_HOLD_OFF_MILLIS);
+        assertThat(suspicion.health()).as("not needed").isEqualTo(ServerHealth.EJECTED);
+        suspicion.advance(true, NEEDED_HOLD_OFF_MILLIS);
+        assertThat(suspicion.health()).isEqualTo(ServerHealth.PROBATION);
+        suspicion.recordAttempt(AttemptOutcome.ANSWERED, NEEDED_HOLD_OFF_MILLIS, NEEDED_HOLD_OFF_MILLIS + 10);
+        assertThat(suspicion.health()).isEqualTo(ServerHealth.HEALTHY);
+    }
+
+    @Test
+    void excusedBreaksLeaveTheStateAsItWasBeforeThem() {
+        Suspicion suspicion = newSuspicion();
+        suspicion.recordAttempt(AttemptOutcome.FAILED, 0, 0);
+        suspicion.recordAttempt(AttemptOutcome.BROKEN, 0, 10);
+        suspicion.recordAttempt(AttemptOutcome.BROKEN, 0, 20);
+        suspicion.excuseBreaks();
+        assertThat(suspicion.health()).isEqualTo(ServerHealth.HEALTHY);
+        suspicion.recordAttempt(AttemptOutcome.FAILED, 20, 30);
+        assertThat(suspicion.health())
+                .as("the error before the breaks still counts")
+                .isEqualTo(ServerHealth.EJECTED);
+    }
+
     @Test
     void aFailedTrialLengthensTheHoldOffUpToItsLimit() {
         Suspicion suspicion = newSuspicion();
@@ -74,11 +103,11 @@
         long nowMillis = 0;
         for (int trial = 0; trial < 10; trial++) {
             nowMillis += 3 * HOLD_OFF_MILLIS;
-            suspicion.advance(nowMillis);
+            suspicion.advance(false, nowMillis);
             assertThat(suspicion.health()).isEqualTo(ServerHealth.PROBATION);
             suspicion.recordAttempt(AttemptOutcome.BROKEN, nowMillis, nowMillis);
         }
-        suspicion.advance(nowMillis + HOLD_OFF_MILLIS);
+        suspicion.advance(false, nowMillis + HOLD_OFF_MILLIS);
         assertThat(suspicion.health()).isEqualTo(ServerHealth.EJECTED);
     }
 
--- a/src/test/java/org/cassiabank/proxy/OwnerSimulation.java
+++ b/src/test/java/org/cassiabank/proxy/OwnerSimulation.java
@@ -59,6 +59,7 @@
     private final Set<Attempt> attemptsInFlight = new LinkedHashSet<>();
     private final List<Call> calls = new ArrayList<>();
     private final List<Start> starts = new ArrayList<>();
+    private final Set<String> crashedServers = new HashSet<>();
     private final List<FaultyTime> faultyTimes = new ArrayList<>();
     private final SlotScheduler scheduler;
     private final HealthMonitor monitor;
@@ -142,11 +143,11 @@
         return this;
     }
 
-    /** Ends servers for good: their connections break, and new ones are refused. */
+    /** Ends servers for good: their open connections break, and new ones are refused. */
     OwnerSimulation addCrash(double atMillis, Set<Integer> crashed) {
         schedule(atMillis, () -> {
             for (int server : crashed) {
-                addFaultyTime(server, atMillis, Double.MAX_VALUE, 1);
+                crashedServers.add(name(server));
                 List.copyOf(attemptsInFlight).stream()
                         .filter(attempt -> attempt.server.equals(name(server)))
                         .forEach(attempt -> end(attempt, AttemptOutcome.BROKEN));
@@ -199,6 +200,21 @@
         return smallest;
     }
 
+    /**
+     * Returns the starts of the times of a length in which more than a tenth but less than half of the requests were
+     * not served, while less than a share of the sound servers got any.
+     */
+    List<Double> timesWithIdleSoundServers(double untilMillis, double lengthMillis, double minimumShare) {
+        List<Double> times = new ArrayList<>();
+        for (double start = 0; start + lengthMillis <= untilMillis; start += EVALUATION_INTERVAL_MILLIS) {
+            double unserved = 1 - servedShare(start, start + lengthMillis);
+            if (unserved > 0.1 && unserved < 0.5 && usedShare(start, start + lengthMillis) < minimumShare) {
+                times.add(start);
+            }
+        }
+        return times;
+    }
+
     private double usedShare(double fromMillis, double untilMillis) {
         Set<String> sound = new HashSet<>();
         for (int server = 0; server < serverCount; server++) {
@@ -237,7 +253,8 @@
                 .mapToObj(server -> new MonitoredServer(name(server), false, true, domain(server)))
                 .toList();
         monitor.replaceServers(monitored, (serverCount * FLOOR_PERCENT + 99) / 100, (long) nowMillis);
-        Map<String, ServerHealth> health = monitor.evaluate((long) nowMillis);
+        Map<String, ServerHealth> health =
+                monitor.evaluate(scheduler.load((long) nowMillis).isNearlyFull(), (long) nowMillis);
         scheduler.replaceServers(
                 IntStream.range(0, serverCount)
                         .mapToObj(server -> new SchedulableServer(
@@ -300,6 +317,10 @@
     private void start(Call call, Granted granted) {
         Attempt attempt = new Attempt(call, granted.leaseId(), granted.serverName(), nowMillis);
         attemptsInFlight.add(attempt);
+        if (crashedServers.contains(granted.serverName())) {
+            schedule(nowMillis + 1, () -> end(attempt, AttemptOutcome.NOT_RUN));
+            return;
+        }
         starts.add(new Start(granted.serverName(), nowMillis));
         boolean fails = faultyTimes.stream()
                 .filter(time -> time.server().equals(granted.serverName())
@@ -325,8 +346,9 @@
             return;
         }
         call.excludedServers.add(attempt.server);
-        call.failed = true;
-        if (call.repeatable
+        boolean mayHaveRun = outcome != AttemptOutcome.NOT_RUN;
+        call.failed |= mayHaveRun;
+        if ((call.repeatable || !mayHaveRun)
                 && call.excludedServers.size() < MAXIMUM_ATTEMPTS
                 && nowMillis < call.deadlineMillis
                 && retryBudget.trySpend((long) nowMillis)) {
