Leave an idle connection that has ended before a request is written to it

What callers saw: after resets, the first request on each connection that had been idle failed within milliseconds, orders with an unknown outcome, and its server was suspected.

Cause: the end of an idle connection shows only on a read, and OkHttp reads only after ten idle seconds. Fix: a connection that has been idle for 20 ms is read with a timeout of a millisecond before anything is written; an end or a byte takes it out of use. Test: BackendClientTest.aRequestIsSentOnceAndAnsweredWhenTheIdleConnectionWasEndedBefore, 4 of 4 cases failed before. aPostOnAStalePooledConnection... let the server close while the connection was idle, which is noticed now if it takes 20 ms; the server closes when it has read the second request, so that the case of a connection that ends too late to be noticed stays, and the count of received requests is checked too.

--- a/src/main/java/org/cassiabank/backend/AttemptTrace.java
+++ b/src/main/java/org/cassiabank/backend/AttemptTrace.java
@@ -145,6 +145,9 @@
         if (acquiredSocket.hasUnreadBytes()) {
             throw UnusableConnectionException.of("bytes that no request asked for have arrived on the connection");
         }
+        if (acquiredSocket.hasEndedWhileIdle()) {
+            throw UnusableConnectionException.of("the server or the network has ended the idle connection");
+        }
         if (!acquiredSocket.recordRequest(requestId)) {
             // A late copy of the first response could not be told from the response to this attempt.
             throw UnusableConnectionException.of("a request with the same identifier was sent on the connection");
--- a/src/main/java/org/cassiabank/backend/MeteredSocket.java
+++ b/src/main/java/org/cassiabank/backend/MeteredSocket.java
@@ -1,13 +1,16 @@
 package org.cassiabank.backend;
 
+import com.google.common.flogger.FluentLogger;
 import java.io.FilterInputStream;
 import java.io.FilterOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -17,9 +20,14 @@
  * <p>The count of writes increases before the operating system is called, because a failing write may have sent bytes.
  */
 final class MeteredSocket extends Socket {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
     /** A copy of a response to an older request has arrived long before, and takes the connection out of use. */
     private static final int REMEMBERED_REQUESTS = 32;
 
+    private static final long EXAMINED_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+    private static final int EXAMINATION_MILLIS = 1;
+
     /** The latest identifiers, the oldest first; guarded by itself. */
     private final Set<String> requestIds = new LinkedHashSet<>();
 
@@ -77,6 +85,32 @@
         }
     }
 
+    /**
+     * Tells whether the connection has ended while it was idle, or bytes have arrived on it that no request has asked
+     * for. Only a read shows an end; it waits for a millisecond, so a connection that was in use a moment ago is not
+     * examined.
+     *
+     * @return true if the connection must not be used; it may have lost a byte
+     * @throws IOException if the timeout of the socket cannot be set
+     */
+    boolean hasEndedWhileIdle() throws IOException {
+        if (!isIdleLongerThan(EXAMINED_IDLE_NANOS)) {
+            return false;
+        }
+        int formerTimeoutMillis = getSoTimeout();
+        setSoTimeout(EXAMINATION_MILLIS);
+        try {
+            super.getInputStream().read();
+            return true;
+        } catch (SocketTimeoutException exception) {
+            setSoTimeout(formerTimeoutMillis);
+            return false;
+        } catch (IOException exception) {
+            LOGGER.atFine().withCause(exception).log("a connection was reset while it was idle");
+            return true;
+        }
+    }
+
     /** Tells whether bytes have arrived that no request has asked for, such as a second copy of a response. */
     boolean hasUnreadBytes() throws IOException {
         return super.getInputStream().available() > 0;
--- a/src/test/java/org/cassiabank/backend/BackendClientTest.java
+++ b/src/test/java/org/cassiabank/backend/BackendClientTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import okhttp3.Headers;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
@@ -111,14 +112,43 @@
 
     @Test
     void aPostOnAStalePooledConnectionIsNeitherResentNorReportedAsUnsent() throws Exception {
+        AtomicInteger requests = new AtomicInteger();
         ScriptedServer server = startServer((request, socket) -> {
-            ScriptedServer.respondingWith("first").respond(request, socket);
-            socket.close();
+            if (requests.incrementAndGet() == 1) {
+                ScriptedServer.respondingWith("first").respond(request, socket);
+            } else {
+                socket.close();
+            }
         });
         assertThat(bodyText(send(server, "POST", true))).isEqualTo("first");
-        server.closedConnections.acquire();
         assertThat(noValidResponseReason(send(server, "POST", true))).isEqualTo(NoValidResponseReason.CONNECTION_LOST);
         assertThat(server.acceptedConnections).hasValue(1);
+        assertThat(server.receivedRequests).hasSize(2);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"GET, true, true", "GET, true, false", "POST, false, true", "POST, false, false"})
+    void aRequestIsSentOnceAndAnsweredWhenTheIdleConnectionWasEndedBefore(
+            String method, boolean repeatable, boolean reset) throws Exception {
+        BackendClient pooledClient = BackendClient.create(new BackendClientSettings(300, 1_000_000, 2, 5_000, 5_000));
+        resources.add(pooledClient);
+        ScriptedServer server = startServer((request, socket) -> {
+            ScriptedServer.respondingWith("whole").respond(request, socket);
+            if (request.connectionNumber() == 1) {
+                socket.setSoLinger(reset, 0);
+                socket.close();
+            }
+        });
+        assertThat(bodyText(pooledClient.send(request(server.address(), method, "one", repeatable, 5_000))))
+                .isEqualTo("whole");
+        server.closedConnections.acquire();
+        TimeUnit.MILLISECONDS.sleep(60);
+        assertThat(bodyText(pooledClient.send(request(server.address(), method, "two", repeatable, 5_000))))
+                .isEqualTo("whole");
+        assertThat(bodyText(pooledClient.send(request(server.address(), method, "three", repeatable, 5_000))))
+                .isEqualTo("whole");
+        assertThat(server.receivedRequests).hasSize(3);
+        assertThat(server.acceptedConnections).hasValue(2);
     }
 
     @Test
