Give a request up also when all timers fire late

Cause: a timer that fires more than 100 ms late was taken for a pause of the process and set again, any number of times. In a process that is short of processor time all timers are late, so a request was held until its caller left. Fix: one more wait, of 100 ms. Test: PendingReplyTest, never given up before; a response that arrived during a pause is still delivered.

--- a/src/main/java/org/cassiabank/proxy/PendingReply.java
+++ b/src/main/java/org/cassiabank/proxy/PendingReply.java
@@ -25,6 +25,9 @@
     /** A timer that fires later than this after its time shows that the process was paused. */
     private static final long PAUSE_MILLIS = 100;
 
+    /** The time after a pause within which a handler replies whose response had arrived. */
+    private static final long AFTER_PAUSE_MILLIS = 100;
+
     private final EventExecutor eventLoop;
     private final Consumer<CallerReply> writer;
     private final Runnable onConnectionLost;
@@ -82,28 +85,30 @@
      * @param millis the time from now in milliseconds
      */
     void expectWithin(long millis) {
-        schedule(millis + OVERDUE_MILLIS);
+        schedule(millis + OVERDUE_MILLIS, true);
     }
 
-    private void schedule(long delayMillis) {
+    private void schedule(long delayMillis, boolean waitsAfterPause) {
         long dueNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(delayMillis);
         try {
-            overdueTimer = eventLoop.schedule(() -> giveUpUnlessPaused(dueNanos), delayMillis, TimeUnit.MILLISECONDS);
+            overdueTimer =
+                    eventLoop.schedule(() -> giveUp(dueNanos, waitsAfterPause), delayMillis, TimeUnit.MILLISECONDS);
         } catch (RejectedExecutionException exception) {
             LOGGER.atFine().withCause(exception).log("the server was closed while a request ran");
         }
     }
 
-    private void giveUpUnlessPaused(long dueNanos) {
+    /** Gives the request up, after a pause of this process once a little later: it may be short of time for good. */
+    private void giveUp(long dueNanos, boolean waitsAfterPause) {
         if (complete.get()) {
             return;
         }
-        if (System.nanoTime() - dueNanos > TimeUnit.MILLISECONDS.toNanos(PAUSE_MILLIS)) {
+        if (waitsAfterPause && System.nanoTime() - dueNanos > TimeUnit.MILLISECONDS.toNanos(PAUSE_MILLIS)) {
             LOGGER.atWarning().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
                     "a request past its deadline gets %d ms more: this process was paused, its timer is %d ms late",
-                    OVERDUE_MILLIS, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - dueNanos));
+                    AFTER_PAUSE_MILLIS, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - dueNanos));
             // The response of the server may have arrived during the pause, and the handler has not run either.
-            schedule(OVERDUE_MILLIS);
+            schedule(AFTER_PAUSE_MILLIS, false);
             return;
         }
         onOverdue.run();
