Count a server that accepts a connection as within reach, however slow it is

A long request or a daemon that is late itself so took sound servers out of use at that entry. Fix: a timeout counts only on a connection that was open before and whose path may be interrupted. Test: UnreachableServersTest, new case.

--- a/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
+++ b/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
@@ -20,8 +20,6 @@
 import org.cassiabank.backend.BackendRequest;
 import org.cassiabank.backend.BackendResult;
 import org.cassiabank.backend.HeaderConventions;
-import org.cassiabank.backend.NoValidResponse;
-import org.cassiabank.backend.NoValidResponseReason;
 import org.cassiabank.backend.NotSent;
 import org.cassiabank.declaration.Selector;
 import org.cassiabank.health.AttemptOutcome;
@@ -292,14 +290,14 @@
         // First, so that the slot is free again whatever happens to the other records.
         workers.execute(() -> broker.report(attempt.slot(), result.outcome(), latencyMicros, result.notice()));
         serverPath.attemptCompleted(cancellation);
-        if (attempt.call().filter(BackendCall::hasOpenedConnection).isPresent()) {
+        boolean hasOpenedConnection =
+                attempt.call().filter(BackendCall::hasOpenedConnection).isPresent();
+        if (hasOpenedConnection) {
             serverPath.recordOpened();
         } else if (result instanceof NotSent && attempt.call().isPresent()) {
             serverPath.recordNotOpened(attempt.slot().serverName());
         }
-        if (result instanceof NotSent
-                || result instanceof NoValidResponse noValidResponse
-                        && noValidResponse.reason() == NoValidResponseReason.TIMEOUT) {
+        if (UnreachableServers.isEvidence(result, hasOpenedConnection)) {
             unreachableServers.recordFailure(attempt.slot().serverName(), MonotonicClock.millis());
             LOGGER.atInfo().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
                     "server %s at %s could not be reached: %s; servers avoided: %s",
--- a/src/main/java/org/cassiabank/proxy/UnreachableServers.java
+++ b/src/main/java/org/cassiabank/proxy/UnreachableServers.java
@@ -2,6 +2,13 @@
 
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.cassiabank.backend.BackendResult;
+import org.cassiabank.backend.Cancelled;
+import org.cassiabank.backend.NoValidResponse;
+import org.cassiabank.backend.NoValidResponseReason;
+import org.cassiabank.backend.NotSent;
+import org.cassiabank.backend.RequestShed;
+import org.cassiabank.backend.ResponseReceived;
 import org.cassiabank.membership.FailureBackoff;
 
 /**
@@ -28,6 +35,25 @@
         return new UnreachableServers();
     }
 
+    /**
+     * Tells whether the result of an attempt shows that the server may be out of reach.
+     *
+     * @param result the result
+     * @param hasOpenedConnection whether the attempt opened a connection to the server
+     * @return true for an attempt that could not be sent, or that got no response in time on a connection that was open
+     *     before and may be interrupted; a server that accepts a connection and is slow is within reach
+     */
+    static boolean isEvidence(BackendResult result, boolean hasOpenedConnection) {
+        return switch (result) {
+            case NotSent notSent -> true;
+            case NoValidResponse noValidResponse ->
+                noValidResponse.reason() == NoValidResponseReason.TIMEOUT && !hasOpenedConnection;
+            case ResponseReceived response -> false;
+            case RequestShed shed -> false;
+            case Cancelled cancelled -> false;
+        };
+    }
+
     synchronized void recordFailure(String serverName, long nowMillis) {
         backoff.recordFailure(serverName, nowMillis);
     }
--- a/src/test/java/org/cassiabank/proxy/UnreachableServersTest.java
+++ b/src/test/java/org/cassiabank/proxy/UnreachableServersTest.java
@@ -2,6 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import org.cassiabank.backend.NoValidResponse;
+import org.cassiabank.backend.NoValidResponseReason;
+import org.cassiabank.backend.NotSent;
 import org.junit.jupiter.api.Test;
 
 /** Guards against an entry proxy that keeps trying servers it cannot reach, or never tries them again. */
@@ -34,6 +37,19 @@
         assertThat(unreachableServers.serversInBackoff(1_000)).isEmpty();
     }
 
+    @Test
+    void aSlowServerThatAcceptedTheConnectionIsNotOutOfReach() {
+        NoValidResponse timeout = new NoValidResponse(NoValidResponseReason.TIMEOUT, "timeout");
+        assertThat(UnreachableServers.isEvidence(timeout, true)).isFalse();
+        assertThat(UnreachableServers.isEvidence(timeout, false))
+                .as("the connection was open before, its path may be interrupted")
+                .isTrue();
+        assertThat(UnreachableServers.isEvidence(new NotSent("refused"), false)).isTrue();
+        assertThat(UnreachableServers.isEvidence(
+                        new NoValidResponse(NoValidResponseReason.CONNECTION_LOST, "reset"), false))
+                .isFalse();
+    }
+
     @Test
     void aResponseEndsTheExclusion() {
         unreachableServers.recordFailure("a", 0);
