Refuse in a planned stop what cannot be answered before its end

Cause: a stopping daemon took requests by the callers' deadlines alone, and gave slots to waiting ones until its end. The time until the kill stood in a setting beside the platform's own bound. At the end the rest is answered as unknown instead of being cut. The end follows from the bound grace.

--- a/src/main/java/org/cassiabank/platform/KeyValueAdapter.java
+++ b/src/main/java/org/cassiabank/platform/KeyValueAdapter.java
@@ -57,6 +57,11 @@
                 .orElse(PropagationTimes.DEFAULT_BOUND_MILLIS));
     }
 
+    @Override
+    public Optional<Long> parseStopGraceMillis(String text) {
+        return Optional.ofNullable(boundsByName(text).get("grace")).map(PlatformDurations::parseMillis);
+    }
+
     @Override
     public String configurationKey() {
         return "op/config";
--- a/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
+++ b/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.cassiabank.admission.AdmissionRequest;
 import org.cassiabank.admission.PlacementHints;
 import org.cassiabank.admission.ServerNotice;
@@ -155,8 +156,8 @@
     }
 
     /** Acquires a slot as {@link SlotBroker#acquire} does. */
-    SlotResult acquire(String service, AdmissionRequest request, CallerPresence presence) {
-        return broker.acquire(service, request, presence);
+    SlotResult acquire(String service, AdmissionRequest request, BooleanSupplier abandoned) {
+        return broker.acquire(service, request, abandoned);
     }
 
     /** Returns a slot without an attempt, which is reported as cancelled; does not wait for the report. */
--- a/src/main/java/org/cassiabank/proxy/CallerConnection.java
+++ b/src/main/java/org/cassiabank/proxy/CallerConnection.java
@@ -39,6 +39,9 @@
     /** The event that closes a connection unless a request is being read or answered on it. */
     static final Object CLOSE_IF_IDLE = new Object();
 
+    /** The event that answers the request in progress as unknown, because the process ends. */
+    static final Object GIVE_UP = new Object();
+
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     /**
@@ -58,6 +61,10 @@
     private boolean continueExpected;
 
     private CallerPresence currentPresence;
+    /** The reply to the request in progress, null while none is handled. */
+    private PendingReply currentReply;
+
+    private CallerRequest currentRequest;
 
     private CallerConnection(CallerServer server, long idleEventIntervalMillis) {
         this.server = server;
@@ -136,6 +143,10 @@
             if (!requestInProgress && !reading) {
                 context.close();
             }
+        } else if (event == GIVE_UP) {
+            if (currentReply != null) {
+                currentReply.complete(server.replyAtEnd(currentRequest));
+            }
         } else if (event instanceof IdleStateEvent && !requestInProgress) {
             // Idle events come at the limit in force when the connection was opened; it may have been raised since.
             elapsedIdleMillis += idleEventIntervalMillis;
@@ -191,9 +202,10 @@
             writeReply(context, next, next.refusal());
             return;
         }
-        PendingReply pendingReply = newPendingReply(context, next);
-        currentPresence = CallerPresence.create(pendingReply::expectWithin);
-        server.handleRequest(next.request(), currentPresence, pendingReply);
+        currentReply = newPendingReply(context, next);
+        currentRequest = next.request();
+        currentPresence = CallerPresence.create(currentReply::expectWithin);
+        server.handleRequest(currentRequest, currentPresence, currentReply);
     }
 
     private PendingReply newPendingReply(ChannelHandlerContext context, PendingRequest pending) {
@@ -209,6 +221,8 @@
     private void writeReply(ChannelHandlerContext context, PendingRequest pending, CallerReply reply) {
         requestInProgress = false;
         currentPresence = null;
+        currentReply = null;
+        currentRequest = null;
         boolean keepAlive = pending.keepAlive() && !server.isDraining();
         FullHttpResponse response = toWritableResponse(pending, reply);
         HttpUtil.setKeepAlive(response, keepAlive);
--- a/src/main/java/org/cassiabank/proxy/CallerServer.java
+++ b/src/main/java/org/cassiabank/proxy/CallerServer.java
@@ -144,6 +144,23 @@
         channels.forEach(channel -> channel.pipeline().fireUserEventTriggered(CallerConnection.CLOSE_IF_IDLE));
     }
 
+    /**
+     * Replies to all requests whose handlers have not returned that their outcome is unknown, because this process ends.
+     *
+     * @return the number of requests in flight
+     */
+    int giveUpRequests() {
+        int givenUpRequests = inFlight.get();
+        channels.forEach(channel -> channel.pipeline().fireUserEventTriggered(CallerConnection.GIVE_UP));
+        return givenUpRequests;
+    }
+
+    /** Returns the reply to a request that is still in flight when this process ends. */
+    CallerReply replyAtEnd(CallerRequest request) {
+        metrics.recordUnknownOutcome(PlannedStop.REASON);
+        return handler.replyWithoutResult(request, PlannedStop.REASON);
+    }
+
     boolean isDraining() {
         return draining;
     }
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -6,7 +6,9 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
+import org.cassiabank.admission.ResponseTimes;
 import org.cassiabank.admission.SchedulerSettings;
 import org.cassiabank.backend.BackendClient;
 import org.cassiabank.backend.BackendClientSettings;
@@ -51,6 +53,12 @@
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final long DRAIN_POLL_INTERVAL_MILLIS = 20;
 
+    /** The time before the platform kills a stopping process in which it writes its last replies and exits. */
+    private static final long END_MILLIS = 700;
+
+    /** The longest time for writing the replies to the requests that are given up at the end. */
+    private static final long LAST_REPLIES_MILLIS = 200;
+
     /**
      * Applies where a few abrupt failures eject a server: some services have no repeatable requests that could probe
      * it, so an unrepeatable one does so after this time on probation.
@@ -61,9 +69,20 @@
     private final Kernel kernel;
     private final AdminEndpoint adminEndpoint;
     private final CallerServer callerServer;
+    private final PlannedStop plannedStop;
+    /** The longest time that a stop waits for requests in flight, in milliseconds. */
+    private final long longestDrainMillis;
 
-    private ProxyDaemon(ProxySettings settings, Kernel kernel, AdminEndpoint adminEndpoint, CallerServer callerServer) {
+    private ProxyDaemon(
+            ProxySettings settings,
+            long longestDrainMillis,
+            Kernel kernel,
+            AdminEndpoint adminEndpoint,
+            CallerServer callerServer,
+            PlannedStop plannedStop) {
         this.settings = settings;
+        this.longestDrainMillis = longestDrainMillis;
+        this.plannedStop = plannedStop;
         this.kernel = kernel;
         this.adminEndpoint = adminEndpoint;
         this.callerServer = callerServer;
@@ -105,8 +124,16 @@
         AttemptExecutor attemptExecutor =
                 AttemptExecutor.create(self, fleet, slotBroker, backendClient, serverPath, metrics, conventions);
         RequestForwarder forwarder = RequestForwarder.create(self, fleet, peerTransport, metrics);
+        PlannedStop plannedStop = PlannedStop.create(ResponseTimes.create());
         RequestHandler requestHandler = RequestHandler.create(
-                fleet, attemptExecutor, forwarder, claimClient, metrics, conventions, retryBudgetSettings.isPresent());
+                fleet,
+                attemptExecutor,
+                plannedStop,
+                forwarder,
+                claimClient,
+                metrics,
+                conventions,
+                retryBudgetSettings.isPresent());
         ForwardedRequests forwardedRequests = ForwardedRequests.create(requestHandler, serverPath::isCutOff);
         FleetSource source = adapter.map(
                         found -> createMetadataStoreSource(found, settings, self, replication, peerTransport))
@@ -135,7 +162,10 @@
                 .register(FLEET_SOURCE_SERVICE, fleetSourceService(source, FleetStateUpdater.create(fleet, metrics)))
                 .register(ServiceNames.REQUEST_HANDLER, requestHandler)
                 .register(ServiceNames.ADMIN, adminEndpoint);
-        return new ProxyDaemon(settings, kernel, adminEndpoint, callerServer);
+        long longestDrainMillis = adapter.flatMap(found -> parseBounds(found::parseStopGraceMillis, settings))
+                .map(graceMillis -> Math.max(settings.drainMillis(), graceMillis - END_MILLIS))
+                .orElse(settings.longestDrainMillis());
+        return new ProxyDaemon(settings, longestDrainMillis, kernel, adminEndpoint, callerServer, plannedStop);
     }
 
     private static Instance selfInstance(ProxySettings settings) {
@@ -169,13 +199,15 @@
 
     /**
      * Stops the daemon without interrupting a request: first the load balancer's check fails, then requests in flight
-     * complete, then claims are handed over and the services stop. After {@code longest-drain-millis} it returns with
-     * requests in flight and leaves the services running.
+     * complete, then claims are handed over and the services stop. Requests that cannot be answered before the end are
+     * refused; at the end those that are still in flight are answered as unknown. If a reply cannot be written it
+     * returns with requests in flight and leaves the services running.
      */
     @Override
     public void close() {
         LOGGER.atInfo().log("%s starts draining", settings.name());
-        long deadlineMillis = MonotonicClock.millis() + settings.longestDrainMillis();
+        long deadlineMillis = MonotonicClock.millis() + longestDrainMillis;
+        plannedStop.begin(deadlineMillis);
         adminEndpoint.startDraining();
         callerServer.startDraining();
         ForwardedRequests forwardedRequests = kernel.get(ServiceNames.FORWARDED_REQUESTS);
@@ -184,15 +216,20 @@
         kernel.get(ServiceNames.FLEET_SOURCE).announceLeaving();
         sleep(settings.drainMillis());
         callerServer.stopListening();
-        while ((callerServer.isBusy() || forwardedRequests.isBusy()) && MonotonicClock.millis() < deadlineMillis) {
-            sleep(DRAIN_POLL_INTERVAL_MILLIS);
+        awaitUntil(() -> !callerServer.isBusy() && !forwardedRequests.isBusy(), deadlineMillis);
+        int givenUpRequests = callerServer.giveUpRequests();
+        if (givenUpRequests > 0) {
+            LOGGER.atWarning().log(
+                    "%s ends with %d requests in flight after %d ms; their outcome is unknown",
+                    settings.name(), givenUpRequests, longestDrainMillis);
+            awaitUntil(() -> callerServer.requestsInFlight() == 0, deadlineMillis + LAST_REPLIES_MILLIS);
         }
         kernel.get(ServiceNames.CLAIM_KEEPER).handOverAll();
         if (callerServer.requestsInFlight() > 0) {
             // The platform is about to kill the process; an orderly stop of all services would take the remaining time.
             LOGGER.atWarning().log(
                     "%s stops with %d requests in flight after %d ms",
-                    settings.name(), callerServer.requestsInFlight(), settings.longestDrainMillis());
+                    settings.name(), callerServer.requestsInFlight(), longestDrainMillis);
             return;
         }
         callerServer.close();
@@ -200,6 +237,12 @@
         LOGGER.atInfo().log("%s has stopped", settings.name());
     }
 
+    private static void awaitUntil(BooleanSupplier condition, long deadlineMillis) {
+        while (!condition.getAsBoolean() && MonotonicClock.millis() < deadlineMillis) {
+            sleep(DRAIN_POLL_INTERVAL_MILLIS);
+        }
+    }
+
     private static <T> T parseBounds(Function<String, T> parser, ProxySettings settings) {
         try {
             return parser.apply(settings.platform().platformLimits());
--- a/src/main/java/org/cassiabank/proxy/RequestHandler.java
+++ b/src/main/java/org/cassiabank/proxy/RequestHandler.java
@@ -53,6 +53,7 @@
 
     private final FleetState fleet;
     private final AttemptExecutor attemptExecutor;
+    private final PlannedStop plannedStop;
     private final RequestForwarder forwarder;
     private final ClaimClient claimClient;
     private final ProxyMetrics metrics;
@@ -63,6 +64,7 @@
     private RequestHandler(
             FleetState fleet,
             AttemptExecutor attemptExecutor,
+            PlannedStop plannedStop,
             RequestForwarder forwarder,
             ClaimClient claims,
             ProxyMetrics metrics,
@@ -70,6 +72,7 @@
             boolean ownersLimitRetries) {
         this.fleet = fleet;
         this.attemptExecutor = attemptExecutor;
+        this.plannedStop = plannedStop;
         this.forwarder = forwarder;
         this.claimClient = claims;
         this.metrics = metrics;
@@ -80,6 +83,7 @@
     static RequestHandler create(
             FleetState fleet,
             AttemptExecutor attemptExecutor,
+            PlannedStop plannedStop,
             RequestForwarder forwarder,
             ClaimClient claims,
             ProxyMetrics metrics,
@@ -88,6 +92,7 @@
         return new RequestHandler(
                 Objects.requireNonNull(fleet, "fleet"),
                 Objects.requireNonNull(attemptExecutor, "attemptExecutor"),
+                Objects.requireNonNull(plannedStop, "plannedStop"),
                 Objects.requireNonNull(forwarder, "forwarder"),
                 Objects.requireNonNull(claims, "claims"),
                 Objects.requireNonNull(metrics, "metrics"),
@@ -171,8 +176,21 @@
             RequestTrace trace) {
         RetryBudget budget = retryBudgets.computeIfAbsent(selector.service(), service -> newBudget());
         budget.recordRequest();
-        return RequestRun.create(request, selector, presence, deadlineMillis, attemptExecutor, budget, forwarder, trace)
+        RequestResult result = RequestRun.create(
+                        request,
+                        selector,
+                        presence,
+                        deadlineMillis,
+                        attemptExecutor,
+                        plannedStop,
+                        budget,
+                        forwarder,
+                        trace)
                 .run();
+        if (result instanceof RequestResult.Delivered) {
+            plannedStop.recordResponse(selector, trace.elapsedMillis());
+        }
+        return result;
     }
 
     @Override
@@ -203,15 +221,17 @@
                         deadlineMillis,
                         formerAttempts,
                         attemptExecutor,
+                        plannedStop,
                         budget,
                         trace)
                 .run();
         trace.addStep("for a peer");
         trace.log(toReply(result));
-        boolean reachedNoServer = result instanceof RequestResult.NotRun notRun
+        boolean anotherPeerMayReachOne = result instanceof RequestResult.NotRun notRun
                 && (notRun.reason().equals(RequestRun.NO_SERVER_REACHED)
+                        || notRun.reason().equals(PlannedStop.REASON)
                         || notRun.reason().equals(AttemptResult.NOT_SENT.label()));
-        return reachedNoServer ? Optional.empty() : Optional.of(result);
+        return anotherPeerMayReachOne ? Optional.empty() : Optional.of(result);
     }
 
     private RetryBudget newBudget() {
--- a/src/main/java/org/cassiabank/proxy/RequestRun.java
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -56,6 +56,7 @@
 
     private final long startNanos = System.nanoTime();
     private final AttemptExecutor attemptExecutor;
+    private final PlannedStop plannedStop;
     private final RetryBudget retryBudget;
     /** Empty for a request that a peer has passed on. */
     private final Optional<RequestForwarder> forwarder;
@@ -79,6 +80,7 @@
             long remainingMillis,
             int formerAttempts,
             AttemptExecutor attemptExecutor,
+            PlannedStop plannedStop,
             RetryBudget retryBudget,
             Optional<RequestForwarder> forwarder,
             RequestTrace trace) {
@@ -87,6 +89,7 @@
         this.presence = presence;
         this.deadlineMillis = MonotonicClock.millis() + remainingMillis;
         this.attemptExecutor = attemptExecutor;
+        this.plannedStop = plannedStop;
         this.retryBudget = retryBudget;
         this.forwarder = forwarder;
         this.attemptCount = formerAttempts;
@@ -102,6 +105,7 @@
             CallerPresence presence,
             long remainingMillis,
             AttemptExecutor attemptExecutor,
+            PlannedStop plannedStop,
             RetryBudget retryBudget,
             RequestForwarder forwarder,
             RequestTrace trace) {
@@ -112,6 +116,7 @@
                 remainingMillis,
                 0,
                 Objects.requireNonNull(attemptExecutor, "attemptExecutor"),
+                Objects.requireNonNull(plannedStop, "plannedStop"),
                 Objects.requireNonNull(retryBudget, "retryBudget"),
                 Optional.of(forwarder),
                 Objects.requireNonNull(trace, "trace"));
@@ -125,6 +130,7 @@
             long remainingMillis,
             int formerAttempts,
             AttemptExecutor attemptExecutor,
+            PlannedStop plannedStop,
             RetryBudget retryBudget,
             RequestTrace trace) {
         return new RequestRun(
@@ -134,6 +140,7 @@
                 remainingMillis,
                 formerAttempts,
                 Objects.requireNonNull(attemptExecutor, "attemptExecutor"),
+                Objects.requireNonNull(plannedStop, "plannedStop"),
                 Objects.requireNonNull(retryBudget, "retryBudget"),
                 Optional.empty(),
                 Objects.requireNonNull(trace, "trace"));
@@ -146,11 +153,17 @@
      */
     RequestResult run() {
         while (true) {
+            if (comesTooLate()) {
+                return resultWithoutSlot(PlannedStop.REASON, PlannedStop.RETRY_AFTER_MILLIS);
+            }
             if (attemptExecutor.isCutOff()) {
                 return forward().orElseGet(() -> resultWithoutSlot(NO_SERVER_REACHED, CUT_OFF_RETRY_AFTER_MILLIS));
             }
-            SlotResult slotResult = attemptExecutor.acquire(selector.service(), admissionRequest(), presence);
+            SlotResult slotResult = attemptExecutor.acquire(selector.service(), admissionRequest(), this::isAbandoned);
             if (slotResult instanceof SlotResult.NoSlot noSlot) {
+                if (noSlot.reason().equals(SlotResult.ABANDONED) && !presence.isGone()) {
+                    continue;
+                }
                 trace.addStep("no-slot " + noSlot.reason() + " of " + noSlot.ownerName());
                 return resultWithoutSlot(noSlot.reason(), noSlot.retryAfterMillis());
             }
@@ -166,9 +179,13 @@
                 attemptExecutor.release(slot);
                 continue;
             }
+            if (comesTooLate()) {
+                attemptExecutor.release(slot);
+                continue;
+            }
             if (presence.isGone()) {
                 attemptExecutor.release(slot);
-                return resultWithoutSlot(SlotResult.CALLER_GONE, 0);
+                return resultWithoutSlot(SlotResult.ABANDONED, 0);
             }
             if (!attemptExecutor.acceptsRequests(slot.serverName())) {
                 trace.addStep(slot.serverName() + " left");
@@ -192,6 +209,16 @@
         }
     }
 
+    /** Tells whether this daemon is being stopped and would end before the request is answered. */
+    private boolean comesTooLate() {
+        long nowMillis = MonotonicClock.millis();
+        return plannedStop.comesTooLate(selector, Math.max(0, deadlineMillis - nowMillis), nowMillis);
+    }
+
+    private boolean isAbandoned() {
+        return presence.isGone() || comesTooLate();
+    }
+
     /** Tells whether no further attempt of this daemon is of use, but one of a peer may be. */
     private boolean shouldForward(BackendResult result) {
         boolean mayRunAgain = selector.repeatable() || provablyNotRun;
@@ -280,7 +307,7 @@
         if (result != null || presence.isGone() || !retryBudget.trySpend(RetryReason.HEDGE)) {
             return result != null ? result : awaitResult(results);
         }
-        SlotResult hedgeSlotResult = attemptExecutor.acquire(selector.service(), admissionRequest(), presence);
+        SlotResult hedgeSlotResult = attemptExecutor.acquire(selector.service(), admissionRequest(), this::isAbandoned);
         if (!(hedgeSlotResult instanceof SlotResult.Slot hedgeSlot) || !results.isEmpty()) {
             if (hedgeSlotResult instanceof SlotResult.Slot unusedSlot) {
                 attemptExecutor.release(unusedSlot);
--- a/src/main/java/org/cassiabank/proxy/SlotBroker.java
+++ b/src/main/java/org/cassiabank/proxy/SlotBroker.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.BooleanSupplier;
 import org.cassiabank.admission.AdmissionRequest;
 import org.cassiabank.admission.Granted;
 import org.cassiabank.admission.Queued;
@@ -84,20 +85,20 @@
      *
      * @param service the name of the service
      * @param request the request; its remaining time counts from now
-     * @param presence tells whether the caller is still connected
+     * @param abandoned tells whether the slot is not waited for any longer
      * @return a slot, or the reason why none was granted
      */
-    SlotResult acquire(String service, AdmissionRequest request, CallerPresence presence) {
+    SlotResult acquire(String service, AdmissionRequest request, BooleanSupplier abandoned) {
         FleetView view = fleet.view();
         int shardCount = view.shardCount(service);
         int firstShardNumber = ThreadLocalRandom.current().nextInt(shardCount);
         long deadlineMillis = MonotonicClock.millis() + request.remainingMillis();
-        SlotResult result = acquire(view, new ShardKey(service, firstShardNumber), request, deadlineMillis, presence);
-        if (result instanceof SlotResult.NoSlot && shardCount > 1 && !presence.isGone()) {
+        SlotResult result = acquire(view, new ShardKey(service, firstShardNumber), request, deadlineMillis, abandoned);
+        if (result instanceof SlotResult.NoSlot && shardCount > 1 && !abandoned.getAsBoolean()) {
             // Other shards may have capacity when one is full; a second shard spreads a load peak that hits one.
             int secondShardNumber =
                     (firstShardNumber + 1 + ThreadLocalRandom.current().nextInt(shardCount - 1)) % shardCount;
-            return acquire(view, new ShardKey(service, secondShardNumber), request, deadlineMillis, presence);
+            return acquire(view, new ShardKey(service, secondShardNumber), request, deadlineMillis, abandoned);
         }
         return result;
     }
@@ -165,15 +166,15 @@
     }
 
     private SlotResult acquire(
-            FleetView view, ShardKey shard, AdmissionRequest request, long deadlineMillis, CallerPresence presence) {
+            FleetView view, ShardKey shard, AdmissionRequest request, long deadlineMillis, BooleanSupplier abandoned) {
         if (settings.scheduling() == SchedulingMode.OWNER) {
             for (Instance candidate : view.ownerCandidates(shard)) {
                 if (peerTransport.isSelf(candidate)) {
-                    return acquireFrom(Optional.empty(), shard, request, deadlineMillis, presence);
+                    return acquireFrom(Optional.empty(), shard, request, deadlineMillis, abandoned);
                 }
                 if (peerTransport.isReachable(candidate)) {
                     try {
-                        return acquireFrom(Optional.of(candidate), shard, request, deadlineMillis, presence);
+                        return acquireFrom(Optional.of(candidate), shard, request, deadlineMillis, abandoned);
                     } catch (CassiabankException exception) {
                         // The peer transport has recorded the failure; the next candidate can grant the slot as well.
                         continue;
@@ -190,7 +191,7 @@
         fallbackRetryBudget.recordRequest();
         AdmissionRequest requestInTurn =
                 request.withFurtherExcludedServers(rateLimits.serversOfOtherTurns(settings.name(), view));
-        return acquireFrom(Optional.empty(), shard, requestInTurn, deadlineMillis, presence);
+        return acquireFrom(Optional.empty(), shard, requestInTurn, deadlineMillis, abandoned);
     }
 
     private SlotResult acquireFrom(
@@ -198,7 +199,7 @@
             ShardKey shard,
             AdmissionRequest request,
             long deadlineMillis,
-            CallerPresence presence) {
+            BooleanSupplier abandoned) {
         long ticketId = 0;
         while (true) {
             long nowMillis = MonotonicClock.millis();
@@ -234,8 +235,8 @@
                             owner.map(Instance::name).orElse("self"));
                 }
                 case Queued queued -> {
-                    if (presence.isGone()) {
-                        return new SlotResult.NoSlot(SlotResult.CALLER_GONE, 0, "self");
+                    if (abandoned.getAsBoolean()) {
+                        return new SlotResult.NoSlot(SlotResult.ABANDONED, 0, "self");
                     }
                     ticketId = queued.ticketId();
                 }
--- a/src/main/java/org/cassiabank/proxy/SlotResult.java
+++ b/src/main/java/org/cassiabank/proxy/SlotResult.java
@@ -8,8 +8,8 @@
  * The result of a request for a slot.
  */
 sealed interface SlotResult {
-    /** The reason when no slot was acquired because the caller disconnected. */
-    String CALLER_GONE = "caller-gone";
+    /** The reason when no slot was acquired because the request is not waited for any longer, mostly by its caller. */
+    String ABANDONED = "caller-gone";
 
     /**
      * A slot was granted.
--- a/src/main/java/org/cassiabank/source/PlatformAdapter.java
+++ b/src/main/java/org/cassiabank/source/PlatformAdapter.java
@@ -1,6 +1,7 @@
 package org.cassiabank.source;
 
 import java.net.URI;
+import java.util.Optional;
 import org.cassiabank.backend.HeaderConventions;
 import org.cassiabank.membership.Instance;
 
@@ -53,6 +54,15 @@
      */
     PropagationTimes parsePropagationTimes(String text);
 
+    /**
+     * Reads how long the platform waits between the signal that stops a process and its kill.
+     *
+     * @param text the limits that the platform states, as the settings pass them on
+     * @return the time in milliseconds, empty if the platform states none
+     * @throws IllegalArgumentException if the time cannot be read
+     */
+    Optional<Long> parseStopGraceMillis(String text);
+
     /**
      * Returns the key that holds the operators' configuration.
      *
--- a/src/test/java/org/cassiabank/source/StoreErasPropertiesTest.java
+++ b/src/test/java/org/cassiabank/source/StoreErasPropertiesTest.java
@@ -299,6 +299,11 @@
             throw new UnsupportedOperationException();
         }
 
+        @Override
+        public Optional<Long> parseStopGraceMillis(String text) {
+            return Optional.empty();
+        }
+
         @Override
         public PropagationTimes parsePropagationTimes(String text) {
             throw new UnsupportedOperationException();
