--- a/src/main/java/org/cassiabank/admission/ServerPool.java
+++ b/src/main/java/org/cassiabank/admission/ServerPool.java
@@ -191,6 +191,13 @@
         return false;
     }
 
+    /** Returns how many healthy servers have no free slot. */
+    int fullServers(long nowMillis) {
+        return (int) Arrays.stream(presentServers)
+                .filter(server -> server.isHealthy() && !server.hasFreeSlot(nowMillis))
+                .count();
+    }
+
     /** Returns the usable slots of the healthy servers, or of those on probation if the healthy ones have none. */
     static int usableSlots(ServerState[] servers, long nowMillis) {
         int healthySlots = 0;
--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -1,14 +1,11 @@
 package org.cassiabank.admission;
 
 import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Set;
 import org.cassiabank.health.AttemptOutcome;
 
@@ -22,9 +19,6 @@
     /** The retry time of requests that no server can run or whose estimated cost exceeds their remaining time. */
     private static final long UNSERVABLE_RETRY_AFTER_MILLIS = 1000;
 
-    /** Stale timers are removed when the number of timers exceeds twice the queued requests by more than this. */
-    private static final int STALE_TIMER_ALLOWANCE = 1024;
-
     private final SchedulerSettings settings;
     private final ServerPool pool;
     private final LeaseTable leases = new LeaseTable();
@@ -34,7 +28,7 @@
     private final LongWorkShare longWorkShare;
     private final UrgencyShares urgencyShares = new UrgencyShares();
     private final AdmissionRule admissionRule;
-    private final PriorityQueue<Timer> ticketTimers = new PriorityQueue<>(Comparator.comparingLong(Timer::dueMillis));
+    private final TicketTimers ticketTimers = new TicketTimers();
     private final Map<Long, SlotDecision> undeliveredDecisions = new LinkedHashMap<>();
     private long lastTicketId;
     private long latestMillis = Long.MIN_VALUE;
@@ -126,10 +120,8 @@
             queue.remove(ticket);
             return refused.get();
         }
-        ticketTimers.add(new Timer(nextCheckMillis(ticket), ticket));
-        if (ticketTimers.size() > 2 * (shortQueue.size() + longQueue.size()) + STALE_TIMER_ALLOWANCE) {
-            ticketTimers.removeIf(timer -> !timer.ticket().isQueued());
-        }
+        ticketTimers.add(ticket, nextCheckMillis(ticket));
+        ticketTimers.removeStale(shortQueue.size() + longQueue.size());
         return new Queued(ticket.id());
     }
 
@@ -291,14 +283,10 @@
      */
     public ShardLoad load(long nowMillis) {
         long currentMillis = advanceClock(nowMillis);
-        ServerState[] servers = pool.presentServers();
-        int fullServers = (int) Arrays.stream(servers)
-                .filter(server -> server.isHealthy() && !server.hasFreeSlot(currentMillis))
-                .count();
         return new ShardLoad(
                 leases.all().size(),
-                ServerPool.usableSlots(servers, currentMillis),
-                fullServers,
+                ServerPool.usableSlots(pool.presentServers(), currentMillis),
+                pool.fullServers(currentMillis),
                 shortQueue.size() + longQueue.size(),
                 leases.expiredLeases());
     }
@@ -325,13 +313,10 @@
     private long advanceClock(long nowMillis) {
         latestMillis = Math.max(latestMillis, nowMillis);
         leases.expire(latestMillis);
-        while (!ticketTimers.isEmpty() && ticketTimers.element().dueMillis() <= latestMillis) {
-            Ticket ticket = ticketTimers.remove().ticket();
-            if (ticket.isQueued()) {
-                boolean longWork = longQueue.find(ticket.id()).isPresent();
-                if (!refuseIfLate(queueFor(longWork), ticket, longWork, latestMillis)) {
-                    ticketTimers.add(new Timer(nextCheckMillis(ticket), ticket));
-                }
+        for (Ticket ticket : ticketTimers.removeDue(latestMillis)) {
+            boolean longWork = longQueue.find(ticket.id()).isPresent();
+            if (!refuseIfLate(queueFor(longWork), ticket, longWork, latestMillis)) {
+                ticketTimers.add(ticket, nextCheckMillis(ticket));
             }
         }
         return latestMillis;
@@ -384,7 +369,7 @@
         Lane bestLane = null;
         ServerState server = null;
         for (Lane lane : shortQueue.lanes()) {
-            if (!lane.isEmpty() && (bestLane == null || precedes(lane, bestLane, nowMillis))) {
+            if (!lane.isEmpty() && (bestLane == null || urgencyShares.precedes(lane, bestLane, nowMillis))) {
                 ServerState chosen = pool.chooseForShortWork(lane, nowMillis);
                 if (chosen != null) {
                     bestLane = lane;
@@ -399,7 +384,7 @@
         Lane bestLane = null;
         ServerState server = null;
         for (Lane lane : longQueue.lanes()) {
-            if (!lane.isEmpty() && (bestLane == null || precedes(lane, bestLane, nowMillis))) {
+            if (!lane.isEmpty() && (bestLane == null || urgencyShares.precedes(lane, bestLane, nowMillis))) {
                 ServerState chosen = pool.chooseForLongWork(lane, prioritized, !shortQueue.isEmpty(), nowMillis);
                 if (chosen != null) {
                     bestLane = lane;
@@ -410,21 +395,6 @@
         return bestLane != null && grant(longQueue, bestLane, server, true, nowMillis);
     }
 
-    /** Compares by urgency unless the less urgent work is starved, then by virtual time, then by arrival. */
-    private boolean precedes(Lane lane, Lane other, long nowMillis) {
-        int urgencyRank = lane.key().urgencyRank();
-        int otherUrgencyRank = other.key().urgencyRank();
-        if (urgencyRank != otherUrgencyRank) {
-            boolean starved = urgencyShares.isStarved(Math.max(urgencyRank, otherUrgencyRank), nowMillis);
-            return starved == urgencyRank > otherUrgencyRank;
-        }
-        // Requests of one customer have the same virtual time in all lanes; without the comparison by arrival one of
-        // these lanes could starve.
-        int order = Double.compare(lane.firstVirtualTimeMicros(), other.firstVirtualTimeMicros());
-        return order < 0
-                || order == 0 && lane.firstTicket().id() < other.firstTicket().id();
-    }
-
     /** Grants a slot to the first request of a lane, or refuses it if it is too late; returns true in both cases. */
     private boolean grant(FairQueue queue, Lane lane, ServerState server, boolean longWork, long nowMillis) {
         Ticket ticket = lane.firstTicket();
@@ -476,6 +446,4 @@
                     });
         }
     }
-
-    private record Timer(long dueMillis, Ticket ticket) {}
 }
--- a/src/main/java/org/cassiabank/admission/UrgencyShares.java
+++ b/src/main/java/org/cassiabank/admission/UrgencyShares.java
@@ -73,6 +73,21 @@
         return Math.max(MINIMUM_SLOT_SHARE * slots, slots - moreUrgentMicros / 1_000 / meanAgeMillis);
     }
 
+    /** Compares by urgency unless the less urgent work is starved, then by virtual time, then by arrival. */
+    boolean precedes(Lane lane, Lane other, long nowMillis) {
+        int urgencyRank = lane.key().urgencyRank();
+        int otherUrgencyRank = other.key().urgencyRank();
+        if (urgencyRank != otherUrgencyRank) {
+            boolean starved = isStarved(Math.max(urgencyRank, otherUrgencyRank), nowMillis);
+            return starved == urgencyRank > otherUrgencyRank;
+        }
+        // Requests of one customer have the same virtual time in all lanes; without the comparison by arrival one of
+        // these lanes could starve.
+        int order = Double.compare(lane.firstVirtualTimeMicros(), other.firstVirtualTimeMicros());
+        return order < 0
+                || order == 0 && lane.firstTicket().id() < other.firstTicket().id();
+    }
+
     private void decayTo(long nowMillis) {
         if (nowMillis > updatedAtMillis) {
             double factor = Math.pow(0.5, (nowMillis - updatedAtMillis) / COUNT_HALF_LIFE_MILLIS);
--- a/src/main/java/org/cassiabank/proxy/CallerServer.java
+++ b/src/main/java/org/cassiabank/proxy/CallerServer.java
@@ -145,7 +145,7 @@
     }
 
     /**
-     * Replies to all requests whose handlers have not returned that their outcome is unknown, because this process ends.
+     * Replies to the requests whose handlers have not returned that their outcome is unknown, as this process ends.
      *
      * @return the number of requests in flight
      */
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -181,7 +181,7 @@
                 updateServers(nowMillis);
             }
             if (rateLimits.record(completed.serverName(), notice.rateLimit(), completed.grantedAtMillis(), nowMillis)) {
-                reportRateLimit(completed.serverName());
+                healthLog.reportRateLimit(completed.serverName(), rateLimits.limit(completed.serverName()));
                 updateScheduler(nowMillis);
             }
             if (notice.leaving() && leavingReportMillis.put(completed.serverName(), nowMillis) == null) {
@@ -216,7 +216,7 @@
         boolean changed = false;
         for (ServerRateLimit limit : limits) {
             if (incarnationByServer.containsKey(limit.server()) && rateLimits.merge(limit, nowMillis)) {
-                reportRateLimit(limit.server());
+                healthLog.reportRateLimit(limit.server(), rateLimits.limit(limit.server()));
                 changed = true;
             }
         }
@@ -443,15 +443,6 @@
                 || leavingReportMillis.containsKey(server.instance().name());
     }
 
-    private void reportRateLimit(String serverName) {
-        OptionalDouble limit = rateLimits.limit(serverName);
-        if (limit.isPresent()) {
-            LOGGER.atInfo().log("%s: server %s accepts %s requests a second", key, serverName, limit.getAsDouble());
-        } else {
-            LOGGER.atInfo().log("%s: server %s names no limit of requests any longer", key, serverName);
-        }
-    }
-
     /** A decision that was made at {@code decidedMillis} while its entry proxy was between two polls. */
     private record UncollectedDecision(SlotDecision decision, long decidedMillis) {}
 }
--- a/src/main/java/org/cassiabank/proxy/PlannedStop.java
+++ b/src/main/java/org/cassiabank/proxy/PlannedStop.java
@@ -19,23 +19,35 @@
     private static final long REPLY_MILLIS = 100;
 
     private final ResponseTimes responseTimes;
+    private final long longestMillis;
     private volatile long endMillis = Long.MAX_VALUE;
 
-    private PlannedStop(ResponseTimes responseTimes) {
+    private PlannedStop(ResponseTimes responseTimes, long longestMillis) {
         this.responseTimes = responseTimes;
+        this.longestMillis = longestMillis;
     }
 
-    static PlannedStop create(ResponseTimes responseTimes) {
-        return new PlannedStop(Objects.requireNonNull(responseTimes, "responseTimes"));
+    /**
+     * Creates the decisions for a daemon that is not being stopped yet.
+     *
+     * @param responseTimes estimates how long requests take
+     * @param longestMillis the longest time that a stop waits for requests in flight, in milliseconds
+     * @return the decisions
+     */
+    static PlannedStop create(ResponseTimes responseTimes, long longestMillis) {
+        return new PlannedStop(Objects.requireNonNull(responseTimes, "responseTimes"), longestMillis);
     }
 
     /**
      * Begins the stop.
      *
-     * @param newEndMillis when this daemon ends whatever is still in flight, in milliseconds on the monotonic clock
+     * @param nowMillis the time in milliseconds on the monotonic clock
+     * @return when this daemon ends whatever is still in flight, in milliseconds on that clock
      */
-    void begin(long newEndMillis) {
-        endMillis = newEndMillis;
+    long begin(long nowMillis) {
+        long end = nowMillis + longestMillis;
+        endMillis = end;
+        return end;
     }
 
     /**
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -69,20 +69,9 @@
     private final Kernel kernel;
     private final AdminEndpoint adminEndpoint;
     private final CallerServer callerServer;
-    private final PlannedStop plannedStop;
-    /** The longest time that a stop waits for requests in flight, in milliseconds. */
-    private final long longestDrainMillis;
 
-    private ProxyDaemon(
-            ProxySettings settings,
-            long longestDrainMillis,
-            Kernel kernel,
-            AdminEndpoint adminEndpoint,
-            CallerServer callerServer,
-            PlannedStop plannedStop) {
+    private ProxyDaemon(ProxySettings settings, Kernel kernel, AdminEndpoint adminEndpoint, CallerServer callerServer) {
         this.settings = settings;
-        this.longestDrainMillis = longestDrainMillis;
-        this.plannedStop = plannedStop;
         this.kernel = kernel;
         this.adminEndpoint = adminEndpoint;
         this.callerServer = callerServer;
@@ -117,27 +106,18 @@
         ClaimKeeper claimKeeper = ClaimKeeper.create(
                 self, fleet, peerTransport, proxyLists, settings.platform().claimsEnabled());
         ClaimClient claimClient = ClaimClient.create(peerTransport, claimKeeper, proxyLists);
-        HeaderConventions conventions =
-                adapter.map(PlatformAdapter::headerConventions).orElseGet(DefaultHeaderConventions::instance);
+        HeaderConventions conventions = headerConventions(adapter);
         BackendClient backendClient = newBackendClient(settings, conventions);
         ServerPathMonitor serverPath = ServerPathMonitor.create(fleet, backendClient, metrics);
         AttemptExecutor attemptExecutor =
                 AttemptExecutor.create(self, fleet, slotBroker, backendClient, serverPath, metrics, conventions);
         RequestForwarder forwarder = RequestForwarder.create(self, fleet, peerTransport, metrics);
-        PlannedStop plannedStop = PlannedStop.create(ResponseTimes.create());
+        PlannedStop plannedStop = createPlannedStop(adapter, settings);
+        boolean ownersLimitRetries = retryBudgetSettings.isPresent();
         RequestHandler requestHandler = RequestHandler.create(
-                fleet,
-                attemptExecutor,
-                plannedStop,
-                forwarder,
-                claimClient,
-                metrics,
-                conventions,
-                retryBudgetSettings.isPresent());
+                fleet, attemptExecutor, plannedStop, forwarder, claimClient, metrics, conventions, ownersLimitRetries);
         ForwardedRequests forwardedRequests = ForwardedRequests.create(requestHandler, serverPath::isCutOff);
-        FleetSource source = adapter.map(
-                        found -> createMetadataStoreSource(found, settings, self, replication, peerTransport))
-                .orElseGet(() -> createPlatformWatch(settings, fleet, replication, metrics));
+        FleetSource source = createFleetSource(adapter, settings, self, fleet, replication, peerTransport, metrics);
         CallerServer callerServer = CallerServer.create(settings.limits(), requestHandler, metrics);
         fleet.addListener((formerView, newView) ->
                 callerServer.applyDeclaredLimits(newView.configuration().connectionLimits()));
@@ -160,12 +140,22 @@
                 .register(ServiceNames.PEER_ENDPOINT, PeerEndpoint.create(settings, socketFactories))
                 .register(ServiceNames.FLEET_SOURCE, source)
                 .register(FLEET_SOURCE_SERVICE, fleetSourceService(source, FleetStateUpdater.create(fleet, metrics)))
+                .register(ServiceNames.PLANNED_STOP, plannedStop)
                 .register(ServiceNames.REQUEST_HANDLER, requestHandler)
                 .register(ServiceNames.ADMIN, adminEndpoint);
-        long longestDrainMillis = adapter.flatMap(found -> parseBounds(found::parseStopGraceMillis, settings))
+        return new ProxyDaemon(settings, kernel, adminEndpoint, callerServer);
+    }
+
+    /** The stop ends before the platform kills the process, or after the time of the settings if it states no time. */
+    private static PlannedStop createPlannedStop(Optional<PlatformAdapter> adapter, ProxySettings settings) {
+        long longestMillis = adapter.flatMap(found -> parseBounds(found::parseStopGraceMillis, settings))
                 .map(graceMillis -> Math.max(settings.drainMillis(), graceMillis - END_MILLIS))
                 .orElse(settings.longestDrainMillis());
-        return new ProxyDaemon(settings, longestDrainMillis, kernel, adminEndpoint, callerServer, plannedStop);
+        return PlannedStop.create(ResponseTimes.create(), longestMillis);
+    }
+
+    private static HeaderConventions headerConventions(Optional<PlatformAdapter> adapter) {
+        return adapter.map(PlatformAdapter::headerConventions).orElseGet(DefaultHeaderConventions::instance);
     }
 
     private static Instance selfInstance(ProxySettings settings) {
@@ -206,8 +196,8 @@
     @Override
     public void close() {
         LOGGER.atInfo().log("%s starts draining", settings.name());
-        long deadlineMillis = MonotonicClock.millis() + longestDrainMillis;
-        plannedStop.begin(deadlineMillis);
+        long startMillis = MonotonicClock.millis();
+        long deadlineMillis = kernel.get(ServiceNames.PLANNED_STOP).begin(startMillis);
         adminEndpoint.startDraining();
         callerServer.startDraining();
         ForwardedRequests forwardedRequests = kernel.get(ServiceNames.FORWARDED_REQUESTS);
@@ -221,7 +211,7 @@
         if (givenUpRequests > 0) {
             LOGGER.atWarning().log(
                     "%s ends with %d requests in flight after %d ms; their outcome is unknown",
-                    settings.name(), givenUpRequests, longestDrainMillis);
+                    settings.name(), givenUpRequests, deadlineMillis - startMillis);
             awaitUntil(() -> callerServer.requestsInFlight() == 0, deadlineMillis + LAST_REPLIES_MILLIS);
         }
         kernel.get(ServiceNames.CLAIM_KEEPER).handOverAll();
@@ -229,7 +219,7 @@
             // The platform is about to kill the process; an orderly stop of all services would take the remaining time.
             LOGGER.atWarning().log(
                     "%s stops with %d requests in flight after %d ms",
-                    settings.name(), callerServer.requestsInFlight(), longestDrainMillis);
+                    settings.name(), callerServer.requestsInFlight(), deadlineMillis - startMillis);
             return;
         }
         callerServer.close();
@@ -265,6 +255,18 @@
                 retryBudgetSettings);
     }
 
+    private static FleetSource createFleetSource(
+            Optional<PlatformAdapter> adapter,
+            ProxySettings settings,
+            Instance self,
+            FleetState fleet,
+            Replication replication,
+            PeerTransport peerTransport,
+            ProxyMetrics metrics) {
+        return adapter.map(found -> createMetadataStoreSource(found, settings, self, replication, peerTransport))
+                .orElseGet(() -> createPlatformWatch(settings, fleet, replication, metrics));
+    }
+
     private static FleetSource createMetadataStoreSource(
             PlatformAdapter adapter,
             ProxySettings settings,
--- a/src/main/java/org/cassiabank/proxy/RequestRun.java
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -64,7 +64,7 @@
     private final RequestTrace trace;
     private final RequestDigest digest;
     private final Set<String> excludedServers = new HashSet<>();
-    /** The servers that the latest request for a slot left out because this entry proxy recently failed to reach them. */
+    /** The servers that the latest request for a slot left out because this entry proxy could not reach them lately. */
     private int avoidedServerCount;
     /** Attempts of the peer that passed the request on are included. */
     private int attemptCount;
--- a/src/main/java/org/cassiabank/proxy/ServerHealthLog.java
+++ b/src/main/java/org/cassiabank/proxy/ServerHealthLog.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.cassiabank.health.AttemptOutcome;
@@ -12,7 +13,7 @@
 
 /**
  * Logs and counts the changes of the health of a shard's servers, each with the latest attempt that counted against the
- * server. Instances are not thread-safe.
+ * server, and what the servers say about themselves. Instances are not thread-safe.
  */
 final class ServerHealthLog {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -36,6 +37,15 @@
         latestFailureByServer.put(serverName, outcome + " at " + entryProxy);
     }
 
+    /** Logs the requests a second that a server accepts, empty if it names no limit any longer. */
+    void reportRateLimit(String serverName, OptionalDouble limit) {
+        if (limit.isPresent()) {
+            LOGGER.atInfo().log("%s: server %s accepts %s requests a second", key, serverName, limit.getAsDouble());
+        } else {
+            LOGGER.atInfo().log("%s: server %s names no limit of requests any longer", key, serverName);
+        }
+    }
+
     /** Logs that broken connections do not count against their servers. */
     void recordSimultaneousBreaks(Set<String> servers) {
         LOGGER.atInfo().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
--- a/src/main/java/org/cassiabank/proxy/ServiceNames.java
+++ b/src/main/java/org/cassiabank/proxy/ServiceNames.java
@@ -22,6 +22,7 @@
     static final ServiceName<ServerPathMonitor> SERVER_PATH = ServiceName.of("server-path", ServerPathMonitor.class);
     static final ServiceName<ForwardedRequests> FORWARDED_REQUESTS =
             ServiceName.of("forwarded-requests", ForwardedRequests.class);
+    static final ServiceName<PlannedStop> PLANNED_STOP = ServiceName.of("planned-stop", PlannedStop.class);
     static final ServiceName<ClaimKeeper> CLAIM_KEEPER = ServiceName.of("claim-keeper", ClaimKeeper.class);
     static final ServiceName<ClaimClient> CLAIM_CLIENT = ServiceName.of("claim-client", ClaimClient.class);
     static final ServiceName<PeerEndpoint> PEER_ENDPOINT = ServiceName.of("peer-endpoint", PeerEndpoint.class);
--- a/src/main/java/org/cassiabank/proxy/ShardLoadLog.java
+++ b/src/main/java/org/cassiabank/proxy/ShardLoadLog.java
@@ -52,8 +52,8 @@
             return;
         }
         LOGGER.atInfo().log(
-                "%s: servers=%d healthy=%d full=%d ejected=%d probation=%d leaving=%d leased=%d usable-slots=%d queued=%d "
-                        + "refused=%d expired-leases=%d",
+                "%s: servers=%d healthy=%d full=%d ejected=%d probation=%d leaving=%d leased=%d "
+                        + "usable-slots=%d queued=%d refused=%d expired-leases=%d",
                 key,
                 health.size(),
                 healthy,
