Show that two responses of a server are delivered as one

A first response breaks off at any byte, a second one follows on the same connection: at once, later, or as the response to the next request.

--- /dev/null
+++ b/src/test/java/org/cassiabank/backend/JoinedResponseTest.java
@@ -0,0 +1,238 @@
+package org.cassiabank.backend;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Guards against the delivery of two responses as one: the first breaks off at any byte, and a second one follows on the
+ * same connection.
+ */
+class JoinedResponseTest {
+    private static final String ID = "id-1";
+    private static final long LONG_IDLE_MILLIS = 60_000;
+    private static final long TIMEOUT_MILLIS = 400;
+
+    /** How the end of a body is marked. */
+    enum Framing {
+        LENGTH,
+        CHUNKS,
+        END_OF_CONNECTION
+    }
+
+    /** A response; the body does not end with bytes that could begin a head. */
+    record ServerResponse(int status, String signature, Framing framing, String body) {
+        static ServerResponse of(int status, Framing framing) {
+            return new ServerResponse(
+                    status, "seal-of-" + status, framing, ("the body of " + status + "\r\n").repeat(8) + "}");
+        }
+
+        String head(String requestId) {
+            return "HTTP/1.1 " + status + " Reason of " + status + "\r\nDate: Sat, 05 Dec 2026 11:29:40 GMT\r\n"
+                    + "Cassiabank-Request-Id: " + requestId + "\r\nSigned: " + signature + "\r\n"
+                    + switch (framing) {
+                        case LENGTH -> "Content-Length: " + body.length() + "\r\n\r\n";
+                        case CHUNKS -> "Transfer-Encoding: chunked\r\n\r\n";
+                        case END_OF_CONNECTION -> "\r\n";
+                    };
+        }
+
+        String bytes(String requestId) {
+            return head(requestId)
+                    + switch (framing) {
+                        case LENGTH, END_OF_CONNECTION -> body;
+                        case CHUNKS -> chunk(body.substring(0, 20)) + chunk(body.substring(20)) + "0\r\n\r\n";
+                    };
+        }
+
+        private static String chunk(String data) {
+            return Integer.toHexString(data.length()) + "\r\n" + data + "\r\n";
+        }
+
+        boolean isDeliveredAs(ResponseReceived response) {
+            return response.status() == status
+                    && List.of(signature).equals(response.headers().get("Signed"))
+                    && new String(response.body(), StandardCharsets.ISO_8859_1).equals(body);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "200,LENGTH,500", "200,CHUNKS,500", "200,END_OF_CONNECTION,500", "200,LENGTH,200", "200,CHUNKS,200",
+        "200,END_OF_CONNECTION,200", "500,LENGTH,200", "500,CHUNKS,200", "500,END_OF_CONNECTION,200", "503,LENGTH,200"
+    })
+    void aResponseThatBreaksOffIsNotCompletedByAnotherResponse(int status, Framing framing, int nextStatus)
+            throws Exception {
+        ServerResponse first = ServerResponse.of(status, framing);
+        for (Framing nextFraming : Framing.values()) {
+            ServerResponse second = ServerResponse.of(nextStatus, nextFraming);
+            assertDeliversOneOf(first, second, "GET");
+        }
+        assertDeliversOneOf(first, ServerResponse.of(nextStatus, Framing.LENGTH), "POST");
+    }
+
+    private static void assertDeliversOneOf(ServerResponse first, ServerResponse second, String method)
+            throws Exception {
+        String firstBytes = first.bytes(ID);
+        List<String> joined = new ArrayList<>();
+        for (int length = 0; length <= firstBytes.length(); length++) {
+            String bytes = firstBytes.substring(0, length) + second.bytes(ID);
+            BackendResult result = sendOnce(method, (request, socket) -> {
+                ScriptedServer.write(socket, bytes);
+                socket.shutdownOutput();
+            });
+            if (result instanceof ResponseReceived response
+                    && !first.isDeliveredAs(response)
+                    && !second.isDeliveredAs(response)) {
+                joined.add(length + " bytes of the first: " + response.status() + " " + response.headers());
+            }
+            assertThat(result.attemptResult().provesNotRun()).isFalse();
+        }
+        assertThat(joined).as("%s, %s after %s", method, second, first).isEmpty();
+    }
+
+    @ParameterizedTest
+    @EnumSource(Framing.class)
+    void aResponseThatBreaksOffIsNotCompletedByOneThatFollowsLater(Framing framing) throws Exception {
+        ServerResponse first = ServerResponse.of(200, framing);
+        ServerResponse second = ServerResponse.of(500, Framing.LENGTH);
+        String firstBytes = first.bytes(ID);
+        for (int length = 10; length < firstBytes.length(); length += 17) {
+            String part = firstBytes.substring(0, length);
+            BackendResult result = sendOnce("GET", (request, socket) -> {
+                ScriptedServer.write(socket, part);
+                TimeUnit.MILLISECONDS.sleep(20);
+                ScriptedServer.write(socket, second.bytes(ID));
+                socket.shutdownOutput();
+            });
+            if (result instanceof ResponseReceived response) {
+                assertThat(first.isDeliveredAs(response))
+                        .as("%d bytes of the first, delivered as %s", length, response.headers())
+                        .isTrue();
+            }
+        }
+    }
+
+    @Test
+    void aResponseThatIsWrittenIntoAnotherIsNotDelivered() throws Exception {
+        ServerResponse outer = ServerResponse.of(200, Framing.LENGTH);
+        ServerResponse inner = ServerResponse.of(500, Framing.LENGTH);
+        String outerBytes = outer.bytes(ID);
+        List<Integer> joined = new ArrayList<>();
+        for (int position = 1; position < outerBytes.length(); position++) {
+            String bytes =
+                    outerBytes.substring(0, position) + inner.bytes("id-before") + outerBytes.substring(position);
+            BackendResult result = sendOnce("GET", (request, socket) -> ScriptedServer.write(socket, bytes));
+            if (result instanceof ResponseReceived response && !outer.isDeliveredAs(response)) {
+                joined.add(position);
+            }
+        }
+        assertThat(joined).as("positions of the inner response").isEmpty();
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void theBeginningOfALateCopyIsNotReadAsTheBeginningOfTheNextResponse(boolean copyIsWrittenAtOnce) throws Exception {
+        ServerResponse first = ServerResponse.of(200, Framing.LENGTH);
+        ServerResponse second = ServerResponse.of(500, Framing.LENGTH);
+        String copy = first.bytes("id-before");
+        List<Integer> joined = new ArrayList<>();
+        int unanswered = 0;
+        for (int length = 1; length < first.head("id-before").length(); length++) {
+            String part = copy.substring(0, length);
+            try (BackendClient client = newClient();
+                    ScriptedServer server = new ScriptedServer((request, socket) -> {
+                        if (request.header("Cassiabank-Request-Id").equals("id-before")) {
+                            ScriptedServer.write(socket, copyIsWrittenAtOnce ? copy + part : copy);
+                        } else if (copyIsWrittenAtOnce || request.connectionNumber() > 1) {
+                            ScriptedServer.write(socket, second.bytes(ID));
+                        } else {
+                            ScriptedServer.write(socket, part + second.bytes(ID));
+                        }
+                    })) {
+                assertThat(client.send(request(server, "GET", "id-before"))).isInstanceOf(ResponseReceived.class);
+                BackendResult result = client.send(request(server, "GET", ID));
+                if (!(result instanceof ResponseReceived response)) {
+                    unanswered++;
+                } else if (!second.isDeliveredAs(response)) {
+                    joined.add(length);
+                }
+            }
+        }
+        assertThat(joined).as("bytes of the copy").isEmpty();
+        if (copyIsWrittenAtOnce) {
+            assertThat(unanswered)
+                    .as("requests sent on a connection on which bytes were waiting")
+                    .isZero();
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"GET", "POST"})
+    void aWholeResponseIsDeliveredThoughAnotherFollows(String method) throws Exception {
+        for (Framing framing : List.of(Framing.LENGTH, Framing.CHUNKS)) {
+            ServerResponse first = ServerResponse.of(200, framing);
+            String bytes =
+                    first.bytes(ID) + ServerResponse.of(500, Framing.LENGTH).bytes(ID);
+            BackendResult result = sendOnce(method, (request, socket) -> ScriptedServer.write(socket, bytes));
+            assertThat(result).isInstanceOf(ResponseReceived.class);
+            assertThat(first.isDeliveredAs((ResponseReceived) result)).isTrue();
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "The status line HTTP/1.1 500 Error stands for a failure.",
+                "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n",
+                "ends with H",
+                "ends with HTTP/1.1 20",
+                "ends with HTTP/1.1 200 OK"
+            })
+    void aBodyThatTellsOfAnotherResponseIsDelivered(String body) throws Exception {
+        for (Framing framing : Framing.values()) {
+            ServerResponse only = new ServerResponse(200, "seal", framing, body + " ".repeat(30));
+            ServerResponse unpadded = new ServerResponse(200, "seal", Framing.LENGTH, body);
+            for (ServerResponse response : List.of(only, unpadded)) {
+                BackendResult result = sendOnce("GET", (request, socket) -> {
+                    ScriptedServer.write(socket, response.bytes(ID));
+                    if (response.framing() == Framing.END_OF_CONNECTION) {
+                        socket.shutdownOutput();
+                    }
+                });
+                assertThat(result).isInstanceOf(ResponseReceived.class);
+                assertThat(response.isDeliveredAs((ResponseReceived) result)).isTrue();
+            }
+        }
+    }
+
+    private static BackendResult sendOnce(String method, ScriptedServer.Script script) throws IOException {
+        try (BackendClient client = newClient();
+                ScriptedServer server = new ScriptedServer(script)) {
+            return client.send(request(server, method, ID));
+        }
+    }
+
+    private static BackendClient newClient() {
+        return BackendClient.create(
+                new BackendClientSettings(300, 10_000, 4, LONG_IDLE_MILLIS, LONG_IDLE_MILLIS),
+                new PlatformLikeHeaderConventions(),
+                ResponseMemory.ofHeap());
+    }
+
+    private static BackendRequest request(ScriptedServer server, String method, String requestId) {
+        return BackendRequest.forAddress(
+                server.address(), method, "/", Map.of(), new byte[0], requestId, method.equals("GET"), TIMEOUT_MILLIS);
+    }
+}
