Never deliver two responses of a server as one

Cause: the end of a response was where its head or the HTTP client said, and nothing held the bytes of the connection against that. A response that breaks off inside its reason phrase or a field value takes the status line of the next response as the rest of that line; one that breaks off in its body is filled up with the next response. OkHttp reads up to 8 KiB ahead, so the beginning of a second response could also wait unseen in its buffer and become the beginning of the response to the next request on the connection: only the socket was asked for unread bytes, not that buffer.

Change: ResponseInputStream hands out a connection response by response, so what follows a response is known when it is complete; then the connection is closed and never carries another request. ResponseHeads refuses a status line in the reason phrase or in a value, and fields that stand twice. ResponseBoundary refuses a body in which another response begins, or behind which bytes follow that begin no response. A whole response that is followed by another one is delivered as before. The log tells what followed which response, and the number of the request on its connection.

Two equal lengths in a head are refused too.

--- a/src/main/java/org/cassiabank/backend/AttemptTrace.java
+++ b/src/main/java/org/cassiabank/backend/AttemptTrace.java
@@ -1,5 +1,6 @@
 package org.cassiabank.backend;
 
+import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Proxy;
@@ -21,6 +22,8 @@
  * written. If the writes of a connection cannot be counted, bytes count as written from {@code requestHeadersStart} on.
  */
 final class AttemptTrace extends EventListener implements Interceptor {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
     private final long maximumIdleNanos;
     private final String requestId;
     private volatile boolean connectionOpened;
@@ -31,6 +34,7 @@
     private volatile long writesAtAcquisition;
     private volatile Headers responseHeaders;
     private volatile ResponseMeter responseMeter;
+    private volatile byte[] bytesBehind = {};
 
     private AttemptTrace(long maximumIdleNanos, String requestId) {
         this.maximumIdleNanos = maximumIdleNanos;
@@ -78,6 +82,17 @@
         return responseHeaders;
     }
 
+    /** Returns the bytes that had arrived behind the response when it was complete, none before. */
+    byte[] bytesBehind() {
+        return bytesBehind;
+    }
+
+    /** Returns the number of requests that were sent on the connection of this attempt, 0 if there is none. */
+    int requestsOnConnection() {
+        MeteredSocket currentSocket = countingSocket;
+        return currentSocket == null ? 0 : currentSocket.requestCount();
+    }
+
     /** Tells whether this attempt has opened a connection, rather than using a pooled one or failing to open one. */
     boolean hasOpenedConnection() {
         return connectionOpened;
@@ -105,7 +120,24 @@
     @Override
     public void connectionReleased(Call call, Connection connection) {
         if (connection.socket() instanceof MeteredSocket releasedSocket) {
-            releasedSocket.setResponseMeter(null);
+            releasedSocket.removeResponseMeter(responseMeter);
+        }
+    }
+
+    /** Takes the connection out of use if anything follows the response; it is not yet idle when this is called. */
+    @Override
+    public void responseBodyEnd(Call call, long byteCount) {
+        MeteredSocket currentSocket = countingSocket;
+        if (currentSocket == null) {
+            return;
+        }
+        try {
+            bytesBehind = currentSocket.getInputStream().endResponse();
+            if (bytesBehind.length > 0) {
+                currentSocket.close();
+            }
+        } catch (IOException exception) {
+            LOGGER.atFine().withCause(exception).log("a connection ended together with its response");
         }
     }
 
@@ -130,9 +162,24 @@
         }
         Response response = chain.proceed(builder.build());
         responseHeaders = response.headers();
+        beginBody(response);
         return response.newBuilder().removeHeader("Retry-After").build();
     }
 
+    private void beginBody(Response response) throws IOException {
+        MeteredSocket currentSocket = countingSocket;
+        long length = response.body().contentLength();
+        // A response without a body has already ended.
+        if (currentSocket == null || length == 0) {
+            return;
+        }
+        if (length > 0) {
+            currentSocket.getInputStream().beginBody(length);
+        } else if (!"chunked".equalsIgnoreCase(response.header("Transfer-Encoding"))) {
+            currentSocket.getInputStream().beginBodyUntilEndOfConnection();
+        }
+    }
+
     /** Checks the connection before anything is written; a new one always passes. */
     private void requireUsableConnection() throws IOException {
         MeteredSocket acquiredSocket = countingSocket;
@@ -148,6 +195,7 @@
         if (acquiredSocket.hasEndedWhileIdle()) {
             throw UnusableConnectionException.of("the server or the network has ended the idle connection");
         }
+        acquiredSocket.getInputStream().beginResponse();
         if (!acquiredSocket.recordRequest(requestId)) {
             // A late copy of the first response could not be told from the response to this attempt.
             throw UnusableConnectionException.of("a request with the same identifier was sent on the connection");
--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -3,7 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.io.InterruptedIOException;
-import java.util.HashSet;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -181,10 +181,38 @@
             meter.recordBody(readBytes);
             readBytes = source.read(body, READ_BYTES);
         }
-        return body.size() > maximumResponseBytes
-                ? new NoValidResponse(
-                        NoValidResponseReason.RESPONSE_TOO_LARGE, "more than " + maximumResponseBytes + " bytes")
-                : toResult(response.code(), body.readByteArray());
+        if (body.size() > maximumResponseBytes) {
+            return new NoValidResponse(
+                    NoValidResponseReason.RESPONSE_TOO_LARGE, "more than " + maximumResponseBytes + " bytes");
+        }
+        byte[] bodyBytes = body.readByteArray();
+        return findForeignBytes(response.code(), bodyBytes)
+                .<BackendResult>map(detail -> new NoValidResponse(NoValidResponseReason.TRUNCATED_RESPONSE, detail))
+                .orElseGet(() -> toResult(response.code(), bodyBytes));
+    }
+
+    /** Returns why a body may hold bytes that do not belong to it; logs bytes behind a body that counts as whole. */
+    private Optional<String> findForeignBytes(int status, byte[] body) {
+        byte[] bytesBehind = trace.bytesBehind();
+        Optional<String> defect = ResponseBoundary.findDefect(body, bytesBehind, conventions.requestIdHeader());
+        if (defect.isEmpty() && !ResponseBoundary.mayBeginResponse(bytesBehind)) {
+            defect = Optional.of(bytesBehind.length + " bytes follow the body that begin no response");
+        }
+        if (bytesBehind.length > 0) {
+            LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
+                    "server %s at %s sent %d bytes behind its response with status %d and %d bytes to request %s, "
+                            + "number %d on its connection: [%s]; %s",
+                    request.server(),
+                    request.address(),
+                    bytesBehind.length,
+                    status,
+                    body.length,
+                    request.requestId(),
+                    trace.requestsOnConnection(),
+                    ResponseHeads.printable(new String(bytesBehind, StandardCharsets.ISO_8859_1)),
+                    defect.orElse("the response is delivered"));
+        }
+        return defect;
     }
 
     private Optional<BackendResult> findInvalidHead(Response response) {
@@ -196,7 +224,7 @@
         }
         int status = response.code();
         boolean hasBody = status != 204 && status != 304 && !request.method().equals("HEAD");
-        Optional<String> defect = ResponseHeads.findDefect(status, headers, hasBody);
+        Optional<String> defect = ResponseHeads.findDefect(status, response.message(), headers, conventions, hasBody);
         if (defect.isPresent()) {
             LOGGER.atInfo().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
                     "server %s at %s sent a malformed head in response to request %s: %s",
@@ -212,7 +240,7 @@
         }
         boolean chunked = headers.get("Transfer-Encoding") != null;
         List<String> contentLengths = headers.values("Content-Length");
-        boolean lengthDeclared = response.body().contentLength() >= 0 && new HashSet<>(contentLengths).size() == 1;
+        boolean lengthDeclared = response.body().contentLength() >= 0 && contentLengths.size() == 1;
         boolean closeDelimited = conventions.allowsCloseDelimitedResponses() && contentLengths.isEmpty();
         return chunked || lengthDeclared || closeDelimited
                 ? Optional.empty()
--- a/src/main/java/org/cassiabank/backend/MeteredSocket.java
+++ b/src/main/java/org/cassiabank/backend/MeteredSocket.java
@@ -11,7 +11,9 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 
 /**
  * A socket that counts the write operations that have started, and reports the bytes that it reads to the meter of the
@@ -32,7 +34,9 @@
     private final Set<String> requestIds = new LinkedHashSet<>();
 
     private final AtomicLong startedWrites = new AtomicLong();
-    private volatile ResponseMeter responseMeter;
+    private final AtomicReference<ResponseMeter> responseMeter = new AtomicReference<>();
+    private final AtomicInteger requestCount = new AtomicInteger();
+    private volatile ResponseInputStream responseInput;
     private volatile boolean hasResponded;
     /** The {@link System#nanoTime()} at which the last valid response was complete, if there was one. */
     private volatile long lastResponseNanos;
@@ -45,10 +49,19 @@
     /**
      * Sets the meter for the bytes that are read from now on.
      *
-     * @param newMeter the meter of the attempt that uses the connection, null while no attempt does
+     * @param newMeter the meter of the attempt that uses the connection
      */
     void setResponseMeter(ResponseMeter newMeter) {
-        responseMeter = newMeter;
+        responseMeter.set(newMeter);
+    }
+
+    /**
+     * Removes the meter of an attempt that no longer uses the connection, unless another attempt already does.
+     *
+     * @param formerMeter the meter of the attempt
+     */
+    void removeResponseMeter(ResponseMeter formerMeter) {
+        responseMeter.compareAndSet(formerMeter, null);
     }
 
     /** Records that a valid response is complete. */
@@ -78,6 +91,7 @@
             if (!requestIds.add(requestId)) {
                 return false;
             }
+            requestCount.incrementAndGet();
             if (requestIds.size() > REMEMBERED_REQUESTS) {
                 requestIds.remove(requestIds.iterator().next());
             }
@@ -85,6 +99,11 @@
         }
     }
 
+    /** Returns the number of requests that were sent on the connection, including the current one. */
+    int requestCount() {
+        return requestCount.get();
+    }
+
     /**
      * Tells whether the connection has ended while it was idle, or bytes have arrived on it that no request has asked
      * for. Only a read shows an end; it waits for a millisecond, so a connection that was in use a moment ago is not
@@ -113,11 +132,18 @@
 
     /** Tells whether bytes have arrived that no request has asked for, such as a second copy of a response. */
     boolean hasUnreadBytes() throws IOException {
-        return super.getInputStream().available() > 0;
+        return getInputStream().available() > 0;
     }
 
     @Override
-    public InputStream getInputStream() throws IOException {
+    public ResponseInputStream getInputStream() throws IOException {
+        if (responseInput == null) {
+            responseInput = ResponseInputStream.of(newMeteredInput());
+        }
+        return responseInput;
+    }
+
+    private InputStream newMeteredInput() throws IOException {
         return new FilterInputStream(super.getInputStream()) {
             @Override
             public int read() throws IOException {
@@ -153,7 +179,7 @@
     }
 
     private void recordRead(int readBytes) throws ResponseTooLargeException {
-        ResponseMeter meter = responseMeter;
+        ResponseMeter meter = responseMeter.get();
         if (meter != null && readBytes > 0) {
             meter.recordRead(readBytes);
         }
--- a/src/main/java/org/cassiabank/backend/ResponseHeads.java
+++ b/src/main/java/org/cassiabank/backend/ResponseHeads.java
@@ -2,7 +2,9 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 import okhttp3.Headers;
 
 /**
@@ -10,7 +12,8 @@
  *
  * <p>OkHttp accepts more than HTTP/1.1 permits: control bytes in values, names that are not tokens, lines without a
  * colon, folded lines and any three characters that form a number as the status. Such a head stands for a server that
- * spoils its responses.
+ * spoils its responses. It also reads two heads as one if the first breaks off inside a line: the status is that of the
+ * first, and the status line of the second becomes the rest of the line.
  */
 final class ResponseHeads {
     private static final int LOWEST_FINAL_STATUS = 200;
@@ -23,20 +26,32 @@
     /** A length of this many digits always fits a long. */
     private static final int MAXIMUM_LENGTH_DIGITS = 18;
 
+    /** The fields that a response holds once; two of them come from two responses. */
+    private static final Set<String> SINGLE_FIELDS =
+            Set.of("content-range", "content-type", "date", "etag", "last-modified", "location", "retry-after");
+
     private ResponseHeads() {}
 
     /**
      * Looks for a part of a head that cannot be passed on.
      *
      * @param status the status, which is valid if it is final: neither interim nor beyond 599
+     * @param reasonPhrase the text behind the status, empty if there is none
      * @param headers the headers as OkHttp has read them
+     * @param conventions name the headers that each response of a server holds
      * @param hasBody whether the response has a body, whose end the declared length decides
      * @return what is wrong, or empty if the head can be passed on
      */
-    static Optional<String> findDefect(int status, Headers headers, boolean hasBody) {
+    static Optional<String> findDefect(
+            int status, String reasonPhrase, Headers headers, HeaderConventions conventions, boolean hasBody) {
         if (status < LOWEST_FINAL_STATUS || status > HIGHEST_STATUS) {
             return Optional.of("status " + status + " is not a final status");
         }
+        if (containsStatusLine(reasonPhrase)) {
+            return Optional.of(
+                    "status " + status + " is followed by the status line [" + printable(reasonPhrase) + "]");
+        }
+        Set<String> singleFields = new HashSet<>();
         for (int index = 0; index < headers.size(); index++) {
             String name = headers.name(index);
             if (!isToken(name)) {
@@ -46,6 +61,13 @@
                 return Optional.of("value of header " + name + " has a byte that is not permitted: ["
                         + printable(headers.value(index)) + "]");
             }
+            if (containsStatusLine(headers.value(index))) {
+                return Optional.of("value of header " + name + " ends in the status line of another response: ["
+                        + printable(headers.value(index)) + "]");
+            }
+            if (isSingleField(name, conventions) && !singleFields.add(name.toLowerCase(Locale.ROOT))) {
+                return Optional.of("header " + name + " stands twice");
+            }
         }
         List<String> transferEncodings = headers.values("Transfer-Encoding");
         if (!transferEncodings.isEmpty()
@@ -54,11 +76,23 @@
             return Optional.of("transfer encoding " + transferEncodings + " is not supported");
         }
         List<String> lengths = headers.values("Content-Length");
-        boolean validLength =
-                new HashSet<>(lengths).size() <= 1 && lengths.stream().allMatch(ResponseHeads::isLength);
+        boolean validLength = lengths.size() <= 1 && lengths.stream().allMatch(ResponseHeads::isLength);
         return hasBody || validLength ? Optional.empty() : Optional.of("content lengths " + lengths);
     }
 
+    private static boolean containsStatusLine(String text) {
+        return ResponseBoundary.STATUS_LINE.matcher(text).find();
+    }
+
+    private static boolean isSingleField(String name, HeaderConventions conventions) {
+        return SINGLE_FIELDS.contains(name.toLowerCase(Locale.ROOT))
+                || name.equalsIgnoreCase(conventions.requestIdHeader())
+                || conventions
+                        .responseSignatureHeader()
+                        .filter(name::equalsIgnoreCase)
+                        .isPresent();
+    }
+
     private static boolean isToken(String name) {
         return !name.isEmpty()
                 && name.chars()
@@ -86,7 +120,7 @@
     }
 
     /** Replaces characters that would break a log line. */
-    private static String printable(String text) {
+    static String printable(String text) {
         StringBuilder printable = new StringBuilder();
         text.chars().limit(100).forEach(character -> {
             if (character >= ' ' && character < DELETE) {
--- /dev/null
+++ b/src/main/java/org/cassiabank/backend/ResponseInputStream.java
@@ -0,0 +1,169 @@
+package org.cassiabank.backend;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.Arrays;
+import java.util.Objects;
+
+/**
+ * Hands out the bytes of a connection response by response, so that the bytes behind the end of a response stay here.
+ *
+ * <p>OkHttp reads ahead into a buffer that nobody else can see; there the beginning of a second response would become
+ * the beginning of the response to the next request. It reads a head, a chunk size and a trailer line by line, so it is
+ * handed one line at a time, and a body of a declared length only up to that length.
+ *
+ * <p>Confined to the thread that uses the connection.
+ */
+final class ResponseInputStream extends InputStream {
+    private static final int BUFFER_BYTES = 8_192;
+    private static final byte[] EMPTY = {};
+
+    /** What the bytes that are read next belong to. */
+    private enum Part {
+        /** No response is expected: the next byte ends the use of the connection. */
+        NONE,
+        /** A head or a chunked body. */
+        LINES,
+        BODY_OF_DECLARED_LENGTH,
+        BODY_UNTIL_END_OF_CONNECTION
+    }
+
+    private final InputStream input;
+    private Part part = Part.NONE;
+    /** The rest of a body of declared length. */
+    private long remainingBytes;
+    /** Holds bytes from {@link #position} to {@link #limit}; allocated while there are any. */
+    private byte[] buffer = EMPTY;
+
+    private int position;
+    private int limit;
+
+    private ResponseInputStream(InputStream input) {
+        this.input = input;
+    }
+
+    /**
+     * Creates the stream of a connection on which no response is expected yet.
+     *
+     * @param input the bytes of the connection
+     * @return the stream
+     */
+    static ResponseInputStream of(InputStream input) {
+        return new ResponseInputStream(Objects.requireNonNull(input, "input"));
+    }
+
+    /** Expects the head of a response, and a chunked body if nothing else is announced. */
+    void beginResponse() {
+        part = Part.LINES;
+    }
+
+    /**
+     * Expects a body of a declared length.
+     *
+     * @param bytes the length in bytes, positive
+     */
+    void beginBody(long bytes) {
+        part = Part.BODY_OF_DECLARED_LENGTH;
+        remainingBytes = bytes;
+    }
+
+    /** Expects a body that ends with the connection. */
+    void beginBodyUntilEndOfConnection() {
+        part = Part.BODY_UNTIL_END_OF_CONNECTION;
+    }
+
+    /**
+     * Records that the response is complete.
+     *
+     * @return the bytes that have arrived behind its end, at most {@value #BUFFER_BYTES}
+     * @throws IOException if the connection cannot be read
+     */
+    byte[] endResponse() throws IOException {
+        part = Part.NONE;
+        remainingBytes = 0;
+        if (position == limit && input.available() > 0) {
+            fill();
+        }
+        byte[] bytesBehind = Arrays.copyOfRange(buffer, position, limit);
+        if (bytesBehind.length == 0) {
+            buffer = EMPTY;
+            position = 0;
+            limit = 0;
+        }
+        return bytesBehind;
+    }
+
+    /** Returns the number of bytes that have arrived and were not handed out, as far as that is known. */
+    @Override
+    public int available() throws IOException {
+        return limit - position + input.available();
+    }
+
+    @Override
+    public int read() throws IOException {
+        byte[] single = new byte[1];
+        return read(single, 0, 1) < 0 ? -1 : single[0] & 0xff;
+    }
+
+    @Override
+    public int read(byte[] bytes, int offset, int length) throws IOException {
+        Objects.checkFromIndexSize(offset, length, bytes.length);
+        if (length == 0) {
+            return 0;
+        }
+        return switch (part) {
+            case NONE -> {
+                // Blocks like any read; bytes that arrive here cannot belong to a response.
+                if (position == limit) {
+                    fill();
+                }
+                yield -1;
+            }
+            case LINES -> {
+                if (position == limit && fill() < 0) {
+                    yield -1;
+                }
+                yield takeBuffered(bytes, offset, Math.min(length, lengthOfLine()));
+            }
+            case BODY_OF_DECLARED_LENGTH -> readBody(bytes, offset, (int) Math.min(length, remainingBytes));
+            case BODY_UNTIL_END_OF_CONNECTION -> readBody(bytes, offset, length);
+        };
+    }
+
+    private int readBody(byte[] bytes, int offset, int length) throws IOException {
+        if (length == 0) {
+            return -1;
+        }
+        int readBytes = position < limit ? takeBuffered(bytes, offset, length) : input.read(bytes, offset, length);
+        remainingBytes -= Math.max(0, readBytes);
+        return readBytes;
+    }
+
+    private int takeBuffered(byte[] bytes, int offset, int length) {
+        int taken = Math.min(length, limit - position);
+        System.arraycopy(buffer, position, bytes, offset, taken);
+        position += taken;
+        return taken;
+    }
+
+    /** Returns the number of buffered bytes up to the end of the first line, or of all if no line ends. */
+    private int lengthOfLine() {
+        for (int index = position; index < limit; index++) {
+            if (buffer[index] == '\n') {
+                return index + 1 - position;
+            }
+        }
+        return limit - position;
+    }
+
+    /** Reads into the empty buffer and returns the number of bytes, -1 at the end of the connection. */
+    private int fill() throws IOException {
+        if (buffer.length == 0) {
+            buffer = new byte[BUFFER_BYTES];
+        }
+        int readBytes = input.read(buffer, 0, buffer.length);
+        position = 0;
+        limit = Math.max(0, readBytes);
+        return readBytes;
+    }
+}
