Tell in the request's log line what an invalid response held, and count bytes behind responses

The users' record of false successes names servers and results, not what the server sent: the steps say cut-answer where a second response begins after 40 of 120 bytes. The step of an attempt without a valid response quotes its observation now, shortened to one printable line, because the server chose its bytes: NoValidResponseTest. A counter tells how often bytes followed a response.

--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -156,6 +156,15 @@
         return trace.hasOpenedConnection();
     }
 
+    /**
+     * Tells whether bytes had arrived behind the response when it was complete. They belong to no request.
+     *
+     * @return false also if there is no complete response
+     */
+    public boolean hasBytesBehindResponse() {
+        return trace.bytesBehind().length > 0;
+    }
+
     /**
      * Cancels the attempt and closes its connection, so that the server can stop its work. May be called from any
      * thread at any time; has no effect once the attempt has ended.
@@ -209,7 +218,7 @@
                     body.length,
                     request.requestId(),
                     trace.requestsOnConnection(),
-                    ResponseHeads.printable(new String(bytesBehind, StandardCharsets.ISO_8859_1)),
+                    PrintableText.abbreviate(new String(bytesBehind, StandardCharsets.ISO_8859_1)),
                     defect.orElse("the response is delivered"));
         }
         return defect;
--- a/src/main/java/org/cassiabank/backend/NoValidResponse.java
+++ b/src/main/java/org/cassiabank/backend/NoValidResponse.java
@@ -8,18 +8,19 @@
  * Bytes were written and no valid response was received: the request may have run.
  *
  * @param reason why there is no valid response
- * @param detail the observation behind the reason, as text for diagnosis
+ * @param detail the observation behind the reason, as text for diagnosis; it may quote the server and is shortened to
+ *     one printable line
  */
 public record NoValidResponse(NoValidResponseReason reason, String detail) implements BackendResult {
 
     /**
-     * Creates a result.
+     * Creates a result and shortens the detail.
      *
      * @throws NullPointerException if a component is null
      */
     public NoValidResponse {
         Objects.requireNonNull(reason, "reason");
-        Objects.requireNonNull(detail, "detail");
+        detail = PrintableText.abbreviate(Objects.requireNonNull(detail, "detail"));
     }
 
     @Override
--- a/src/main/java/org/cassiabank/backend/ResponseHeads.java
+++ b/src/main/java/org/cassiabank/backend/ResponseHeads.java
@@ -48,22 +48,22 @@
             return Optional.of("status " + status + " is not a final status");
         }
         if (containsStatusLine(reasonPhrase)) {
-            return Optional.of(
-                    "status " + status + " is followed by the status line [" + printable(reasonPhrase) + "]");
+            return Optional.of("status " + status + " is followed by the status line ["
+                    + PrintableText.abbreviate(reasonPhrase) + "]");
         }
         Set<String> singleFields = new HashSet<>();
         for (int index = 0; index < headers.size(); index++) {
             String name = headers.name(index);
             if (!isToken(name)) {
-                return Optional.of("header name [" + printable(name) + "] is not a token");
+                return Optional.of("header name [" + PrintableText.abbreviate(name) + "] is not a token");
             }
             if (!isFieldValue(headers.value(index))) {
                 return Optional.of("value of header " + name + " has a byte that is not permitted: ["
-                        + printable(headers.value(index)) + "]");
+                        + PrintableText.abbreviate(headers.value(index)) + "]");
             }
             if (containsStatusLine(headers.value(index))) {
                 return Optional.of("value of header " + name + " ends in the status line of another response: ["
-                        + printable(headers.value(index)) + "]");
+                        + PrintableText.abbreviate(headers.value(index)) + "]");
             }
             if (isSingleField(name, conventions) && !singleFields.add(name.toLowerCase(Locale.ROOT))) {
                 return Optional.of("header " + name + " stands twice");
@@ -118,17 +118,4 @@
                 && value.length() <= MAXIMUM_LENGTH_DIGITS
                 && value.chars().allMatch(character -> character >= '0' && character <= '9');
     }
-
-    /** Replaces characters that would break a log line. */
-    static String printable(String text) {
-        StringBuilder printable = new StringBuilder();
-        text.chars().limit(100).forEach(character -> {
-            if (character >= ' ' && character < DELETE) {
-                printable.append((char) character);
-            } else {
-                printable.append(String.format("\\u%04x", character));
-            }
-        });
-        return printable.toString();
-    }
 }
--- a/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
+++ b/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
@@ -310,6 +310,9 @@
             unreachableServers.recordSuccess(attempt.slot().serverName());
         }
         metrics.recordAttempt(result.attemptResult().label());
+        if (attempt.call().filter(BackendCall::hasBytesBehindResponse).isPresent()) {
+            metrics.recordBytesBehindResponse(result.attemptResult().label());
+        }
         metrics.recordAttemptDuration(
                 attempt.slot().shard().service(), result.attemptResult().label(), latencyMicros);
     }
--- a/src/main/java/org/cassiabank/proxy/ProxyMetrics.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyMetrics.java
@@ -30,6 +30,10 @@
             counter("cassiabank_retries_total", "Further attempts at backend servers, by reason.", "reason");
     private final Counter attempts =
             counter("cassiabank_attempts_total", "Attempts at backend servers, by outcome.", "outcome");
+    private final Counter bytesBehindResponses = counter(
+            "cassiabank_bytes_behind_responses_total",
+            "Responses of backend servers behind which further bytes arrived, by outcome of the attempt.",
+            "outcome");
     private final Counter forwardedRequests = counter(
             "cassiabank_forwarded_requests_total", "Requests passed on to a peer, by what it replied.", "reply");
     private final Counter ejections = counter("cassiabank_ejections_total", "Ejections of servers.", "service");
@@ -89,6 +93,10 @@
         attempts.labelValues(outcome).inc();
     }
 
+    void recordBytesBehindResponse(String outcome) {
+        bytesBehindResponses.labelValues(outcome).inc();
+    }
+
     void recordForwardedRequest(String reply) {
         forwardedRequests.labelValues(reply).inc();
     }
--- a/src/main/java/org/cassiabank/proxy/RequestRun.java
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -11,6 +11,7 @@
 import org.cassiabank.admission.AdmissionRequest;
 import org.cassiabank.admission.RateLimitNotice;
 import org.cassiabank.backend.BackendResult;
+import org.cassiabank.backend.NoValidResponse;
 import org.cassiabank.backend.NotSent;
 import org.cassiabank.backend.ResponseReceived;
 import org.cassiabank.declaration.Selector;
@@ -244,6 +245,9 @@
 
     private static String describeResult(String serverName, BackendResult result) {
         String label = serverName + " " + result.attemptResult().label();
+        if (result instanceof NoValidResponse noValidResponse) {
+            return label + " (" + noValidResponse.detail() + ")";
+        }
         return result.notice().rateLimit() instanceof RateLimitNotice.Limited limited
                 ? label + " limit=" + limited.requestsPerSecond() + "/s"
                 : label;
