--- a/src/main/java/org/cassiabank/backend/PrintableText.java
+++ b/src/main/java/org/cassiabank/backend/PrintableText.java
@@ -13,7 +13,8 @@
      * Shortens a text and replaces all characters outside of printable ASCII, which could break or forge a line.
      *
      * @param text the text
-     * @return the first {@value #MAXIMUM_CHARACTERS} characters; those that are not printable as four hexadecimal digits
+     * @return the first {@value #MAXIMUM_CHARACTERS} characters; four hexadecimal digits stand for one that is not
+     *     printable
      */
     static String abbreviate(String text) {
         StringBuilder printable = new StringBuilder();
--- a/src/test/java/org/cassiabank/backend/JoinedResponseTest.java
+++ b/src/test/java/org/cassiabank/backend/JoinedResponseTest.java
@@ -16,8 +16,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * Guards against the delivery of two responses as one: the first breaks off at any byte, and a second one follows on the
- * same connection.
+ * Guards against the delivery of two responses as one: the first breaks off at any byte, and a second one follows on
+ * the same connection.
  */
 class JoinedResponseTest {
     private static final String ID = "id-1";
