Keep the slots and waiting requests of a daemon until its planned stop is over

A request that waited for a slot was refused with entry-lost when its daemon began a planned stop, although it could have been served. A daemon that stops ends its registration first and serves on; owners of shards took that for a failure, refused what waited and counted the slots of running requests as free.

Owners remove an entry proxy now when a stop of the platform's grace is over and it is not registered again.

--- a/src/main/java/org/cassiabank/proxy/OwnedShards.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShards.java
@@ -155,11 +155,26 @@
         shards.values().forEach(shard -> shard.updateView(newView, nowMillis));
         newView.instances().forEachDifference(formerView.instances(), (instanceName, before, after) -> {
             if (after == null && before.role() == InstanceRole.PROXY) {
-                shards.values().forEach(shard -> shard.removeEntryProxy(instanceName));
+                removeAfterDeparture(instanceName);
             }
         });
     }
 
+    /** A stopping entry proxy first ends its registration and then serves the requests that it has. */
+    private void removeAfterDeparture(String entryProxyName) {
+        if (tickExecutor.isShutdown()) {
+            return;
+        }
+        tickExecutor.schedule(
+                () -> {
+                    if (fleet.view().instances().find(entryProxyName).isEmpty()) {
+                        shards.values().forEach(shard -> shard.removeEntryProxy(entryProxyName));
+                    }
+                },
+                settings.departureMillis(),
+                TimeUnit.MILLISECONDS);
+    }
+
     private void tickAndReschedule(long dueMillis) {
         reportIfLate(dueMillis);
         long intervalMillis = BUSY_TICK_INTERVAL_MILLIS;
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -99,8 +99,9 @@
         Optional<RetryBudgetSettings> retryBudgetSettings =
                 adapter.map(found -> parseBounds(found::parseRetryBudget, settings));
         FatalRequestExchange fatalRequests = FatalRequestExchange.create(fleet, peerTransport, metrics);
-        OwnedShards ownedShards =
-                OwnedShards.create(ownerSettings(settings, retryBudgetSettings), fleet, fatalRequests, metrics);
+        long longestStopMillis = longestStopMillis(adapter, settings);
+        OwnedShards ownedShards = OwnedShards.create(
+                ownerSettings(settings, retryBudgetSettings, longestStopMillis), fleet, fatalRequests, metrics);
         SlotBroker slotBroker = SlotBroker.create(settings, fleet, ownedShards, fatalRequests, peerTransport);
         ProxyListHistory proxyLists = ClaimTimes.newProxyListHistory();
         ClaimKeeper claimKeeper = ClaimKeeper.create(
@@ -112,7 +113,7 @@
         AttemptExecutor attemptExecutor =
                 AttemptExecutor.create(self, fleet, slotBroker, backendClient, serverPath, metrics, conventions);
         RequestForwarder forwarder = RequestForwarder.create(self, fleet, peerTransport, metrics);
-        PlannedStop plannedStop = createPlannedStop(adapter, settings);
+        PlannedStop plannedStop = PlannedStop.create(ResponseTimes.create(), longestStopMillis);
         boolean ownersLimitRetries = retryBudgetSettings.isPresent();
         RequestHandler requestHandler = RequestHandler.create(
                 fleet, attemptExecutor, plannedStop, forwarder, claimClient, metrics, conventions, ownersLimitRetries);
@@ -147,11 +148,10 @@
     }
 
     /** The stop ends before the platform kills the process, or after the time of the settings if it states no time. */
-    private static PlannedStop createPlannedStop(Optional<PlatformAdapter> adapter, ProxySettings settings) {
-        long longestMillis = adapter.flatMap(found -> parseBounds(found::parseStopGraceMillis, settings))
+    private static long longestStopMillis(Optional<PlatformAdapter> adapter, ProxySettings settings) {
+        return adapter.flatMap(found -> parseBounds(found::parseStopGraceMillis, settings))
                 .map(graceMillis -> Math.max(settings.drainMillis(), graceMillis - END_MILLIS))
                 .orElse(settings.longestDrainMillis());
-        return PlannedStop.create(ResponseTimes.create(), longestMillis);
     }
 
     private static HeaderConventions headerConventions(Optional<PlatformAdapter> adapter) {
@@ -243,7 +243,7 @@
     }
 
     private static OwnerSettings ownerSettings(
-            ProxySettings settings, Optional<RetryBudgetSettings> retryBudgetSettings) {
+            ProxySettings settings, Optional<RetryBudgetSettings> retryBudgetSettings, long longestStopMillis) {
         HealthSettings health = HealthSettings.defaults();
         long suspicionMillis = settings.platform().suspicionMillis();
         SchedulerSettings scheduler = SchedulerSettings.defaults().withSeparateLongWork(settings.separateLongWork());
@@ -252,7 +252,8 @@
                         ? scheduler.withUnrepeatableProbeDelayMillis(UNREPEATABLE_PROBE_DELAY_MILLIS)
                         : scheduler,
                 suspicionMillis > 0 ? health.withSuspicion(SuspicionSettings.of(suspicionMillis)) : health,
-                retryBudgetSettings);
+                retryBudgetSettings,
+                longestStopMillis);
     }
 
     private static FleetSource createFleetSource(
--- a/src/test/java/org/cassiabank/proxy/OwnedShardTest.java
+++ b/src/test/java/org/cassiabank/proxy/OwnedShardTest.java
@@ -42,7 +42,8 @@
     private static final OwnerSettings SETTINGS = new OwnerSettings(
             SchedulerSettings.defaults(),
             HealthSettings.defaults().withSuspicion(SuspicionSettings.of(60_000)),
-            Optional.of(new RetryBudgetSettings(0, 10, 10_000)));
+            Optional.of(new RetryBudgetSettings(0, 10, 10_000)),
+            0);
 
     private final OwnedShard shard =
             OwnedShard.create(KEY, SETTINGS, newFatalRequests(), ProxyMetrics.create(), view(1, 1), nowMillis());
