Tell every daemon of the region of a request that ends servers

A verdict went to the candidates for the shard only. It goes to all daemons of the region now, once; the repeats still go to the candidates. A daemon that is no candidate and sees a server end under a request tells all others at the first one, since none of those that schedule by themselves may see three alone.

FatalRequestExchangeTest: both new cases failed before.

--- a/src/main/java/org/cassiabank/health/FatalRequests.java
+++ b/src/main/java/org/cassiabank/health/FatalRequests.java
@@ -155,13 +155,14 @@
      * Returns the suspected requests that changed, for other proxies that may own their shard next.
      *
      * @param sinceMillis the time of the earliest change in milliseconds
+     * @param minimumProcesses the number of processes that broke a connection at the request, at least
      * @param nowMillis the current time in milliseconds
-     * @return the requests at which at least two processes broke a connection
+     * @return the requests
      */
-    public List<SuspectedRequest> changedSince(long sinceMillis, long nowMillis) {
+    public List<SuspectedRequest> changedSince(long sinceMillis, int minimumProcesses, long nowMillis) {
         List<SuspectedRequest> changed = new ArrayList<>();
         suspects.forEach((digest, suspect) -> {
-            if (suspect.changedMillis >= sinceMillis && suspect.crashes.size() >= SUSPECTED_PROCESSES) {
+            if (suspect.changedMillis >= sinceMillis && suspect.crashes.size() >= minimumProcesses) {
                 List<ServerCrash> crashes = new ArrayList<>();
                 suspect.crashes.forEach((process, crash) -> crashes.add(new ServerCrash(
                         process.server, process.incarnation, Math.max(0, nowMillis - crash.atMillis), crash.refuted)));
--- a/src/main/java/org/cassiabank/proxy/FatalRequestExchange.java
+++ b/src/main/java/org/cassiabank/proxy/FatalRequestExchange.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.cassiabank.health.FatalRequests;
 import org.cassiabank.health.RequestDigest;
 import org.cassiabank.health.SuspectedRequest;
@@ -22,11 +23,12 @@
 import org.cassiabank.peer.PeerCall;
 
 /**
- * The requests that this daemon suspects of ending servers, shared with the daemons that may own their shards next.
+ * The requests that this daemon suspects of ending servers, shared with the daemons that may schedule them next.
  *
- * <p>A fatal request is sent several times, over longer than a machine usually stands still, because the owner that
- * takes over may be frozen or cut off when it is sent first. A daemon that begins to own a shard asks the other
- * candidates.
+ * <p>Suspected requests are told to the candidates for their shard. A fatal request is told to all daemons of the region,
+ * because each of them schedules by itself while it reaches no candidate, and to the candidates several times, over
+ * longer than a machine usually stands still. What a daemon sees that is no candidate itself, it tells all others at
+ * once: none of them may see enough alone. A daemon that begins to own a shard asks the other candidates.
  *
  * <p>Instances are thread-safe.
  */
@@ -73,18 +75,37 @@
         return fatalRequests.refusalMillis(digest, additionalAttempt, attemptMillis, MonotonicClock.millis());
     }
 
-    /** Records as {@link FatalRequests#recordCrash} does, and tells the other candidates of the shards. */
-    void recordCrash(RequestDigest digest, String service, String server, long incarnation) {
+    /**
+     * Records as {@link FatalRequests#recordCrash} does, and tells the daemons that may schedule the request next.
+     *
+     * @param digest identifies the request
+     * @param shard the shard for which this daemon scheduled the request
+     * @param server the name of the server
+     * @param incarnation the start of the server, 0 if the platform does not report it
+     */
+    void recordCrash(RequestDigest digest, ShardKey shard, String server, long incarnation) {
         int processes;
         long nowMillis = MonotonicClock.millis();
         synchronized (this) {
-            processes = fatalRequests.recordCrash(digest, service, server, incarnation, nowMillis);
+            processes = fatalRequests.recordCrash(digest, shard.service(), server, incarnation, nowMillis);
+        }
+        if (processes == 0) {
+            return;
         }
+        boolean isCandidate = fleet.view().ownerCandidates(shard).stream().anyMatch(peerTransport::isSelf);
         if (processes >= FatalRequests.SUSPECTED_PROCESSES) {
             LOGGER.atInfo().log(
-                    "request %s for %s broke the connections of %d server processes, the last one %s",
-                    digest.shortText(), service, processes, server);
-            sendChanges(nowMillis, FatalRequests.SUSPECTED_PROCESSES);
+                    "request %s for %s broke the connections of %d server processes, the last one %s%s",
+                    digest.shortText(),
+                    shard.service(),
+                    processes,
+                    server,
+                    isCandidate ? "" : "; this daemon schedules it without an owner");
+        }
+        if (!isCandidate || processes >= FatalRequests.FATAL_PROCESSES) {
+            sendChanges(nowMillis, 1, this::otherProxies);
+        } else if (processes >= FatalRequests.SUSPECTED_PROCESSES) {
+            sendChanges(nowMillis, FatalRequests.SUSPECTED_PROCESSES, this::otherCandidates);
         }
         if (processes >= FatalRequests.FATAL_PROCESSES) {
             repeatChanges(nowMillis, FIRST_REPEAT_MILLIS);
@@ -108,7 +129,9 @@
 
     /** Returns what this daemon knows about suspected requests for a service. */
     synchronized List<SuspectedRequest> suspects(String service) {
-        return fatalRequests.changedSince(Long.MIN_VALUE, MonotonicClock.millis()).stream()
+        return fatalRequests
+                .changedSince(Long.MIN_VALUE, FatalRequests.SUSPECTED_PROCESSES, MonotonicClock.millis())
+                .stream()
                 .filter(request -> request.service().equals(service))
                 .limit(MAXIMUM_REQUESTS_IN_MESSAGE)
                 .toList();
@@ -138,16 +161,19 @@
     }
 
     /** Sends the requests that changed since a time and broke the connections of a number of processes. */
-    private void sendChanges(long sinceMillis, int minimumProcesses) {
+    private void sendChanges(
+            long sinceMillis, int minimumProcesses, Function<List<SuspectedRequest>, Set<Instance>> recipients) {
         List<SuspectedRequest> changes;
         synchronized (this) {
-            changes = fatalRequests.changedSince(sinceMillis, MonotonicClock.millis()).stream()
-                    .filter(request -> request.crashes().size() >= minimumProcesses)
+            changes = fatalRequests.changedSince(sinceMillis, minimumProcesses, MonotonicClock.millis()).stream()
                     .limit(MAXIMUM_REQUESTS_IN_MESSAGE)
                     .toList();
         }
-        for (Instance candidate : candidates(changes)) {
-            callInBackground(candidate, "record-suspects", () -> send(candidate, changes));
+        if (changes.isEmpty()) {
+            return;
+        }
+        for (Instance recipient : recipients.apply(changes)) {
+            callInBackground(recipient, "record-suspects", () -> send(recipient, changes));
         }
     }
 
@@ -159,7 +185,7 @@
         timer.schedule(
                 () -> {
                     try {
-                        sendChanges(sinceMillis, FatalRequests.FATAL_PROCESSES);
+                        sendChanges(sinceMillis, FatalRequests.FATAL_PROCESSES, this::otherCandidates);
                     } catch (RuntimeException | Error failure) {
                         BackgroundTasks.recordFailure("fatal-requests", failure);
                     }
@@ -185,8 +211,15 @@
         peerTransport.call(peer, "record-suspects", CALL_TIMEOUT_MILLIS, PeerCall.withResultIfUnknown(call, false));
     }
 
+    /** Returns the other daemons of the region, whatever the requests are. */
+    private Set<Instance> otherProxies(List<SuspectedRequest> requests) {
+        Set<Instance> proxies = new HashSet<>(fleet.view().regionProxies());
+        proxies.removeIf(peerTransport::isSelf);
+        return proxies;
+    }
+
     /** Returns the other daemons that may own a shard of the services of some requests. */
-    private Set<Instance> candidates(List<SuspectedRequest> requests) {
+    private Set<Instance> otherCandidates(List<SuspectedRequest> requests) {
         FleetView view = fleet.view();
         Set<Instance> candidates = new HashSet<>();
         requests.stream().map(SuspectedRequest::service).distinct().forEach(service -> {
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -200,7 +200,7 @@
                 LOGGER.atInfo().log(
                         "%s: the connection of server %s broke while it had request %s of %s",
                         key, completed.serverName(), completed.digest().shortText(), completed.entryProxy());
-                fatalRequests.recordCrash(completed.digest(), key.service(), completed.serverName(), incarnation);
+                fatalRequests.recordCrash(completed.digest(), key, completed.serverName(), incarnation);
             }
             case ANSWERED -> {
                 fatalRequests.recordEnd(completed.digest(), true);
@@ -255,7 +255,7 @@
                     .filter(attempt -> restarted.contains(attempt.serverName()))
                     .forEach(attempt -> fatalRequests.recordCrash(
                             attempt.digest(),
-                            key.service(),
+                            key,
                             attempt.serverName(),
                             formerIncarnationByServer.get(attempt.serverName())));
             Predicate<LabeledServer> notRestarted =
--- a/src/main/java/org/cassiabank/proxy/OwnedShards.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShards.java
@@ -129,8 +129,7 @@
         OwnedShard shard = shards.get(key);
         boolean known = shard != null && shard.completeLease(leaseId, outcome, latencyMicros, notice);
         if (!known && outcome == AttemptOutcome.BROKEN) {
-            fatalRequests.recordCrash(
-                    digest, key.service(), server, fleet.view().incarnation(server));
+            fatalRequests.recordCrash(digest, key, server, fleet.view().incarnation(server));
         }
     }
 
--- a/src/test/java/org/cassiabank/health/FatalRequestsTest.java
+++ b/src/test/java/org/cassiabank/health/FatalRequestsTest.java
@@ -96,7 +96,7 @@
         crash(REQUEST, "server-1", 0);
         crash(REQUEST, "server-2", 100);
         crash(COMPANION, "server-2", 100);
-        List<SuspectedRequest> changes = requests.changedSince(0, 150);
+        List<SuspectedRequest> changes = requests.changedSince(0, 2, 150);
         assertThat(changes).extracting(SuspectedRequest::digest).containsExactly(REQUEST);
         FatalRequests successor = FatalRequests.create();
         changes.forEach(request -> successor.merge(request, 150));
@@ -110,9 +110,9 @@
         crash(REQUEST, "server-1", 0);
         crash(REQUEST, "server-2", 100);
         crash(REQUEST, "server-3", 100);
-        List<SuspectedRequest> crashes = requests.changedSince(0, 150);
+        List<SuspectedRequest> crashes = requests.changedSince(0, 2, 150);
         requests.recordEnd(REQUEST, true, 200);
-        List<SuspectedRequest> cleared = requests.changedSince(200, 250);
+        List<SuspectedRequest> cleared = requests.changedSince(200, 2, 250);
         crashes.forEach(request -> requests.merge(request, 300));
         assertThat(refusalMillis(310)).isEmpty();
         FatalRequests other = FatalRequests.create();
@@ -137,7 +137,7 @@
             crash(digest, "server-1", number);
             crash(digest, "server-2", number);
         }
-        assertThat(requests.changedSince(Long.MIN_VALUE, 10_000)).hasSize(4_096);
+        assertThat(requests.changedSince(Long.MIN_VALUE, 2, 10_000)).hasSize(4_096);
     }
 
     @Test
--- a/src/test/java/org/cassiabank/proxy/FatalRequestExchangeTest.java
+++ b/src/test/java/org/cassiabank/proxy/FatalRequestExchangeTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
 import org.apache.thrift.TApplicationException;
 import org.apache.thrift.TException;
 import org.cassiabank.declaration.LabelRule;
@@ -90,9 +91,47 @@
         assertThatCode(() -> exchanges.getFirst().send(older, List.of())).doesNotThrowAnyException();
     }
 
+    @Test
+    void anEntryThatSchedulesByItselfKnowsTheVerdictOfAnOwnerThatNobodyReachesAnyMore() {
+        List<FatalRequestExchange> exchanges = startExchanges(8);
+        endServers(exchanges.get(candidates().getFirst()), 3);
+        for (int other : others()) {
+            await(() ->
+                    exchanges.get(other).refusalMillis(REQUEST, false, 1_000).isPresent());
+        }
+    }
+
+    @Test
+    void entriesThatScheduleByThemselvesAddUpTheServersThatEndedUnderARequest() {
+        List<FatalRequestExchange> exchanges = startExchanges(8);
+        candidates().forEach(number -> peerServers.get(number).close());
+        for (int server = 0; server < 3; server++) {
+            exchanges.get(others().get(server)).recordCrash(REQUEST, SHARD, "menu-" + server, 0);
+        }
+        for (int other : others()) {
+            await(() ->
+                    exchanges.get(other).refusalMillis(REQUEST, false, 1_000).orElse(0)
+                            > TimeUnit.SECONDS.toMillis(50));
+        }
+    }
+
+    /** Returns the numbers of the daemons that may own the shard. */
+    private List<Integer> candidates() {
+        return newFleet().view().ownerCandidates(SHARD).stream()
+                .map(proxies::indexOf)
+                .toList();
+    }
+
+    private List<Integer> others() {
+        return IntStream.range(0, proxies.size())
+                .boxed()
+                .filter(number -> !candidates().contains(number))
+                .toList();
+    }
+
     private static void endServers(FatalRequestExchange exchange, int count) {
         for (int server = 0; server < count; server++) {
-            exchange.recordCrash(REQUEST, "menu", "menu-" + server, 0);
+            exchange.recordCrash(REQUEST, SHARD, "menu-" + server, 0);
         }
     }
 
@@ -110,6 +149,12 @@
     }
 
     private FatalRequestExchange newExchange(Instance self) {
+        PeerTransport peerTransport = PeerTransport.create(
+                self.name(), PeerClientPool.create(PeerSocketFactories.plain(), ControlTrafficRecorder.noOp()));
+        return FatalRequestExchange.create(newFleet(), peerTransport, ProxyMetrics.create());
+    }
+
+    private FleetState newFleet() {
         FleetState fleet = FleetState.create("region");
         fleet.apply(List.of(new Change(
                 1,
@@ -120,9 +165,7 @@
         List<Instance> instances = new ArrayList<>(proxies);
         instances.add(instance("menu-0", InstanceRole.BACKEND, "127.0.0.1:1"));
         fleet.install(InstanceList.of(1, instances));
-        PeerTransport peerTransport = PeerTransport.create(
-                self.name(), PeerClientPool.create(PeerSocketFactories.plain(), ControlTrafficRecorder.noOp()));
-        return FatalRequestExchange.create(fleet, peerTransport, ProxyMetrics.create());
+        return fleet;
     }
 
     /** Serves the two calls of the exchange; the others are not made. */
