Keep the verdict on a request from the same path of another host

The host that selects the route is a part of the digest. Where selectors are for all hosts it is empty, as a caller may address each proxy by its own name. RequestDigestTest and CallerRequestTest have a case each; before, the digests were equal.

--- a/src/main/java/org/cassiabank/health/RequestDigest.java
+++ b/src/main/java/org/cassiabank/health/RequestDigest.java
@@ -9,8 +9,9 @@
 import java.util.Objects;
 
 /**
- * Identifies the requests of one caller with the same target and body, whatever proxy receives them. The host is not
- * a part of it, because a caller may address each proxy by its own name.
+ * Identifies the requests of one caller with the same target and body, whatever proxy receives them. Equal paths of two
+ * hosts are different requests where the host selects the service; where it does not, it is not a part of the digest,
+ * because a caller may address each proxy by its own name.
  *
  * <p>The identity of the caller is a part of it, so that no caller can produce the digest of another one's request.
  * Where callers state none and their addresses change, equal requests of all callers have one digest.
@@ -48,15 +49,16 @@
      * Computes the digest of a request.
      *
      * @param caller the identity of the caller
+     * @param host the host by which the request is routed, empty if its selector is for all hosts
      * @param method the HTTP method
      * @param target the path with the query
      * @param body the body, empty if there is none
      * @return the digest
      */
-    public static RequestDigest of(String caller, String method, String target, byte[] body) {
+    public static RequestDigest of(String caller, String host, String method, String target, byte[] body) {
         try {
             MessageDigest digest = MessageDigest.getInstance("SHA-256");
-            for (String part : new String[] {caller, method, target}) {
+            for (String part : new String[] {caller, host, method, target}) {
                 byte[] bytes = part.getBytes(StandardCharsets.UTF_8);
                 // The length keeps parts apart: a caller chooses them and could otherwise shift text between them.
                 digest.update(
--- a/src/main/java/org/cassiabank/proxy/CallerRequest.java
+++ b/src/main/java/org/cassiabank/proxy/CallerRequest.java
@@ -63,10 +63,11 @@
      *
      * @param customerIdentity the customer as {@link AttemptExecutor#customerIdentity} returns it; the address of the
      *     connection is a part of it only where it stays the same for a caller
-     * @return the digest of customer, method, target and body
+     * @param routedHost the host of the request's selector, empty if the selector is for all hosts
+     * @return the digest of customer, host, method, target and body
      */
-    RequestDigest digest(String customerIdentity) {
-        return RequestDigest.of(customerIdentity, method, target, body);
+    RequestDigest digest(String customerIdentity, String routedHost) {
+        return RequestDigest.of(customerIdentity, routedHost, method, target, body);
     }
 
     /**
--- a/src/main/java/org/cassiabank/proxy/RequestRun.java
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -95,7 +95,7 @@
         this.forwarder = forwarder;
         this.attemptCount = formerAttempts;
         this.trace = trace;
-        this.digest = request.digest(attemptExecutor.customerIdentity(request));
+        this.digest = request.digest(attemptExecutor.customerIdentity(request), selector.host());
         trace.recordDigest(digest);
     }
 
--- a/src/test/java/org/cassiabank/health/FatalRequestsTest.java
+++ b/src/test/java/org/cassiabank/health/FatalRequestsTest.java
@@ -186,6 +186,6 @@
     }
 
     private static RequestDigest digest(String text) {
-        return RequestDigest.of("caller", "GET", "/" + text, text.getBytes(StandardCharsets.UTF_8));
+        return RequestDigest.of("caller", "", "GET", "/" + text, text.getBytes(StandardCharsets.UTF_8));
     }
 }
--- a/src/test/java/org/cassiabank/health/RequestDigestTest.java
+++ b/src/test/java/org/cassiabank/health/RequestDigestTest.java
@@ -26,11 +26,20 @@
         assertThat(digest("caller", "/orders", new byte[0])).isNotEqualTo(digest);
     }
 
+    /** Guards against a verdict on a request that holds for the sound servers of another service. */
+    @Test
+    void theSamePathOfAnotherHostIsAnotherRequest() {
+        assertThat(RequestDigest.of("caller", "menu.example", "GET", "/today", BODY))
+                .isNotEqualTo(RequestDigest.of("caller", "order.example", "GET", "/today", BODY))
+                .isNotEqualTo(RequestDigest.of("caller", "", "GET", "/today", BODY));
+    }
+
     @Test
     void textThatMovesBetweenPartsMakesAnotherRequest() {
-        assertThat(RequestDigest.of("a", "GET", "/bc", BODY))
-                .isNotEqualTo(RequestDigest.of("a", "GET/", "bc", BODY))
-                .isNotEqualTo(RequestDigest.of("aG", "ET", "/bc", BODY));
+        assertThat(RequestDigest.of("a", "", "GET", "/bc", BODY))
+                .isNotEqualTo(RequestDigest.of("a", "", "GET/", "bc", BODY))
+                .isNotEqualTo(RequestDigest.of("aG", "", "ET", "/bc", BODY))
+                .isNotEqualTo(RequestDigest.of("", "a", "GET", "/bc", BODY));
     }
 
     @Test
@@ -40,6 +49,6 @@
     }
 
     private static RequestDigest digest(String caller, String target, byte[] body) {
-        return RequestDigest.of(caller, "POST", target, body);
+        return RequestDigest.of(caller, "", "POST", target, body);
     }
 }
--- a/src/test/java/org/cassiabank/proxy/CallerRequestTest.java
+++ b/src/test/java/org/cassiabank/proxy/CallerRequestTest.java
@@ -14,15 +14,21 @@
 
     @Test
     void aRepetitionThroughAnotherProxyHasTheSameDigest() {
-        assertThat(request("/menu?page=1", "first", "10.0.0.1").digest("*"))
-                .isEqualTo(request("/menu?page=1", "second", "10.0.0.2").digest("*"));
+        assertThat(request("/menu?page=1", "first", "10.0.0.1").digest("*", ""))
+                .isEqualTo(request("/menu?page=1", "second", "10.0.0.2").digest("*", ""));
     }
 
     @Test
     void anotherTargetOrCustomerHasAnotherDigest() {
-        assertThat(request("/menu", "first", "10.0.0.1").digest("customer"))
-                .isNotEqualTo(request("/menu?page=1", "first", "10.0.0.1").digest("customer"))
-                .isNotEqualTo(request("/menu", "first", "10.0.0.1").digest("other"));
+        assertThat(request("/menu", "first", "10.0.0.1").digest("customer", ""))
+                .isNotEqualTo(request("/menu?page=1", "first", "10.0.0.1").digest("customer", ""))
+                .isNotEqualTo(request("/menu", "first", "10.0.0.1").digest("other", ""));
+    }
+
+    @Test
+    void theSamePathOfTwoHostsThatAreRoutedDifferentlyHasTwoDigests() {
+        assertThat(request("/today", "menu.example", "10.0.0.1").digest("*", "menu.example"))
+                .isNotEqualTo(request("/today", "order.example", "10.0.0.1").digest("*", "order.example"));
     }
 
     private static CallerRequest request(String target, String host, String address) {
--- a/src/test/java/org/cassiabank/proxy/FatalRequestExchangeTest.java
+++ b/src/test/java/org/cassiabank/proxy/FatalRequestExchangeTest.java
@@ -40,7 +40,7 @@
     private static final long TIMEOUT_MILLIS = 5_000;
     private static final ShardKey SHARD = new ShardKey("menu", 0);
     private static final RequestDigest REQUEST =
-            RequestDigest.of("caller", "GET", "/menu", "".getBytes(StandardCharsets.UTF_8));
+            RequestDigest.of("caller", "", "GET", "/menu", "".getBytes(StandardCharsets.UTF_8));
 
     private final List<Instance> proxies = new ArrayList<>();
     private final List<PeerServer> peerServers = new ArrayList<>();
