Examine a body for another response in time that grows with its length

Callers would wait far beyond their deadline, and a core of the daemon be busy, for a body with many status lines: findDefect copied the rest of the body for each of them.

A status line inside a head that was examined has no identifier in its own part of that head either, so the search goes on behind the head, and each byte is examined once.

--- a/src/main/java/org/cassiabank/backend/ResponseBoundary.java
+++ b/src/main/java/org/cassiabank/backend/ResponseBoundary.java
@@ -36,14 +36,17 @@
         // What follows a response that begins exactly at the end says nothing about the body.
         String text = text(body, from) + (responseBehind ? "" : behind);
         int bodyLength = body.length - from;
+        boolean followedByItsRest = !behind.isEmpty() && !responseBehind;
         Matcher statusLine = STATUS_LINE.matcher(text);
-        while (statusLine.find() && statusLine.start() < bodyLength) {
-            String head = headFrom(text, statusLine.start());
-            boolean followedByItsRest = !behind.isEmpty() && !responseBehind;
-            if (followedByItsRest || containsField(head, requestIdHeader)) {
+        int examined = 0;
+        while (statusLine.find(examined) && statusLine.start() < bodyLength) {
+            int headEnd = endOfHead(text, statusLine.start());
+            if (followedByItsRest || containsField(text.substring(statusLine.start(), headEnd), requestIdHeader)) {
                 return Optional.of("another response begins after " + (from + statusLine.start()) + " of " + body.length
                         + " bytes of the body");
             }
+            // A status line inside this head has no field either.
+            examined = headEnd;
         }
         return Optional.empty();
     }
@@ -80,10 +83,10 @@
         return new String(bytes, from, length, StandardCharsets.ISO_8859_1);
     }
 
-    /** Returns the text up to the empty line that ends a head, or all of the rest if there is none. */
-    private static String headFrom(String text, int start) {
+    /** Returns where the empty line begins that ends a head, or the end of the text if there is none. */
+    private static int endOfHead(String text, int start) {
         int end = text.indexOf("\r\n\r\n", start);
-        return end < 0 ? text.substring(start) : text.substring(start, end);
+        return end < 0 ? text.length() : end;
     }
 
     private static boolean containsField(String head, String name) {
