Send nothing on a connection after a response that is not valid

An invalid response left its connection in the pool where its body was complete before it was examined: without a body (HEAD, 304, length 0), or with another response inside the body. The next request was sent on a connection on which the response to the former one was still to come, so its own answer was refused too, and the server was counted as failing; the server's work on the former request was not cancelled. The cancellation of the call has no effect once OkHttp has released its connection.

The network interceptor reads the response to its end now. OkHttp gives the connection back only after it, so the connection is closed, or its last response recorded, before another call can have it.

--- a/src/main/java/org/cassiabank/backend/AttemptTrace.java
+++ b/src/main/java/org/cassiabank/backend/AttemptTrace.java
@@ -35,6 +35,8 @@
     private volatile Headers responseHeaders;
     private volatile ResponseMeter responseMeter;
     private volatile byte[] bytesBehind = {};
+    private volatile ResponseReader responseReader;
+    private volatile BackendResult result;
 
     private AttemptTrace(long maximumIdleNanos, String requestId) {
         this.maximumIdleNanos = maximumIdleNanos;
@@ -51,12 +53,31 @@
         return new AttemptTrace(maximumIdleNanos, requestId);
     }
 
-    /** Records on the connection that the response is complete and valid. */
-    void recordValidResponse() {
-        MeteredSocket currentSocket = countingSocket;
-        if (currentSocket != null) {
-            currentSocket.recordResponse();
-        }
+    /** Reads a response to its end and decides whether it is valid. */
+    @FunctionalInterface
+    interface ResponseReader {
+        /**
+         * Reads the body.
+         *
+         * @param response the response without {@code Retry-After}
+         * @return the result of the attempt
+         * @throws IOException if the response ends early
+         */
+        BackendResult read(Response response) throws IOException;
+    }
+
+    /**
+     * Sets the reader of the response.
+     *
+     * @param newReader the reader, set before the call is executed
+     */
+    void setResponseReader(ResponseReader newReader) {
+        responseReader = newReader;
+    }
+
+    /** Returns what the reader made of the response, null until it has been read. */
+    BackendResult result() {
+        return result;
     }
 
     /**
@@ -149,6 +170,9 @@
     /**
      * Replaces the headers that OkHttp adds by those of the request, and hides {@code Retry-After} from OkHttp, which
      * immediately resends a request without a body after status 503 with {@code Retry-After: 0}.
+     *
+     * <p>Reads the whole response, because OkHttp gives the connection to other calls as soon as this method has
+     * returned and the response is complete; after an invalid one it is closed first.
      */
     @Override
     public Response intercept(Chain chain) throws IOException {
@@ -163,7 +187,23 @@
         Response response = chain.proceed(builder.build());
         responseHeaders = response.headers();
         beginBody(response);
-        return response.newBuilder().removeHeader("Retry-After").build();
+        Response responseToRead =
+                response.newBuilder().removeHeader("Retry-After").build();
+        result = responseReader.read(responseToRead);
+        recordOnConnection(result);
+        return responseToRead;
+    }
+
+    private void recordOnConnection(BackendResult newResult) throws IOException {
+        MeteredSocket currentSocket = countingSocket;
+        if (currentSocket == null) {
+            return;
+        }
+        if (newResult instanceof NoValidResponse) {
+            currentSocket.close();
+        } else {
+            currentSocket.recordResponse();
+        }
     }
 
     private void beginBody(Response response) throws IOException {
--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -128,13 +128,10 @@
     }
 
     private BackendResult execute(ResponseMeter meter) throws UnusableConnectionException {
+        trace.setResponseReader(response -> readResponse(response, meter));
         try (Response response = call.execute()) {
-            BackendResult result = readResponse(response, meter);
-            if (result instanceof NoValidResponse) {
-                // Without the cancellation, OkHttp would read the rest of the unread response and reuse the connection.
-                call.cancel();
-            } else {
-                trace.recordValidResponse();
+            BackendResult result = trace.result();
+            if (!(result instanceof NoValidResponse)) {
                 onValidResponse.run();
             }
             return result;
--- a/src/test/java/org/cassiabank/backend/ResponseBoundaryTest.java
+++ b/src/test/java/org/cassiabank/backend/ResponseBoundaryTest.java
@@ -34,7 +34,8 @@
 
     @Test
     void aResponseIsFoundBehindOthersWithoutAnIdentifier() {
-        String body = "HTTP/1.1 200 OK\r\nDate: a\r\n\r\nHTTP/1.1 200 OK\r\nHTTP/1.1 500 Error\r\nrequest-id: b\r\n\r\n";
+        String body =
+                "HTTP/1.1 200 OK\r\nDate: a\r\n\r\nHTTP/1.1 200 OK\r\nHTTP/1.1 500 Error\r\nrequest-id: b\r\n\r\n";
         assertThat(ResponseBoundary.findDefect(bytes(body), new byte[0], "Request-Id"))
                 .isPresent();
     }
