Close a connection that cannot be read behind a response

Bytes behind a response could be read and dropped, and the connection be used again: where they exceeded what the response may take, or all responses together the memory, the exception of the meter was taken for the end of the connection, and the connection was not closed. The rest of the dropped bytes would have been read as the beginning of the next response.

InvalidResponseConnectionTest before: the second request is sent on connection 1. The connection is closed now unless it is known that nothing follows the response.

--- a/src/main/java/org/cassiabank/backend/AttemptTrace.java
+++ b/src/main/java/org/cassiabank/backend/AttemptTrace.java
@@ -152,13 +152,23 @@
         if (currentSocket == null) {
             return;
         }
+        boolean usable = false;
         try {
             bytesBehind = currentSocket.getInputStream().endResponse();
-            if (bytesBehind.length > 0) {
-                currentSocket.close();
-            }
+            usable = bytesBehind.length == 0;
         } catch (IOException exception) {
-            LOGGER.atFine().withCause(exception).log("a connection ended together with its response");
+            LOGGER.atFine().withCause(exception).log("a connection could not be read behind its response");
+        }
+        if (!usable) {
+            closeQuietly(currentSocket);
+        }
+    }
+
+    private static void closeQuietly(MeteredSocket socket) {
+        try {
+            socket.close();
+        } catch (IOException exception) {
+            LOGGER.atFine().withCause(exception).log("a connection could not be closed");
         }
     }
 
@@ -194,13 +204,13 @@
         return responseToRead;
     }
 
-    private void recordOnConnection(BackendResult newResult) throws IOException {
+    private void recordOnConnection(BackendResult newResult) {
         MeteredSocket currentSocket = countingSocket;
         if (currentSocket == null) {
             return;
         }
         if (newResult instanceof NoValidResponse) {
-            currentSocket.close();
+            closeQuietly(currentSocket);
         } else {
             currentSocket.recordResponse();
         }
--- a/src/test/java/org/cassiabank/backend/InvalidResponseConnectionTest.java
+++ b/src/test/java/org/cassiabank/backend/InvalidResponseConnectionTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** Guards against further requests on a connection whose latest response was not valid. */
+/** Guards against further requests on a connection whose latest response was not valid or was followed by bytes. */
 class InvalidResponseConnectionTest {
     private static final long LONG_IDLE_MILLIS = 60_000;
 
@@ -63,6 +63,23 @@
         }
     }
 
+    @Test
+    void noRequestFollowsAResponseBehindWhichMoreBytesAreReadThanItMayHave() throws Exception {
+        try (ScriptedServer server = new ScriptedServer((request, socket) -> {
+            String head = request.responseHead(500) + "Content-Length: 1\r\nX-Long: ";
+            String padding = "a".repeat((int) ResponseMeter.MAXIMUM_BYTES_OUTSIDE_BODY - head.length() - 100);
+            ScriptedServer.write(socket, head + padding + "\r\n\r\n");
+            TimeUnit.MILLISECONDS.sleep(100);
+            ScriptedServer.write(socket, "b" + "c".repeat(8_000));
+        })) {
+            client.send(request(server, "GET", "first"));
+            client.send(request(server, "GET", "second"));
+            assertThat(server.receivedRequests)
+                    .extracting(ScriptedServer.ReceivedRequest::connectionNumber)
+                    .containsExactly(1, 2);
+        }
+    }
+
     private static BackendRequest request(ScriptedServer server, String method, String requestId) {
         return BackendRequest.forAddress(
                 server.address(),
