Don't count a refusal as proof behind which the server gives another response

An order could run twice: a server that answers twice, first with a refusal (421, or Not-Executed) and then with a success or a failure for the same request, has run it, and the daemon sent the order to another server, or told the caller that it had not run (TWICE, REFUSED).

The outcome is unknown now if what follows a refusal isn't the same status once more. A refusal that is only repeated stays a proof.

--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -204,6 +204,11 @@
         if (defect.isEmpty() && !ResponseBoundary.mayBeginResponse(bytesBehind)) {
             defect = Optional.of(bytesBehind.length + " bytes follow the body that begin no response");
         }
+        if (defect.isEmpty()
+                && conventions.provesNotRun(status, trace.responseHeaders().toMultimap())
+                && ResponseBoundary.contradicts(status, bytesBehind)) {
+            defect = Optional.of("another response follows the refusal with status " + status);
+        }
         if (bytesBehind.length > 0) {
             LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
                     "server %s at %s sent %d bytes behind its response with status %d and %d bytes to request %s, "
--- a/src/main/java/org/cassiabank/backend/ResponseBoundary.java
+++ b/src/main/java/org/cassiabank/backend/ResponseBoundary.java
@@ -62,6 +62,20 @@
         return statusLine.lookingAt() || statusLine.hitEnd();
     }
 
+    /**
+     * Tells whether a refusal is contradicted by what follows it: another response of the server to the same request.
+     *
+     * @param status the status of the refusal
+     * @param bytesBehind the bytes that follow its end
+     * @return false if nothing follows, or the refusal itself once more
+     */
+    static boolean contradicts(int status, byte[] bytesBehind) {
+        return bytesBehind.length > 0
+                && !Pattern.compile("HTTP/1\\.[01] " + status + "(?![0-9])")
+                        .matcher(text(bytesBehind, 0))
+                        .lookingAt();
+    }
+
     /** Returns where a status line may begin at the earliest. */
     private static int indexOfBeginning(byte[] body) {
         int last = body.length - BEGINNING.length();
