--- a/src/main/java/org/cassiabank/backend/ResponseBoundary.java
+++ b/src/main/java/org/cassiabank/backend/ResponseBoundary.java
@@ -36,14 +36,17 @@
         // What follows a response that begins exactly at the end says nothing about the body.
         String text = text(body, from) + (responseBehind ? "" : behind);
         int bodyLength = body.length - from;
+        boolean followedByItsRest = !behind.isEmpty() && !responseBehind;
         Matcher statusLine = STATUS_LINE.matcher(text);
-        while (statusLine.find() && statusLine.start() < bodyLength) {
-            String head = headFrom(text, statusLine.start());
-            boolean followedByItsRest = !behind.isEmpty() && !responseBehind;
-            if (followedByItsRest || containsField(head, requestIdHeader)) {
+        int examined = 0;
+        while (statusLine.find(examined) && statusLine.start() < bodyLength) {
+            int headEnd = endOfHead(text, statusLine.start());
+            if (followedByItsRest || containsField(text.substring(statusLine.start(), headEnd), requestIdHeader)) {
                 return Optional.of("another response begins after " + (from + statusLine.start()) + " of " + body.length
                         + " bytes of the body");
             }
+            // A status line inside this head has no field either.
+            examined = headEnd;
         }
         return Optional.empty();
     }
@@ -59,6 +62,20 @@
         return statusLine.lookingAt() || statusLine.hitEnd();
     }
 
+    /**
+     * Tells whether a refusal is contradicted by what follows it: another response of the server to the same request.
+     *
+     * @param status the status of the refusal
+     * @param bytesBehind the bytes that follow its end
+     * @return false if nothing follows, or the refusal itself once more
+     */
+    static boolean contradicts(int status, byte[] bytesBehind) {
+        return bytesBehind.length > 0
+                && !Pattern.compile("HTTP/1\\.[01] " + status + "(?![0-9])")
+                        .matcher(text(bytesBehind, 0))
+                        .lookingAt();
+    }
+
     /** Returns where a status line may begin at the earliest. */
     private static int indexOfBeginning(byte[] body) {
         int last = body.length - BEGINNING.length();
@@ -80,10 +97,10 @@
         return new String(bytes, from, length, StandardCharsets.ISO_8859_1);
     }
 
-    /** Returns the text up to the empty line that ends a head, or all of the rest if there is none. */
-    private static String headFrom(String text, int start) {
+    /** Returns where the empty line begins that ends a head, or the end of the text if there is none. */
+    private static int endOfHead(String text, int start) {
         int end = text.indexOf("\r\n\r\n", start);
-        return end < 0 ? text.substring(start) : text.substring(start, end);
+        return end < 0 ? text.length() : end;
     }
 
     private static boolean containsField(String head, String name) {
