Take only a whole status line in a field value for another response

Callers lost every response of a server behind a proxy that names itself by an address from 100 to 599 on, such as "Via: HTTP/1.1 192.168.0.1": MALFORMED_HEAD.

Cause: the pattern of a status line asked only that no fourth digit follows the status. A status line has a space or its end there, and OkHttp accepts no other.

--- a/src/main/java/org/cassiabank/backend/ResponseBoundary.java
+++ b/src/main/java/org/cassiabank/backend/ResponseBoundary.java
@@ -14,7 +14,7 @@
  */
 final class ResponseBoundary {
     /** The beginning of a status line, up to the status. */
-    static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}(?![0-9])");
+    static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}(?=[ \\r\\n]|\\z)");
 
     private static final String BEGINNING = "HTTP/1.";
     private static final int STATUS_LINE_BYTES = "HTTP/1.1 200".length();
