Wait for what follows a body that ends like the beginning of another response

Callers could get a body that another response had completed, in two cases that left open: the rest of the second response arrived in a later segment, and an interim response (1xx) stood between the two, whose end was the end of the body. A whole response whose body tells of another was refused if only the first bytes of the next one had arrived behind it.

Cause: the decision was made with the bytes that had arrived when the body was complete. An interim response holds no identifier, and what followed it began like a response of its own.

Change: if the body ends inside a head, or with an interim response, or what follows is too short to tell, the connection waits up to 50 ms for the next bytes before the response counts as complete; an end of the connection ends the wait and takes the connection out of use. An interim response at the end of a body belongs to the response behind it. Bodies that end otherwise wait for nothing; those of chunks never do, because their end is written in the framing.

--- a/src/main/java/org/cassiabank/backend/AttemptTrace.java
+++ b/src/main/java/org/cassiabank/backend/AttemptTrace.java
@@ -132,10 +132,7 @@
             return;
         }
         try {
-            bytesBehind = currentSocket.getInputStream().endResponse();
-            if (bytesBehind.length > 0) {
-                currentSocket.close();
-            }
+            bytesBehind = currentSocket.endResponse();
         } catch (IOException exception) {
             LOGGER.atFine().withCause(exception).log("a connection ended together with its response");
         }
--- a/src/main/java/org/cassiabank/backend/MeteredSocket.java
+++ b/src/main/java/org/cassiabank/backend/MeteredSocket.java
@@ -30,6 +30,9 @@
     private static final long EXAMINED_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     private static final int EXAMINATION_MILLIS = 1;
 
+    /** Longer than a client delays its acknowledgement, for which a server may hold back the second part of a write. */
+    private static final long SECOND_SEGMENT_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
     /** The latest identifiers, the oldest first; guarded by itself. */
     private final Set<String> requestIds = new LinkedHashSet<>();
 
@@ -130,6 +133,50 @@
         }
     }
 
+    /**
+     * Records that the response is complete, and takes the connection out of use if anything follows it. Waits a short
+     * time for bytes behind the response if its body ends like the beginning of another response, because only what
+     * follows tells the two apart.
+     *
+     * @return the bytes that have arrived behind the end of the response
+     * @throws IOException if the connection cannot be read
+     */
+    byte[] endResponse() throws IOException {
+        ResponseInputStream response = getInputStream();
+        byte[] bytesBehind = response.endResponse();
+        if (ResponseBoundary.isUndecided(response.endOfBody(), bytesBehind)) {
+            bytesBehind = awaitDecision(response);
+        }
+        if (bytesBehind.length > 0) {
+            close();
+        }
+        return bytesBehind;
+    }
+
+    private byte[] awaitDecision(ResponseInputStream response) throws IOException {
+        long startNanos = System.nanoTime();
+        int formerTimeoutMillis = getSoTimeout();
+        try {
+            boolean connected = true;
+            long remainingNanos = SECOND_SEGMENT_NANOS;
+            while (connected
+                    && remainingNanos > 0
+                    && ResponseBoundary.isUndecided(response.endOfBody(), response.bytesBehind())) {
+                setSoTimeout(Math.toIntExact(TimeUnit.NANOSECONDS.toMillis(remainingNanos) + 1));
+                connected = response.awaitBytesBehind();
+                remainingNanos = SECOND_SEGMENT_NANOS - (System.nanoTime() - startNanos);
+            }
+            if (!connected) {
+                close();
+                return response.bytesBehind();
+            }
+        } catch (SocketTimeoutException exception) {
+            LOGGER.atFine().log("nothing followed a body that ends like the beginning of a response");
+        }
+        setSoTimeout(formerTimeoutMillis);
+        return response.bytesBehind();
+    }
+
     /** Tells whether bytes have arrived that no request has asked for, such as a second copy of a response. */
     boolean hasUnreadBytes() throws IOException {
         return getInputStream().available() > 0;
--- a/src/main/java/org/cassiabank/backend/ResponseBoundary.java
+++ b/src/main/java/org/cassiabank/backend/ResponseBoundary.java
@@ -1,6 +1,7 @@
 package org.cassiabank.backend;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -16,7 +17,8 @@
     /** The beginning of a status line, up to the status. */
     static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}(?=[ \\r\\n]|\\z)");
 
-    private static final String BEGINNING = "HTTP/1.";
+    private static final byte[] BEGINNING = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
+    private static final String END_OF_HEAD = "\r\n\r\n";
     private static final int STATUS_LINE_BYTES = "HTTP/1.1 200".length();
 
     private ResponseBoundary() {}
@@ -40,7 +42,8 @@
         while (statusLine.find() && statusLine.start() < bodyLength) {
             String head = headFrom(text, statusLine.start());
             boolean followedByItsRest = !behind.isEmpty() && !responseBehind;
-            if (followedByItsRest || containsField(head, requestIdHeader)) {
+            boolean followedByItsFinalResponse = responseBehind && isInterimHeadAtEnd(text, statusLine.start());
+            if (followedByItsRest || followedByItsFinalResponse || containsField(head, requestIdHeader)) {
                 return Optional.of("another response begins after " + (from + statusLine.start()) + " of " + body.length
                         + " bytes of the body");
             }
@@ -59,12 +62,56 @@
         return statusLine.lookingAt() || statusLine.hitEnd();
     }
 
+    /**
+     * Tells whether only bytes that arrive later can tell where a response ends: its body ends like the beginning of
+     * another response, or what follows it is too short to tell what it is.
+     *
+     * @param endOfBody the last bytes of the body
+     * @param bytesBehind the bytes that follow the end of the response
+     * @return true if it is worth to wait for more bytes
+     */
+    static boolean isUndecided(byte[] endOfBody, byte[] bytesBehind) {
+        return bytesBehind.length > 0
+                ? isBeginningOfStatusLine(text(bytesBehind, 0))
+                : endsInsideResponse(text(endOfBody, indexOfBeginning(endOfBody)));
+    }
+
+    private static boolean endsInsideResponse(String text) {
+        Matcher statusLine = STATUS_LINE.matcher(text);
+        while (statusLine.find()) {
+            int start = statusLine.start();
+            if (text.indexOf(END_OF_HEAD, start) < 0 || isInterimHeadAtEnd(text, start)) {
+                return true;
+            }
+        }
+        int index = text.indexOf('H', text.length() - STATUS_LINE_BYTES);
+        while (index >= 0) {
+            if (isBeginningOfStatusLine(text.substring(index))) {
+                return true;
+            }
+            index = text.indexOf('H', index + 1);
+        }
+        return false;
+    }
+
+    /** Tells whether a text breaks off inside a status line. */
+    private static boolean isBeginningOfStatusLine(String text) {
+        Matcher statusLine = STATUS_LINE.matcher(text);
+        return !statusLine.lookingAt() && statusLine.hitEnd();
+    }
+
+    /** Tells whether the text ends with an interim response, behind which its server sends the final one. */
+    private static boolean isInterimHeadAtEnd(String text, int start) {
+        int status = start + STATUS_LINE_BYTES - "200".length();
+        return text.charAt(status) == '1' && text.indexOf(END_OF_HEAD, start) == text.length() - END_OF_HEAD.length();
+    }
+
     /** Returns where a status line may begin at the earliest. */
     private static int indexOfBeginning(byte[] body) {
-        int last = body.length - BEGINNING.length();
+        int last = body.length - BEGINNING.length;
         for (int index = 0; index <= last; index++) {
-            if (body[index] == BEGINNING.charAt(0)
-                    && text(body, index, BEGINNING.length()).equals(BEGINNING)) {
+            if (body[index] == BEGINNING[0]
+                    && Arrays.equals(body, index, index + BEGINNING.length, BEGINNING, 0, BEGINNING.length)) {
                 return index;
             }
         }
@@ -73,16 +120,12 @@
     }
 
     private static String text(byte[] bytes, int from) {
-        return text(bytes, from, bytes.length - from);
-    }
-
-    private static String text(byte[] bytes, int from, int length) {
-        return new String(bytes, from, length, StandardCharsets.ISO_8859_1);
+        return new String(bytes, from, bytes.length - from, StandardCharsets.ISO_8859_1);
     }
 
     /** Returns the text up to the empty line that ends a head, or all of the rest if there is none. */
     private static String headFrom(String text, int start) {
-        int end = text.indexOf("\r\n\r\n", start);
+        int end = text.indexOf(END_OF_HEAD, start);
         return end < 0 ? text.substring(start) : text.substring(start, end);
     }
 
--- a/src/main/java/org/cassiabank/backend/ResponseInputStream.java
+++ b/src/main/java/org/cassiabank/backend/ResponseInputStream.java
@@ -1,5 +1,6 @@
 package org.cassiabank.backend;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.util.Arrays;
@@ -18,6 +19,9 @@
     private static final int BUFFER_BYTES = 8_192;
     private static final byte[] EMPTY = {};
 
+    /** Holds the longest head that is looked for at the end of a body. */
+    private static final int END_OF_BODY_BYTES = 4_096;
+
     /** What the bytes that are read next belong to. */
     private enum Part {
         /** No response is expected: the next byte ends the use of the connection. */
@@ -32,6 +36,8 @@
     private Part part = Part.NONE;
     /** The rest of a body of declared length. */
     private long remainingBytes;
+    /** The latest bytes of a body of declared length, as far as they were handed out. */
+    private final ByteArrayOutputStream endOfBody = new ByteArrayOutputStream();
     /** Holds bytes from {@link #position} to {@link #limit}; allocated while there are any. */
     private byte[] buffer = EMPTY;
 
@@ -55,6 +61,7 @@
     /** Expects the head of a response, and a chunked body if nothing else is announced. */
     void beginResponse() {
         part = Part.LINES;
+        endOfBody.reset();
     }
 
     /**
@@ -84,7 +91,7 @@
         if (position == limit && input.available() > 0) {
             fill();
         }
-        byte[] bytesBehind = Arrays.copyOfRange(buffer, position, limit);
+        byte[] bytesBehind = bytesBehind();
         if (bytesBehind.length == 0) {
             buffer = EMPTY;
             position = 0;
@@ -93,6 +100,32 @@
         return bytesBehind;
     }
 
+    /**
+     * Waits for bytes behind the response; those that had arrived before are kept.
+     *
+     * @return false if the connection has ended
+     * @throws IOException if the connection cannot be read, or the timeout of its socket has passed
+     */
+    boolean awaitBytesBehind() throws IOException {
+        byte[] former = bytesBehind();
+        byte[] joined = Arrays.copyOf(former, Math.max(BUFFER_BYTES, former.length + 1));
+        int readBytes = input.read(joined, former.length, joined.length - former.length);
+        buffer = joined;
+        position = 0;
+        limit = former.length + Math.max(0, readBytes);
+        return readBytes >= 0;
+    }
+
+    /** Returns the bytes that have arrived behind the response and were read from the connection. */
+    byte[] bytesBehind() {
+        return Arrays.copyOfRange(buffer, position, limit);
+    }
+
+    /** Returns the last bytes of a body of declared length, at most {@value #END_OF_BODY_BYTES}; none of others. */
+    byte[] endOfBody() {
+        return endOfBody.toByteArray();
+    }
+
     /** Returns the number of bytes that have arrived and were not handed out, as far as that is known. */
     @Override
     public int available() throws IOException {
@@ -125,7 +158,12 @@
                 }
                 yield takeBuffered(bytes, offset, Math.min(length, lengthOfLine()));
             }
-            case BODY_OF_DECLARED_LENGTH -> readBody(bytes, offset, (int) Math.min(length, remainingBytes));
+            case BODY_OF_DECLARED_LENGTH -> {
+                int readBytes = readBody(bytes, offset, (int) Math.min(length, remainingBytes));
+                remainingBytes -= Math.max(0, readBytes);
+                keepEndOfBody(bytes, offset, readBytes);
+                yield readBytes;
+            }
             case BODY_UNTIL_END_OF_CONNECTION -> readBody(bytes, offset, length);
         };
     }
@@ -134,9 +172,15 @@
         if (length == 0) {
             return -1;
         }
-        int readBytes = position < limit ? takeBuffered(bytes, offset, length) : input.read(bytes, offset, length);
-        remainingBytes -= Math.max(0, readBytes);
-        return readBytes;
+        return position < limit ? takeBuffered(bytes, offset, length) : input.read(bytes, offset, length);
+    }
+
+    /** Keeps what belongs to the last bytes of the body. */
+    private void keepEndOfBody(byte[] bytes, int offset, int length) {
+        int keptBytes = (int) Math.min(length, END_OF_BODY_BYTES - remainingBytes);
+        if (keptBytes > 0) {
+            endOfBody.write(bytes, offset + length - keptBytes, keptBytes);
+        }
     }
 
     private int takeBuffered(byte[] bytes, int offset, int length) {
--- a/src/test/java/org/cassiabank/backend/JoinedResponseTest.java
+++ b/src/test/java/org/cassiabank/backend/JoinedResponseTest.java
@@ -231,6 +231,65 @@
         }
     }
 
+    @Test
+    void aBodyIsNotCompletedByTheBeginningOfAnotherResponseWhoseRestArrivesLater() throws Exception {
+        ServerResponse first = ServerResponse.of(200, Framing.LENGTH);
+        ServerResponse second = ServerResponse.of(500, Framing.LENGTH);
+        String secondBytes = second.bytes(ID);
+        List<Integer> joined = new ArrayList<>();
+        // In longer beginnings the identifier of the request tells the second response.
+        for (int length = 1; length < first.body().length(); length++) {
+            String beginning = secondBytes.substring(0, length);
+            String rest = secondBytes.substring(length);
+            String part = first.bytes(ID).substring(0, first.bytes(ID).length() - length);
+            BackendResult result = sendOnce("GET", (request, socket) -> {
+                socket.setTcpNoDelay(true);
+                ScriptedServer.write(socket, part + beginning);
+                TimeUnit.MILLISECONDS.sleep(5);
+                ScriptedServer.write(socket, rest);
+            });
+            if (result instanceof ResponseReceived) {
+                joined.add(length);
+            }
+        }
+        assertThat(joined).as("bytes of the second response in the body").isEmpty();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 5})
+    void aBodyIsNotCompletedByAnInterimResponse(int pauseMillis) throws Exception {
+        String interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        ServerResponse first = ServerResponse.of(200, Framing.LENGTH);
+        String firstBytes = first.bytes(ID);
+        String part = firstBytes.substring(0, firstBytes.length() - interim.length());
+        BackendResult result = sendOnce("GET", (request, socket) -> {
+            socket.setTcpNoDelay(true);
+            String second = ServerResponse.of(500, Framing.LENGTH).bytes(ID);
+            ScriptedServer.write(socket, part + interim + (pauseMillis == 0 ? second : ""));
+            TimeUnit.MILLISECONDS.sleep(pauseMillis);
+            ScriptedServer.write(socket, pauseMillis == 0 ? "" : second);
+        });
+        assertThat(result).isInstanceOf(NoValidResponse.class);
+    }
+
+    @Test
+    void aWholeResponseThatTellsOfAnotherIsDeliveredThoughOneFollowsInParts() throws Exception {
+        String second = ServerResponse.of(500, Framing.LENGTH).bytes(ID);
+        ServerResponse first = new ServerResponse(200, "seal", Framing.LENGTH, "HTTP/1.1 404 Not Found\r\n");
+        for (int length = 1; length < 20; length++) {
+            String beginning = second.substring(0, length);
+            String rest = second.substring(length);
+            BackendResult result = sendOnce("GET", (request, socket) -> {
+                socket.setTcpNoDelay(true);
+                ScriptedServer.write(socket, first.bytes(ID) + beginning);
+                TimeUnit.MILLISECONDS.sleep(5);
+                ScriptedServer.write(socket, rest);
+            });
+            assertThat(result).as("%d bytes behind the first response", length).isInstanceOf(ResponseReceived.class);
+            assertThat(first.isDeliveredAs((ResponseReceived) result)).isTrue();
+        }
+    }
+
     private static BackendResult sendOnce(String method, ScriptedServer.Script script) throws IOException {
         try (BackendClient client = newClient();
                 ScriptedServer server = new ScriptedServer(script)) {
