--- a/src/test/java/org/cassiabank/backend/PlatformLikeHeaderConventions.java
+++ b/src/test/java/org/cassiabank/backend/PlatformLikeHeaderConventions.java
@@ -42,7 +42,7 @@
 
     @Override
     public boolean provesNotRun(int status, Map<String, List<String>> headers) {
-        return status == 421;
+        return status == 421 || status == 503 && BackendHeaders.hasOnlyValue(headers, BackendHeaders.NOT_RUN, "true");
     }
 
     @Override
