--- a/src/main/java/org/cassiabank/backend/AttemptTrace.java
+++ b/src/main/java/org/cassiabank/backend/AttemptTrace.java
@@ -154,7 +154,7 @@
         }
         boolean usable = false;
         try {
-            bytesBehind = currentSocket.getInputStream().endResponse();
+            bytesBehind = currentSocket.endResponse();
             usable = bytesBehind.length == 0;
         } catch (IOException exception) {
             LOGGER.atFine().withCause(exception).log("a connection could not be read behind its response");
