Move what keeps responses apart to the package of HTTP clients

The metadata store is read with the same HTTP client as the servers, over kept connections, and needs the same checks. Five classes move from the package of backend servers, with their names: the stream that hands out a connection response by response, the check of a head, the shortening of text for the log, and two exceptions. The check of a head takes the names of the headers that stand once, instead of the conventions of the servers. No behaviour changes.

--- a/src/main/java/org/cassiabank/backend/AttemptTrace.java
+++ b/src/main/java/org/cassiabank/backend/AttemptTrace.java
@@ -12,6 +12,7 @@
 import okhttp3.Protocol;
 import okhttp3.Request;
 import okhttp3.Response;
+import org.cassiabank.http.UnusableConnectionException;
 
 /**
  * Records for one attempt whether bytes may have been written, and the headers of the response.
--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import okhttp3.Call;
 import okhttp3.Headers;
 import okhttp3.Response;
@@ -15,6 +16,10 @@
 import okio.BufferedSource;
 import org.cassiabank.admission.RateLimitNotice;
 import org.cassiabank.admission.ServerNotice;
+import org.cassiabank.http.PrintableText;
+import org.cassiabank.http.ResponseHeads;
+import org.cassiabank.http.ResponseTooLargeException;
+import org.cassiabank.http.UnusableConnectionException;
 
 /**
  * One attempt at a request to a backend server, which another thread can cancel.
@@ -233,7 +238,8 @@
         }
         int status = response.code();
         boolean hasBody = status != 204 && status != 304 && !request.method().equals("HEAD");
-        Optional<String> defect = ResponseHeads.findDefect(status, response.message(), headers, conventions, hasBody);
+        Optional<String> defect =
+                ResponseHeads.findDefect(status, response.message(), headers, identifyingFields(), hasBody);
         if (defect.isPresent()) {
             LOGGER.atInfo().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
                     "server %s at %s sent a malformed head in response to request %s: %s",
@@ -283,6 +289,12 @@
         return new ServerNotice(leaving, limit.orElseGet(RateLimitNotice.Unlimited::new));
     }
 
+    /** Returns the names of the headers that each response of a server holds. */
+    private List<String> identifyingFields() {
+        return Stream.concat(Stream.of(conventions.requestIdHeader()), conventions.responseSignatureHeader().stream())
+                .toList();
+    }
+
     private boolean lacksRequiredSignature(Headers headers) {
         return conventions
                 .responseSignatureHeader()
--- a/src/main/java/org/cassiabank/backend/MeteredSocket.java
+++ b/src/main/java/org/cassiabank/backend/MeteredSocket.java
@@ -14,6 +14,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
+import org.cassiabank.http.ResponseInputStream;
+import org.cassiabank.http.ResponseTooLargeException;
 
 /**
  * A socket that counts the write operations that have started, and reports the bytes that it reads to the meter of the
--- a/src/main/java/org/cassiabank/backend/NoValidResponse.java
+++ b/src/main/java/org/cassiabank/backend/NoValidResponse.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import org.cassiabank.health.AttemptOutcome;
+import org.cassiabank.http.PrintableText;
 import org.cassiabank.retry.AttemptResult;
 
 /**
--- a/src/main/java/org/cassiabank/backend/ResponseBoundary.java
+++ b/src/main/java/org/cassiabank/backend/ResponseBoundary.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.cassiabank.http.ResponseHeads;
 
 /**
  * Decides whether a body ends where its response ends, or was completed by the bytes of another response.
@@ -13,9 +14,7 @@
  * whole one begins exactly at the end.
  */
 final class ResponseBoundary {
-    /** The beginning of a status line, up to the status. */
-    static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}(?![0-9])");
-
+    private static final Pattern STATUS_LINE = ResponseHeads.STATUS_LINE;
     private static final String BEGINNING = "HTTP/1.";
     private static final int STATUS_LINE_BYTES = "HTTP/1.1 200".length();
 
--- a/src/main/java/org/cassiabank/backend/ResponseMemory.java
+++ b/src/main/java/org/cassiabank/backend/ResponseMemory.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Objects;
 import java.util.Set;
+import org.cassiabank.http.ResponseTooLargeException;
 
 /**
  * The memory for all responses that are being received. When it is exhausted, the attempt with the largest response is
--- a/src/main/java/org/cassiabank/backend/ResponseMeter.java
+++ b/src/main/java/org/cassiabank/backend/ResponseMeter.java
@@ -1,6 +1,7 @@
 package org.cassiabank.backend;
 
 import java.util.Objects;
+import org.cassiabank.http.ResponseTooLargeException;
 
 /**
  * Limits the bytes of one response, including those that belong to no body: OkHttp buffers a chunk line or a sequence
--- a/src/main/java/org/cassiabank/backend/PrintableText.java
+++ b/src/main/java/org/cassiabank/http/PrintableText.java
@@ -1,9 +1,9 @@
-package org.cassiabank.backend;
+package org.cassiabank.http;
 
 /**
- * Makes bytes that a server chose fit for a log line.
+ * Makes bytes that another process chose fit for a log line.
  */
-final class PrintableText {
+public final class PrintableText {
     private static final int MAXIMUM_CHARACTERS = 160;
     private static final char DELETE = 0x7f;
 
@@ -16,7 +16,7 @@
      * @return the first {@value #MAXIMUM_CHARACTERS} characters; four hexadecimal digits stand for one that is not
      *     printable
      */
-    static String abbreviate(String text) {
+    public static String abbreviate(String text) {
         StringBuilder printable = new StringBuilder();
         text.chars().limit(MAXIMUM_CHARACTERS).forEach(character -> {
             if (character >= ' ' && character < DELETE) {
--- a/src/main/java/org/cassiabank/backend/ResponseHeads.java
+++ b/src/main/java/org/cassiabank/http/ResponseHeads.java
@@ -1,21 +1,26 @@
-package org.cassiabank.backend;
+package org.cassiabank.http;
 
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import java.util.regex.Pattern;
 import okhttp3.Headers;
 
 /**
- * Decides which heads of responses can be passed on to a caller unchanged.
+ * Decides which heads of responses are whole and can be passed on unchanged.
  *
  * <p>OkHttp accepts more than HTTP/1.1 permits: control bytes in values, names that are not tokens, lines without a
  * colon, folded lines and any three characters that form a number as the status. Such a head stands for a server that
  * spoils its responses. It also reads two heads as one if the first breaks off inside a line: the status is that of the
  * first, and the status line of the second becomes the rest of the line.
  */
-final class ResponseHeads {
+public final class ResponseHeads {
+    /** The beginning of a status line, up to the status. */
+    public static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}(?![0-9])");
+
     private static final int LOWEST_FINAL_STATUS = 200;
     private static final int HIGHEST_STATUS = 599;
     private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
@@ -38,12 +43,12 @@
      * @param status the status, which is valid if it is final: neither interim nor beyond 599
      * @param reasonPhrase the text behind the status, empty if there is none
      * @param headers the headers as OkHttp has read them
-     * @param conventions name the headers that each response of a server holds
+     * @param singleFields the names of further headers that a response holds at most once
      * @param hasBody whether the response has a body, whose end the declared length decides
      * @return what is wrong, or empty if the head can be passed on
      */
-    static Optional<String> findDefect(
-            int status, String reasonPhrase, Headers headers, HeaderConventions conventions, boolean hasBody) {
+    public static Optional<String> findDefect(
+            int status, String reasonPhrase, Headers headers, Collection<String> singleFields, boolean hasBody) {
         if (status < LOWEST_FINAL_STATUS || status > HIGHEST_STATUS) {
             return Optional.of("status " + status + " is not a final status");
         }
@@ -51,7 +56,7 @@
             return Optional.of("status " + status + " is followed by the status line ["
                     + PrintableText.abbreviate(reasonPhrase) + "]");
         }
-        Set<String> singleFields = new HashSet<>();
+        Set<String> foundFields = new HashSet<>();
         for (int index = 0; index < headers.size(); index++) {
             String name = headers.name(index);
             if (!isToken(name)) {
@@ -65,7 +70,7 @@
                 return Optional.of("value of header " + name + " ends in the status line of another response: ["
                         + PrintableText.abbreviate(headers.value(index)) + "]");
             }
-            if (isSingleField(name, conventions) && !singleFields.add(name.toLowerCase(Locale.ROOT))) {
+            if (isSingleField(name, singleFields) && !foundFields.add(name.toLowerCase(Locale.ROOT))) {
                 return Optional.of("header " + name + " stands twice");
             }
         }
@@ -81,16 +86,12 @@
     }
 
     private static boolean containsStatusLine(String text) {
-        return ResponseBoundary.STATUS_LINE.matcher(text).find();
+        return STATUS_LINE.matcher(text).find();
     }
 
-    private static boolean isSingleField(String name, HeaderConventions conventions) {
+    private static boolean isSingleField(String name, Collection<String> furtherFields) {
         return SINGLE_FIELDS.contains(name.toLowerCase(Locale.ROOT))
-                || name.equalsIgnoreCase(conventions.requestIdHeader())
-                || conventions
-                        .responseSignatureHeader()
-                        .filter(name::equalsIgnoreCase)
-                        .isPresent();
+                || furtherFields.stream().anyMatch(name::equalsIgnoreCase);
     }
 
     private static boolean isToken(String name) {
--- a/src/main/java/org/cassiabank/backend/ResponseInputStream.java
+++ b/src/main/java/org/cassiabank/http/ResponseInputStream.java
@@ -1,4 +1,4 @@
-package org.cassiabank.backend;
+package org.cassiabank.http;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -14,7 +14,7 @@
  *
  * <p>Confined to the thread that uses the connection.
  */
-final class ResponseInputStream extends InputStream {
+public final class ResponseInputStream extends InputStream {
     private static final int BUFFER_BYTES = 8_192;
     private static final byte[] EMPTY = {};
 
@@ -48,12 +48,12 @@
      * @param input the bytes of the connection
      * @return the stream
      */
-    static ResponseInputStream of(InputStream input) {
+    public static ResponseInputStream of(InputStream input) {
         return new ResponseInputStream(Objects.requireNonNull(input, "input"));
     }
 
     /** Expects the head of a response, and a chunked body if nothing else is announced. */
-    void beginResponse() {
+    public void beginResponse() {
         part = Part.LINES;
     }
 
@@ -62,13 +62,13 @@
      *
      * @param bytes the length in bytes, positive
      */
-    void beginBody(long bytes) {
+    public void beginBody(long bytes) {
         part = Part.BODY_OF_DECLARED_LENGTH;
         remainingBytes = bytes;
     }
 
     /** Expects a body that ends with the connection. */
-    void beginBodyUntilEndOfConnection() {
+    public void beginBodyUntilEndOfConnection() {
         part = Part.BODY_UNTIL_END_OF_CONNECTION;
     }
 
@@ -78,7 +78,7 @@
      * @return the bytes that have arrived behind its end, at most {@value #BUFFER_BYTES}
      * @throws IOException if the connection cannot be read
      */
-    byte[] endResponse() throws IOException {
+    public byte[] endResponse() throws IOException {
         part = Part.NONE;
         remainingBytes = 0;
         if (position == limit && input.available() > 0) {
