--- a/src/test/java/org/cassiabank/backend/ScriptedServer.java
+++ b/src/test/java/org/cassiabank/backend/ScriptedServer.java
@@ -16,15 +16,15 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** An HTTP server on a real socket whose script writes each response, so that it can violate the protocol. */
-final class ScriptedServer implements AutoCloseable {
+public final class ScriptedServer implements AutoCloseable {
     /** Responds to a request. Afterwards the server reads the next request, unless the script closed the connection. */
-    interface Script {
+    public interface Script {
         void respond(ReceivedRequest request, Socket socket) throws Exception;
     }
 
     /** A received request; connections are numbered from 1 in the order in which they were accepted. */
-    record ReceivedRequest(int connectionNumber, String head, byte[] body) {
-        String header(String name) {
+    public record ReceivedRequest(int connectionNumber, String head, byte[] body) {
+        public String header(String name) {
             return head.lines()
                     .filter(line -> line.regionMatches(true, 0, name + ":", 0, name.length() + 1))
                     .map(line -> line.substring(name.length() + 1).strip())
@@ -39,7 +39,7 @@
     }
 
     final List<ReceivedRequest> receivedRequests = new CopyOnWriteArrayList<>();
-    final AtomicInteger acceptedConnections = new AtomicInteger();
+    public final AtomicInteger acceptedConnections = new AtomicInteger();
     /** Has a permit for each connection that was closed. */
     final Semaphore closedConnections = new Semaphore(0);
 
@@ -47,7 +47,7 @@
     private final ServerSocket listener;
     private final Script script;
 
-    ScriptedServer(Script script) throws IOException {
+    public ScriptedServer(Script script) throws IOException {
         this.script = script;
         listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         Thread.startVirtualThread(this::accept);
@@ -59,13 +59,13 @@
                 write(socket, request.responseHead(200) + "Content-Length: " + text.length() + "\r\n\r\n" + text);
     }
 
-    static void write(Socket socket, String text) throws IOException {
+    public static void write(Socket socket, String text) throws IOException {
         OutputStream output = socket.getOutputStream();
         output.write(text.getBytes(StandardCharsets.ISO_8859_1));
         output.flush();
     }
 
-    String address() {
+    public String address() {
         return "127.0.0.1:" + listener.getLocalPort();
     }
 
