Never read two responses of the metadata store as one, nor one without end

A daemon could take the beginning of a second response for the beginning of the next one, join a success that broke off with the refusal behind it, and fill its heap with a response that does not end. Cause: the HTTP client reads ahead, accepts what stands behind the end of a response as the beginning of the next one, and has no bound. The clients of the store and of the platform's service now hand out a connection response by response, as the client of the servers does: bytes behind a response close its connection, bytes before a request lead to a new one before anything is sent, and a head that may consist of two, an ambiguous length, an encoded body and more bytes than permitted are refused. The bounds are 2 x (a page of 1 MB + a value of 1 MB) in base64 for the store, and 16 MiB for the platform's service. A watch whose changes are too many leads to a read of all entries, which comes in pages.

The responses without end are checked by the bytes that the server could write, instead of one message for all.

--- a/src/main/java/org/cassiabank/http/KeepAliveSocketFactory.java
+++ b/src/main/java/org/cassiabank/http/KeepAliveSocketFactory.java
@@ -5,6 +5,8 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.StandardSocketOptions;
+import java.util.Objects;
+import java.util.function.Supplier;
 import javax.net.SocketFactory;
 import jdk.net.ExtendedSocketOptions;
 
@@ -18,7 +20,12 @@
     /** With one packet in forty lost, two lost probes in a row are common and three are not. */
     private static final int MAXIMUM_UNANSWERED_PROBES = 3;
 
-    private KeepAliveSocketFactory() {}
+    private final Supplier<Socket> newSocket;
+
+    private KeepAliveSocketFactory(Supplier<Socket> newSocket) {
+        super();
+        this.newSocket = newSocket;
+    }
 
     /**
      * Creates a factory. Creating a socket fails if the operating system does not support the options.
@@ -26,7 +33,17 @@
      * @return the factory
      */
     public static KeepAliveSocketFactory create() {
-        return new KeepAliveSocketFactory();
+        return of(Socket::new);
+    }
+
+    /**
+     * Creates a factory for sockets of another class.
+     *
+     * @param newSocket creates a socket that is not connected
+     * @return the factory
+     */
+    static KeepAliveSocketFactory of(Supplier<Socket> newSocket) {
+        return new KeepAliveSocketFactory(Objects.requireNonNull(newSocket, "newSocket"));
     }
 
     /**
@@ -45,7 +62,7 @@
 
     @Override
     public Socket createSocket() throws IOException {
-        Socket socket = new Socket();
+        Socket socket = newSocket.get();
         enableKeepAlive(socket);
         return socket;
     }
--- a/src/main/java/org/cassiabank/platform/KeyValueStore.java
+++ b/src/main/java/org/cassiabank/platform/KeyValueStore.java
@@ -14,13 +14,15 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
+import okhttp3.ConnectionPool;
 import okhttp3.HttpUrl;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
-import org.cassiabank.http.KeepAliveSocketFactory;
+import org.cassiabank.http.ResponseTooLargeException;
+import org.cassiabank.http.SeparateResponses;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.kernel.ErrorCode;
 import org.cassiabank.source.MetadataStore;
@@ -44,6 +46,12 @@
     /** The store responds within 4 ms, and within up to 60 times that when it is slow. */
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(1_500);
 
+    /**
+     * A page holds about 1 MB, and one value may have 1 MB, a third more in base64. Twice the sum also covers the names
+     * of fields.
+     */
+    private static final long MAXIMUM_RESPONSE_BYTES = 2 * (1 + 1) * 4 * 1_048_576 / 3;
+
     /** Rises by one each time the store comes back from an older copy of its contents. */
     private static final String ERA_HEADER = "Store-Era";
 
@@ -75,13 +83,10 @@
         }
         return new KeyValueStore(
                 baseUrl,
-                new OkHttpClient.Builder()
-                        .socketFactory(KeepAliveSocketFactory.create())
+                SeparateResponses.newClientBuilder(new ConnectionPool(), MAXIMUM_RESPONSE_BYTES, Set.of(ERA_HEADER))
                         .connectTimeout(CONNECT_TIMEOUT)
                         .callTimeout(CALL_TIMEOUT)
                         .readTimeout(Duration.ZERO)
-                        .retryOnConnectionFailure(false)
-                        .followRedirects(false)
                         .build());
     }
 
@@ -112,7 +117,17 @@
                 .addQueryParameter("after", Long.toString(afterRevision.number()))
                 .addQueryParameter("wait_ms", Long.toString(waitMillis))
                 .build();
-        StoreResponse response = call(new Request.Builder().url(url), Duration.ofMillis(waitMillis), Set.of(OK, GONE));
+        StoreResponse response;
+        try {
+            response = call(new Request.Builder().url(url), Duration.ofMillis(waitMillis), Set.of(OK, GONE));
+        } catch (CassiabankException exception) {
+            if (exception.getCause() instanceof ResponseTooLargeException) {
+                // A read of all entries comes in pages.
+                LOGGER.atWarning().log("the changes after revision %s are too many: %s", afterRevision, exception);
+                return Optional.empty();
+            }
+            throw exception;
+        }
         if (response.status() == GONE) {
             return Optional.empty();
         }
--- a/src/main/java/org/cassiabank/store/PlatformHttpClient.java
+++ b/src/main/java/org/cassiabank/store/PlatformHttpClient.java
@@ -3,12 +3,14 @@
 import java.io.IOException;
 import java.net.URI;
 import java.time.Duration;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import okhttp3.ConnectionPool;
 import okhttp3.HttpUrl;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
 import okhttp3.Response;
+import org.cassiabank.http.SeparateResponses;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.kernel.ErrorCode;
 
@@ -21,6 +23,11 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
     private static final int MAXIMUM_IDLE_CONNECTIONS = 2;
+    private static final String INDEX_HEADER = "X-Consul-Index";
+
+    /** Far above any list of instances, which comes as one document, and small beside the heap of a daemon. */
+    private static final long MAXIMUM_RESPONSE_BYTES = 16 * 1_048_576;
+
     private static final int FIRST_SERVER_ERROR_STATUS = 500;
 
     private final HttpUrl baseUrl;
@@ -37,13 +44,12 @@
             throw new IllegalArgumentException("not an HTTP URL: " + serviceUrl);
         }
         // A retry inside the HTTP client could apply a write twice, and the code that sent it could not detect that.
-        OkHttpClient client = new OkHttpClient.Builder()
+        OkHttpClient client = SeparateResponses.newClientBuilder(
+                        new ConnectionPool(MAXIMUM_IDLE_CONNECTIONS, CALL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS),
+                        MAXIMUM_RESPONSE_BYTES,
+                        Set.of(INDEX_HEADER))
                 .connectTimeout(CONNECT_TIMEOUT)
                 .callTimeout(CALL_TIMEOUT)
-                .retryOnConnectionFailure(false)
-                .followRedirects(false)
-                .connectionPool(
-                        new ConnectionPool(MAXIMUM_IDLE_CONNECTIONS, CALL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS))
                 .build();
         return new PlatformHttpClient(baseUrl, client);
     }
@@ -60,7 +66,7 @@
      *     extends the timeout of the call
      * @return the response with its body in memory
      * @throws CassiabankException with {@link ErrorCode#STORE_UNAVAILABLE} if no response arrives in time, if its
-     *     status is 500 or above, or if its index is not a number
+     *     status is 500 or above, if it is refused or too large, or if its index is not a number
      */
     PlatformResponse send(Request request, long serverWaitMillis) {
         OkHttpClient clientWithTimeout = serverWaitMillis == 0
@@ -74,7 +80,7 @@
             if (response.code() >= FIRST_SERVER_ERROR_STATUS) {
                 throw unavailable(request, "status " + response.code(), null);
             }
-            String index = response.header("X-Consul-Index", "0");
+            String index = response.header(INDEX_HEADER, "0");
             return new PlatformResponse(response.code(), Long.parseLong(index), body);
         } catch (IOException | NumberFormatException exception) {
             throw unavailable(request, exception.getMessage(), exception);
--- a/src/test/java/org/cassiabank/platform/StoreResponseBoundaryTest.java
+++ b/src/test/java/org/cassiabank/platform/StoreResponseBoundaryTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.assertj.core.api.ThrowableAssert.ThrowingCallable;
 import org.cassiabank.backend.ScriptedServer;
@@ -29,6 +30,9 @@
  */
 class StoreResponseBoundaryTest {
     private static final StoreRevision REVISION = new StoreRevision(1, 500);
+    /** Ends the script of a server whose client never closes the connection. */
+    private static final long SERVER_GIVES_UP_BYTES = 64_000_000;
+
     private static final StoreLease LEASE = new StoreLease(7, 1);
     private static final String EMPTY_LIST = "{\"items\":[],\"more_pages\":false,\"store_revision\":530}";
     private static final String LIST =
@@ -225,12 +229,14 @@
     @Test
     void aResponseWithoutEndIsCutOff() throws IOException {
         String spaces = " ".repeat(1 << 16);
-        String heads = "HTTP/1.1 200 OK\r\nStore-Era: 1\r\n";
-        assertCutOff(heads + "Content-Length: 900000000\r\n\r\n{\"items\":[", spaces);
-        assertCutOff(heads + "\r\n{\"items\":[", spaces);
-        assertCutOff(heads + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + spaces + "\r\n");
-        assertCutOff(heads + "Transfer-Encoding: chunked\r\n\r\n1;", "x".repeat(1 << 16));
-        assertCutOff("", "HTTP/1.1 100 Continue\r\n\r\n".repeat(2_000));
+        String head = "HTTP/1.1 200 OK\r\nStore-Era: 1\r\n";
+        String tooLarge = "the response exceeds";
+        assertCutOff(head + "Content-Length: 900000000\r\n\r\n{\"items\":[", spaces, tooLarge);
+        assertCutOff(head + "\r\n{\"items\":[", spaces, tooLarge);
+        assertCutOff(head + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + spaces + "\r\n", tooLarge);
+        assertCutOff(head + "Transfer-Encoding: chunked\r\n\r\n1;", "x".repeat(1 << 16), tooLarge);
+        assertCutOff(head + "X-Long: ", "x".repeat(1 << 16), "kv-range");
+        assertCutOff("", "HTTP/1.1 100 Continue\r\n\r\n".repeat(2_000), "kv-range");
     }
 
     @Test
@@ -248,20 +254,23 @@
         }
     }
 
-    private static void assertCutOff(String beginning, String repeated) throws IOException {
+    /** Checks that the client closes the connection long before the timeout of the call could. */
+    private static void assertCutOff(String beginning, String repeated, String message) throws IOException {
+        AtomicLong writtenBytes = new AtomicLong();
         try (ScriptedServer server = new ScriptedServer((request, socket) -> {
             ScriptedServer.write(socket, beginning);
-            while (!socket.isClosed()) {
+            while (writtenBytes.get() < SERVER_GIVES_UP_BYTES) {
                 ScriptedServer.write(socket, repeated);
+                writtenBytes.addAndGet(repeated.length());
             }
         })) {
             MetadataStore store = storeAt(server);
             assertThatThrownBy(() -> list(store))
                     .satisfies(StoreResponseBoundaryTest::assertStoreUnavailable)
-                    .hasMessageContaining("exceeds")
-                    .hasMessageContaining("bytes");
+                    .hasMessageContaining(message);
             store.closeConnections();
         }
+        assertThat(writtenBytes).hasValueLessThan(SERVER_GIVES_UP_BYTES);
     }
 
     private static void assertRefused(String response, Consumer<MetadataStore> call) throws IOException {
