Take no response of the metadata store for the response to another call

The result of a watch read as a list emptied the list of servers, a list read as the result of a watch passed over the changes up to its revision, and any success renewed a lease. Cause: fields that were missing counted as empty, and the store's responses name no call. Reads are linearizable: a list at an earlier revision than an earlier response is refused once, and read again on a new connection, which can hold no old response; the result of a watch that is behind the position it was asked for leads to a read of all entries.

Once, under load, the late part of a copy arrived behind the next call and was refused; the test now allows a refusal there, as the responses are still not misread.

--- a/src/main/java/org/cassiabank/platform/KeyValueStore.java
+++ b/src/main/java/org/cassiabank/platform/KeyValueStore.java
@@ -1,19 +1,20 @@
 package org.cassiabank.platform;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.net.URI;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import okhttp3.ConnectionPool;
 import okhttp3.HttpUrl;
 import okhttp3.MediaType;
@@ -24,9 +25,7 @@
 import org.cassiabank.http.ResponseTooLargeException;
 import org.cassiabank.http.SeparateResponses;
 import org.cassiabank.kernel.CassiabankException;
-import org.cassiabank.kernel.ErrorCode;
 import org.cassiabank.source.MetadataStore;
-import org.cassiabank.source.StoreEntry;
 import org.cassiabank.source.StoreEvent;
 import org.cassiabank.source.StoreLease;
 import org.cassiabank.source.StorePage;
@@ -40,7 +39,10 @@
  */
 final class KeyValueStore implements MetadataStore {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-    private static final JsonMapper MAPPER = JsonMapper.builder().build();
+    private static final JsonMapper MAPPER = JsonMapper.builder()
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+            .build();
     private static final MediaType JSON = MediaType.get("application/json");
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
     /** The store responds within 4 ms, and within up to 60 times that when it is slow. */
@@ -55,6 +57,10 @@
     /** Rises by one each time the store comes back from an older copy of its contents. */
     private static final String ERA_HEADER = "Store-Era";
 
+    private static final String LEASE_FIELD = "lease";
+    private static final String DURATION_FIELD = "ttl_time";
+    private static final String REVISION_FIELD = "rev";
+
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
     private static final int GONE = 410;
@@ -63,6 +69,8 @@
     private final OkHttpClient client;
     /** The highest era that a response named, 0 before the first one. */
     private final AtomicLong latestEra = new AtomicLong();
+    /** The highest revision that a response named: a later read cannot be at an earlier one. */
+    private final AtomicReference<StoreRevision> latestRevision = new AtomicReference<>(StoreRevision.none());
 
     private KeyValueStore(HttpUrl baseUrl, OkHttpClient client) {
         this.baseUrl = baseUrl;
@@ -101,12 +109,20 @@
         if (!afterKey.isEmpty()) {
             urlBuilder.addQueryParameter("after", afterKey);
         }
+        StoreRevision knownRevision = latestRevision.get();
         StoreResponse response = call(new Request.Builder().url(urlBuilder.build()), Duration.ZERO, Set.of(OK));
-        List<StoreEntry> entries = new ArrayList<>();
-        for (JsonNode item : response.body().path("items")) {
-            entries.add(parseEntry(item, response.era()));
+        StoreDocument document = response.document();
+        StoreRevision revision = document.storeRevision(response.era());
+        if (knownRevision.isAfter(revision)) {
+            // The next response comes over a new connection, and tells whether the store has indeed gone back.
+            latestRevision.set(StoreRevision.none());
+            client.connectionPool().evictAll();
+            throw unavailable(
+                    response.call(), "it is at revision " + revision + ", behind revision " + knownRevision, null);
         }
-        return new StorePage(entries, response.body().path("more_pages").asBoolean(), storeRevision(response));
+        recordRevision(revision);
+        return new StorePage(
+                document.entries("items", prefix, afterKey, response.era()), document.flag("more_pages"), revision);
     }
 
     @Override
@@ -131,32 +147,35 @@
         if (response.status() == GONE) {
             return Optional.empty();
         }
-        List<StoreEvent> events = new ArrayList<>();
-        for (JsonNode event : response.body().path("events")) {
-            events.add(
-                    event.path("deleted").asBoolean()
-                            ? new StoreEvent.Removed(event.path("key").asText(), revisionOf(event, response.era()))
-                            : new StoreEvent.Written(parseEntry(event, response.era())));
+        StoreDocument document = response.document();
+        List<StoreEvent> events = document.events("events", prefix, response.era());
+        StoreRevision revision = document.storeRevision(response.era());
+        if (response.era() == afterRevision.era() && afterRevision.isAfter(revision)) {
+            LOGGER.atWarning().log(
+                    "%s after revision %s is answered at revision %s", response.call(), afterRevision, revision);
+            client.connectionPool().evictAll();
+            return Optional.empty();
         }
-        return Optional.of(new StoreWatchResult(events, storeRevision(response)));
+        recordRevision(revision);
+        return Optional.of(new StoreWatchResult(events, revision));
     }
 
     @Override
     public StoreLease grantLease(long durationMillis) {
-        ObjectNode body = MAPPER.createObjectNode().put("ttl_time", PlatformDurations.formatMillis(durationMillis));
+        ObjectNode body = MAPPER.createObjectNode().put(DURATION_FIELD, PlatformDurations.formatMillis(durationMillis));
         StoreResponse response = post("/api/kv-lease", body, Set.of(OK));
-        JsonNode leaseId = response.body().path("lease");
-        if (!leaseId.canConvertToLong()) {
-            throw unavailable("POST /api/kv-lease", "the response has no lease", null);
-        }
-        return new StoreLease(leaseId.asLong(), response.era());
+        response.document().requireOnly(LEASE_FIELD, DURATION_FIELD);
+        return new StoreLease(response.document().positiveNumber(LEASE_FIELD), response.era());
     }
 
     @Override
     public boolean renewLease(StoreLease lease) {
-        return post("/api/kv-keep/" + lease.id(), MAPPER.createObjectNode(), Set.of(OK, NOT_FOUND))
-                        .status()
-                == OK;
+        StoreResponse response = post("/api/kv-keep/" + lease.id(), MAPPER.createObjectNode(), Set.of(OK, NOT_FOUND));
+        if (response.status() == NOT_FOUND) {
+            return false;
+        }
+        response.document().requireOnly(DURATION_FIELD);
+        return true;
     }
 
     @Override
@@ -167,9 +186,9 @@
                 .addObject()
                 .put("key", key)
                 .put("value", value)
-                .put("lease", lease.id());
+                .put(LEASE_FIELD, lease.id());
         body.putArray("remove");
-        return post("/api/kv-txn", body, Set.of(OK, NOT_FOUND)).status() == OK;
+        return transact(body, Set.of(OK, NOT_FOUND)).status() == OK;
     }
 
     @Override
@@ -178,7 +197,7 @@
         body.putArray("expected_rev");
         body.putArray("set_keys");
         body.putArray("remove").add(key);
-        post("/api/kv-txn", body, Set.of(OK));
+        transact(body, Set.of(OK));
     }
 
     @Override
@@ -187,6 +206,19 @@
         client.connectionPool().evictAll();
     }
 
+    private StoreResponse transact(ObjectNode body, Set<Integer> expectedStatuses) {
+        StoreResponse response = post("/api/kv-txn", body, expectedStatuses);
+        if (response.status() == OK) {
+            response.document().requireOnly(REVISION_FIELD);
+            recordRevision(new StoreRevision(response.era(), response.document().positiveNumber(REVISION_FIELD)));
+        }
+        return response;
+    }
+
+    private void recordRevision(StoreRevision revision) {
+        latestRevision.accumulateAndGet(revision, StoreRevision::latest);
+    }
+
     private HttpUrl.Builder urlBuilder(String path) {
         return baseUrl.newBuilder().encodedPath(path);
     }
@@ -216,7 +248,11 @@
                 throw unavailable(describe(request), "status " + response.code(), null);
             }
             return new StoreResponse(
-                    response.code(), era, response.code() == OK ? MAPPER.readTree(body) : MAPPER.nullNode());
+                    describe(request),
+                    response.code(),
+                    era,
+                    StoreDocument.of(
+                            describe(request), response.code() == OK ? MAPPER.readTree(body) : MAPPER.nullNode()));
         } catch (IOException exception) {
             throw unavailable(describe(request), exception.toString(), exception);
         }
@@ -239,41 +275,21 @@
         }
     }
 
-    private static StoreEntry parseEntry(JsonNode item, long era) {
-        try {
-            return new StoreEntry(item.path("key").asText(), item.path("value").binaryValue(), revisionOf(item, era));
-        } catch (IOException | NullPointerException exception) {
-            throw unavailable("entry " + item.path("key"), "the value is missing or not base64", exception);
-        }
-    }
-
-    private static StoreRevision revisionOf(JsonNode item, long era) {
-        return new StoreRevision(era, Math.max(0, item.path("rev").asLong()));
-    }
-
-    private static StoreRevision storeRevision(StoreResponse response) {
-        JsonNode revision = response.body().path("store_revision");
-        if (!revision.canConvertToLong() || revision.asLong() < 0) {
-            throw unavailable("read", "the response has no store_revision", null);
-        }
-        return new StoreRevision(response.era(), revision.asLong());
-    }
-
     private static String describe(Request request) {
         return request.method() + " " + request.url().encodedPath();
     }
 
     private static CassiabankException unavailable(String call, String reason, Exception cause) {
-        return CassiabankException.withCause(
-                ErrorCode.STORE_UNAVAILABLE, "store call " + call + " failed: " + reason, cause);
+        return StoreDocument.failure(call, reason, cause);
     }
 
     /**
      * A response of the store.
      *
+     * @param call the call, for messages
      * @param status the HTTP status
      * @param era the era of the store, 0 if the response names none
-     * @param body the document, a JSON null unless the status is 200
+     * @param document the body, a JSON null unless the status is 200
      */
-    private record StoreResponse(int status, long era, JsonNode body) {}
+    private record StoreResponse(String call, int status, long era, StoreDocument document) {}
 }
--- a/src/test/java/org/cassiabank/platform/StoreResponseBoundaryTest.java
+++ b/src/test/java/org/cassiabank/platform/StoreResponseBoundaryTest.java
@@ -63,9 +63,17 @@
                 MetadataStore store = storeAt(server);
                 assertThat(store.renewLease(LEASE)).isTrue();
                 TimeUnit.MILLISECONDS.sleep(copyIsWrittenAtOnce ? 0 : 15);
-                // The lease has ended: the store says so on the connection that the client chooses.
-                if (store.renewLease(LEASE)) {
-                    misread.add(length);
+                try {
+                    // The lease has ended: the store says so on the connection that the client chooses.
+                    if (store.renewLease(LEASE)) {
+                        misread.add(length);
+                    }
+                } catch (CassiabankException exception) {
+                    // The late part may arrive only after the call has been sent.
+                    assertThat(copyIsWrittenAtOnce)
+                            .as("copy of %s bytes", length)
+                            .isFalse();
+                    assertStoreUnavailable(exception);
                 }
                 store.closeConnections();
             }
