Take no bytes behind a peer's message for the next message

A daemon could take what stands behind a peer's reply for the reply to its next call, and carry out a call that stands behind another one in its frame. Cause: Thrift reads on in a frame until it is used up, and in what has arrived. A connection on which bytes have arrived that belong to no call is now closed instead of used again, and the server ends a connection whose frame holds more than its call. PeerReplyBoundaryTest (7, of which 3 failed), RequestForwarderTest (5), PeerTlsTest (3) and ReplicationTest (3) pass.

--- a/src/main/java/org/cassiabank/peer/PeerClientPool.java
+++ b/src/main/java/org/cassiabank/peer/PeerClientPool.java
@@ -1,5 +1,6 @@
 package org.cassiabank.peer;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.ConcurrentHashMap;
@@ -16,9 +17,12 @@
  * <p>Instances are thread-safe.
  */
 public final class PeerClientPool implements AutoCloseable {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     /** A short idle time limits the number of connections and the time for which a silent one stays undetected. */
     private static final long MAXIMUM_IDLE_MILLIS = 2_000;
 
+    private static final int LOG_INTERVAL_SECONDS = 1;
+
     private final PeerSocketFactories socketFactories;
     private final ControlTrafficRecorder trafficRecorder;
     private final Map<String, ConcurrentLinkedDeque<PeerConnection>> idleConnectionsByAddress =
@@ -134,6 +138,11 @@
         try {
             R result = connection.call(call, timeoutMillis);
             trafficRecorder.record(kind, connection.bytesSent(), connection.bytesReceived());
+            if (connection.hasUnreadBytes()) {
+                logUnreadBytes(peer, "behind the reply to call " + kind);
+                connection.close();
+                return result;
+            }
             connection.markIdle(nowMillis());
             // Within compute, because closeIdleConnections removes empty lists in the same way.
             idleConnectionsByAddress.compute(peer.address(), (address, connections) -> {
@@ -156,13 +165,30 @@
             return null;
         }
         PeerConnection connection = connections.pollFirst();
-        if (connection != null && nowMillis() - connection.idleSinceMillis() > MAXIMUM_IDLE_MILLIS) {
+        if (connection != null && !isUsable(connection, peer)) {
             connection.close();
             return null;
         }
         return connection;
     }
 
+    private static boolean isUsable(PeerConnection connection, Instance peer) {
+        if (nowMillis() - connection.idleSinceMillis() > MAXIMUM_IDLE_MILLIS) {
+            return false;
+        }
+        boolean hasUnreadBytes = connection.hasUnreadBytes();
+        if (hasUnreadBytes) {
+            logUnreadBytes(peer, "while the connection was idle");
+        }
+        return !hasUnreadBytes;
+    }
+
+    private static void logUnreadBytes(Instance peer, String moment) {
+        LOGGER.atWarning().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                "peer %s at %s sent bytes that belong to no call %s; the connection is closed",
+                peer.name(), peer.address(), moment);
+    }
+
     private static long nowMillis() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
--- a/src/main/java/org/cassiabank/peer/PeerConnection.java
+++ b/src/main/java/org/cassiabank/peer/PeerConnection.java
@@ -1,5 +1,6 @@
 package org.cassiabank.peer;
 
+import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -14,6 +15,8 @@
  * A connection to a peer, used by one call at a time. Instances are not thread-safe.
  */
 final class PeerConnection implements AutoCloseable {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
     private final CountingSocket countingSocket;
     private final TFramedTransport transport;
     private final Peer.Client client;
@@ -61,6 +64,16 @@
         return call.invoke(client);
     }
 
+    /**
+     * Tells whether bytes have arrived that belong to no call, behind the last reply or in its frame. The connection must
+     * not be used again.
+     *
+     * @return true also if the connection cannot be examined, because it has ended
+     */
+    boolean hasUnreadBytes() {
+        return transport.getBytesRemainingInBuffer() > 0 || countingSocket.hasUnreadBytes();
+    }
+
     long bytesSent() {
         return countingSocket.bytesSent;
     }
@@ -104,6 +117,15 @@
             bytesSent += length;
         }
 
+        private boolean hasUnreadBytes() {
+            try {
+                return inputStream_.available() > 0;
+            } catch (IOException exception) {
+                LOGGER.atFine().withCause(exception).log("an idle connection to a peer has ended");
+                return true;
+            }
+        }
+
         private void resetCounts() {
             bytesSent = 0;
             bytesReceived = 0;
--- a/src/main/java/org/cassiabank/peer/PeerServer.java
+++ b/src/main/java/org/cassiabank/peer/PeerServer.java
@@ -6,6 +6,7 @@
 import java.util.Objects;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import org.apache.thrift.TProcessor;
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.apache.thrift.server.TServer;
 import org.apache.thrift.server.TThreadPoolServer;
@@ -58,7 +59,7 @@
             ExecutorService workers = Executors.newVirtualThreadPerTaskExecutor();
             TThreadPoolServer.Args arguments = new TThreadPoolServer.Args(
                             new TServerSocket(listeningSocket, IDLE_TIMEOUT_MILLIS))
-                    .processor(new Peer.Processor<>(handler))
+                    .processor(endingAtFrames(new Peer.Processor<>(handler)))
                     .executorService(workers);
             arguments.transportFactory(new TFramedTransport.Factory(MAXIMUM_FRAME_BYTES));
             arguments.protocolFactory(new TCompactProtocol.Factory());
@@ -76,6 +77,18 @@
         }
     }
 
+    /** Ends a connection on which a frame holds more than its call; the rest would be read as the next call. */
+    private static TProcessor endingAtFrames(TProcessor processor) {
+        return (input, output) -> {
+            processor.process(input, output);
+            int bytesBehind = input.getTransport().getBytesRemainingInBuffer();
+            if (bytesBehind > 0) {
+                throw new TTransportException(
+                        TTransportException.CORRUPTED_DATA, bytesBehind + " bytes follow the call in its frame");
+            }
+        };
+    }
+
     @Override
     public void close() {
         closed = true;
