--- a/src/main/java/org/cassiabank/backend/ResponseInputStream.java
+++ b/src/main/java/org/cassiabank/http/ResponseInputStream.java
@@ -1,4 +1,4 @@
-package org.cassiabank.backend;
+package org.cassiabank.http;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -15,7 +15,7 @@
  *
  * <p>Confined to the thread that uses the connection.
  */
-final class ResponseInputStream extends InputStream {
+public final class ResponseInputStream extends InputStream {
     private static final int BUFFER_BYTES = 8_192;
     private static final byte[] EMPTY = {};
 
@@ -54,12 +54,12 @@
      * @param input the bytes of the connection
      * @return the stream
      */
-    static ResponseInputStream of(InputStream input) {
+    public static ResponseInputStream of(InputStream input) {
         return new ResponseInputStream(Objects.requireNonNull(input, "input"));
     }
 
     /** Expects the head of a response, and a chunked body if nothing else is announced. */
-    void beginResponse() {
+    public void beginResponse() {
         part = Part.LINES;
         endOfBody.reset();
     }
@@ -69,13 +69,13 @@
      *
      * @param bytes the length in bytes, positive
      */
-    void beginBody(long bytes) {
+    public void beginBody(long bytes) {
         part = Part.BODY_OF_DECLARED_LENGTH;
         remainingBytes = bytes;
     }
 
     /** Expects a body that ends with the connection. */
-    void beginBodyUntilEndOfConnection() {
+    public void beginBodyUntilEndOfConnection() {
         part = Part.BODY_UNTIL_END_OF_CONNECTION;
     }
 
@@ -85,7 +85,7 @@
      * @return the bytes that have arrived behind its end, at most {@value #BUFFER_BYTES}
      * @throws IOException if the connection cannot be read
      */
-    byte[] endResponse() throws IOException {
+    public byte[] endResponse() throws IOException {
         part = Part.NONE;
         remainingBytes = 0;
         if (position == limit && input.available() > 0) {
@@ -106,7 +106,7 @@
      * @return false if the connection has ended
      * @throws IOException if the connection cannot be read, or the timeout of its socket has passed
      */
-    boolean awaitBytesBehind() throws IOException {
+    public boolean awaitBytesBehind() throws IOException {
         byte[] former = bytesBehind();
         byte[] joined = Arrays.copyOf(former, Math.max(BUFFER_BYTES, former.length + 1));
         int readBytes = input.read(joined, former.length, joined.length - former.length);
@@ -116,13 +116,21 @@
         return readBytes >= 0;
     }
 
-    /** Returns the bytes that have arrived behind the response and were read from the connection. */
-    byte[] bytesBehind() {
+    /**
+     * Returns the bytes that have arrived behind the response and were read from the connection.
+     *
+     * @return a copy
+     */
+    public byte[] bytesBehind() {
         return Arrays.copyOfRange(buffer, position, limit);
     }
 
-    /** Returns the last bytes of a body of declared length, at most {@value #END_OF_BODY_BYTES}; none of others. */
-    byte[] endOfBody() {
+    /**
+     * Returns the last bytes of a body of declared length.
+     *
+     * @return at most {@value #END_OF_BODY_BYTES} bytes; none of a body without a declared length
+     */
+    public byte[] endOfBody() {
         return endOfBody.toByteArray();
     }
 
