Wait for the rest of a response that may have completed a body

A caller could get a success whose last bytes are the beginning of another response: the rest of that response came a moment later, in another packet, so nothing stood behind the body yet, and the part inside the body held no identifier.

Where a body ends inside what may be a head, the daemon waits up to 20 ms for bytes behind it before it decides. Bodies that only tell of a status line are delivered as before. Foreign ends shorter than "HTTP/1." are found only if the rest is there.

--- a/src/main/java/org/cassiabank/backend/AttemptTrace.java
+++ b/src/main/java/org/cassiabank/backend/AttemptTrace.java
@@ -152,18 +152,36 @@
         if (currentSocket == null) {
             return;
         }
+        recordBytesBehind(currentSocket, socket -> socket.getInputStream().endResponse());
+    }
+
+    /** Waits a moment for bytes behind a complete response behind which none had arrived; before it is returned. */
+    void awaitBytesBehind() {
+        MeteredSocket currentSocket = countingSocket;
+        if (currentSocket != null && !currentSocket.isClosed()) {
+            recordBytesBehind(currentSocket, MeteredSocket::awaitBytesBehind);
+        }
+    }
+
+    private void recordBytesBehind(MeteredSocket socket, BytesBehindReader reader) {
         boolean usable = false;
         try {
-            bytesBehind = currentSocket.getInputStream().endResponse();
+            bytesBehind = reader.read(socket);
             usable = bytesBehind.length == 0;
         } catch (IOException exception) {
             LOGGER.atFine().withCause(exception).log("a connection could not be read behind its response");
         }
         if (!usable) {
-            closeQuietly(currentSocket);
+            closeQuietly(socket);
         }
     }
 
+    /** Reads what follows a response. */
+    @FunctionalInterface
+    private interface BytesBehindReader {
+        byte[] read(MeteredSocket socket) throws IOException;
+    }
+
     private static void closeQuietly(MeteredSocket socket) {
         try {
             socket.close();
--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -192,6 +192,9 @@
                     NoValidResponseReason.RESPONSE_TOO_LARGE, "more than " + maximumResponseBytes + " bytes");
         }
         byte[] bodyBytes = body.readByteArray();
+        if (ResponseBoundary.mayEndInsideHead(bodyBytes)) {
+            trace.awaitBytesBehind();
+        }
         return findForeignBytes(response.code(), bodyBytes)
                 .<BackendResult>map(detail -> new NoValidResponse(NoValidResponseReason.TRUNCATED_RESPONSE, detail))
                 .orElseGet(() -> toResult(response.code(), bodyBytes));
--- a/src/main/java/org/cassiabank/backend/MeteredSocket.java
+++ b/src/main/java/org/cassiabank/backend/MeteredSocket.java
@@ -29,6 +29,8 @@
 
     private static final long EXAMINED_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     private static final int EXAMINATION_MILLIS = 1;
+    /** The packets of one message follow one another within this time. */
+    private static final int LONGEST_PAUSE_MILLIS = 20;
 
     /** The latest identifiers, the oldest first; guarded by itself. */
     private final Set<String> requestIds = new LinkedHashSet<>();
@@ -130,6 +132,24 @@
         }
     }
 
+    /**
+     * Waits up to {@value #LONGEST_PAUSE_MILLIS} ms for bytes behind a complete response.
+     *
+     * @return the bytes, none if none arrive
+     * @throws IOException if the connection ends or cannot be read
+     */
+    byte[] awaitBytesBehind() throws IOException {
+        int formerTimeoutMillis = getSoTimeout();
+        setSoTimeout(LONGEST_PAUSE_MILLIS);
+        try {
+            return getInputStream().awaitBytesBehind();
+        } catch (SocketTimeoutException exception) {
+            return new byte[0];
+        } finally {
+            setSoTimeout(formerTimeoutMillis);
+        }
+    }
+
     /** Tells whether bytes have arrived that no request has asked for, such as a second copy of a response. */
     boolean hasUnreadBytes() throws IOException {
         return getInputStream().available() > 0;
--- a/src/main/java/org/cassiabank/backend/ResponseBoundary.java
+++ b/src/main/java/org/cassiabank/backend/ResponseBoundary.java
@@ -17,6 +17,7 @@
     static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}(?![0-9])");
 
     private static final String BEGINNING = "HTTP/1.";
+    private static final int LONGEST_HEAD_BYTES = 8_192;
     private static final int STATUS_LINE_BYTES = "HTTP/1.1 200".length();
 
     private ResponseBoundary() {}
@@ -58,10 +59,28 @@
      * @return true also if there are none
      */
     static boolean mayBeginResponse(byte[] bytesBehind) {
-        Matcher statusLine = STATUS_LINE.matcher(text(bytesBehind, 0));
+        return mayBeginResponse(text(bytesBehind, 0));
+    }
+
+    private static boolean mayBeginResponse(String text) {
+        Matcher statusLine = STATUS_LINE.matcher(text);
         return statusLine.lookingAt() || statusLine.hitEnd();
     }
 
+    /**
+     * Tells whether a body ends inside the head of another response, whose rest may still be on its way.
+     *
+     * @param body the body
+     * @return true if a status line begins in the last {@value #LONGEST_HEAD_BYTES} bytes and no empty line follows
+     */
+    static boolean mayEndInsideHead(byte[] body) {
+        String end = text(body, Math.max(0, body.length - LONGEST_HEAD_BYTES));
+        int beginning = end.lastIndexOf(BEGINNING);
+        return beginning >= 0
+                && mayBeginResponse(end.substring(beginning))
+                && endOfHead(end, beginning) == end.length();
+    }
+
     /**
      * Tells whether a refusal is contradicted by what follows it: another response of the server to the same request.
      *
--- a/src/main/java/org/cassiabank/backend/ResponseInputStream.java
+++ b/src/main/java/org/cassiabank/backend/ResponseInputStream.java
@@ -1,5 +1,6 @@
 package org.cassiabank.backend;
 
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.util.Arrays;
@@ -93,6 +94,19 @@
         return bytesBehind;
     }
 
+    /**
+     * Blocks until bytes arrive behind a complete response.
+     *
+     * @return the bytes
+     * @throws IOException if the connection ends or cannot be read
+     */
+    byte[] awaitBytesBehind() throws IOException {
+        if (position == limit && fill() < 0) {
+            throw new EOFException("the connection ended behind a response");
+        }
+        return endResponse();
+    }
+
     /** Returns the number of bytes that have arrived and were not handed out, as far as that is known. */
     @Override
     public int available() throws IOException {
