Don't count a connection as idle that was closed behind its response

Requests were steered to a server because of a connection that no longer existed: OkHttp keeps a connection in its pool that was closed because bytes followed the response or the response was not valid, and the hints in each slot request name its server, which is the one that just misbehaved.

The pool of that server is cleared, as for any other connection that turns out to be unusable.

--- a/src/main/java/org/cassiabank/backend/AttemptTrace.java
+++ b/src/main/java/org/cassiabank/backend/AttemptTrace.java
@@ -37,6 +37,7 @@
     private volatile byte[] bytesBehind = {};
     private volatile ResponseReader responseReader;
     private volatile BackendResult result;
+    private volatile boolean connectionClosed;
 
     private AttemptTrace(long maximumIdleNanos, String requestId) {
         this.maximumIdleNanos = maximumIdleNanos;
@@ -119,6 +120,11 @@
         return connectionOpened;
     }
 
+    /** Tells whether this attempt has closed its connection, which OkHttp still counts as idle. */
+    boolean hasClosedConnection() {
+        return connectionClosed;
+    }
+
     @Override
     public void connectEnd(Call call, InetSocketAddress address, Proxy proxy, Protocol protocol) {
         connectionOpened = true;
@@ -182,7 +188,8 @@
         byte[] read(MeteredSocket socket) throws IOException;
     }
 
-    private static void closeQuietly(MeteredSocket socket) {
+    private void closeQuietly(MeteredSocket socket) {
+        connectionClosed = true;
         try {
             socket.close();
         } catch (IOException exception) {
--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -135,6 +135,9 @@
             if (!(result instanceof NoValidResponse)) {
                 onValidResponse.run();
             }
+            if (trace.hasClosedConnection()) {
+                onUnusableConnection.run();
+            }
             return result;
         } catch (UnusableConnectionException exception) {
             throw exception;
