--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -196,9 +196,6 @@
                     NoValidResponseReason.RESPONSE_TOO_LARGE, "more than " + maximumResponseBytes + " bytes");
         }
         byte[] bodyBytes = body.readByteArray();
-        if (ResponseBoundary.mayEndInsideHead(bodyBytes)) {
-            trace.awaitBytesBehind();
-        }
         if (endsWithConnection(response) && ResponseBoundary.endsWithUnfinishedHead(bodyBytes, statusLine(response))) {
             return new NoValidResponse(
                     NoValidResponseReason.TRUNCATED_RESPONSE,
--- a/src/test/java/org/cassiabank/backend/ResponseBoundaryTest.java
+++ b/src/test/java/org/cassiabank/backend/ResponseBoundaryTest.java
@@ -40,6 +40,13 @@
                 .isPresent();
     }
 
+    @Test
+    void anInterimResponseIsFoundBehindTheMentionOfAStatusLine() {
+        String body = "a body that tells of HTTP/1.1 200 and breaks offHTTP/1.1 100 Continue\r\n\r\n";
+        assertThat(ResponseBoundary.findDefect(bytes(body), bytes("HTTP/1.1 200 OK\r\n"), "Request-Id"))
+                .isPresent();
+    }
+
     @Test
     void anUnfinishedHeadOfManyFieldsIsExamined() {
         byte[] body = bytes("{}HTTP/1.1 200 OK\r\n" + "a:\r\n".repeat(2_000));
