--- a/src/main/java/org/cassiabank/backend/AttemptTrace.java
+++ b/src/main/java/org/cassiabank/backend/AttemptTrace.java
@@ -38,6 +38,7 @@
     private volatile byte[] bytesBehind = {};
     private volatile ResponseReader responseReader;
     private volatile BackendResult result;
+    private volatile boolean connectionClosed;
 
     private AttemptTrace(long maximumIdleNanos, String requestId) {
         this.maximumIdleNanos = maximumIdleNanos;
@@ -120,6 +121,11 @@
         return connectionOpened;
     }
 
+    /** Tells whether this attempt has closed its connection, which OkHttp still counts as idle. */
+    boolean hasClosedConnection() {
+        return connectionClosed;
+    }
+
     @Override
     public void connectEnd(Call call, InetSocketAddress address, Proxy proxy, Protocol protocol) {
         connectionOpened = true;
@@ -156,7 +162,7 @@
         boolean usable = false;
         try {
             bytesBehind = currentSocket.endResponse();
-            usable = bytesBehind.length == 0;
+            usable = bytesBehind.length == 0 && !currentSocket.isClosed();
         } catch (IOException exception) {
             LOGGER.atFine().withCause(exception).log("a connection could not be read behind its response");
         }
@@ -165,7 +171,8 @@
         }
     }
 
-    private static void closeQuietly(MeteredSocket socket) {
+    private void closeQuietly(MeteredSocket socket) {
+        connectionClosed = true;
         try {
             socket.close();
         } catch (IOException exception) {
--- a/src/main/java/org/cassiabank/backend/ResponseBoundary.java
+++ b/src/main/java/org/cassiabank/backend/ResponseBoundary.java
@@ -11,12 +11,19 @@
  * Decides whether a body ends where its response ends, or was completed by the bytes of another response.
  *
  * <p>A server whose response breaks off may send a second one on the same connection. Its first bytes then fill the
- * body of the first response up to the declared end, and the rest stays behind that end. A second response that follows a
- * whole one begins exactly at the end.
+ * body of the first response up to the declared end, and the rest stays behind that end. A second response that follows
+ * a whole one begins exactly at the end.
  */
 final class ResponseBoundary {
     private static final Pattern STATUS_LINE = ResponseHeads.STATUS_LINE;
-    private static final byte[] BEGINNING = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
+
+    /** A status line and fields, the last of which may be incomplete. */
+    private static final Pattern UNFINISHED_HEAD = Pattern.compile(STATUS_LINE.pattern()
+            + "[^\\r\\n]*+\\r\\n(?:[!-9;-~]++:[^\\r\\n]*+\\r\\n)*+[!-9;-~]*+(?::[^\\r\\n]*+)?+\\r?+");
+
+    private static final int LONGEST_HEAD_BYTES = 8_192;
+    private static final String BEGINNING_TEXT = "HTTP/1.";
+    private static final byte[] BEGINNING = BEGINNING_TEXT.getBytes(StandardCharsets.US_ASCII);
     private static final String END_OF_HEAD = "\r\n\r\n";
     private static final int STATUS_LINE_BYTES = "HTTP/1.1 200".length();
 
@@ -39,13 +46,13 @@
         int bodyLength = body.length - from;
         boolean followedByItsRest = !behind.isEmpty() && !responseBehind;
         Matcher statusLine = STATUS_LINE.matcher(text);
+        if (responseBehind && endsWithInterimHead(text)) {
+            return Optional.of("an interim response ends the " + body.length + " bytes of the body");
+        }
         int examined = 0;
         while (statusLine.find(examined) && statusLine.start() < bodyLength) {
             int headEnd = endOfHead(text, statusLine.start());
-            boolean followedByItsFinalResponse = responseBehind && isInterimHeadAtEnd(text, statusLine.start());
-            if (followedByItsRest
-                    || followedByItsFinalResponse
-                    || containsField(text.substring(statusLine.start(), headEnd), requestIdHeader)) {
+            if (followedByItsRest || containsField(text.substring(statusLine.start(), headEnd), requestIdHeader)) {
                 return Optional.of("another response begins after " + (from + statusLine.start()) + " of " + body.length
                         + " bytes of the body");
             }
@@ -66,6 +73,22 @@
         return statusLine.lookingAt() || statusLine.hitEnd();
     }
 
+    /**
+     * Tells whether a body that ends with its connection ends with the beginning of another response, behind which
+     * nothing can follow any more.
+     *
+     * @param body the body
+     * @param statusLine the status line of the response, with which a copy of it begins
+     * @return true if its last bytes are the beginning of that status line, or any whole status line and fields
+     */
+    static boolean endsWithUnfinishedHead(byte[] body, String statusLine) {
+        String end = text(body, Math.max(0, body.length - LONGEST_HEAD_BYTES));
+        int beginning = end.lastIndexOf(BEGINNING_TEXT);
+        return beginning >= 0
+                && (statusLine.startsWith(end.substring(beginning))
+                        || UNFINISHED_HEAD.matcher(end.substring(beginning)).matches());
+    }
+
     /**
      * Tells whether a refusal is contradicted by what follows it: another response of the server to the same request.
      *
@@ -98,10 +121,13 @@
         Matcher statusLine = STATUS_LINE.matcher(text);
         while (statusLine.find()) {
             int start = statusLine.start();
-            if (text.indexOf(END_OF_HEAD, start) < 0 || isInterimHeadAtEnd(text, start)) {
+            if (text.indexOf(END_OF_HEAD, start) < 0) {
                 return true;
             }
         }
+        if (endsWithInterimHead(text)) {
+            return true;
+        }
         int index = text.indexOf('H', text.length() - STATUS_LINE_BYTES);
         while (index >= 0) {
             if (isBeginningOfStatusLine(text.substring(index))) {
@@ -119,9 +145,12 @@
     }
 
     /** Tells whether the text ends with an interim response, behind which its server sends the final one. */
-    private static boolean isInterimHeadAtEnd(String text, int start) {
-        int status = start + STATUS_LINE_BYTES - "200".length();
-        return text.charAt(status) == '1' && text.indexOf(END_OF_HEAD, start) == text.length() - END_OF_HEAD.length();
+    private static boolean endsWithInterimHead(String text) {
+        int start = text.lastIndexOf(BEGINNING_TEXT);
+        return start >= 0
+                && STATUS_LINE.matcher(text).region(start, text.length()).lookingAt()
+                && text.charAt(start + STATUS_LINE_BYTES - "200".length()) == '1'
+                && text.indexOf(END_OF_HEAD, start) == text.length() - END_OF_HEAD.length();
     }
 
     /** Returns where a status line may begin at the earliest. */
