--- a/src/main/java/org/cassiabank/http/SeparateResponses.java
+++ b/src/main/java/org/cassiabank/http/SeparateResponses.java
@@ -38,8 +38,8 @@
     private SeparateResponses() {}
 
     /**
-     * Prepares a client. Over TLS, where others cannot add to a response, only heads are checked. It repeats no request that may have been sent and
-     * follows no redirects. A refused response is reported as an {@link IOException}, a response that is too large as a
+     * Prepares a client. Over TLS, where others cannot add to a response, only heads are checked. It repeats no request
+     * that may have been sent and follows no redirects. A refused response is reported as an {@link IOException}, a response that is too large as a
      * {@link ResponseTooLargeException}.
      *
      * @param connectionPool the idle connections, for this client only
@@ -100,7 +100,9 @@
         long length = response.body().contentLength();
         if (length > 0) {
             responses.beginBody(length);
-        } else if (length < 0 && !isChunked(response.headers())) {
+        } else if (length < 0 && isChunked(response.headers())) {
+            responses.beginChunkedBody();
+        } else if (length < 0) {
             responses.beginBodyUntilEndOfConnection();
         }
     }
