Look for another response in a body in linear time and without copies

Callers saw nothing yet; a body that repeats status lines without an empty line took the daemon's only carrier thread for minutes, and all its requests with it. Cause: for each status line in a body, the rest of the body up to the next empty line was copied and searched, which grows with the square of the length, and the body was copied up to three times beyond what ResponseMemory counts.

A field in the head of a later status line is also in the head of the first one, so each head is searched once. The text is read from the two arrays where they are.

--- a/src/main/java/org/cassiabank/backend/ResponseBoundary.java
+++ b/src/main/java/org/cassiabank/backend/ResponseBoundary.java
@@ -1,6 +1,7 @@
 package org.cassiabank.backend;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -16,13 +17,15 @@
     /** The beginning of a status line, up to the status. */
     static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}(?![0-9])");
 
-    private static final String BEGINNING = "HTTP/1.";
+    private static final byte[] BEGINNING = "HTTP/1.".getBytes(StandardCharsets.ISO_8859_1);
     private static final int STATUS_LINE_BYTES = "HTTP/1.1 200".length();
+    private static final byte[] EMPTY = {};
 
     private ResponseBoundary() {}
 
     /**
-     * Looks for another response inside a body.
+     * Looks for another response inside a body. Takes time in proportion to the length of the body, whatever it holds,
+     * and does not copy it.
      *
      * @param body the body as far as the response declared it, without the framing of chunks
      * @param bytesBehind the bytes that had arrived behind the end of the response when it was complete
@@ -30,20 +33,20 @@
      * @return what is wrong, or empty if no other response begins in the body
      */
     static Optional<String> findDefect(byte[] body, byte[] bytesBehind, String requestIdHeader) {
-        int from = indexOfBeginning(body);
-        String behind = text(bytesBehind, 0);
-        boolean responseBehind = STATUS_LINE.matcher(behind).lookingAt();
+        boolean responseBehind =
+                STATUS_LINE.matcher(new Latin1Text(bytesBehind, EMPTY)).lookingAt();
+        boolean followedByItsRest = bytesBehind.length > 0 && !responseBehind;
         // What follows a response that begins exactly at the end says nothing about the body.
-        String text = text(body, from) + (responseBehind ? "" : behind);
-        int bodyLength = body.length - from;
-        Matcher statusLine = STATUS_LINE.matcher(text);
-        while (statusLine.find() && statusLine.start() < bodyLength) {
-            String head = headFrom(text, statusLine.start());
-            boolean followedByItsRest = !behind.isEmpty() && !responseBehind;
-            if (followedByItsRest || containsField(head, requestIdHeader)) {
-                return Optional.of("another response begins after " + (from + statusLine.start()) + " of " + body.length
+        CharSequence text = new Latin1Text(body, responseBehind ? EMPTY : bytesBehind);
+        Matcher statusLine = STATUS_LINE.matcher(text).region(indexOfBeginning(body), text.length());
+        while (statusLine.find() && statusLine.start() < body.length) {
+            int headEnd = indexOfHeadEnd(text, statusLine.start());
+            if (followedByItsRest || containsField(text, statusLine.start(), headEnd, requestIdHeader)) {
+                return Optional.of("another response begins after " + statusLine.start() + " of " + body.length
                         + " bytes of the body");
             }
+            // The rest of this head also belongs to each status line in it, so they need not be examined.
+            statusLine.region(headEnd, text.length());
         }
         return Optional.empty();
     }
@@ -55,16 +58,16 @@
      * @return true also if there are none
      */
     static boolean mayBeginResponse(byte[] bytesBehind) {
-        Matcher statusLine = STATUS_LINE.matcher(text(bytesBehind, 0));
+        Matcher statusLine = STATUS_LINE.matcher(new Latin1Text(bytesBehind, EMPTY));
         return statusLine.lookingAt() || statusLine.hitEnd();
     }
 
     /** Returns where a status line may begin at the earliest. */
     private static int indexOfBeginning(byte[] body) {
-        int last = body.length - BEGINNING.length();
+        int last = body.length - BEGINNING.length;
         for (int index = 0; index <= last; index++) {
-            if (body[index] == BEGINNING.charAt(0)
-                    && text(body, index, BEGINNING.length()).equals(BEGINNING)) {
+            if (body[index] == BEGINNING[0]
+                    && Arrays.equals(body, index, index + BEGINNING.length, BEGINNING, 0, BEGINNING.length)) {
                 return index;
             }
         }
@@ -72,21 +75,59 @@
         return Math.max(0, body.length - STATUS_LINE_BYTES);
     }
 
-    private static String text(byte[] bytes, int from) {
-        return text(bytes, from, bytes.length - from);
+    /** Returns the index of the empty line that ends a head, or the end of the text if there is none. */
+    private static int indexOfHeadEnd(CharSequence text, int start) {
+        for (int index = start + 3; index < text.length(); index++) {
+            if (text.charAt(index) == '\n'
+                    && text.charAt(index - 1) == '\r'
+                    && text.charAt(index - 2) == '\n'
+                    && text.charAt(index - 3) == '\r') {
+                return index - 3;
+            }
+        }
+        return text.length();
     }
 
-    private static String text(byte[] bytes, int from, int length) {
-        return new String(bytes, from, length, StandardCharsets.ISO_8859_1);
+    /** Tells whether a line of a head, other than the first, holds a field. */
+    private static boolean containsField(CharSequence text, int start, int end, String name) {
+        for (int index = start + 1; index + name.length() < end; index++) {
+            char previous = text.charAt(index - 1);
+            if ((previous == '\n' || previous == '\r')
+                    && text.charAt(index + name.length()) == ':'
+                    && name.equalsIgnoreCase(
+                            text.subSequence(index, index + name.length()).toString())) {
+                return true;
+            }
+        }
+        return false;
     }
 
-    /** Returns the text up to the empty line that ends a head, or all of the rest if there is none. */
-    private static String headFrom(String text, int start) {
-        int end = text.indexOf("\r\n\r\n", start);
-        return end < 0 ? text.substring(start) : text.substring(start, end);
-    }
+    /** Two byte arrays as one text, without a copy. */
+    private record Latin1Text(byte[] beginning, byte[] rest) implements CharSequence {
+
+        @Override
+        public int length() {
+            return beginning.length + rest.length;
+        }
 
-    private static boolean containsField(String head, String name) {
-        return head.lines().skip(1).anyMatch(line -> line.regionMatches(true, 0, name + ":", 0, name.length() + 1));
+        @Override
+        public char charAt(int index) {
+            byte value = index < beginning.length ? beginning[index] : rest[index - beginning.length];
+            return (char) (value & 0xff);
+        }
+
+        @Override
+        public CharSequence subSequence(int start, int end) {
+            StringBuilder part = new StringBuilder(end - start);
+            for (int index = start; index < end; index++) {
+                part.append(charAt(index));
+            }
+            return part;
+        }
+
+        @Override
+        public String toString() {
+            return subSequence(0, length()).toString();
+        }
     }
 }
