Report an unknown outcome when a peer that took a request did not reply

Callers of a daemon that reaches no server got status 503 with the promise that a repeatable request had not run, although a peer had sent it to a server: the peer's reply did not come in time, and no other peer took the request. Cause: RequestForwarder reported the loss of the reply in the same way as a peer that declines.

RequestForwarderTest.aRepeatableRequestThatNoPeerRepliedToMayHaveRun shows it in one process. The request is still passed on to the next peer; only the report at its end changes.

--- a/src/main/java/org/cassiabank/proxy/RequestForwarder.java
+++ b/src/main/java/org/cassiabank/proxy/RequestForwarder.java
@@ -66,24 +66,25 @@
      * @param deadlineMillis the deadline in milliseconds, on the monotonic clock
      * @param presence cancels the request at the peer when the caller disconnects
      * @param trace records the peers that were asked
-     * @return the result; empty if no peer carried out the request, which has not run there
+     * @return the result, or whether the request may have run at a peer that did not reply
      */
-    Optional<RequestResult> forward(
+    ForwardingResult forward(
             CallerRequest request,
             boolean repeatable,
             int attempts,
             long deadlineMillis,
             CallerPresence presence,
             RequestTrace trace) {
+        boolean mayHaveRun = false;
         for (Instance peer : peersInOrder()) {
             long remainingMillis = deadlineMillis - MonotonicClock.millis();
             if (remainingMillis < MINIMUM_REMAINING_MILLIS || presence.isGone()) {
-                return Optional.empty();
+                break;
             }
             String id = selfName + "-"
                     + HexFormat.of().toHexDigits(ThreadLocalRandom.current().nextLong());
             presence.onGone(() -> workers.execute(() -> cancel(peer, id)));
-            Optional<RequestResult> result = forwardTo(
+            ForwardingResult result = forwardTo(
                     peer,
                     new ForwardedRequest(
                             id,
@@ -96,14 +97,15 @@
                             attempts),
                     repeatable,
                     trace);
-            if (result.isPresent()) {
+            if (result.result().isPresent()) {
                 return result;
             }
+            mayHaveRun |= result.mayHaveRun();
         }
-        return Optional.empty();
+        return ForwardingResult.none(mayHaveRun);
     }
 
-    private Optional<RequestResult> forwardTo(
+    private ForwardingResult forwardTo(
             Instance peer, ForwardedRequest message, boolean repeatable, RequestTrace trace) {
         ForwardedReply reply;
         try {
@@ -117,14 +119,15 @@
                             client -> client.forward(message), ForwardedReply.declined("unknown-call")));
         } catch (CassiabankException exception) {
             record(peer, false, "no-reply", trace);
-            // Without a connection nothing was sent; otherwise an unrepeatable request may have run.
-            return repeatable || exception.code() == ErrorCode.PEER_UNAVAILABLE
-                    ? Optional.empty()
-                    : Optional.of(RequestResult.unknown("peer-lost"));
+            // Without a connection nothing was sent; otherwise the request may have run.
+            boolean mayHaveRun = exception.code() != ErrorCode.PEER_UNAVAILABLE;
+            return mayHaveRun && !repeatable
+                    ? ForwardingResult.of(RequestResult.unknown("peer-lost"))
+                    : ForwardingResult.none(mayHaveRun);
         }
         Optional<RequestResult> result = PeerMessageConverter.toRequestResult(reply);
         record(peer, result.isPresent(), reply.getSetField().getFieldName(), trace);
-        return result;
+        return new ForwardingResult(result, false);
     }
 
     private void record(Instance peer, boolean accepted, String outcome, RequestTrace trace) {
@@ -161,4 +164,21 @@
             return;
         }
     }
+
+    /**
+     * What became of a request that was passed on.
+     *
+     * @param result the result, empty if no peer returned one
+     * @param mayHaveRun whether the request may have run at a peer from which there is no result
+     */
+    record ForwardingResult(Optional<RequestResult> result, boolean mayHaveRun) {
+
+        private static ForwardingResult of(RequestResult result) {
+            return new ForwardingResult(Optional.of(result), false);
+        }
+
+        private static ForwardingResult none(boolean mayHaveRun) {
+            return new ForwardingResult(Optional.empty(), mayHaveRun);
+        }
+    }
 }
--- a/src/main/java/org/cassiabank/proxy/RequestRun.java
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -231,8 +231,14 @@
     /** Passes the request on to a peer; empty if a peer has passed it on to this daemon, or if no peer takes it. */
     private Optional<RequestResult> forward() {
         int attemptsThatMayHaveArrived = Math.max(0, attemptCount - notSentCount);
-        return forwarder.flatMap(peers -> peers.forward(
-                request, selector.repeatable(), attemptsThatMayHaveArrived, deadlineMillis, presence, trace));
+        if (forwarder.isEmpty()) {
+            return Optional.empty();
+        }
+        RequestForwarder.ForwardingResult forwarded = forwarder
+                .get()
+                .forward(request, selector.repeatable(), attemptsThatMayHaveArrived, deadlineMillis, presence, trace);
+        provablyNotRun = provablyNotRun && !forwarded.mayHaveRun();
+        return forwarded.result();
     }
 
     private void recordResult(BackendResult result) {
--- a/src/test/java/org/cassiabank/proxy/RequestForwarderTest.java
+++ b/src/test/java/org/cassiabank/proxy/RequestForwarderTest.java
@@ -96,8 +96,9 @@
     @Test
     void withoutAPeerThatTakesItTheRequestHasNoResult() {
         startPeer(request -> ForwardedReply.declined("cut-off"));
-        assertThat(forward(false, 2_000)).isEmpty();
-        assertThat(forward(false, 0)).isEmpty();
+        RequestForwarder.ForwardingResult notRun = new RequestForwarder.ForwardingResult(Optional.empty(), false);
+        assertThat(forwardTo(false, 2_000)).isEqualTo(notRun);
+        assertThat(forwardTo(false, 0)).isEqualTo(notRun);
     }
 
     @Test
@@ -120,7 +121,20 @@
         assertThat(result.get(5, TimeUnit.SECONDS)).contains(RequestResult.unknown("cancelled"));
     }
 
+    @Test
+    void aRepeatableRequestThatNoPeerRepliedToMayHaveRun() {
+        startPeer(request -> {
+            throw new IllegalStateException("the peer fails after it has begun");
+        });
+        startPeer(request -> ForwardedReply.declined("cut-off"));
+        assertThat(forwardTo(true, 2_000)).isEqualTo(new RequestForwarder.ForwardingResult(Optional.empty(), true));
+    }
+
     private Optional<RequestResult> forward(boolean repeatable, long remainingMillis) {
+        return forwardTo(repeatable, remainingMillis).result();
+    }
+
+    private RequestForwarder.ForwardingResult forwardTo(boolean repeatable, long remainingMillis) {
         fleet.install(InstanceList.of(fleet.view().instances().index() + 1, peers));
         PeerTransport transport = PeerTransport.create(
                 SELF.name(), PeerClientPool.create(PeerSocketFactories.plain(), ControlTrafficRecorder.noOp()));
