Let other requests run while a server sends without end

Requests of other callers waited while a daemon decoded a response whose bytes were always there. Cause: a virtual thread leaves its carrier thread only when it waits, the deployed daemon has one carrier thread, and a chunked body of 4-byte chunks costs several microseconds a chunk up to the limit of 8 MiB. Stacks of the daemon under such servers show the carrier thread in ChunkedSource.readChunkSize in most samples.

The thread of a response yields after each millisecond that it has decoded; time in which it waits for bytes does not count, so that ordinary responses do not yield.

--- a/src/main/java/org/cassiabank/backend/ResponseInputStream.java
+++ b/src/main/java/org/cassiabank/backend/ResponseInputStream.java
@@ -4,6 +4,7 @@
 import java.io.InputStream;
 import java.util.Arrays;
 import java.util.Objects;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Hands out the bytes of a connection response by response, so that the bytes behind the end of a response stay here.
@@ -12,11 +13,17 @@
  * the beginning of the response to the next request. It reads a head, a chunk size and a trailer line by line, so it is
  * handed one line at a time, and a body of a declared length only up to that length.
  *
+ * <p>A server that sends faster than its bytes are decoded never lets a read wait, and a virtual thread leaves its carrier
+ * thread only when it waits. So the thread yields from time to time; otherwise one response without end would keep all
+ * other requests of the process from running.
+ *
  * <p>Confined to the thread that uses the connection.
  */
 final class ResponseInputStream extends InputStream {
     private static final int BUFFER_BYTES = 8_192;
     private static final byte[] EMPTY = {};
+    /** The time for which the thread decodes bytes until others that are ready run. */
+    private static final long TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
     /** What the bytes that are read next belong to. */
     private enum Part {
@@ -37,6 +44,8 @@
 
     private int position;
     private int limit;
+    /** The {@link System#nanoTime()} at which the thread last yielded, moved on by the time of reads since. */
+    private long turnStartNanos;
 
     private ResponseInputStream(InputStream input) {
         this.input = input;
@@ -55,6 +64,7 @@
     /** Expects the head of a response, and a chunked body if nothing else is announced. */
     void beginResponse() {
         part = Part.LINES;
+        turnStartNanos = System.nanoTime();
     }
 
     /**
@@ -111,6 +121,7 @@
         if (length == 0) {
             return 0;
         }
+        yieldAfterTurn();
         return switch (part) {
             case NONE -> {
                 // Blocks like any read; bytes that arrive here cannot belong to a response.
@@ -134,7 +145,7 @@
         if (length == 0) {
             return -1;
         }
-        int readBytes = position < limit ? takeBuffered(bytes, offset, length) : input.read(bytes, offset, length);
+        int readBytes = position < limit ? takeBuffered(bytes, offset, length) : receive(bytes, offset, length);
         remainingBytes -= Math.max(0, readBytes);
         return readBytes;
     }
@@ -161,9 +172,26 @@
         if (buffer.length == 0) {
             buffer = new byte[BUFFER_BYTES];
         }
-        int readBytes = input.read(buffer, 0, buffer.length);
+        int readBytes = receive(buffer, 0, buffer.length);
         position = 0;
         limit = Math.max(0, readBytes);
         return readBytes;
     }
+
+    /** Reads from the connection; a read that waits lets other threads run anyway. */
+    private int receive(byte[] bytes, int offset, int length) throws IOException {
+        long startNanos = System.nanoTime();
+        try {
+            return input.read(bytes, offset, length);
+        } finally {
+            turnStartNanos += System.nanoTime() - startNanos;
+        }
+    }
+
+    private void yieldAfterTurn() {
+        if (System.nanoTime() - turnStartNanos > TURN_NANOS) {
+            Thread.yield();
+            turnStartNanos = System.nanoTime();
+        }
+    }
 }
--- a/src/test/java/org/cassiabank/soak/GuaranteeChecks.java
+++ b/src/test/java/org/cassiabank/soak/GuaranteeChecks.java
@@ -43,7 +43,7 @@
     /** The share of requests with status 200 that is required after recovery. */
     private static final double MINIMUM_SERVED_SHARE = 0.95;
     /** The statuses which guarantee that a request has not run and will not run. */
-    private static final Set<Integer> NOT_EXECUTED_STATUSES = Set.of(408, 421, 429, 503);
+    static final Set<Integer> NOT_EXECUTED_STATUSES = Set.of(408, 421, 429, 503);
 
     private final SoakFleet fleet;
     private final RequestHistory history;
--- a/src/test/java/org/cassiabank/soak/SoakFleet.java
+++ b/src/test/java/org/cassiabank/soak/SoakFleet.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntPredicate;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
@@ -30,7 +31,7 @@
 
 /** Daemons as processes with the settings that the platform deploys, a stand-in for the store, and backend servers. */
 final class SoakFleet implements AutoCloseable {
-    static final int DAEMON_COUNT = 6;
+    private static final int DAEMON_COUNT = 6;
     private static final String SERVERS_PREFIX = "servers/";
     private static final long CRASH_MILLIS = 1_500;
     private static final int FAILURE_DOMAIN_COUNT = 3;
@@ -56,26 +57,34 @@
     private final Path directory;
     private final Random random;
     private final List<String> javaOptions;
+    private final Layout layout;
     private volatile int lastVersion;
     private String lastConfiguration;
     private volatile boolean stopping;
     private int nextServerNumber;
 
-    private SoakFleet(RequestHistory history, Path directory, long seed) throws IOException {
+    private SoakFleet(RequestHistory history, Path directory, long seed, Layout layout) throws IOException {
         this.history = history;
         this.directory = directory;
         this.random = new Random(seed);
         this.javaOptions = deployedJavaOptions();
+        this.layout = layout;
     }
 
     static SoakFleet start(RequestHistory history, Path directory, long seed) throws IOException, InterruptedException {
-        SoakFleet fleet = new SoakFleet(history, directory, seed);
+        return start(history, directory, seed, new Layout(DAEMON_COUNT, number -> true, List.of()));
+    }
+
+    static SoakFleet start(RequestHistory history, Path directory, long seed, Layout layout)
+            throws IOException, InterruptedException {
+        SoakFleet fleet = new SoakFleet(history, directory, seed, layout);
         fleet.changeConfiguration();
+        layout.extraServices().forEach(fleet::publishServers);
         for (int number = 0; number < SERVERS_PER_SERVICE; number++) {
             fleet.addServer("alpha", FreePorts.nextPort());
             fleet.addServer("beta", FreePorts.nextPort());
         }
-        for (int number = 0; number < DAEMON_COUNT; number++) {
+        for (int number = 0; number < layout.daemonCount(); number++) {
             fleet.daemons.add(fleet.createDaemon(number));
         }
         for (Daemon daemon : fleet.daemons) {
@@ -103,7 +112,7 @@
     /** Chooses a daemon as the load balancer would: among the ready ones, or among all if less than half are ready. */
     int chooseDaemon(Random callerRandom) {
         List<Daemon> ready = daemons.stream().filter(daemon -> daemon.ready).toList();
-        List<Daemon> candidates = 2 * ready.size() >= DAEMON_COUNT ? ready : daemons;
+        List<Daemon> candidates = 2 * ready.size() >= layout.daemonCount() ? ready : daemons;
         return candidates.get(callerRandom.nextInt(candidates.size())).number;
     }
 
@@ -138,9 +147,30 @@
         for (int routeVersion = 1; routeVersion <= newVersion; routeVersion++) {
             items.append(',').append(route("v" + routeVersion, "/v" + routeVersion + "/", "idempotent", 2, "alpha"));
         }
-        for (String service : List.of("alpha", "beta")) {
-            items.append(",{\"resource_type\":\"services\",\"metadata\":{\"name\":\"" + service + "\"},\"spec\":{}}");
+        for (ExtraService extra : layout.extraServices()) {
+            items.append(',')
+                    .append(route(
+                            extra.name() + "-reads",
+                            extra.readPrefix(),
+                            "idempotent",
+                            2,
+                            extra.name(),
+                            extra.timeoutMillis()));
+            items.append(',')
+                    .append(route(
+                            extra.name() + "-orders",
+                            extra.orderPrefix(),
+                            "non_idempotent",
+                            1,
+                            extra.name(),
+                            extra.timeoutMillis()));
         }
+        Stream.concat(
+                        Stream.of("alpha", "beta"),
+                        layout.extraServices().stream().map(ExtraService::name))
+                .forEach(service -> items.append(",{\"resource_type\":\"services\",\"metadata\":{\"name\":\"")
+                        .append(service)
+                        .append("\"},\"spec\":{}}"));
         lastConfiguration = "{\"version\":\"" + String.format("%08x", newVersion) + "\",\"resources\":[" + items + "]}";
         store.write("op/config", lastConfiguration);
         acknowledgedMillisByVersion.put(newVersion, RequestHistory.nowMillis());
@@ -208,23 +238,38 @@
 
     synchronized void publishServer(SoakServer server, String state) {
         publishedServers.put(server.name(), new PublishedServer(server, state));
+        writeEntry(server.name(), server.service(), server.port(), server.bornMillis(), SoakServer.SLOTS, state);
+    }
+
+    private void publishServers(ExtraService service) {
+        for (int index = 0; index < service.ports().size(); index++) {
+            writeEntry(
+                    service.name() + "-" + index,
+                    service.name(),
+                    service.ports().get(index),
+                    System.currentTimeMillis(),
+                    service.slots(),
+                    "ready");
+        }
+    }
+
+    private void writeEntry(String name, String service, int port, long bornMillis, int slots, String state) {
         store.write(
-                SERVERS_PREFIX + server.name(),
-                "{\"address\":\"127.0.0.1:" + server.port() + "\",\"born\":" + server.bornMillis()
-                        + ",\"info\":{\"service\":\"" + server.service() + "\",\"version\":\"v1\",\"zone\":\"d"
-                        + server.port() % FAILURE_DOMAIN_COUNT + "\",\"slots\":" + SoakServer.SLOTS
-                        + "},\"status\":{\"state\":\""
-                        + state + "\",\"sequence\":1,\"warmup_left\":\"0ms\"}}");
+                SERVERS_PREFIX + name,
+                "{\"address\":\"127.0.0.1:" + port + "\",\"born\":" + bornMillis + ",\"info\":{\"service\":\"" + service
+                        + "\",\"version\":\"v1\",\"zone\":\"d" + port % FAILURE_DOMAIN_COUNT + "\",\"slots\":" + slots
+                        + "},\"status\":{\"state\":\"" + state + "\",\"sequence\":1,\"warmup_left\":\"0ms\"}}");
     }
 
     synchronized void launch(Daemon daemon) {
         daemon.startCount++;
         daemon.launchedAtMillis = RequestHistory.nowMillis();
+        List<String> relayOptions =
+                layout.relayed().test(daemon.number) ? daemon.connectionRelay.javaOptions() : List.of();
         daemon.process = ChildProcess.start(
                 daemon.name,
                 "org.cassiabank.proxy.ProxyMain",
-                Stream.concat(javaOptions.stream(), daemon.connectionRelay.javaOptions().stream())
-                        .toList(),
+                Stream.concat(javaOptions.stream(), relayOptions.stream()).toList(),
                 List.of(daemon.settingsFile.toString()),
                 directory.resolve(daemon.name + ".log"));
     }
@@ -367,9 +412,14 @@
     }
 
     private static String route(String name, String prefix, String kind, int priority, String service) {
+        return route(name, prefix, kind, priority, service, SoakCaller.REQUEST_TIMEOUT_MILLIS);
+    }
+
+    private static String route(
+            String name, String prefix, String kind, int priority, String service, int timeoutMillis) {
         return "{\"resource_type\":\"routes\",\"metadata\":{\"name\":\"" + name
                 + "\"},\"spec\":{\"host\":\"shop.example\",\"prefix\":\"" + prefix + "\",\"kind\":\"" + kind
-                + "\",\"timeout\":\"" + SoakCaller.REQUEST_TIMEOUT_MILLIS
+                + "\",\"timeout\":\"" + timeoutMillis
                 + "ms\",\"target_latency\":\"600ms\",\"priority\":"
                 + priority + ",\"service\":\"" + service + "\",\"max_attempts\":" + GuaranteeChecks.MAXIMUM_ATTEMPTS
                 + "}}";
@@ -420,6 +470,45 @@
         }
     }
 
+    /**
+     * The processes of a fleet and the services beside those of {@link SoakCaller}.
+     *
+     * @param daemonCount the number of daemons
+     * @param relayed selects the numbers of the daemons whose connections can be cut
+     * @param extraServices further services, whose servers the test provides
+     */
+    record Layout(int daemonCount, IntPredicate relayed, List<ExtraService> extraServices) {
+
+        Layout {
+            extraServices = List.copyOf(extraServices);
+        }
+    }
+
+    /**
+     * A service whose servers are not {@link SoakServer}s.
+     *
+     * @param name the name, from which the names of its servers are derived
+     * @param ports the ports of its servers
+     * @param slots the slots of each server
+     * @param timeoutMillis the time of a request in milliseconds
+     */
+    record ExtraService(String name, List<Integer> ports, int slots, int timeoutMillis) {
+
+        ExtraService {
+            ports = List.copyOf(ports);
+        }
+
+        /** Returns the prefix of the paths of requests that may run more than once. */
+        String readPrefix() {
+            return "/" + name + "/read/";
+        }
+
+        /** Returns the prefix of the paths of requests that may run only once. */
+        String orderPrefix() {
+            return "/" + name + "/order/";
+        }
+    }
+
     /** The time in which some daemons reached no server. */
     record ServerCut(Set<Integer> daemonNumbers, Span span) {}
 
