Count the objects that the lines of a head occupy

A daemon could run out of memory although it counted the bytes of all responses: servers that sent short header lines and no end of the head held it at 250 KB a response by ResponseMemory's count, and at 7 MB by the heap's. Cause: each line becomes two strings and places in lists, about 110 bytes for a line of 4 bytes, and only the bytes that were read were reserved.

Evidence: EndlessResponseTest.headsOfShortLinesThatNeverEndOccupyNoMoreThanTheMemory, 15 responses with a memory of 4 MB.

ResponseInputStream hands out heads line by line, so it tells the meter of each line, which reserves the size of its objects. When the memory is exhausted, the response with the largest share is cut off as before.

--- a/src/main/java/org/cassiabank/backend/AttemptTrace.java
+++ b/src/main/java/org/cassiabank/backend/AttemptTrace.java
@@ -175,7 +175,9 @@
         }
         if (length > 0) {
             currentSocket.getInputStream().beginBody(length);
-        } else if (!"chunked".equalsIgnoreCase(response.header("Transfer-Encoding"))) {
+        } else if ("chunked".equalsIgnoreCase(response.header("Transfer-Encoding"))) {
+            currentSocket.getInputStream().beginChunkedBody();
+        } else {
             currentSocket.getInputStream().beginBodyUntilEndOfConnection();
         }
     }
--- a/src/main/java/org/cassiabank/backend/MeteredSocket.java
+++ b/src/main/java/org/cassiabank/backend/MeteredSocket.java
@@ -138,7 +138,7 @@
     @Override
     public ResponseInputStream getInputStream() throws IOException {
         if (responseInput == null) {
-            responseInput = ResponseInputStream.of(newMeteredInput());
+            responseInput = ResponseInputStream.of(newMeteredInput(), this::recordHeadLine);
         }
         return responseInput;
     }
@@ -178,6 +178,13 @@
         };
     }
 
+    private void recordHeadLine() throws ResponseTooLargeException {
+        ResponseMeter meter = responseMeter.get();
+        if (meter != null) {
+            meter.recordHeadLine();
+        }
+    }
+
     private void recordRead(int readBytes) throws ResponseTooLargeException {
         ResponseMeter meter = responseMeter.get();
         if (meter != null && readBytes > 0) {
--- a/src/main/java/org/cassiabank/backend/ResponseInputStream.java
+++ b/src/main/java/org/cassiabank/backend/ResponseInputStream.java
@@ -29,13 +29,14 @@
     private enum Part {
         /** No response is expected: the next byte ends the use of the connection. */
         NONE,
-        /** A head or a chunked body. */
-        LINES,
+        HEAD,
+        CHUNKED_BODY,
         BODY_OF_DECLARED_LENGTH,
         BODY_UNTIL_END_OF_CONNECTION
     }
 
     private final InputStream input;
+    private final HeadLineListener headLines;
     private Part part = Part.NONE;
     /** The rest of a body of declared length. */
     private long remainingBytes;
@@ -47,26 +48,34 @@
     /** The {@link System#nanoTime()} at which the thread last yielded, moved on by the time of reads since. */
     private long turnStartNanos;
 
-    private ResponseInputStream(InputStream input) {
+    private ResponseInputStream(InputStream input, HeadLineListener headLines) {
         this.input = input;
+        this.headLines = headLines;
     }
 
     /**
      * Creates the stream of a connection on which no response is expected yet.
      *
      * @param input the bytes of the connection
+     * @param headLines is told of each line of a head
      * @return the stream
      */
-    static ResponseInputStream of(InputStream input) {
-        return new ResponseInputStream(Objects.requireNonNull(input, "input"));
+    static ResponseInputStream of(InputStream input, HeadLineListener headLines) {
+        return new ResponseInputStream(
+                Objects.requireNonNull(input, "input"), Objects.requireNonNull(headLines, "headLines"));
     }
 
-    /** Expects the head of a response, and a chunked body if nothing else is announced. */
+    /** Expects the head of a response, or several if the first ones are interim. */
     void beginResponse() {
-        part = Part.LINES;
+        part = Part.HEAD;
         turnStartNanos = System.nanoTime();
     }
 
+    /** Expects a chunked body. */
+    void beginChunkedBody() {
+        part = Part.CHUNKED_BODY;
+    }
+
     /**
      * Expects a body of a declared length.
      *
@@ -130,17 +139,26 @@
                 }
                 yield -1;
             }
-            case LINES -> {
-                if (position == limit && fill() < 0) {
-                    yield -1;
+            case HEAD -> {
+                int taken = readLine(bytes, offset, length);
+                if (taken > 0 && bytes[offset + taken - 1] == '\n') {
+                    headLines.onHeadLine();
                 }
-                yield takeBuffered(bytes, offset, Math.min(length, lengthOfLine()));
+                yield taken;
             }
+            case CHUNKED_BODY -> readLine(bytes, offset, length);
             case BODY_OF_DECLARED_LENGTH -> readBody(bytes, offset, (int) Math.min(length, remainingBytes));
             case BODY_UNTIL_END_OF_CONNECTION -> readBody(bytes, offset, length);
         };
     }
 
+    private int readLine(byte[] bytes, int offset, int length) throws IOException {
+        if (position == limit && fill() < 0) {
+            return -1;
+        }
+        return takeBuffered(bytes, offset, Math.min(length, lengthOfLine()));
+    }
+
     private int readBody(byte[] bytes, int offset, int length) throws IOException {
         if (length == 0) {
             return -1;
@@ -194,4 +212,16 @@
             turnStartNanos = System.nanoTime();
         }
     }
+
+    /** Is told of the lines of heads, for each of which objects are kept until the response is complete. */
+    @FunctionalInterface
+    interface HeadLineListener {
+
+        /**
+         * Records a line that was handed out.
+         *
+         * @throws IOException if the response must not be read on
+         */
+        void onHeadLine() throws IOException;
+    }
 }
--- a/src/main/java/org/cassiabank/backend/ResponseMeter.java
+++ b/src/main/java/org/cassiabank/backend/ResponseMeter.java
@@ -15,6 +15,9 @@
     /** The most bytes that are received for one byte of a body: a chunk with one byte takes six. */
     private static final int MAXIMUM_BYTES_PER_BODY_BYTE = 8;
 
+    /** The objects for one line of a head: two strings with their arrays, and their places in lists. */
+    private static final int BYTES_PER_HEAD_LINE = 128;
+
     private final ResponseMemory.Share memoryShare;
     private long receivedBytes;
     private long bodyBytes;
@@ -42,6 +45,15 @@
         memoryShare.reserve(readBytes);
     }
 
+    /**
+     * Records a line of a head. A short line occupies many times its bytes.
+     *
+     * @throws ResponseTooLargeException if all responses together exceed their limit
+     */
+    void recordHeadLine() throws ResponseTooLargeException {
+        memoryShare.reserve(BYTES_PER_HEAD_LINE);
+    }
+
     /** Records bytes of the body that were decoded. */
     void recordBody(long decodedBytes) {
         bodyBytes += decodedBytes;
--- a/src/test/java/org/cassiabank/backend/EndlessResponseTest.java
+++ b/src/test/java/org/cassiabank/backend/EndlessResponseTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
@@ -131,6 +132,47 @@
         assertThat(client.send(request(largeServer.address(), 20_000))).isInstanceOf(ResponseReceived.class);
     }
 
+    /** Short lines become objects of many times their bytes, and a server may send no more than fits the limit of one. */
+    @ParameterizedTest
+    @CsvSource({"'a:b\n'", "'a\n'", "'X-Many: a\r\n'"})
+    void headsOfShortLinesThatNeverEndOccupyNoMoreThanTheMemory(String line) throws Exception {
+        int responseCount = 15;
+        CountDownLatch allSent = new CountDownLatch(responseCount);
+        CountDownLatch measured = new CountDownLatch(1);
+        ScriptedServer server = startServer((request, socket) -> {
+            try {
+                ScriptedServer.write(socket, request.responseHead(200) + line.repeat(250_000 / line.length()));
+            } finally {
+                allSent.countDown();
+                measured.await();
+            }
+        });
+        long usedBefore = usedBytesAfterCollection();
+        List<CompletableFuture<BackendResult>> results = new ArrayList<>();
+        for (int index = 0; index < responseCount; index++) {
+            CompletableFuture<BackendResult> future = new CompletableFuture<>();
+            Thread.startVirtualThread(() -> future.complete(client.send(request(server.address(), 20_000))));
+            results.add(future);
+        }
+        assertThat(allSent.await(20, TimeUnit.SECONDS)).isTrue();
+        // The client reads what the operating system still holds.
+        Thread.sleep(1_000);
+        long usedBytes = usedBytesAfterCollection() - usedBefore;
+        measured.countDown();
+        assertThat(usedBytes).isLessThan(2 * MAXIMUM_HELD_BYTES);
+        for (CompletableFuture<BackendResult> result : results) {
+            assertThat(result.get(30, TimeUnit.SECONDS)).isInstanceOf(NoValidResponse.class);
+        }
+        ScriptedServer smallServer = startServer(ScriptedServer.respondingWith("small"));
+        assertThat(client.send(request(smallServer.address(), 5_000))).isInstanceOf(ResponseReceived.class);
+    }
+
+    private static long usedBytesAfterCollection() {
+        System.gc();
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+
     private ScriptedServer startServer(ScriptedServer.Script script) throws IOException {
         ScriptedServer server = new ScriptedServer(script);
         resources.add(server);
--- a/src/test/java/org/cassiabank/backend/ResponseInputStreamTest.java
+++ b/src/test/java/org/cassiabank/backend/ResponseInputStreamTest.java
@@ -40,7 +40,7 @@
     }
 
     private static void readUntil(AtomicBoolean ended, Part part, CountDownLatch running) {
-        ResponseInputStream input = ResponseInputStream.of(new EndlessInput());
+        ResponseInputStream input = ResponseInputStream.of(new EndlessInput(), () -> {});
         input.beginResponse();
         part.begin.accept(input);
         byte[] bytes = new byte[READ_BYTES];
@@ -54,7 +54,8 @@
     }
 
     private enum Part {
-        LINES(input -> {}),
+        HEAD(input -> {}),
+        CHUNKED_BODY(ResponseInputStream::beginChunkedBody),
         BODY_OF_DECLARED_LENGTH(input -> input.beginBody(Long.MAX_VALUE)),
         BODY_UNTIL_END_OF_CONNECTION(ResponseInputStream::beginBodyUntilEndOfConnection);
 
