--- a/src/main/java/org/cassiabank/backend/MeteredSocket.java
+++ b/src/main/java/org/cassiabank/backend/MeteredSocket.java
@@ -187,7 +187,7 @@
     @Override
     public ResponseInputStream getInputStream() throws IOException {
         if (responseInput == null) {
-            responseInput = ResponseInputStream.of(newMeteredInput());
+            responseInput = ResponseInputStream.of(newMeteredInput(), this::recordHeadLine);
         }
         return responseInput;
     }
@@ -227,6 +227,13 @@
         };
     }
 
+    private void recordHeadLine() throws ResponseTooLargeException {
+        ResponseMeter meter = responseMeter.get();
+        if (meter != null) {
+            meter.recordHeadLine();
+        }
+    }
+
     private void recordRead(int readBytes) throws ResponseTooLargeException {
         ResponseMeter meter = responseMeter.get();
         if (meter != null && readBytes > 0) {
--- a/src/main/java/org/cassiabank/http/ResponseInputStream.java
+++ b/src/main/java/org/cassiabank/http/ResponseInputStream.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.util.Arrays;
 import java.util.Objects;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Hands out the bytes of a connection response by response, so that the bytes behind the end of a response stay here.
@@ -13,11 +14,17 @@
  * the beginning of the response to the next request. It reads a head, a chunk size and a trailer line by line, so it is
  * handed one line at a time, the data of a chunk up to its end, and a body of a declared length up to that length.
  *
+ * <p>A server that sends faster than its bytes are decoded never lets a read wait, and a virtual thread leaves its carrier
+ * thread only when it waits. So the thread yields from time to time; otherwise one response without end would keep all
+ * other requests of the process from running.
+ *
  * <p>Confined to the thread that uses the connection.
  */
 public final class ResponseInputStream extends InputStream {
     private static final int BUFFER_BYTES = 8_192;
     private static final byte[] EMPTY = {};
+    /** The time for which the thread decodes bytes until others that are ready run. */
+    private static final long TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
     /** Holds the longest head that is looked for at the end of a body. */
     private static final int END_OF_BODY_BYTES = 4_096;
@@ -26,14 +33,14 @@
     private enum Part {
         /** No response is expected: the next byte ends the use of the connection. */
         NONE,
-        /** A head. */
-        LINES,
+        HEAD,
         CHUNKED_BODY,
         BODY_OF_DECLARED_LENGTH,
         BODY_UNTIL_END_OF_CONNECTION
     }
 
     private final InputStream input;
+    private final HeadLineListener headLines;
     private Part part = Part.NONE;
     /** The rest of a body of declared length. */
     private long remainingBytes;
@@ -46,24 +53,30 @@
 
     private int position;
     private int limit;
+    /** The {@link System#nanoTime()} at which the thread last yielded, moved on by the time of reads since. */
+    private long turnStartNanos;
 
-    private ResponseInputStream(InputStream input) {
+    private ResponseInputStream(InputStream input, HeadLineListener headLines) {
         this.input = input;
+        this.headLines = headLines;
     }
 
     /**
      * Creates the stream of a connection on which no response is expected yet.
      *
      * @param input the bytes of the connection
+     * @param headLines is told of each line of a head
      * @return the stream
      */
-    public static ResponseInputStream of(InputStream input) {
-        return new ResponseInputStream(Objects.requireNonNull(input, "input"));
+    public static ResponseInputStream of(InputStream input, HeadLineListener headLines) {
+        return new ResponseInputStream(
+                Objects.requireNonNull(input, "input"), Objects.requireNonNull(headLines, "headLines"));
     }
 
-    /** Expects the head of a response. */
+    /** Expects the head of a response, or several if the first ones are interim. */
     public void beginResponse() {
-        part = Part.LINES;
+        part = Part.HEAD;
+        turnStartNanos = System.nanoTime();
         endOfBody.reset();
     }
 
@@ -161,6 +174,7 @@
         if (length == 0) {
             return 0;
         }
+        yieldAfterTurn();
         return switch (part) {
             case NONE -> {
                 // Blocks like any read; bytes that arrive here cannot belong to a response.
@@ -169,7 +183,13 @@
                 }
                 yield -1;
             }
-            case LINES -> readLine(bytes, offset, length);
+            case HEAD -> {
+                int taken = readLine(bytes, offset, length);
+                if (taken > 0 && bytes[offset + taken - 1] == '\n') {
+                    headLines.onHeadLine();
+                }
+                yield taken;
+            }
             case CHUNKED_BODY -> readChunkedBody(bytes, offset, length);
             case BODY_OF_DECLARED_LENGTH -> {
                 int readBytes = readBody(bytes, offset, (int) Math.min(length, remainingBytes));
@@ -207,13 +227,13 @@
         if (length == 0) {
             return -1;
         }
-        return position < limit ? takeBuffered(bytes, offset, length) : input.read(bytes, offset, length);
+        return position < limit ? takeBuffered(bytes, offset, length) : receive(bytes, offset, length);
     }
 
     /** Keeps what belongs to the last bytes of the body. */
     private void keepEndOfBody(byte[] bytes, int offset, int length) {
-        int keptBytes = (int) Math.min(length, END_OF_BODY_BYTES - remainingBytes);
-        if (keptBytes > 0) {
+        if (remainingBytes < END_OF_BODY_BYTES && length > 0) {
+            int keptBytes = (int) Math.min(length, END_OF_BODY_BYTES - remainingBytes);
             endOfBody.write(bytes, offset + length - keptBytes, keptBytes);
         }
     }
@@ -240,9 +260,38 @@
         if (buffer.length == 0) {
             buffer = new byte[BUFFER_BYTES];
         }
-        int readBytes = input.read(buffer, 0, buffer.length);
+        int readBytes = receive(buffer, 0, buffer.length);
         position = 0;
         limit = Math.max(0, readBytes);
         return readBytes;
     }
+
+    /** Reads from the connection; a read that waits lets other threads run anyway. */
+    private int receive(byte[] bytes, int offset, int length) throws IOException {
+        long startNanos = System.nanoTime();
+        try {
+            return input.read(bytes, offset, length);
+        } finally {
+            turnStartNanos += System.nanoTime() - startNanos;
+        }
+    }
+
+    private void yieldAfterTurn() {
+        if (System.nanoTime() - turnStartNanos > TURN_NANOS) {
+            Thread.yield();
+            turnStartNanos = System.nanoTime();
+        }
+    }
+
+    /** Is told of the lines of heads, for each of which objects are kept until the response is complete. */
+    @FunctionalInterface
+    public interface HeadLineListener {
+
+        /**
+         * Records a line that was handed out.
+         *
+         * @throws IOException if the response must not be read on
+         */
+        void onHeadLine() throws IOException;
+    }
 }
--- a/src/main/java/org/cassiabank/http/ResponseSocket.java
+++ b/src/main/java/org/cassiabank/http/ResponseSocket.java
@@ -41,7 +41,7 @@
      */
     void beginResponse() throws IOException {
         if (responses == null) {
-            responses = ResponseInputStream.of(newLimitedInput());
+            responses = ResponseInputStream.of(newLimitedInput(), () -> {});
         }
         int unreadBytes = responses.available();
         if (unreadBytes > 0) {
