Deliver bodies that end with their connection and like a head again

Behind a body without a length nothing can follow that tells the two apart, so a copy that breaks off before its identifier and is followed by the end of the connection is still delivered as a part of the body.

--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -5,7 +5,6 @@
 import java.io.InterruptedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -196,26 +195,11 @@
                     NoValidResponseReason.RESPONSE_TOO_LARGE, "more than " + maximumResponseBytes + " bytes");
         }
         byte[] bodyBytes = body.readByteArray();
-        if (endsWithConnection(response) && ResponseBoundary.endsWithUnfinishedHead(bodyBytes, statusLine(response))) {
-            return new NoValidResponse(
-                    NoValidResponseReason.TRUNCATED_RESPONSE,
-                    "another response begins in the body of " + bodyBytes.length
-                            + " bytes that ends with the connection");
-        }
         return findForeignBytes(response.code(), bodyBytes)
                 .<BackendResult>map(detail -> new NoValidResponse(NoValidResponseReason.TRUNCATED_RESPONSE, detail))
                 .orElseGet(() -> toResult(response.code(), bodyBytes));
     }
 
-    private boolean endsWithConnection(Response response) {
-        return response.body().contentLength() < 0 && trace.responseHeaders().get("Transfer-Encoding") == null;
-    }
-
-    private static String statusLine(Response response) {
-        return response.protocol().toString().toUpperCase(Locale.ROOT) + " " + response.code() + " "
-                + response.message() + "\r\n";
-    }
-
     /** Returns why a body may hold bytes that do not belong to it; logs bytes behind a body that counts as whole. */
     private Optional<String> findForeignBytes(int status, byte[] body) {
         byte[] bytesBehind = trace.bytesBehind();
--- a/src/main/java/org/cassiabank/backend/ResponseBoundary.java
+++ b/src/main/java/org/cassiabank/backend/ResponseBoundary.java
@@ -17,11 +17,6 @@
     /** The beginning of a status line, up to the status. */
     static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}(?=[ \\r\\n]|\\z)");
 
-    /** A status line and fields, the last of which may be incomplete. */
-    private static final Pattern UNFINISHED_HEAD = Pattern.compile(STATUS_LINE.pattern()
-            + "[^\\r\\n]*+\\r\\n(?:[!-9;-~]++:[^\\r\\n]*+\\r\\n)*+[!-9;-~]*+(?::[^\\r\\n]*+)?+\\r?+");
-
-    private static final int LONGEST_HEAD_BYTES = 8_192;
     private static final String BEGINNING_TEXT = "HTTP/1.";
     private static final byte[] BEGINNING = BEGINNING_TEXT.getBytes(StandardCharsets.US_ASCII);
     private static final String END_OF_HEAD = "\r\n\r\n";
@@ -73,22 +68,6 @@
         return statusLine.lookingAt() || statusLine.hitEnd();
     }
 
-    /**
-     * Tells whether a body that ends with its connection ends with the beginning of another response, behind which
-     * nothing can follow any more.
-     *
-     * @param body the body
-     * @param statusLine the status line of the response, with which a copy of it begins
-     * @return true if its last bytes are the beginning of that status line, or any whole status line and fields
-     */
-    static boolean endsWithUnfinishedHead(byte[] body, String statusLine) {
-        String end = text(body, Math.max(0, body.length - LONGEST_HEAD_BYTES));
-        int beginning = end.lastIndexOf(BEGINNING_TEXT);
-        return beginning >= 0
-                && (statusLine.startsWith(end.substring(beginning))
-                        || UNFINISHED_HEAD.matcher(end.substring(beginning)).matches());
-    }
-
     /**
      * Tells whether a refusal is contradicted by what follows it: another response of the server to the same request.
      *
