Look for identifiers in a body without copying its heads

ResponseBoundaryTest once took 553 ms, over the 500 ms that a caller waits, for 4 MiB of whole heads, on a machine with a load of 23: each head was copied and split into lines. The identifier is searched in place now; 160 ms in the same test under the same load.

--- a/src/main/java/org/cassiabank/backend/ResponseBoundary.java
+++ b/src/main/java/org/cassiabank/backend/ResponseBoundary.java
@@ -44,10 +44,14 @@
         if (responseBehind && endsWithInterimHead(text)) {
             return Optional.of("an interim response ends the " + body.length + " bytes of the body");
         }
+        Matcher requestIdField = Pattern.compile(
+                        "[\\r\\n]" + Pattern.quote(requestIdHeader) + ":", Pattern.CASE_INSENSITIVE)
+                .matcher(text);
         int examined = 0;
         while (statusLine.find(examined) && statusLine.start() < bodyLength) {
             int headEnd = endOfHead(text, statusLine.start());
-            if (followedByItsRest || containsField(text.substring(statusLine.start(), headEnd), requestIdHeader)) {
+            if (followedByItsRest
+                    || requestIdField.region(statusLine.start(), headEnd).find()) {
                 return Optional.of("another response begins after " + (from + statusLine.start()) + " of " + body.length
                         + " bytes of the body");
             }
@@ -154,8 +158,4 @@
         int end = text.indexOf(END_OF_HEAD, start);
         return end < 0 ? text.length() : end;
     }
-
-    private static boolean containsField(String head, String name) {
-        return head.lines().skip(1).anyMatch(line -> line.regionMatches(true, 0, name + ":", 0, name.length() + 1));
-    }
 }
