--- a/src/main/java/org/cassiabank/backend/AttemptTrace.java
+++ b/src/main/java/org/cassiabank/backend/AttemptTrace.java
@@ -12,6 +12,7 @@
 import okhttp3.Protocol;
 import okhttp3.Request;
 import okhttp3.Response;
+import org.cassiabank.http.UnusableConnectionException;
 
 /**
  * Records for one attempt whether bytes may have been written, and the headers of the response.
@@ -232,7 +233,9 @@
         }
         if (length > 0) {
             currentSocket.getInputStream().beginBody(length);
-        } else if (!"chunked".equalsIgnoreCase(response.header("Transfer-Encoding"))) {
+        } else if ("chunked".equalsIgnoreCase(response.header("Transfer-Encoding"))) {
+            currentSocket.getInputStream().beginChunkedBody();
+        } else {
             currentSocket.getInputStream().beginBodyUntilEndOfConnection();
         }
     }
--- a/src/main/java/org/cassiabank/backend/ResponseBoundary.java
+++ b/src/main/java/org/cassiabank/backend/ResponseBoundary.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.cassiabank.http.ResponseHeads;
 
 /**
  * Decides whether a body ends where its response ends, or was completed by the bytes of another response.
@@ -14,8 +15,7 @@
  * a whole one begins exactly at the end.
  */
 final class ResponseBoundary {
-    /** The beginning of a status line, up to the status. */
-    static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}(?=[ \\r\\n]|\\z)");
+    private static final Pattern STATUS_LINE = ResponseHeads.STATUS_LINE;
 
     private static final String BEGINNING_TEXT = "HTTP/1.";
     private static final byte[] BEGINNING = BEGINNING_TEXT.getBytes(StandardCharsets.US_ASCII);
@@ -35,7 +35,7 @@
     static Optional<String> findDefect(byte[] body, byte[] bytesBehind, String requestIdHeader) {
         int from = indexOfBeginning(body);
         String behind = text(bytesBehind, 0);
-        boolean responseBehind = STATUS_LINE.matcher(behind).lookingAt();
+        boolean responseBehind = !behind.isEmpty() && mayBeginResponse(bytesBehind);
         // What follows a response that begins exactly at the end says nothing about the body.
         String text = text(body, from) + (responseBehind ? "" : behind);
         int bodyLength = body.length - from;
