Close a connection to the store that cannot be read behind a response

Bytes behind a response of the store could be read and dropped, and the connection be used again, where they exceeded what the response may have: the exception was taken for the end of the connection (as in, for servers). SeparateResponsesTest before: both calls on one connection. It is closed now unless it is known that nothing follows the response.

--- a/src/main/java/org/cassiabank/http/SeparateResponses.java
+++ b/src/main/java/org/cassiabank/http/SeparateResponses.java
@@ -39,8 +39,8 @@
 
     /**
      * Prepares a client. Over TLS, where others cannot add to a response, only heads are checked. It repeats no request
-     * that may have been sent and follows no redirects. A refused response is reported as an {@link IOException}, a response that is too large as a
-     * {@link ResponseTooLargeException}.
+     * that may have been sent and follows no redirects. A refused response is reported as an {@link IOException}, a
+     * response that is too large as a {@link ResponseTooLargeException}.
      *
      * @param connectionPool the idle connections, for this client only
      * @param maximumResponseBytes the most bytes of one response, its head and framing included; positive
@@ -152,18 +152,30 @@
             if (currentSocket == null) {
                 return;
             }
+            boolean usable = false;
             try {
                 byte[] bytesBehind = currentSocket.responses().endResponse();
-                if (bytesBehind.length > 0) {
+                usable = bytesBehind.length == 0;
+                if (!usable) {
                     LOGGER.atInfo().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
                             "%d bytes follow the response to %s, its connection is closed: [%s]",
                             bytesBehind.length,
                             describe(call.request()),
                             PrintableText.abbreviate(new String(bytesBehind, StandardCharsets.ISO_8859_1)));
-                    currentSocket.close();
                 }
             } catch (IOException exception) {
-                LOGGER.atFine().withCause(exception).log("a connection ended together with its response");
+                LOGGER.atFine().withCause(exception).log("a connection could not be read behind its response");
+            }
+            if (!usable) {
+                closeQuietly(currentSocket);
+            }
+        }
+
+        private static void closeQuietly(ResponseSocket socket) {
+            try {
+                socket.close();
+            } catch (IOException exception) {
+                LOGGER.atFine().withCause(exception).log("a connection could not be closed");
             }
         }
     }
