--- a/src/main/java/org/cassiabank/backend/ResponseBoundary.java
+++ b/src/main/java/org/cassiabank/backend/ResponseBoundary.java
@@ -17,11 +17,6 @@
 final class ResponseBoundary {
     private static final Pattern STATUS_LINE = ResponseHeads.STATUS_LINE;
 
-    /** A status line and fields, the last of which may be incomplete. */
-    private static final Pattern UNFINISHED_HEAD = Pattern.compile(STATUS_LINE.pattern()
-            + "[^\\r\\n]*+\\r\\n(?:[!-9;-~]++:[^\\r\\n]*+\\r\\n)*+[!-9;-~]*+(?::[^\\r\\n]*+)?+\\r?+");
-
-    private static final int LONGEST_HEAD_BYTES = 8_192;
     private static final String BEGINNING_TEXT = "HTTP/1.";
     private static final byte[] BEGINNING = BEGINNING_TEXT.getBytes(StandardCharsets.US_ASCII);
     private static final String END_OF_HEAD = "\r\n\r\n";
@@ -49,10 +44,14 @@
         if (responseBehind && endsWithInterimHead(text)) {
             return Optional.of("an interim response ends the " + body.length + " bytes of the body");
         }
+        Matcher requestIdField = Pattern.compile(
+                        "[\\r\\n]" + Pattern.quote(requestIdHeader) + ":", Pattern.CASE_INSENSITIVE)
+                .matcher(text);
         int examined = 0;
         while (statusLine.find(examined) && statusLine.start() < bodyLength) {
             int headEnd = endOfHead(text, statusLine.start());
-            if (followedByItsRest || containsField(text.substring(statusLine.start(), headEnd), requestIdHeader)) {
+            if (followedByItsRest
+                    || requestIdField.region(statusLine.start(), headEnd).find()) {
                 return Optional.of("another response begins after " + (from + statusLine.start()) + " of " + body.length
                         + " bytes of the body");
             }
@@ -73,22 +72,6 @@
         return statusLine.lookingAt() || statusLine.hitEnd();
     }
 
-    /**
-     * Tells whether a body that ends with its connection ends with the beginning of another response, behind which
-     * nothing can follow any more.
-     *
-     * @param body the body
-     * @param statusLine the status line of the response, with which a copy of it begins
-     * @return true if its last bytes are the beginning of that status line, or any whole status line and fields
-     */
-    static boolean endsWithUnfinishedHead(byte[] body, String statusLine) {
-        String end = text(body, Math.max(0, body.length - LONGEST_HEAD_BYTES));
-        int beginning = end.lastIndexOf(BEGINNING_TEXT);
-        return beginning >= 0
-                && (statusLine.startsWith(end.substring(beginning))
-                        || UNFINISHED_HEAD.matcher(end.substring(beginning)).matches());
-    }
-
     /**
      * Tells whether a refusal is contradicted by what follows it: another response of the server to the same request.
      *
@@ -175,8 +158,4 @@
         int end = text.indexOf(END_OF_HEAD, start);
         return end < 0 ? text.length() : end;
     }
-
-    private static boolean containsField(String head, String name) {
-        return head.lines().skip(1).anyMatch(line -> line.regionMatches(true, 0, name + ":", 0, name.length() + 1));
-    }
 }
