Refuse a request whose transfer encoding is not known

Two requests of a caller could be carried out as one. Cause: Netty takes the Content-Length of a request whose Transfer-Encoding it does not know, so that the end of the request is not where its head says; a load balancer in front may see another end. The decoder now refuses every transfer encoding but a single chunked, as it refuses a length beside chunks.

--- a/src/main/java/org/cassiabank/proxy/StrictRequestDecoder.java
+++ b/src/main/java/org/cassiabank/proxy/StrictRequestDecoder.java
@@ -2,7 +2,10 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -42,6 +45,9 @@
         int previousSize = out.size();
         super.decode(context, buffer, out);
         for (Object decoded : out.subList(previousSize, out.size())) {
+            if (decoded instanceof HttpMessage message) {
+                refuseUnknownTransferEncoding(message);
+            }
             readingBody = !(decoded instanceof LastHttpContent);
             cancelHeaderTimer();
         }
@@ -54,6 +60,17 @@
         }
     }
 
+    /** Netty takes the length instead of an encoding that it does not know, so that the end is not where it was declared. */
+    private static void refuseUnknownTransferEncoding(HttpMessage message) {
+        List<String> encodings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        boolean known = encodings.isEmpty()
+                || encodings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encodings.getFirst());
+        if (message.decoderResult().isSuccess() && !known) {
+            message.setDecoderResult(
+                    DecoderResult.failure(new IllegalArgumentException("transfer encoding " + encodings)));
+        }
+    }
+
     /** Tells whether a part of a request has been read whose rest is still to come. */
     boolean isReadingRequest() {
         return readingBody || headerTimer != null;
--- a/src/test/java/org/cassiabank/proxy/CallerRequestBoundaryTest.java
+++ b/src/test/java/org/cassiabank/proxy/CallerRequestBoundaryTest.java
@@ -4,7 +4,6 @@
 import static org.assertj.core.api.Assertions.tuple;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -13,6 +12,7 @@
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.cassiabank.backend.HeaderConventions;
+import org.cassiabank.load.FreePorts;
 import org.cassiabank.platform.KeyValueAdapter;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -38,13 +38,10 @@
             },
             ProxyMetrics.create());
     private final HeaderConventions conventions = new KeyValueAdapter().headerConventions();
-    private int port;
+    private final int port = FreePorts.nextPort();
 
     @BeforeEach
-    void startServer() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            port = socket.getLocalPort();
-        }
+    void startServer() {
         server.start(new HostAndPort("127.0.0.1", port), Optional.empty());
     }
 
