Give up a read of the metadata store whose pages do not end

Each page is bounded, the number of pages was not: a store that names another page behind each filled the heap of a daemon (EndlessPagesTest failed, the read went on for 15 s). A read of all entries whose keys and values exceed a quarter of the heap now fails as an unavailable store does: what is in force stays in force, and the read begins anew after the pause between retries. EndlessPagesTest and KeyValueStoreTest (8) pass.

--- a/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
+++ b/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
@@ -44,6 +44,9 @@
     /** The wait at the store while no peer answers, after which the peers are asked again. */
     private static final long FALLBACK_WATCH_WAIT_MILLIS = 2_000;
 
+    /** The entries are held in memory, the former ones until all new ones have been read. */
+    private static final long MAXIMUM_ENTRIES_BYTES = Runtime.getRuntime().maxMemory() / 4;
+
     private static final int LOG_INTERVAL_SECONDS = 10;
     private static final long MINIMUM_RETRY_DELAY_MILLIS = 150;
     private static final long MAXIMUM_RETRY_DELAY_MILLIS = 350;
@@ -311,10 +314,18 @@
         List<StorePage> pages = new ArrayList<>();
         String afterKey = "";
         boolean hasMore = true;
+        long readBytes = 0;
         while (hasMore) {
             listener.recordStoreCall("list");
             StorePage page = store.list("", afterKey);
             pages.add(page);
+            readBytes += sizeOf(page);
+            if (readBytes > MAXIMUM_ENTRIES_BYTES) {
+                throw CassiabankException.of(
+                        ErrorCode.STORE_UNAVAILABLE,
+                        "the entries of the store exceed " + MAXIMUM_ENTRIES_BYTES + " bytes after " + pages.size()
+                                + " pages");
+            }
             hasMore = page.hasMore() && !page.entries().isEmpty();
             afterKey = hasMore ? page.entries().getLast().key() : afterKey;
         }
@@ -344,6 +355,12 @@
         LOGGER.atInfo().log("read all entries of the store in %d pages at revision %s", pages.size(), revision);
     }
 
+    private static long sizeOf(StorePage page) {
+        return page.entries().stream()
+                .mapToLong(entry -> entry.key().length() + entry.value().length)
+                .sum();
+    }
+
     private void publish() {
         publisher.publish(entryTable, listener, clockMillis.getAsLong());
         selfListed = entryTable.find(daemonKey(self)).isPresent();
