--- a/src/main/java/org/cassiabank/http/SeparateResponses.java
+++ b/src/main/java/org/cassiabank/http/SeparateResponses.java
@@ -38,9 +38,9 @@
     private SeparateResponses() {}
 
     /**
-     * Prepares a client. Over TLS, where others cannot add to a response, only heads are checked. It repeats no request that may have been sent and
-     * follows no redirects. A refused response is reported as an {@link IOException}, a response that is too large as a
-     * {@link ResponseTooLargeException}.
+     * Prepares a client. It repeats no request that may have been sent and follows no redirects. A refused response is
+     * reported as an {@link IOException}, a response that is too large as a {@link ResponseTooLargeException}. Over TLS
+     * only heads are checked and sizes are not limited, because the connection carries records instead of responses.
      *
      * @param connectionPool the idle connections, for this client only
      * @param maximumResponseBytes the most bytes of one response, its head and framing included; positive
--- a/src/main/java/org/cassiabank/peer/PeerConnection.java
+++ b/src/main/java/org/cassiabank/peer/PeerConnection.java
@@ -65,8 +65,8 @@
     }
 
     /**
-     * Tells whether bytes have arrived that belong to no call, behind the last reply or in its frame. The connection must
-     * not be used again.
+     * Tells whether bytes have arrived that belong to no call, behind the last reply or in its frame. The connection
+     * must not be used again.
      *
      * @return true also if the connection cannot be examined, because it has ended
      */
--- a/src/main/java/org/cassiabank/proxy/StrictRequestDecoder.java
+++ b/src/main/java/org/cassiabank/proxy/StrictRequestDecoder.java
@@ -60,7 +60,7 @@
         }
     }
 
-    /** Netty takes the length instead of an encoding that it does not know, so that the end is not where it was declared. */
+    /** Netty takes the length instead of an encoding that it does not know, and may see another end than intended. */
     private static void refuseUnknownTransferEncoding(HttpMessage message) {
         List<String> encodings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
         boolean known = encodings.isEmpty()
--- a/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
+++ b/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
@@ -319,7 +319,7 @@
             listener.recordStoreCall("list");
             StorePage page = store.list("", afterKey);
             pages.add(page);
-            readBytes += sizeOf(page);
+            readBytes += page.sizeBytes();
             if (readBytes > MAXIMUM_ENTRIES_BYTES) {
                 throw CassiabankException.of(
                         ErrorCode.STORE_UNAVAILABLE,
@@ -355,12 +355,6 @@
         LOGGER.atInfo().log("read all entries of the store in %d pages at revision %s", pages.size(), revision);
     }
 
-    private static long sizeOf(StorePage page) {
-        return page.entries().stream()
-                .mapToLong(entry -> entry.key().length() + entry.value().length)
-                .sum();
-    }
-
     private void publish() {
         publisher.publish(entryTable, listener, clockMillis.getAsLong());
         selfListed = entryTable.find(daemonKey(self)).isPresent();
--- a/src/main/java/org/cassiabank/source/StorePage.java
+++ b/src/main/java/org/cassiabank/source/StorePage.java
@@ -21,4 +21,15 @@
         entries = List.copyOf(entries);
         Objects.requireNonNull(revision, "revision");
     }
+
+    /**
+     * Returns about how much memory the entries take.
+     *
+     * @return the length of all keys and values, in bytes
+     */
+    public long sizeBytes() {
+        return entries.stream()
+                .mapToLong(entry -> entry.key().length() + entry.value().length)
+                .sum();
+    }
 }
--- a/src/test/java/org/cassiabank/backend/ScriptedServer.java
+++ b/src/test/java/org/cassiabank/backend/ScriptedServer.java
@@ -38,8 +38,8 @@
         }
     }
 
-    final List<ReceivedRequest> receivedRequests = new CopyOnWriteArrayList<>();
     public final AtomicInteger acceptedConnections = new AtomicInteger();
+    final List<ReceivedRequest> receivedRequests = new CopyOnWriteArrayList<>();
     /** Has a permit for each connection that was closed. */
     final Semaphore closedConnections = new Semaphore(0);
 
