Count the objects that trailers occupy, and hand out chunks up to their end

As with heads, short trailer lines held a daemon's memory at 7 MB a response, and after a body of some size up to the 256 KiB of text that OkHttp accepts. Cause: ResponseInputStream did not know where a chunked body ends and its trailers begin.

Evidence: EndlessResponseTest.shortLinesThatNeverEndOccupyNoMoreThanTheMemory with two beginnings of trailers, memory of 4 MB.

The stream follows the size of each chunk as OkHttp reads it, hands out a chunk in one piece rather than line by line, and counts the lines behind the last chunk.

--- a/src/main/java/org/cassiabank/backend/ResponseInputStream.java
+++ b/src/main/java/org/cassiabank/backend/ResponseInputStream.java
@@ -11,7 +11,7 @@
  *
  * <p>OkHttp reads ahead into a buffer that nobody else can see; there the beginning of a second response would become
  * the beginning of the response to the next request. It reads a head, a chunk size and a trailer line by line, so it is
- * handed one line at a time, and a body of a declared length only up to that length.
+ * handed one line at a time, and a chunk or a body of a declared length only up to that length.
  *
  * <p>A server that sends faster than its bytes are decoded never lets a read wait, and a virtual thread leaves its carrier
  * thread only when it waits. So the thread yields from time to time; otherwise one response without end would keep all
@@ -22,6 +22,7 @@
 final class ResponseInputStream extends InputStream {
     private static final int BUFFER_BYTES = 8_192;
     private static final byte[] EMPTY = {};
+    private static final int HEXADECIMAL = 16;
     /** The time for which the thread decodes bytes until others that are ready run. */
     private static final long TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
@@ -31,6 +32,7 @@
         NONE,
         HEAD,
         CHUNKED_BODY,
+        TRAILERS,
         BODY_OF_DECLARED_LENGTH,
         BODY_UNTIL_END_OF_CONNECTION
     }
@@ -38,8 +40,14 @@
     private final InputStream input;
     private final HeadLineListener headLines;
     private Part part = Part.NONE;
-    /** The rest of a body of declared length. */
+    /** The rest of a body of declared length, or of a chunk. */
     private long remainingBytes;
+    /** What the line before a chunk declares so far; confined to a chunked body like the next two. */
+    private long chunkBytes;
+
+    private boolean sizeComplete;
+    /** Whether the line that ends a chunk comes next, whose content OkHttp ignores. */
+    private boolean chunkEnds;
     /** Holds bytes from {@link #position} to {@link #limit}; allocated while there are any. */
     private byte[] buffer = EMPTY;
 
@@ -57,7 +65,7 @@
      * Creates the stream of a connection on which no response is expected yet.
      *
      * @param input the bytes of the connection
-     * @param headLines is told of each line of a head
+     * @param headLines is told of each line of a head or of trailers
      * @return the stream
      */
     static ResponseInputStream of(InputStream input, HeadLineListener headLines) {
@@ -74,6 +82,14 @@
     /** Expects a chunked body. */
     void beginChunkedBody() {
         part = Part.CHUNKED_BODY;
+        remainingBytes = 0;
+        chunkEnds = false;
+        beginSizeLine();
+    }
+
+    private void beginSizeLine() {
+        chunkBytes = 0;
+        sizeComplete = false;
     }
 
     /**
@@ -139,14 +155,23 @@
                 }
                 yield -1;
             }
-            case HEAD -> {
+            case HEAD, TRAILERS -> {
                 int taken = readLine(bytes, offset, length);
                 if (taken > 0 && bytes[offset + taken - 1] == '\n') {
                     headLines.onHeadLine();
                 }
                 yield taken;
             }
-            case CHUNKED_BODY -> readLine(bytes, offset, length);
+            case CHUNKED_BODY -> {
+                if (remainingBytes > 0) {
+                    yield readBody(bytes, offset, (int) Math.min(length, remainingBytes));
+                }
+                int taken = readLine(bytes, offset, length);
+                for (int index = offset; index < offset + taken; index++) {
+                    followChunkLine(bytes[index]);
+                }
+                yield taken;
+            }
             case BODY_OF_DECLARED_LENGTH -> readBody(bytes, offset, (int) Math.min(length, remainingBytes));
             case BODY_UNTIL_END_OF_CONNECTION -> readBody(bytes, offset, length);
         };
@@ -159,6 +184,23 @@
         return takeBuffered(bytes, offset, Math.min(length, lengthOfLine()));
     }
 
+    /** Follows the lines between the chunks; what is handed out at once never exceeds the end of a line. */
+    private void followChunkLine(byte value) {
+        if (value == '\n' && chunkEnds) {
+            chunkEnds = false;
+        } else if (value == '\n' && chunkBytes == 0) {
+            part = Part.TRAILERS;
+        } else if (value == '\n') {
+            remainingBytes = chunkBytes;
+            chunkEnds = true;
+            beginSizeLine();
+        } else if (!chunkEnds && !sizeComplete) {
+            int digit = Character.digit(value, HEXADECIMAL);
+            sizeComplete = digit < 0 || chunkBytes > Integer.MAX_VALUE;
+            chunkBytes = sizeComplete ? chunkBytes : HEXADECIMAL * chunkBytes + digit;
+        }
+    }
+
     private int readBody(byte[] bytes, int offset, int length) throws IOException {
         if (length == 0) {
             return -1;
@@ -213,7 +255,7 @@
         }
     }
 
-    /** Is told of the lines of heads, for each of which objects are kept until the response is complete. */
+    /** Is told of the lines of heads and trailers, for each of which objects are kept until the response is complete. */
     @FunctionalInterface
     interface HeadLineListener {
 
--- a/src/main/java/org/cassiabank/backend/ResponseMeter.java
+++ b/src/main/java/org/cassiabank/backend/ResponseMeter.java
@@ -46,7 +46,7 @@
     }
 
     /**
-     * Records a line of a head. A short line occupies many times its bytes.
+     * Records a line of a head or of trailers. A short line occupies many times its bytes.
      *
      * @throws ResponseTooLargeException if all responses together exceed their limit
      */
--- a/src/test/java/org/cassiabank/backend/EndlessResponseTest.java
+++ b/src/test/java/org/cassiabank/backend/EndlessResponseTest.java
@@ -134,14 +134,20 @@
 
     /** Short lines become objects of many times their bytes, and a server may send no more than fits the limit of one. */
     @ParameterizedTest
-    @CsvSource({"'a:b\n'", "'a\n'", "'X-Many: a\r\n'"})
-    void headsOfShortLinesThatNeverEndOccupyNoMoreThanTheMemory(String line) throws Exception {
+    @CsvSource({
+        "'', 'a:b\n'",
+        "'', 'a\n'",
+        "'', 'X-Many: a\r\n'",
+        "'Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n', 'a:b\n'",
+        "'Transfer-Encoding: chunked\r\n\r\n00;x\r\n', 'a\n'"
+    })
+    void shortLinesThatNeverEndOccupyNoMoreThanTheMemory(String start, String line) throws Exception {
         int responseCount = 15;
         CountDownLatch allSent = new CountDownLatch(responseCount);
         CountDownLatch measured = new CountDownLatch(1);
         ScriptedServer server = startServer((request, socket) -> {
             try {
-                ScriptedServer.write(socket, request.responseHead(200) + line.repeat(250_000 / line.length()));
+                ScriptedServer.write(socket, request.responseHead(200) + start + line.repeat(250_000 / line.length()));
             } finally {
                 allSent.countDown();
                 measured.await();
