--- a/src/main/java/org/cassiabank/http/ChunkFraming.java
+++ b/src/main/java/org/cassiabank/http/ChunkFraming.java
@@ -33,6 +33,11 @@
         return remainingBytes;
     }
 
+    /** Tells whether the next line is a trailer, or the empty line that ends the body. */
+    boolean isInTrailers() {
+        return expectedLine == Line.TRAILER;
+    }
+
     /**
      * Records bytes of data.
      *
--- a/src/main/java/org/cassiabank/http/ResponseInputStream.java
+++ b/src/main/java/org/cassiabank/http/ResponseInputStream.java
@@ -65,7 +65,7 @@
      * Creates the stream of a connection on which no response is expected yet.
      *
      * @param input the bytes of the connection
-     * @param headLines is told of each line of a head
+     * @param headLines is told of each line of a head or of trailers
      * @return the stream
      */
     public static ResponseInputStream of(InputStream input, HeadLineListener headLines) {
@@ -218,7 +218,11 @@
         }
         int readBytes = readLine(bytes, offset, length);
         if (readBytes > 0) {
+            boolean isTrailer = chunkFraming.isInTrailers();
             chunkFraming.recordLine(bytes, offset, readBytes);
+            if (isTrailer && bytes[offset + readBytes - 1] == '\n') {
+                headLines.onHeadLine();
+            }
         }
         return readBytes;
     }
@@ -283,7 +287,9 @@
         }
     }
 
-    /** Is told of the lines of heads, for each of which objects are kept until the response is complete. */
+    /**
+     * Is told of the lines of heads and trailers, for each of which objects are kept until the response is complete.
+     */
     @FunctionalInterface
     public interface HeadLineListener {
 
