Cut random responses more often where the next one fills them up

The random cuts seldom met the two cases in which another response completes a body. More of them now leave out a few bytes, or as many as a part of the next response has, and pauses fall on the end of the first response more often.

--- a/src/main/java/org/cassiabank/backend/MeteredSocket.java
+++ b/src/main/java/org/cassiabank/backend/MeteredSocket.java
@@ -22,6 +22,9 @@
  * <p>The count of writes increases before the operating system is called, because a failing write may have sent bytes.
  */
 final class MeteredSocket extends Socket {
+    /** Longer than a client delays its acknowledgement, for which a server may hold back the second part of a write. */
+    static final long SECOND_SEGMENT_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     /** A copy of a response to an older request has arrived long before, and takes the connection out of use. */
@@ -30,9 +33,6 @@
     private static final long EXAMINED_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     private static final int EXAMINATION_MILLIS = 1;
 
-    /** Longer than a client delays its acknowledgement, for which a server may hold back the second part of a write. */
-    static final long SECOND_SEGMENT_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
-
     /** The latest identifiers, the oldest first; guarded by itself. */
     private final Set<String> requestIds = new LinkedHashSet<>();
 
--- a/src/test/java/org/cassiabank/backend/JoinedResponsePropertyTest.java
+++ b/src/test/java/org/cassiabank/backend/JoinedResponsePropertyTest.java
@@ -36,6 +36,7 @@
     private static final long TIMEOUT_MILLIS = 2_000;
     private static final long LONG_IDLE_MILLIS = 60_000;
     private static final int LONGEST_STUTTER_BYTES = 400;
+    private static final int LONGEST_BEGINNING_BYTES = 20;
 
     /** How the bytes on the connection come about. */
     enum Form {
@@ -155,10 +156,7 @@
             case CUT_THEN_RESPONSE -> {
                 GeneratedResponse second =
                         GeneratedResponse.of(random, method, random.nextInt(3) == 0 ? FORMER_ID : ID, "second", true);
-                // The first response often ends where a part of the second one does.
-                int cut = random.nextInt(3) == 0
-                        ? Math.max(0, first.bytes().length() - GeneratedResponse.pick(random, second.ends()))
-                        : first.cut(random);
+                int cut = joiningCut(random, first, second);
                 yield newScene(
                         random,
                         form,
@@ -201,18 +199,32 @@
                                 + inner.bytes()
                                 + first.bytes().substring(position));
             }
-            default -> {
-                GeneratedResponse former = GeneratedResponse.of(random, method, FORMER_ID, "former", false);
-                int cut = former.cut(random);
-                String piece = random.nextInt(4) == 0
-                        ? former.bytes().substring(cut)
-                        : former.bytes().substring(0, cut);
-                yield newScene(random, form, method, List.of(first), List.of(first), 0, first.bytes())
-                        .after(former, piece, form == Form.AFTER_A_LATE_PIECE);
-            }
+            default -> newSceneAfterAPiece(random, form, method, first);
         };
     }
 
+    /** Returns a response on a connection on which a piece of the former response was written once more. */
+    private static Scene newSceneAfterAPiece(Random random, Form form, String method, GeneratedResponse response) {
+        GeneratedResponse former = GeneratedResponse.of(random, method, FORMER_ID, "former", false);
+        int cut = former.cut(random);
+        String piece = random.nextInt(4) == 0
+                ? former.bytes().substring(cut)
+                : former.bytes().substring(0, cut);
+        return newScene(random, form, method, List.of(response), List.of(response), 0, response.bytes())
+                .after(former, piece, form == Form.AFTER_A_LATE_PIECE);
+    }
+
+    /** Cuts the first response, often so that the beginning or a whole part of the second one fills it up. */
+    private static int joiningCut(Random random, GeneratedResponse first, GeneratedResponse second) {
+        int missingBytes =
+                switch (random.nextInt(3)) {
+                    case 0 -> GeneratedResponse.pick(random, second.ends());
+                    case 1 -> 1 + random.nextInt(LONGEST_BEGINNING_BYTES);
+                    default -> first.bytes().length() - first.cut(random);
+                };
+        return Math.max(0, first.bytes().length() - missingBytes);
+    }
+
     private static Scene newWholeScene(Random random) {
         Form form = GeneratedResponse.pick(random, List.of(Form.ALONE, Form.ALONE_ON_A_KEPT_CONNECTION, Form.FOLLOWED));
         String method = GeneratedResponse.pick(random, List.of("GET", "GET", "POST", "HEAD"));
@@ -250,7 +262,7 @@
         IntStream.range(0, Math.max(0, random.nextInt(5) - 2))
                 .forEach(ignored -> pauses.add(
                         random.nextBoolean() && firstEnd > 0
-                                ? firstEnd + random.nextInt(16)
+                                ? firstEnd + (random.nextBoolean() ? 0 : random.nextInt(16))
                                 : 1 + random.nextInt(bytes.length())));
         boolean endsConnection = form.ordinal() < Form.ALONE.ordinal()
                 || responses.getFirst().framing() == GeneratedResponse.Framing.END_OF_CONNECTION
