Judge connections with bytes behind a whole response by the idle time, and await the second copy

EndlessResponseFleetTest failed once beside load 20: a connection on which a whole response was delivered and bytes came later was idle in the pool; the deployed settings close such a connection after 8.5 s, and nothing reads it until then. BackendClientTest.aSecondCopy... failed once beside load 20: the server wrote the copy only after the next request had been sent; the test waits until the copy is written.

--- a/src/test/java/org/cassiabank/backend/BackendClientTest.java
+++ b/src/test/java/org/cassiabank/backend/BackendClientTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import okhttp3.Headers;
@@ -251,16 +252,19 @@
 
     @Test
     void aSecondCopyOfAResponseThatArrivesLateTakesItsConnectionOutOfUse() throws Exception {
+        Semaphore writtenCopies = new Semaphore(0);
         ScriptedServer server = startServer((request, socket) -> {
             ScriptedServer.respondingWith(request.header("Cassiabank-Request-Id"))
                     .respond(request, socket);
             TimeUnit.MILLISECONDS.sleep(30);
             ScriptedServer.respondingWith(request.header("Cassiabank-Request-Id"))
                     .respond(request, socket);
+            writtenCopies.release();
         });
         for (String requestId : List.of("one", "two", "three")) {
             assertThat(bodyText(client.send(request(server.address(), "GET", requestId, true, 5_000))))
                     .isEqualTo(requestId);
+            assertThat(writtenCopies.tryAcquire(5, TimeUnit.SECONDS)).isTrue();
             TimeUnit.MILLISECONDS.sleep(60);
         }
         assertThat(server.acceptedConnections).hasValue(3);
--- a/src/test/java/org/cassiabank/soak/EndlessResponseFleetTest.java
+++ b/src/test/java/org/cassiabank/soak/EndlessResponseFleetTest.java
@@ -18,6 +18,7 @@
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
@@ -57,6 +58,9 @@
     /** The memory that a daemon may occupy, see docs/CAPACITY.md. */
     private static final long MAXIMUM_RESIDENT_KILOBYTES = 256 * 1_024;
 
+    /** The value of {@code server-idle-millis} in the deployed settings. */
+    private static final long IDLE_MILLIS = 8_500;
+
     private static final int MAXIMUM_LOG_LINE_CHARACTERS = 8_192;
     private static final double MINIMUM_SERVED_SHARE = 0.95;
     private static final int MINIMUM_IN_FLIGHT = 200;
@@ -117,6 +121,9 @@
             reportIf(inFlight < MINIMUM_IN_FLIGHT, "only " + inFlight + " requests were in flight at once");
             checkSoundRequests();
             checkOutcomes();
+            checkNoneIsOpen(server -> !server.form().beginsWithWholeResponse());
+            awaitIdleConnectionsClosed();
+            checkNoneIsOpen(server -> true);
             checkClosedConnections();
             checkProcesses(directory);
             System.out.println("endless: " + callsById.size() + " requests at endless servers, " + inFlight
@@ -308,6 +315,30 @@
                 .toList();
     }
 
+    private void checkNoneIsOpen(Predicate<EndlessServer> affected) {
+        servers.stream().filter(affected).forEach(server -> server.exchangesById()
+                .forEach((id, exchanges) -> reportIf(
+                        exchanges.stream().anyMatch(EndlessResponseFleetTest::isOpen),
+                        "a connection of " + callsById.get(id) + " at a " + server.pace()
+                                + " server was never closed")));
+    }
+
+    /** A connection with a whole response is idle when more bytes arrive later, and is closed when that time is over. */
+    private void awaitIdleConnectionsClosed() throws InterruptedException {
+        long endMillis = RequestHistory.nowMillis() + IDLE_MILLIS + CLOSE_TOLERANCE_MILLIS;
+        while (RequestHistory.nowMillis() < endMillis
+                && servers.stream()
+                        .flatMap(server -> server.exchangesById().values().stream())
+                        .flatMap(List::stream)
+                        .anyMatch(EndlessResponseFleetTest::isOpen)) {
+            TimeUnit.MILLISECONDS.sleep(50);
+        }
+    }
+
+    private static boolean isOpen(EndlessServer.Exchange exchange) {
+        return exchange.closedMillis() == Long.MAX_VALUE;
+    }
+
     /** An attempt that lost to its hedge may run on until the deadline; an order runs on without its caller. */
     private void checkClosedConnections() {
         int counted = 0;
@@ -321,12 +352,11 @@
                 long deadlineMillis = call.sentMillis + TIMEOUT_MILLIS;
                 for (EndlessServer.Exchange exchange : entry.getValue()) {
                     mostBytes = Math.max(mostBytes, exchange.writtenBytes());
-                    reportIf(
-                            exchange.closedMillis() == Long.MAX_VALUE,
-                            "the connection of " + call + " at a " + server.pace() + " server was never closed");
-                    long untilMillis = call.isOrder || call.status != Call.ABANDONED
+                    long attemptEndMillis = call.isOrder || call.status != Call.ABANDONED
                             ? deadlineMillis
                             : Math.min(call.endMillis, deadlineMillis);
+                    long untilMillis =
+                            server.form().beginsWithWholeResponse() ? attemptEndMillis + IDLE_MILLIS : attemptEndMillis;
                     if (isUndisturbed(PAUSED_DAEMON, call.sentMillis, untilMillis)) {
                         counted++;
                         late += exchange.closedMillis() > untilMillis + CLOSE_TOLERANCE_MILLIS ? 1 : 0;
