Read no two instance lists as the first of them

A list of instances that is followed by further bytes, such as another list, or that names a field twice, counted as whole: the JSON reader stops at the end of the first value. InstanceListBoundaryTest (5 of 6 failed) and MetadataStoreFleetSourceTest (35) pass.

--- a/src/main/java/org/cassiabank/membership/InstanceListCodec.java
+++ b/src/main/java/org/cassiabank/membership/InstanceListCodec.java
@@ -1,7 +1,9 @@
 package org.cassiabank.membership;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
@@ -23,7 +25,10 @@
  * Reads and writes the JSON form of the platform's instance list.
  */
 public final class InstanceListCodec {
-    private static final ObjectMapper MAPPER = JsonMapper.builder().build();
+    private static final ObjectMapper MAPPER = JsonMapper.builder()
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+            .build();
     private static final String SOURCE = "instance list";
     private static final String LABEL_PREFIX = "label.";
 
