--- a/src/main/java/org/cassiabank/backend/AttemptTrace.java
+++ b/src/main/java/org/cassiabank/backend/AttemptTrace.java
@@ -12,6 +12,7 @@
 import okhttp3.Protocol;
 import okhttp3.Request;
 import okhttp3.Response;
+import org.cassiabank.http.UnusableConnectionException;
 
 /**
  * Records for one attempt whether bytes may have been written, and the headers of the response.
@@ -37,6 +38,7 @@
     private volatile byte[] bytesBehind = {};
     private volatile ResponseReader responseReader;
     private volatile BackendResult result;
+    private volatile boolean connectionClosed;
 
     private AttemptTrace(long maximumIdleNanos, String requestId) {
         this.maximumIdleNanos = maximumIdleNanos;
@@ -119,6 +121,11 @@
         return connectionOpened;
     }
 
+    /** Tells whether this attempt has closed its connection, which OkHttp still counts as idle. */
+    boolean hasClosedConnection() {
+        return connectionClosed;
+    }
+
     @Override
     public void connectEnd(Call call, InetSocketAddress address, Proxy proxy, Protocol protocol) {
         connectionOpened = true;
@@ -154,8 +161,8 @@
         }
         boolean usable = false;
         try {
-            bytesBehind = currentSocket.getInputStream().endResponse();
-            usable = bytesBehind.length == 0;
+            bytesBehind = currentSocket.endResponse();
+            usable = bytesBehind.length == 0 && !currentSocket.isClosed();
         } catch (IOException exception) {
             LOGGER.atFine().withCause(exception).log("a connection could not be read behind its response");
         }
@@ -164,7 +171,8 @@
         }
     }
 
-    private static void closeQuietly(MeteredSocket socket) {
+    private void closeQuietly(MeteredSocket socket) {
+        connectionClosed = true;
         try {
             socket.close();
         } catch (IOException exception) {
@@ -225,7 +233,9 @@
         }
         if (length > 0) {
             currentSocket.getInputStream().beginBody(length);
-        } else if (!"chunked".equalsIgnoreCase(response.header("Transfer-Encoding"))) {
+        } else if ("chunked".equalsIgnoreCase(response.header("Transfer-Encoding"))) {
+            currentSocket.getInputStream().beginChunkedBody();
+        } else {
             currentSocket.getInputStream().beginBodyUntilEndOfConnection();
         }
     }
--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -5,9 +5,11 @@
 import java.io.InterruptedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import okhttp3.Call;
 import okhttp3.Headers;
 import okhttp3.Response;
@@ -15,6 +17,10 @@
 import okio.BufferedSource;
 import org.cassiabank.admission.RateLimitNotice;
 import org.cassiabank.admission.ServerNotice;
+import org.cassiabank.http.PrintableText;
+import org.cassiabank.http.ResponseHeads;
+import org.cassiabank.http.ResponseTooLargeException;
+import org.cassiabank.http.UnusableConnectionException;
 
 /**
  * One attempt at a request to a backend server, which another thread can cancel.
@@ -134,6 +140,9 @@
             if (!(result instanceof NoValidResponse)) {
                 onValidResponse.run();
             }
+            if (trace.hasClosedConnection()) {
+                onUnusableConnection.run();
+            }
             return result;
         } catch (UnusableConnectionException exception) {
             throw exception;
@@ -192,11 +201,26 @@
                     NoValidResponseReason.RESPONSE_TOO_LARGE, "more than " + maximumResponseBytes + " bytes");
         }
         byte[] bodyBytes = body.readByteArray();
+        if (endsWithConnection(response) && ResponseBoundary.endsWithUnfinishedHead(bodyBytes, statusLine(response))) {
+            return new NoValidResponse(
+                    NoValidResponseReason.TRUNCATED_RESPONSE,
+                    "another response begins in the body of " + bodyBytes.length
+                            + " bytes that ends with the connection");
+        }
         return findForeignBytes(response.code(), bodyBytes)
                 .<BackendResult>map(detail -> new NoValidResponse(NoValidResponseReason.TRUNCATED_RESPONSE, detail))
                 .orElseGet(() -> toResult(response.code(), bodyBytes));
     }
 
+    private boolean endsWithConnection(Response response) {
+        return response.body().contentLength() < 0 && trace.responseHeaders().get("Transfer-Encoding") == null;
+    }
+
+    private static String statusLine(Response response) {
+        return response.protocol().toString().toUpperCase(Locale.ROOT) + " " + response.code() + " "
+                + response.message() + "\r\n";
+    }
+
     /** Returns why a body may hold bytes that do not belong to it; logs bytes behind a body that counts as whole. */
     private Optional<String> findForeignBytes(int status, byte[] body) {
         byte[] bytesBehind = trace.bytesBehind();
@@ -235,7 +259,8 @@
         }
         int status = response.code();
         boolean hasBody = status != 204 && status != 304 && !request.method().equals("HEAD");
-        Optional<String> defect = ResponseHeads.findDefect(status, response.message(), headers, conventions, hasBody);
+        Optional<String> defect =
+                ResponseHeads.findDefect(status, response.message(), headers, identifyingFields(), hasBody);
         if (defect.isPresent()) {
             LOGGER.atInfo().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
                     "server %s at %s sent a malformed head in response to request %s: %s",
@@ -285,6 +310,12 @@
         return new ServerNotice(leaving, limit.orElseGet(RateLimitNotice.Unlimited::new));
     }
 
+    /** Returns the names of the headers that each response of a server holds. */
+    private List<String> identifyingFields() {
+        return Stream.concat(Stream.of(conventions.requestIdHeader()), conventions.responseSignatureHeader().stream())
+                .toList();
+    }
+
     private boolean lacksRequiredSignature(Headers headers) {
         return conventions
                 .responseSignatureHeader()
--- a/src/main/java/org/cassiabank/backend/ResponseBoundary.java
+++ b/src/main/java/org/cassiabank/backend/ResponseBoundary.java
@@ -1,22 +1,30 @@
 package org.cassiabank.backend;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.cassiabank.http.ResponseHeads;
 
 /**
  * Decides whether a body ends where its response ends, or was completed by the bytes of another response.
  *
  * <p>A server whose response breaks off may send a second one on the same connection. Its first bytes then fill the
- * body of the first response up to the declared end, and the rest stays behind that end. A second response that follows a
- * whole one begins exactly at the end.
+ * body of the first response up to the declared end, and the rest stays behind that end. A second response that follows
+ * a whole one begins exactly at the end.
  */
 final class ResponseBoundary {
-    /** The beginning of a status line, up to the status. */
-    static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}(?![0-9])");
+    private static final Pattern STATUS_LINE = ResponseHeads.STATUS_LINE;
 
-    private static final String BEGINNING = "HTTP/1.";
+    /** A status line and fields, the last of which may be incomplete. */
+    private static final Pattern UNFINISHED_HEAD = Pattern.compile(STATUS_LINE.pattern()
+            + "[^\\r\\n]*+\\r\\n(?:[!-9;-~]++:[^\\r\\n]*+\\r\\n)*+[!-9;-~]*+(?::[^\\r\\n]*+)?+\\r?+");
+
+    private static final int LONGEST_HEAD_BYTES = 8_192;
+    private static final String BEGINNING_TEXT = "HTTP/1.";
+    private static final byte[] BEGINNING = BEGINNING_TEXT.getBytes(StandardCharsets.US_ASCII);
+    private static final String END_OF_HEAD = "\r\n\r\n";
     private static final int STATUS_LINE_BYTES = "HTTP/1.1 200".length();
 
     private ResponseBoundary() {}
@@ -32,12 +40,15 @@
     static Optional<String> findDefect(byte[] body, byte[] bytesBehind, String requestIdHeader) {
         int from = indexOfBeginning(body);
         String behind = text(bytesBehind, 0);
-        boolean responseBehind = STATUS_LINE.matcher(behind).lookingAt();
+        boolean responseBehind = !behind.isEmpty() && mayBeginResponse(bytesBehind);
         // What follows a response that begins exactly at the end says nothing about the body.
         String text = text(body, from) + (responseBehind ? "" : behind);
         int bodyLength = body.length - from;
         boolean followedByItsRest = !behind.isEmpty() && !responseBehind;
         Matcher statusLine = STATUS_LINE.matcher(text);
+        if (responseBehind && endsWithInterimHead(text)) {
+            return Optional.of("an interim response ends the " + body.length + " bytes of the body");
+        }
         int examined = 0;
         while (statusLine.find(examined) && statusLine.start() < bodyLength) {
             int headEnd = endOfHead(text, statusLine.start());
@@ -62,6 +73,22 @@
         return statusLine.lookingAt() || statusLine.hitEnd();
     }
 
+    /**
+     * Tells whether a body that ends with its connection ends with the beginning of another response, behind which
+     * nothing can follow any more.
+     *
+     * @param body the body
+     * @param statusLine the status line of the response, with which a copy of it begins
+     * @return true if its last bytes are the beginning of that status line, or any whole status line and fields
+     */
+    static boolean endsWithUnfinishedHead(byte[] body, String statusLine) {
+        String end = text(body, Math.max(0, body.length - LONGEST_HEAD_BYTES));
+        int beginning = end.lastIndexOf(BEGINNING_TEXT);
+        return beginning >= 0
+                && (statusLine.startsWith(end.substring(beginning))
+                        || UNFINISHED_HEAD.matcher(end.substring(beginning)).matches());
+    }
+
     /**
      * Tells whether a refusal is contradicted by what follows it: another response of the server to the same request.
      *
@@ -76,12 +103,62 @@
                         .lookingAt();
     }
 
+    /**
+     * Tells whether only bytes that arrive later can tell where a response ends: its body ends like the beginning of
+     * another response, or what follows it is too short to tell what it is.
+     *
+     * @param endOfBody the last bytes of the body
+     * @param bytesBehind the bytes that follow the end of the response
+     * @return true if it is worth to wait for more bytes
+     */
+    static boolean isUndecided(byte[] endOfBody, byte[] bytesBehind) {
+        return bytesBehind.length > 0
+                ? isBeginningOfStatusLine(text(bytesBehind, 0))
+                : endsInsideResponse(text(endOfBody, indexOfBeginning(endOfBody)));
+    }
+
+    private static boolean endsInsideResponse(String text) {
+        Matcher statusLine = STATUS_LINE.matcher(text);
+        while (statusLine.find()) {
+            int start = statusLine.start();
+            if (text.indexOf(END_OF_HEAD, start) < 0) {
+                return true;
+            }
+        }
+        if (endsWithInterimHead(text)) {
+            return true;
+        }
+        int index = text.indexOf('H', text.length() - STATUS_LINE_BYTES);
+        while (index >= 0) {
+            if (isBeginningOfStatusLine(text.substring(index))) {
+                return true;
+            }
+            index = text.indexOf('H', index + 1);
+        }
+        return false;
+    }
+
+    /** Tells whether a text breaks off inside a status line. */
+    private static boolean isBeginningOfStatusLine(String text) {
+        Matcher statusLine = STATUS_LINE.matcher(text);
+        return !statusLine.lookingAt() && statusLine.hitEnd();
+    }
+
+    /** Tells whether the text ends with an interim response, behind which its server sends the final one. */
+    private static boolean endsWithInterimHead(String text) {
+        int start = text.lastIndexOf(BEGINNING_TEXT);
+        return start >= 0
+                && STATUS_LINE.matcher(text).region(start, text.length()).lookingAt()
+                && text.charAt(start + STATUS_LINE_BYTES - "200".length()) == '1'
+                && text.indexOf(END_OF_HEAD, start) == text.length() - END_OF_HEAD.length();
+    }
+
     /** Returns where a status line may begin at the earliest. */
     private static int indexOfBeginning(byte[] body) {
-        int last = body.length - BEGINNING.length();
+        int last = body.length - BEGINNING.length;
         for (int index = 0; index <= last; index++) {
-            if (body[index] == BEGINNING.charAt(0)
-                    && text(body, index, BEGINNING.length()).equals(BEGINNING)) {
+            if (body[index] == BEGINNING[0]
+                    && Arrays.equals(body, index, index + BEGINNING.length, BEGINNING, 0, BEGINNING.length)) {
                 return index;
             }
         }
@@ -90,16 +167,12 @@
     }
 
     private static String text(byte[] bytes, int from) {
-        return text(bytes, from, bytes.length - from);
-    }
-
-    private static String text(byte[] bytes, int from, int length) {
-        return new String(bytes, from, length, StandardCharsets.ISO_8859_1);
+        return new String(bytes, from, bytes.length - from, StandardCharsets.ISO_8859_1);
     }
 
     /** Returns where the empty line begins that ends a head, or the end of the text if there is none. */
     private static int endOfHead(String text, int start) {
-        int end = text.indexOf("\r\n\r\n", start);
+        int end = text.indexOf(END_OF_HEAD, start);
         return end < 0 ? text.length() : end;
     }
 
--- a/src/main/java/org/cassiabank/backend/ResponseInputStream.java
+++ b/src/main/java/org/cassiabank/http/ResponseInputStream.java
@@ -1,5 +1,6 @@
-package org.cassiabank.backend;
+package org.cassiabank.http;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.util.Arrays;
@@ -10,20 +11,24 @@
  *
  * <p>OkHttp reads ahead into a buffer that nobody else can see; there the beginning of a second response would become
  * the beginning of the response to the next request. It reads a head, a chunk size and a trailer line by line, so it is
- * handed one line at a time, and a body of a declared length only up to that length.
+ * handed one line at a time, the data of a chunk up to its end, and a body of a declared length up to that length.
  *
  * <p>Confined to the thread that uses the connection.
  */
-final class ResponseInputStream extends InputStream {
+public final class ResponseInputStream extends InputStream {
     private static final int BUFFER_BYTES = 8_192;
     private static final byte[] EMPTY = {};
 
+    /** Holds the longest head that is looked for at the end of a body. */
+    private static final int END_OF_BODY_BYTES = 4_096;
+
     /** What the bytes that are read next belong to. */
     private enum Part {
         /** No response is expected: the next byte ends the use of the connection. */
         NONE,
-        /** A head or a chunked body. */
+        /** A head. */
         LINES,
+        CHUNKED_BODY,
         BODY_OF_DECLARED_LENGTH,
         BODY_UNTIL_END_OF_CONNECTION
     }
@@ -32,6 +37,10 @@
     private Part part = Part.NONE;
     /** The rest of a body of declared length. */
     private long remainingBytes;
+
+    private ChunkFraming chunkFraming = new ChunkFraming();
+    /** The latest bytes of a body of declared length, as far as they were handed out. */
+    private final ByteArrayOutputStream endOfBody = new ByteArrayOutputStream();
     /** Holds bytes from {@link #position} to {@link #limit}; allocated while there are any. */
     private byte[] buffer = EMPTY;
 
@@ -48,13 +57,14 @@
      * @param input the bytes of the connection
      * @return the stream
      */
-    static ResponseInputStream of(InputStream input) {
+    public static ResponseInputStream of(InputStream input) {
         return new ResponseInputStream(Objects.requireNonNull(input, "input"));
     }
 
-    /** Expects the head of a response, and a chunked body if nothing else is announced. */
-    void beginResponse() {
+    /** Expects the head of a response. */
+    public void beginResponse() {
         part = Part.LINES;
+        endOfBody.reset();
     }
 
     /**
@@ -62,13 +72,19 @@
      *
      * @param bytes the length in bytes, positive
      */
-    void beginBody(long bytes) {
+    public void beginBody(long bytes) {
         part = Part.BODY_OF_DECLARED_LENGTH;
         remainingBytes = bytes;
     }
 
+    /** Expects a chunked body. */
+    public void beginChunkedBody() {
+        part = Part.CHUNKED_BODY;
+        chunkFraming = new ChunkFraming();
+    }
+
     /** Expects a body that ends with the connection. */
-    void beginBodyUntilEndOfConnection() {
+    public void beginBodyUntilEndOfConnection() {
         part = Part.BODY_UNTIL_END_OF_CONNECTION;
     }
 
@@ -78,13 +94,13 @@
      * @return the bytes that have arrived behind its end, at most {@value #BUFFER_BYTES}
      * @throws IOException if the connection cannot be read
      */
-    byte[] endResponse() throws IOException {
+    public byte[] endResponse() throws IOException {
         part = Part.NONE;
         remainingBytes = 0;
         if (position == limit && input.available() > 0) {
             fill();
         }
-        byte[] bytesBehind = Arrays.copyOfRange(buffer, position, limit);
+        byte[] bytesBehind = bytesBehind();
         if (bytesBehind.length == 0) {
             buffer = EMPTY;
             position = 0;
@@ -93,6 +109,40 @@
         return bytesBehind;
     }
 
+    /**
+     * Waits for bytes behind the response; those that had arrived before are kept.
+     *
+     * @return false if the connection has ended
+     * @throws IOException if the connection cannot be read, or the timeout of its socket has passed
+     */
+    public boolean awaitBytesBehind() throws IOException {
+        byte[] former = bytesBehind();
+        byte[] joined = Arrays.copyOf(former, Math.max(BUFFER_BYTES, former.length + 1));
+        int readBytes = input.read(joined, former.length, joined.length - former.length);
+        buffer = joined;
+        position = 0;
+        limit = former.length + Math.max(0, readBytes);
+        return readBytes >= 0;
+    }
+
+    /**
+     * Returns the bytes that have arrived behind the response and were read from the connection.
+     *
+     * @return a copy
+     */
+    public byte[] bytesBehind() {
+        return Arrays.copyOfRange(buffer, position, limit);
+    }
+
+    /**
+     * Returns the last bytes of a body of declared length.
+     *
+     * @return at most {@value #END_OF_BODY_BYTES} bytes; none of a body without a declared length
+     */
+    public byte[] endOfBody() {
+        return endOfBody.toByteArray();
+    }
+
     /** Returns the number of bytes that have arrived and were not handed out, as far as that is known. */
     @Override
     public int available() throws IOException {
@@ -119,24 +169,53 @@
                 }
                 yield -1;
             }
-            case LINES -> {
-                if (position == limit && fill() < 0) {
-                    yield -1;
-                }
-                yield takeBuffered(bytes, offset, Math.min(length, lengthOfLine()));
+            case LINES -> readLine(bytes, offset, length);
+            case CHUNKED_BODY -> readChunkedBody(bytes, offset, length);
+            case BODY_OF_DECLARED_LENGTH -> {
+                int readBytes = readBody(bytes, offset, (int) Math.min(length, remainingBytes));
+                remainingBytes -= Math.max(0, readBytes);
+                keepEndOfBody(bytes, offset, readBytes);
+                yield readBytes;
             }
-            case BODY_OF_DECLARED_LENGTH -> readBody(bytes, offset, (int) Math.min(length, remainingBytes));
             case BODY_UNTIL_END_OF_CONNECTION -> readBody(bytes, offset, length);
         };
     }
 
+    /** Reads up to the end of a line at most, so that the bytes of the next part stay here. */
+    private int readLine(byte[] bytes, int offset, int length) throws IOException {
+        if (position == limit && fill() < 0) {
+            return -1;
+        }
+        return takeBuffered(bytes, offset, Math.min(length, lengthOfLine()));
+    }
+
+    private int readChunkedBody(byte[] bytes, int offset, int length) throws IOException {
+        long chunkBytes = chunkFraming.remainingBytes();
+        if (chunkBytes > 0) {
+            int readBytes = readBody(bytes, offset, (int) Math.min(length, chunkBytes));
+            chunkFraming.recordData(Math.max(0, readBytes));
+            return readBytes;
+        }
+        int readBytes = readLine(bytes, offset, length);
+        if (readBytes > 0) {
+            chunkFraming.recordLine(bytes, offset, readBytes);
+        }
+        return readBytes;
+    }
+
     private int readBody(byte[] bytes, int offset, int length) throws IOException {
         if (length == 0) {
             return -1;
         }
-        int readBytes = position < limit ? takeBuffered(bytes, offset, length) : input.read(bytes, offset, length);
-        remainingBytes -= Math.max(0, readBytes);
-        return readBytes;
+        return position < limit ? takeBuffered(bytes, offset, length) : input.read(bytes, offset, length);
+    }
+
+    /** Keeps what belongs to the last bytes of the body. */
+    private void keepEndOfBody(byte[] bytes, int offset, int length) {
+        int keptBytes = (int) Math.min(length, END_OF_BODY_BYTES - remainingBytes);
+        if (keptBytes > 0) {
+            endOfBody.write(bytes, offset + length - keptBytes, keptBytes);
+        }
     }
 
     private int takeBuffered(byte[] bytes, int offset, int length) {
