--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -237,7 +237,7 @@
         if (defect.isPresent()) {
             LOGGER.atInfo().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
                     "server %s at %s sent a malformed head in response to request %s: %s",
-                    request.server(), request.address(), request.requestId(), defect.get());
+                    request.server(), request.address(), request.requestId(), PrintableText.abbreviate(defect.get()));
             return Optional.of(new NoValidResponse(NoValidResponseReason.MALFORMED_HEAD, defect.get()));
         }
         if (response.isSuccessful() && lacksRequiredSignature(headers)) {
@@ -278,7 +278,10 @@
         if (limit.isEmpty()) {
             LOGGER.atWarning().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
                     "server %s at %s sent %s: %s, expected one decimal number; it counts as a server without a limit",
-                    request.server(), request.address(), conventions.rateLimitHeader(), values);
+                    request.server(),
+                    request.address(),
+                    conventions.rateLimitHeader(),
+                    PrintableText.abbreviate(values.toString()));
         }
         return new ServerNotice(leaving, limit.orElseGet(RateLimitNotice.Unlimited::new));
     }
--- a/src/main/java/org/cassiabank/backend/ResponseBoundary.java
+++ b/src/main/java/org/cassiabank/backend/ResponseBoundary.java
@@ -10,8 +10,8 @@
  * Decides whether a body ends where its response ends, or was completed by the bytes of another response.
  *
  * <p>A server whose response breaks off may send a second one on the same connection. Its first bytes then fill the
- * body of the first response up to the declared end, and the rest stays behind that end. A second response that follows a
- * whole one begins exactly at the end.
+ * body of the first response up to the declared end, and the rest stays behind that end. A second response that
+ * follows a whole one begins exactly at the end.
  */
 final class ResponseBoundary {
     /** The beginning of a status line, up to the status. */
--- a/src/main/java/org/cassiabank/backend/ResponseInputStream.java
+++ b/src/main/java/org/cassiabank/backend/ResponseInputStream.java
@@ -13,9 +13,9 @@
  * the beginning of the response to the next request. It reads a head, a chunk size and a trailer line by line, so it is
  * handed one line at a time, and a chunk or a body of a declared length only up to that length.
  *
- * <p>A server that sends faster than its bytes are decoded never lets a read wait, and a virtual thread leaves its carrier
- * thread only when it waits. So the thread yields from time to time; otherwise one response without end would keep all
- * other requests of the process from running.
+ * <p>A server that sends faster than its bytes are decoded never lets a read wait, and a virtual thread leaves its
+ * carrier thread only when it waits. So the thread yields from time to time; otherwise one response without end would
+ * keep all other requests of the process from running.
  *
  * <p>Confined to the thread that uses the connection.
  */
@@ -255,7 +255,7 @@
         }
     }
 
-    /** Is told of the lines of heads and trailers, for each of which objects are kept until the response is complete. */
+    /** Is told of the lines of heads and trailers, for which objects are kept until the response is complete. */
     @FunctionalInterface
     interface HeadLineListener {
 
--- a/src/test/java/org/cassiabank/soak/GuaranteeChecks.java
+++ b/src/test/java/org/cassiabank/soak/GuaranteeChecks.java
@@ -14,6 +14,9 @@
     static final double RETRY_BUDGET_RATIO = 0.2;
     static final int RETRY_BUDGET_SLACK = 20;
     static final int MAXIMUM_ATTEMPTS = 3;
+    /** The statuses which guarantee that a request has not run and will not run. */
+    static final Set<Integer> NOT_EXECUTED_STATUSES = Set.of(408, 421, 429, 503);
+
     private static final long RETRY_BUDGET_WINDOW_MILLIS = 10_000;
     /** Within this time a change is in force and a leaving server gets no more requests. */
     private static final long CHANGE_BOUND_MILLIS = 2_000;
@@ -42,8 +45,6 @@
     private static final int FATAL_ATTEMPTS = 3;
     /** The share of requests with status 200 that is required after recovery. */
     private static final double MINIMUM_SERVED_SHARE = 0.95;
-    /** The statuses which guarantee that a request has not run and will not run. */
-    static final Set<Integer> NOT_EXECUTED_STATUSES = Set.of(408, 421, 429, 503);
 
     private final SoakFleet fleet;
     private final RequestHistory history;
