--- a/src/main/java/org/cassiabank/http/ResponseHeads.java
+++ b/src/main/java/org/cassiabank/http/ResponseHeads.java
@@ -31,10 +31,6 @@
     /** A length of this many digits always fits a long. */
     private static final int MAXIMUM_LENGTH_DIGITS = 18;
 
-    /** The fields that a response holds once; two of them come from two responses. */
-    private static final Set<String> SINGLE_FIELDS =
-            Set.of("content-range", "content-type", "date", "etag", "last-modified", "location", "retry-after");
-
     private ResponseHeads() {}
 
     /**
@@ -43,7 +39,7 @@
      * @param status the status, which is valid if it is final: neither interim nor beyond 599
      * @param reasonPhrase the text behind the status, empty if there is none
      * @param headers the headers as OkHttp has read them
-     * @param singleFields the names of further headers that a response holds at most once
+     * @param singleFields the names of headers that a response holds at most once; two of them come from two responses
      * @param hasBody whether the response has a body, whose end the declared length decides
      * @return what is wrong, or empty if the head can be passed on
      */
@@ -89,9 +85,8 @@
         return STATUS_LINE.matcher(text).find();
     }
 
-    private static boolean isSingleField(String name, Collection<String> furtherFields) {
-        return SINGLE_FIELDS.contains(name.toLowerCase(Locale.ROOT))
-                || furtherFields.stream().anyMatch(name::equalsIgnoreCase);
+    private static boolean isSingleField(String name, Collection<String> singleFields) {
+        return singleFields.stream().anyMatch(name::equalsIgnoreCase);
     }
 
     private static boolean isToken(String name) {
--- a/src/main/java/org/cassiabank/proxy/FatalRequestExchange.java
+++ b/src/main/java/org/cassiabank/proxy/FatalRequestExchange.java
@@ -25,10 +25,10 @@
 /**
  * The requests that this daemon suspects of ending servers, shared with the daemons that may schedule them next.
  *
- * <p>Suspected requests are told to the candidates for their shard. A fatal request is told to all daemons of the region,
- * because each of them schedules by itself while it reaches no candidate, and to the candidates several times, over
- * longer than a machine usually stands still. What a daemon sees that is no candidate itself, it tells all others at
- * once: none of them may see enough alone. A daemon that begins to own a shard asks the other candidates.
+ * <p>Suspected requests are told to the candidates for their shard. A fatal request is told to all daemons of the
+ * region, because each of them schedules by itself while it reaches no candidate, and to the candidates several times,
+ * over longer than a machine usually stands still. A daemon that is no candidate tells all others at once what it sees,
+ * because none of them may see enough alone. A daemon that begins to own a shard asks the other candidates.
  *
  * <p>Instances are thread-safe.
  */
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -96,12 +96,9 @@
         PeerTransport peerTransport = PeerTransport.create(settings.name(), clientPool);
         Replication replication = Replication.create(self, fleet, peerTransport);
         Optional<PlatformAdapter> adapter = settings.platform().adapterName().map(PlatformAdapters::forName);
-        Optional<RetryBudgetSettings> retryBudgetSettings =
-                adapter.map(found -> parseBounds(found::parseRetryBudget, settings));
         FatalRequestExchange fatalRequests = FatalRequestExchange.create(fleet, peerTransport, metrics);
-        long longestStopMillis = longestStopMillis(adapter, settings);
-        OwnedShards ownedShards = OwnedShards.create(
-                ownerSettings(settings, retryBudgetSettings, longestStopMillis), fleet, fatalRequests, metrics);
+        OwnerSettings ownerSettings = ownerSettings(settings, adapter);
+        OwnedShards ownedShards = OwnedShards.create(ownerSettings, fleet, fatalRequests, metrics);
         SlotBroker slotBroker = SlotBroker.create(settings, fleet, ownedShards, fatalRequests, peerTransport);
         ProxyListHistory proxyLists = ClaimTimes.newProxyListHistory();
         ClaimKeeper claimKeeper = ClaimKeeper.create(
@@ -113,8 +110,8 @@
         AttemptExecutor attemptExecutor =
                 AttemptExecutor.create(self, fleet, slotBroker, backendClient, serverPath, metrics, conventions);
         RequestForwarder forwarder = RequestForwarder.create(self, fleet, peerTransport, metrics);
-        PlannedStop plannedStop = PlannedStop.create(ResponseTimes.create(), longestStopMillis);
-        boolean ownersLimitRetries = retryBudgetSettings.isPresent();
+        PlannedStop plannedStop = PlannedStop.create(ResponseTimes.create(), ownerSettings.departureMillis());
+        boolean ownersLimitRetries = ownerSettings.retryBudgetSettings().isPresent();
         RequestHandler requestHandler = RequestHandler.create(
                 fleet, attemptExecutor, plannedStop, forwarder, claimClient, metrics, conventions, ownersLimitRetries);
         ForwardedRequests forwardedRequests = ForwardedRequests.create(requestHandler, serverPath::isCutOff);
@@ -242,8 +239,9 @@
         }
     }
 
-    private static OwnerSettings ownerSettings(
-            ProxySettings settings, Optional<RetryBudgetSettings> retryBudgetSettings, long longestStopMillis) {
+    private static OwnerSettings ownerSettings(ProxySettings settings, Optional<PlatformAdapter> adapter) {
+        Optional<RetryBudgetSettings> retryBudgetSettings =
+                adapter.map(found -> parseBounds(found::parseRetryBudget, settings));
         HealthSettings health = HealthSettings.defaults();
         long suspicionMillis = settings.platform().suspicionMillis();
         SchedulerSettings scheduler = SchedulerSettings.defaults().withSeparateLongWork(settings.separateLongWork());
@@ -253,7 +251,7 @@
                         : scheduler,
                 suspicionMillis > 0 ? health.withSuspicion(SuspicionSettings.of(suspicionMillis)) : health,
                 retryBudgetSettings,
-                longestStopMillis);
+                longestStopMillis(adapter, settings));
     }
 
     private static FleetSource createFleetSource(
