Tell in the step of each answer its reason phrase and its place on the connection

If a joined response slipped through, the request's line could not tell it from a spoiled status: the step said "answered". It says now "answered 200 [OK], request 3 of its connection", with the number of bytes behind it if there were any.

--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -202,7 +202,7 @@
         byte[] bodyBytes = body.readByteArray();
         return findForeignBytes(response.code(), bodyBytes)
                 .<BackendResult>map(detail -> new NoValidResponse(NoValidResponseReason.TRUNCATED_RESPONSE, detail))
-                .orElseGet(() -> toResult(response.code(), bodyBytes));
+                .orElseGet(() -> toResult(response, bodyBytes));
     }
 
     /** Returns why a body may hold bytes that do not belong to it; logs bytes behind a body that counts as whole. */
@@ -269,13 +269,22 @@
                         "status " + status + " without a valid Content-Length or chunked encoding"));
     }
 
-    private BackendResult toResult(int status, byte[] body) {
+    private BackendResult toResult(Response response, byte[] body) {
+        int status = response.code();
         Headers headers = trace.responseHeaders();
         Map<String, List<String>> headersByName = headers.toMultimap();
         ServerNotice notice = readNotice(status, headers);
         return conventions.provesNotRun(status, headersByName)
                 ? new RequestShed(notice)
-                : new ResponseReceived(status, BackendHeaders.endToEnd(headers), body, notice);
+                : new ResponseReceived(status, BackendHeaders.endToEnd(headers), body, notice, observe(response));
+    }
+
+    /** Returns what tells a response from one that was read together with another. */
+    private String observe(Response response) {
+        String observation = "[" + PrintableText.abbreviate(response.message()) + "], request "
+                + trace.requestsOnConnection() + " of its connection";
+        int bytesBehind = trace.bytesBehind().length;
+        return bytesBehind == 0 ? observation : observation + ", " + bytesBehind + " bytes behind";
     }
 
     private ServerNotice readNotice(int status, Headers headers) {
--- a/src/main/java/org/cassiabank/backend/ResponseReceived.java
+++ b/src/main/java/org/cassiabank/backend/ResponseReceived.java
@@ -14,8 +14,11 @@
  * @param headers the end-to-end headers, with names in the spelling of the server
  * @param body the complete body, not decompressed and not copied
  * @param notice what the response says about the server
+ * @param observation what was seen of the status line and the connection, for log lines; empty if a peer has passed the
+ *     response on
  */
-public record ResponseReceived(int status, Map<String, List<String>> headers, byte[] body, ServerNotice notice)
+public record ResponseReceived(
+        int status, Map<String, List<String>> headers, byte[] body, ServerNotice notice, String observation)
         implements BackendResult {
 
     /**
@@ -27,6 +30,7 @@
         headers = Map.copyOf(headers);
         Objects.requireNonNull(body, "body");
         Objects.requireNonNull(notice, "notice");
+        Objects.requireNonNull(observation, "observation");
     }
 
     /**
--- a/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
+++ b/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
@@ -302,7 +302,8 @@
                         reply.getAnswer().getStatus(),
                         reply.getAnswer().getHeaders(),
                         reply.getAnswer().getBody(),
-                        ServerNotice.none())));
+                        ServerNotice.none(),
+                        "")));
             case NOT_RUN ->
                 Optional.of(RequestResult.notRun(
                         reply.getNotRun().getReason(), reply.getNotRun().getRetryAfterMillis()));
--- a/src/main/java/org/cassiabank/proxy/RequestRun.java
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -254,6 +254,9 @@
         if (result instanceof NoValidResponse noValidResponse) {
             return label + " (" + noValidResponse.detail() + ")";
         }
+        if (result instanceof ResponseReceived response) {
+            label += " " + response.status() + " " + response.observation();
+        }
         return result.notice().rateLimit() instanceof RateLimitNotice.Limited limited
                 ? label + " limit=" + limited.requestsPerSecond() + "/s"
                 : label;
