End a server for peers that was closed before it began to serve

A daemon that stops at once after its start would accept from a closed socket without end, with a core of processor time and a warning each time: Thrift's server forgets a stop that comes before it serves.

The server's socket stops the server again when it is asked for a connection after its end.

--- a/src/main/java/org/cassiabank/peer/PeerServer.java
+++ b/src/main/java/org/cassiabank/peer/PeerServer.java
@@ -11,6 +11,7 @@
 import org.apache.thrift.server.TServer;
 import org.apache.thrift.server.TThreadPoolServer;
 import org.apache.thrift.transport.TServerSocket;
+import org.apache.thrift.transport.TSocket;
 import org.apache.thrift.transport.TTransportException;
 import org.apache.thrift.transport.layered.TFramedTransport;
 import org.cassiabank.kernel.BackgroundTasks;
@@ -57,8 +58,8 @@
                     .server()
                     .createServerSocket(port, CONNECTION_BACKLOG, InetAddress.getByName(address));
             ExecutorService workers = Executors.newVirtualThreadPerTaskExecutor();
-            TThreadPoolServer.Args arguments = new TThreadPoolServer.Args(
-                            new TServerSocket(listeningSocket, IDLE_TIMEOUT_MILLIS))
+            PeerServerSocket socket = new PeerServerSocket(listeningSocket);
+            TThreadPoolServer.Args arguments = new TThreadPoolServer.Args(socket)
                     .processor(endingAtFrames(new Peer.Processor<>(handler)))
                     .executorService(workers);
             arguments.transportFactory(new TFramedTransport.Factory(MAXIMUM_FRAME_BYTES));
@@ -66,6 +67,7 @@
             // In seconds, the default unit of Thrift.
             arguments.stopTimeoutVal = 1;
             TServer server = new TThreadPoolServer(arguments);
+            socket.server = server;
             PeerServer peerServer = new PeerServer(server, workers);
             BackgroundTasks.startLoop(Thread.ofVirtual(), "peer-server", () -> !peerServer.closed, server::serve);
             return peerServer;
@@ -77,6 +79,33 @@
         }
     }
 
+    /**
+     * Stops the server again if it was closed before it began to serve: Thrift forgets the first stop and would accept
+     * from a closed socket without end.
+     */
+    private static final class PeerServerSocket extends TServerSocket {
+        private volatile TServer server;
+        private volatile boolean closed;
+
+        PeerServerSocket(ServerSocket listeningSocket) throws TTransportException {
+            super(listeningSocket, IDLE_TIMEOUT_MILLIS);
+        }
+
+        @Override
+        public TSocket accept() throws TTransportException {
+            if (closed) {
+                server.stop();
+            }
+            return super.accept();
+        }
+
+        @Override
+        public void close() {
+            closed = true;
+            super.close();
+        }
+    }
+
     /** Ends a connection on which a frame holds more than its call; the rest would be read as the next call. */
     private static TProcessor endingAtFrames(TProcessor processor) {
         return (input, output) -> {
