Decode long responses in turns that leave time to all other requests

Cause: a virtual thread that yields goes to the queue of its carrier thread, and the carrier thread looks elsewhere only when that queue is empty. Two threads that decode bytes without end keep all other virtual threads of the one carrier thread of a daemon from running. Evidence: ResponseInputStreamTest with one carrier thread and two endless responses failed before (no other thread ran within 10 s) and passes now.

--- a/src/main/java/org/cassiabank/backend/BackendClient.java
+++ b/src/main/java/org/cassiabank/backend/BackendClient.java
@@ -21,6 +21,7 @@
 import okhttp3.Protocol;
 import okhttp3.Request;
 import okhttp3.RequestBody;
+import org.cassiabank.http.DecodingTurns;
 
 /**
  * Sends requests to backend servers, each at most once, without the retries and redirects of OkHttp.
@@ -57,7 +58,7 @@
                 .connectTimeout(settings.connectTimeoutMillis(), TimeUnit.MILLISECONDS)
                 .readTimeout(0, TimeUnit.MILLISECONDS)
                 .writeTimeout(0, TimeUnit.MILLISECONDS)
-                .socketFactory(new MeteredSocketFactory())
+                .socketFactory(MeteredSocketFactory.create(DecodingTurns.create()))
                 .connectionPool(new ConnectionPool(0, 1, TimeUnit.NANOSECONDS))
                 .eventListenerFactory(call -> call.request().tag(AttemptTrace.class))
                 .addNetworkInterceptor(
--- a/src/main/java/org/cassiabank/backend/MeteredSocket.java
+++ b/src/main/java/org/cassiabank/backend/MeteredSocket.java
@@ -9,11 +9,13 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.util.LinkedHashSet;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
+import org.cassiabank.http.DecodingTurns;
 import org.cassiabank.http.ResponseInputStream;
 import org.cassiabank.http.ResponseTooLargeException;
 
@@ -38,6 +40,7 @@
     /** The latest identifiers, the oldest first; guarded by itself. */
     private final Set<String> requestIds = new LinkedHashSet<>();
 
+    private final DecodingTurns decodingTurns;
     private final AtomicLong startedWrites = new AtomicLong();
     private final AtomicReference<ResponseMeter> responseMeter = new AtomicReference<>();
     private final AtomicInteger requestCount = new AtomicInteger();
@@ -46,6 +49,16 @@
     /** The {@link System#nanoTime()} at which the last valid response was complete, if there was one. */
     private volatile long lastResponseNanos;
 
+    private MeteredSocket(DecodingTurns decodingTurns) {
+        super();
+        this.decodingTurns = decodingTurns;
+    }
+
+    /** Creates a socket that is not connected. */
+    static MeteredSocket create(DecodingTurns decodingTurns) {
+        return new MeteredSocket(Objects.requireNonNull(decodingTurns, "decodingTurns"));
+    }
+
     /** Returns the number of write operations since the socket was created. */
     long startedWrites() {
         return startedWrites.get();
@@ -187,7 +200,7 @@
     @Override
     public ResponseInputStream getInputStream() throws IOException {
         if (responseInput == null) {
-            responseInput = ResponseInputStream.of(newMeteredInput(), this::recordHeadLine);
+            responseInput = ResponseInputStream.of(newMeteredInput(), this::recordHeadLine, decodingTurns);
         }
         return responseInput;
     }
--- a/src/main/java/org/cassiabank/backend/MeteredSocketFactory.java
+++ b/src/main/java/org/cassiabank/backend/MeteredSocketFactory.java
@@ -4,7 +4,9 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.util.Objects;
 import javax.net.SocketFactory;
+import org.cassiabank.http.DecodingTurns;
 import org.cassiabank.http.KeepAliveSocketFactory;
 
 /**
@@ -12,10 +14,21 @@
  * the operating system, so that no request waits on it for long.
  */
 final class MeteredSocketFactory extends SocketFactory {
+    private final DecodingTurns decodingTurns;
+
+    private MeteredSocketFactory(DecodingTurns decodingTurns) {
+        super();
+        this.decodingTurns = decodingTurns;
+    }
+
+    /** Creates a factory for connections whose responses share the given turns. */
+    static MeteredSocketFactory create(DecodingTurns decodingTurns) {
+        return new MeteredSocketFactory(Objects.requireNonNull(decodingTurns, "decodingTurns"));
+    }
 
     @Override
     public Socket createSocket() throws IOException {
-        Socket socket = new MeteredSocket();
+        Socket socket = MeteredSocket.create(decodingTurns);
         KeepAliveSocketFactory.enableKeepAlive(socket);
         return socket;
     }
@@ -41,8 +54,8 @@
         return connect(new InetSocketAddress(host, port), new InetSocketAddress(localInterface, localPort));
     }
 
-    private static Socket connect(InetSocketAddress remoteAddress, InetSocketAddress localAddress) throws IOException {
-        Socket socket = new MeteredSocket();
+    private Socket connect(InetSocketAddress remoteAddress, InetSocketAddress localAddress) throws IOException {
+        Socket socket = MeteredSocket.create(decodingTurns);
         KeepAliveSocketFactory.enableKeepAlive(socket);
         if (localAddress != null) {
             socket.bind(localAddress);
--- a/src/main/java/org/cassiabank/http/ResponseInputStream.java
+++ b/src/main/java/org/cassiabank/http/ResponseInputStream.java
@@ -5,7 +5,6 @@
 import java.io.InputStream;
 import java.util.Arrays;
 import java.util.Objects;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Hands out the bytes of a connection response by response, so that the bytes behind the end of a response stay here.
@@ -15,16 +14,14 @@
  * handed one line at a time, the data of a chunk up to its end, and a body of a declared length up to that length.
  *
  * <p>A server that sends faster than its bytes are decoded never lets a read wait, and a virtual thread leaves its
- * carrier thread only when it waits. So the thread yields from time to time; otherwise one response without end would
- * keep all other requests of the process from running.
+ * carrier thread only when it waits. So the thread of a long response awaits {@link DecodingTurns its next turn} from
+ * time to time; otherwise responses without end would keep all other requests of the process from running.
  *
  * <p>Confined to the thread that uses the connection.
  */
 public final class ResponseInputStream extends InputStream {
     private static final int BUFFER_BYTES = 8_192;
     private static final byte[] EMPTY = {};
-    /** The time for which the thread decodes bytes until others that are ready run. */
-    private static final long TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
     /** Holds the longest head that is looked for at the end of a body. */
     private static final int END_OF_BODY_BYTES = 4_096;
@@ -41,6 +38,7 @@
 
     private final InputStream input;
     private final HeadLineListener headLines;
+    private final DecodingTurns turns;
     private Part part = Part.NONE;
     /** The rest of a body of declared length. */
     private long remainingBytes;
@@ -53,12 +51,16 @@
 
     private int position;
     private int limit;
-    /** The {@link System#nanoTime()} at which the thread last yielded, moved on by the time of reads since. */
+    /** The {@link System#nanoTime()} at which the turn of the thread began, moved on by the time of reads since. */
     private long turnStartNanos;
 
-    private ResponseInputStream(InputStream input, HeadLineListener headLines) {
+    /** The bytes that were handed out in this turn. */
+    private long turnBytes;
+
+    private ResponseInputStream(InputStream input, HeadLineListener headLines, DecodingTurns turns) {
         this.input = input;
         this.headLines = headLines;
+        this.turns = turns;
     }
 
     /**
@@ -66,17 +68,20 @@
      *
      * @param input the bytes of the connection
      * @param headLines is told of each line of a head or of trailers
+     * @param turns shares the processor between the responses that are decoded at the same time
      * @return the stream
      */
-    public static ResponseInputStream of(InputStream input, HeadLineListener headLines) {
+    public static ResponseInputStream of(InputStream input, HeadLineListener headLines, DecodingTurns turns) {
         return new ResponseInputStream(
-                Objects.requireNonNull(input, "input"), Objects.requireNonNull(headLines, "headLines"));
+                Objects.requireNonNull(input, "input"),
+                Objects.requireNonNull(headLines, "headLines"),
+                Objects.requireNonNull(turns, "turns"));
     }
 
     /** Expects the head of a response, or several if the first ones are interim. */
     public void beginResponse() {
         part = Part.HEAD;
-        turnStartNanos = System.nanoTime();
+        beginTurn();
         endOfBody.reset();
     }
 
@@ -174,7 +179,13 @@
         if (length == 0) {
             return 0;
         }
-        yieldAfterTurn();
+        awaitTurn();
+        int readBytes = readPart(bytes, offset, length);
+        turnBytes += Math.max(0, readBytes);
+        return readBytes;
+    }
+
+    private int readPart(byte[] bytes, int offset, int length) throws IOException {
         return switch (part) {
             case NONE -> {
                 // Blocks like any read; bytes that arrive here cannot belong to a response.
@@ -280,13 +291,20 @@
         }
     }
 
-    private void yieldAfterTurn() {
-        if (System.nanoTime() - turnStartNanos > TURN_NANOS) {
-            Thread.yield();
-            turnStartNanos = System.nanoTime();
+    /** Awaits the next turn if the last one is over. A short response needs a single turn, however long it takes. */
+    private void awaitTurn() throws IOException {
+        long turnNanos = System.nanoTime() - turnStartNanos;
+        if (turnBytes >= BUFFER_BYTES && turnNanos > DecodingTurns.TURN_NANOS) {
+            turns.awaitTurn(turnNanos, input::available);
+            beginTurn();
         }
     }
 
+    private void beginTurn() {
+        turnStartNanos = System.nanoTime();
+        turnBytes = 0;
+    }
+
     /** Is told of the lines of heads and trailers, for which objects are kept until the response is complete. */
     @FunctionalInterface
     public interface HeadLineListener {
--- a/src/main/java/org/cassiabank/http/ResponseSocket.java
+++ b/src/main/java/org/cassiabank/http/ResponseSocket.java
@@ -12,25 +12,28 @@
  */
 final class ResponseSocket extends Socket {
     private final long maximumResponseBytes;
+    private final DecodingTurns decodingTurns;
     /** Null until the first request on the connection itself; a TLS connection on top of it makes none. */
     private volatile ResponseInputStream responses;
 
     /** The bytes of the current response; confined to the thread that uses the connection. */
     private long receivedBytes;
 
-    private ResponseSocket(long maximumResponseBytes) {
+    private ResponseSocket(long maximumResponseBytes, DecodingTurns decodingTurns) {
         super();
         this.maximumResponseBytes = maximumResponseBytes;
+        this.decodingTurns = decodingTurns;
     }
 
     /**
      * Creates a socket that is not connected.
      *
      * @param maximumResponseBytes the most bytes of one response, its head and framing included
+     * @param decodingTurns shares the processor with the other responses of the client
      * @return the socket
      */
-    static ResponseSocket create(long maximumResponseBytes) {
-        return new ResponseSocket(maximumResponseBytes);
+    static ResponseSocket create(long maximumResponseBytes, DecodingTurns decodingTurns) {
+        return new ResponseSocket(maximumResponseBytes, decodingTurns);
     }
 
     /**
@@ -41,7 +44,7 @@
      */
     void beginResponse() throws IOException {
         if (responses == null) {
-            responses = ResponseInputStream.of(newLimitedInput(), () -> {});
+            responses = ResponseInputStream.of(newLimitedInput(), () -> {}, decodingTurns);
         }
         int unreadBytes = responses.available();
         if (unreadBytes > 0) {
--- a/src/main/java/org/cassiabank/http/SeparateResponses.java
+++ b/src/main/java/org/cassiabank/http/SeparateResponses.java
@@ -56,9 +56,11 @@
         }
         Set<String> allSingleFields = new HashSet<>(singleFields);
         allSingleFields.add(CONTENT_LENGTH);
+        DecodingTurns decodingTurns = DecodingTurns.create();
         return new OkHttpClient.Builder()
                 .connectionPool(connectionPool)
-                .socketFactory(KeepAliveSocketFactory.of(() -> ResponseSocket.create(maximumResponseBytes)))
+                .socketFactory(
+                        KeepAliveSocketFactory.of(() -> ResponseSocket.create(maximumResponseBytes, decodingTurns)))
                 .retryOnConnectionFailure(false)
                 .followRedirects(false)
                 .eventListenerFactory(call -> new ResponseEnd())
--- a/src/test/java/org/cassiabank/backend/BackendClientTest.java
+++ b/src/test/java/org/cassiabank/backend/BackendClientTest.java
@@ -24,6 +24,7 @@
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okio.BufferedSink;
+import org.cassiabank.http.DecodingTurns;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -372,7 +373,7 @@
         ScriptedServer server = startServer((request, socket) -> {});
         AttemptTrace trace = AttemptTrace.create(Long.MAX_VALUE, "id-1");
         OkHttpClient okHttp = new OkHttpClient.Builder()
-                .socketFactory(new MeteredSocketFactory())
+                .socketFactory(MeteredSocketFactory.create(DecodingTurns.create()))
                 .eventListener(trace)
                 .build();
         RequestBody failingBody = new RequestBody() {
--- a/src/test/java/org/cassiabank/http/ResponseInputStreamTest.java
+++ b/src/test/java/org/cassiabank/http/ResponseInputStreamTest.java
@@ -6,10 +6,12 @@
 import java.io.InputStream;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -25,11 +27,12 @@
         AtomicBoolean ended = new AtomicBoolean();
         // More readers than carrier threads, of which none ever waits.
         int readerCount = 2 * Runtime.getRuntime().availableProcessors();
+        DecodingTurns turns = DecodingTurns.create();
         CountDownLatch readersRunning = new CountDownLatch(1);
         CountDownLatch otherHasRun = new CountDownLatch(1);
         try {
             for (int number = 0; number < readerCount; number++) {
-                Thread.startVirtualThread(() -> readUntil(ended, part, readersRunning));
+                Thread.startVirtualThread(() -> readUntil(ended, part, turns, readersRunning));
             }
             readersRunning.await();
             Thread.startVirtualThread(otherHasRun::countDown);
@@ -39,8 +42,23 @@
         }
     }
 
-    private static void readUntil(AtomicBoolean ended, Part part, CountDownLatch running) {
-        ResponseInputStream input = ResponseInputStream.of(new EndlessInput(), () -> {});
+    /** The deployed daemon has one carrier thread. */
+    @Test
+    void otherThreadsRunWhileSeveralThreadsOfOneCarrierReadConnectionsThatSendWithoutEnd()
+            throws IOException, InterruptedException {
+        Process process = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-Djdk.virtualThreadScheduler.parallelism=1",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        OneCarrier.class.getName())
+                .inheritIO()
+                .start();
+        assertThat(process.waitFor()).isZero();
+    }
+
+    private static void readUntil(AtomicBoolean ended, Part part, DecodingTurns turns, CountDownLatch running) {
+        ResponseInputStream input = ResponseInputStream.of(new EndlessInput(), () -> {}, turns);
         input.beginResponse();
         part.begin.accept(input);
         byte[] bytes = new byte[READ_BYTES];
@@ -86,4 +104,25 @@
             return length;
         }
     }
+
+    /** A process with one carrier thread; its exit code is 0 if other threads run beside endless responses. */
+    static final class OneCarrier {
+        private OneCarrier() {}
+
+        public static void main(String[] arguments) throws InterruptedException {
+            AtomicBoolean ended = new AtomicBoolean();
+            DecodingTurns turns = DecodingTurns.create();
+            CountDownLatch readersRunning = new CountDownLatch(2);
+            // Threads that a virtual thread starts wait in the queue of its carrier thread.
+            Thread.startVirtualThread(() -> {
+                Thread.startVirtualThread(() -> readUntil(ended, Part.HEAD, turns, readersRunning));
+                Thread.startVirtualThread(() -> readUntil(ended, Part.HEAD, turns, readersRunning));
+            });
+            readersRunning.await();
+            CountDownLatch otherHasRun = new CountDownLatch(1);
+            Thread.startVirtualThread(otherHasRun::countDown);
+            boolean hasRun = otherHasRun.await(10, TimeUnit.SECONDS);
+            Runtime.getRuntime().halt(hasRun ? 0 : 1);
+        }
+    }
 }
