Take no refused response for the end of a server

What callers saw: responses that are refused (a joined body, a malformed head, too many bytes) counted as broken connections, so a request that met them at three servers was refused everywhere as one that ends servers, for 60 s and more. Cause: one outcome stood for a connection that ended and for one that the daemon itself closed because of what a living server had sent. SPOILED is an outcome of its own: against the server it counts as before, against the request it does not. Daemons of the former release get BROKEN, as before; the new optional field serverResponded tells the others.

--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -199,7 +199,7 @@
                 }
             }
             case FAILED -> server.recordFailure(currentMillis);
-            case BROKEN, OVERDUE -> {
+            case BROKEN, SPOILED, OVERDUE -> {
                 server.recordFailure(currentMillis);
                 routeCost.recordLowerBound(latencyMicros);
             }
--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.io.InterruptedIOException;
+import java.net.ProtocolException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
@@ -201,7 +202,7 @@
         }
         byte[] bodyBytes = body.readByteArray();
         return findForeignBytes(response.code(), bodyBytes)
-                .<BackendResult>map(detail -> new NoValidResponse(NoValidResponseReason.TRUNCATED_RESPONSE, detail))
+                .<BackendResult>map(detail -> new NoValidResponse(NoValidResponseReason.JOINED_RESPONSES, detail))
                 .orElseGet(() -> toResult(response, bodyBytes));
     }
 
@@ -341,6 +342,9 @@
         if (exception instanceof InterruptedIOException) {
             return new NoValidResponse(NoValidResponseReason.TIMEOUT, detail);
         }
+        if (exception instanceof ProtocolException && trace.responseHeaders() == null) {
+            return new NoValidResponse(NoValidResponseReason.MALFORMED_HEAD, detail);
+        }
         return trace.responseHeaders() == null
                 ? new NoValidResponse(NoValidResponseReason.CONNECTION_LOST, detail)
                 : new NoValidResponse(NoValidResponseReason.TRUNCATED_RESPONSE, detail);
--- a/src/main/java/org/cassiabank/backend/NoValidResponse.java
+++ b/src/main/java/org/cassiabank/backend/NoValidResponse.java
@@ -29,7 +29,8 @@
         return switch (reason) {
             case REQUEST_ID_MISMATCH -> AttemptOutcome.FAILED;
             case TIMEOUT -> AttemptOutcome.OVERDUE;
-            case CONNECTION_LOST, TRUNCATED_RESPONSE, MALFORMED_HEAD, RESPONSE_TOO_LARGE -> AttemptOutcome.BROKEN;
+            case CONNECTION_LOST, TRUNCATED_RESPONSE -> AttemptOutcome.BROKEN;
+            case JOINED_RESPONSES, MALFORMED_HEAD, RESPONSE_TOO_LARGE -> AttemptOutcome.SPOILED;
         };
     }
 
--- a/src/main/java/org/cassiabank/backend/NoValidResponseReason.java
+++ b/src/main/java/org/cassiabank/backend/NoValidResponseReason.java
@@ -12,6 +12,8 @@
     CONNECTION_LOST(AttemptResult.CONNECTION_LOST),
     /** The body ended early, or its end cannot be recognized because neither a length nor chunks are declared. */
     TRUNCATED_RESPONSE(AttemptResult.TRUNCATED_RESPONSE),
+    /** The body holds the beginning of another response, or bytes follow it that may belong to it. */
+    JOINED_RESPONSES(AttemptResult.TRUNCATED_RESPONSE),
     /** The response does not carry the identifier of this request, or lacks a required signature. */
     REQUEST_ID_MISMATCH(AttemptResult.REQUEST_ID_MISMATCH),
     /** The status or a header of the response cannot be passed on unchanged, as after a spoiled byte. */
--- a/src/main/java/org/cassiabank/health/AttemptOutcome.java
+++ b/src/main/java/org/cassiabank/health/AttemptOutcome.java
@@ -10,6 +10,8 @@
     FAILED,
     /** The connection broke after bytes were written, or the response ended early. */
     BROKEN,
+    /** The server sent bytes that are no valid response to the request, so its process has not ended. */
+    SPOILED,
     /** No complete response arrived before the deadline of the attempt. */
     OVERDUE,
     /** The server provably did not execute the request. */
@@ -25,6 +27,6 @@
      * @return true if the server failed, or did not respond in time
      */
     public boolean isEvidenceAgainstServer() {
-        return this == FAILED || this == BROKEN || this == OVERDUE;
+        return this == FAILED || this == BROKEN || this == SPOILED || this == OVERDUE;
     }
 }
--- a/src/main/java/org/cassiabank/health/Suspicion.java
+++ b/src/main/java/org/cassiabank/health/Suspicion.java
@@ -117,7 +117,7 @@
         score *= Math.pow(0.5, (nowMillis - scoreUpdatedMillis) / SCORE_HALF_LIFE_MILLIS);
         scoreUpdatedMillis = nowMillis;
         switch (outcome) {
-            case BROKEN -> score += BROKEN_SCORE;
+            case BROKEN, SPOILED -> score += BROKEN_SCORE;
             case FAILED, OVERDUE -> score += ERROR_SCORE;
             case ANSWERED -> score = Math.max(0, score - RESPONSE_SCORE_REDUCTION);
             case NOT_RUN, CANCELLED -> {
@@ -140,7 +140,7 @@
                     enterState(ServerHealth.HEALTHY, nowMillis);
                 }
             }
-            case BROKEN, FAILED, OVERDUE -> {
+            case BROKEN, SPOILED, FAILED, OVERDUE -> {
                 holdOffMillis = Math.min(settings.maximumHoldOffMillis(), holdOffMillis * HOLD_OFF_GROWTH_FACTOR);
                 enterState(ServerHealth.EJECTED, nowMillis);
             }
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -206,6 +206,12 @@
                 fatalRequests.recordEnd(completed.digest(), true);
                 fatalRequests.recordLivingServer(completed.serverName(), incarnation, completed.grantedAtMillis());
             }
+            case SPOILED -> {
+                LOGGER.atInfo().log(
+                        "%s: server %s sent no valid response to request %s of %s; it has not ended",
+                        key, completed.serverName(), completed.digest().shortText(), completed.entryProxy());
+                fatalRequests.recordEnd(completed.digest(), false);
+            }
             case FAILED, OVERDUE, NOT_RUN, CANCELLED -> fatalRequests.recordEnd(completed.digest(), false);
         }
     }
--- a/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
+++ b/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
@@ -91,7 +91,7 @@
         ownedShards.completeLease(
                 new ShardKey(outcome.getServiceName(), outcome.getShard()),
                 outcome.getLease(),
-                PeerMessageConverter.toAttemptOutcome(outcome.getKind()),
+                PeerMessageConverter.toAttemptOutcome(outcome),
                 outcome.getLatencyMicros(),
                 new ServerNotice(outcome.isServerLeaving(), PeerMessageConverter.toRateLimitNotice(outcome)),
                 outcome.isSetServer() ? outcome.getServer() : "",
--- a/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
+++ b/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
@@ -131,12 +131,15 @@
         };
     }
 
+    /** A daemon of an earlier release knows no spoiled response and takes it for a broken connection. */
     static OutcomeKind toMessage(AttemptOutcome outcome) {
-        return OutcomeKind.valueOf(outcome.name());
+        return outcome == AttemptOutcome.SPOILED ? OutcomeKind.BROKEN : OutcomeKind.valueOf(outcome.name());
     }
 
-    static AttemptOutcome toAttemptOutcome(OutcomeKind kind) {
-        return AttemptOutcome.valueOf(kind.name());
+    static AttemptOutcome toAttemptOutcome(SlotOutcome outcome) {
+        return outcome.getKind() == OutcomeKind.BROKEN && outcome.isServerResponded()
+                ? AttemptOutcome.SPOILED
+                : AttemptOutcome.valueOf(outcome.getKind().name());
     }
 
     static Optional<RateLimit> toMessage(RateLimitNotice notice) {
--- a/src/main/java/org/cassiabank/proxy/SlotBroker.java
+++ b/src/main/java/org/cassiabank/proxy/SlotBroker.java
@@ -129,6 +129,8 @@
         PeerMessageConverter.toMessage(notice.rateLimit()).ifPresent(message::setRateLimit);
         if (outcome == AttemptOutcome.BROKEN) {
             message.setServer(slot.serverName()).setDigest(slot.digest().hex());
+        } else if (outcome == AttemptOutcome.SPOILED) {
+            message.setServerResponded(true);
         }
         try {
             peerTransport.call(slot.owner().get(), "report", REPORT_TIMEOUT_MILLIS, client -> {
--- a/src/test/java/org/cassiabank/proxy/PeerMessageConverterTest.java
+++ b/src/test/java/org/cassiabank/proxy/PeerMessageConverterTest.java
@@ -7,7 +7,10 @@
 import java.util.Optional;
 import org.cassiabank.admission.ServerNotice;
 import org.cassiabank.backend.ResponseReceived;
+import org.cassiabank.health.AttemptOutcome;
 import org.cassiabank.peer.generated.ForwardedReply;
+import org.cassiabank.peer.generated.OutcomeKind;
+import org.cassiabank.peer.generated.SlotOutcome;
 import org.cassiabank.peer.generated.StoreChanges;
 import org.cassiabank.peer.generated.StoreRelayState;
 import org.cassiabank.source.StoreEntry;
@@ -70,6 +73,16 @@
                 .isEmpty();
     }
 
+    @Test
+    void aSpoiledResponseIsABrokenConnectionToADaemonOfAnEarlierRelease() {
+        SlotOutcome message =
+                new SlotOutcome("desk", 0, 1, PeerMessageConverter.toMessage(AttemptOutcome.SPOILED), 1_000, false);
+        assertThat(message.getKind()).isEqualTo(OutcomeKind.BROKEN);
+        assertThat(PeerMessageConverter.toAttemptOutcome(message)).isEqualTo(AttemptOutcome.BROKEN);
+        assertThat(PeerMessageConverter.toAttemptOutcome(message.setServerResponded(true)))
+                .isEqualTo(AttemptOutcome.SPOILED);
+    }
+
     private static Optional<RequestResult> throughMessage(RequestResult result) {
         return PeerMessageConverter.toRequestResult(PeerMessageConverter.toMessage(result));
     }
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -105,6 +105,8 @@
   /** With BROKEN: the digest of the request and the server, for an owner that does not know the lease. */
   8: optional string digest,
   9: optional string server,
+  /** With BROKEN: the server sent bytes that are no valid response, so its process has not ended. */
+  10: optional bool serverResponded,
 }
 
 /** A server process whose connection broke while it ran a request. */
