Refuse a length in a message of a peer that its frame cannot hold

What callers saw: nothing yet; PeerMessageLengthTest shows it. A call or a reply of some 30 bytes took more memory than a daemon has, so that threads which needed memory at that moment failed. Cause: Thrift compares a length with the 100 MB that any message may have, counts nothing for a structure in a list, and allocates a text, a list or a map before it reads its contents. Each length is compared with the bytes that are left of its frame, which is at most an eighth of the heap and has arrived; each element counts as one byte or more.

--- a/src/main/java/org/cassiabank/peer/PeerConnection.java
+++ b/src/main/java/org/cassiabank/peer/PeerConnection.java
@@ -5,7 +5,6 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import org.apache.thrift.TException;
-import org.apache.thrift.protocol.TCompactProtocol;
 import org.apache.thrift.transport.TSocket;
 import org.apache.thrift.transport.TTransportException;
 import org.apache.thrift.transport.layered.TFramedTransport;
@@ -25,7 +24,7 @@
     private PeerConnection(CountingSocket countingSocket, TFramedTransport transport) {
         this.countingSocket = countingSocket;
         this.transport = transport;
-        this.client = new Peer.Client(new TCompactProtocol(transport));
+        this.client = new Peer.Client(PeerFrames.newProtocol(transport));
     }
 
     /**
@@ -46,8 +45,7 @@
                 socket.setTcpNoDelay(true);
                 socket.connect(new InetSocketAddress(host, port), timeoutMillis);
                 CountingSocket countingSocket = new CountingSocket(socket);
-                return new PeerConnection(
-                        countingSocket, new TFramedTransport(countingSocket, PeerServer.MAXIMUM_FRAME_BYTES));
+                return new PeerConnection(countingSocket, PeerFrames.newTransport(countingSocket));
             } catch (IOException | TException exception) {
                 socket.close();
                 throw exception;
--- a/src/main/java/org/cassiabank/peer/PeerServer.java
+++ b/src/main/java/org/cassiabank/peer/PeerServer.java
@@ -7,13 +7,11 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.apache.thrift.TProcessor;
-import org.apache.thrift.protocol.TCompactProtocol;
 import org.apache.thrift.server.TServer;
 import org.apache.thrift.server.TThreadPoolServer;
 import org.apache.thrift.transport.TServerSocket;
 import org.apache.thrift.transport.TSocket;
 import org.apache.thrift.transport.TTransportException;
-import org.apache.thrift.transport.layered.TFramedTransport;
 import org.cassiabank.kernel.BackgroundTasks;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.kernel.ErrorCode;
@@ -23,10 +21,6 @@
  * Serves the calls of other proxies, with one virtual thread for each connection.
  */
 public final class PeerServer implements AutoCloseable {
-    /** A frame is allocated before it is read, so a false length must not take a large part of the heap. */
-    static final int MAXIMUM_FRAME_BYTES =
-            (int) Math.min(64 * 1024 * 1024, Runtime.getRuntime().maxMemory() / 8);
-
     /** Clients close idle connections after 2 s, so a connection that is silent for longer has lost its client. */
     private static final int IDLE_TIMEOUT_MILLIS = 30_000;
 
@@ -62,8 +56,8 @@
             TThreadPoolServer.Args arguments = new TThreadPoolServer.Args(socket)
                     .processor(endingAtFrames(new Peer.Processor<>(handler)))
                     .executorService(workers);
-            arguments.transportFactory(new TFramedTransport.Factory(MAXIMUM_FRAME_BYTES));
-            arguments.protocolFactory(new TCompactProtocol.Factory());
+            arguments.transportFactory(PeerFrames.transportFactory());
+            arguments.protocolFactory(PeerFrames.protocolFactory());
             // In seconds, the default unit of Thrift.
             arguments.stopTimeoutVal = 1;
             TServer server = new TThreadPoolServer(arguments);
