Serve calls of peers in turns that leave time to all other requests

What callers saw: nothing yet; EndlessPeerCallsTest shows it. Two peers that send calls without waiting for the replies kept all other requests of a daemon from running. A virtual thread whose next call has arrived never waits, and the one carrier thread of a daemon runs no other. Evidence: before, another thread did not start within 10 s; now EndlessPeerCallsTest passes. After 64 calls the thread of a connection waits for a turn, which a timer ends. All peers together take at most half of one processor beyond the turns; a turn counts for a millisecond at most, so peers that wait for replies never queue for one below 32,000 calls a second, which was calculated and not measured.

--- a/src/main/java/org/cassiabank/http/DecodingTurns.java
+++ b/src/main/java/org/cassiabank/http/DecodingTurns.java
@@ -6,8 +6,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Shares the processor between long responses that are decoded at the same time: they are decoded in turns, and between
- * two turns the processor is free for other work.
+ * Shares the processor between long responses, or peers' connections with many calls, that are decoded at the same time:
+ * they are decoded in turns, and between two turns the processor is free for other work.
  *
  * <p>A virtual thread that waits for its turn is resumed by a timer. {@link Thread#yield()} is not enough: as soon as
  * two threads yield on one carrier thread, it resumes them in turn and starts no thread that becomes ready elsewhere.
@@ -15,8 +15,8 @@
  * <p>Instances are thread-safe.
  */
 public final class DecodingTurns {
-    /** The time for which a response is decoded without a pause. */
-    static final long TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+    /** The time in nanoseconds for which a response is decoded without a pause. */
+    public static final long TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
     /** Leaves half of one processor to other work. */
     private static final int INTERVAL_PER_TURN = 2;
@@ -35,7 +35,7 @@
     }
 
     /**
-     * Creates turns for the responses of one client.
+     * Creates turns for the responses of one client, or the calls to one server.
      *
      * @return the turns
      */
@@ -56,7 +56,7 @@
      * @throws IOException if the connection was closed
      * @throws InterruptedIOException if the thread is interrupted; the interrupt status is kept
      */
-    void awaitTurn(long lastTurnNanos, Connection connection) throws IOException {
+    public void awaitTurn(long lastTurnNanos, Connection connection) throws IOException {
         long startNanos = reserveTurn(System.nanoTime(), lastTurnNanos);
         try {
             // A thread whose turn has come waits too, so that it is resumed behind those that are ready.
@@ -80,7 +80,7 @@
 
     /** The connection of a response. */
     @FunctionalInterface
-    interface Connection {
+    public interface Connection {
 
         /**
          * Examines the connection.
--- a/src/main/java/org/cassiabank/peer/PeerServer.java
+++ b/src/main/java/org/cassiabank/peer/PeerServer.java
@@ -6,12 +6,17 @@
 import java.util.Objects;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import org.apache.thrift.TException;
 import org.apache.thrift.TProcessor;
+import org.apache.thrift.TProcessorFactory;
+import org.apache.thrift.protocol.TProtocol;
 import org.apache.thrift.server.TServer;
 import org.apache.thrift.server.TThreadPoolServer;
 import org.apache.thrift.transport.TServerSocket;
 import org.apache.thrift.transport.TSocket;
+import org.apache.thrift.transport.TTransport;
 import org.apache.thrift.transport.TTransportException;
+import org.cassiabank.http.DecodingTurns;
 import org.cassiabank.kernel.BackgroundTasks;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.kernel.ErrorCode;
@@ -26,6 +31,9 @@
 
     private static final int CONNECTION_BACKLOG = 512;
 
+    /** Short calls of this number take about a turn. */
+    private static final int CALLS_PER_TURN = 64;
+
     private final TServer server;
     private final ExecutorService workers;
     private volatile boolean closed;
@@ -54,7 +62,7 @@
             ExecutorService workers = Executors.newVirtualThreadPerTaskExecutor();
             PeerServerSocket socket = new PeerServerSocket(listeningSocket);
             TThreadPoolServer.Args arguments = new TThreadPoolServer.Args(socket)
-                    .processor(endingAtFrames(new Peer.Processor<>(handler)))
+                    .processorFactory(inTurns(endingAtFrames(new Peer.Processor<>(handler))))
                     .executorService(workers);
             arguments.transportFactory(PeerFrames.transportFactory());
             arguments.protocolFactory(PeerFrames.protocolFactory());
@@ -112,6 +120,54 @@
         };
     }
 
+    /**
+     * Returns processors of which each serves one connection and waits for {@link DecodingTurns its next turn} from time
+     * to time. The thread of a peer that does not wait for replies would otherwise never leave its carrier thread.
+     */
+    private static TProcessorFactory inTurns(TProcessor processor) {
+        DecodingTurns turns = DecodingTurns.create();
+        return new TProcessorFactory(processor) {
+            @Override
+            public TProcessor getProcessor(TTransport connection) {
+                return new ProcessorInTurns(processor, turns);
+            }
+        };
+    }
+
+    /** Serves the calls of one connection; confined to its thread. */
+    private static final class ProcessorInTurns implements TProcessor {
+        private final TProcessor processor;
+        private final DecodingTurns turns;
+        private int callsOfTurn;
+        private long turnStartNanos = System.nanoTime();
+
+        ProcessorInTurns(TProcessor processor, DecodingTurns turns) {
+            this.processor = processor;
+            this.turns = turns;
+        }
+
+        @Override
+        public void process(TProtocol input, TProtocol output) throws TException {
+            processor.process(input, output);
+            callsOfTurn++;
+            if (callsOfTurn == CALLS_PER_TURN) {
+                awaitTurn();
+                callsOfTurn = 0;
+                turnStartNanos = System.nanoTime();
+            }
+        }
+
+        private void awaitTurn() throws TTransportException {
+            // A peer that waits for replies spends most of the time elsewhere.
+            long turnNanos = Math.min(System.nanoTime() - turnStartNanos, DecodingTurns.TURN_NANOS);
+            try {
+                turns.awaitTurn(turnNanos, () -> {});
+            } catch (IOException exception) {
+                throw new TTransportException(TTransportException.UNKNOWN, exception);
+            }
+        }
+    }
+
     @Override
     public void close() {
         closed = true;
