Show that time in which nothing was decoded puts the turns of responses off

What was seen, on: a response to an upload of 2 s was read for 4.0 s, although all of its bytes were there, and a pause of 20 s of the process puts the turns of all long responses of a client off by 40 s.

--- a/src/test/java/org/cassiabank/http/DecodingTurnsTest.java
+++ b/src/test/java/org/cassiabank/http/DecodingTurnsTest.java
@@ -37,6 +37,13 @@
         assertThat(longPauseNanos).isEqualTo(10 * shortPauseNanos);
     }
 
+    @Test
+    void aPauseOfTheProcessPutsTheNextTurnOffForAShortTimeOnly() {
+        DecodingTurns turnsSinceZero = DecodingTurns.startingAt(0);
+        assertThat(turnsSinceZero.reserveTurn(0, TimeUnit.SECONDS.toNanos(20)))
+                .isLessThanOrEqualTo(TimeUnit.MILLISECONDS.toNanos(50));
+    }
+
     @Test
     void aSingleLargeResponseIsDecodedWithoutPausesWhileNobodyElseTakesTurns() {
         DecodingTurns turnsSinceZero = DecodingTurns.startingAt(0);
--- a/src/test/java/org/cassiabank/http/ResponseInputStreamTest.java
+++ b/src/test/java/org/cassiabank/http/ResponseInputStreamTest.java
@@ -57,6 +57,17 @@
         assertThat(process.waitFor()).isZero();
     }
 
+    @Test
+    void aLongResponseToASlowUploadIsReadAtOnce() throws IOException, InterruptedException {
+        ResponseInputStream input = ResponseInputStream.of(new EndlessInput(), () -> {}, DecodingTurns.create());
+        input.beginResponse();
+        TimeUnit.SECONDS.sleep(2);
+        input.beginBody(Long.MAX_VALUE);
+        long startNanos = System.nanoTime();
+        assertThat(input.readNBytes(8 * READ_BYTES)).hasSize(8 * READ_BYTES);
+        assertThat(System.nanoTime() - startNanos).isLessThan(TimeUnit.SECONDS.toNanos(1));
+    }
+
     private static void readUntil(AtomicBoolean ended, Part part, DecodingTurns turns, CountDownLatch running) {
         ResponseInputStream input = ResponseInputStream.of(new EndlessInput(), () -> {}, turns);
         input.beginResponse();
