Begin the turn of a response when its first bytes are read

What callers saw: nothing yet; ResponseInputStreamTest shows it. A response of more than 8 KiB to an upload that took 2 s was read for 4.0 s after it had arrived, and put the next turns of all other long responses off as far. Cause: the turn began when the request was about to be sent, and only the time of reads was taken off it, so the time of a slow upload counted as decoding, twice. Evidence: aLongResponseToASlowUploadIsReadAtOnce failed with 4.0 s before, with a limit of 1 s, and passes now; EndlessResponseTest (20) and ResponseBoundaryTest (7) pass. The turn begins when the read ends that brought the first bytes.

--- a/src/main/java/org/cassiabank/http/ResponseInputStream.java
+++ b/src/main/java/org/cassiabank/http/ResponseInputStream.java
@@ -287,7 +287,9 @@
         try {
             return input.read(bytes, offset, length);
         } finally {
-            turnStartNanos += System.nanoTime() - startNanos;
+            long endNanos = System.nanoTime();
+            // A turn begins when there is something to decode; the request may have taken long to send.
+            turnStartNanos = turnBytes == 0 ? endNanos : turnStartNanos + endNanos - startNanos;
         }
     }
 
