Limit the time that a pause of the process puts the turns of responses off

What callers saw: nothing yet; DecodingTurnsTest shows it. After a pause of 20 s in the middle of a turn all long responses of the client waited for 40 s. Cause: the length of a turn is the time on the clock, and the next turns are put off by twice that. A turn counts for 10 ms at most, ten times its planned length. Two tests that waited behind a turn of 20 s now wait for a first turn that begins 20 s later, as long as before.

--- a/src/main/java/org/cassiabank/http/DecodingTurns.java
+++ b/src/main/java/org/cassiabank/http/DecodingTurns.java
@@ -18,6 +18,9 @@
     /** The time in nanoseconds for which a response is decoded without a pause. */
     public static final long TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
+    /** A turn that seems longer was interrupted by a pause of the process, in which nobody used the processor. */
+    private static final long MAXIMUM_TURN_NANOS = 10 * TURN_NANOS;
+
     /** Leaves half of one processor to other work. */
     private static final int INTERVAL_PER_TURN = 2;
 
@@ -74,7 +77,7 @@
 
     /** Returns the {@link System#nanoTime()} at which the turn begins, which may have passed. */
     long reserveTurn(long nowNanos, long lastTurnNanos) {
-        long intervalNanos = INTERVAL_PER_TURN * lastTurnNanos;
+        long intervalNanos = INTERVAL_PER_TURN * Math.min(lastTurnNanos, MAXIMUM_TURN_NANOS);
         return nextTurnNanos.updateAndGet(next -> nowNanos + Math.max(next - nowNanos, -CREDIT_NANOS) + intervalNanos);
     }
 
--- a/src/test/java/org/cassiabank/http/DecodingTurnsTest.java
+++ b/src/test/java/org/cassiabank/http/DecodingTurnsTest.java
@@ -14,9 +14,9 @@
 
 @Timeout(30)
 class DecodingTurnsTest {
-    private static final long LONG_TURN_NANOS = TimeUnit.SECONDS.toNanos(20);
+    private static final long LONG_WAIT_NANOS = TimeUnit.SECONDS.toNanos(20);
 
-    private final DecodingTurns turns = DecodingTurns.create();
+    private final DecodingTurns turns = DecodingTurns.startingAt(System.nanoTime() + LONG_WAIT_NANOS);
 
     @Test
     void turnsLeaveHalfOfTheTimeToOthersHoweverManyThreadsTakeThem() {
@@ -59,7 +59,7 @@
     void aThreadWhoseConnectionWasClosedDoesNotAwaitItsTurn() {
         AtomicBoolean closed = new AtomicBoolean();
         Thread.startVirtualThread(() -> closed.set(true));
-        assertThatThrownBy(() -> turns.awaitTurn(LONG_TURN_NANOS, () -> {
+        assertThatThrownBy(() -> turns.awaitTurn(DecodingTurns.TURN_NANOS, () -> {
                     if (closed.get()) {
                         throw new SocketException("Socket closed");
                     }
@@ -73,7 +73,7 @@
         AtomicBoolean interrupted = new AtomicBoolean();
         Thread thread = Thread.startVirtualThread(() -> {
             try {
-                turns.awaitTurn(LONG_TURN_NANOS, () -> {});
+                turns.awaitTurn(DecodingTurns.TURN_NANOS, () -> {});
             } catch (IOException exception) {
                 failure.set(exception);
                 interrupted.set(Thread.currentThread().isInterrupted());
