--- a/src/test/java/org/cassiabank/peer/PeerMessageLengthTest.java
+++ b/src/test/java/org/cassiabank/peer/PeerMessageLengthTest.java
@@ -32,7 +32,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
-/** Guards against short messages of peers that name a great length, for which a daemon would run out of memory. */
+/** Guards against messages of peers that name a great length or nest without end, which takes the memory of a daemon. */
 @Timeout(60)
 class PeerMessageLengthTest {
     private static final int TIMEOUT_MILLIS = 5_000;
@@ -176,6 +176,12 @@
             protocol.writeStructBegin(null);
             protocol.writeFieldBegin(new TField("digest", TType.STRING, (short) 1));
             writeLength(protocol);
+        }),
+        NESTED_WITHOUT_END(protocol -> {
+            protocol.writeMessageBegin(new TMessage("suspects", TMessageType.REPLY, 1));
+            for (int depth = 0; depth < 200_000; depth++) {
+                protocol.getTransport().write(new byte[] {0x1c}, 0, 1);
+            }
         });
 
         private final Message message;
