Limit the depth to which an unknown field of a peer's message is skipped

What callers saw: nothing yet; PeerMessageLengthTest shows it. A reply of a peer that nests without end ended the calling thread with a StackOverflowError, which is no failed call for those that wait for it. Cause: Thrift skips fields that it does not know to any depth, one stack frame for each byte. Evidence: before, 1 of 9 cases of PeerMessageLengthTest failed, now none; the tests of peers, forwarded requests, replication and the store's relay pass. Beyond 64 levels the message is refused like any other that cannot be read.

--- a/src/main/java/org/cassiabank/peer/PeerFrames.java
+++ b/src/main/java/org/cassiabank/peer/PeerFrames.java
@@ -3,6 +3,7 @@
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.apache.thrift.protocol.TProtocol;
 import org.apache.thrift.protocol.TProtocolFactory;
+import org.apache.thrift.protocol.TProtocolUtil;
 import org.apache.thrift.transport.TTransport;
 import org.apache.thrift.transport.TTransportException;
 import org.apache.thrift.transport.TTransportFactory;
@@ -18,6 +19,13 @@
     private static final int MAXIMUM_FRAME_BYTES =
             (int) Math.min(64 * 1024 * 1024, Runtime.getRuntime().maxMemory() / 8);
 
+    /** More than any message of a later release nests in a field that this one does not know. */
+    private static final int MAXIMUM_SKIPPED_DEPTH = 64;
+
+    static {
+        TProtocolUtil.setMaxSkipDepth(MAXIMUM_SKIPPED_DEPTH);
+    }
+
     private PeerFrames() {}
 
     /** Returns a transport for the messages of a connection. */
