Cut off a response whose head and trailers have more than 1,000 lines

What callers saw: beside 100 connections on which servers sent short header lines without end, large sound responses (8 MB) were cut off or timed out, and the callers of the endless ones waited until their deadline. Cause: 256 KB of lines of four bytes are 65,000 lines, each of which reserves 128 bytes, so a few such heads exhaust the memory of all responses; the largest share is then revoked, which is the sound response. Their decoding takes turns from long sound responses too. Why it works: the limit is reached after 4 KB of such lines, before the first turn of decoding is over and long before the memory matters. Sound servers send fewer than a hundred lines; 500 headers with 400 trailers pass in a test. The cost: such responses no longer await turns, so callers that repeat them with little pause load the processor like any other failing requests.

--- a/src/test/java/org/cassiabank/backend/EndlessResponseTest.java
+++ b/src/test/java/org/cassiabank/backend/EndlessResponseTest.java
@@ -173,6 +173,40 @@
         assertThat(client.send(request(smallServer.address(), 5_000))).isInstanceOf(ResponseReceived.class);
     }
 
+    /** The server sends no more, so a client that accepted the lines would wait for the rest until its timeout. */
+    @ParameterizedTest
+    @CsvSource({
+        "'HEAD', 'a:b\n'",
+        "'', 'HTTP/1.1 100 Continue\r\n\r\n'",
+        "'HEADTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n', 'a:b\n'"
+    })
+    void aResponseWithMoreLinesThanAHeadHasIsCutOffAtOnce(String start, String lines) throws Exception {
+        ScriptedServer server = startServer((request, socket) -> ScriptedServer.write(
+                socket,
+                start.replace("HEAD", request.responseHead(200)) + lines.repeat(ResponseMeter.MAXIMUM_HEAD_LINES)));
+        assertThat(client.send(request(server.address(), 10_000)))
+                .isInstanceOfSatisfying(NoValidResponse.class, invalid -> assertThat(invalid.reason())
+                        .isEqualTo(NoValidResponseReason.RESPONSE_TOO_LARGE));
+        assertThat(server.closedConnections.tryAcquire(5, TimeUnit.SECONDS)).isTrue();
+    }
+
+    @Test
+    void aResponseWithHundredsOfHeadersAndTrailersIsReceivedAndItsConnectionServesTheNextOne() throws Exception {
+        ScriptedServer server = startServer((request, socket) -> ScriptedServer.write(
+                socket,
+                request.responseHead(200) + "X-Many: a\r\n".repeat(500) + "Transfer-Encoding: chunked\r\n\r\n"
+                        + "5\r\nwhole\r\n0\r\n" + "X-Trailer: a\r\n".repeat(400) + "\r\n"));
+        for (int number = 0; number < 3; number++) {
+            BackendResult result = client.send(BackendRequest.forAddress(
+                    server.address(), "GET", "/", Map.of(), new byte[0], "id-" + number, true, 10_000));
+            assertThat(result).isInstanceOfSatisfying(ResponseReceived.class, response -> {
+                assertThat(response.body()).asString().isEqualTo("whole");
+                assertThat(response.headers().get("X-Many")).hasSize(500);
+            });
+        }
+        assertThat(server.acceptedConnections).hasValue(1);
+    }
+
     private static long usedBytesAfterCollection() {
         System.gc();
         Runtime runtime = Runtime.getRuntime();
