--- a/src/test/java/org/cassiabank/backend/GeneratedResponse.java
+++ b/src/test/java/org/cassiabank/backend/GeneratedResponse.java
@@ -4,10 +4,11 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Locale;
 import java.util.Random;
 
 /**
- * A response of a server with random contents, as the bytes that the server writes.
+ * A response of a server with random contents, in each form that the client reads, as the bytes that the server writes.
  *
  * @param requestId the identifier of the request that the server responds to
  * @param status the final status
@@ -29,9 +30,12 @@
         int headBytes,
         String bytes,
         List<Integer> ends) {
-    private static final List<Integer> STATUSES = List.of(200, 200, 200, 204, 304, 404, 500, 500, 503, 503);
-    private static final List<String> INTERIM_HEADS =
-            List.of("HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n");
+    private static final List<Integer> STATUSES = List.of(200, 200, 200, 204, 304, 404, 421, 500, 500, 503, 503);
+    private static final int MISDIRECTED_REQUEST = 421;
+    private static final List<String> INTERIM_HEADS = List.of(
+            "HTTP/1.1 100 Continue\r\n\r\n",
+            "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n",
+            "HTTP/1.1 103 Early Hints\r\nVia: HTTP/1.1 192.168.0.1\r\n\r\n");
     private static final List<String> REASONS = List.of("", "OK", "Reason of any text: 500 HTTP", "Ä ok");
     /** Beginnings of this head may end a body. */
     private static final String NEARLY_A_HEAD = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
@@ -68,7 +72,8 @@
                                 : List.of(Framing.LENGTH, Framing.CHUNKS))
                 : Framing.NO_BODY;
         String body = hasBody ? newBody(random) : "";
-        boolean notRun = status == 503 && random.nextBoolean();
+        boolean notRun = status == MISDIRECTED_REQUEST || status == 503 && random.nextBoolean();
+        String lineEnd = random.nextInt(6) == 0 ? "\n" : "\r\n";
         String signature = status + "-" + name + "-" + Integer.toHexString(body.hashCode());
         List<String> fields = new ArrayList<>(List.of(
                 "Cassiabank-Request-Id: " + requestId,
@@ -79,7 +84,7 @@
                 "Via: HTTP/1.1 192.168.0.1",
                 "Set-Cookie: a=b; Path=/",
                 "Set-Cookie: c=HTTP/1.1"));
-        if (notRun) {
+        if (notRun && status != MISDIRECTED_REQUEST) {
             fields.add("Cassiabank-Not-Run: true");
         }
         switch (framing) {
@@ -89,20 +94,24 @@
                 // Nothing in the head announces a body.
             }
         }
+        if (method.equals("HEAD") && random.nextBoolean()) {
+            fields.add("Content-Length: " + random.nextInt(SMALL_BODY_BYTES));
+        }
         Collections.shuffle(fields, random);
+        fields.replaceAll(field -> inAnyCase(random, field));
         List<Integer> ends = new ArrayList<>();
         StringBuilder bytes = new StringBuilder();
         if (random.nextInt(4) == 0) {
-            bytes.append(pick(random, INTERIM_HEADS));
+            bytes.append(pick(random, INTERIM_HEADS).replace("\r\n", lineEnd));
             ends.add(bytes.length());
         }
-        append(bytes, ends, "HTTP/1.1 " + status + " " + pick(random, REASONS) + "\r\n");
-        fields.forEach(field -> append(bytes, ends, field + "\r\n"));
-        append(bytes, ends, "\r\n");
+        append(bytes, ends, "HTTP/1.1 " + status + " " + pick(random, REASONS) + lineEnd);
+        fields.forEach(field -> append(bytes, ends, field + lineEnd));
+        append(bytes, ends, lineEnd);
         int headBytes = bytes.length();
         switch (framing) {
             case LENGTH, END_OF_CONNECTION -> append(bytes, ends, body);
-            case CHUNKS -> appendChunks(bytes, ends, body, random);
+            case CHUNKS -> appendChunks(bytes, ends, body, lineEnd, random);
             case NO_BODY -> {
                 // The head is everything.
             }
@@ -114,7 +123,9 @@
     /** Tells whether a client received this response, whole and with nothing of another. */
     boolean isDeliveredAs(ResponseReceived response) {
         return response.status() == status
-                && List.of(signature).equals(response.headers().get("Signed"))
+                && response.headers().entrySet().stream()
+                        .anyMatch(field -> field.getKey().equalsIgnoreCase("Signed")
+                                && field.getValue().equals(List.of(signature)))
                 && new String(response.body(), StandardCharsets.ISO_8859_1).equals(body);
     }
 
@@ -146,20 +157,32 @@
         return body.toString();
     }
 
-    private static void appendChunks(StringBuilder bytes, List<Integer> ends, String body, Random random) {
+    /** Returns the field, sometimes with a name in upper or lower case. */
+    private static String inAnyCase(Random random, String field) {
+        int nameEnd = field.indexOf(':');
+        String name = field.substring(0, nameEnd);
+        return switch (random.nextInt(6)) {
+            case 0 -> name.toUpperCase(Locale.ROOT) + field.substring(nameEnd);
+            case 1 -> name.toLowerCase(Locale.ROOT) + field.substring(nameEnd);
+            default -> field;
+        };
+    }
+
+    private static void appendChunks(
+            StringBuilder bytes, List<Integer> ends, String body, String lineEnd, Random random) {
         int position = 0;
         while (position < body.length()) {
             int end = Math.min(body.length(), position + 1 + random.nextInt(body.length()));
-            append(bytes, ends, Integer.toHexString(end - position) + (random.nextInt(4) == 0 ? ";a=b" : "") + "\r\n");
+            append(bytes, ends, Integer.toHexString(end - position) + (random.nextInt(4) == 0 ? ";a=b" : "") + lineEnd);
             append(bytes, ends, body.substring(position, end));
-            append(bytes, ends, "\r\n");
+            append(bytes, ends, lineEnd);
             position = end;
         }
-        append(bytes, ends, "0\r\n");
+        append(bytes, ends, "0" + lineEnd);
         if (random.nextInt(4) == 0) {
-            append(bytes, ends, "Checksum: abc\r\n");
+            append(bytes, ends, "Checksum: abc" + lineEnd);
         }
-        append(bytes, ends, "\r\n");
+        append(bytes, ends, lineEnd);
     }
 
     private static void append(StringBuilder bytes, List<Integer> ends, String part) {
