Test that the beginning of a success does not hide a refusal with status 421

421 proves by its status alone that the server did not run the request, so a success whose head breaks off in front of it would be delivered as a success that no server ran. Passes on the current code, in all three framings and at each byte.

--- a/src/test/java/org/cassiabank/backend/JoinedResponseTest.java
+++ b/src/test/java/org/cassiabank/backend/JoinedResponseTest.java
@@ -85,6 +85,27 @@
         assertDeliversOneOf(first, ServerResponse.of(nextStatus, Framing.LENGTH), "POST");
     }
 
+    /** With the beginning of a success in front, the status no longer tells that the server has refused the request. */
+    @ParameterizedTest
+    @EnumSource(Framing.class)
+    void aSuccessThatBreaksOffIsNotCompletedByTheRefusalOfAServerThatWasNotMeant(Framing framing) throws Exception {
+        ServerResponse success = ServerResponse.of(200, framing);
+        ServerResponse refusal = ServerResponse.of(421, Framing.LENGTH);
+        String successBytes = success.bytes(ID);
+        List<Integer> joined = new ArrayList<>();
+        for (int length = 1; length < successBytes.length(); length++) {
+            String part = successBytes.substring(0, length);
+            BackendResult result = sendOnce("GET", (request, socket) -> {
+                ScriptedServer.write(socket, part + refusal.bytes(ID));
+                socket.shutdownOutput();
+            });
+            if (!(result instanceof NoValidResponse)) {
+                joined.add(length);
+            }
+        }
+        assertThat(joined).as("bytes of the success").isEmpty();
+    }
+
     private static void assertDeliversOneOf(ServerResponse first, ServerResponse second, String method)
             throws Exception {
         String firstBytes = first.bytes(ID);
