Show that an interim response can complete the body of another response

Fails on the current code: a body that breaks off and is filled up exactly by an interim response whose lines end in a line feed alone, or one that names HTTP/1.x in a field, is delivered as whole though the final response follows at its end.

--- a/src/test/java/org/cassiabank/backend/JoinedResponseTest.java
+++ b/src/test/java/org/cassiabank/backend/JoinedResponseTest.java
@@ -294,10 +294,21 @@
         assertThat(joined).as("bytes of the second response in the body").isEmpty();
     }
 
+    static List<String> interimResponses() {
+        return List.of(
+                "HTTP/1.1 100 Continue\r\n\r\n",
+                "HTTP/1.1 100 Continue\n\n",
+                "HTTP/1.1 103 Hints\r\nVia: HTTP/1.1 ab\r\n\r\n");
+    }
+
     @ParameterizedTest
-    @ValueSource(ints = {0, 1})
-    void aBodyIsNotCompletedByAnInterimResponse(int pauseMillis) throws Exception {
-        String interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    @MethodSource("interimResponses")
+    void aBodyIsNotCompletedByAnInterimResponse(String interim) throws Exception {
+        assertInterimResponseDoesNotCompleteABody(interim, 0);
+        assertInterimResponseDoesNotCompleteABody(interim, 1);
+    }
+
+    private static void assertInterimResponseDoesNotCompleteABody(String interim, int pauseMillis) throws Exception {
         ServerResponse first = ServerResponse.of(200, Framing.LENGTH);
         String firstBytes = first.bytes(ID);
         String part = firstBytes.substring(0, firstBytes.length() - interim.length());
@@ -308,7 +319,7 @@
             TimeUnit.MILLISECONDS.sleep(pauseMillis);
             ScriptedServer.write(socket, pauseMillis == 0 ? "" : second);
         });
-        assertThat(result).isInstanceOf(NoValidResponse.class);
+        assertThat(result).as("pause of %d ms", pauseMillis).isInstanceOf(NoValidResponse.class);
     }
 
     @Test
--- a/src/test/java/org/cassiabank/backend/ResponseBoundaryTest.java
+++ b/src/test/java/org/cassiabank/backend/ResponseBoundaryTest.java
@@ -47,6 +47,22 @@
                 .isPresent();
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 100 Continue\n\n",
+                "HTTP/1.1 100 Continue\r\n\n",
+                "HTTP/1.1 103 Early Hints\nLink: </style.css>\n\r\n",
+                "HTTP/1.1 103 Early Hints\r\nVia: HTTP/1.1 192.168.0.1\r\n\r\n",
+                "HTTP/1.1 103 Early Hints\r\nCache-Status: HTTP/1.1 200\r\n\r\n"
+            })
+    void anInterimResponseInEachFormThatTheClientReadsIsFoundAtTheEndOfABody(String interim) {
+        byte[] body = bytes("a body that breaks off" + interim);
+        assertThat(ResponseBoundary.findDefect(body, bytes("HTTP/1.1 500 Error\r\n"), "Request-Id"))
+                .isPresent();
+        assertThat(ResponseBoundary.isUndecided(body, new byte[0])).isTrue();
+    }
+
     private static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.ISO_8859_1);
     }
