Find an interim response at the end of a body in each form that the client reads

Cause: ResponseBoundary looked for the last HTTP/1. of the body and for an empty line of carriage returns and line feeds. OkHttp also reads lines that end in a line feed alone, and a field such as Via may name the protocol behind the status line. Now each status line behind the last empty line before the end counts, if its status is interim, so neither the form of the lines nor the fields matter. The time stays linear in the length of the body.

--- a/src/main/java/org/cassiabank/backend/ResponseBoundary.java
+++ b/src/main/java/org/cassiabank/backend/ResponseBoundary.java
@@ -20,6 +20,10 @@
     private static final String BEGINNING_TEXT = "HTTP/1.";
     private static final byte[] BEGINNING = BEGINNING_TEXT.getBytes(StandardCharsets.US_ASCII);
     private static final String END_OF_HEAD = "\r\n\r\n";
+    /** OkHttp reads lines that end in a line feed alone, too. */
+    private static final Pattern EMPTY_LINE_AT_END = Pattern.compile("\\r?\\n\\r?\\n\\z");
+
+    private static final int EMPTY_LINE_BYTES = END_OF_HEAD.length();
     private static final int STATUS_LINE_BYTES = "HTTP/1.1 200".length();
 
     private ResponseBoundary() {}
@@ -129,11 +133,26 @@
 
     /** Tells whether the text ends with an interim response, behind which its server sends the final one. */
     private static boolean endsWithInterimHead(String text) {
-        int start = text.lastIndexOf(BEGINNING_TEXT);
-        return start >= 0
-                && STATUS_LINE.matcher(text).region(start, text.length()).lookingAt()
-                && text.charAt(start + STATUS_LINE_BYTES - "200".length()) == '1'
-                && text.indexOf(END_OF_HEAD, start) == text.length() - END_OF_HEAD.length();
+        Matcher emptyLine = EMPTY_LINE_AT_END.matcher(text);
+        if (!emptyLine
+                .region(Math.max(0, text.length() - EMPTY_LINE_BYTES), text.length())
+                .find()) {
+            return false;
+        }
+        // The status line may stand behind text, and the fields of the head may name others.
+        Matcher statusLine = STATUS_LINE.matcher(text);
+        statusLine.region(startOfLastHead(text, emptyLine.start()), emptyLine.start());
+        while (statusLine.find()) {
+            if (text.charAt(statusLine.end() - "200".length()) == '1') {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns where the last head can begin at the earliest: behind the last empty line before its end. */
+    private static int startOfLastHead(String text, int end) {
+        return Math.max(text.lastIndexOf("\n\n", end - 1), text.lastIndexOf("\n\r\n", end - 1)) + 1;
     }
 
     /** Returns where a status line may begin at the earliest. */
