--- a/src/test/java/org/cassiabank/backend/JoinedResponseTest.java
+++ b/src/test/java/org/cassiabank/backend/JoinedResponseTest.java
@@ -85,6 +85,27 @@
         assertDeliversOneOf(first, ServerResponse.of(nextStatus, Framing.LENGTH), "POST");
     }
 
+    /** With the beginning of a success in front, the status no longer tells that the server has refused the request. */
+    @ParameterizedTest
+    @EnumSource(Framing.class)
+    void aSuccessThatBreaksOffIsNotCompletedByTheRefusalOfAServerThatWasNotMeant(Framing framing) throws Exception {
+        ServerResponse success = ServerResponse.of(200, framing);
+        ServerResponse refusal = ServerResponse.of(421, Framing.LENGTH);
+        String successBytes = success.bytes(ID);
+        List<Integer> joined = new ArrayList<>();
+        for (int length = 1; length < successBytes.length(); length++) {
+            String part = successBytes.substring(0, length);
+            BackendResult result = sendOnce("GET", (request, socket) -> {
+                ScriptedServer.write(socket, part + refusal.bytes(ID));
+                socket.shutdownOutput();
+            });
+            if (!(result instanceof NoValidResponse)) {
+                joined.add(length);
+            }
+        }
+        assertThat(joined).as("bytes of the success").isEmpty();
+    }
+
     private static void assertDeliversOneOf(ServerResponse first, ServerResponse second, String method)
             throws Exception {
         String firstBytes = first.bytes(ID);
@@ -273,10 +294,21 @@
         assertThat(joined).as("bytes of the second response in the body").isEmpty();
     }
 
+    static List<String> interimResponses() {
+        return List.of(
+                "HTTP/1.1 100 Continue\r\n\r\n",
+                "HTTP/1.1 100 Continue\n\n",
+                "HTTP/1.1 103 Hints\r\nVia: HTTP/1.1 ab\r\n\r\n");
+    }
+
     @ParameterizedTest
-    @ValueSource(ints = {0, 1})
-    void aBodyIsNotCompletedByAnInterimResponse(int pauseMillis) throws Exception {
-        String interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    @MethodSource("interimResponses")
+    void aBodyIsNotCompletedByAnInterimResponse(String interim) throws Exception {
+        assertInterimResponseDoesNotCompleteABody(interim, 0);
+        assertInterimResponseDoesNotCompleteABody(interim, 1);
+    }
+
+    private static void assertInterimResponseDoesNotCompleteABody(String interim, int pauseMillis) throws Exception {
         ServerResponse first = ServerResponse.of(200, Framing.LENGTH);
         String firstBytes = first.bytes(ID);
         String part = firstBytes.substring(0, firstBytes.length() - interim.length());
@@ -287,7 +319,7 @@
             TimeUnit.MILLISECONDS.sleep(pauseMillis);
             ScriptedServer.write(socket, pauseMillis == 0 ? "" : second);
         });
-        assertThat(result).isInstanceOf(NoValidResponse.class);
+        assertThat(result).as("pause of %d ms", pauseMillis).isInstanceOf(NoValidResponse.class);
     }
 
     @Test
