--- a/src/main/java/org/cassiabank/http/DecodingTurns.java
+++ b/src/main/java/org/cassiabank/http/DecodingTurns.java
@@ -6,8 +6,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Shares the processor between long responses, or peers' connections with many calls, that are decoded at the same time:
- * they are decoded in turns, and between two turns the processor is free for other work.
+ * Shares the processor between long responses, or connections of peers with many calls, that are decoded at the same
+ * time: they are decoded in turns, and between two turns the processor is free for other work.
  *
  * <p>A virtual thread that waits for its turn is resumed by a timer. {@link Thread#yield()} is not enough: as soon as
  * two threads yield on one carrier thread, it resumes them in turn and starts no thread that becomes ready elsewhere.
--- a/src/main/java/org/cassiabank/peer/PeerServer.java
+++ b/src/main/java/org/cassiabank/peer/PeerServer.java
@@ -121,8 +121,8 @@
     }
 
     /**
-     * Returns processors of which each serves one connection and waits for {@link DecodingTurns its next turn} from time
-     * to time. The thread of a peer that does not wait for replies would otherwise never leave its carrier thread.
+     * Returns processors of which each serves one connection and waits for {@link DecodingTurns its next turn} from
+     * time to time. The thread of a peer that does not wait for replies would otherwise never leave its carrier thread.
      */
     private static TProcessorFactory inTurns(TProcessor processor) {
         DecodingTurns turns = DecodingTurns.create();
--- a/src/test/java/org/cassiabank/peer/PeerMessageLengthTest.java
+++ b/src/test/java/org/cassiabank/peer/PeerMessageLengthTest.java
@@ -32,7 +32,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
-/** Guards against messages of peers that name a great length or nest without end, which takes the memory of a daemon. */
+/** Guards against messages of peers that name a great length or nest without end, for which memory runs out. */
 @Timeout(60)
 class PeerMessageLengthTest {
     private static final int TIMEOUT_MILLIS = 5_000;
