Cut off a response whose head and trailers have more than 1,000 lines

What callers saw: beside 100 connections on which servers sent short header lines without end, large sound responses (8 MB) were cut off or timed out, and the callers of the endless ones waited until their deadline. Cause: 256 KB of lines of four bytes are 65,000 lines, each of which reserves 128 bytes, so a few such heads exhaust the memory of all responses; the largest share is then revoked, which is the sound response. Their decoding takes turns from long sound responses too. Evidence: the three cases of aResponseWithMoreLinesThanAHeadHasIsCutOffAtOnce failed with the limit switched off (TIMEOUT after 10 s) and pass now, as does aLargeSoundResponseIsReceivedBesideManyHeadsWithoutEnd, in which the sound response was cut off. Why it works: the limit is reached after 4 KB of such lines, before the first turn of decoding is over and long before the memory matters. A head with 500 headers and 400 trailers passes in a test. The cost: such responses no longer await turns, so callers that repeat them with little pause load the processor like any other failing requests.

--- a/src/main/java/org/cassiabank/backend/ResponseMeter.java
+++ b/src/main/java/org/cassiabank/backend/ResponseMeter.java
@@ -5,7 +5,8 @@
 
 /**
  * Limits the bytes of one response, including those that belong to no body: OkHttp buffers a chunk line or a sequence
- * of interim responses of any length.
+ * of interim responses of any length. Limits the lines of heads and trailers too, because many short ones occupy much
+ * more memory and processor time than their bytes suggest.
  *
  * <p>Confined to the thread of the attempt, which reads both the connection and the body.
  */
@@ -13,6 +14,9 @@
     /** The bytes of a response that are not in its body: head, interim responses, first chunk line and trailers. */
     static final long MAXIMUM_BYTES_OUTSIDE_BODY = 256 * 1_024;
 
+    /** The lines of the head, interim responses and trailers of a response. */
+    static final int MAXIMUM_HEAD_LINES = 1_000;
+
     /** The most bytes that are received for one byte of a body: a chunk with one byte takes six. */
     private static final int MAXIMUM_BYTES_PER_BODY_BYTE = 8;
 
@@ -22,6 +26,7 @@
     private final ResponseMemory.Share memoryShare;
     private long receivedBytes;
     private long bodyBytes;
+    private int headLines;
 
     private ResponseMeter(ResponseMemory.Share memoryShare) {
         this.memoryShare = memoryShare;
@@ -49,9 +54,14 @@
     /**
      * Records a line of a head or of trailers. A short line occupies many times its bytes.
      *
-     * @throws ResponseTooLargeException if all responses together exceed their limit
+     * @throws ResponseTooLargeException if the response has more than {@value #MAXIMUM_HEAD_LINES} of them, or all
+     *     responses together exceed their limit
      */
     void recordHeadLine() throws ResponseTooLargeException {
+        headLines++;
+        if (headLines > MAXIMUM_HEAD_LINES) {
+            throw ResponseTooLargeException.of("received " + headLines + " lines of heads and trailers");
+        }
         memoryShare.reserve(BYTES_PER_HEAD_LINE);
     }
 
--- a/src/test/java/org/cassiabank/backend/EndlessResponseTest.java
+++ b/src/test/java/org/cassiabank/backend/EndlessResponseTest.java
@@ -173,6 +173,67 @@
         assertThat(client.send(request(smallServer.address(), 5_000))).isInstanceOf(ResponseReceived.class);
     }
 
+    /** The server sends no more, so a client that accepted the lines would wait for the rest until its timeout. */
+    @ParameterizedTest
+    @CsvSource({
+        "'HEAD', 'a:b\n'",
+        "'', 'HTTP/1.1 100 Continue\r\n\r\n'",
+        "'HEADTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n', 'a:b\n'"
+    })
+    void aResponseWithMoreLinesThanAHeadHasIsCutOffAtOnce(String start, String lines) throws Exception {
+        ScriptedServer server = startServer((request, socket) -> ScriptedServer.write(
+                socket,
+                start.replace("HEAD", request.responseHead(200)) + lines.repeat(ResponseMeter.MAXIMUM_HEAD_LINES)));
+        assertThat(client.send(request(server.address(), 10_000)))
+                .isInstanceOfSatisfying(NoValidResponse.class, invalid -> assertThat(invalid.reason())
+                        .isEqualTo(NoValidResponseReason.RESPONSE_TOO_LARGE));
+        assertThat(server.closedConnections.tryAcquire(5, TimeUnit.SECONDS)).isTrue();
+    }
+
+    @Test
+    void aResponseWithHundredsOfHeadersAndTrailersIsReceivedAndItsConnectionServesTheNextOne() throws Exception {
+        ScriptedServer server = startServer((request, socket) -> ScriptedServer.write(
+                socket,
+                request.responseHead(200) + "X-Many: a\r\n".repeat(500) + "Transfer-Encoding: chunked\r\n\r\n"
+                        + "5\r\nwhole\r\n0\r\n" + "X-Trailer: a\r\n".repeat(400) + "\r\n"));
+        for (int number = 0; number < 3; number++) {
+            BackendResult result = client.send(BackendRequest.forAddress(
+                    server.address(), "GET", "/", Map.of(), new byte[0], "id-" + number, true, 10_000));
+            assertThat(result).isInstanceOfSatisfying(ResponseReceived.class, response -> {
+                assertThat(response.body()).asString().isEqualTo("whole");
+                assertThat(response.headers().get("X-Many")).hasSize(500);
+            });
+        }
+        assertThat(server.acceptedConnections).hasValue(1);
+    }
+
+    /** Each head occupies less than the sound response, so the sound one was the largest and was cut off. */
+    @Test
+    void aLargeSoundResponseIsReceivedBesideManyHeadsWithoutEnd() throws Exception {
+        int headCount = 20;
+        CountDownLatch headsSent = new CountDownLatch(headCount);
+        CountDownLatch soundReceived = new CountDownLatch(1);
+        ScriptedServer headServer = startServer((request, socket) -> {
+            try {
+                ScriptedServer.write(
+                        socket, request.responseHead(200) + "a:b\n".repeat(2 * ResponseMeter.MAXIMUM_HEAD_LINES));
+            } finally {
+                headsSent.countDown();
+                soundReceived.await();
+            }
+        });
+        ScriptedServer soundServer = startServer(ScriptedServer.respondingWith("x".repeat(900_000)));
+        for (int number = 0; number < headCount; number++) {
+            Thread.startVirtualThread(() -> client.send(request(headServer.address(), 20_000)));
+        }
+        assertThat(headsSent.await(20, TimeUnit.SECONDS)).isTrue();
+        // The client reads what the operating system still holds.
+        Thread.sleep(1_000);
+        BackendResult result = client.send(request(soundServer.address(), 10_000));
+        soundReceived.countDown();
+        assertThat(result).isInstanceOf(ResponseReceived.class);
+    }
+
     private static long usedBytesAfterCollection() {
         System.gc();
         Runtime runtime = Runtime.getRuntime();
