--- a/src/main/java/org/cassiabank/backend/ResponseMeter.java
+++ b/src/main/java/org/cassiabank/backend/ResponseMeter.java
@@ -14,6 +14,9 @@
     /** The bytes of a response that are not in its body: head, interim responses, first chunk line and trailers. */
     static final long MAXIMUM_BYTES_OUTSIDE_BODY = 256 * 1_024;
 
+    /** The lines of the head, interim responses and trailers of a response. */
+    static final int MAXIMUM_HEAD_LINES = 1_000;
+
     /** The most bytes that are received for one byte of a body: a chunk with one byte takes six. */
     private static final int MAXIMUM_BYTES_PER_BODY_BYTE = 8;
 
--- a/src/test/java/org/cassiabank/backend/EndlessResponseTest.java
+++ b/src/test/java/org/cassiabank/backend/EndlessResponseTest.java
@@ -207,6 +207,33 @@
         assertThat(server.acceptedConnections).hasValue(1);
     }
 
+    /** Each head occupies less than the sound response, so the sound one was the largest and was cut off. */
+    @Test
+    void aLargeSoundResponseIsReceivedBesideManyHeadsWithoutEnd() throws Exception {
+        int headCount = 20;
+        CountDownLatch headsSent = new CountDownLatch(headCount);
+        CountDownLatch soundReceived = new CountDownLatch(1);
+        ScriptedServer headServer = startServer((request, socket) -> {
+            try {
+                ScriptedServer.write(
+                        socket, request.responseHead(200) + "a:b\n".repeat(2 * ResponseMeter.MAXIMUM_HEAD_LINES));
+            } finally {
+                headsSent.countDown();
+                soundReceived.await();
+            }
+        });
+        ScriptedServer soundServer = startServer(ScriptedServer.respondingWith("x".repeat(900_000)));
+        for (int number = 0; number < headCount; number++) {
+            Thread.startVirtualThread(() -> client.send(request(headServer.address(), 20_000)));
+        }
+        assertThat(headsSent.await(20, TimeUnit.SECONDS)).isTrue();
+        // The client reads what the operating system still holds.
+        Thread.sleep(1_000);
+        BackendResult result = client.send(request(soundServer.address(), 10_000));
+        soundReceived.countDown();
+        assertThat(result).isInstanceOf(ResponseReceived.class);
+    }
+
     private static long usedBytesAfterCollection() {
         System.gc();
         Runtime runtime = Runtime.getRuntime();
