Do not count a refusal as not run if a failure with its status follows

What callers saw: an order that the server answered with 503 not-run and then with a plain 503 counts as not run, so it may be sent again though the server may have run it; found by a test, no such answer is in a record. Cause: only the status of the second response was compared. Now the head behind the refusal, once it has arrived as a whole, must prove too that the request did not run.

--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -214,7 +214,7 @@
         }
         if (defect.isEmpty()
                 && conventions.provesNotRun(status, trace.responseHeaders().toMultimap())
-                && ResponseBoundary.contradicts(status, bytesBehind)) {
+                && isContradicted(status, bytesBehind)) {
             defect = Optional.of("another response follows the refusal with status " + status);
         }
         if (bytesBehind.length > 0) {
@@ -234,6 +234,14 @@
         return defect;
     }
 
+    /** Tells whether a refusal is followed by a response that is no refusal, as far as it has arrived. */
+    private boolean isContradicted(int status, byte[] bytesBehind) {
+        return ResponseBoundary.contradicts(status, bytesBehind)
+                || ResponseBoundary.headersBehind(bytesBehind)
+                        .filter(headers -> !conventions.provesNotRun(status, headers))
+                        .isPresent();
+    }
+
     private Optional<BackendResult> findInvalidHead(Response response) {
         Headers headers = trace.responseHeaders();
         List<String> requestIds = headers.values(conventions.requestIdHeader());
--- a/src/main/java/org/cassiabank/backend/ResponseBoundary.java
+++ b/src/main/java/org/cassiabank/backend/ResponseBoundary.java
@@ -1,8 +1,12 @@
 package org.cassiabank.backend;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.cassiabank.http.ResponseHeads;
@@ -21,7 +25,9 @@
     private static final byte[] BEGINNING = BEGINNING_TEXT.getBytes(StandardCharsets.US_ASCII);
     private static final String END_OF_HEAD = "\r\n\r\n";
     /** OkHttp reads lines that end in a line feed alone, too. */
-    private static final Pattern EMPTY_LINE_AT_END = Pattern.compile("\\r?\\n\\r?\\n\\z");
+    private static final Pattern EMPTY_LINE = Pattern.compile("\\r?\\n\\r?\\n");
+
+    private static final Pattern EMPTY_LINE_AT_END = Pattern.compile(EMPTY_LINE.pattern() + "\\z");
 
     private static final int EMPTY_LINE_BYTES = END_OF_HEAD.length();
     private static final int STATUS_LINE_BYTES = "HTTP/1.1 200".length();
@@ -90,6 +96,27 @@
                         .lookingAt();
     }
 
+    /**
+     * Reads the head of the response that follows another one.
+     *
+     * @param bytesBehind the bytes that follow the end of a response and may begin another one
+     * @return the values of its headers by name, or empty if the head has not arrived as a whole
+     */
+    static Optional<Map<String, List<String>>> headersBehind(byte[] bytesBehind) {
+        String text = text(bytesBehind, 0);
+        Matcher emptyLine = EMPTY_LINE.matcher(text);
+        if (!emptyLine.find()) {
+            return Optional.empty();
+        }
+        Map<String, List<String>> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        text.substring(0, emptyLine.start()).lines().skip(1).forEach(line -> {
+            int nameEnd = Math.max(0, line.indexOf(':'));
+            headers.computeIfAbsent(line.substring(0, nameEnd), name -> new ArrayList<>())
+                    .add(line.substring(Math.min(line.length(), nameEnd + 1)).strip());
+        });
+        return Optional.of(headers);
+    }
+
     /**
      * Tells whether only bytes that arrive later can tell where a response ends: its body ends like the beginning of
      * another response, or what follows it is too short to tell what it is.
