--- a/src/test/java/org/cassiabank/http/ResponseInputStreamTest.java
+++ b/src/test/java/org/cassiabank/http/ResponseInputStreamTest.java
@@ -20,6 +20,10 @@
 @Timeout(60)
 class ResponseInputStreamTest {
     private static final int READ_BYTES = 8_192;
+    /** Needs more than one turn if its first one is long. */
+    private static final int BODY_BYTES = 3 * READ_BYTES;
+
+    private static final long PAUSE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     @ParameterizedTest
     @EnumSource(Part.class)
@@ -57,6 +61,44 @@
         assertThat(process.waitFor()).isZero();
     }
 
+    @Test
+    void anIdleConnectionIsExaminedWithoutAPauseForTheTimeItWasIdle() throws Exception {
+        ResponseInputStream input = beginBody(BODY_BYTES);
+        assertThat(input.readNBytes(BODY_BYTES)).hasSize(BODY_BYTES);
+        input.endResponse();
+        TimeUnit.NANOSECONDS.sleep(PAUSE_NANOS);
+        assertThat(nanosOf(() -> assertThat(input.read()).isEqualTo(-1))).isLessThan(PAUSE_NANOS);
+    }
+
+    @Test
+    void aResponseIsReadWithoutAPauseForTheTimeInWhichItsRequestWasWritten() throws Exception {
+        ResponseInputStream input = beginBody(BODY_BYTES);
+        TimeUnit.NANOSECONDS.sleep(PAUSE_NANOS);
+        assertThat(nanosOf(() -> assertThat(input.readNBytes(BODY_BYTES)).hasSize(BODY_BYTES)))
+                .isLessThan(PAUSE_NANOS);
+    }
+
+    @Test
+    void aResponseIsReadWithoutAPauseForTheTimeInWhichTheProcessWasStopped() throws Exception {
+        ResponseInputStream input = beginBody(BODY_BYTES);
+        assertThat(input.readNBytes(READ_BYTES)).hasSize(READ_BYTES);
+        TimeUnit.NANOSECONDS.sleep(PAUSE_NANOS);
+        assertThat(nanosOf(() -> assertThat(input.read()).isNotNegative())).isLessThan(PAUSE_NANOS);
+    }
+
+    private static ResponseInputStream beginBody(long bytes) {
+        ResponseInputStream input = ResponseInputStream.of(new EndlessInput(), () -> {}, DecodingTurns.create());
+        input.beginResponse();
+        input.beginBody(bytes);
+        return input;
+    }
+
+    private static long nanosOf(Reading reading) throws IOException {
+        long startNanos = System.nanoTime();
+        reading.read();
+        return System.nanoTime() - startNanos;
+    }
+
     private static void readUntil(AtomicBoolean ended, Part part, DecodingTurns turns, CountDownLatch running) {
         ResponseInputStream input = ResponseInputStream.of(new EndlessInput(), () -> {}, turns);
         input.beginResponse();
@@ -71,6 +113,12 @@
         }
     }
 
+    /** Reads from a connection. */
+    @FunctionalInterface
+    private interface Reading {
+        void read() throws IOException;
+    }
+
     private enum Part {
         HEAD(input -> {}),
         CHUNKED_BODY(ResponseInputStream::beginChunkedBody),
--- a/src/test/java/org/cassiabank/http/SeparateResponsesTest.java
+++ b/src/test/java/org/cassiabank/http/SeparateResponsesTest.java
@@ -7,13 +7,15 @@
 import okhttp3.ConnectionPool;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
+import okhttp3.RequestBody;
 import okhttp3.Response;
 import org.cassiabank.backend.ScriptedServer;
 import org.junit.jupiter.api.Test;
 
-/** Guards against further requests on a connection from which bytes behind a response were read and dropped. */
+/** Guards what happens on a connection between its responses. */
 class SeparateResponsesTest {
     private static final int MAXIMUM_RESPONSE_BYTES = 1_000;
+    private static final int LARGE_RESPONSE_BYTES = 100_000;
 
     @Test
     void noRequestFollowsAResponseBehindWhichMoreBytesAreReadThanItMayHave() throws Exception {
@@ -36,4 +38,27 @@
             assertThat(server.acceptedConnections).hasValue(2);
         }
     }
+
+    @Test
+    void aRequestIsSentAtOnceOnAConnectionThatWasIdleForLong() throws Exception {
+        OkHttpClient client = SeparateResponses.newClientBuilder(new ConnectionPool(), LARGE_RESPONSE_BYTES, List.of())
+                .callTimeout(5, TimeUnit.SECONDS)
+                .build();
+        String body = "b".repeat(30_000);
+        try (ScriptedServer server = new ScriptedServer((request, socket) -> ScriptedServer.write(
+                socket, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body))) {
+            Request.Builder builder = new Request.Builder().url("http://" + server.address() + "/");
+            try (Response response = client.newCall(builder.build()).execute()) {
+                assertThat(response.body().string()).isEqualTo(body);
+            }
+            // OkHttp examines a connection that was idle for 10 s before it sends such a request on it.
+            TimeUnit.MILLISECONDS.sleep(10_200);
+            Request request =
+                    builder.post(RequestBody.create(new byte[1], null)).build();
+            try (Response response = client.newCall(request).execute()) {
+                assertThat(response.body().string()).isEqualTo(body);
+            }
+            assertThat(server.acceptedConnections).hasValue(1);
+        }
+    }
 }
