Count only decoding as the turn of a response

What callers saw: a request of the store's client other than GET, on a connection that had been idle for 10.2 s after a response of 30,000 bytes, was held for 20.7 s in spite of a call timeout of 1 s: so would be the renewal of a lease. Responses of more than 8 KiB paused for 2 s per second in which their request was written or the process was stopped, and with them all long responses of the client. Cause: a turn counted every moment outside a read since the request began. OkHttp reads from an idle connection before it sends such a request on it; that read awaited a turn for twice the idle time. A read between two responses awaits no turn, a turn begins with the first read that hands out bytes of it, and counts for 10 ms at most: one that seems longer was not decoded all the time.

--- a/src/main/java/org/cassiabank/http/ResponseInputStream.java
+++ b/src/main/java/org/cassiabank/http/ResponseInputStream.java
@@ -26,6 +26,9 @@
     /** Holds the longest head that is looked for at the end of a body. */
     private static final int END_OF_BODY_BYTES = 4_096;
 
+    /** In a longer turn the thread did not decode all the time: its process was stopped, or it did other work. */
+    private static final long MAXIMUM_TURN_NANOS = 10 * DecodingTurns.TURN_NANOS;
+
     /** What the bytes that are read next belong to. */
     private enum Part {
         /** No response is expected: the next byte ends the use of the connection. */
@@ -179,7 +182,9 @@
         if (length == 0) {
             return 0;
         }
-        awaitTurn();
+        if (part != Part.NONE) {
+            awaitTurn();
+        }
         int readBytes = readPart(bytes, offset, length);
         turnBytes += Math.max(0, readBytes);
         return readBytes;
@@ -293,9 +298,14 @@
 
     /** Awaits the next turn if the last one is over. A short response needs a single turn, however long it takes. */
     private void awaitTurn() throws IOException {
+        if (turnBytes == 0) {
+            // Until now the request was written, or the thread waited for its turn.
+            beginTurn();
+            return;
+        }
         long turnNanos = System.nanoTime() - turnStartNanos;
         if (turnBytes >= BUFFER_BYTES && turnNanos > DecodingTurns.TURN_NANOS) {
-            turns.awaitTurn(turnNanos, input::available);
+            turns.awaitTurn(Math.min(turnNanos, MAXIMUM_TURN_NANOS), input::available);
             beginTurn();
         }
     }
