Show a failure of a server that a broken interim response hides

The server sends the beginning of an interim response, then a 500 without a body and a 200 to the same request.

--- a/src/test/java/org/cassiabank/backend/JoinedResponseTest.java
+++ b/src/test/java/org/cassiabank/backend/JoinedResponseTest.java
@@ -85,6 +85,25 @@
         assertDeliversOneOf(first, ServerResponse.of(nextStatus, Framing.LENGTH), "POST");
     }
 
+    /** OkHttp reads the heads of interim responses and drops them. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 100 Cont",
+                "HTTP/1.1 103 Early Hints\r\nLink: </style.css",
+                "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n",
+                "HTTP/1.1 100 Continue\r\nX-Long: %s",
+            })
+    void anInterimResponseThatBreaksOffHidesNoFailureBeforeASuccess(String interim) throws Exception {
+        String failure = "HTTP/1.1 500 Failure\r\nCassiabank-Request-Id: " + ID + "\r\nContent-Length: 0\r\n\r\n";
+        String success = ServerResponse.of(200, Framing.LENGTH).bytes(ID);
+        try (BackendClient client = newClient();
+                ScriptedServer server = new ScriptedServer((request, socket) ->
+                        ScriptedServer.write(socket, interim.formatted("a".repeat(10_000)) + failure + success))) {
+            assertThat(client.send(request(server, "GET", ID))).isInstanceOf(NoValidResponse.class);
+        }
+    }
+
     private static void assertDeliversOneOf(ServerResponse first, ServerResponse second, String method)
             throws Exception {
         String firstBytes = first.bytes(ID);
