Refuse a response before which an interim head takes in another response

What callers saw: a success where the server had answered a failure, if the server began an interim response, broke it off, sent a failure without a body and then a success to the same request. OkHttp reads a status line as the rest of a line of the interim head, which it drops, so ResponseHeads never sees it. Each line of an interim head is examined where it is handed out, for the clients of servers and of the store.

--- a/src/main/java/org/cassiabank/http/ResponseInputStream.java
+++ b/src/main/java/org/cassiabank/http/ResponseInputStream.java
@@ -46,6 +46,7 @@
     /** The rest of a body of declared length. */
     private long remainingBytes;
 
+    private InterimHeads interimHeads = new InterimHeads();
     private ChunkFraming chunkFraming = new ChunkFraming();
     /** The latest bytes of a body of declared length, as far as they were handed out. */
     private final ByteArrayOutputStream endOfBody = new ByteArrayOutputStream();
@@ -84,6 +85,7 @@
     /** Expects the head of a response, or several if the first ones are interim. */
     public void beginResponse() {
         part = Part.HEAD;
+        interimHeads = new InterimHeads();
         beginTurn();
         endOfBody.reset();
     }
@@ -201,6 +203,9 @@
             }
             case HEAD -> {
                 int taken = readLine(bytes, offset, length);
+                if (taken > 0) {
+                    interimHeads.recordLine(bytes, offset, taken);
+                }
                 if (taken > 0 && bytes[offset + taken - 1] == '\n') {
                     headLines.onHeadLine();
                 }
