--- a/src/main/java/org/cassiabank/http/DecodingTurns.java
+++ b/src/main/java/org/cassiabank/http/DecodingTurns.java
@@ -58,6 +58,7 @@
      */
     void awaitTurn(long lastTurnNanos, Connection connection) throws IOException {
         long startNanos = reserveTurn(System.nanoTime(), lastTurnNanos);
+        boolean taken = false;
         try {
             // A thread whose turn has come waits too, so that it is resumed behind those that are ready.
             long remainingNanos = Math.max(1, startNanos - System.nanoTime());
@@ -66,9 +67,15 @@
                 connection.requireOpen();
                 remainingNanos = startNanos - System.nanoTime();
             }
+            taken = true;
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
             throw (IOException) new InterruptedIOException("interrupted before the next turn").initCause(exception);
+        } finally {
+            if (!taken && startNanos - System.nanoTime() > 0) {
+                // Later turns move up; otherwise those of many closed connections would put them off.
+                nextTurnNanos.addAndGet(-INTERVAL_PER_TURN * lastTurnNanos);
+            }
         }
     }
 
