--- a/src/main/java/org/cassiabank/backend/ResponseMeter.java
+++ b/src/main/java/org/cassiabank/backend/ResponseMeter.java
@@ -23,9 +23,6 @@
     /** The objects for one line of a head: two strings with their arrays, and their places in lists. */
     private static final int BYTES_PER_HEAD_LINE = 128;
 
-    /** The lines of the head, interim responses and trailers of a response; servers send fewer than a hundred. */
-    static final int MAXIMUM_HEAD_LINES = 1_000;
-
     private final ResponseMemory.Share memoryShare;
     private long receivedBytes;
     private long bodyBytes;
--- a/src/main/java/org/cassiabank/http/DecodingTurns.java
+++ b/src/main/java/org/cassiabank/http/DecodingTurns.java
@@ -18,7 +18,7 @@
     /** The time in nanoseconds for which a response is decoded without a pause. */
     public static final long TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
-    /** A turn that seems longer was interrupted by a pause of the process, in which nobody used the processor. */
+    /** In a turn that seems longer the thread did not decode all the time: its process was stopped, or it did other work. */
     private static final long MAXIMUM_TURN_NANOS = 10 * TURN_NANOS;
 
     /** Leaves half of one processor to other work. */
@@ -60,7 +60,9 @@
      * @throws InterruptedIOException if the thread is interrupted; the interrupt status is kept
      */
     public void awaitTurn(long lastTurnNanos, Connection connection) throws IOException {
-        long startNanos = reserveTurn(System.nanoTime(), lastTurnNanos);
+        long intervalNanos = intervalNanos(lastTurnNanos);
+        long startNanos = reserve(System.nanoTime(), intervalNanos);
+        boolean taken = false;
         try {
             // A thread whose turn has come waits too, so that it is resumed behind those that are ready.
             long remainingNanos = Math.max(1, startNanos - System.nanoTime());
@@ -69,15 +71,28 @@
                 connection.requireOpen();
                 remainingNanos = startNanos - System.nanoTime();
             }
+            taken = true;
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
             throw (IOException) new InterruptedIOException("interrupted before the next turn").initCause(exception);
+        } finally {
+            if (!taken && startNanos - System.nanoTime() > 0) {
+                // Later turns move up; otherwise those of many closed connections would put them off.
+                nextTurnNanos.addAndGet(-intervalNanos);
+            }
         }
     }
 
     /** Returns the {@link System#nanoTime()} at which the turn begins, which may have passed. */
     long reserveTurn(long nowNanos, long lastTurnNanos) {
-        long intervalNanos = INTERVAL_PER_TURN * Math.min(lastTurnNanos, MAXIMUM_TURN_NANOS);
+        return reserve(nowNanos, intervalNanos(lastTurnNanos));
+    }
+
+    private static long intervalNanos(long lastTurnNanos) {
+        return INTERVAL_PER_TURN * Math.min(lastTurnNanos, MAXIMUM_TURN_NANOS);
+    }
+
+    private long reserve(long nowNanos, long intervalNanos) {
         return nextTurnNanos.updateAndGet(next -> nowNanos + Math.max(next - nowNanos, -CREDIT_NANOS) + intervalNanos);
     }
 
--- a/src/main/java/org/cassiabank/http/ResponseInputStream.java
+++ b/src/main/java/org/cassiabank/http/ResponseInputStream.java
@@ -43,6 +43,7 @@
     /** The rest of a body of declared length. */
     private long remainingBytes;
 
+    private InterimHeads interimHeads = new InterimHeads();
     private ChunkFraming chunkFraming = new ChunkFraming();
     /** The latest bytes of a body of declared length, as far as they were handed out. */
     private final ByteArrayOutputStream endOfBody = new ByteArrayOutputStream();
@@ -81,6 +82,7 @@
     /** Expects the head of a response, or several if the first ones are interim. */
     public void beginResponse() {
         part = Part.HEAD;
+        interimHeads = new InterimHeads();
         beginTurn();
         endOfBody.reset();
     }
@@ -179,7 +181,9 @@
         if (length == 0) {
             return 0;
         }
-        awaitTurn();
+        if (part != Part.NONE) {
+            awaitTurn();
+        }
         int readBytes = readPart(bytes, offset, length);
         turnBytes += Math.max(0, readBytes);
         return readBytes;
@@ -196,6 +200,9 @@
             }
             case HEAD -> {
                 int taken = readLine(bytes, offset, length);
+                if (taken > 0) {
+                    interimHeads.recordLine(bytes, offset, taken);
+                }
                 if (taken > 0 && bytes[offset + taken - 1] == '\n') {
                     headLines.onHeadLine();
                 }
@@ -281,20 +288,26 @@
         return readBytes;
     }
 
-    /** Reads from the connection; a read that waits lets other threads run anyway. */
+    /** Reads from the connection; a read that waits lets other threads run anyway, so it does not belong to the turn. */
     private int receive(byte[] bytes, int offset, int length) throws IOException {
+        if (input.available() > 0) {
+            return input.read(bytes, offset, length);
+        }
         long startNanos = System.nanoTime();
         try {
             return input.read(bytes, offset, length);
         } finally {
-            long endNanos = System.nanoTime();
-            // A turn begins when there is something to decode; the request may have taken long to send.
-            turnStartNanos = turnBytes == 0 ? endNanos : turnStartNanos + endNanos - startNanos;
+            turnStartNanos += System.nanoTime() - startNanos;
         }
     }
 
     /** Awaits the next turn if the last one is over. A short response needs a single turn, however long it takes. */
     private void awaitTurn() throws IOException {
+        if (turnBytes == 0) {
+            // Until now the request was written, or the thread waited for its turn.
+            beginTurn();
+            return;
+        }
         long turnNanos = System.nanoTime() - turnStartNanos;
         if (turnBytes >= BUFFER_BYTES && turnNanos > DecodingTurns.TURN_NANOS) {
             turns.awaitTurn(turnNanos, input::available);
--- a/src/test/java/org/cassiabank/http/ResponseInputStreamTest.java
+++ b/src/test/java/org/cassiabank/http/ResponseInputStreamTest.java
@@ -20,6 +20,10 @@
 @Timeout(60)
 class ResponseInputStreamTest {
     private static final int READ_BYTES = 8_192;
+    /** Needs more than one turn if its first one is long. */
+    private static final int BODY_BYTES = 3 * READ_BYTES;
+
+    private static final long PAUSE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     @ParameterizedTest
     @EnumSource(Part.class)
@@ -68,6 +72,62 @@
         assertThat(System.nanoTime() - startNanos).isLessThan(TimeUnit.SECONDS.toNanos(1));
     }
 
+    @Test
+    void anIdleConnectionIsExaminedWithoutAPauseForTheTimeItWasIdle() throws Exception {
+        ResponseInputStream input = beginBody(BODY_BYTES);
+        assertThat(input.readNBytes(BODY_BYTES)).hasSize(BODY_BYTES);
+        input.endResponse();
+        TimeUnit.NANOSECONDS.sleep(PAUSE_NANOS);
+        assertThat(nanosOf(() -> assertThat(input.read()).isEqualTo(-1))).isLessThan(PAUSE_NANOS);
+    }
+
+    @Test
+    void aResponseIsReadWithoutAPauseForTheTimeInWhichItsRequestWasWritten() throws Exception {
+        ResponseInputStream input = beginBody(BODY_BYTES);
+        TimeUnit.NANOSECONDS.sleep(PAUSE_NANOS);
+        assertThat(nanosOf(() -> assertThat(input.readNBytes(BODY_BYTES)).hasSize(BODY_BYTES)))
+                .isLessThan(PAUSE_NANOS);
+    }
+
+    @Test
+    void aResponseIsReadWithoutAPauseForTheTimeInWhichTheProcessWasStopped() throws Exception {
+        ResponseInputStream input = beginBody(BODY_BYTES);
+        assertThat(input.readNBytes(READ_BYTES)).hasSize(READ_BYTES);
+        TimeUnit.NANOSECONDS.sleep(PAUSE_NANOS);
+        assertThat(nanosOf(() -> assertThat(input.read()).isNotNegative())).isLessThan(PAUSE_NANOS);
+    }
+
+    /** A read that finds bytes occupies the processor, as copying and decoding them does. */
+    @Test
+    void readsThatDoNotWaitBelongToTheTurn() throws Exception {
+        int reads = 100;
+        ResponseInputStream input =
+                ResponseInputStream.of(new OccupyingInput(), () -> {}, DecodingTurns.startingAt(System.nanoTime()));
+        input.beginResponse();
+        input.beginBodyUntilEndOfConnection();
+        byte[] bytes = new byte[READ_BYTES];
+        long nanos = nanosOf(() -> {
+            for (int read = 0; read < reads; read++) {
+                assertThat(input.read(bytes)).isPositive();
+            }
+        });
+        // Half of the time is left to others, apart from unused turns before.
+        assertThat(nanos).isGreaterThan(reads * OccupyingInput.READ_NANOS * 3 / 2);
+    }
+
+    private static ResponseInputStream beginBody(long bytes) {
+        ResponseInputStream input = ResponseInputStream.of(new EndlessInput(), () -> {}, DecodingTurns.create());
+        input.beginResponse();
+        input.beginBody(bytes);
+        return input;
+    }
+
+    private static long nanosOf(Reading reading) throws IOException {
+        long startNanos = System.nanoTime();
+        reading.read();
+        return System.nanoTime() - startNanos;
+    }
+
     private static void readUntil(AtomicBoolean ended, Part part, DecodingTurns turns, CountDownLatch running) {
         ResponseInputStream input = ResponseInputStream.of(new EndlessInput(), () -> {}, turns);
         input.beginResponse();
@@ -82,6 +142,12 @@
         }
     }
 
+    /** Reads from a connection. */
+    @FunctionalInterface
+    private interface Reading {
+        void read() throws IOException;
+    }
+
     private enum Part {
         HEAD(input -> {}),
         CHUNKED_BODY(ResponseInputStream::beginChunkedBody),
@@ -116,6 +182,30 @@
         }
     }
 
+    /** Bytes that are always there, each read of which occupies the processor. */
+    private static final class OccupyingInput extends InputStream {
+        private static final long READ_NANOS = 2 * DecodingTurns.TURN_NANOS;
+
+        @Override
+        public int read() {
+            throw new UnsupportedOperationException("only arrays are read");
+        }
+
+        @Override
+        public int read(byte[] bytes, int offset, int length) {
+            long startNanos = System.nanoTime();
+            while (System.nanoTime() - startNanos < READ_NANOS) {
+                Thread.onSpinWait();
+            }
+            return length;
+        }
+
+        @Override
+        public int available() {
+            return READ_BYTES;
+        }
+    }
+
     /** A process with one carrier thread; its exit code is 0 if other threads run beside endless responses. */
     static final class OneCarrier {
         private OneCarrier() {}
