--- a/src/main/java/org/cassiabank/http/DecodingTurns.java
+++ b/src/main/java/org/cassiabank/http/DecodingTurns.java
@@ -18,7 +18,7 @@
     /** The time in nanoseconds for which a response is decoded without a pause. */
     public static final long TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
-    /** In a turn that seems longer the thread did not decode all the time: its process was stopped, or it did other work. */
+    /** In a longer turn the thread did not decode all the time: its process was stopped, or it did other work. */
     private static final long MAXIMUM_TURN_NANOS = 10 * TURN_NANOS;
 
     /** Leaves half of one processor to other work. */
--- a/src/main/java/org/cassiabank/http/ResponseInputStream.java
+++ b/src/main/java/org/cassiabank/http/ResponseInputStream.java
@@ -288,7 +288,7 @@
         return readBytes;
     }
 
-    /** Reads from the connection; a read that waits lets other threads run anyway, so it does not belong to the turn. */
+    /** Reads from the connection; a read that waits lets other threads run, so it does not belong to the turn. */
     private int receive(byte[] bytes, int offset, int length) throws IOException {
         if (input.available() > 0) {
             return input.read(bytes, offset, length);
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -206,13 +206,8 @@
                 fatalRequests.recordEnd(completed.digest(), true);
                 fatalRequests.recordLivingServer(completed.serverName(), incarnation, completed.grantedAtMillis());
             }
-            case SPOILED -> {
-                LOGGER.atInfo().log(
-                        "%s: server %s sent no valid response to request %s of %s; it has not ended",
-                        key, completed.serverName(), completed.digest().shortText(), completed.entryProxy());
-                fatalRequests.recordEnd(completed.digest(), false);
-            }
-            case FAILED, OVERDUE, NOT_RUN, CANCELLED -> fatalRequests.recordEnd(completed.digest(), false);
+            // A server that sends bytes, whatever they are, has not ended.
+            case SPOILED, FAILED, OVERDUE, NOT_RUN, CANCELLED -> fatalRequests.recordEnd(completed.digest(), false);
         }
     }
 
--- a/src/test/java/org/cassiabank/backend/NoValidResponseTest.java
+++ b/src/test/java/org/cassiabank/backend/NoValidResponseTest.java
@@ -10,8 +10,8 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /**
- * Guards against log lines that a server can break, forge or make as long as it likes, and against servers that count as
- * ended because they sent a bad response.
+ * Guards against log lines that a server can break, forge or make as long as it likes, and against servers that count
+ * as ended because they sent a bad response.
  */
 class NoValidResponseTest {
 
