Limit the lines of which the examination of interim heads keeps a copy

A status line without end was kept a second time, up to 256 KiB for each response and outside the memory that is counted for responses. Cause: InterimHeads collects a line until it ends. A status line, or a line of an interim head, has at most 8,192 bytes now.

--- a/src/main/java/org/cassiabank/http/InterimHeads.java
+++ b/src/main/java/org/cassiabank/http/InterimHeads.java
@@ -14,6 +14,9 @@
 final class InterimHeads {
     private static final Pattern INTERIM_STATUS_LINE = Pattern.compile("HTTP/1\\.[01] 1");
 
+    /** Each line is kept once more while it is examined, outside the memory that is counted for responses. */
+    private static final int MAXIMUM_LINE_BYTES = 8_192;
+
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
     private boolean expectsStatusLine = true;
     private boolean interim;
@@ -25,12 +28,17 @@
      * @param offset the position of the first byte
      * @param length the number of bytes
      * @throws ProtocolException if the line is complete and the status line of another response stands in it
+     * @throws ResponseTooLargeException if a status line, or a line of an interim head, exceeds 8,192 bytes
      */
-    void recordLine(byte[] bytes, int offset, int length) throws ProtocolException {
+    void recordLine(byte[] bytes, int offset, int length) throws ProtocolException, ResponseTooLargeException {
         if (!expectsStatusLine && !interim) {
             return;
         }
         line.write(bytes, offset, length);
+        if (line.size() > MAXIMUM_LINE_BYTES) {
+            throw ResponseTooLargeException.of("a line before the fields of the response exceeds " + MAXIMUM_LINE_BYTES
+                    + " bytes: [" + PrintableText.abbreviate(line.toString(StandardCharsets.ISO_8859_1)) + "]");
+        }
         if (bytes[offset + length - 1] == '\n') {
             String text = line.toString(StandardCharsets.ISO_8859_1);
             line.reset();
--- a/src/test/java/org/cassiabank/backend/EndlessResponseTest.java
+++ b/src/test/java/org/cassiabank/backend/EndlessResponseTest.java
@@ -190,6 +190,16 @@
         assertThat(server.closedConnections.tryAcquire(5, TimeUnit.SECONDS)).isTrue();
     }
 
+    @ParameterizedTest
+    @CsvSource({"'HTTP/1.1 200 '", "'HTTP/1.1 103 Early Hints\r\nLink: '"})
+    void aLineBeforeTheFieldsOfAResponseIsCutOffAtAFractionOfTheBytesOutsideABody(String start) throws Exception {
+        ScriptedServer server =
+                startServer((request, socket) -> ScriptedServer.write(socket, start + "a".repeat(20_000)));
+        assertThat(client.send(request(server.address(), 10_000)))
+                .isInstanceOfSatisfying(NoValidResponse.class, invalid -> assertThat(invalid.reason())
+                        .isEqualTo(NoValidResponseReason.RESPONSE_TOO_LARGE));
+    }
+
     @Test
     void aResponseWithHundredsOfHeadersAndTrailersIsReceivedAndItsConnectionServesTheNextOne() throws Exception {
         ScriptedServer server = startServer((request, socket) -> ScriptedServer.write(
--- a/src/test/java/org/cassiabank/backend/NoValidResponseTest.java
+++ b/src/test/java/org/cassiabank/backend/NoValidResponseTest.java
@@ -36,6 +36,7 @@
         "SPOILED, 'HTTP/1.1 200 OkHTTP/1.1 500 Error|Cassiabank-Request-Id: id-1|Content-Length: 2||ok'",
         "SPOILED, 'HTTP/1.1 200 OK|Cassiabank-Request-Id: id-1|Content-Length: 2||ok and bytes behind'",
         "SPOILED, 'HTTP/1.1 200 OK|Cassiabank-Request-Id: id-1|Transfer-Encoding: chunked||5;ENDLESS'",
+        "SPOILED, 'HTTP/1.1 200 ENDLESS'",
         "BROKEN, 'HTTP/1.1 200 OK|Cassiabank-Request-Id: id-1|'",
         "BROKEN, 'HTTP/1.1 200 OK|Cassiabank-Request-Id: id-1|Content-Length: 20||ok'",
         "BROKEN, ''",
