--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.io.InterruptedIOException;
+import java.net.ProtocolException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
@@ -201,7 +202,7 @@
         }
         byte[] bodyBytes = body.readByteArray();
         return findForeignBytes(response.code(), bodyBytes)
-                .<BackendResult>map(detail -> new NoValidResponse(NoValidResponseReason.TRUNCATED_RESPONSE, detail))
+                .<BackendResult>map(detail -> new NoValidResponse(NoValidResponseReason.JOINED_RESPONSES, detail))
                 .orElseGet(() -> toResult(response, bodyBytes));
     }
 
@@ -214,7 +215,7 @@
         }
         if (defect.isEmpty()
                 && conventions.provesNotRun(status, trace.responseHeaders().toMultimap())
-                && ResponseBoundary.contradicts(status, bytesBehind)) {
+                && isContradicted(status, bytesBehind)) {
             defect = Optional.of("another response follows the refusal with status " + status);
         }
         if (bytesBehind.length > 0) {
@@ -234,6 +235,14 @@
         return defect;
     }
 
+    /** Tells whether a refusal is followed by a response that is no refusal, as far as it has arrived. */
+    private boolean isContradicted(int status, byte[] bytesBehind) {
+        return ResponseBoundary.contradicts(status, bytesBehind)
+                || ResponseBoundary.headersBehind(bytesBehind)
+                        .filter(headers -> !conventions.provesNotRun(status, headers))
+                        .isPresent();
+    }
+
     private Optional<BackendResult> findInvalidHead(Response response) {
         Headers headers = trace.responseHeaders();
         List<String> requestIds = headers.values(conventions.requestIdHeader());
@@ -341,6 +350,9 @@
         if (exception instanceof InterruptedIOException) {
             return new NoValidResponse(NoValidResponseReason.TIMEOUT, detail);
         }
+        if (exception instanceof ProtocolException && trace.responseHeaders() == null) {
+            return new NoValidResponse(NoValidResponseReason.MALFORMED_HEAD, detail);
+        }
         return trace.responseHeaders() == null
                 ? new NoValidResponse(NoValidResponseReason.CONNECTION_LOST, detail)
                 : new NoValidResponse(NoValidResponseReason.TRUNCATED_RESPONSE, detail);
--- a/src/main/java/org/cassiabank/http/DecodingTurns.java
+++ b/src/main/java/org/cassiabank/http/DecodingTurns.java
@@ -6,8 +6,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Shares the processor between long responses that are decoded at the same time: they are decoded in turns, and between
- * two turns the processor is free for other work.
+ * Shares the processor between long responses, or connections of peers with many calls, that are decoded at the same
+ * time: they are decoded in turns, and between two turns the processor is free for other work.
  *
  * <p>A virtual thread that waits for its turn is resumed by a timer. {@link Thread#yield()} is not enough: as soon as
  * two threads yield on one carrier thread, it resumes them in turn and starts no thread that becomes ready elsewhere.
@@ -15,8 +15,11 @@
  * <p>Instances are thread-safe.
  */
 public final class DecodingTurns {
-    /** The time for which a response is decoded without a pause. */
-    static final long TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+    /** The time in nanoseconds for which a response is decoded without a pause. */
+    public static final long TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+
+    /** In a longer turn the thread did not decode all the time: its process was stopped, or it did other work. */
+    private static final long MAXIMUM_TURN_NANOS = 10 * TURN_NANOS;
 
     /** Leaves half of one processor to other work. */
     private static final int INTERVAL_PER_TURN = 2;
@@ -35,7 +38,7 @@
     }
 
     /**
-     * Creates turns for the responses of one client.
+     * Creates turns for the responses of one client, or the calls to one server.
      *
      * @return the turns
      */
@@ -56,8 +59,10 @@
      * @throws IOException if the connection was closed
      * @throws InterruptedIOException if the thread is interrupted; the interrupt status is kept
      */
-    void awaitTurn(long lastTurnNanos, Connection connection) throws IOException {
-        long startNanos = reserveTurn(System.nanoTime(), lastTurnNanos);
+    public void awaitTurn(long lastTurnNanos, Connection connection) throws IOException {
+        long intervalNanos = intervalNanos(lastTurnNanos);
+        long startNanos = reserve(System.nanoTime(), intervalNanos);
+        boolean taken = false;
         try {
             // A thread whose turn has come waits too, so that it is resumed behind those that are ready.
             long remainingNanos = Math.max(1, startNanos - System.nanoTime());
@@ -66,21 +71,34 @@
                 connection.requireOpen();
                 remainingNanos = startNanos - System.nanoTime();
             }
+            taken = true;
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
             throw (IOException) new InterruptedIOException("interrupted before the next turn").initCause(exception);
+        } finally {
+            if (!taken && startNanos - System.nanoTime() > 0) {
+                // Later turns move up; otherwise those of many closed connections would put them off.
+                nextTurnNanos.addAndGet(-intervalNanos);
+            }
         }
     }
 
     /** Returns the {@link System#nanoTime()} at which the turn begins, which may have passed. */
     long reserveTurn(long nowNanos, long lastTurnNanos) {
-        long intervalNanos = INTERVAL_PER_TURN * lastTurnNanos;
+        return reserve(nowNanos, intervalNanos(lastTurnNanos));
+    }
+
+    private static long intervalNanos(long lastTurnNanos) {
+        return INTERVAL_PER_TURN * Math.min(lastTurnNanos, MAXIMUM_TURN_NANOS);
+    }
+
+    private long reserve(long nowNanos, long intervalNanos) {
         return nextTurnNanos.updateAndGet(next -> nowNanos + Math.max(next - nowNanos, -CREDIT_NANOS) + intervalNanos);
     }
 
     /** The connection of a response. */
     @FunctionalInterface
-    interface Connection {
+    public interface Connection {
 
         /**
          * Examines the connection.
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -206,7 +206,8 @@
                 fatalRequests.recordEnd(completed.digest(), true);
                 fatalRequests.recordLivingServer(completed.serverName(), incarnation, completed.grantedAtMillis());
             }
-            case FAILED, OVERDUE, NOT_RUN, CANCELLED -> fatalRequests.recordEnd(completed.digest(), false);
+            // A server that sends bytes, whatever they are, has not ended.
+            case SPOILED, FAILED, OVERDUE, NOT_RUN, CANCELLED -> fatalRequests.recordEnd(completed.digest(), false);
         }
     }
 
