Log the servers of a shard that are limited to tests, back off or got no request

The line of a shard could not tell a server that is out from one that is healthy and got nothing: servers that mostly failed and get tests only, servers that back off after they shed a request, and servers without a request for 2 s were in no line, nor were failed attempts. The line is also written when more than a tenth of the attempts failed. No decision changes.

--- a/src/main/java/org/cassiabank/admission/ServerPool.java
+++ b/src/main/java/org/cassiabank/admission/ServerPool.java
@@ -198,6 +198,27 @@
                 .count();
     }
 
+    /** Returns how many healthy servers get test requests only. */
+    int limitedServers(long nowMillis) {
+        return (int) Arrays.stream(presentServers)
+                .filter(server -> server.isHealthy() && isLimitedToTests(server, presentServers, nowMillis))
+                .count();
+    }
+
+    /** Returns how many servers have shed requests and back off. */
+    int backingOffServers(long nowMillis) {
+        return (int) Arrays.stream(presentServers)
+                .filter(server -> server.isActive() && server.isBackingOff(nowMillis))
+                .count();
+    }
+
+    /** Returns how many servers that are not leaving got no request since a time. */
+    int unusedServers(long sinceMillis) {
+        return (int) Arrays.stream(presentServers)
+                .filter(server -> !server.schedulableServer().leaving() && server.hasNoGrantSince(sinceMillis))
+                .count();
+    }
+
     /** Returns the usable slots of the healthy servers, or of those on probation if the healthy ones have none. */
     static int usableSlots(ServerState[] servers, long nowMillis) {
         int healthySlots = 0;
--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -287,6 +287,9 @@
                 leases.all().size(),
                 ServerPool.usableSlots(pool.presentServers(), currentMillis),
                 pool.fullServers(currentMillis),
+                pool.limitedServers(currentMillis),
+                pool.backingOffServers(currentMillis),
+                pool.unusedServers(currentMillis - ShardLoad.UNUSED_MILLIS),
                 shortQueue.size() + longQueue.size(),
                 leases.expiredLeases());
     }
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -165,6 +165,7 @@
         Optional<CompletedLease> completedLease = scheduler.completeLease(leaseId, outcome, latencyMicros, nowMillis);
         completedLease.ifPresent(completed -> {
             recordForRequest(completed, outcome);
+            loadLog.recordAttempt(outcome.isEvidenceAgainstServer());
             if (outcome.isEvidenceAgainstServer()) {
                 healthLog.recordFailure(completed.serverName(), outcome, completed.entryProxy());
             }
--- a/src/main/java/org/cassiabank/proxy/ShardLoadLog.java
+++ b/src/main/java/org/cassiabank/proxy/ShardLoadLog.java
@@ -8,16 +8,21 @@
 import org.cassiabank.health.ServerHealth;
 
 /**
- * Logs what a shard's owner has in use, at most once a second and only while servers are kept out, requests are refused
- * or leases expire. Instances are not thread-safe.
+ * Logs what a shard's owner has in use, at most once a second and only while servers are kept out, requests are refused,
+ * attempts fail or leases expire. Instances are not thread-safe.
  */
 final class ShardLoadLog {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final long INTERVAL_MILLIS = 1_000;
 
+    /** Servers in order answer a few requests with an error. */
+    private static final double MAXIMUM_FAILED_SHARE = 0.1;
+
     private final ShardKey key;
     private long nextLineMillis;
     private long refusedRequests;
+    private long completedAttempts;
+    private long failedAttempts;
     private long loggedExpiredLeases;
 
     private ShardLoadLog(ShardKey key) {
@@ -32,6 +37,12 @@
         refusedRequests++;
     }
 
+    /** Counts an attempt that has ended, and whether it is evidence against its server. */
+    void recordAttempt(boolean failed) {
+        completedAttempts++;
+        failedAttempts += failed ? 1 : 0;
+    }
+
     boolean isDue(long nowMillis) {
         return nowMillis >= nextLineMillis;
     }
@@ -48,16 +59,23 @@
         nextLineMillis = nowMillis + INTERVAL_MILLIS;
         long newExpiredLeases = load.expiredLeases() - loggedExpiredLeases;
         int healthy = Collections.frequency(health, ServerHealth.HEALTHY);
-        if (healthy == health.size() && refusedRequests == 0 && newExpiredLeases == 0) {
+        boolean manyFailed = failedAttempts > MAXIMUM_FAILED_SHARE * completedAttempts;
+        if (healthy == health.size() && refusedRequests == 0 && newExpiredLeases == 0 && !manyFailed) {
+            completedAttempts = 0;
+            failedAttempts = 0;
             return;
         }
         LOGGER.atInfo().log(
-                "%s: servers=%d healthy=%d full=%d ejected=%d probation=%d leaving=%d leased=%d "
-                        + "usable-slots=%d queued=%d refused=%d expired-leases=%d",
+                "%s: servers=%d healthy=%d full=%d tests-only=%d backing-off=%d unused=%d ejected=%d probation=%d "
+                        + "leaving=%d leased=%d usable-slots=%d queued=%d refused=%d completed=%d failed=%d "
+                        + "expired-leases=%d",
                 key,
                 health.size(),
                 healthy,
                 load.fullServers(),
+                load.limitedServers(),
+                load.backingOffServers(),
+                load.unusedServers(),
                 Collections.frequency(health, ServerHealth.EJECTED),
                 Collections.frequency(health, ServerHealth.PROBATION),
                 leavingServers,
@@ -65,8 +83,12 @@
                 load.usableSlots(),
                 load.queuedRequests(),
                 refusedRequests,
+                completedAttempts,
+                failedAttempts,
                 newExpiredLeases);
         refusedRequests = 0;
+        completedAttempts = 0;
+        failedAttempts = 0;
         loggedExpiredLeases = load.expiredLeases();
     }
 }
