--- a/src/test/java/org/cassiabank/proxy/OwnerSimulation.java
+++ b/src/test/java/org/cassiabank/proxy/OwnerSimulation.java
@@ -7,10 +7,12 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.DoubleSupplier;
 import java.util.function.DoubleUnaryOperator;
 import java.util.stream.IntStream;
 import org.cassiabank.admission.AdmissionRequest;
@@ -52,6 +54,13 @@
     private static final double RETRY_RATIO = 0.2;
     private static final double RETRY_SLACK = 64;
     private static final long RETRY_WINDOW_MILLIS = 10_000;
+    private static final double TAIL_SHARE = 0.03;
+    private static final double TAIL_FACTOR = 7;
+    private static final double MAXIMUM_SERVICE_MEANS = 11;
+    /** The users count a server as sound again this long after it failed by itself. */
+    private static final double SOUND_AFTER_OWN_FAULT_MILLIS = 2_000;
+    /** The users count a server as sound again this long after a disruption. */
+    private static final double SOUND_AFTER_DISRUPTION_MILLIS = 6_000;
 
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingDouble(Event::timeMillis).thenComparingLong(Event::order));
@@ -97,6 +106,44 @@
             long deadlineMillis,
             double untilMillis,
             DoubleUnaryOperator requestsPerSecond) {
+        return addLoad(
+                "route",
+                () -> meanServiceMillis * (0.5 + random.nextDouble()),
+                repeatable,
+                deadlineMillis,
+                untilMillis,
+                requestsPerSecond);
+    }
+
+    /** Adds Poisson arrivals of repeatable requests; the service times are log-normal, and a few are far longer. */
+    OwnerSimulation addLongTailedLoad(
+            String route,
+            double meanServiceMillis,
+            double logStandardDeviation,
+            long deadlineMillis,
+            double untilMillis,
+            double requestsPerSecond) {
+        double medianMillis = meanServiceMillis * Math.exp(-logStandardDeviation * logStandardDeviation / 2);
+        return addLoad(
+                route,
+                () -> Math.min(
+                        MAXIMUM_SERVICE_MEANS * meanServiceMillis,
+                        medianMillis
+                                * Math.exp(logStandardDeviation * random.nextGaussian())
+                                * (random.nextDouble() < TAIL_SHARE ? TAIL_FACTOR : 1)),
+                true,
+                deadlineMillis,
+                untilMillis,
+                time -> requestsPerSecond);
+    }
+
+    private OwnerSimulation addLoad(
+            String route,
+            DoubleSupplier serviceMillis,
+            boolean repeatable,
+            long deadlineMillis,
+            double untilMillis,
+            DoubleUnaryOperator requestsPerSecond) {
         double maximumRate = IntStream.rangeClosed(0, 1_000)
                 .mapToDouble(step -> requestsPerSecond.applyAsDouble(untilMillis * step / 1_000))
                 .max()
@@ -111,10 +158,11 @@
             if (random.nextDouble() * maximumRate < requestsPerSecond.applyAsDouble(timeMillis)) {
                 Call call = new Call(
                         "entry-" + random.nextInt(entryCount),
+                        route,
                         repeatable,
                         timeMillis,
                         timeMillis + deadlineMillis,
-                        meanServiceMillis * (0.5 + random.nextDouble()));
+                        serviceMillis.getAsDouble());
                 calls.add(call);
                 schedule(timeMillis, () -> acquire(call));
             }
@@ -123,7 +171,20 @@
 
     /** Makes a server break a share of the connections soon after it has read a request. */
     OwnerSimulation addFaultyTime(int server, double fromMillis, double untilMillis, double share) {
-        faultyTimes.add(new FaultyTime(name(server), fromMillis, untilMillis, share));
+        return addFaultyTime(server, fromMillis, untilMillis, share, Fault.BREAKS);
+    }
+
+    /** Makes a server fail a share of its requests by itself. It counts as sound 2 s after. */
+    OwnerSimulation addFaultyTime(int server, double fromMillis, double untilMillis, double share, Fault fault) {
+        faultyTimes.add(
+                new FaultyTime(name(server), fromMillis, untilMillis, share, fault, 1, SOUND_AFTER_OWN_FAULT_MILLIS));
+        return this;
+    }
+
+    /** Makes a server take longer by a factor for the requests that it begins. It counts as sound 6 s after. */
+    OwnerSimulation addSlowTime(int server, double fromMillis, double untilMillis, double factor) {
+        faultyTimes.add(new FaultyTime(
+                name(server), fromMillis, untilMillis, 0, Fault.BREAKS, factor, SOUND_AFTER_DISRUPTION_MILLIS));
         return this;
     }
 
@@ -222,7 +283,7 @@
             if (faultyTimes.stream()
                     .noneMatch(time -> time.server().equals(name)
                             && time.fromMillis() < untilMillis
-                            && time.untilMillis() + lengthAfterFault() > fromMillis)) {
+                            && time.untilMillis() + time.soundAfterMillis() > fromMillis)) {
                 sound.add(name);
             }
         }
@@ -235,11 +296,6 @@
         return sound.isEmpty() ? 1 : (double) used / sound.size();
     }
 
-    /** The users count a server that failed by itself as sound again after this time. */
-    private static double lengthAfterFault() {
-        return 2_000;
-    }
-
     private void evaluate() {
         scheduler
                 .inFlightAttempts((long) nowMillis)
@@ -277,8 +333,8 @@
         }
         AdmissionRequest request = new AdmissionRequest(
                 call.entry,
-                "route",
-                "route",
+                call.route,
+                call.route,
                 "*",
                 CostHint.LEARNED,
                 call.repeatable,
@@ -322,14 +378,30 @@
             return;
         }
         starts.add(new Start(granted.serverName(), nowMillis));
-        boolean fails = faultyTimes.stream()
+        List<FaultyTime> presentFaults = faultyTimes.stream()
                 .filter(time -> time.server().equals(granted.serverName())
                         && time.fromMillis() <= nowMillis
                         && time.untilMillis() > nowMillis)
-                .anyMatch(time -> random.nextDouble() < time.share());
-        schedule(
-                nowMillis + (fails ? FAULT_MILLIS : call.serviceMillis),
-                () -> end(attempt, fails ? AttemptOutcome.BROKEN : AttemptOutcome.ANSWERED));
+                .toList();
+        double serviceMillis = call.serviceMillis
+                * presentFaults.stream().mapToDouble(FaultyTime::slowdown).max().orElse(1);
+        Optional<FaultyTime> failure = presentFaults.stream()
+                .filter(time -> random.nextDouble() < time.share())
+                .findFirst();
+        schedule(call.deadlineMillis, () -> end(attempt, AttemptOutcome.OVERDUE));
+        if (failure.isEmpty()) {
+            schedule(nowMillis + serviceMillis, () -> end(attempt, AttemptOutcome.ANSWERED));
+            return;
+        }
+        switch (failure.get().fault()) {
+            case BREAKS -> schedule(nowMillis + FAULT_MILLIS, () -> end(attempt, AttemptOutcome.BROKEN));
+            case LOSES -> schedule(nowMillis + serviceMillis, () -> end(attempt, AttemptOutcome.BROKEN));
+            case HANGS ->
+                schedule(failure.get().untilMillis() + serviceMillis, () -> end(attempt, AttemptOutcome.ANSWERED));
+            case SILENT -> {
+                // The attempt ends at its deadline.
+            }
+        }
     }
 
     private void end(Attempt attempt, AttemptOutcome outcome) {
@@ -342,7 +414,7 @@
                 nowMillis + 1 + random.nextDouble() * (MAXIMUM_REPORT_MILLIS - 1),
                 () -> report(attempt, outcome, latencyMicros));
         if (outcome == AttemptOutcome.ANSWERED) {
-            call.answered = nowMillis <= call.deadlineMillis;
+            call.answered = true;
             return;
         }
         call.excludedServers.add(attempt.server);
@@ -385,13 +457,33 @@
 
     private record Event(double timeMillis, long order, Runnable action) {}
 
-    private record FaultyTime(String server, double fromMillis, double untilMillis, double share) {}
+    /** What a disturbed server does with the requests that it fails. */
+    enum Fault {
+        /** Breaks the connection soon after it has read the request. */
+        BREAKS,
+        /** Runs the request and breaks the connection instead of responding. */
+        LOSES,
+        /** Runs the request after the disruption. */
+        HANGS,
+        /** Never responds. */
+        SILENT
+    }
+
+    private record FaultyTime(
+            String server,
+            double fromMillis,
+            double untilMillis,
+            double share,
+            Fault fault,
+            double slowdown,
+            double soundAfterMillis) {}
 
     /** An attempt that began at a server. */
     private record Start(String server, double atMillis) {}
 
     private static final class Call {
         private final String entry;
+        private final String route;
         private final boolean repeatable;
         private final double arrivedAtMillis;
         private final double deadlineMillis;
@@ -401,8 +493,14 @@
         private boolean failed;
 
         private Call(
-                String entry, boolean repeatable, double arrivedAtMillis, double deadlineMillis, double serviceMillis) {
+                String entry,
+                String route,
+                boolean repeatable,
+                double arrivedAtMillis,
+                double deadlineMillis,
+                double serviceMillis) {
             this.entry = entry;
+            this.route = route;
             this.repeatable = repeatable;
             this.arrivedAtMillis = arrivedAtMillis;
             this.deadlineMillis = deadlineMillis;
