Try servers on probation beside the requests that they had before

What callers saw: requests refused or late beside sound servers that got nothing. A server on probation had one slot, and a request from before its ejection took it: one that is never answered holds its slot until the timeout of the route, 5 or 8 s. The same holds for a trial that is not answered. Now requests from before the probation do not count as trials, a trial that takes over a second allows another one beside it for repeatable requests, and up to three requests that would have to wait try the server at once. Orders still try it one at a time. No server gets more requests than it has slots.

--- a/src/main/java/org/cassiabank/admission/LeaseTable.java
+++ b/src/main/java/org/cassiabank/admission/LeaseTable.java
@@ -33,7 +33,7 @@
             return Optional.empty();
         }
         leasesByExpiry.remove(lease);
-        lease.server().recordRelease(lease.isLongWork());
+        lease.server().recordRelease(lease.isLongWork(), lease.id());
         return Optional.of(lease);
     }
 
--- a/src/main/java/org/cassiabank/admission/ServerPool.java
+++ b/src/main/java/org/cassiabank/admission/ServerPool.java
@@ -113,7 +113,6 @@
     /** Returns the server for the first request of a lane of short work, or null if no slot is free. */
     ServerState chooseForShortWork(Lane lane, long nowMillis) {
         ServerState bestHealthy = null;
-        ServerState bestOnProbation = null;
         PlacementHints hints = lane.firstTicket().request().hints();
         boolean healthyExists = false;
         ServerState failingServerDueForTest = null;
@@ -130,12 +129,9 @@
                 } else if (bestHealthy == null || server.isBetterThan(bestHealthy, hints, nowMillis)) {
                     bestHealthy = server;
                 }
-            } else if (server.isOnProbation()
-                    && server.hasFreeSlot(nowMillis)
-                    && (bestOnProbation == null || server.isBetterThan(bestOnProbation, hints, nowMillis))) {
-                bestOnProbation = server;
             }
         }
+        ServerState bestOnProbation = chooseForTrial(lane, bestHealthy == null, nowMillis);
         // An idle server on probation is preferred, because it gets no test while the others have free slots otherwise.
         boolean choosesProbation = !healthyExists
                 || bestOnProbation != null
@@ -150,6 +146,20 @@
         return bestHealthy == null ? failingServerDueForTest : bestHealthy;
     }
 
+    /** Returns the server on probation for the first request of a lane, or null if none may be tried with it. */
+    private ServerState chooseForTrial(Lane lane, boolean hasToWait, long nowMillis) {
+        PlacementHints hints = lane.firstTicket().request().hints();
+        ServerState best = null;
+        for (ServerState server : lane.candidates(this)) {
+            if (server.isOnProbation()
+                    && server.isFreeForTrial(lane.key().repeatable(), hasToWait, nowMillis)
+                    && (best == null || server.isBetterThan(best, hints, nowMillis))) {
+                best = server;
+            }
+        }
+        return best;
+    }
+
     /**
      * Tells whether a server gets test requests only. The minimum share of servers that stay in use can keep a failing
      * server healthy. While another server is reliable, the failing one is avoided, because a server that fails fast
--- a/src/main/java/org/cassiabank/admission/ServerState.java
+++ b/src/main/java/org/cassiabank/admission/ServerState.java
@@ -49,6 +49,12 @@
     /** The minimum interval between repeatable test requests to a server that mostly fails. */
     private static final long FAILING_SERVER_TEST_INTERVAL_MILLIS = 250;
 
+    /** A trial that takes longer does not keep a server on probation from another one. */
+    private static final long TRIAL_PATIENCE_MILLIS = 1_000;
+
+    /** How many requests may try a server on probation at once while they would have to wait otherwise. */
+    private static final int MAXIMUM_TRIALS_OF_WAITING_REQUESTS = 3;
+
     /** Failures with a common cause are reported within this time. */
     private static final long SAME_MOMENT_MILLIS = 500;
 
@@ -88,6 +94,11 @@
     private long lastGrantAtMillis = Long.MIN_VALUE / 2;
     private int shortGrantsSinceLong;
     private long probationSinceMillis;
+    /** The latest lease that was granted before the probation. */
+    private long lastLeaseIdBeforeProbation;
+    /** The leases that were granted during the probation. */
+    private int trialLeases;
+
     private double failureShare;
     private long failureShareUpdatedAtMillis;
     private double failureShareBefore;
@@ -104,6 +115,8 @@
     void update(SchedulableServer newServer, long nowMillis) {
         if (newServer.health() == ServerHealth.PROBATION && schedulableServer.health() != ServerHealth.PROBATION) {
             probationSinceMillis = nowMillis;
+            lastLeaseIdBeforeProbation = lastLeaseId;
+            trialLeases = 0;
         }
         schedulableServer = newServer;
         present = true;
@@ -173,11 +186,13 @@
         if (schedulableServer.health() == ServerHealth.PROBATION) {
             slots = 1;
         }
+        return backsOff(nowMillis) ? Math.min(slots, backoffSlots) : slots;
+    }
+
+    private boolean backsOff(long nowMillis) {
         // A doubled backoff moves work to servers that shed nothing. If there are none, it would leave servers idle
         // while requests are refused.
-        boolean backsOff =
-                nowMillis < initialBackoffEndMillis || isBackingOff(nowMillis) && !allServersBackOff.test(nowMillis);
-        return backsOff ? Math.min(slots, backoffSlots) : slots;
+        return nowMillis < initialBackoffEndMillis || isBackingOff(nowMillis) && !allServersBackOff.test(nowMillis);
     }
 
     /** Tells whether the server has a free slot and accepts another request now. */
@@ -185,6 +200,24 @@
         return leases < usableSlots(nowMillis) && allowsRequest(nowMillis);
     }
 
+    /**
+     * Tells whether a server on probation may be tried with another request now. Requests from before the probation may
+     * never be answered, so they do not keep the server from being tried unless they hold all its slots.
+     *
+     * @param repeatable whether the request may run again elsewhere if the trial fails
+     * @param hasToWait whether no other server has a free slot for the request
+     * @param nowMillis the current time in milliseconds
+     */
+    boolean isFreeForTrial(boolean repeatable, boolean hasToWait, long nowMillis) {
+        if (backsOff(nowMillis)) {
+            return hasFreeSlot(nowMillis);
+        }
+        boolean isLatestTrialSlow = nowMillis - lastGrantAtMillis >= TRIAL_PATIENCE_MILLIS;
+        boolean hasTrialSlot = trialLeases == 0
+                || repeatable && (isLatestTrialSlow || hasToWait && trialLeases < MAXIMUM_TRIALS_OF_WAITING_REQUESTS);
+        return hasTrialSlot && leases < schedulableServer.slots() && allowsRequest(nowMillis);
+    }
+
     /** Returns the requests of a mean cost in microseconds that the server can run at once on average, in slots. */
     double usableCapacity(double costMicros, long nowMillis) {
         double slots = usableSlots(nowMillis);
@@ -248,6 +281,7 @@
 
     void recordGrant(boolean longWork, long leaseId, long nowMillis) {
         leases++;
+        trialLeases++;
         lastLeaseId = leaseId;
         lastGrantAtMillis = nowMillis;
         rateLimiter.ifPresent(limiter -> limiter.recordGrant(nowMillis));
@@ -259,8 +293,9 @@
         }
     }
 
-    void recordRelease(boolean longWork) {
+    void recordRelease(boolean longWork, long leaseId) {
         leases--;
+        trialLeases -= leaseId > lastLeaseIdBeforeProbation ? 1 : 0;
         longWorkLeases -= longWork ? 1 : 0;
     }
 
--- a/src/test/java/org/cassiabank/admission/SlotSchedulerTest.java
+++ b/src/test/java/org/cassiabank/admission/SlotSchedulerTest.java
@@ -52,6 +52,31 @@
                 .containsExactly("unhealthy");
     }
 
+    @Test
+    void requestsFromBeforeTheProbationDoNotKeepAServerFromBeingTried() {
+        SchedulableServer other = server("other", ServerHealth.HEALTHY, 4);
+        scheduler.replaceServers(List.of(server("unhealthy", ServerHealth.HEALTHY, 4)), 0);
+        for (int request = 0; request < 3; request++) {
+            assertThat(acquiredServer(request(CostHint.SHORT, true), 0)).isEqualTo("unhealthy");
+        }
+        scheduler.replaceServers(List.of(other, server("unhealthy", ServerHealth.EJECTED, 4)), 10);
+        scheduler.replaceServers(List.of(other, server("unhealthy", ServerHealth.PROBATION, 4)), 1_010);
+        assertThat(acquiredServer(request(CostHint.SHORT, true), 1_010)).isEqualTo("unhealthy");
+        assertThat(acquiredServer(request(CostHint.SHORT, true), 3_000))
+                .as("all slots are taken")
+                .isEqualTo("other");
+    }
+
+    @Test
+    void aSlowTrialKeepsAServerFromOrdersButNotFromRepeatableRequests() {
+        scheduler.replaceServers(
+                List.of(server("healthy", ServerHealth.HEALTHY, 4), server("unhealthy", ServerHealth.PROBATION, 4)), 0);
+        assertThat(acquiredServer(request(CostHint.SHORT, true), 0)).isEqualTo("unhealthy");
+        assertThat(acquiredServer(request(CostHint.SHORT, true), 999)).isEqualTo("healthy");
+        assertThat(acquiredServer(request(CostHint.SHORT, false), 1_000)).isEqualTo("healthy");
+        assertThat(acquiredServer(request(CostHint.SHORT, true), 1_000)).isEqualTo("unhealthy");
+    }
+
     @Test
     void unrepeatableRequestTestsAServerOnProbationWithoutRepeatableRequests() {
         List<SchedulableServer> servers =
