Judge a server's unanswered requests by the time at which they were sent

What callers saw: sound servers of a service with long routes got nothing while requests were refused. A request that a server never answers ends at the timeout of its route, 5 or 8 s after it was sent, and counted as news then. A silent fault shorter than the timeout was found after its end, and a sound server paid for it; its responses to later requests did not count, because only the order of the ends did. Now the requests of a server count in the order in which they were sent. A response outweighs requests that were sent before it, a request in flight counts by the share of the responses of its route that take longer than it has taken, and a failure of a request that was sent before an answered one counts less or, in a probation, not at all. The median of the servers is subtracted, because a late daemon or a slow service leaves requests unanswered everywhere, and ages after a pause of the owner are left out.

--- a/src/main/java/org/cassiabank/health/HealthMonitor.java
+++ b/src/main/java/org/cassiabank/health/HealthMonitor.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -20,6 +21,12 @@
  * not thread-safe. All times must come from one monotonic clock.
  */
 public final class HealthMonitor {
+    /** After a longer time without observations this daemon was paused, and the ages of the attempts include it. */
+    private static final long MAXIMUM_OBSERVATION_GAP_MILLIS = 250;
+
+    /** After a pause the ends of attempts are reported within this time. */
+    private static final long LATE_REPORTS_MILLIS = 500;
+
     private final HealthSettings settings;
     private final OutlierDetector detector;
     private final Map<String, TrackedServer> servers = new LinkedHashMap<>();
@@ -28,6 +35,8 @@
     private int floor;
     private int domainCount;
     private boolean hadServers;
+    private long observedMillis = Long.MIN_VALUE / 2;
+    private long observedFromMillis = Long.MIN_VALUE / 2;
 
     private HealthMonitor(HealthSettings settings) {
         this.settings = settings;
@@ -145,7 +154,11 @@
      */
     public void recordInFlight(String serverName, String route, long elapsedMicros, long nowMillis) {
         TrackedServer server = servers.get(Objects.requireNonNull(serverName, "serverName"));
-        if (server == null || server.ejectionState.health() == ServerHealth.EJECTED) {
+        if (server == null) {
+            return;
+        }
+        recordUnanswered(server, route, elapsedMicros, nowMillis);
+        if (server.ejectionState.health() == ServerHealth.EJECTED) {
             return;
         }
         AttemptClassification classification = detector.recordInFlight(
@@ -153,6 +166,25 @@
         server.ejectionState.recordAttempt(classification, nowMillis - elapsedMicros / 1_000);
     }
 
+    private void recordUnanswered(TrackedServer server, String route, long elapsedMicros, long nowMillis) {
+        if (nowMillis - observedMillis > MAXIMUM_OBSERVATION_GAP_MILLIS) {
+            observedFromMillis = nowMillis;
+        }
+        observedMillis = nowMillis;
+        boolean isLate = nowMillis - observedFromMillis < LATE_REPORTS_MILLIS;
+        if (server.suspicion.isEmpty()
+                || isLate
+                || !evidenceScope(server, nowMillis).countsSlowness()) {
+            return;
+        }
+        OptionalDouble longerShare = detector.shareOfLongerResponses(route, elapsedMicros, nowMillis);
+        if (longerShare.isPresent()) {
+            server.suspicion
+                    .get()
+                    .recordInFlight(nowMillis - elapsedMicros / 1_000, longerShare.getAsDouble(), nowMillis);
+        }
+    }
+
     /**
      * Updates the health states of all servers from the evidence recorded so far.
      *
@@ -214,8 +246,10 @@
     private void excludeSuspects(Map<String, ServerHealth> healthByName, boolean capacityNeeded, long nowMillis) {
         List<TrackedServer> suspects = new ArrayList<>();
         int usableCount = 0;
+        double medianUnansweredScore = medianUnansweredScore(nowMillis);
         for (TrackedServer server : servers.values()) {
-            server.suspicion.ifPresent(suspicion -> suspicion.advance(capacityNeeded, nowMillis));
+            server.suspicion.ifPresent(
+                    suspicion -> suspicion.advance(capacityNeeded, medianUnansweredScore, nowMillis));
             server.isExcludedAsSuspect = false;
             boolean isUsable = server.ejectionState.health() == ServerHealth.HEALTHY && !server.description.leaving();
             usableCount += isUsable ? 1 : 0;
@@ -235,6 +269,21 @@
         }
     }
 
+    private double medianUnansweredScore(long nowMillis) {
+        double[] scores = servers.values().stream()
+                .filter(server -> !server.description.leaving())
+                .flatMap(server -> server.suspicion.stream())
+                .mapToDouble(suspicion -> {
+                    if (nowMillis - observedMillis > MAXIMUM_OBSERVATION_GAP_MILLIS) {
+                        suspicion.forgetInFlight();
+                    }
+                    return suspicion.unansweredScore();
+                })
+                .sorted()
+                .toArray();
+        return scores.length == 0 ? 0 : scores[(scores.length - 1) / 2];
+    }
+
     private void advanceServer(TrackedServer server, long nowMillis) {
         ServerHealth previousHealth = server.ejectionState.health();
         if (previousHealth != ServerHealth.EJECTED) {
--- a/src/main/java/org/cassiabank/health/LatencyProfile.java
+++ b/src/main/java/org/cassiabank/health/LatencyProfile.java
@@ -31,8 +31,7 @@
                     MAXIMUM_WEIGHT_GROWTH, Math.exp((nowMillis - lastSampleMillis) / WEIGHT_TIME_CONSTANT_MILLIS));
         }
         lastSampleMillis = Math.max(lastSampleMillis, nowMillis);
-        double octaves = Math.log(Math.max(1, latencyMicros)) / Math.log(2);
-        bucketWeights[Math.min(BUCKET_COUNT - 1, (int) (octaves * BUCKETS_PER_OCTAVE))] += sampleWeight;
+        bucketWeights[bucketIndex(latencyMicros)] += sampleWeight;
         totalWeight += sampleWeight;
         sampleCount = Math.min(MINIMUM_SAMPLES, sampleCount + 1);
         if (sampleWeight > RESCALE_WEIGHT) {
@@ -53,6 +52,20 @@
         return tailMicros;
     }
 
+    /** Returns the weighted share of the latencies above the bucket of a latency in microseconds. */
+    double shareAbove(long latencyMicros) {
+        double weight = 0;
+        for (int index = bucketIndex(latencyMicros) + 1; index < BUCKET_COUNT; index++) {
+            weight += bucketWeights[index];
+        }
+        return totalWeight == 0 ? 1 : Math.min(1, weight / totalWeight);
+    }
+
+    private static int bucketIndex(long latencyMicros) {
+        double octaves = Math.log(Math.max(1, latencyMicros)) / Math.log(2);
+        return Math.min(BUCKET_COUNT - 1, (int) (octaves * BUCKETS_PER_OCTAVE));
+    }
+
     private void refresh(long nowMillis) {
         boolean isDue = typicalMicros == 0 || nowMillis >= lastRefreshMillis + REFRESH_INTERVAL_MILLIS;
         if (isDue && sampleCount == MINIMUM_SAMPLES) {
--- a/src/main/java/org/cassiabank/health/OutlierDetector.java
+++ b/src/main/java/org/cassiabank/health/OutlierDetector.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.function.Function;
 
 /**
@@ -224,6 +225,21 @@
         return route != null && isOverdue(route, elapsedMicros, nowMillis);
     }
 
+    /**
+     * Returns the share of the responses of a route that take longer than a time.
+     *
+     * @param routeName the route
+     * @param elapsedMicros the time in microseconds
+     * @param nowMillis the time in milliseconds
+     * @return the share, from 0 to 1; empty while the latencies of the route are unknown
+     */
+    OptionalDouble shareOfLongerResponses(String routeName, long elapsedMicros, long nowMillis) {
+        RouteEvidence route = evidenceByRoute.get(routeName);
+        return route == null || !route.latencyProfile().hasEstimate(nowMillis)
+                ? OptionalDouble.empty()
+                : OptionalDouble.of(route.latencyProfile().shareAbove(elapsedMicros));
+    }
+
     private boolean isOverdue(RouteEvidence route, long elapsedMicros, long nowMillis) {
         LatencyProfile latencies = route.latencyProfile();
         if (!latencies.hasEstimate(nowMillis)) {
--- a/src/test/java/org/cassiabank/health/SuspicionTest.java
+++ b/src/test/java/org/cassiabank/health/SuspicionTest.java
@@ -57,9 +57,9 @@
     void aServerIsTriedAfterItsHoldOffAndIsHealthyAfterTwoResponses() {
         Suspicion suspicion = newSuspicion();
         suspicion.recordAttempt(AttemptOutcome.BROKEN, 0, 0);
-        suspicion.advance(false, HOLD_OFF_MILLIS - 1);
+        suspicion.advance(false, 0, HOLD_OFF_MILLIS - 1);
         assertThat(suspicion.health()).isEqualTo(ServerHealth.EJECTED);
-        suspicion.advance(false, HOLD_OFF_MILLIS);
+        suspicion.advance(false, 0, HOLD_OFF_MILLIS);
         assertThat(suspicion.health()).isEqualTo(ServerHealth.PROBATION);
         suspicion.recordAttempt(AttemptOutcome.BROKEN, 10, HOLD_OFF_MILLIS + 5);
         assertThat(suspicion.health()).as("an attempt from before the hold-off").isEqualTo(ServerHealth.PROBATION);
@@ -72,11 +72,11 @@
     void aServerThatTheLoadNeedsIsTriedSoonerAndIsHealthyAfterOneResponse() {
         Suspicion suspicion = newSuspicion();
         suspicion.recordAttempt(AttemptOutcome.BROKEN, 0, 0);
-        suspicion.advance(true, NEEDED_HOLD_OFF_MILLIS - 1);
+        suspicion.advance(true, 0, NEEDED_HOLD_OFF_MILLIS - 1);
         assertThat(suspicion.health()).isEqualTo(ServerHealth.EJECTED);
-        suspicion.advance(false, NEEDED_HOLD_OFF_MILLIS);
+        suspicion.advance(false, 0, NEEDED_HOLD_OFF_MILLIS);
         assertThat(suspicion.health()).as("not needed").isEqualTo(ServerHealth.EJECTED);
-        suspicion.advance(true, NEEDED_HOLD_OFF_MILLIS);
+        suspicion.advance(true, 0, NEEDED_HOLD_OFF_MILLIS);
         assertThat(suspicion.health()).isEqualTo(ServerHealth.PROBATION);
         suspicion.recordAttempt(AttemptOutcome.ANSWERED, NEEDED_HOLD_OFF_MILLIS, NEEDED_HOLD_OFF_MILLIS + 10);
         assertThat(suspicion.health()).isEqualTo(ServerHealth.HEALTHY);
@@ -103,14 +103,101 @@
         long nowMillis = 0;
         for (int trial = 0; trial < 10; trial++) {
             nowMillis += 3 * HOLD_OFF_MILLIS;
-            suspicion.advance(false, nowMillis);
+            suspicion.advance(false, 0, nowMillis);
             assertThat(suspicion.health()).isEqualTo(ServerHealth.PROBATION);
             suspicion.recordAttempt(AttemptOutcome.BROKEN, nowMillis, nowMillis);
         }
-        suspicion.advance(false, nowMillis + HOLD_OFF_MILLIS);
+        suspicion.advance(false, 0, nowMillis + HOLD_OFF_MILLIS);
         assertThat(suspicion.health()).isEqualTo(ServerHealth.EJECTED);
     }
 
+    @Test
+    void requestsOfAFormerFaultThatEndLateDoNotEjectAServerThatAnswersAgain() {
+        Suspicion suspicion = newSuspicion();
+        for (int answered = 0; answered < 3; answered++) {
+            suspicion.recordAttempt(AttemptOutcome.ANSWERED, 4_000 + 100 * answered, 5_000);
+        }
+        for (int overdue = 0; overdue < 6; overdue++) {
+            suspicion.recordAttempt(AttemptOutcome.OVERDUE, 1_000 + 100 * overdue, 6_000 + 100 * overdue);
+            suspicion.advance(false, 0, 6_000 + 100 * overdue);
+        }
+        suspicion.recordAttempt(AttemptOutcome.BROKEN, 2_000, 7_000);
+        assertThat(suspicion.health()).isEqualTo(ServerHealth.HEALTHY);
+    }
+
+    @Test
+    void aTrialThatFailsLateDoesNotCountIfALaterOneWasAnswered() {
+        Suspicion suspicion = newSuspicion();
+        suspicion.recordAttempt(AttemptOutcome.BROKEN, 0, 0);
+        suspicion.advance(false, 0, HOLD_OFF_MILLIS);
+        suspicion.recordAttempt(AttemptOutcome.ANSWERED, HOLD_OFF_MILLIS + 1_000, HOLD_OFF_MILLIS + 2_000);
+        suspicion.recordAttempt(AttemptOutcome.OVERDUE, HOLD_OFF_MILLIS, HOLD_OFF_MILLIS + 5_000);
+        assertThat(suspicion.health()).isEqualTo(ServerHealth.PROBATION);
+        suspicion.recordAttempt(AttemptOutcome.OVERDUE, HOLD_OFF_MILLIS + 1_500, HOLD_OFF_MILLIS + 6_500);
+        assertThat(suspicion.health()).isEqualTo(ServerHealth.EJECTED);
+    }
+
+    @Test
+    void aSilentServerIsEjectedLongBeforeItsRequestsTimeOut() {
+        HealthMonitor monitor = newMonitor(0);
+        recordResponses(monitor, 0, 5_000);
+        // The last response of s0 was sent at 4.9 s, then it leaves four requests unanswered; the longest take 1 s.
+        Map<String, ServerHealth> healthByName = Map.of();
+        long nowMillis = 5_000;
+        while (nowMillis < 8_000 && healthByName.get("s0") != ServerHealth.EJECTED) {
+            nowMillis += 50;
+            for (int request = 0; request < 4; request++) {
+                monitor.recordInFlight("s0", "order", 1_000 * (nowMillis - 5_000 - 50 * request), nowMillis);
+            }
+            for (int server = 1; server < SERVER_COUNT; server++) {
+                monitor.recordInFlight("s" + server, "order", 100_000, nowMillis);
+            }
+            healthByName = monitor.evaluate(nowMillis);
+        }
+        assertThat(healthByName).containsEntry("s0", ServerHealth.EJECTED);
+        assertThat(nowMillis).isLessThanOrEqualTo(7_000);
+        healthByName.remove("s0");
+        assertThat(healthByName.values()).containsOnly(ServerHealth.HEALTHY);
+    }
+
+    @Test
+    void theAgesOfRequestsAreNoEvidenceAfterAPauseOfTheOwner() {
+        HealthMonitor monitor = newMonitor(0);
+        recordResponses(monitor, 0, 5_000);
+        monitor.recordInFlight("s0", "order", 10_000, 5_000);
+        monitor.evaluate(5_000);
+        for (int request = 0; request < 4; request++) {
+            monitor.recordInFlight("s0", "order", 4_000_000 + 50_000 * request, 9_000);
+        }
+        assertThat(monitor.evaluate(9_000)).containsEntry("s0", ServerHealth.HEALTHY);
+    }
+
+    @Test
+    void requestsThatAllServersLeaveUnansweredAreNoEvidenceAgainstOne() {
+        HealthMonitor monitor = newMonitor(0);
+        recordResponses(monitor, 0, 5_000);
+        for (long nowMillis = 5_050; nowMillis < 7_000; nowMillis += 50) {
+            for (int server = 0; server < SERVER_COUNT; server++) {
+                for (int request = 0; request < 4; request++) {
+                    monitor.recordInFlight("s" + server, "order", 1_000 * (nowMillis - 5_000), nowMillis);
+                }
+            }
+            assertThat(monitor.evaluate(nowMillis).values()).containsOnly(ServerHealth.HEALTHY);
+        }
+    }
+
+    /** Records ten responses a second of each server, which take 0.1 to 1 s. */
+    private static void recordResponses(HealthMonitor monitor, long fromMillis, long untilMillis) {
+        for (long nowMillis = fromMillis + 100; nowMillis <= untilMillis; nowMillis += 100) {
+            for (int server = 0; server < SERVER_COUNT; server++) {
+                monitor.record(
+                        CompletedAttempt.ofUnknownEntryProxy(
+                                "s" + server, "order", AttemptOutcome.ANSWERED, 100_000 + nowMillis % 1_000 * 900),
+                        nowMillis);
+            }
+        }
+    }
+
     @Test
     void theFloorLimitsHowManySuspectServersAreExcluded() {
         HealthMonitor monitor = newMonitor(6);
