Limit hold-offs to the time after which a server has to be in use again

A suspected server was out for up to 5 s where requests can be repeated, and one that the outlier test ejects for 1, 2, 4 s and so on. The users count a server that failed by itself as sound 2 s after and ask for a request within 2 s more, so that 4 s is the limit. A trial with a repeatable request costs little, an order is lost: only after failed trials of repeatable requests the limit is 1.6 times the first hold-off (4 s), otherwise it stays at twice (5 s). The hold-offs of the outlier test have the same upper limit where suspicion is on.

--- a/src/main/java/org/cassiabank/admission/CompletedLease.java
+++ b/src/main/java/org/cassiabank/admission/CompletedLease.java
@@ -11,9 +11,15 @@
  * @param entryProxy the name of the entry proxy that held the lease
  * @param digest identifies the request
  * @param grantedAtMillis the time of the grant in milliseconds
+ * @param repeatable whether the request may run again at another server
  */
 public record CompletedLease(
-        String serverName, String route, String entryProxy, RequestDigest digest, long grantedAtMillis) {
+        String serverName,
+        String route,
+        String entryProxy,
+        RequestDigest digest,
+        long grantedAtMillis,
+        boolean repeatable) {
 
     /**
      * Checks the components.
--- a/src/main/java/org/cassiabank/admission/Lease.java
+++ b/src/main/java/org/cassiabank/admission/Lease.java
@@ -56,7 +56,8 @@
                 request.route(),
                 request.entryProxy(),
                 request.digest(),
-                grantedAtMillis);
+                grantedAtMillis,
+                request.repeatable());
     }
 
     void setLongWork(boolean value) {
--- a/src/main/java/org/cassiabank/health/CompletedAttempt.java
+++ b/src/main/java/org/cassiabank/health/CompletedAttempt.java
@@ -10,9 +10,15 @@
  * @param outcome the outcome of the attempt
  * @param latencyMicros the time from sending to the end of the attempt in microseconds, not negative
  * @param entryProxy the name of the entry proxy that made the attempt, empty if it is not known
+ * @param repeatable whether the request may run again at another server
  */
 public record CompletedAttempt(
-        String server, String route, AttemptOutcome outcome, long latencyMicros, String entryProxy) {
+        String server,
+        String route,
+        AttemptOutcome outcome,
+        long latencyMicros,
+        String entryProxy,
+        boolean repeatable) {
     /**
      * Checks the components.
      *
@@ -30,7 +36,7 @@
     }
 
     /**
-     * Creates an attempt of an entry proxy that is not known.
+     * Creates an attempt at an unrepeatable request of an entry proxy that is not known.
      *
      * @param server the name of the server
      * @param route the selector that the request was routed by
@@ -40,6 +46,6 @@
      */
     public static CompletedAttempt ofUnknownEntryProxy(
             String server, String route, AttemptOutcome outcome, long latencyMicros) {
-        return new CompletedAttempt(server, route, outcome, latencyMicros, "");
+        return new CompletedAttempt(server, route, outcome, latencyMicros, "", false);
     }
 }
--- a/src/main/java/org/cassiabank/health/HealthMonitor.java
+++ b/src/main/java/org/cassiabank/health/HealthMonitor.java
@@ -133,7 +133,8 @@
         boolean isEvidence = attempt.outcome() != AttemptOutcome.OVERDUE
                 || detector.isOverdue(attempt.route(), attempt.latencyMicros(), nowMillis);
         if (isEvidence) {
-            server.suspicion.ifPresent(suspicion -> suspicion.recordAttempt(attempt.outcome(), startMillis, nowMillis));
+            server.suspicion.ifPresent(suspicion ->
+                    suspicion.recordAttempt(attempt.outcome(), attempt.repeatable(), startMillis, nowMillis));
         }
         if (excused || server.ejectionState.health() == ServerHealth.EJECTED) {
             return;
--- a/src/main/java/org/cassiabank/health/HealthSettings.java
+++ b/src/main/java/org/cassiabank/health/HealthSettings.java
@@ -59,7 +59,8 @@
     }
 
     /**
-     * Returns these settings with ejection after a few abrupt failures.
+     * Returns these settings with ejection after a few abrupt failures, whose maximum hold-off limits that of other
+     * ejections too.
      *
      * @param settings the settings for that ejection
      * @return the changed settings
@@ -69,8 +70,8 @@
                 errorThreshold,
                 slownessThreshold,
                 slowFactor,
-                firstHoldOffMillis,
-                maximumHoldOffMillis,
+                Math.min(firstHoldOffMillis, settings.maximumHoldOffMillis()),
+                Math.min(maximumHoldOffMillis, settings.maximumHoldOffMillis()),
                 probationResponses,
                 coldGraceMillis,
                 Optional.of(settings));
--- a/src/main/java/org/cassiabank/health/Suspicion.java
+++ b/src/main/java/org/cassiabank/health/Suspicion.java
@@ -67,10 +67,11 @@
      * Records a completed attempt.
      *
      * @param outcome the outcome of the attempt
+     * @param repeatable whether its request may run again at another server
      * @param startMillis the time in milliseconds at which the attempt was sent
      * @param nowMillis the time in milliseconds
      */
-    void recordAttempt(AttemptOutcome outcome, long startMillis, long nowMillis) {
+    void recordAttempt(AttemptOutcome outcome, boolean repeatable, long startMillis, long nowMillis) {
         if (outcome == AttemptOutcome.BROKEN) {
             rememberState(nowMillis);
         }
@@ -86,7 +87,7 @@
             case PROBATION -> {
                 // An attempt from before the probation is no evidence about the server after the hold-off.
                 if (startMillis >= stateStartMillis) {
-                    recordTrial(outcome, startMillis, nowMillis);
+                    recordTrial(outcome, repeatable, startMillis, nowMillis);
                 }
             }
             case EJECTED -> {
@@ -186,7 +187,7 @@
         enterState(ServerHealth.EJECTED, nowMillis);
     }
 
-    private void recordTrial(AttemptOutcome outcome, long startMillis, long nowMillis) {
+    private void recordTrial(AttemptOutcome outcome, boolean repeatable, long startMillis, long nowMillis) {
         if (outcome.isEvidenceAgainstServer() && startMillis < answeredTrialMillis) {
             // A trial that was sent later has been answered.
             return;
@@ -200,7 +201,9 @@
                 }
             }
             case BROKEN, SPOILED, FAILED, OVERDUE -> {
-                holdOffMillis = Math.min(settings.maximumHoldOffMillis(), holdOffMillis * HOLD_OFF_GROWTH_FACTOR);
+                long maximumMillis =
+                        repeatable ? settings.maximumRepeatableHoldOffMillis() : settings.maximumHoldOffMillis();
+                holdOffMillis = Math.min(maximumMillis, holdOffMillis * HOLD_OFF_GROWTH_FACTOR);
                 enterState(ServerHealth.EJECTED, nowMillis);
             }
             case NOT_RUN, CANCELLED -> {
--- a/src/main/java/org/cassiabank/health/SuspicionSettings.java
+++ b/src/main/java/org/cassiabank/health/SuspicionSettings.java
@@ -6,14 +6,24 @@
  * @param firstHoldOffMillis the time without requests after the first suspicion, in milliseconds
  * @param maximumHoldOffMillis the upper limit of that time, which grows with failed trials, in milliseconds, at least
  *     the first hold-off
+ * @param maximumRepeatableHoldOffMillis the upper limit of that time after a failed trial whose request could run
+ *     again elsewhere, in milliseconds, at least the first hold-off and at most the maximum one
  * @param neededHoldOffMillis that time while the other servers can hardly carry the load, in milliseconds, at least 1
  *     and at most the first hold-off
  * @param requiredResponses the number of good responses that end the probation, at least 1; one is enough while the
  *     other servers can hardly carry the load
  */
 public record SuspicionSettings(
-        long firstHoldOffMillis, long maximumHoldOffMillis, long neededHoldOffMillis, int requiredResponses) {
+        long firstHoldOffMillis,
+        long maximumHoldOffMillis,
+        long maximumRepeatableHoldOffMillis,
+        long neededHoldOffMillis,
+        int requiredResponses) {
     private static final double MAXIMUM_HOLD_OFFS = 2;
+
+    /** A server whose fault has ended has to be tried again within a few seconds where that costs little. */
+    private static final double MAXIMUM_REPEATABLE_HOLD_OFFS = 1.6;
+
     private static final int REQUIRED_RESPONSES = 2;
 
     /** A trial that fails costs a request, so even a server that is needed is not tried at once. */
@@ -27,7 +37,8 @@
     public SuspicionSettings {
         if (neededHoldOffMillis < 1
                 || firstHoldOffMillis < neededHoldOffMillis
-                || maximumHoldOffMillis < firstHoldOffMillis
+                || maximumRepeatableHoldOffMillis < firstHoldOffMillis
+                || maximumHoldOffMillis < maximumRepeatableHoldOffMillis
                 || requiredResponses < 1) {
             throw new IllegalArgumentException(
                     "hold-offs must be positive and in order, and requiredResponses positive");
@@ -38,14 +49,16 @@
      * Returns the settings for a first hold-off.
      *
      * @param firstHoldOffMillis the time without requests after the first suspicion, in milliseconds, at least 1
-     * @return settings with a maximum hold-off of twice the first one, two fifths of it while the server is needed, and
-     *     two required responses, because a server that fails most requests still answers some of them
+     * @return settings with a maximum hold-off of twice the first one, 1.6 times after repeatable requests, two fifths of
+     *     it while the server is needed, and two required responses, because a server that fails most requests still
+     *     answers some of them
      * @throws IllegalArgumentException if the first hold-off is not positive
      */
     public static SuspicionSettings of(long firstHoldOffMillis) {
         return new SuspicionSettings(
                 firstHoldOffMillis,
                 Math.round(MAXIMUM_HOLD_OFFS * firstHoldOffMillis),
+                Math.round(MAXIMUM_REPEATABLE_HOLD_OFFS * firstHoldOffMillis),
                 Math.min(firstHoldOffMillis, Math.max(1, Math.round(NEEDED_HOLD_OFFS * firstHoldOffMillis))),
                 REQUIRED_RESPONSES);
     }
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -171,7 +171,12 @@
             }
             Set<String> excusedServers = monitor.record(
                     new CompletedAttempt(
-                            completed.serverName(), completed.route(), outcome, latencyMicros, completed.entryProxy()),
+                            completed.serverName(),
+                            completed.route(),
+                            outcome,
+                            latencyMicros,
+                            completed.entryProxy(),
+                            completed.repeatable()),
                     nowMillis);
             if (!excusedServers.isEmpty()) {
                 healthLog.recordSimultaneousBreaks(excusedServers);
--- a/src/test/java/org/cassiabank/admission/SlotSchedulerPropertiesTest.java
+++ b/src/test/java/org/cassiabank/admission/SlotSchedulerPropertiesTest.java
@@ -246,7 +246,8 @@
                                         heldLease.request.route(),
                                         heldLease.request.entryProxy(),
                                         heldLease.request.digest(),
-                                        heldLease.grantedAtMillis));
+                                        heldLease.grantedAtMillis,
+                                        heldLease.request.repeatable()));
                         assertThat(scheduler.completeLease(leaseId, outcome, 0, nowMillis))
                                 .isEmpty();
                     });
--- a/src/test/java/org/cassiabank/health/SimultaneousBreaksTest.java
+++ b/src/test/java/org/cassiabank/health/SimultaneousBreaksTest.java
@@ -78,7 +78,8 @@
 
     private Set<String> record(int server, String entryProxy, long nowMillis, long latencyMillis) {
         return breaks.record(
-                new CompletedAttempt("s" + server, "route", AttemptOutcome.BROKEN, latencyMillis * 1_000, entryProxy),
+                new CompletedAttempt(
+                        "s" + server, "route", AttemptOutcome.BROKEN, latencyMillis * 1_000, entryProxy, true),
                 "domain-" + server % DOMAIN_COUNT,
                 SERVER_COUNT,
                 DOMAIN_COUNT,
--- a/src/test/java/org/cassiabank/health/SuspicionTest.java
+++ b/src/test/java/org/cassiabank/health/SuspicionTest.java
@@ -19,27 +19,27 @@
     @Test
     void oneBrokenConnectionEjectsTheServer() {
         Suspicion suspicion = newSuspicion();
-        suspicion.recordAttempt(AttemptOutcome.BROKEN, 0, 10);
+        suspicion.recordAttempt(AttemptOutcome.BROKEN, false, 0, 10);
         assertThat(suspicion.health()).isEqualTo(ServerHealth.EJECTED);
     }
 
     @Test
     void twoServerErrorsCloseTogetherEjectTheServerAndOneDoesNot() {
         Suspicion suspicion = newSuspicion();
-        suspicion.recordAttempt(AttemptOutcome.FAILED, 0, 100);
+        suspicion.recordAttempt(AttemptOutcome.FAILED, false, 0, 100);
         assertThat(suspicion.health()).isEqualTo(ServerHealth.HEALTHY);
-        suspicion.recordAttempt(AttemptOutcome.FAILED, 100, 600);
+        suspicion.recordAttempt(AttemptOutcome.FAILED, false, 100, 600);
         assertThat(suspicion.health()).isEqualTo(ServerHealth.EJECTED);
     }
 
     @Test
     void fourGoodResponsesCancelAServerError() {
         Suspicion suspicion = newSuspicion();
-        suspicion.recordAttempt(AttemptOutcome.FAILED, 0, 100);
+        suspicion.recordAttempt(AttemptOutcome.FAILED, false, 0, 100);
         for (int response = 0; response < 4; response++) {
-            suspicion.recordAttempt(AttemptOutcome.ANSWERED, 100, 200);
+            suspicion.recordAttempt(AttemptOutcome.ANSWERED, false, 100, 200);
         }
-        suspicion.recordAttempt(AttemptOutcome.FAILED, 200, 300);
+        suspicion.recordAttempt(AttemptOutcome.FAILED, false, 200, 300);
         assertThat(suspicion.health()).isEqualTo(ServerHealth.HEALTHY);
     }
 
@@ -47,8 +47,8 @@
     void shedAndCancelledAttemptsAreNoEvidence() {
         Suspicion suspicion = newSuspicion();
         for (int attempt = 0; attempt < 20; attempt++) {
-            suspicion.recordAttempt(AttemptOutcome.NOT_RUN, 0, 10);
-            suspicion.recordAttempt(AttemptOutcome.CANCELLED, 0, 10);
+            suspicion.recordAttempt(AttemptOutcome.NOT_RUN, false, 0, 10);
+            suspicion.recordAttempt(AttemptOutcome.CANCELLED, false, 0, 10);
         }
         assertThat(suspicion.health()).isEqualTo(ServerHealth.HEALTHY);
     }
@@ -56,41 +56,41 @@
     @Test
     void aServerIsTriedAfterItsHoldOffAndIsHealthyAfterTwoResponses() {
         Suspicion suspicion = newSuspicion();
-        suspicion.recordAttempt(AttemptOutcome.BROKEN, 0, 0);
+        suspicion.recordAttempt(AttemptOutcome.BROKEN, false, 0, 0);
         suspicion.advance(false, 0, HOLD_OFF_MILLIS - 1);
         assertThat(suspicion.health()).isEqualTo(ServerHealth.EJECTED);
         suspicion.advance(false, 0, HOLD_OFF_MILLIS);
         assertThat(suspicion.health()).isEqualTo(ServerHealth.PROBATION);
-        suspicion.recordAttempt(AttemptOutcome.BROKEN, 10, HOLD_OFF_MILLIS + 5);
+        suspicion.recordAttempt(AttemptOutcome.BROKEN, false, 10, HOLD_OFF_MILLIS + 5);
         assertThat(suspicion.health()).as("an attempt from before the hold-off").isEqualTo(ServerHealth.PROBATION);
-        suspicion.recordAttempt(AttemptOutcome.ANSWERED, HOLD_OFF_MILLIS, HOLD_OFF_MILLIS + 10);
-        suspicion.recordAttempt(AttemptOutcome.ANSWERED, HOLD_OFF_MILLIS, HOLD_OFF_MILLIS + 20);
+        suspicion.recordAttempt(AttemptOutcome.ANSWERED, false, HOLD_OFF_MILLIS, HOLD_OFF_MILLIS + 10);
+        suspicion.recordAttempt(AttemptOutcome.ANSWERED, false, HOLD_OFF_MILLIS, HOLD_OFF_MILLIS + 20);
         assertThat(suspicion.health()).isEqualTo(ServerHealth.HEALTHY);
     }
 
     @Test
     void aServerThatTheLoadNeedsIsTriedSoonerAndIsHealthyAfterOneResponse() {
         Suspicion suspicion = newSuspicion();
-        suspicion.recordAttempt(AttemptOutcome.BROKEN, 0, 0);
+        suspicion.recordAttempt(AttemptOutcome.BROKEN, false, 0, 0);
         suspicion.advance(true, 0, NEEDED_HOLD_OFF_MILLIS - 1);
         assertThat(suspicion.health()).isEqualTo(ServerHealth.EJECTED);
         suspicion.advance(false, 0, NEEDED_HOLD_OFF_MILLIS);
         assertThat(suspicion.health()).as("not needed").isEqualTo(ServerHealth.EJECTED);
         suspicion.advance(true, 0, NEEDED_HOLD_OFF_MILLIS);
         assertThat(suspicion.health()).isEqualTo(ServerHealth.PROBATION);
-        suspicion.recordAttempt(AttemptOutcome.ANSWERED, NEEDED_HOLD_OFF_MILLIS, NEEDED_HOLD_OFF_MILLIS + 10);
+        suspicion.recordAttempt(AttemptOutcome.ANSWERED, false, NEEDED_HOLD_OFF_MILLIS, NEEDED_HOLD_OFF_MILLIS + 10);
         assertThat(suspicion.health()).isEqualTo(ServerHealth.HEALTHY);
     }
 
     @Test
     void excusedBreaksLeaveTheStateAsItWasBeforeThem() {
         Suspicion suspicion = newSuspicion();
-        suspicion.recordAttempt(AttemptOutcome.FAILED, 0, 0);
-        suspicion.recordAttempt(AttemptOutcome.BROKEN, 0, 10);
-        suspicion.recordAttempt(AttemptOutcome.BROKEN, 0, 20);
+        suspicion.recordAttempt(AttemptOutcome.FAILED, false, 0, 0);
+        suspicion.recordAttempt(AttemptOutcome.BROKEN, false, 0, 10);
+        suspicion.recordAttempt(AttemptOutcome.BROKEN, false, 0, 20);
         suspicion.excuseBreaks();
         assertThat(suspicion.health()).isEqualTo(ServerHealth.HEALTHY);
-        suspicion.recordAttempt(AttemptOutcome.FAILED, 20, 30);
+        suspicion.recordAttempt(AttemptOutcome.FAILED, false, 20, 30);
         assertThat(suspicion.health())
                 .as("the error before the breaks still counts")
                 .isEqualTo(ServerHealth.EJECTED);
@@ -99,13 +99,13 @@
     @Test
     void aFailedTrialLengthensTheHoldOffUpToItsLimit() {
         Suspicion suspicion = newSuspicion();
-        suspicion.recordAttempt(AttemptOutcome.BROKEN, 0, 0);
+        suspicion.recordAttempt(AttemptOutcome.BROKEN, false, 0, 0);
         long nowMillis = 0;
         for (int trial = 0; trial < 10; trial++) {
             nowMillis += 3 * HOLD_OFF_MILLIS;
             suspicion.advance(false, 0, nowMillis);
             assertThat(suspicion.health()).isEqualTo(ServerHealth.PROBATION);
-            suspicion.recordAttempt(AttemptOutcome.BROKEN, nowMillis, nowMillis);
+            suspicion.recordAttempt(AttemptOutcome.BROKEN, false, nowMillis, nowMillis);
         }
         suspicion.advance(false, 0, nowMillis + HOLD_OFF_MILLIS);
         assertThat(suspicion.health()).isEqualTo(ServerHealth.EJECTED);
@@ -115,25 +115,25 @@
     void requestsOfAFormerFaultThatEndLateDoNotEjectAServerThatAnswersAgain() {
         Suspicion suspicion = newSuspicion();
         for (int answered = 0; answered < 3; answered++) {
-            suspicion.recordAttempt(AttemptOutcome.ANSWERED, 4_000 + 100 * answered, 5_000);
+            suspicion.recordAttempt(AttemptOutcome.ANSWERED, false, 4_000 + 100 * answered, 5_000);
         }
         for (int overdue = 0; overdue < 6; overdue++) {
-            suspicion.recordAttempt(AttemptOutcome.OVERDUE, 1_000 + 100 * overdue, 6_000 + 100 * overdue);
+            suspicion.recordAttempt(AttemptOutcome.OVERDUE, false, 1_000 + 100 * overdue, 6_000 + 100 * overdue);
             suspicion.advance(false, 0, 6_000 + 100 * overdue);
         }
-        suspicion.recordAttempt(AttemptOutcome.BROKEN, 2_000, 7_000);
+        suspicion.recordAttempt(AttemptOutcome.BROKEN, false, 2_000, 7_000);
         assertThat(suspicion.health()).isEqualTo(ServerHealth.HEALTHY);
     }
 
     @Test
     void aTrialThatFailsLateDoesNotCountIfALaterOneWasAnswered() {
         Suspicion suspicion = newSuspicion();
-        suspicion.recordAttempt(AttemptOutcome.BROKEN, 0, 0);
+        suspicion.recordAttempt(AttemptOutcome.BROKEN, false, 0, 0);
         suspicion.advance(false, 0, HOLD_OFF_MILLIS);
-        suspicion.recordAttempt(AttemptOutcome.ANSWERED, HOLD_OFF_MILLIS + 1_000, HOLD_OFF_MILLIS + 2_000);
-        suspicion.recordAttempt(AttemptOutcome.OVERDUE, HOLD_OFF_MILLIS, HOLD_OFF_MILLIS + 5_000);
+        suspicion.recordAttempt(AttemptOutcome.ANSWERED, false, HOLD_OFF_MILLIS + 1_000, HOLD_OFF_MILLIS + 2_000);
+        suspicion.recordAttempt(AttemptOutcome.OVERDUE, false, HOLD_OFF_MILLIS, HOLD_OFF_MILLIS + 5_000);
         assertThat(suspicion.health()).isEqualTo(ServerHealth.PROBATION);
-        suspicion.recordAttempt(AttemptOutcome.OVERDUE, HOLD_OFF_MILLIS + 1_500, HOLD_OFF_MILLIS + 6_500);
+        suspicion.recordAttempt(AttemptOutcome.OVERDUE, false, HOLD_OFF_MILLIS + 1_500, HOLD_OFF_MILLIS + 6_500);
         assertThat(suspicion.health()).isEqualTo(ServerHealth.EJECTED);
     }
 
--- a/src/test/java/org/cassiabank/proxy/OwnerSimulation.java
+++ b/src/test/java/org/cassiabank/proxy/OwnerSimulation.java
@@ -434,7 +434,12 @@
                 .toList()) {
             Set<String> excusedServers = monitor.record(
                     new CompletedAttempt(
-                            completed.serverName(), completed.route(), outcome, latencyMicros, completed.entryProxy()),
+                            completed.serverName(),
+                            completed.route(),
+                            outcome,
+                            latencyMicros,
+                            completed.entryProxy(),
+                            completed.repeatable()),
                     now);
             scheduler.excuseFailures(excusedServers, now);
             if (outcome.isEvidenceAgainstServer()) {
