Try servers that are out sooner while requests fail, not only while they wait

Suspected servers were tried sooner only while the servers in use were nearly full. Requests that fail at faulty or slow servers leave free slots, so a shard could lose a quarter of its requests with 55 of 108 slots in use and keep sound servers out for their whole hold-off.

--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -36,6 +36,7 @@
 import org.cassiabank.health.HealthMonitor;
 import org.cassiabank.health.MonitoredServer;
 import org.cassiabank.health.ServerHealth;
+import org.cassiabank.health.UnservedShare;
 import org.cassiabank.membership.Instance;
 import org.cassiabank.retry.FleetRetryBudget;
 
@@ -72,6 +73,7 @@
     private final SlotScheduler scheduler;
     private final HealthMonitor monitor;
     private final Optional<FleetRetryBudget> retryBudget;
+    private final UnservedShare unservedShare;
     private final Map<Long, CompletableFuture<SlotDecision>> waitingPolls = new HashMap<>();
     private final Map<Long, UncollectedDecision> uncollectedDecisions = new HashMap<>();
     private final Map<String, Long> leavingReportMillis = new HashMap<>();
@@ -90,7 +92,8 @@
             OwnerSettings settings,
             FatalRequestExchange fatalRequests,
             ProxyMetrics metrics,
-            Optional<FleetRetryBudget> retryBudget) {
+            Optional<FleetRetryBudget> retryBudget,
+            UnservedShare unservedShare) {
         this.key = key;
         this.fatalRequests = fatalRequests;
         this.healthLog = ServerHealthLog.create(key, metrics);
@@ -98,6 +101,7 @@
         this.scheduler = SlotScheduler.create(settings.scheduler());
         this.monitor = HealthMonitor.create(settings.health());
         this.retryBudget = retryBudget;
+        this.unservedShare = unservedShare;
     }
 
     static OwnedShard create(
@@ -114,7 +118,8 @@
                         retryBudgetSettings.retryAllowancePerWindow() / shardCount,
                         retryBudgetSettings.retryWindowMillis(),
                         nowMillis));
-        OwnedShard shard = new OwnedShard(key, settings, fatalRequests, metrics, retryBudget);
+        OwnedShard shard =
+                new OwnedShard(key, settings, fatalRequests, metrics, retryBudget, UnservedShare.create(nowMillis));
         shard.lastRequestMillis = nowMillis;
         shard.updateView(view, nowMillis);
         return shard;
@@ -136,10 +141,13 @@
                 return Optional.empty();
             }
             lastRequestMillis = nowMillis;
+            if (presentedTicketId == 0 && request.hints().isAdditionalAttempt()) {
+                unservedShare.recordFurtherAttempt(nowMillis);
+            }
             Optional<Refused> refused =
                     presentedTicketId == 0 ? refuseNewRequest(request, nowMillis) : Optional.empty();
             if (refused.isPresent()) {
-                loadLog.recordRefusal();
+                recordRefusal(nowMillis);
                 return Optional.of(refused.get());
             }
             SlotDecision decision = presentedTicketId == 0
@@ -147,7 +155,7 @@
                     : renewTicket(presentedTicketId, nowMillis);
             advanceScheduler(nowMillis);
             if (decision instanceof Refused) {
-                loadLog.recordRefusal();
+                recordRefusal(nowMillis);
                 fatalRequests.recordEnd(request.digest(), false);
             }
             if (!(decision instanceof Queued queued)) {
@@ -159,6 +167,11 @@
         return Optional.of(awaitDecision(ticketId, future));
     }
 
+    private void recordRefusal(long nowMillis) {
+        loadLog.recordRefusal();
+        unservedShare.recordRefusal(nowMillis);
+    }
+
     /** Releases a lease; returns false if it is not known. */
     synchronized boolean completeLease(long leaseId, AttemptOutcome outcome, long latencyMicros, ServerNotice notice) {
         long nowMillis = MonotonicClock.millis();
@@ -166,6 +179,7 @@
         completedLease.ifPresent(completed -> {
             recordForRequest(completed, outcome);
             loadLog.recordAttempt(outcome.isEvidenceAgainstServer());
+            unservedShare.recordAttempt(outcome, nowMillis);
             if (outcome.isEvidenceAgainstServer()) {
                 healthLog.recordFailure(completed.serverName(), outcome, completed.entryProxy());
             }
@@ -388,8 +402,8 @@
                 .values()
                 .removeIf(reportMillis -> nowMillis - reportMillis > LEAVING_REPORT_VALIDITY_MILLIS);
         monitor.replaceServers(monitoredServers(server -> true), view.ejectionFloor(key), nowMillis);
-        Map<String, ServerHealth> newHealthByServer =
-                Map.copyOf(monitor.evaluate(scheduler.load(nowMillis).isNearlyFull(), nowMillis));
+        boolean capacityNeeded = scheduler.load(nowMillis).isNearlyFull() || unservedShare.isHigh(nowMillis);
+        Map<String, ServerHealth> newHealthByServer = Map.copyOf(monitor.evaluate(capacityNeeded, nowMillis));
         healthLog.report(healthByServer, newHealthByServer, monitor);
         healthByServer = newHealthByServer;
         updateScheduler(nowMillis);
--- a/src/test/java/org/cassiabank/proxy/OwnerSimulation.java
+++ b/src/test/java/org/cassiabank/proxy/OwnerSimulation.java
@@ -35,6 +35,7 @@
 import org.cassiabank.health.RequestDigest;
 import org.cassiabank.health.ServerHealth;
 import org.cassiabank.health.SuspicionSettings;
+import org.cassiabank.health.UnservedShare;
 import org.cassiabank.retry.FleetRetryBudget;
 
 /**
@@ -73,6 +74,7 @@
     private final SlotScheduler scheduler;
     private final HealthMonitor monitor;
     private final FleetRetryBudget retryBudget;
+    private final UnservedShare unservedShare = UnservedShare.create(0);
     private final int serverCount;
     private final int slots;
     private final int entryCount;
@@ -309,8 +311,9 @@
                 .mapToObj(server -> new MonitoredServer(name(server), false, true, domain(server)))
                 .toList();
         monitor.replaceServers(monitored, (serverCount * FLOOR_PERCENT + 99) / 100, (long) nowMillis);
-        Map<String, ServerHealth> health =
-                monitor.evaluate(scheduler.load((long) nowMillis).isNearlyFull(), (long) nowMillis);
+        Map<String, ServerHealth> health = monitor.evaluate(
+                scheduler.load((long) nowMillis).isNearlyFull() || unservedShare.isHigh((long) nowMillis),
+                (long) nowMillis);
         scheduler.replaceServers(
                 IntStream.range(0, serverCount)
                         .mapToObj(server -> new SchedulableServer(
@@ -330,6 +333,8 @@
         long now = (long) nowMillis;
         if (call.excludedServers.isEmpty()) {
             retryBudget.recordRequest(now);
+        } else {
+            unservedShare.recordFurtherAttempt(now);
         }
         AdmissionRequest request = new AdmissionRequest(
                 call.entry,
@@ -351,7 +356,10 @@
     private void apply(Call call, SlotDecision decision) {
         switch (decision) {
             case Granted granted -> start(call, granted);
-            case Refused refused -> call.failed |= !call.excludedServers.isEmpty();
+            case Refused refused -> {
+                call.failed |= !call.excludedServers.isEmpty();
+                unservedShare.recordRefusal((long) nowMillis);
+            }
             case Queued queued -> {
                 queuedCalls.put(queued.ticketId(), call);
                 scheduleRenewal(queued.ticketId());
@@ -432,6 +440,7 @@
         long now = (long) nowMillis;
         for (CompletedLease completed : scheduler.completeLease(attempt.leaseId, outcome, latencyMicros, now).stream()
                 .toList()) {
+            unservedShare.recordAttempt(outcome, now);
             Set<String> excusedServers = monitor.record(
                     new CompletedAttempt(
                             completed.serverName(),
