Split what the owner of a shard and its simulation hold by subject

No behaviour changes. The retry budget of a shard has a class of its own; the numbers of a shard's load are made where the servers are; the faults, calls and attempts of the simulation and the use of its servers have classes of their own.

--- a/src/main/java/org/cassiabank/admission/ServerPool.java
+++ b/src/main/java/org/cassiabank/admission/ServerPool.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * The backend servers of a shard and the rules that choose one of them for a request.
@@ -201,32 +202,22 @@
         return false;
     }
 
-    /** Returns how many healthy servers have no free slot. */
-    int fullServers(long nowMillis) {
-        return (int) Arrays.stream(presentServers)
-                .filter(server -> server.isHealthy() && !server.hasFreeSlot(nowMillis))
-                .count();
+    /** Returns how busy the servers are, with the numbers of leases and of queued requests. */
+    ShardLoad load(int leasedSlots, int queuedRequests, long expiredLeases, long nowMillis) {
+        return new ShardLoad(
+                leasedSlots,
+                usableSlots(presentServers, nowMillis),
+                count(server -> server.isHealthy() && !server.hasFreeSlot(nowMillis)),
+                count(server -> server.isHealthy() && isLimitedToTests(server, presentServers, nowMillis)),
+                count(server -> server.isActive() && server.isBackingOff(nowMillis)),
+                count(server -> !server.schedulableServer().leaving()
+                        && server.hasNoGrantSince(nowMillis - ShardLoad.UNUSED_MILLIS)),
+                queuedRequests,
+                expiredLeases);
     }
 
-    /** Returns how many healthy servers get test requests only. */
-    int limitedServers(long nowMillis) {
-        return (int) Arrays.stream(presentServers)
-                .filter(server -> server.isHealthy() && isLimitedToTests(server, presentServers, nowMillis))
-                .count();
-    }
-
-    /** Returns how many servers have shed requests and back off. */
-    int backingOffServers(long nowMillis) {
-        return (int) Arrays.stream(presentServers)
-                .filter(server -> server.isActive() && server.isBackingOff(nowMillis))
-                .count();
-    }
-
-    /** Returns how many servers that are not leaving got no request since a time. */
-    int unusedServers(long sinceMillis) {
-        return (int) Arrays.stream(presentServers)
-                .filter(server -> !server.schedulableServer().leaving() && server.hasNoGrantSince(sinceMillis))
-                .count();
+    private int count(Predicate<ServerState> condition) {
+        return (int) Arrays.stream(presentServers).filter(condition).count();
     }
 
     /** Returns the usable slots of the healthy servers, or of those on probation if the healthy ones have none. */
--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -282,16 +282,11 @@
      * @return the load
      */
     public ShardLoad load(long nowMillis) {
-        long currentMillis = advanceClock(nowMillis);
-        return new ShardLoad(
+        return pool.load(
                 leases.all().size(),
-                ServerPool.usableSlots(pool.presentServers(), currentMillis),
-                pool.fullServers(currentMillis),
-                pool.limitedServers(currentMillis),
-                pool.backingOffServers(currentMillis),
-                pool.unusedServers(currentMillis - ShardLoad.UNUSED_MILLIS),
                 shortQueue.size() + longQueue.size(),
-                leases.expiredLeases());
+                leases.expiredLeases(),
+                advanceClock(nowMillis));
     }
 
     /**
--- a/src/main/java/org/cassiabank/health/Suspicion.java
+++ b/src/main/java/org/cassiabank/health/Suspicion.java
@@ -6,10 +6,10 @@
  * Ejects a server for a short time after one or two abrupt failures.
  *
  * <p>A connection that breaks after a request was written almost never happens at a healthy server, so one such failure
- * is enough. Server errors and overdue attempts also occur at healthy servers, so two close together are needed. Overdue
- * attempts count by the time at which they were sent, those in flight too ({@link UnansweredRequests}). This covers
- * request rates that are too low for the outlier test: at 3.5 requests a second a server would fail a dozen requests
- * before the outlier test ejects it.
+ * is enough. Server errors and overdue attempts also occur at healthy servers, so two close together are needed.
+ * Overdue attempts count by the time at which they were sent, those in flight too ({@link UnansweredRequests}). This
+ * covers request rates that are too low for the outlier test: at 3.5 requests a second a server would fail a dozen
+ * requests before the outlier test ejects it.
  */
 final class Suspicion {
     /** The score decays between two errors in quick succession, so a score slightly below 2 suffices. */
--- a/src/main/java/org/cassiabank/health/SuspicionSettings.java
+++ b/src/main/java/org/cassiabank/health/SuspicionSettings.java
@@ -49,9 +49,9 @@
      * Returns the settings for a first hold-off.
      *
      * @param firstHoldOffMillis the time without requests after the first suspicion, in milliseconds, at least 1
-     * @return settings with a maximum hold-off of twice the first one, 1.6 times after repeatable requests, two fifths of
-     *     it while the server is needed, and two required responses, because a server that fails most requests still
-     *     answers some of them
+     * @return settings with a maximum hold-off of twice the first one, of 1.6 times after repeatable requests, of two
+     *     fifths while the server is needed, and with two required responses, because a server that fails most requests
+     *     still answers some of them
      * @throws IllegalArgumentException if the first hold-off is not positive
      */
     public static SuspicionSettings of(long firstHoldOffMillis) {
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -38,7 +38,6 @@
 import org.cassiabank.health.ServerHealth;
 import org.cassiabank.health.UnservedShare;
 import org.cassiabank.membership.Instance;
-import org.cassiabank.retry.FleetRetryBudget;
 
 /**
  * A shard that this daemon schedules: its queue, its leases and the health of its servers, guarded by one lock.
@@ -72,8 +71,8 @@
     private final ShardLoadLog loadLog;
     private final SlotScheduler scheduler;
     private final HealthMonitor monitor;
-    private final Optional<FleetRetryBudget> retryBudget;
-    private final UnservedShare unservedShare;
+    private final ShardRetryBudget retryBudget;
+    private final UnservedShare unservedShare = UnservedShare.create(MonotonicClock.millis());
     private final Map<Long, CompletableFuture<SlotDecision>> waitingPolls = new HashMap<>();
     private final Map<Long, UncollectedDecision> uncollectedDecisions = new HashMap<>();
     private final Map<String, Long> leavingReportMillis = new HashMap<>();
@@ -92,8 +91,7 @@
             OwnerSettings settings,
             FatalRequestExchange fatalRequests,
             ProxyMetrics metrics,
-            Optional<FleetRetryBudget> retryBudget,
-            UnservedShare unservedShare) {
+            ShardRetryBudget retryBudget) {
         this.key = key;
         this.fatalRequests = fatalRequests;
         this.healthLog = ServerHealthLog.create(key, metrics);
@@ -101,7 +99,6 @@
         this.scheduler = SlotScheduler.create(settings.scheduler());
         this.monitor = HealthMonitor.create(settings.health());
         this.retryBudget = retryBudget;
-        this.unservedShare = unservedShare;
     }
 
     static OwnedShard create(
@@ -111,15 +108,9 @@
             ProxyMetrics metrics,
             FleetView view,
             long nowMillis) {
-        int shardCount = view.shardCount(key.service());
-        Optional<FleetRetryBudget> retryBudget = settings.retryBudgetSettings()
-                .map(retryBudgetSettings -> FleetRetryBudget.create(
-                        retryBudgetSettings.retryRatio(),
-                        retryBudgetSettings.retryAllowancePerWindow() / shardCount,
-                        retryBudgetSettings.retryWindowMillis(),
-                        nowMillis));
-        OwnedShard shard =
-                new OwnedShard(key, settings, fatalRequests, metrics, retryBudget, UnservedShare.create(nowMillis));
+        ShardRetryBudget retryBudget =
+                ShardRetryBudget.create(settings.retryBudgetSettings(), view.shardCount(key.service()), nowMillis);
+        OwnedShard shard = new OwnedShard(key, settings, fatalRequests, metrics, retryBudget);
         shard.lastRequestMillis = nowMillis;
         shard.updateView(view, nowMillis);
         return shard;
@@ -333,23 +324,11 @@
         if (refusalMillis.isPresent()) {
             return Optional.of(new Refused(RefusalReason.ENDS_SERVERS, refusalMillis.getAsLong()));
         }
-        return trySpendRetryBudget(request, nowMillis)
+        return retryBudget.trySpend(request, nowMillis)
                 ? Optional.empty()
                 : Optional.of(new Refused(RefusalReason.RETRY_BUDGET, RETRY_BUDGET_RETRY_AFTER_MILLIS));
     }
 
-    /** Counts a first attempt for the retry budget or spends the budget for an additional one; false if it is spent. */
-    private boolean trySpendRetryBudget(AdmissionRequest request, long nowMillis) {
-        if (retryBudget.isEmpty()) {
-            return true;
-        }
-        if (request.hints().isAdditionalAttempt()) {
-            return retryBudget.get().trySpend(nowMillis);
-        }
-        retryBudget.get().recordRequest(nowMillis);
-        return true;
-    }
-
     private SlotDecision renewTicket(long ticketId, long nowMillis) {
         UncollectedDecision decided = uncollectedDecisions.remove(ticketId);
         if (decided != null) {
--- a/src/main/java/org/cassiabank/proxy/ShardLoadLog.java
+++ b/src/main/java/org/cassiabank/proxy/ShardLoadLog.java
@@ -8,8 +8,8 @@
 import org.cassiabank.health.ServerHealth;
 
 /**
- * Logs what a shard's owner has in use, at most once a second and only while servers are kept out, requests are refused,
- * attempts fail or leases expire. Instances are not thread-safe.
+ * Logs what a shard's owner has in use, at most once a second and only while servers are kept out, requests are
+ * refused, attempts fail or leases expire. Instances are not thread-safe.
  */
 final class ShardLoadLog {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
--- a/src/test/java/org/cassiabank/admission/SlotSchedulerPropertiesTest.java
+++ b/src/test/java/org/cassiabank/admission/SlotSchedulerPropertiesTest.java
@@ -330,8 +330,8 @@
         }
 
         /**
-         * Requests from before the probation are no trials; a slow trial, or a queue, allows further ones. The numbers of
-         * leases give the order of the grants.
+         * Requests from before the probation are no trials; a slow trial, or a queue, allows further ones. The numbers
+         * of leases give the order of the grants.
          */
         private void checkTrial(AdmissionRequest request, SchedulableServer server, long leaseId) {
             long lastLeaseIdBefore = lastLeaseIdBeforeProbation.get(server.name());
--- a/src/test/java/org/cassiabank/proxy/OwnerSimulation.java
+++ b/src/test/java/org/cassiabank/proxy/OwnerSimulation.java
@@ -58,19 +58,14 @@
     private static final double TAIL_SHARE = 0.03;
     private static final double TAIL_FACTOR = 7;
     private static final double MAXIMUM_SERVICE_MEANS = 11;
-    /** The users count a server as sound again this long after it failed by itself. */
-    private static final double SOUND_AFTER_OWN_FAULT_MILLIS = 2_000;
-    /** The users count a server as sound again this long after a disruption. */
-    private static final double SOUND_AFTER_DISRUPTION_MILLIS = 6_000;
 
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingDouble(Event::timeMillis).thenComparingLong(Event::order));
-    private final Map<Long, Call> queuedCalls = new HashMap<>();
-    private final Set<Attempt> attemptsInFlight = new LinkedHashSet<>();
-    private final List<Call> calls = new ArrayList<>();
-    private final List<Start> starts = new ArrayList<>();
+    private final Map<Long, SimulatedCall> queuedCalls = new HashMap<>();
+    private final Set<SimulatedAttempt> attemptsInFlight = new LinkedHashSet<>();
+    private final List<SimulatedCall> calls = new ArrayList<>();
     private final Set<String> crashedServers = new HashSet<>();
-    private final List<FaultyTime> faultyTimes = new ArrayList<>();
+    private final SimulatedServerUse serverUse;
     private final SlotScheduler scheduler;
     private final HealthMonitor monitor;
     private final FleetRetryBudget retryBudget;
@@ -94,6 +89,8 @@
         this.monitor =
                 HealthMonitor.create(HealthSettings.defaults().withSuspicion(SuspicionSettings.of(SUSPICION_MILLIS)));
         this.retryBudget = FleetRetryBudget.create(RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_MILLIS, 0);
+        this.serverUse = new SimulatedServerUse(
+                IntStream.range(0, serverCount).mapToObj(OwnerSimulation::name).toList());
         updateServers();
     }
 
@@ -158,7 +155,7 @@
                 return this;
             }
             if (random.nextDouble() * maximumRate < requestsPerSecond.applyAsDouble(timeMillis)) {
-                Call call = new Call(
+                SimulatedCall call = new SimulatedCall(
                         "entry-" + random.nextInt(entryCount),
                         route,
                         repeatable,
@@ -173,20 +170,19 @@
 
     /** Makes a server break a share of the connections soon after it has read a request. */
     OwnerSimulation addFaultyTime(int server, double fromMillis, double untilMillis, double share) {
-        return addFaultyTime(server, fromMillis, untilMillis, share, Fault.BREAKS);
+        return addFaultyTime(server, fromMillis, untilMillis, share, SimulatedFault.Kind.BREAKS);
     }
 
     /** Makes a server fail a share of its requests by itself. It counts as sound 2 s after. */
-    OwnerSimulation addFaultyTime(int server, double fromMillis, double untilMillis, double share, Fault fault) {
-        faultyTimes.add(
-                new FaultyTime(name(server), fromMillis, untilMillis, share, fault, 1, SOUND_AFTER_OWN_FAULT_MILLIS));
+    OwnerSimulation addFaultyTime(
+            int server, double fromMillis, double untilMillis, double share, SimulatedFault.Kind kind) {
+        serverUse.add(SimulatedFault.ofServer(name(server), fromMillis, untilMillis, share, kind));
         return this;
     }
 
     /** Makes a server take longer by a factor for the requests that it begins. It counts as sound 6 s after. */
     OwnerSimulation addSlowTime(int server, double fromMillis, double untilMillis, double factor) {
-        faultyTimes.add(new FaultyTime(
-                name(server), fromMillis, untilMillis, 0, Fault.BREAKS, factor, SOUND_AFTER_DISRUPTION_MILLIS));
+        serverUse.add(SimulatedFault.slowness(name(server), fromMillis, untilMillis, factor));
         return this;
     }
 
@@ -200,7 +196,7 @@
                 }
             }
             List.copyOf(attemptsInFlight).stream()
-                    .filter(attempt -> entries.contains(attempt.call.entry) && random.nextDouble() < connectionShare)
+                    .filter(attempt -> entries.contains(attempt.call().entry) && random.nextDouble() < connectionShare)
                     .forEach(attempt -> end(attempt, AttemptOutcome.BROKEN));
         });
         return this;
@@ -212,7 +208,7 @@
             for (int server : crashed) {
                 crashedServers.add(name(server));
                 List.copyOf(attemptsInFlight).stream()
-                        .filter(attempt -> attempt.server.equals(name(server)))
+                        .filter(attempt -> attempt.server().equals(name(server)))
                         .forEach(attempt -> end(attempt, AttemptOutcome.BROKEN));
             }
         });
@@ -237,7 +233,7 @@
 
     /** Returns the share of the requests of a time that were answered in time. */
     double servedShare(double fromMillis, double untilMillis) {
-        List<Call> selected = calls.stream()
+        List<SimulatedCall> selected = calls.stream()
                 .filter(call -> call.arrivedAtMillis >= fromMillis && call.arrivedAtMillis < untilMillis)
                 .toList();
         return selected.isEmpty()
@@ -258,7 +254,7 @@
     double smallestUsedShare(double fromMillis, double untilMillis, double lengthMillis) {
         double smallest = 1;
         for (double start = fromMillis; start + lengthMillis <= untilMillis; start += EVALUATION_INTERVAL_MILLIS) {
-            smallest = Math.min(smallest, usedShare(start, start + lengthMillis));
+            smallest = Math.min(smallest, serverUse.usedShare(start, start + lengthMillis));
         }
         return smallest;
     }
@@ -271,33 +267,13 @@
         List<Double> times = new ArrayList<>();
         for (double start = 0; start + lengthMillis <= untilMillis; start += EVALUATION_INTERVAL_MILLIS) {
             double unserved = 1 - servedShare(start, start + lengthMillis);
-            if (unserved > 0.1 && unserved < 0.5 && usedShare(start, start + lengthMillis) < minimumShare) {
+            if (unserved > 0.1 && unserved < 0.5 && serverUse.usedShare(start, start + lengthMillis) < minimumShare) {
                 times.add(start);
             }
         }
         return times;
     }
 
-    private double usedShare(double fromMillis, double untilMillis) {
-        Set<String> sound = new HashSet<>();
-        for (int server = 0; server < serverCount; server++) {
-            String name = name(server);
-            if (faultyTimes.stream()
-                    .noneMatch(time -> time.server().equals(name)
-                            && time.fromMillis() < untilMillis
-                            && time.untilMillis() + time.soundAfterMillis() > fromMillis)) {
-                sound.add(name);
-            }
-        }
-        long used = starts.stream()
-                .filter(start -> start.atMillis() >= fromMillis && start.atMillis() < untilMillis)
-                .map(Start::server)
-                .filter(sound::contains)
-                .distinct()
-                .count();
-        return sound.isEmpty() ? 1 : (double) used / sound.size();
-    }
-
     private void evaluate() {
         scheduler
                 .inFlightAttempts((long) nowMillis)
@@ -329,7 +305,7 @@
                 (long) nowMillis);
     }
 
-    private void acquire(Call call) {
+    private void acquire(SimulatedCall call) {
         long now = (long) nowMillis;
         if (call.excludedServers.isEmpty()) {
             retryBudget.recordRequest(now);
@@ -353,7 +329,7 @@
         apply(call, scheduler.acquire(request, now));
     }
 
-    private void apply(Call call, SlotDecision decision) {
+    private void apply(SimulatedCall call, SlotDecision decision) {
         switch (decision) {
             case Granted granted -> start(call, granted);
             case Refused refused -> {
@@ -378,22 +354,21 @@
         });
     }
 
-    private void start(Call call, Granted granted) {
-        Attempt attempt = new Attempt(call, granted.leaseId(), granted.serverName(), nowMillis);
+    private void start(SimulatedCall call, Granted granted) {
+        SimulatedAttempt attempt = new SimulatedAttempt(call, granted.leaseId(), granted.serverName(), nowMillis);
         attemptsInFlight.add(attempt);
         if (crashedServers.contains(granted.serverName())) {
             schedule(nowMillis + 1, () -> end(attempt, AttemptOutcome.NOT_RUN));
             return;
         }
-        starts.add(new Start(granted.serverName(), nowMillis));
-        List<FaultyTime> presentFaults = faultyTimes.stream()
-                .filter(time -> time.server().equals(granted.serverName())
-                        && time.fromMillis() <= nowMillis
-                        && time.untilMillis() > nowMillis)
-                .toList();
+        serverUse.recordStart(granted.serverName(), nowMillis);
+        List<SimulatedFault> presentFaults = serverUse.faultsAt(granted.serverName(), nowMillis);
         double serviceMillis = call.serviceMillis
-                * presentFaults.stream().mapToDouble(FaultyTime::slowdown).max().orElse(1);
-        Optional<FaultyTime> failure = presentFaults.stream()
+                * presentFaults.stream()
+                        .mapToDouble(SimulatedFault::slowdown)
+                        .max()
+                        .orElse(1);
+        Optional<SimulatedFault> failure = presentFaults.stream()
                 .filter(time -> random.nextDouble() < time.share())
                 .findFirst();
         schedule(call.deadlineMillis, () -> end(attempt, AttemptOutcome.OVERDUE));
@@ -401,7 +376,7 @@
             schedule(nowMillis + serviceMillis, () -> end(attempt, AttemptOutcome.ANSWERED));
             return;
         }
-        switch (failure.get().fault()) {
+        switch (failure.get().kind()) {
             case BREAKS -> schedule(nowMillis + FAULT_MILLIS, () -> end(attempt, AttemptOutcome.BROKEN));
             case LOSES -> schedule(nowMillis + serviceMillis, () -> end(attempt, AttemptOutcome.BROKEN));
             case HANGS ->
@@ -412,12 +387,12 @@
         }
     }
 
-    private void end(Attempt attempt, AttemptOutcome outcome) {
+    private void end(SimulatedAttempt attempt, AttemptOutcome outcome) {
         if (!attemptsInFlight.remove(attempt)) {
             return;
         }
-        long latencyMicros = (long) ((nowMillis - attempt.startedAtMillis) * 1_000);
-        Call call = attempt.call;
+        long latencyMicros = (long) ((nowMillis - attempt.startedAtMillis()) * 1_000);
+        SimulatedCall call = attempt.call();
         schedule(
                 nowMillis + 1 + random.nextDouble() * (MAXIMUM_REPORT_MILLIS - 1),
                 () -> report(attempt, outcome, latencyMicros));
@@ -425,7 +400,7 @@
             call.answered = true;
             return;
         }
-        call.excludedServers.add(attempt.server);
+        call.excludedServers.add(attempt.server());
         boolean mayHaveRun = outcome != AttemptOutcome.NOT_RUN;
         call.failed |= mayHaveRun;
         if ((call.repeatable || !mayHaveRun)
@@ -436,9 +411,9 @@
         }
     }
 
-    private void report(Attempt attempt, AttemptOutcome outcome, long latencyMicros) {
+    private void report(SimulatedAttempt attempt, AttemptOutcome outcome, long latencyMicros) {
         long now = (long) nowMillis;
-        for (CompletedLease completed : scheduler.completeLease(attempt.leaseId, outcome, latencyMicros, now).stream()
+        for (CompletedLease completed : scheduler.completeLease(attempt.leaseId(), outcome, latencyMicros, now).stream()
                 .toList()) {
             unservedShare.recordAttempt(outcome, now);
             Set<String> excusedServers = monitor.record(
@@ -470,69 +445,4 @@
     }
 
     private record Event(double timeMillis, long order, Runnable action) {}
-
-    /** What a disturbed server does with the requests that it fails. */
-    enum Fault {
-        /** Breaks the connection soon after it has read the request. */
-        BREAKS,
-        /** Runs the request and breaks the connection instead of responding. */
-        LOSES,
-        /** Runs the request after the disruption. */
-        HANGS,
-        /** Never responds. */
-        SILENT
-    }
-
-    private record FaultyTime(
-            String server,
-            double fromMillis,
-            double untilMillis,
-            double share,
-            Fault fault,
-            double slowdown,
-            double soundAfterMillis) {}
-
-    /** An attempt that began at a server. */
-    private record Start(String server, double atMillis) {}
-
-    private static final class Call {
-        private final String entry;
-        private final String route;
-        private final boolean repeatable;
-        private final double arrivedAtMillis;
-        private final double deadlineMillis;
-        private final double serviceMillis;
-        private final Set<String> excludedServers = new HashSet<>();
-        private boolean answered;
-        private boolean failed;
-
-        private Call(
-                String entry,
-                String route,
-                boolean repeatable,
-                double arrivedAtMillis,
-                double deadlineMillis,
-                double serviceMillis) {
-            this.entry = entry;
-            this.route = route;
-            this.repeatable = repeatable;
-            this.arrivedAtMillis = arrivedAtMillis;
-            this.deadlineMillis = deadlineMillis;
-            this.serviceMillis = serviceMillis;
-        }
-    }
-
-    private static final class Attempt {
-        private final Call call;
-        private final long leaseId;
-        private final String server;
-        private final double startedAtMillis;
-
-        private Attempt(Call call, long leaseId, String server, double startedAtMillis) {
-            this.call = call;
-            this.leaseId = leaseId;
-            this.server = server;
-            this.startedAtMillis = startedAtMillis;
-        }
-    }
 }
--- a/src/test/java/org/cassiabank/proxy/SilentFaultLoadTest.java
+++ b/src/test/java/org/cassiabank/proxy/SilentFaultLoadTest.java
@@ -33,7 +33,7 @@
         "LOSES, 0.6, 7000, 35", "LOSES, 0.6, 7000, 45"
     })
     void serversThatAreSoundAgainGetRequestsWhileTheOthersAreSlow(
-            OwnerSimulation.Fault fault, double share, double faultMillis, double requestsPerSecond) {
+            SimulatedFault.Kind fault, double share, double faultMillis, double requestsPerSecond) {
         List<String> violations = new ArrayList<>();
         for (int seed = 1; seed <= SEEDS; seed++) {
             OwnerSimulation simulation = OwnerSimulation.create(SERVERS, 6, 48, seed)
