Test servers that mostly failed again although others have free slots

A server that stays in use by the floor, or is healthy again after a trial, gets test requests only while at least half of its recent attempts failed, and those only while no other server has a free slot. Without load its share of failures took up to 5 s to halve, in which a sound server got nothing while requests failed elsewhere. Now it gets a repeatable request after 1 s without any, an order after 3 s. A request that fails after a later one was answered does not raise the share. Evidence: aServerThatMostlyFailedIsTestedAgain... and requestsThatFailAfterALaterOneWasAnswered... of SlotSchedulerTest fail on the code before.

--- a/src/main/java/org/cassiabank/admission/ServerPool.java
+++ b/src/main/java/org/cassiabank/admission/ServerPool.java
@@ -124,6 +124,10 @@
                     continue;
                 }
                 if (isLimitedToTests(server, lane.candidates(this), nowMillis)) {
+                    if (!hints.isAdditionalAttempt()
+                            && server.isOverdueForFailingServerTest(lane.key().repeatable(), nowMillis)) {
+                        return server;
+                    }
                     if (lane.key().repeatable() && server.isDueForFailingServerTest(nowMillis)) {
                         failingServerDueForTest = server;
                     }
--- a/src/main/java/org/cassiabank/admission/ServerState.java
+++ b/src/main/java/org/cassiabank/admission/ServerState.java
@@ -49,6 +49,12 @@
     /** The minimum interval between repeatable test requests to a server that mostly fails. */
     private static final long FAILING_SERVER_TEST_INTERVAL_MILLIS = 250;
 
+    /** A server that mostly failed gets a test after this time without a request, even if others have free slots. */
+    private static final long FAILING_SERVER_UNTESTED_MILLIS = 1_000;
+
+    /** The same for a request that is lost if the test fails. */
+    private static final long FAILING_SERVER_UNTESTED_BY_ORDERS_MILLIS = 3_000;
+
     /** A trial that takes longer does not keep a server on probation from another one. */
     private static final long TRIAL_PATIENCE_MILLIS = 1_000;
 
@@ -91,6 +97,7 @@
     private long initialBackoffEndMillis = Long.MIN_VALUE;
     private int backoffSlots;
     private long lastLeaseId;
+    private long lastAnsweredLeaseId;
     private long lastGrantAtMillis = Long.MIN_VALUE / 2;
     private int shortGrantsSinceLong;
     private long probationSinceMillis;
@@ -274,11 +281,17 @@
         return isHealthy() && failureShare(nowMillis) < RELIABLE_FAILURE_SHARE;
     }
 
-    /** Tells whether a server that mostly fails may get a repeatable test request now. */
+    /** Tells whether a server that mostly fails may get a repeatable test request that would have to wait otherwise. */
     boolean isDueForFailingServerTest(long nowMillis) {
         return leases == 0 && lastGrantAtMillis + FAILING_SERVER_TEST_INTERVAL_MILLIS <= nowMillis;
     }
 
+    /** Tells whether a server that mostly fails has got no request for so long that its failures are out of date. */
+    boolean isOverdueForFailingServerTest(boolean repeatable, long nowMillis) {
+        long untestedMillis = repeatable ? FAILING_SERVER_UNTESTED_MILLIS : FAILING_SERVER_UNTESTED_BY_ORDERS_MILLIS;
+        return hasNoGrantSince(nowMillis - untestedMillis);
+    }
+
     void recordGrant(boolean longWork, long leaseId, long nowMillis) {
         leases++;
         trialLeases++;
@@ -303,7 +316,13 @@
         longWorkLeases += nowLongWork ? 1 : -1;
     }
 
-    void recordResponse(double relativeLatency, long nowMillis) {
+    /** Tells whether the server has answered a request that it got after the one with a lease. */
+    boolean hasAnsweredLaterThan(long leaseId) {
+        return lastAnsweredLeaseId > leaseId;
+    }
+
+    void recordResponse(long leaseId, double relativeLatency, long nowMillis) {
+        lastAnsweredLeaseId = Math.max(lastAnsweredLeaseId, leaseId);
         consecutiveSheds = 0;
         updateFailureShare(0, nowMillis);
         updateRelativeLatency(relativeLatency, nowMillis);
--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -192,6 +192,7 @@
         switch (outcome) {
             case ANSWERED -> {
                 server.recordResponse(
+                        leaseId,
                         routeCost.hasResponses() ? latencyMicros / Math.max(1, routeCost.meanMicros()) : 1,
                         currentMillis);
                 if (costModel.recordResponse(routeCost, latencyMicros)) {
@@ -200,7 +201,9 @@
             }
             case FAILED -> server.recordFailure(currentMillis);
             case BROKEN, SPOILED, OVERDUE -> {
-                server.recordFailure(currentMillis);
+                if (!server.hasAnsweredLaterThan(leaseId)) {
+                    server.recordFailure(currentMillis);
+                }
                 routeCost.recordLowerBound(latencyMicros);
             }
             case NOT_RUN -> server.recordShed(settings.initialBackoffMillis(), currentMillis);
--- a/src/test/java/org/cassiabank/admission/SlotSchedulerTest.java
+++ b/src/test/java/org/cassiabank/admission/SlotSchedulerTest.java
@@ -77,6 +77,39 @@
         assertThat(acquiredServer(request(CostHint.SHORT, true), 1_000)).isEqualTo("unhealthy");
     }
 
+    @Test
+    void aServerThatMostlyFailedIsTestedAgainAlthoughOthersHaveFreeSlots() {
+        failAllRequestsAt("failing", AttemptOutcome.BROKEN);
+        assertThat(acquiredServer(request(CostHint.SHORT, true), 900)).isEqualTo("other");
+        assertThat(acquiredServer(request(CostHint.SHORT, false), 1_100)).isEqualTo("other");
+        assertThat(acquiredServer(request(CostHint.SHORT, true), 1_100)).isEqualTo("failing");
+        assertThat(acquiredServer(request(CostHint.SHORT, false), 4_000)).isEqualTo("other");
+        assertThat(acquiredServer(request(CostHint.SHORT, false), 4_200)).isEqualTo("failing");
+    }
+
+    @Test
+    void requestsThatFailAfterALaterOneWasAnsweredDoNotLimitAServerToTests() {
+        scheduler.replaceServers(List.of(server("only", ServerHealth.HEALTHY, 8)), 0);
+        List<Granted> old = grantAll(request(CostHint.SHORT, true), 0);
+        Granted first = old.removeLast();
+        scheduler.completeLease(first.leaseId(), AttemptOutcome.ANSWERED, 1_000, 100);
+        old.forEach(granted -> scheduler.completeLease(granted.leaseId(), AttemptOutcome.OVERDUE, 5_000_000, 5_000));
+        assertThat(scheduler.load(5_000).limitedServers()).isZero();
+        scheduler.replaceServers(
+                List.of(server("only", ServerHealth.HEALTHY, 8), server("other", ServerHealth.HEALTHY, 8)), 5_000);
+        assertThat(scheduler.load(5_000).limitedServers()).isZero();
+    }
+
+    /** Makes a server fail six requests at time 0 beside another one that answers. */
+    private void failAllRequestsAt(String name, AttemptOutcome outcome) {
+        scheduler.replaceServers(List.of(server(name, ServerHealth.HEALTHY, 6)), 0);
+        grantAll(request(CostHint.SHORT, true), 0)
+                .forEach(granted -> scheduler.completeLease(granted.leaseId(), outcome, 5_000, 10));
+        scheduler.replaceServers(
+                List.of(server(name, ServerHealth.HEALTHY, 6), server("other", ServerHealth.HEALTHY, 6)), 10);
+        assertThat(scheduler.load(10).limitedServers()).isOne();
+    }
+
     @Test
     void unrepeatableRequestTestsAServerOnProbationWithoutRepeatableRequests() {
         List<SchedulableServer> servers =
