Try servers that stand out sooner while the load needs them

They double with each ejection, and the probation takes five good responses one after the other, six seconds and more where work takes 1.2 s, whether requests are refused meanwhile or not. While servers are needed, the first hold-off and two good responses are enough now. Evidence: aServerThatTheLoadNeedsIsTried... of HealthMonitorTest; the code before took no notice of the need there, so that it fails by its second hold-off of 2 s (by the code, not run). DetectionTest, FalseAlarmTest, SuspicionTest and the three load tests pass as before.

--- a/src/main/java/org/cassiabank/health/EjectionState.java
+++ b/src/main/java/org/cassiabank/health/EjectionState.java
@@ -9,6 +9,8 @@
 final class EjectionState {
     private static final long MINIMUM_HEALTHY_MILLIS = 60_000;
     private static final int HEALTHY_HOLD_OFFS = 4;
+    /** The good responses that end the probation of a server that the load needs. */
+    private static final int NEEDED_PROBATION_RESPONSES = 2;
 
     private final HealthSettings settings;
     private ServerHealth health = ServerHealth.HEALTHY;
@@ -46,19 +48,21 @@
     /**
      * Applies the transitions that are due: end of the hold-off, failed or passed probation, shorter next hold-off.
      *
+     * @param needed whether the servers in use can hardly carry the load, which shortens the hold-off and the probation
      * @param nowMillis the time in milliseconds
      */
-    void advance(long nowMillis) {
+    void advance(boolean needed, long nowMillis) {
         switch (health) {
             case EJECTED -> {
-                if (nowMillis >= holdOffEndMillis) {
+                boolean isFirstHoldOffOver = nowMillis - stateStartMillis >= settings.firstHoldOffMillis();
+                if (nowMillis >= holdOffEndMillis || needed && isFirstHoldOffOver) {
                     enterState(ServerHealth.PROBATION, nowMillis);
                 }
             }
             case PROBATION -> {
                 if (hasFailed) {
                     eject(nowMillis);
-                } else if (goodResponses >= settings.probationResponses()) {
+                } else if (goodResponses >= (needed ? NEEDED_PROBATION_RESPONSES : settings.probationResponses())) {
                     enterState(ServerHealth.HEALTHY, nowMillis);
                 }
             }
--- a/src/main/java/org/cassiabank/health/HealthMonitor.java
+++ b/src/main/java/org/cassiabank/health/HealthMonitor.java
@@ -199,14 +199,14 @@
     /**
      * Updates the health states of all servers from the evidence recorded so far.
      *
-     * @param capacityNeeded whether the servers in use cannot carry the load, so that suspects are tried sooner
+     * @param capacityNeeded whether the servers in use cannot carry the load, so that others are tried sooner
      * @param nowMillis the time in milliseconds
      * @return the health state of each server by name, in the order in which the servers were added
      */
     public Map<String, ServerHealth> evaluate(boolean capacityNeeded, long nowMillis) {
         List<ServerEvidence> healthyEvidence = new ArrayList<>();
         for (TrackedServer server : servers.values()) {
-            advanceServer(server, nowMillis);
+            advanceServer(server, capacityNeeded, nowMillis);
             if (server.ejectionState.health() == ServerHealth.HEALTHY) {
                 healthyEvidence.add(server.evidence);
             }
@@ -285,12 +285,12 @@
         return scores.length == 0 ? 0 : scores[(scores.length - 1) / 2];
     }
 
-    private void advanceServer(TrackedServer server, long nowMillis) {
+    private void advanceServer(TrackedServer server, boolean capacityNeeded, long nowMillis) {
         ServerHealth previousHealth = server.ejectionState.health();
         if (previousHealth != ServerHealth.EJECTED) {
             detector.recordSilence(server.evidence, evidenceScope(server, nowMillis), servers.size(), nowMillis);
         }
-        server.ejectionState.advance(nowMillis);
+        server.ejectionState.advance(capacityNeeded, nowMillis);
         if (previousHealth == ServerHealth.PROBATION && server.ejectionState.health() == ServerHealth.HEALTHY) {
             server.evidence.resetTests();
         }
--- a/src/test/java/org/cassiabank/health/HealthMonitorTest.java
+++ b/src/test/java/org/cassiabank/health/HealthMonitorTest.java
@@ -105,6 +105,25 @@
         assertThat(ejected()).isEmpty();
     }
 
+    @Test
+    void aServerThatTheLoadNeedsIsTriedAfterItsFirstHoldOffAndHealthyAfterTwoResponses() {
+        updateServers(8, 0);
+        completeRounds(100, Map.of());
+        for (int ejection = 0; ejection < 3; ejection++) {
+            completeRounds(10, Map.of("s1", 100));
+            assertThat(ejected()).containsExactly("s1");
+            nowMillis += 1_100;
+            assertThat(monitor.evaluate(false, nowMillis).get("s1"))
+                    .isEqualTo(ejection == 0 ? ServerHealth.PROBATION : ServerHealth.EJECTED);
+            assertThat(monitor.evaluate(true, nowMillis)).containsEntry("s1", ServerHealth.PROBATION);
+            for (int response = 0; response < 2; response++) {
+                nowMillis += 30;
+                complete("s1", "menu", AttemptOutcome.ANSWERED, 20_000);
+            }
+            assertThat(monitor.evaluate(true, nowMillis)).containsEntry("s1", ServerHealth.HEALTHY);
+        }
+    }
+
     @Test
     void holdOffDoublesWithEachEjectionUpToFiveMinutes() {
         updateServers(8, 0);
