--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -36,8 +36,8 @@
 import org.cassiabank.health.HealthMonitor;
 import org.cassiabank.health.MonitoredServer;
 import org.cassiabank.health.ServerHealth;
+import org.cassiabank.health.UnservedShare;
 import org.cassiabank.membership.Instance;
-import org.cassiabank.retry.FleetRetryBudget;
 
 /**
  * A shard that this daemon schedules: its queue, its leases and the health of its servers, guarded by one lock.
@@ -71,7 +71,8 @@
     private final ShardLoadLog loadLog;
     private final SlotScheduler scheduler;
     private final HealthMonitor monitor;
-    private final Optional<FleetRetryBudget> retryBudget;
+    private final ShardRetryBudget retryBudget;
+    private final UnservedShare unservedShare = UnservedShare.create(MonotonicClock.millis());
     private final Map<Long, CompletableFuture<SlotDecision>> waitingPolls = new HashMap<>();
     private final Map<Long, UncollectedDecision> uncollectedDecisions = new HashMap<>();
     private final Map<String, Long> leavingReportMillis = new HashMap<>();
@@ -90,7 +91,7 @@
             OwnerSettings settings,
             FatalRequestExchange fatalRequests,
             ProxyMetrics metrics,
-            Optional<FleetRetryBudget> retryBudget) {
+            ShardRetryBudget retryBudget) {
         this.key = key;
         this.fatalRequests = fatalRequests;
         this.healthLog = ServerHealthLog.create(key, metrics);
@@ -107,13 +108,8 @@
             ProxyMetrics metrics,
             FleetView view,
             long nowMillis) {
-        int shardCount = view.shardCount(key.service());
-        Optional<FleetRetryBudget> retryBudget = settings.retryBudgetSettings()
-                .map(retryBudgetSettings -> FleetRetryBudget.create(
-                        retryBudgetSettings.retryRatio(),
-                        retryBudgetSettings.retryAllowancePerWindow() / shardCount,
-                        retryBudgetSettings.retryWindowMillis(),
-                        nowMillis));
+        ShardRetryBudget retryBudget =
+                ShardRetryBudget.create(settings.retryBudgetSettings(), view.shardCount(key.service()), nowMillis);
         OwnedShard shard = new OwnedShard(key, settings, fatalRequests, metrics, retryBudget);
         shard.lastRequestMillis = nowMillis;
         shard.updateView(view, nowMillis);
@@ -136,10 +132,13 @@
                 return Optional.empty();
             }
             lastRequestMillis = nowMillis;
+            if (presentedTicketId == 0 && request.hints().isAdditionalAttempt()) {
+                unservedShare.recordFurtherAttempt(nowMillis);
+            }
             Optional<Refused> refused =
                     presentedTicketId == 0 ? refuseNewRequest(request, nowMillis) : Optional.empty();
             if (refused.isPresent()) {
-                loadLog.recordRefusal();
+                recordRefusal(nowMillis);
                 return Optional.of(refused.get());
             }
             SlotDecision decision = presentedTicketId == 0
@@ -147,7 +146,7 @@
                     : renewTicket(presentedTicketId, nowMillis);
             advanceScheduler(nowMillis);
             if (decision instanceof Refused) {
-                loadLog.recordRefusal();
+                recordRefusal(nowMillis);
                 fatalRequests.recordEnd(request.digest(), false);
             }
             if (!(decision instanceof Queued queued)) {
@@ -159,6 +158,11 @@
         return Optional.of(awaitDecision(ticketId, future));
     }
 
+    private void recordRefusal(long nowMillis) {
+        loadLog.recordRefusal();
+        unservedShare.recordRefusal(nowMillis);
+    }
+
     /** Releases a lease; returns false if it is not known. */
     synchronized boolean completeLease(long leaseId, AttemptOutcome outcome, long latencyMicros, ServerNotice notice) {
         long nowMillis = MonotonicClock.millis();
@@ -166,12 +170,18 @@
         completedLease.ifPresent(completed -> {
             recordForRequest(completed, outcome);
             loadLog.recordAttempt(outcome.isEvidenceAgainstServer());
+            unservedShare.recordAttempt(outcome, nowMillis);
             if (outcome.isEvidenceAgainstServer()) {
                 healthLog.recordFailure(completed.serverName(), outcome, completed.entryProxy());
             }
             Set<String> excusedServers = monitor.record(
                     new CompletedAttempt(
-                            completed.serverName(), completed.route(), outcome, latencyMicros, completed.entryProxy()),
+                            completed.serverName(),
+                            completed.route(),
+                            outcome,
+                            latencyMicros,
+                            completed.entryProxy(),
+                            completed.repeatable()),
                     nowMillis);
             if (!excusedServers.isEmpty()) {
                 healthLog.recordSimultaneousBreaks(excusedServers);
@@ -314,23 +324,11 @@
         if (refusalMillis.isPresent()) {
             return Optional.of(new Refused(RefusalReason.ENDS_SERVERS, refusalMillis.getAsLong()));
         }
-        return trySpendRetryBudget(request, nowMillis)
+        return retryBudget.trySpend(request, nowMillis)
                 ? Optional.empty()
                 : Optional.of(new Refused(RefusalReason.RETRY_BUDGET, RETRY_BUDGET_RETRY_AFTER_MILLIS));
     }
 
-    /** Counts a first attempt for the retry budget or spends the budget for an additional one; false if it is spent. */
-    private boolean trySpendRetryBudget(AdmissionRequest request, long nowMillis) {
-        if (retryBudget.isEmpty()) {
-            return true;
-        }
-        if (request.hints().isAdditionalAttempt()) {
-            return retryBudget.get().trySpend(nowMillis);
-        }
-        retryBudget.get().recordRequest(nowMillis);
-        return true;
-    }
-
     private SlotDecision renewTicket(long ticketId, long nowMillis) {
         UncollectedDecision decided = uncollectedDecisions.remove(ticketId);
         if (decided != null) {
@@ -383,8 +381,8 @@
                 .values()
                 .removeIf(reportMillis -> nowMillis - reportMillis > LEAVING_REPORT_VALIDITY_MILLIS);
         monitor.replaceServers(monitoredServers(server -> true), view.ejectionFloor(key), nowMillis);
-        Map<String, ServerHealth> newHealthByServer =
-                Map.copyOf(monitor.evaluate(scheduler.load(nowMillis).isNearlyFull(), nowMillis));
+        boolean capacityNeeded = scheduler.load(nowMillis).isNearlyFull() || unservedShare.isHigh(nowMillis);
+        Map<String, ServerHealth> newHealthByServer = Map.copyOf(monitor.evaluate(capacityNeeded, nowMillis));
         healthLog.report(healthByServer, newHealthByServer, monitor);
         healthByServer = newHealthByServer;
         updateScheduler(nowMillis);
