Count as unserved what is late, refused or failed for good, and let orders test servers only where they may

Each further attempt was taken for a failed one, so that hedges and retries after a shed request hid failures. Now a repeatable request counts when it is late or refused, an order when it fails. An order tested a server that mostly failed also where orders may not test servers.

--- a/src/main/java/org/cassiabank/admission/ServerPool.java
+++ b/src/main/java/org/cassiabank/admission/ServerPool.java
@@ -125,6 +125,7 @@
                 }
                 if (isLimitedToTests(server, lane.candidates(this), nowMillis)) {
                     if (!hints.isAdditionalAttempt()
+                            && (lane.key().repeatable() || unrepeatableProbeDelayMillis > 0)
                             && server.isOverdueForFailingServerTest(lane.key().repeatable(), nowMillis)) {
                         return server;
                     }
--- a/src/main/java/org/cassiabank/health/UnservedShare.java
+++ b/src/main/java/org/cassiabank/health/UnservedShare.java
@@ -3,7 +3,7 @@
 import java.util.Arrays;
 
 /**
- * The share of the requests of a shard that were not served lately: refused, or failed without another attempt.
+ * The share of the requests of a shard that were not served lately: refused, late, or failed for good.
  *
  * <p>Servers that fail requests have free slots, so that the load alone does not show that other servers are needed.
  * Instances are not thread-safe. All times must come from one monotonic clock.
@@ -34,18 +34,21 @@
     }
 
     /**
-     * Records the end of an attempt.
+     * Records the end of an attempt. A repeatable request that fails before its deadline is tried again; if it may not
+     * be, its refusal counts.
      *
      * @param outcome how it ended
+     * @param repeatable whether the request may run again at another server
      * @param nowMillis the time in milliseconds
      */
-    public void recordAttempt(AttemptOutcome outcome, long nowMillis) {
+    public void recordAttempt(AttemptOutcome outcome, boolean repeatable, long nowMillis) {
         int bucket = bucketAt(nowMillis);
         switch (outcome) {
             case ANSWERED -> served[bucket]++;
-            case FAILED, BROKEN, SPOILED, OVERDUE -> unserved[bucket]++;
+            case OVERDUE -> unserved[bucket]++;
+            case FAILED, BROKEN, SPOILED -> unserved[bucket] += repeatable ? 0 : 1;
             case NOT_RUN, CANCELLED -> {
-                // The request is refused, tried again or given up by its caller.
+                // The request is tried again, refused or given up by its caller.
             }
         }
     }
@@ -59,15 +62,6 @@
         unserved[bucketAt(nowMillis)]++;
     }
 
-    /**
-     * Records that a request whose attempt has failed is tried again.
-     *
-     * @param nowMillis the time in milliseconds
-     */
-    public void recordFurtherAttempt(long nowMillis) {
-        unserved[bucketAt(nowMillis)]--;
-    }
-
     /**
      * Tells whether so many requests are not served that every server that may serve some of them is needed.
      *
@@ -76,7 +70,7 @@
      */
     public boolean isHigh(long nowMillis) {
         bucketAt(nowMillis);
-        long unservedCount = Math.max(0, Arrays.stream(unserved).sum());
+        long unservedCount = Arrays.stream(unserved).sum();
         long count = unservedCount + Arrays.stream(served).sum();
         return count >= MINIMUM_REQUESTS && unservedCount > MAXIMUM_SHARE * count;
     }
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -132,9 +132,6 @@
                 return Optional.empty();
             }
             lastRequestMillis = nowMillis;
-            if (presentedTicketId == 0 && request.hints().isAdditionalAttempt()) {
-                unservedShare.recordFurtherAttempt(nowMillis);
-            }
             Optional<Refused> refused =
                     presentedTicketId == 0 ? refuseNewRequest(request, nowMillis) : Optional.empty();
             if (refused.isPresent()) {
@@ -170,7 +167,7 @@
         completedLease.ifPresent(completed -> {
             recordForRequest(completed, outcome);
             loadLog.recordAttempt(outcome.isEvidenceAgainstServer());
-            unservedShare.recordAttempt(outcome, nowMillis);
+            unservedShare.recordAttempt(outcome, completed.repeatable(), nowMillis);
             if (outcome.isEvidenceAgainstServer()) {
                 healthLog.recordFailure(completed.serverName(), outcome, completed.entryProxy());
             }
--- a/src/test/java/org/cassiabank/admission/SlotSchedulerTest.java
+++ b/src/test/java/org/cassiabank/admission/SlotSchedulerTest.java
@@ -18,7 +18,7 @@
  * cost classes, hedges, leases, tickets and refusals. Each test reaches its rule through a few calls with given times.
  */
 class SlotSchedulerTest {
-    private final SlotScheduler scheduler = SlotScheduler.create(SchedulerSettings.defaults());
+    private SlotScheduler scheduler = SlotScheduler.create(SchedulerSettings.defaults());
 
     @Test
     void coldServerDoublesItsSlotsAfterFiveResponsesOrOneSecond() {
@@ -83,8 +83,17 @@
         assertThat(acquiredServer(request(CostHint.SHORT, true), 900)).isEqualTo("other");
         assertThat(acquiredServer(request(CostHint.SHORT, false), 1_100)).isEqualTo("other");
         assertThat(acquiredServer(request(CostHint.SHORT, true), 1_100)).isEqualTo("failing");
-        assertThat(acquiredServer(request(CostHint.SHORT, false), 4_000)).isEqualTo("other");
-        assertThat(acquiredServer(request(CostHint.SHORT, false), 4_200)).isEqualTo("failing");
+        assertThat(acquiredServer(request(CostHint.SHORT, false), 4_200))
+                .as("only repeatable requests may test a server")
+                .isEqualTo("other");
+    }
+
+    @Test
+    void aServerThatMostlyFailedIsTestedByAnOrderAfterThreeSecondsWhereOrdersMayTestServers() {
+        scheduler = SlotScheduler.create(SchedulerSettings.defaults().withUnrepeatableProbeDelayMillis(500));
+        failAllRequestsAt("failing", AttemptOutcome.BROKEN);
+        assertThat(acquiredServer(request(CostHint.SHORT, false), 2_900)).isEqualTo("other");
+        assertThat(acquiredServer(request(CostHint.SHORT, false), 3_100)).isEqualTo("failing");
     }
 
     @Test
--- a/src/test/java/org/cassiabank/health/UnservedShareTest.java
+++ b/src/test/java/org/cassiabank/health/UnservedShareTest.java
@@ -14,31 +14,32 @@
     @EnumSource(names = {"FAILED", "BROKEN", "SPOILED", "OVERDUE"})
     void aTenthOfFailedAttemptsIsHigh(AttemptOutcome outcome) {
         for (int attempt = 0; attempt < 40; attempt++) {
-            share.recordAttempt(attempt % 10 == 0 ? outcome : AttemptOutcome.ANSWERED, 1_000);
+            share.recordAttempt(attempt % 10 == 0 ? outcome : AttemptOutcome.ANSWERED, false, 1_000);
         }
         assertThat(share.isHigh(1_000)).isTrue();
     }
 
     @Test
-    void refusedRequestsCountAndAttemptsThatAreTriedAgainDoNot() {
+    void repeatableRequestsCountWhenTheyAreLateOrRefusedAndNotWhenTheyCanBeTriedAgain() {
         for (int attempt = 0; attempt < 40; attempt++) {
-            share.recordAttempt(attempt % 4 == 0 ? AttemptOutcome.BROKEN : AttemptOutcome.ANSWERED, 1_000);
-            if (attempt % 4 == 0) {
-                share.recordFurtherAttempt(1_010);
-            }
+            share.recordAttempt(attempt % 4 == 0 ? AttemptOutcome.BROKEN : AttemptOutcome.ANSWERED, true, 1_000);
         }
         assertThat(share.isHigh(1_010)).isFalse();
-        for (int refusal = 0; refusal < 4; refusal++) {
+        for (int request = 0; request < 4; request++) {
             share.recordRefusal(1_020);
         }
         assertThat(share.isHigh(1_020)).isTrue();
+        for (int request = 0; request < 40; request++) {
+            share.recordAttempt(request % 10 == 0 ? AttemptOutcome.OVERDUE : AttemptOutcome.ANSWERED, true, 4_000);
+        }
+        assertThat(share.isHigh(4_000)).isTrue();
     }
 
     @Test
     void cancelledAndShedAttemptsAreNoFailures() {
         for (int attempt = 0; attempt < 40; attempt++) {
-            share.recordAttempt(AttemptOutcome.CANCELLED, 0);
-            share.recordAttempt(AttemptOutcome.NOT_RUN, 0);
+            share.recordAttempt(AttemptOutcome.CANCELLED, false, 0);
+            share.recordAttempt(AttemptOutcome.NOT_RUN, false, 0);
         }
         assertThat(share.isHigh(0)).isFalse();
     }
--- a/src/test/java/org/cassiabank/proxy/OwnerSimulation.java
+++ b/src/test/java/org/cassiabank/proxy/OwnerSimulation.java
@@ -309,8 +309,6 @@
         long now = (long) nowMillis;
         if (call.excludedServers.isEmpty()) {
             retryBudget.recordRequest(now);
-        } else {
-            unservedShare.recordFurtherAttempt(now);
         }
         AdmissionRequest request = new AdmissionRequest(
                 call.entry,
@@ -415,7 +413,7 @@
         long now = (long) nowMillis;
         for (CompletedLease completed : scheduler.completeLease(attempt.leaseId(), outcome, latencyMicros, now).stream()
                 .toList()) {
-            unservedShare.recordAttempt(outcome, now);
+            unservedShare.recordAttempt(outcome, completed.repeatable(), now);
             Set<String> excusedServers = monitor.record(
                     new CompletedAttempt(
                             completed.serverName(),
