Space the trials of a silent server by what is at stake, from the time at which they were sent

A trial that is not answered was followed by another each second until the timeout of its route, whether the server was needed or not: a server that stays silent would have cost a request a second. And the hold-off after a trial began at its end, so that lost responses, known seconds after the request was sent, kept a sound server out for 4 s more. Now trials follow each other after 1 s while the server is needed, otherwise after 1.5, 3, 6 s, and the hold-off begins when the latest trial was sent. What the owner records about the end of an attempt at a server moved into its state, without a change but for this.

--- a/src/main/java/org/cassiabank/admission/ServerPool.java
+++ b/src/main/java/org/cassiabank/admission/ServerPool.java
@@ -24,6 +24,7 @@
     private ServerState[] presentServers = {};
     private long version;
     private boolean initialized;
+    private boolean capacityNeeded;
 
     /**
      * Creates a pool without servers.
@@ -55,6 +56,10 @@
         version++;
     }
 
+    void setCapacityNeeded(boolean needed) {
+        capacityNeeded = needed;
+    }
+
     private boolean allHealthyServersBackOff(long nowMillis) {
         for (ServerState server : presentServers) {
             if (server.isHealthy() && !server.isBackingOff(nowMillis)) {
@@ -158,7 +163,7 @@
         ServerState best = null;
         for (ServerState server : lane.candidates(this)) {
             if (server.isOnProbation()
-                    && server.isFreeForTrial(lane.key().repeatable(), hasToWait, nowMillis)
+                    && server.isFreeForTrial(lane.key().repeatable(), hasToWait, capacityNeeded, nowMillis)
                     && (best == null || server.isBetterThan(best, hints, nowMillis))) {
                 best = server;
             }
--- a/src/main/java/org/cassiabank/admission/ServerState.java
+++ b/src/main/java/org/cassiabank/admission/ServerState.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.function.LongPredicate;
+import org.cassiabank.health.AttemptOutcome;
 import org.cassiabank.health.ServerHealth;
 
 /**
@@ -55,8 +56,13 @@
     /** The same for a request that is lost if the test fails. */
     private static final long FAILING_SERVER_UNTESTED_BY_ORDERS_MILLIS = 3_000;
 
-    /** A trial that takes longer does not keep a server on probation from another one. */
-    private static final long TRIAL_PATIENCE_MILLIS = 1_000;
+    /** A trial that takes longer does not keep a server on probation from another one, and so on with twice the time. */
+    private static final long TRIAL_PATIENCE_MILLIS = 1_500;
+
+    private static final int MAXIMUM_PATIENCE_DOUBLINGS = 8;
+
+    /** The time between trials while the servers in use cannot carry the load. */
+    private static final long TRIAL_PATIENCE_IF_NEEDED_MILLIS = 1_000;
 
     /** How many requests may try a server on probation at once while they would have to wait otherwise. */
     private static final int MAXIMUM_TRIALS_OF_WAITING_REQUESTS = 3;
@@ -213,15 +219,20 @@
      *
      * @param repeatable whether the request may run again elsewhere if the trial fails
      * @param hasToWait whether no other server has a free slot for the request
+     * @param needed whether the servers in use cannot carry the load
      * @param nowMillis the current time in milliseconds
      */
-    boolean isFreeForTrial(boolean repeatable, boolean hasToWait, long nowMillis) {
+    boolean isFreeForTrial(boolean repeatable, boolean hasToWait, boolean needed, long nowMillis) {
         if (backsOff(nowMillis)) {
             return hasFreeSlot(nowMillis);
         }
-        boolean isLatestTrialSlow = nowMillis - lastGrantAtMillis >= TRIAL_PATIENCE_MILLIS;
+        long patienceMillis = needed || hasToWait
+                ? TRIAL_PATIENCE_IF_NEEDED_MILLIS
+                : TRIAL_PATIENCE_MILLIS << Math.clamp(trialLeases - 1, 0, MAXIMUM_PATIENCE_DOUBLINGS);
         boolean hasTrialSlot = trialLeases == 0
-                || repeatable && (isLatestTrialSlow || hasToWait && trialLeases < MAXIMUM_TRIALS_OF_WAITING_REQUESTS);
+                || repeatable
+                        && (nowMillis - lastGrantAtMillis >= patienceMillis
+                                || hasToWait && trialLeases < MAXIMUM_TRIALS_OF_WAITING_REQUESTS);
         return hasTrialSlot && leases < schedulableServer.slots() && allowsRequest(nowMillis);
     }
 
@@ -316,12 +327,31 @@
         longWorkLeases += nowLongWork ? 1 : -1;
     }
 
-    /** Tells whether the server has answered a request that it got after the one with a lease. */
-    boolean hasAnsweredLaterThan(long leaseId) {
-        return lastAnsweredLeaseId > leaseId;
+    /**
+     * Records the end of an attempt that the server may have run.
+     *
+     * @param outcome how it ended, not {@link AttemptOutcome#NOT_RUN}
+     * @param leaseId the lease of the attempt
+     * @param relativeLatency its latency as a multiple of the mean of its route
+     * @param nowMillis the current time in milliseconds
+     */
+    void recordOutcome(AttemptOutcome outcome, long leaseId, double relativeLatency, long nowMillis) {
+        switch (outcome) {
+            case ANSWERED -> recordResponse(leaseId, relativeLatency, nowMillis);
+            case FAILED -> recordFailure(nowMillis);
+            case BROKEN, SPOILED, OVERDUE -> {
+                // A response to a later request outweighs an attempt that ends after it.
+                if (lastAnsweredLeaseId <= leaseId) {
+                    recordFailure(nowMillis);
+                }
+            }
+            case NOT_RUN, CANCELLED -> {
+                // The time until a cancellation is no measure of the server.
+            }
+        }
     }
 
-    void recordResponse(long leaseId, double relativeLatency, long nowMillis) {
+    private void recordResponse(long leaseId, double relativeLatency, long nowMillis) {
         lastAnsweredLeaseId = Math.max(lastAnsweredLeaseId, leaseId);
         consecutiveSheds = 0;
         updateFailureShare(0, nowMillis);
@@ -332,7 +362,7 @@
         }
     }
 
-    void recordFailure(long nowMillis) {
+    private void recordFailure(long nowMillis) {
         if (nowMillis - failuresSinceMillis > SAME_MOMENT_MILLIS) {
             failuresSinceMillis = nowMillis;
             failureShareBefore = failureShare(nowMillis);
--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -189,31 +189,29 @@
         }
         RouteCost routeCost = completedLease.get().routeCost();
         ServerState server = completedLease.get().server();
-        switch (outcome) {
-            case ANSWERED -> {
-                server.recordResponse(
-                        leaseId,
-                        routeCost.hasResponses() ? latencyMicros / Math.max(1, routeCost.meanMicros()) : 1,
-                        currentMillis);
-                if (costModel.recordResponse(routeCost, latencyMicros)) {
-                    reclassify();
-                }
-            }
-            case FAILED -> server.recordFailure(currentMillis);
-            case BROKEN, SPOILED, OVERDUE -> {
-                if (!server.hasAnsweredLaterThan(leaseId)) {
-                    server.recordFailure(currentMillis);
-                }
-                routeCost.recordLowerBound(latencyMicros);
-            }
-            case NOT_RUN -> server.recordShed(settings.initialBackoffMillis(), currentMillis);
-            case CANCELLED -> {
-                // The time until a cancellation is no measure of the route or the server.
-            }
+        if (outcome == AttemptOutcome.NOT_RUN) {
+            server.recordShed(settings.initialBackoffMillis(), currentMillis);
+        } else {
+            double relativeLatency = routeCost.hasResponses() ? latencyMicros / Math.max(1, routeCost.meanMicros()) : 1;
+            server.recordOutcome(outcome, leaseId, relativeLatency, currentMillis);
+        }
+        if (outcome == AttemptOutcome.ANSWERED && costModel.recordResponse(routeCost, latencyMicros)) {
+            reclassify();
+        } else if (outcome.isEvidenceAgainstServer() && outcome != AttemptOutcome.FAILED) {
+            routeCost.recordLowerBound(latencyMicros);
         }
         return completedLease.map(Lease::toCompletedLease);
     }
 
+    /**
+     * Sets whether the servers in use cannot carry the load, so that others are tried beside a slow trial.
+     *
+     * @param needed whether further servers are needed
+     */
+    public void setCapacityNeeded(boolean needed) {
+        pool.setCapacityNeeded(needed);
+    }
+
     /**
      * Takes back the failures of the last moment at some servers, because these are not their cause.
      *
--- a/src/main/java/org/cassiabank/health/Suspicion.java
+++ b/src/main/java/org/cassiabank/health/Suspicion.java
@@ -39,6 +39,7 @@
     private boolean isNeeded;
 
     private long stateStartMillis;
+    private long holdOffStartMillis;
     private int goodResponses;
     /** When the latest trial was sent that was answered, in milliseconds. */
     private long answeredTrialMillis;
@@ -101,8 +102,8 @@
                 .filter(former -> nowMillis - former.rememberedMillis() <= SimultaneousBreaks.LATE_REPORT_MILLIS)
                 .isPresent();
         if (!isSameMoment) {
-            stateBeforeBreaks = Optional.of(
-                    new FormerState(health, score, scoreUpdatedMillis, holdOffMillis, stateStartMillis, nowMillis));
+            stateBeforeBreaks = Optional.of(new FormerState(
+                    health, score, scoreUpdatedMillis, holdOffMillis, stateStartMillis, holdOffStartMillis, nowMillis));
         }
     }
 
@@ -114,6 +115,7 @@
             scoreUpdatedMillis = former.scoreUpdatedMillis();
             holdOffMillis = former.holdOffMillis();
             stateStartMillis = former.stateStartMillis();
+            holdOffStartMillis = former.holdOffStartMillis();
         });
         stateBeforeBreaks = Optional.empty();
     }
@@ -154,7 +156,7 @@
             eject(nowMillis);
         }
         double effectiveMillis = needed ? settings.neededHoldOffMillis() : holdOffMillis;
-        if (health == ServerHealth.EJECTED && nowMillis - stateStartMillis >= effectiveMillis) {
+        if (health == ServerHealth.EJECTED && nowMillis - holdOffStartMillis >= effectiveMillis) {
             enterState(ServerHealth.PROBATION, nowMillis);
         }
     }
@@ -204,7 +206,10 @@
                 long maximumMillis =
                         repeatable ? settings.maximumRepeatableHoldOffMillis() : settings.maximumHoldOffMillis();
                 holdOffMillis = Math.min(maximumMillis, holdOffMillis * HOLD_OFF_GROWTH_FACTOR);
+                // The trials show that the server failed when they were sent, however late they end.
+                long latestTrialMillis = unansweredRequests.latestSentMillis(startMillis);
                 enterState(ServerHealth.EJECTED, nowMillis);
+                holdOffStartMillis = latestTrialMillis;
             }
             case NOT_RUN, CANCELLED -> {
                 // The probation needs another attempt.
@@ -215,6 +220,7 @@
     private void enterState(ServerHealth next, long nowMillis) {
         health = next;
         stateStartMillis = nowMillis;
+        holdOffStartMillis = nowMillis;
         goodResponses = 0;
         score = 0;
         scoreUpdatedMillis = nowMillis;
@@ -231,5 +237,6 @@
             long scoreUpdatedMillis,
             double holdOffMillis,
             long stateStartMillis,
+            long holdOffStartMillis,
             long rememberedMillis) {}
 }
--- a/src/main/java/org/cassiabank/health/UnansweredRequests.java
+++ b/src/main/java/org/cassiabank/health/UnansweredRequests.java
@@ -87,6 +87,13 @@
         }
     }
 
+    /** Returns when the latest request in flight was sent, in milliseconds, or the given time if that is later. */
+    long latestSentMillis(long earliestMillis) {
+        return requestsInFlight.isEmpty()
+                ? earliestMillis
+                : Math.max(earliestMillis, requestsInFlight.getLast().startMillis());
+    }
+
     /** Forgets all requests in flight, because their ages say nothing about the server. */
     void forgetRequestsInFlight() {
         requestsInFlight.clear();
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -379,6 +379,7 @@
                 .removeIf(reportMillis -> nowMillis - reportMillis > LEAVING_REPORT_VALIDITY_MILLIS);
         monitor.replaceServers(monitoredServers(server -> true), view.ejectionFloor(key), nowMillis);
         boolean capacityNeeded = scheduler.load(nowMillis).isNearlyFull() || unservedShare.isHigh(nowMillis);
+        scheduler.setCapacityNeeded(capacityNeeded);
         Map<String, ServerHealth> newHealthByServer = Map.copyOf(monitor.evaluate(capacityNeeded, nowMillis));
         healthLog.report(healthByServer, newHealthByServer, monitor);
         healthByServer = newHealthByServer;
--- a/src/test/java/org/cassiabank/health/SuspicionTest.java
+++ b/src/test/java/org/cassiabank/health/SuspicionTest.java
@@ -137,6 +137,22 @@
         assertThat(suspicion.health()).isEqualTo(ServerHealth.EJECTED);
     }
 
+    @Test
+    void theHoldOffAfterATrialThatFailsLateBeginsWhenTheLatestTrialWasSent() {
+        Suspicion suspicion = newSuspicion();
+        suspicion.recordAttempt(AttemptOutcome.BROKEN, true, 0, 0);
+        suspicion.advance(false, 0, HOLD_OFF_MILLIS);
+        long trialMillis = HOLD_OFF_MILLIS + 3_000;
+        suspicion.recordInFlight(HOLD_OFF_MILLIS, 0.1, trialMillis + 1_000);
+        suspicion.recordInFlight(trialMillis, 0.5, trialMillis + 1_000);
+        suspicion.recordAttempt(AttemptOutcome.OVERDUE, true, HOLD_OFF_MILLIS, trialMillis + 1_000);
+        long endMillis = trialMillis + HOLD_OFF_MILLIS * 3 / 2;
+        suspicion.advance(false, 0, endMillis - 1);
+        assertThat(suspicion.health()).isEqualTo(ServerHealth.EJECTED);
+        suspicion.advance(false, 0, endMillis);
+        assertThat(suspicion.health()).isEqualTo(ServerHealth.PROBATION);
+    }
+
     @Test
     void aSilentServerIsEjectedLongBeforeItsRequestsTimeOut() {
         HealthMonitor monitor = newMonitor(0);
