Leave the time of grants and reports out of the age of requests in flight

The owner counts the age of a request from its grant until the report of its end, the latencies it compares with are measured at the entry between sending and end. On routes with short work the way of the two messages, longer on a busy machine, made sound servers look silent. Entries give up on an owner after 250 ms; so much is left out.

--- a/src/main/java/org/cassiabank/health/HealthMonitor.java
+++ b/src/main/java/org/cassiabank/health/HealthMonitor.java
@@ -24,6 +24,12 @@
     /** After a longer time without observations this daemon was paused, and the ages of the attempts include it. */
     private static final long MAXIMUM_OBSERVATION_GAP_MILLIS = 250;
 
+    /**
+     * The grant reaches its entry proxy, and the end of the attempt the owner, within this time together; neither is
+     * part of a latency.
+     */
+    private static final long MAXIMUM_MESSAGE_MICROS = 250_000;
+
     /** After a pause the ends of attempts are reported within this time. */
     private static final long LATE_REPORTS_MILLIS = 500;
 
@@ -178,7 +184,8 @@
                 || !evidenceScope(server, nowMillis).countsSlowness()) {
             return;
         }
-        OptionalDouble longerShare = detector.shareOfLongerResponses(route, elapsedMicros, nowMillis);
+        OptionalDouble longerShare =
+                detector.shareOfLongerResponses(route, Math.max(0, elapsedMicros - MAXIMUM_MESSAGE_MICROS), nowMillis);
         if (longerShare.isPresent()) {
             server.suspicion
                     .get()
--- a/src/test/java/org/cassiabank/health/SuspicionTest.java
+++ b/src/test/java/org/cassiabank/health/SuspicionTest.java
@@ -176,6 +176,23 @@
         assertThat(healthByName.values()).containsOnly(ServerHealth.HEALTHY);
     }
 
+    @Test
+    void requestsWhoseEndIsReportedALittleLateAreNoEvidence() {
+        HealthMonitor monitor = newMonitor(0);
+        for (long nowMillis = 100; nowMillis <= 5_000; nowMillis += 100) {
+            for (int server = 0; server < SERVER_COUNT; server++) {
+                monitor.record(
+                        CompletedAttempt.ofUnknownEntryProxy("s" + server, "order", AttemptOutcome.ANSWERED, 50_000),
+                        nowMillis);
+                monitor.recordInFlight("s" + server, "order", 10_000, nowMillis);
+            }
+        }
+        for (int request = 0; request < 4; request++) {
+            monitor.recordInFlight("s0", "order", 280_000, 5_050);
+        }
+        assertThat(monitor.evaluate(5_050)).containsEntry("s0", ServerHealth.HEALTHY);
+    }
+
     @Test
     void theAgesOfRequestsAreNoEvidenceAfterAPauseOfTheOwner() {
         HealthMonitor monitor = newMonitor(0);
