--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -132,9 +132,6 @@
                 return Optional.empty();
             }
             lastRequestMillis = nowMillis;
-            if (presentedTicketId == 0 && request.hints().isAdditionalAttempt()) {
-                unservedShare.recordFurtherAttempt(nowMillis);
-            }
             Optional<Refused> refused =
                     presentedTicketId == 0 ? refuseNewRequest(request, nowMillis) : Optional.empty();
             if (refused.isPresent()) {
@@ -170,7 +167,7 @@
         completedLease.ifPresent(completed -> {
             recordForRequest(completed, outcome);
             loadLog.recordAttempt(outcome.isEvidenceAgainstServer());
-            unservedShare.recordAttempt(outcome, nowMillis);
+            unservedShare.recordAttempt(outcome, completed.repeatable(), nowMillis);
             if (outcome.isEvidenceAgainstServer()) {
                 healthLog.recordFailure(completed.serverName(), outcome, completed.entryProxy());
             }
@@ -382,6 +379,7 @@
                 .removeIf(reportMillis -> nowMillis - reportMillis > LEAVING_REPORT_VALIDITY_MILLIS);
         monitor.replaceServers(monitoredServers(server -> true), view.ejectionFloor(key), nowMillis);
         boolean capacityNeeded = scheduler.load(nowMillis).isNearlyFull() || unservedShare.isHigh(nowMillis);
+        scheduler.setCapacityNeeded(capacityNeeded);
         Map<String, ServerHealth> newHealthByServer = Map.copyOf(monitor.evaluate(capacityNeeded, nowMillis));
         healthLog.report(healthByServer, newHealthByServer, monitor);
         healthByServer = newHealthByServer;
--- a/src/test/java/org/cassiabank/proxy/OwnerSimulation.java
+++ b/src/test/java/org/cassiabank/proxy/OwnerSimulation.java
@@ -287,9 +287,10 @@
                 .mapToObj(server -> new MonitoredServer(name(server), false, true, domain(server)))
                 .toList();
         monitor.replaceServers(monitored, (serverCount * FLOOR_PERCENT + 99) / 100, (long) nowMillis);
-        Map<String, ServerHealth> health = monitor.evaluate(
-                scheduler.load((long) nowMillis).isNearlyFull() || unservedShare.isHigh((long) nowMillis),
-                (long) nowMillis);
+        long now = (long) nowMillis;
+        boolean capacityNeeded = scheduler.load(now).isNearlyFull() || unservedShare.isHigh(now);
+        scheduler.setCapacityNeeded(capacityNeeded);
+        Map<String, ServerHealth> health = monitor.evaluate(capacityNeeded, now);
         scheduler.replaceServers(
                 IntStream.range(0, serverCount)
                         .mapToObj(server -> new SchedulableServer(
@@ -309,8 +310,6 @@
         long now = (long) nowMillis;
         if (call.excludedServers.isEmpty()) {
             retryBudget.recordRequest(now);
-        } else {
-            unservedShare.recordFurtherAttempt(now);
         }
         AdmissionRequest request = new AdmissionRequest(
                 call.entry,
@@ -415,7 +414,7 @@
         long now = (long) nowMillis;
         for (CompletedLease completed : scheduler.completeLease(attempt.leaseId(), outcome, latencyMicros, now).stream()
                 .toList()) {
-            unservedShare.recordAttempt(outcome, now);
+            unservedShare.recordAttempt(outcome, completed.repeatable(), now);
             Set<String> excusedServers = monitor.record(
                     new CompletedAttempt(
                             completed.serverName(),
