--- a/src/test/java/org/cassiabank/health/SuspicionTest.java
+++ b/src/test/java/org/cassiabank/health/SuspicionTest.java
@@ -137,6 +137,22 @@
         assertThat(suspicion.health()).isEqualTo(ServerHealth.EJECTED);
     }
 
+    @Test
+    void theHoldOffAfterATrialThatFailsLateBeginsWhenTheLatestTrialWasSent() {
+        Suspicion suspicion = newSuspicion();
+        suspicion.recordAttempt(AttemptOutcome.BROKEN, true, 0, 0);
+        suspicion.advance(false, 0, HOLD_OFF_MILLIS);
+        long trialMillis = HOLD_OFF_MILLIS + 3_000;
+        suspicion.recordInFlight(HOLD_OFF_MILLIS, 0.1, trialMillis + 1_000);
+        suspicion.recordInFlight(trialMillis, 0.5, trialMillis + 1_000);
+        suspicion.recordAttempt(AttemptOutcome.OVERDUE, true, HOLD_OFF_MILLIS, trialMillis + 1_000);
+        long endMillis = trialMillis + HOLD_OFF_MILLIS * 3 / 2;
+        suspicion.advance(false, 0, endMillis - 1);
+        assertThat(suspicion.health()).isEqualTo(ServerHealth.EJECTED);
+        suspicion.advance(false, 0, endMillis);
+        assertThat(suspicion.health()).isEqualTo(ServerHealth.PROBATION);
+    }
+
     @Test
     void aSilentServerIsEjectedLongBeforeItsRequestsTimeOut() {
         HealthMonitor monitor = newMonitor(0);
@@ -160,6 +176,23 @@
         assertThat(healthByName.values()).containsOnly(ServerHealth.HEALTHY);
     }
 
+    @Test
+    void requestsWhoseEndIsReportedALittleLateAreNoEvidence() {
+        HealthMonitor monitor = newMonitor(0);
+        for (long nowMillis = 100; nowMillis <= 5_000; nowMillis += 100) {
+            for (int server = 0; server < SERVER_COUNT; server++) {
+                monitor.record(
+                        CompletedAttempt.ofUnknownEntryProxy("s" + server, "order", AttemptOutcome.ANSWERED, 50_000),
+                        nowMillis);
+                monitor.recordInFlight("s" + server, "order", 10_000, nowMillis);
+            }
+        }
+        for (int request = 0; request < 4; request++) {
+            monitor.recordInFlight("s0", "order", 280_000, 5_050);
+        }
+        assertThat(monitor.evaluate(5_050)).containsEntry("s0", ServerHealth.HEALTHY);
+    }
+
     @Test
     void theAgesOfRequestsAreNoEvidenceAfterAPauseOfTheOwner() {
         HealthMonitor monitor = newMonitor(0);
