--- a/src/main/java/org/cassiabank/admission/ServerPool.java
+++ b/src/main/java/org/cassiabank/admission/ServerPool.java
@@ -131,7 +131,7 @@
                 if (isLimitedToTests(server, lane.candidates(this), nowMillis)) {
                     if (!hints.isAdditionalAttempt()
                             && (lane.key().repeatable() || unrepeatableProbeDelayMillis > 0)
-                            && server.isOverdueForFailingServerTest(lane.key().repeatable(), nowMillis)) {
+                            && server.isUntestedForLong(lane.key().repeatable(), nowMillis)) {
                         return server;
                     }
                     if (lane.key().repeatable() && server.isDueForFailingServerTest(nowMillis)) {
--- a/src/main/java/org/cassiabank/admission/ServerState.java
+++ b/src/main/java/org/cassiabank/admission/ServerState.java
@@ -50,13 +50,13 @@
     /** The minimum interval between repeatable test requests to a server that mostly fails. */
     private static final long FAILING_SERVER_TEST_INTERVAL_MILLIS = 250;
 
-    /** A server that mostly failed gets a test after this time without a request, even if others have free slots. */
-    private static final long FAILING_SERVER_UNTESTED_MILLIS = 1_000;
+    /** A server that mostly failed gets a repeatable request after this time without any, whatever slots are free. */
+    private static final long REPEATABLE_TEST_DELAY_MILLIS = 1_000;
 
-    /** The same for a request that is lost if the test fails. */
-    private static final long FAILING_SERVER_UNTESTED_BY_ORDERS_MILLIS = 3_000;
+    /** The same for an unrepeatable request, which is lost if the test fails. */
+    private static final long UNREPEATABLE_TEST_DELAY_MILLIS = 3_000;
 
-    /** A trial that takes longer does not keep a server on probation from another one, and so on with twice the time. */
+    /** A slower trial does not keep a server on probation from another one; each one doubles the time to the next. */
     private static final long TRIAL_PATIENCE_MILLIS = 1_500;
 
     private static final int MAXIMUM_PATIENCE_DOUBLINGS = 8;
@@ -298,8 +298,8 @@
     }
 
     /** Tells whether a server that mostly fails has got no request for so long that its failures are out of date. */
-    boolean isOverdueForFailingServerTest(boolean repeatable, long nowMillis) {
-        long untestedMillis = repeatable ? FAILING_SERVER_UNTESTED_MILLIS : FAILING_SERVER_UNTESTED_BY_ORDERS_MILLIS;
+    boolean isUntestedForLong(boolean repeatable, long nowMillis) {
+        long untestedMillis = repeatable ? REPEATABLE_TEST_DELAY_MILLIS : UNREPEATABLE_TEST_DELAY_MILLIS;
         return hasNoGrantSince(nowMillis - untestedMillis);
     }
 
