--- a/review/9/case.py
+++ b/review/9/case.py
@@ -13,7 +13,7 @@
 
 
 async def case(fleet, record):
-    upstreams = [await fleet.upstream(f"s-orders-{number}", "orders", slots=2) for number in range(4)]
+    upstreams = [await fleet.upstream(f"s-orders-{number}", "orders", slots=2) for number in range(5)]
     leaver = upstreams[0]
     await fleet.configure(1, {"r-orders": kit.route("orders", "/orders/", "non_idempotent")}, ["orders"])
     daemons = [await fleet.daemon("front-1"), await fleet.daemon("front-2")]
