Log which response of an attempt announced that its server leaves

Callers saw orders run by an upstream more than 2 s after their daemon had passed on an answer with Server-Leaving.

Hypotheses, written before any change of logic: 1. The entry does not recognize the announcement in the response. 2. The entry recognizes it, and its report to the owner of the slots is lost or ignored. 3. The owner knows of it and grants the slot all the same.

The steps of a request now say that a response announced leaving.

--- a/src/main/java/org/cassiabank/proxy/RequestRun.java
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -257,6 +257,9 @@
         if (result instanceof ResponseReceived response) {
             label += " " + response.status() + " " + response.observation();
         }
+        if (result.notice().leaving()) {
+            label += " leaving";
+        }
         return result.notice().rateLimit() instanceof RateLimitNotice.Limited limited
                 ? label + " limit=" + limited.requestsPerSecond() + "/s"
                 : label;
