--- a/src/main/java/org/cassiabank/backend/AttemptTrace.java
+++ b/src/main/java/org/cassiabank/backend/AttemptTrace.java
@@ -33,6 +33,7 @@
     private volatile boolean writtenOnEarlierConnection;
     private volatile MeteredSocket countingSocket;
     private volatile long writesAtAcquisition;
+    private volatile int responseStatus;
     private volatile Headers responseHeaders;
     private volatile ResponseMeter responseMeter;
     private volatile byte[] bytesBehind = {};
@@ -105,6 +106,11 @@
         return responseHeaders;
     }
 
+    /** Returns the status of the response, 0 until the head is complete. */
+    int responseStatus() {
+        return responseStatus;
+    }
+
     /** Returns the bytes that had arrived behind the response when it was complete, none before. */
     byte[] bytesBehind() {
         return bytesBehind;
@@ -203,6 +209,7 @@
             headersToSend.values(headerName).forEach(value -> builder.addHeader(headerName, value));
         }
         Response response = chain.proceed(builder.build());
+        responseStatus = response.code();
         responseHeaders = response.headers();
         beginBody(response);
         Response responseToRead =
--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -171,6 +171,20 @@
         return trace.bytesBehind().length > 0;
     }
 
+    /**
+     * Tells whether the response announced that its server is leaving.
+     *
+     * @return true also if the response broke off or is not valid behind its head; false if there is none, or if it
+     *     belongs to another request or comes from another server
+     */
+    public boolean announcesLeaving() {
+        Headers headers = trace.responseHeaders();
+        return headers != null
+                && trace.responseStatus() != MISDIRECTED_REQUEST_STATUS
+                && identifiesRequest(headers)
+                && conventions.announcesLeaving(headers.toMultimap());
+    }
+
     /**
      * Cancels the attempt and closes its connection, so that the server can stop its work. May be called from any
      * thread at any time; has no effect once the attempt has ended.
@@ -245,10 +259,10 @@
 
     private Optional<BackendResult> findInvalidHead(Response response) {
         Headers headers = trace.responseHeaders();
-        List<String> requestIds = headers.values(conventions.requestIdHeader());
-        if (requestIds.isEmpty() || !requestIds.stream().allMatch(request.requestId()::equals)) {
+        if (!identifiesRequest(headers)) {
             return Optional.of(new NoValidResponse(
-                    NoValidResponseReason.REQUEST_ID_MISMATCH, "response carries request identifiers " + requestIds));
+                    NoValidResponseReason.REQUEST_ID_MISMATCH,
+                    "response carries request identifiers " + headers.values(conventions.requestIdHeader())));
         }
         int status = response.code();
         boolean hasBody = status != 204 && status != 304 && !request.method().equals("HEAD");
@@ -278,6 +292,11 @@
                         "status " + status + " without a valid Content-Length or chunked encoding"));
     }
 
+    private boolean identifiesRequest(Headers headers) {
+        List<String> requestIds = headers.values(conventions.requestIdHeader());
+        return !requestIds.isEmpty() && requestIds.stream().allMatch(request.requestId()::equals);
+    }
+
     private BackendResult toResult(Response response, byte[] body) {
         int status = response.code();
         Headers headers = trace.responseHeaders();
@@ -297,10 +316,9 @@
     }
 
     private ServerNotice readNotice(int status, Headers headers) {
-        boolean leaving = conventions.announcesLeaving(headers.toMultimap());
         if (status == MISDIRECTED_REQUEST_STATUS) {
             // Another server answered.
-            return new ServerNotice(leaving, new RateLimitNotice.Unknown());
+            return ServerNotice.none();
         }
         List<String> values = headers.values(conventions.rateLimitHeader());
         Optional<RateLimitNotice> limit = RateLimitHeader.parse(values);
@@ -312,7 +330,7 @@
                     conventions.rateLimitHeader(),
                     PrintableText.abbreviate(values.toString()));
         }
-        return new ServerNotice(leaving, limit.orElseGet(RateLimitNotice.Unlimited::new));
+        return new ServerNotice(announcesLeaving(), limit.orElseGet(RateLimitNotice.Unlimited::new));
     }
 
     /** Returns the names of the headers that each response of a server holds. */
--- a/src/main/java/org/cassiabank/backend/BackendHeaders.java
+++ b/src/main/java/org/cassiabank/backend/BackendHeaders.java
@@ -106,8 +106,15 @@
         return builder.build();
     }
 
-    /** Tells whether a header is present and all its values equal the given one, ignoring case. */
-    static boolean hasOnlyValue(Map<String, List<String>> headers, String name, String expectedValue) {
+    /**
+     * Tells whether a header is present and all its values equal the given one, ignoring case.
+     *
+     * @param headers the headers of a message
+     * @param name the name of the header, in any spelling
+     * @param expectedValue the value
+     * @return false also if the header has the value beside another one
+     */
+    public static boolean hasOnlyValue(Map<String, List<String>> headers, String name, String expectedValue) {
         List<String> values = headers.entrySet().stream()
                 .filter(header -> header.getKey().equalsIgnoreCase(name))
                 .flatMap(header -> header.getValue().stream())
--- a/src/main/java/org/cassiabank/platform/PlatformHeaderConventions.java
+++ b/src/main/java/org/cassiabank/platform/PlatformHeaderConventions.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.cassiabank.backend.BackendHeaders;
 import org.cassiabank.backend.HeaderConventions;
 
 /**
@@ -52,10 +53,10 @@
         return status == MISDIRECTED_REQUEST || headers.keySet().stream().anyMatch("Not-Executed"::equalsIgnoreCase);
     }
 
-    /** Servers announce that they leave in the store only; they close connections for other reasons too. */
+    /** Beside the store, all responses of a leaving server tell so; it closes connections for other reasons too. */
     @Override
     public boolean announcesLeaving(Map<String, List<String>> headers) {
-        return false;
+        return BackendHeaders.hasOnlyValue(headers, "Server-Leaving", "1");
     }
 
     @Override
--- a/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
+++ b/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
@@ -26,6 +26,7 @@
 import org.cassiabank.health.AttemptOutcome;
 import org.cassiabank.kernel.BackgroundTasks;
 import org.cassiabank.membership.Instance;
+import org.cassiabank.membership.ServerStart;
 import org.cassiabank.retry.RetryReason;
 
 /**
@@ -45,6 +46,7 @@
     private final ProxyMetrics metrics;
     private final HeaderConventions conventions;
     private final ServerPathMonitor serverPath;
+    private final KnownLeavingServers leavingServers;
     private final UnreachableServers unreachableServers = UnreachableServers.create();
     private final ExecutorService workers = Executors.newVirtualThreadPerTaskExecutor();
     private final ScheduledExecutorService cancellationTimer = Executors.newSingleThreadScheduledExecutor(
@@ -57,6 +59,7 @@
             SlotBroker broker,
             BackendClient backendClient,
             ServerPathMonitor serverPath,
+            KnownLeavingServers leavingServers,
             ProxyMetrics metrics,
             HeaderConventions conventions) {
         this.entryName = entryName;
@@ -65,6 +68,7 @@
         this.broker = broker;
         this.backendClient = backendClient;
         this.serverPath = serverPath;
+        this.leavingServers = leavingServers;
         this.metrics = metrics;
         this.conventions = conventions;
     }
@@ -75,6 +79,7 @@
             SlotBroker broker,
             BackendClient backendClient,
             ServerPathMonitor serverPath,
+            KnownLeavingServers leavingServers,
             ProxyMetrics metrics,
             HeaderConventions conventions) {
         return new AttemptExecutor(
@@ -84,6 +89,7 @@
                 Objects.requireNonNull(broker, "broker"),
                 Objects.requireNonNull(backendClient, "backendClient"),
                 Objects.requireNonNull(serverPath, "serverPath"),
+                Objects.requireNonNull(leavingServers, "leavingServers"),
                 Objects.requireNonNull(metrics, "metrics"),
                 Objects.requireNonNull(conventions, "conventions"));
     }
@@ -132,13 +138,16 @@
     }
 
     /**
-     * Tells whether a server accepts new requests according to this entry proxy's own instance list.
+     * Tells whether a server accepts new requests according to what this entry proxy itself knows: its instance list
+     * and the responses that it received. The owner that granted the slot may know less.
      *
      * @param serverName the name of the server
      * @return false if the server is leaving or not listed
      */
     boolean acceptsRequests(String serverName) {
-        return fleet.view().isAcceptingRequests(serverName);
+        FleetView view = fleet.view();
+        return view.isAcceptingRequests(serverName)
+                && !leavingServers.isLeaving(new ServerStart(serverName, view.incarnation(serverName)));
     }
 
     /**
@@ -235,7 +244,10 @@
     private RunningAttempt newAttempt(
             CallerRequest request, SlotResult.Slot slot, Selector selector, long timeoutMillis) {
         return new RunningAttempt(
-                slot, newCall(request, slot, selector.repeatable(), timeoutMillis), selector.repeatable());
+                slot,
+                new ServerStart(slot.serverName(), fleet.view().incarnation(slot.serverName())),
+                newCall(request, slot, selector.repeatable(), timeoutMillis),
+                selector.repeatable());
     }
 
     /** Prepares the call; empty if nothing can be sent to the server, whose name or address is not usable. */
@@ -288,8 +300,13 @@
     }
 
     private void recordResult(RunningAttempt attempt, BackendResult result, Runnable cancellation, long latencyMicros) {
-        // First, so that the slot is free again whatever happens to the other records.
-        workers.execute(() -> broker.report(attempt.slot(), result.outcome(), latencyMicros, result.notice()));
+        boolean leaving = attempt.call().filter(BackendCall::announcesLeaving).isPresent();
+        ServerNotice notice = new ServerNotice(leaving, result.notice().rateLimit());
+        // Before the other records, so that the slot is free again whatever happens to them.
+        workers.execute(() -> broker.report(attempt.slot(), result.outcome(), latencyMicros, notice));
+        if (leaving) {
+            leavingServers.record(attempt.start(), "its response");
+        }
         serverPath.attemptCompleted(cancellation);
         boolean hasOpenedConnection =
                 attempt.call().filter(BackendCall::hasOpenedConnection).isPresent();
@@ -321,10 +338,12 @@
      * An attempt that may still be running.
      *
      * @param slot the slot that the attempt occupies
+     * @param start the start of the server that was listed when the attempt began; a later one is not meant by the
+     *     response
      * @param call the call to the backend server, empty if nothing can be sent to it
      * @param repeatable whether the request may run more than once
      */
-    record RunningAttempt(SlotResult.Slot slot, Optional<BackendCall> call, boolean repeatable) {
+    record RunningAttempt(SlotResult.Slot slot, ServerStart start, Optional<BackendCall> call, boolean repeatable) {
 
         /** Cancels the attempt; has no effect if it has completed. */
         void cancel() {
--- a/src/main/java/org/cassiabank/proxy/ForwardedRequests.java
+++ b/src/main/java/org/cassiabank/proxy/ForwardedRequests.java
@@ -18,27 +18,43 @@
 
     private final ForwardedRequestHandler requestHandler;
     private final BooleanSupplier cutOffFromServers;
+    private final KnownLeavingServers leavingServers;
     private final long maximumBodyBytes;
     private final AtomicLong bodyBytes = new AtomicLong();
     private final Map<String, CallerPresence> presencesById = new ConcurrentHashMap<>();
     private volatile boolean draining;
 
     private ForwardedRequests(
-            ForwardedRequestHandler requestHandler, BooleanSupplier cutOffFromServers, long maximumBodyBytes) {
+            ForwardedRequestHandler requestHandler,
+            BooleanSupplier cutOffFromServers,
+            KnownLeavingServers leavingServers,
+            long maximumBodyBytes) {
         this.requestHandler = requestHandler;
         this.cutOffFromServers = cutOffFromServers;
+        this.leavingServers = leavingServers;
         this.maximumBodyBytes = maximumBodyBytes;
     }
 
-    static ForwardedRequests create(ForwardedRequestHandler requestHandler, BooleanSupplier cutOffFromServers) {
-        return create(requestHandler, cutOffFromServers, Runtime.getRuntime().maxMemory() / HEAP_PARTS);
+    static ForwardedRequests create(
+            ForwardedRequestHandler requestHandler,
+            BooleanSupplier cutOffFromServers,
+            KnownLeavingServers leavingServers) {
+        return create(
+                requestHandler,
+                cutOffFromServers,
+                leavingServers,
+                Runtime.getRuntime().maxMemory() / HEAP_PARTS);
     }
 
     static ForwardedRequests create(
-            ForwardedRequestHandler requestHandler, BooleanSupplier cutOffFromServers, long maximumBodyBytes) {
+            ForwardedRequestHandler requestHandler,
+            BooleanSupplier cutOffFromServers,
+            KnownLeavingServers leavingServers,
+            long maximumBodyBytes) {
         return new ForwardedRequests(
                 Objects.requireNonNull(requestHandler, "requestHandler"),
                 Objects.requireNonNull(cutOffFromServers, "cutOffFromServers"),
+                Objects.requireNonNull(leavingServers, "leavingServers"),
                 maximumBodyBytes);
     }
 
@@ -64,6 +80,9 @@
         if (cutOffFromServers.getAsBoolean()) {
             return ForwardedReply.declined("cut-off");
         }
+        leavingServers.merge(
+                PeerMessageConverter.toServerStarts(message.getLeavingServers()),
+                "that passed on request " + message.getId());
         CallerRequest request = PeerMessageConverter.toCallerRequest(message);
         int size = request.body().length;
         CallerPresence presence = CallerPresence.create();
@@ -74,7 +93,8 @@
             }
             Optional<RequestResult> result =
                     requestHandler.runForwarded(request, message.getRemainingMillis(), message.getAttempts(), presence);
-            return result.map(PeerMessageConverter::toMessage).orElseGet(() -> ForwardedReply.declined("not-run"));
+            return result.map(found -> PeerMessageConverter.toMessage(found, leavingServers.all()))
+                    .orElseGet(() -> ForwardedReply.declined("not-run"));
         } finally {
             bodyBytes.addAndGet(-size);
             presencesById.remove(message.getId());
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -14,7 +14,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Predicate;
-import java.util.stream.Collectors;
 import org.cassiabank.admission.AdmissionRequest;
 import org.cassiabank.admission.CompletedLease;
 import org.cassiabank.admission.Granted;
@@ -37,7 +36,7 @@
 import org.cassiabank.health.MonitoredServer;
 import org.cassiabank.health.ServerHealth;
 import org.cassiabank.health.UnservedShare;
-import org.cassiabank.membership.Instance;
+import org.cassiabank.membership.ServerStart;
 
 /**
  * A shard that this daemon schedules: its queue, its leases and the health of its servers, guarded by one lock.
@@ -59,12 +58,6 @@
 
     private static final long EVALUATION_INTERVAL_MILLIS = 50;
 
-    /**
-     * How long a server that reported that it is leaving counts as leaving: far longer than the instance list lags, but
-     * limited in case the report was wrong.
-     */
-    private static final long LEAVING_REPORT_VALIDITY_MILLIS = 60_000;
-
     private final ShardKey key;
     private final FatalRequestExchange fatalRequests;
     private final ServerHealthLog healthLog;
@@ -75,10 +68,9 @@
     private final UnservedShare unservedShare = UnservedShare.create(MonotonicClock.millis());
     private final Map<Long, CompletableFuture<SlotDecision>> waitingPolls = new HashMap<>();
     private final Map<Long, UncollectedDecision> uncollectedDecisions = new HashMap<>();
-    private final Map<String, Long> leavingReportMillis = new HashMap<>();
     private final ServerRateLimits rateLimits = ServerRateLimits.create();
-    private Map<String, Long> incarnationByServer = Map.of();
-
+    private final KnownLeavingServers leavingServers;
+    private final ListedStarts listedStarts = new ListedStarts();
     private Map<String, ServerHealth> healthByServer = Map.of();
     private FleetView view;
     private long nextEvaluationMillis;
@@ -90,10 +82,12 @@
             ShardKey key,
             OwnerSettings settings,
             FatalRequestExchange fatalRequests,
+            KnownLeavingServers leavingServers,
             ProxyMetrics metrics,
             ShardRetryBudget retryBudget) {
         this.key = key;
         this.fatalRequests = fatalRequests;
+        this.leavingServers = leavingServers;
         this.healthLog = ServerHealthLog.create(key, metrics);
         this.loadLog = ShardLoadLog.create(key);
         this.scheduler = SlotScheduler.create(settings.scheduler());
@@ -105,12 +99,13 @@
             ShardKey key,
             OwnerSettings settings,
             FatalRequestExchange fatalRequests,
+            KnownLeavingServers leavingServers,
             ProxyMetrics metrics,
             FleetView view,
             long nowMillis) {
         ShardRetryBudget retryBudget =
                 ShardRetryBudget.create(settings.retryBudgetSettings(), view.shardCount(key.service()), nowMillis);
-        OwnedShard shard = new OwnedShard(key, settings, fatalRequests, metrics, retryBudget);
+        OwnedShard shard = new OwnedShard(key, settings, fatalRequests, leavingServers, metrics, retryBudget);
         shard.lastRequestMillis = nowMillis;
         shard.updateView(view, nowMillis);
         return shard;
@@ -192,8 +187,8 @@
                 healthLog.reportRateLimit(completed.serverName(), rateLimits.limit(completed.serverName()));
                 updateScheduler(nowMillis);
             }
-            if (notice.leaving() && leavingReportMillis.put(completed.serverName(), nowMillis) == null) {
-                LOGGER.atInfo().log("%s: server %s reported that it is leaving", key, completed.serverName());
+            if (notice.leaving()) {
+                recordLeaving(completed);
                 updateScheduler(nowMillis);
             }
         });
@@ -201,8 +196,15 @@
         return completedLease.isPresent();
     }
 
+    /** Records the announcement of a server, unless another start of it was listed when the attempt began. */
+    private void recordLeaving(CompletedLease completed) {
+        listedStarts
+                .startOfAttempt(completed.serverName(), completed.grantedAtMillis())
+                .ifPresent(start -> leavingServers.record(start, "its response to " + completed.entryProxy()));
+    }
+
     private void recordForRequest(CompletedLease completed, AttemptOutcome outcome) {
-        long incarnation = incarnationByServer.getOrDefault(completed.serverName(), 0L);
+        long incarnation = listedStarts.incarnation(completed.serverName()).orElse(0);
         switch (outcome) {
             case BROKEN -> {
                 LOGGER.atInfo().log(
@@ -224,7 +226,7 @@
         long nowMillis = MonotonicClock.millis();
         boolean changed = false;
         for (ServerRateLimit limit : limits) {
-            if (incarnationByServer.containsKey(limit.server()) && rateLimits.merge(limit, nowMillis)) {
+            if (listedStarts.serverNames().contains(limit.server()) && rateLimits.merge(limit, nowMillis)) {
                 healthLog.reportRateLimit(limit.server(), rateLimits.limit(limit.server()));
                 changed = true;
             }
@@ -246,27 +248,17 @@
 
     /** Discards the state of servers that restarted under their name: the new process runs none of the old requests. */
     private void discardStateOfRestartedServers(long nowMillis) {
-        Map<String, Long> formerIncarnationByServer = incarnationByServer;
-        incarnationByServer = view.servers(key).stream()
-                .map(LabeledServer::instance)
-                .collect(Collectors.toMap(Instance::name, Instance::incarnation));
-        rateLimits.retain(incarnationByServer.keySet());
-        Set<String> restarted = incarnationByServer.entrySet().stream()
-                .filter(entry -> !entry.getValue()
-                        .equals(formerIncarnationByServer.getOrDefault(entry.getKey(), entry.getValue())))
-                .map(Map.Entry::getKey)
-                .collect(Collectors.toSet());
+        Map<String, Long> formerIncarnations = listedStarts.replace(
+                view.servers(key).stream().map(LabeledServer::instance).toList(), nowMillis);
+        Set<String> restarted = formerIncarnations.keySet();
+        rateLimits.retain(listedStarts.serverNames());
         if (!restarted.isEmpty()) {
             LOGGER.atInfo().log("%s: servers %s restarted", key, restarted);
-            leavingReportMillis.keySet().removeAll(restarted);
             rateLimits.forget(restarted);
             scheduler.inFlightAttempts(nowMillis).stream()
                     .filter(attempt -> restarted.contains(attempt.serverName()))
                     .forEach(attempt -> fatalRequests.recordCrash(
-                            attempt.digest(),
-                            key,
-                            attempt.serverName(),
-                            formerIncarnationByServer.get(attempt.serverName())));
+                            attempt.digest(), key, attempt.serverName(), formerIncarnations.get(attempt.serverName())));
             Predicate<LabeledServer> notRestarted =
                     server -> !restarted.contains(server.instance().name());
             monitor.replaceServers(monitoredServers(notRestarted), view.ejectionFloor(key), nowMillis);
@@ -373,10 +365,11 @@
         });
     }
 
+    synchronized void updateServers() {
+        updateServers(MonotonicClock.millis());
+    }
+
     private void updateServers(long nowMillis) {
-        leavingReportMillis
-                .values()
-                .removeIf(reportMillis -> nowMillis - reportMillis > LEAVING_REPORT_VALIDITY_MILLIS);
         monitor.replaceServers(monitoredServers(server -> true), view.ejectionFloor(key), nowMillis);
         boolean capacityNeeded = scheduler.load(nowMillis).isNearlyFull() || unservedShare.isHigh(nowMillis);
         scheduler.setCapacityNeeded(capacityNeeded);
@@ -437,8 +430,7 @@
     }
 
     private boolean isLeaving(LabeledServer server) {
-        return server.leaving()
-                || leavingReportMillis.containsKey(server.instance().name());
+        return server.leaving() || leavingServers.isLeaving(ServerStart.of(server.instance()));
     }
 
     /** A decision that was made at {@code decidedMillis} while its entry proxy was between two polls. */
--- a/src/main/java/org/cassiabank/proxy/OwnedShards.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShards.java
@@ -46,24 +46,35 @@
     private final OwnerSettings settings;
     private final FleetState fleet;
     private final FatalRequestExchange fatalRequests;
+    private final KnownLeavingServers leavingServers;
     private final ProxyMetrics metrics;
     private final ScheduledExecutorService tickExecutor = Executors.newSingleThreadScheduledExecutor(
             Thread.ofPlatform().name("shard-ticker").daemon().factory());
 
     private OwnedShards(
-            OwnerSettings settings, FleetState fleet, FatalRequestExchange fatalRequests, ProxyMetrics metrics) {
+            OwnerSettings settings,
+            FleetState fleet,
+            FatalRequestExchange fatalRequests,
+            KnownLeavingServers leavingServers,
+            ProxyMetrics metrics) {
         this.settings = settings;
         this.fleet = fleet;
         this.fatalRequests = fatalRequests;
+        this.leavingServers = leavingServers;
         this.metrics = metrics;
     }
 
     static OwnedShards create(
-            OwnerSettings settings, FleetState fleet, FatalRequestExchange fatalRequests, ProxyMetrics metrics) {
+            OwnerSettings settings,
+            FleetState fleet,
+            FatalRequestExchange fatalRequests,
+            KnownLeavingServers leavingServers,
+            ProxyMetrics metrics) {
         return new OwnedShards(
                 Objects.requireNonNull(settings, "settings"),
                 Objects.requireNonNull(fleet, "fleet"),
                 Objects.requireNonNull(fatalRequests, "fatalRequests"),
+                Objects.requireNonNull(leavingServers, "leavingServers"),
                 Objects.requireNonNull(metrics, "metrics"));
     }
 
@@ -135,7 +146,16 @@
 
     private OwnedShard createShard(ShardKey key) {
         fatalRequests.fetchSuspects(key);
-        return OwnedShard.create(key, settings, fatalRequests, metrics, fleet.view(), MonotonicClock.millis());
+        return OwnedShard.create(
+                key, settings, fatalRequests, leavingServers, metrics, fleet.view(), MonotonicClock.millis());
+    }
+
+    /** Applies what has become known of the servers of a shard; does nothing if this daemon does not schedule it. */
+    void updateServers(ShardKey key) {
+        OwnedShard shard = shards.get(key);
+        if (shard != null) {
+            shard.updateServers();
+        }
     }
 
     /**
--- a/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
+++ b/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
@@ -37,6 +37,7 @@
     private final PeerSocketFactories socketFactories;
     private FleetState fleet;
     private OwnedShards ownedShards;
+    private KnownLeavingServers leavingServers;
     private FatalRequestExchange fatalRequests;
     private ClaimKeeper claimKeeper;
     private Replication replication;
@@ -59,6 +60,7 @@
     public void start(Kernel kernel) {
         fleet = kernel.get(ServiceNames.FLEET_STATE);
         ownedShards = kernel.get(ServiceNames.OWNED_SHARDS);
+        leavingServers = kernel.get(ServiceNames.LEAVING_SERVERS);
         fatalRequests = kernel.get(ServiceNames.FATAL_REQUESTS);
         claimKeeper = kernel.get(ServiceNames.CLAIM_KEEPER);
         replication = kernel.get(ServiceNames.REPLICATION);
@@ -79,6 +81,10 @@
             throw new NotReady("no configuration or instance list yet");
         }
         ShardKey shard = new ShardKey(request.getServiceName(), request.getShard());
+        if (leavingServers.merge(
+                PeerMessageConverter.toServerStarts(request.getLeavingServers()), request.getEntry())) {
+            ownedShards.updateServers(shard);
+        }
         return PeerMessageConverter.toMessage(ownedShards.acquire(
                 shard,
                 PeerMessageConverter.toAdmissionRequest(request),
--- a/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
+++ b/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
@@ -24,6 +24,7 @@
 import org.cassiabank.health.SuspectedRequest;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.kernel.ErrorCode;
+import org.cassiabank.membership.ServerStart;
 import org.cassiabank.once.ClaimConclusion;
 import org.cassiabank.once.ClaimRecord;
 import org.cassiabank.once.ClaimState;
@@ -42,6 +43,7 @@
 import org.cassiabank.peer.generated.SlotRefusal;
 import org.cassiabank.peer.generated.SlotReply;
 import org.cassiabank.peer.generated.SlotRequest;
+import org.cassiabank.peer.generated.StartedServer;
 import org.cassiabank.peer.generated.StoreChange;
 import org.cassiabank.peer.generated.StoreChanges;
 import org.cassiabank.peer.generated.StoreRelayState;
@@ -200,6 +202,21 @@
                 : List.of();
     }
 
+    static List<StartedServer> toStartedServers(List<ServerStart> starts) {
+        return starts.stream()
+                .map(start -> new StartedServer(start.serverName(), start.incarnation()))
+                .toList();
+    }
+
+    /** Converts a list of servers; a peer of a release without the field sends none. */
+    static List<ServerStart> toServerStarts(List<StartedServer> messages) {
+        return messages == null
+                ? List.of()
+                : messages.stream()
+                        .map(message -> new ServerStart(message.getServer(), message.getIncarnation()))
+                        .toList();
+    }
+
     static ClaimReply toMessage(KeeperVote vote) {
         ClaimReply reply = new ClaimReply(toMessage(vote.state()));
         vote.response().ifPresent(recorded -> reply.setAnswer(toMessage(recorded)));
@@ -284,19 +301,32 @@
                 message.getRemoteAddress());
     }
 
-    static ForwardedReply toMessage(RequestResult result) {
+    /** Converts the result of a request that a peer passed on; a response carries the servers that are leaving. */
+    static ForwardedReply toMessage(RequestResult result, List<ServerStart> leavingServers) {
         return switch (result) {
-            case RequestResult.Delivered delivered ->
-                ForwardedReply.answer(new org.cassiabank.peer.generated.RecordedAnswer(
+            case RequestResult.Delivered delivered -> {
+                var answer = new org.cassiabank.peer.generated.RecordedAnswer(
                         delivered.response().status(),
                         delivered.response().headers(),
-                        ByteBuffer.wrap(delivered.response().body())));
+                        ByteBuffer.wrap(delivered.response().body()));
+                if (!leavingServers.isEmpty()) {
+                    answer.setLeavingServers(toStartedServers(leavingServers));
+                }
+                yield ForwardedReply.answer(answer);
+            }
             case RequestResult.NotRun notRun ->
                 ForwardedReply.notRun(new SlotRefusal(notRun.reason(), notRun.retryAfterMillis()));
             case RequestResult.Unknown unknown -> ForwardedReply.unknown(unknown.reason());
         };
     }
 
+    /** Returns the servers that a peer, in its reply to a request that was passed on, names as leaving. */
+    static List<ServerStart> leavingServers(ForwardedReply reply) {
+        return reply.getSetField() == ForwardedReply._Fields.ANSWER
+                ? toServerStarts(reply.getAnswer().getLeavingServers())
+                : List.of();
+    }
+
     /** Converts the reply to a request that was passed on; empty if the peer declined it. */
     static Optional<RequestResult> toRequestResult(ForwardedReply reply) {
         return switch (reply.getSetField()) {
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -98,8 +98,10 @@
         Optional<PlatformAdapter> adapter = settings.platform().adapterName().map(PlatformAdapters::forName);
         FatalRequestExchange fatalRequests = FatalRequestExchange.create(fleet, peerTransport, metrics);
         OwnerSettings ownerSettings = ownerSettings(settings, adapter);
-        OwnedShards ownedShards = OwnedShards.create(ownerSettings, fleet, fatalRequests, metrics);
-        SlotBroker slotBroker = SlotBroker.create(settings, fleet, ownedShards, fatalRequests, peerTransport);
+        KnownLeavingServers leavingServers = KnownLeavingServers.create(fleet, metrics);
+        OwnedShards ownedShards = OwnedShards.create(ownerSettings, fleet, fatalRequests, leavingServers, metrics);
+        SlotBroker slotBroker =
+                SlotBroker.create(settings, fleet, ownedShards, fatalRequests, peerTransport, leavingServers);
         ProxyListHistory proxyLists = ClaimTimes.newProxyListHistory();
         ClaimKeeper claimKeeper = ClaimKeeper.create(
                 self, fleet, peerTransport, proxyLists, settings.platform().claimsEnabled());
@@ -107,23 +109,23 @@
         HeaderConventions conventions = headerConventions(adapter);
         BackendClient backendClient = newBackendClient(settings, conventions);
         ServerPathMonitor serverPath = ServerPathMonitor.create(fleet, backendClient, metrics);
-        AttemptExecutor attemptExecutor =
-                AttemptExecutor.create(self, fleet, slotBroker, backendClient, serverPath, metrics, conventions);
-        RequestForwarder forwarder = RequestForwarder.create(self, fleet, peerTransport, metrics);
+        AttemptExecutor attemptExecutor = AttemptExecutor.create(
+                self, fleet, slotBroker, backendClient, serverPath, leavingServers, metrics, conventions);
+        RequestForwarder forwarder = RequestForwarder.create(self, fleet, peerTransport, leavingServers, metrics);
         PlannedStop plannedStop = PlannedStop.create(ResponseTimes.create(), ownerSettings.departureMillis());
         boolean ownersLimitRetries = ownerSettings.retryBudgetSettings().isPresent();
         RequestHandler requestHandler = RequestHandler.create(
                 fleet, attemptExecutor, plannedStop, forwarder, claimClient, metrics, conventions, ownersLimitRetries);
-        ForwardedRequests forwardedRequests = ForwardedRequests.create(requestHandler, serverPath::isCutOff);
+        ForwardedRequests forwardedRequests =
+                ForwardedRequests.create(requestHandler, serverPath::isCutOff, leavingServers);
         FleetSource source = createFleetSource(adapter, settings, self, fleet, replication, peerTransport, metrics);
-        CallerServer callerServer = CallerServer.create(settings.limits(), requestHandler, metrics);
-        fleet.addListener((formerView, newView) ->
-                callerServer.applyDeclaredLimits(newView.configuration().connectionLimits()));
+        CallerServer callerServer = newCallerServer(settings, fleet, requestHandler, metrics);
         AdminEndpoint adminEndpoint = AdminEndpoint.create(settings);
         Kernel kernel = Kernel.create()
                 .register(ServiceNames.SETTINGS, settings)
                 .register(ServiceNames.METRICS, metrics)
                 .register(ServiceNames.FLEET_STATE, fleet)
+                .register(ServiceNames.LEAVING_SERVERS, leavingServers)
                 .register(ServiceNames.PEER_CLIENTS, clientPool)
                 .register(ServiceNames.PEER_TRANSPORT, peerTransport)
                 .register(IDLE_CONNECTIONS, connectionCleanupService(clientPool, backendClient, fleet))
@@ -144,6 +146,14 @@
         return new ProxyDaemon(settings, kernel, adminEndpoint, callerServer);
     }
 
+    private static CallerServer newCallerServer(
+            ProxySettings settings, FleetState fleet, RequestHandler requestHandler, ProxyMetrics metrics) {
+        CallerServer callerServer = CallerServer.create(settings.limits(), requestHandler, metrics);
+        fleet.addListener((formerView, newView) ->
+                callerServer.applyDeclaredLimits(newView.configuration().connectionLimits()));
+        return callerServer;
+    }
+
     /** The stop ends before the platform kills the process, or after the time of the settings if it states no time. */
     private static long longestStopMillis(Optional<PlatformAdapter> adapter, ProxySettings settings) {
         return adapter.flatMap(found -> parseBounds(found::parseStopGraceMillis, settings))
--- a/src/main/java/org/cassiabank/proxy/RequestForwarder.java
+++ b/src/main/java/org/cassiabank/proxy/RequestForwarder.java
@@ -12,6 +12,7 @@
 import org.cassiabank.kernel.ErrorCode;
 import org.cassiabank.membership.ForwardingOrder;
 import org.cassiabank.membership.Instance;
+import org.cassiabank.membership.ServerStart;
 import org.cassiabank.peer.PeerCall;
 import org.cassiabank.peer.generated.ForwardedReply;
 import org.cassiabank.peer.generated.ForwardedRequest;
@@ -37,23 +38,36 @@
     private final String selfName;
     private final FleetState fleet;
     private final PeerTransport peerTransport;
+    private final KnownLeavingServers leavingServers;
     private final ProxyMetrics metrics;
     private final ForwardingOrder order;
     private final ExecutorService workers = Executors.newVirtualThreadPerTaskExecutor();
 
-    private RequestForwarder(Instance self, FleetState fleet, PeerTransport peerTransport, ProxyMetrics metrics) {
+    private RequestForwarder(
+            Instance self,
+            FleetState fleet,
+            PeerTransport peerTransport,
+            KnownLeavingServers leavingServers,
+            ProxyMetrics metrics) {
         this.selfName = self.name();
         this.fleet = fleet;
         this.peerTransport = peerTransport;
+        this.leavingServers = leavingServers;
         this.metrics = metrics;
         this.order = ForwardingOrder.create(self.failureDomain());
     }
 
-    static RequestForwarder create(Instance self, FleetState fleet, PeerTransport peerTransport, ProxyMetrics metrics) {
+    static RequestForwarder create(
+            Instance self,
+            FleetState fleet,
+            PeerTransport peerTransport,
+            KnownLeavingServers leavingServers,
+            ProxyMetrics metrics) {
         return new RequestForwarder(
                 Objects.requireNonNull(self, "self"),
                 Objects.requireNonNull(fleet, "fleet"),
                 Objects.requireNonNull(peerTransport, "peerTransport"),
+                Objects.requireNonNull(leavingServers, "leavingServers"),
                 Objects.requireNonNull(metrics, "metrics"));
     }
 
@@ -84,19 +98,20 @@
             String id = selfName + "-"
                     + HexFormat.of().toHexDigits(ThreadLocalRandom.current().nextLong());
             presence.onGone(() -> workers.execute(() -> cancel(peer, id)));
-            ForwardingResult result = forwardTo(
-                    peer,
-                    new ForwardedRequest(
-                            id,
-                            request.method(),
-                            request.target(),
-                            request.headers(),
-                            ByteBuffer.wrap(request.body()),
-                            request.remoteAddress(),
-                            remainingMillis,
-                            attempts),
-                    repeatable,
-                    trace);
+            ForwardedRequest message = new ForwardedRequest(
+                    id,
+                    request.method(),
+                    request.target(),
+                    request.headers(),
+                    ByteBuffer.wrap(request.body()),
+                    request.remoteAddress(),
+                    remainingMillis,
+                    attempts);
+            List<ServerStart> leaving = leavingServers.all();
+            if (!leaving.isEmpty()) {
+                message.setLeavingServers(PeerMessageConverter.toStartedServers(leaving));
+            }
+            ForwardingResult result = forwardTo(peer, message, repeatable, trace);
             if (result.result().isPresent()) {
                 return result;
             }
@@ -125,6 +140,8 @@
                     ? ForwardingResult.of(RequestResult.unknown("peer-lost"))
                     : ForwardingResult.none(mayHaveRun);
         }
+        // The server that responded to the peer may be one that this daemon must not use from now on.
+        leavingServers.merge(PeerMessageConverter.leavingServers(reply), peer.name());
         Optional<RequestResult> result = PeerMessageConverter.toRequestResult(reply);
         record(peer, result.isPresent(), reply.getSetField().getFieldName(), trace);
         return new ForwardingResult(result, false);
--- a/src/main/java/org/cassiabank/proxy/RequestRun.java
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -324,7 +324,9 @@
             return result != null ? result : awaitResult(results);
         }
         SlotResult hedgeSlotResult = attemptExecutor.acquire(selector.service(), admissionRequest(), this::isAbandoned);
-        if (!(hedgeSlotResult instanceof SlotResult.Slot hedgeSlot) || !results.isEmpty()) {
+        if (!(hedgeSlotResult instanceof SlotResult.Slot hedgeSlot)
+                || !results.isEmpty()
+                || !attemptExecutor.acceptsRequests(hedgeSlot.serverName())) {
             if (hedgeSlotResult instanceof SlotResult.Slot unusedSlot) {
                 attemptExecutor.release(unusedSlot);
             }
--- a/src/main/java/org/cassiabank/proxy/ServiceNames.java
+++ b/src/main/java/org/cassiabank/proxy/ServiceNames.java
@@ -11,6 +11,8 @@
     static final ServiceName<ProxySettings> SETTINGS = ServiceName.of("settings", ProxySettings.class);
     static final ServiceName<ProxyMetrics> METRICS = ServiceName.of("metrics", ProxyMetrics.class);
     static final ServiceName<FleetState> FLEET_STATE = ServiceName.of("fleet-state", FleetState.class);
+    static final ServiceName<KnownLeavingServers> LEAVING_SERVERS =
+            ServiceName.of("leaving-servers", KnownLeavingServers.class);
     static final ServiceName<PeerClientPool> PEER_CLIENTS = ServiceName.of("peer-clients", PeerClientPool.class);
     static final ServiceName<PeerTransport> PEER_TRANSPORT = ServiceName.of("peer-transport", PeerTransport.class);
     static final ServiceName<FleetSource> FLEET_SOURCE = ServiceName.of("fleet-source", FleetSource.class);
--- a/src/main/java/org/cassiabank/proxy/SlotBroker.java
+++ b/src/main/java/org/cassiabank/proxy/SlotBroker.java
@@ -18,6 +18,7 @@
 import org.cassiabank.health.SuspectedRequest;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.membership.Instance;
+import org.cassiabank.membership.ServerStart;
 import org.cassiabank.peer.generated.SlotOutcome;
 import org.cassiabank.peer.generated.SlotReply;
 import org.cassiabank.peer.generated.SlotRequest;
@@ -47,6 +48,7 @@
     private final OwnedShards ownedShards;
     private final FatalRequestExchange fatalRequests;
     private final PeerTransport peerTransport;
+    private final KnownLeavingServers leavingServers;
     private final KnownRateLimits rateLimits = KnownRateLimits.create();
     private final RetryBudget fallbackRetryBudget = RetryBudget.create(FALLBACK_RETRY_RATIO, FALLBACK_RETRY_CAPACITY);
 
@@ -55,12 +57,14 @@
             FleetState fleet,
             OwnedShards ownedShards,
             FatalRequestExchange fatalRequests,
-            PeerTransport peerTransport) {
+            PeerTransport peerTransport,
+            KnownLeavingServers leavingServers) {
         this.settings = settings;
         this.fleet = fleet;
         this.ownedShards = ownedShards;
         this.fatalRequests = fatalRequests;
         this.peerTransport = peerTransport;
+        this.leavingServers = leavingServers;
     }
 
     static SlotBroker create(
@@ -68,13 +72,15 @@
             FleetState fleet,
             OwnedShards ownedShards,
             FatalRequestExchange fatalRequests,
-            PeerTransport peerTransport) {
+            PeerTransport peerTransport,
+            KnownLeavingServers leavingServers) {
         SlotBroker broker = new SlotBroker(
                 Objects.requireNonNull(settings, "settings"),
                 Objects.requireNonNull(fleet, "fleet"),
                 Objects.requireNonNull(ownedShards, "ownedShards"),
                 Objects.requireNonNull(fatalRequests, "fatalRequests"),
-                Objects.requireNonNull(peerTransport, "peerTransport"));
+                Objects.requireNonNull(peerTransport, "peerTransport"),
+                Objects.requireNonNull(leavingServers, "leavingServers"));
         fleet.addListener(broker.rateLimits::update);
         return broker;
     }
@@ -253,6 +259,12 @@
             message.setRateLimits(
                     news.stream().map(PeerMessageConverter::toMessage).toList());
         }
+        if (ticketId == 0) {
+            List<ServerStart> leaving = leavingServers.ofShard(shard, fleet.view());
+            if (!leaving.isEmpty()) {
+                message.setLeavingServers(PeerMessageConverter.toStartedServers(leaving));
+            }
+        }
         SlotReply reply =
                 peerTransport.call(owner, "acquire", ACQUIRE_TIMEOUT_MILLIS, client -> client.acquire(message));
         return PeerMessageConverter.toDecision(reply);
--- a/src/main/java/org/cassiabank/standin/BackendFaults.java
+++ b/src/main/java/org/cassiabank/standin/BackendFaults.java
@@ -18,6 +18,7 @@
  * @param lie whether {@code /health} reports good health despite other faults or draining
  * @param rateLimit the requests a second that the server names as its limit in all responses; 0 for no limit
  * @param silence whether all connections except that of the control request transfer no more bytes, for good
+ * @param leaving whether all responses announce that the server is leaving, whatever the platform reports
  */
 public record BackendFaults(
         double fail,
@@ -30,7 +31,8 @@
         long flapMillis,
         boolean lie,
         double rateLimit,
-        boolean silence) {
+        boolean silence,
+        boolean leaving) {
 
     /**
      * Checks the components and replaces a {@code slowFactor} of 0 by 10.
@@ -56,7 +58,7 @@
      * @return all shares 0 and all flags false
      */
     public static BackendFaults none() {
-        return new BackendFaults(0, 0, 0, 0, 0, 0, 0, 0, false, 0, false);
+        return new BackendFaults(0, 0, 0, 0, 0, 0, 0, 0, false, 0, false, false);
     }
 
     /**
--- a/src/main/java/org/cassiabank/standin/BackendRequestHandler.java
+++ b/src/main/java/org/cassiabank/standin/BackendRequestHandler.java
@@ -20,6 +20,7 @@
     /** The response header that states that the request was not started. */
     static final String NOT_RUN_HEADER = "Cassiabank-Not-Run";
 
+    private static final String LEAVING_HEADER = "Cassiabank-Leaving";
     private static final String RATE_LIMIT_HEADER = "Cassiabank-Rate-Limit";
     private static final String REQUEST_ID_HEADER = "Cassiabank-Request-Id";
     private static final String DEADLINE_HEADER = "Cassiabank-Deadline-Millis";
@@ -77,6 +78,9 @@
         if (faults.rateLimit() > 0) {
             context.setResponseHeader(RATE_LIMIT_HEADER, Double.toString(faults.rateLimit()));
         }
+        if (faults.leaving()) {
+            context.setResponseHeader(LEAVING_HEADER, "true");
+        }
         long remainingMillis = context.header(DEADLINE_HEADER).longValue(Long.MAX_VALUE);
         if (remainingMillis <= 0 || drawBoolean(faults.shed()) || !slots.tryAcquire()) {
             return sendShedResponse(context);
@@ -188,7 +192,7 @@
 
     private void addLeavingHeaders(Context context) {
         if (slots.isDraining()) {
-            context.setResponseHeader("Cassiabank-Leaving", "true");
+            context.setResponseHeader(LEAVING_HEADER, "true");
             context.setResponseHeader("Connection", "close");
         }
     }
--- a/src/test/java/org/cassiabank/fleet/TestCaller.java
+++ b/src/test/java/org/cassiabank/fleet/TestCaller.java
@@ -71,14 +71,21 @@
                     response.header("Cassiabank-Outcome", "none"),
                     response.header("Cassiabank-Reason", ""),
                     Optional.ofNullable(response.header("Cassiabank-Retry-After-Millis")),
+                    response.header("Cassiabank-Leaving", "").equals("true"),
                     response.body().string());
         } catch (IOException exception) {
-            return new CallResult(0, "broken", String.valueOf(exception.getMessage()), Optional.empty(), "");
+            return new CallResult(0, "broken", String.valueOf(exception.getMessage()), Optional.empty(), false, "");
         }
     }
 
     /** The result of a request as its caller observes it; status 0 and outcome "broken" if no response was read. */
-    record CallResult(int status, String outcome, String reason, Optional<String> retryAfterMillis, String body) {
+    record CallResult(
+            int status,
+            String outcome,
+            String reason,
+            Optional<String> retryAfterMillis,
+            boolean isLeavingAnnounced,
+            String body) {
         boolean isAnswered() {
             return status == 200 && outcome.equals("answered");
         }
--- a/src/test/java/org/cassiabank/proxy/ForwardedRequestsTest.java
+++ b/src/test/java/org/cassiabank/proxy/ForwardedRequestsTest.java
@@ -9,6 +9,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.cassiabank.admission.ServerNotice;
+import org.cassiabank.backend.ResponseReceived;
+import org.cassiabank.membership.ServerStart;
 import org.cassiabank.peer.generated.ForwardedReply;
 import org.cassiabank.peer.generated.ForwardedRequest;
 import org.junit.jupiter.api.Test;
@@ -22,12 +25,15 @@
     private final AtomicBoolean cutOff = new AtomicBoolean();
     private final CompletableFuture<CallerPresence> running = new CompletableFuture<>();
     private final CompletableFuture<Optional<RequestResult>> result = new CompletableFuture<>();
+    private final KnownLeavingServers leavingServers =
+            KnownLeavingServers.create(FleetState.create("region"), ProxyMetrics.create());
     private final ForwardedRequests requests = ForwardedRequests.create(
             (request, remainingMillis, formerAttempts, presence) -> {
                 running.complete(presence);
                 return result.join();
             },
             cutOff::get,
+            leavingServers,
             MAXIMUM_BODY_BYTES);
 
     @Test
@@ -47,7 +53,8 @@
         ForwardedRequests others = ForwardedRequests.create(
                 (request, remainingMillis, formerAttempts, presence) ->
                         Optional.of(RequestResult.unknown(remainingMillis + "/" + formerAttempts)),
-                cutOff::get);
+                cutOff::get,
+                leavingServers);
         assertThat(others.carryOut(request("a", 1))).isEqualTo(ForwardedReply.unknown("900/2"));
     }
 
@@ -74,6 +81,18 @@
         assertThat(requests.isBusy()).isFalse();
     }
 
+    @Test
+    void whichServersAreLeavingIsLearnedFromThePeerAndToldWithTheResponse() {
+        ServerStart toldByPeer = new ServerStart("told", 3);
+        result.complete(Optional.of(
+                RequestResult.delivered(new ResponseReceived(200, Map.of(), new byte[0], ServerNotice.none(), ""))));
+        ForwardedRequest message =
+                request("a", 1).setLeavingServers(PeerMessageConverter.toStartedServers(List.of(toldByPeer)));
+        assertThat(PeerMessageConverter.leavingServers(requests.carryOut(message)))
+                .containsExactly(toldByPeer);
+        assertThat(leavingServers.isLeaving(toldByPeer)).isTrue();
+    }
+
     private static ForwardedRequest request(String id, int bodyBytes) {
         return new ForwardedRequest(
                 id,
--- a/src/test/java/org/cassiabank/proxy/OwnedShardTest.java
+++ b/src/test/java/org/cassiabank/proxy/OwnedShardTest.java
@@ -2,15 +2,18 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.cassiabank.admission.AdmissionRequest;
 import org.cassiabank.admission.Granted;
 import org.cassiabank.admission.PlacementHints;
 import org.cassiabank.admission.Queued;
+import org.cassiabank.admission.RateLimitNotice;
 import org.cassiabank.admission.RefusalReason;
 import org.cassiabank.admission.Refused;
 import org.cassiabank.admission.SchedulerSettings;
@@ -28,6 +31,7 @@
 import org.cassiabank.membership.InstanceList;
 import org.cassiabank.membership.InstanceRole;
 import org.cassiabank.membership.InstanceState;
+import org.cassiabank.membership.ServerStart;
 import org.cassiabank.peer.ControlTrafficRecorder;
 import org.cassiabank.peer.PeerClientPool;
 import org.cassiabank.peer.PeerSocketFactories;
@@ -42,14 +46,17 @@
  */
 class OwnedShardTest {
     private static final ShardKey KEY = new ShardKey("desk", 0);
+    private static final ServerNotice LEAVING = new ServerNotice(true, new RateLimitNotice.Unknown());
     private static final OwnerSettings SETTINGS = new OwnerSettings(
             SchedulerSettings.defaults(),
             HealthSettings.defaults().withSuspicion(SuspicionSettings.of(60_000)),
             Optional.of(new RetryBudgetSettings(0, 10, 10_000)),
             0);
 
-    private final OwnedShard shard =
-            OwnedShard.create(KEY, SETTINGS, newFatalRequests(), ProxyMetrics.create(), view(1, 1), nowMillis());
+    private final KnownLeavingServers leavingServers =
+            KnownLeavingServers.create(FleetState.create("region"), ProxyMetrics.create());
+    private final OwnedShard shard = OwnedShard.create(
+            KEY, SETTINGS, newFatalRequests(), leavingServers, ProxyMetrics.create(), view(1, 1), nowMillis());
 
     @Test
     void slotsThatAServerDeclaresOverrideTheSlotsOfItsService() {
@@ -106,6 +113,69 @@
                 .isEqualTo(refused);
     }
 
+    @Test
+    void aServerThatAnnouncedItsLeavingGetsNothingUntilAnotherStartOfItIsListed() {
+        Granted granted = (Granted) acquire(1);
+        shard.completeLease(granted.leaseId(), AttemptOutcome.ANSWERED, 1_000, LEAVING);
+        assertThat(serversOfNextGrants()).doesNotContain(granted.serverName());
+        // The entry lapses and comes back, as it does when the store was away.
+        shard.updateView(view(2, List.of()), nowMillis());
+        shard.updateView(view(3, 1), nowMillis());
+        assertThat(serversOfNextGrants()).doesNotContain(granted.serverName());
+        shard.updateView(view(4, List.of()), nowMillis());
+        shard.updateView(view(5, 2, 2), nowMillis());
+        assertThat(serversOfNextGrants()).contains(granted.serverName());
+    }
+
+    @Test
+    void anAnnouncementOfAFormerStartThatIsReportedLateDoesNotHoldTheNextOneBack() throws InterruptedException {
+        Granted granted = (Granted) acquire(1);
+        TimeUnit.MILLISECONDS.sleep(5);
+        shard.updateView(view(2, List.of()), nowMillis());
+        shard.updateView(view(3, 2, 2), nowMillis());
+        shard.completeLease(granted.leaseId(), AttemptOutcome.ANSWERED, 1_000, LEAVING);
+        assertThat(serversOfNextGrants()).contains(granted.serverName());
+    }
+
+    @Test
+    void aServerThatAPeerKnowsToBeLeavingGetsNothing() {
+        leavingServers.merge(List.of(new ServerStart("a", 1), new ServerStart("b", 7)), "proxy-2");
+        shard.updateServers();
+        assertThat(serversOfNextGrants()).containsExactly("b");
+    }
+
+    @Test
+    void ifAllServersAnnouncedTheirLeavingRequestsAreRefusedAtOnce() {
+        SlotDecision queued = null;
+        for (int request = 0; request < 6; request++) {
+            acquire(1);
+        }
+        queued = acquire(1);
+        assertThat(queued).isInstanceOf(Queued.class);
+        leavingServers.merge(List.of(new ServerStart("a", 1), new ServerStart("b", 1)), "proxy-2");
+        shard.updateServers();
+        assertThat(acquire(1)).isInstanceOfSatisfying(Refused.class, refused -> assertThat(refused.retryAfterMillis())
+                .isPositive());
+        assertThat(shard.acquire(request(1), ((Queued) queued).ticketId()))
+                .get()
+                .isInstanceOf(Refused.class);
+    }
+
+    /** Acquires and releases six slots and returns the names of their servers. */
+    private Set<String> serversOfNextGrants() {
+        Set<String> names = new HashSet<>();
+        List<Granted> grants = new ArrayList<>();
+        for (int request = 0; request < 6; request++) {
+            if (acquire(1) instanceof Granted granted) {
+                grants.add(granted);
+                names.add(granted.serverName());
+            }
+        }
+        grants.forEach(
+                granted -> shard.completeLease(granted.leaseId(), AttemptOutcome.ANSWERED, 1_000, ServerNotice.none()));
+        return names;
+    }
+
     @Test
     void aShardIsNotRemovedWhileALeaseRuns() {
         Granted granted = (Granted) acquire(1);
--- a/src/test/java/org/cassiabank/proxy/PeerEndpointTest.java
+++ b/src/test/java/org/cassiabank/proxy/PeerEndpointTest.java
@@ -39,20 +39,24 @@
                 "proxy-1", PeerClientPool.create(PeerSocketFactories.plain(), ControlTrafficRecorder.noOp()));
         FatalRequestExchange fatalRequests = FatalRequestExchange.create(fleet, peerTransport, metrics);
         ProxyListHistory lists = ClaimTimes.newProxyListHistory();
+        KnownLeavingServers leavingServers = KnownLeavingServers.create(fleet, metrics);
         PeerEndpoint endpoint = PeerEndpoint.create(settings(), PeerSocketFactories.plain());
         try (Kernel kernel = Kernel.create()
                 .register(ServiceNames.FLEET_STATE, fleet)
+                .register(ServiceNames.LEAVING_SERVERS, leavingServers)
                 .register(ServiceNames.FATAL_REQUESTS, fatalRequests)
                 .register(
                         ServiceNames.OWNED_SHARDS,
-                        OwnedShards.create(OwnerSettings.defaults(), fleet, fatalRequests, metrics))
+                        OwnedShards.create(OwnerSettings.defaults(), fleet, fatalRequests, leavingServers, metrics))
                 .register(ServiceNames.CLAIM_KEEPER, ClaimKeeper.create(SELF, fleet, peerTransport, lists, true))
                 .register(ServiceNames.FLEET_SOURCE, NoOpFleetSource.create(false))
                 .register(ServiceNames.REPLICATION, Replication.create(SELF, fleet, peerTransport))
                 .register(
                         ServiceNames.FORWARDED_REQUESTS,
                         ForwardedRequests.create(
-                                (forwarded, millis, attempts, presence) -> Optional.empty(), () -> false))
+                                (forwarded, millis, attempts, presence) -> Optional.empty(),
+                                () -> false,
+                                leavingServers))
                 .register(ServiceNames.PEER_ENDPOINT, endpoint)) {
             kernel.start();
             SlotRequest request = PeerMessageConverter.toMessage(request(), new ShardKey("menu", 0), 0);
--- a/src/test/java/org/cassiabank/proxy/PeerMessageConverterTest.java
+++ b/src/test/java/org/cassiabank/proxy/PeerMessageConverterTest.java
@@ -84,6 +84,6 @@
     }
 
     private static Optional<RequestResult> throughMessage(RequestResult result) {
-        return PeerMessageConverter.toRequestResult(PeerMessageConverter.toMessage(result));
+        return PeerMessageConverter.toRequestResult(PeerMessageConverter.toMessage(result, List.of()));
     }
 }
--- a/src/test/java/org/cassiabank/proxy/RequestForwarderTest.java
+++ b/src/test/java/org/cassiabank/proxy/RequestForwarderTest.java
@@ -19,6 +19,7 @@
 import org.cassiabank.membership.InstanceList;
 import org.cassiabank.membership.InstanceRole;
 import org.cassiabank.membership.InstanceState;
+import org.cassiabank.membership.ServerStart;
 import org.cassiabank.peer.ControlTrafficRecorder;
 import org.cassiabank.peer.PeerClientPool;
 import org.cassiabank.peer.PeerServer;
@@ -42,6 +43,7 @@
             new CallerRequest("POST", "/orders?x=1", Map.of("host", List.of("shop")), new byte[] {7}, "10.0.0.9");
 
     private final FleetState fleet = FleetState.create("region");
+    private final KnownLeavingServers leavingServers = KnownLeavingServers.create(fleet, ProxyMetrics.create());
     private final List<PeerServer> servers = new ArrayList<>();
     private final List<Instance> peers = new ArrayList<>(List.of(SELF));
     private final List<ForwardedRequest> received = new CopyOnWriteArrayList<>();
@@ -130,6 +132,20 @@
         assertThat(forwardTo(true, 2_000)).isEqualTo(new RequestForwarder.ForwardingResult(Optional.empty(), true));
     }
 
+    @Test
+    void whichServersAreLeavingIsToldToThePeerAndLearnedFromItsReply() {
+        ServerStart known = new ServerStart("known", 1);
+        ServerStart told = new ServerStart("told", 2);
+        leavingServers.record(known, "test");
+        RecordedAnswer answer = new RecordedAnswer(200, Map.of(), ByteBuffer.wrap(new byte[] {1}));
+        answer.setLeavingServers(PeerMessageConverter.toStartedServers(List.of(told)));
+        startPeer(request -> ForwardedReply.answer(answer));
+        forward(false, 2_000);
+        assertThat(PeerMessageConverter.toServerStarts(received.getFirst().getLeavingServers()))
+                .containsExactly(known);
+        assertThat(leavingServers.isLeaving(told)).isTrue();
+    }
+
     private Optional<RequestResult> forward(boolean repeatable, long remainingMillis) {
         return forwardTo(repeatable, remainingMillis).result();
     }
@@ -138,7 +154,7 @@
         fleet.install(InstanceList.of(fleet.view().instances().index() + 1, peers));
         PeerTransport transport = PeerTransport.create(
                 SELF.name(), PeerClientPool.create(PeerSocketFactories.plain(), ControlTrafficRecorder.noOp()));
-        return RequestForwarder.create(SELF, fleet, transport, ProxyMetrics.create())
+        return RequestForwarder.create(SELF, fleet, transport, leavingServers, ProxyMetrics.create())
                 .forward(
                         REQUEST,
                         repeatable,
--- a/src/test/java/org/cassiabank/soak/GuaranteeChecks.java
+++ b/src/test/java/org/cassiabank/soak/GuaranteeChecks.java
@@ -82,6 +82,7 @@
         checks.checkRetryBudget("beta");
         fleet.rateLimitSpans().forEach(checks::checkRateLimit);
         fleet.serverCuts().forEach(checks::checkServerCut);
+        checks.checkAnnouncements();
         checks.checkFatalRequest();
         checks.checkRecovery(recoveredSinceMillis);
         checks.checkProcesses();
@@ -260,6 +261,38 @@
                         + " requests a second and got " + count + " in 4 s, " + allowed + " are allowed"));
     }
 
+    /**
+     * A daemon that has passed on a response which says that the server leaves sends it no request that callers send
+     * later than the bound, whatever the store and the peers know. A restart or a pause of the daemon excuses it.
+     */
+    private void checkAnnouncements() {
+        Map<String, Long> toldMillis = new HashMap<>();
+        for (RequestHistory.SentRequest request : history.sentRequests().values()) {
+            List<RequestHistory.Arrival> arrivals = history.arrivals(request.id());
+            if (arrivals.size() == 1 && arrivals.getFirst().isAnnounced()) {
+                history.completion(request.id())
+                        .filter(completion -> completion.status() == 200)
+                        .ifPresent(completion -> toldMillis.merge(
+                                announcementKey(request, arrivals.getFirst()), completion.atMillis(), Math::min));
+            }
+        }
+        for (RequestHistory.SentRequest request : history.sentRequests().values()) {
+            for (RequestHistory.Arrival arrival : history.arrivals(request.id())) {
+                long sinceMillis = toldMillis.getOrDefault(announcementKey(request, arrival), Long.MAX_VALUE / 2);
+                reportIf(
+                        request.atMillis() > sinceMillis + CHANGE_BOUND_MILLIS
+                                && fleet.isNotPaused(request.daemonNumber(), sinceMillis, arrival.atMillis()),
+                        request + " reached " + arrival.server() + ", sent " + (request.atMillis() - sinceMillis)
+                                + " ms after its daemon had passed on that the server leaves");
+            }
+        }
+    }
+
+    private static String announcementKey(RequestHistory.SentRequest request, RequestHistory.Arrival arrival) {
+        return request.daemonNumber() + "/" + request.startNumber() + "/" + arrival.server() + "/"
+                + arrival.bornMillis();
+    }
+
     /** Counts the servers that the fatal request reached through undisturbed daemons, after it had ended three. */
     private void checkFatalRequest() {
         List<Map.Entry<RequestHistory.SentRequest, RequestHistory.Arrival>> runs = new ArrayList<>();
--- a/src/test/java/org/cassiabank/soak/RequestHistory.java
+++ b/src/test/java/org/cassiabank/soak/RequestHistory.java
@@ -95,8 +95,17 @@
      * @param isExecuted whether it was run
      * @param request method, path and body as received, separated by blanks
      * @param leavingMillis the time since the server announced that it leaves, negative if it did not
+     * @param isAnnounced whether the responses of the server say that it leaves
+     * @param bornMillis the start of the server
      * @param atMillis the time at which it was received
      */
     record Arrival(
-            String service, String server, boolean isExecuted, String request, long leavingMillis, long atMillis) {}
+            String service,
+            String server,
+            boolean isExecuted,
+            String request,
+            long leavingMillis,
+            boolean isAnnounced,
+            long bornMillis,
+            long atMillis) {}
 }
--- a/src/test/java/org/cassiabank/soak/SoakFaults.java
+++ b/src/test/java/org/cassiabank/soak/SoakFaults.java
@@ -25,6 +25,7 @@
     private static final long DRAIN_MILLIS = 2_000;
     private static final long JVM_START_MILLIS = 1_000;
     private static final long RATE_LIMIT_MILLIS = 5_000;
+    private static final long LEAVING_MILLIS = 5_000;
     private static final long SERVER_REPORT_MILLIS = 1_500;
     /** Three missed reports. */
     private static final long SERVER_EXPIRY_MILLIS = 4_500;
@@ -38,6 +39,7 @@
 
     private final Random restorationRandom;
     private final Random cutRandom;
+    private final Random leavingRandom;
 
     private final List<String> log = Collections.synchronizedList(new ArrayList<>());
 
@@ -49,6 +51,7 @@
         this.mannerRandom = new Random(seed + 1);
         this.restorationRandom = new Random(seed + 3);
         this.cutRandom = new Random(seed + 4);
+        this.leavingRandom = new Random(seed + 5);
     }
 
     /**
@@ -63,6 +66,7 @@
         injections.add(Thread.ofVirtual().start(() -> sendFatalRequests(periodMillis)));
         injections.add(Thread.ofVirtual().start(() -> restoreStore(periodMillis)));
         injections.add(Thread.ofVirtual().start(() -> cutDaemonsFromServers(periodMillis)));
+        injections.add(Thread.ofVirtual().start(() -> announceLeavingOnlyInResponses(periodMillis)));
         long startMillis = RequestHistory.nowMillis();
         long[] offsetsMillis = random.longs(count, 0, periodMillis).sorted().toArray();
         for (long offsetMillis : offsetsMillis) {
@@ -206,6 +210,25 @@
         }
     }
 
+    /** Makes a server that the store lists as ready say in its responses that it leaves; then it starts again. */
+    private void announceLeavingOnlyInResponses(long periodMillis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(leavingRandom.nextLong(periodMillis / 2));
+            List<SoakServer> servers = fleet.servers.values().stream()
+                    .sorted(Comparator.comparing(SoakServer::name))
+                    .toList();
+            SoakServer server = servers.get(leavingRandom.nextInt(servers.size()));
+            log.add(server.name() + " announces its leaving in its responses only");
+            server.announceLeavingInResponses();
+            TimeUnit.MILLISECONDS.sleep(LEAVING_MILLIS + leavingRandom.nextInt(2_000));
+            crash(server, RESTART_DELAY_MILLIS);
+        } catch (IOException exception) {
+            log.add("failed: a leaving server did not start again: " + exception.getMessage());
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Makes two servers after each other name limits of requests a second. */
     private void limitServers(long periodMillis) {
         try {
@@ -239,6 +262,7 @@
         long fromMillis = RequestHistory.nowMillis();
         switch (kind) {
             case PAUSE -> {
+                daemon.pauses.add(new SoakFleet.Span(fromMillis, fromMillis + durationMillis + 200));
                 daemon.disturbances.add(new SoakFleet.Span(fromMillis, fromMillis + durationMillis + 200));
                 daemon.process.sendSignal("STOP");
                 TimeUnit.MILLISECONDS.sleep(durationMillis);
--- a/src/test/java/org/cassiabank/soak/SoakFleet.java
+++ b/src/test/java/org/cassiabank/soak/SoakFleet.java
@@ -264,6 +264,12 @@
                 && !overlapsAny(daemon.terminations, fromMillis, untilMillis);
     }
 
+    /** Returns whether a daemon was not paused in a time span. */
+    boolean isNotPaused(int daemonNumber, long fromMillis, long untilMillis) {
+        return daemons.get(daemonNumber).pauses.stream()
+                .noneMatch(span -> span.fromMillis <= untilMillis && span.untilMillis >= fromMillis);
+    }
+
     /** Records that a server names a limit in its responses during a time. */
     void recordRateLimit(RateLimitSpan span) {
         rateLimitSpans.add(span);
@@ -388,6 +394,9 @@
 
         final int peerPort;
         final List<Span> disturbances = new CopyOnWriteArrayList<>();
+        /** The times in which the process was stopped by a signal. */
+        final List<Span> pauses = new CopyOnWriteArrayList<>();
+
         final List<Span> terminations = new CopyOnWriteArrayList<>();
         volatile ChildProcess process;
         volatile int startCount;
--- a/src/test/java/org/cassiabank/soak/SoakServer.java
+++ b/src/test/java/org/cassiabank/soak/SoakServer.java
@@ -44,6 +44,7 @@
     private volatile Fault fault = Fault.NONE;
     private volatile double rateLimit;
     private volatile long leavingSinceMillis = Long.MAX_VALUE;
+    private volatile boolean announcesLeaving;
 
     private SoakServer(
             String name,
@@ -107,10 +108,17 @@
         rateLimit = newRequestsPerSecond;
     }
 
+    /** Says in all responses that the server leaves, as its entry in the store does from now on. */
     void announceLeaving() {
+        announceLeavingInResponses();
         leavingSinceMillis = RequestHistory.nowMillis();
     }
 
+    /** Says in all responses that the server leaves, whatever its entry in the store says. */
+    void announceLeavingInResponses() {
+        announcesLeaving = true;
+    }
+
     @Override
     public void close() {
         try {
@@ -168,7 +176,7 @@
                 recordArrival(id, request, false);
                 write(
                         output,
-                        "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n" + rateLimitHeader(),
+                        "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n" + noticeHeaders(),
                         "",
                         Framing.LENGTH);
                 return true;
@@ -201,7 +209,14 @@
         history.recordArrival(
                 id,
                 new RequestHistory.Arrival(
-                        service, name, isExecuted, requestText, leavingMillis, RequestHistory.nowMillis()));
+                        service,
+                        name,
+                        isExecuted,
+                        requestText,
+                        leavingMillis,
+                        announcesLeaving,
+                        bornMillis,
+                        RequestHistory.nowMillis()));
     }
 
     private boolean sendResponse(Fault requestFault, String id, long deadlineMillis, Socket socket)
@@ -209,7 +224,7 @@
         OutputStream output = socket.getOutputStream();
         String body = id + " by " + name + " " + "x".repeat(random.nextInt(3_000));
         String headers = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Seal: " + seal(id, body) + "\r\n"
-                + rateLimitHeader();
+                + noticeHeaders();
         switch (requestFault) {
             case NONE, SLOW, SHED -> {
                 Framing framing = Framing.values()[random.nextInt(Framing.values().length)];
@@ -237,9 +252,9 @@
         return false;
     }
 
-    private String rateLimitHeader() {
+    private String noticeHeaders() {
         double limit = rateLimit;
-        return limit > 0 ? "Server-Limit: " + limit + "\r\n" : "";
+        return (limit > 0 ? "Server-Limit: " + limit + "\r\n" : "") + (announcesLeaving ? "Server-Leaving: 1\r\n" : "");
     }
 
     /** Returns the header value Response-Seal: the hexadecimal CRC-32 of request id and body. */
--- a/src/test/java/org/cassiabank/standin/BackendFaultsTest.java
+++ b/src/test/java/org/cassiabank/standin/BackendFaultsTest.java
@@ -211,7 +211,7 @@
 
     @Test
     void flappingFaultsAreOffInTheSecondHalfOfEachPeriod() {
-        BackendFaults faults = new BackendFaults(1, 0, 0, 0, 0, 0, 0, 1_000, false, 0, false);
+        BackendFaults faults = new BackendFaults(1, 0, 0, 0, 0, 0, 0, 1_000, false, 0, false, false);
         assertThat(faults.isOn(0)).isTrue();
         assertThat(faults.isOn(499)).isTrue();
         assertThat(faults.isOn(500)).isFalse();
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -23,6 +23,13 @@
   3: required i64 ageMillis,
 }
 
+/** One start of a backend server. */
+struct StartedServer {
+  1: required string server,
+  /** Differs between the starts of a server under one name, 0 if the platform does not report it. */
+  2: required i64 incarnation,
+}
+
 struct SlotRequest {
   1: required string entry,
   2: required string serviceName,
@@ -53,6 +60,8 @@
   19: optional list<KnownRateLimit> rateLimits,
   /** Identifies the request in further attempts and repetitions by its caller, as hexadecimal digits. */
   20: optional string digest,
+  /** Servers of the shard that the entry knows to be leaving; missing if there are none. */
+  21: optional list<StartedServer> leavingServers,
 }
 
 struct SlotGrant {
@@ -210,6 +219,8 @@
   1: required i32 status,
   2: required map<string, list<string>> headers,
   3: required binary body,
+  /** In the reply to a forwarded request: servers that the peer knows to be leaving; missing if there are none. */
+  4: optional list<StartedServer> leavingServers,
 }
 
 struct ClaimRecord {
@@ -239,6 +250,8 @@
   7: required i64 remainingMillis,
   /** The attempts that may have reached a backend server already. */
   8: required i32 attempts,
+  /** Servers that the entry knows to be leaving; missing if there are none. */
+  9: optional list<StartedServer> leavingServers,
 }
 
 union ForwardedReply {
