Promise callers that an order has not run only with the server's proof

Cause: the response was delivered with its status (the line of each such request has one attempt, 'server-error 503', and the outcome 'answered'; ruled out by the same line: a refusal of the daemon's own, and a proven refusal).

Fix: the header conventions name the statuses that callers take for this promise. The daemon that has the caller replaces such a response by a 502 of unknown outcome if the request may run only once, whichever daemon received it, and passes it on without Retry-After otherwise.

--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -304,7 +304,13 @@
         ServerNotice notice = readNotice(status, headers);
         return conventions.provesNotRun(status, headersByName)
                 ? new RequestShed(notice)
-                : new ResponseReceived(status, BackendHeaders.endToEnd(headers), body, notice, observe(response));
+                : new ResponseReceived(
+                        status,
+                        BackendHeaders.endToEnd(headers),
+                        body,
+                        notice,
+                        conventions.promisesNotRun(status),
+                        observe(response));
     }
 
     /** Returns what tells a response from one that was read together with another. */
--- a/src/main/java/org/cassiabank/backend/DefaultHeaderConventions.java
+++ b/src/main/java/org/cassiabank/backend/DefaultHeaderConventions.java
@@ -59,6 +59,12 @@
                 && BackendHeaders.hasOnlyValue(headers, BackendHeaders.NOT_RUN, "true");
     }
 
+    /** Callers read {@code Cassiabank-Outcome}; the status of a response is that of its server. */
+    @Override
+    public boolean promisesNotRun(int status) {
+        return false;
+    }
+
     @Override
     public boolean announcesLeaving(Map<String, List<String>> headers) {
         return BackendHeaders.hasOnlyValue(headers, BackendHeaders.LEAVING, "true");
--- a/src/main/java/org/cassiabank/backend/HeaderConventions.java
+++ b/src/main/java/org/cassiabank/backend/HeaderConventions.java
@@ -64,6 +64,15 @@
      */
     boolean provesNotRun(int status, Map<String, List<String>> headers);
 
+    /**
+     * Tells whether callers take a status for the promise that the request has not run and will not run. A response of
+     * a server that does not prove this is not passed on with such a status if the request may run only once.
+     *
+     * @param status the HTTP status of a reply
+     * @return false for all statuses if callers learn it from other parts of the reply
+     */
+    boolean promisesNotRun(int status);
+
     /**
      * Tells whether a response states that its server is leaving.
      *
--- a/src/main/java/org/cassiabank/backend/ResponseReceived.java
+++ b/src/main/java/org/cassiabank/backend/ResponseReceived.java
@@ -14,11 +14,18 @@
  * @param headers the end-to-end headers, with names in the spelling of the server
  * @param body the complete body, not decompressed and not copied
  * @param notice what the response says about the server
+ * @param unprovenRefusal whether callers take the status for a promise that the request has not run, which nothing in
+ *     the response proves
  * @param observation what was seen of the status line and the connection, for log lines; empty if a peer has passed the
  *     response on
  */
 public record ResponseReceived(
-        int status, Map<String, List<String>> headers, byte[] body, ServerNotice notice, String observation)
+        int status,
+        Map<String, List<String>> headers,
+        byte[] body,
+        ServerNotice notice,
+        boolean unprovenRefusal,
+        String observation)
         implements BackendResult {
 
     /**
@@ -34,12 +41,12 @@
     }
 
     /**
-     * Tells whether the status is a server error.
+     * Tells whether the response reports a failure of the server.
      *
-     * @return true for status 500 and above
+     * @return true for status 500 and above, and for an unproven refusal
      */
     public boolean isServerError() {
-        return status >= 500;
+        return status >= 500 || unprovenRefusal;
     }
 
     @Override
@@ -49,6 +56,9 @@
 
     @Override
     public AttemptResult attemptResult() {
+        if (unprovenRefusal) {
+            return AttemptResult.UNPROVEN_REFUSAL;
+        }
         return isServerError() ? AttemptResult.SERVER_ERROR : AttemptResult.ANSWERED;
     }
 }
--- a/src/main/java/org/cassiabank/platform/PlatformHeaderConventions.java
+++ b/src/main/java/org/cassiabank/platform/PlatformHeaderConventions.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.cassiabank.backend.BackendHeaders;
 import org.cassiabank.backend.HeaderConventions;
 
@@ -13,6 +14,9 @@
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final int MISDIRECTED_REQUEST = 421;
 
+    /** Request Timeout, Misdirected Request, Too Many Requests and Service Unavailable. */
+    private static final Set<Integer> PROMISES_NOT_RUN = Set.of(408, MISDIRECTED_REQUEST, 429, 503);
+
     @Override
     public String requestIdHeader() {
         return "Request-Id";
@@ -53,6 +57,12 @@
         return status == MISDIRECTED_REQUEST || headers.keySet().stream().anyMatch("Not-Executed"::equalsIgnoreCase);
     }
 
+    /** Callers know no other sign that a request has not run. */
+    @Override
+    public boolean promisesNotRun(int status) {
+        return PROMISES_NOT_RUN.contains(status);
+    }
+
     /** Beside the store, all responses of a leaving server tell so; it closes connections for other reasons too. */
     @Override
     public boolean announcesLeaving(Map<String, List<String>> headers) {
--- a/src/main/java/org/cassiabank/proxy/CallerReply.java
+++ b/src/main/java/org/cassiabank/proxy/CallerReply.java
@@ -21,11 +21,12 @@
     static final int SERVICE_UNAVAILABLE = 503;
     static final int GATEWAY_TIMEOUT = 504;
     static final int CONFLICT = 409;
+    private static final String ANSWERED = "answered";
 
     /** Returns the response of a backend server with the outcome {@code answered}. */
     static CallerReply answered(int status, Map<String, List<String>> headers, byte[] body) {
         Map<String, List<String>> allHeaders = new LinkedHashMap<>(headers);
-        allHeaders.put(OUTCOME_HEADER, List.of("answered"));
+        allHeaders.put(OUTCOME_HEADER, List.of(ANSWERED));
         return new CallerReply(status, allHeaders, body);
     }
 
@@ -76,6 +77,11 @@
         return new CallerReply(status, changedHeaders, body);
     }
 
+    /** Tells whether the reply is the response of a backend server. */
+    boolean isAnswered() {
+        return firstHeader(OUTCOME_HEADER).equals(ANSWERED);
+    }
+
     /**
      * Returns the first value of a header that this proxy itself set.
      *
--- a/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
+++ b/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
@@ -336,6 +336,7 @@
                         reply.getAnswer().getHeaders(),
                         reply.getAnswer().getBody(),
                         ServerNotice.none(),
+                        false,
                         "")));
             case NOT_RUN ->
                 Optional.of(RequestResult.notRun(
--- a/src/main/java/org/cassiabank/proxy/RequestHandler.java
+++ b/src/main/java/org/cassiabank/proxy/RequestHandler.java
@@ -5,6 +5,7 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -164,7 +165,7 @@
         }
         Optional<String> idempotencyKey = request.header("idempotency-key");
         return selector.get().repeatable() || idempotencyKey.isEmpty() || !claimClient.isEnabled()
-                ? toReply(run(request, selector.get(), presence, deadlineMillis, trace))
+                ? toReply(run(request, selector.get(), presence, deadlineMillis, trace), selector.get())
                 : claimAndRun(request, selector.get(), presence, deadlineMillis, idempotencyKey.get(), trace);
     }
 
@@ -226,7 +227,7 @@
                         trace)
                 .run();
         trace.addStep("for a peer");
-        trace.log(toReply(result));
+        trace.log(toReply(result, selector.get()));
         boolean anotherPeerMayReachOne = result instanceof RequestResult.NotRun notRun
                 && (notRun.reason().equals(RequestRun.NO_SERVER_REACHED)
                         || notRun.reason().equals(PlannedStop.REASON)
@@ -259,9 +260,9 @@
                 long remainingMillis = Math.min(deadlineMillis, MAXIMUM_CLAIMED_DEADLINE_MILLIS)
                         - (MonotonicClock.millis() - startMillis);
                 RequestResult result = runAndConclude(request, selector, presence, remainingMillis, claim, trace);
-                yield toReply(result);
+                yield toReply(result, selector);
             }
-            case ClaimDecision.Replay replay -> replayedReply(replay.response());
+            case ClaimDecision.Replay replay -> replayedReply(replay.response(), selector);
             case ClaimDecision.EarlierOutcomeUnknown unknown ->
                 unknownReply(CallerReply.GATEWAY_TIMEOUT, "earlier-outcome-unknown");
             case ClaimDecision.InProgress inProgress -> unknownReply(CallerReply.CONFLICT, "in-progress");
@@ -296,12 +297,11 @@
         }
     }
 
-    private CallerReply toReply(RequestResult result) {
+    private CallerReply toReply(RequestResult result, Selector selector) {
         return switch (result) {
             case RequestResult.Delivered delivered -> {
-                metrics.recordAnsweredRequest();
                 ResponseReceived response = delivered.response();
-                yield CallerReply.answered(response.status(), response.headers(), response.body());
+                yield responseReply(response.status(), response.headers(), response.body(), selector);
             }
             case RequestResult.NotRun notRun ->
                 notRunReply(CallerReply.SERVICE_UNAVAILABLE, notRun.reason(), notRun.retryAfterMillis());
@@ -309,12 +309,21 @@
         };
     }
 
-    private CallerReply replayedReply(RecordedResponse response) {
-        metrics.recordAnsweredRequest();
-        return CallerReply.answered(response.status(), response.headers(), response.body())
+    private CallerReply replayedReply(RecordedResponse response, Selector selector) {
+        return responseReply(response.status(), response.headers(), response.body(), selector)
                 .withHeader("Cassiabank-Replayed", "true");
     }
 
+    private CallerReply responseReply(int status, Map<String, List<String>> headers, byte[] body, Selector selector) {
+        CallerReply reply = ServerResponseReply.create(status, headers, body, selector.repeatable(), conventions);
+        if (reply.isAnswered()) {
+            metrics.recordAnsweredRequest();
+        } else {
+            metrics.recordUnknownOutcome(reply.firstHeader(CallerReply.REASON_HEADER));
+        }
+        return reply;
+    }
+
     private CallerReply notRunReply(int status, String reason, long retryAfterMillis) {
         metrics.recordRefusedRequest(reason);
         return retryAfterMillis > 0
--- a/src/main/java/org/cassiabank/retry/AttemptResult.java
+++ b/src/main/java/org/cassiabank/retry/AttemptResult.java
@@ -10,6 +10,8 @@
     ANSWERED("answered", false, null),
     /** A complete response with a server error. */
     SERVER_ERROR("server-error", false, RetryReason.SERVER_ERROR),
+    /** A complete response whose status promises callers that the request did not run, without a proof. */
+    UNPROVEN_REFUSAL("unproven-refusal", false, RetryReason.SERVER_ERROR),
     /** The server shed the request and stated that it did not run. */
     SHED("shed", true, RetryReason.SHED),
     /** The connection was not opened or no byte was written. */
--- a/src/main/java/org/cassiabank/retry/RetryPolicy.java
+++ b/src/main/java/org/cassiabank/retry/RetryPolicy.java
@@ -9,7 +9,7 @@
  * <caption>Decision table; "may retry" needs a token, remaining time and fewer attempts than the maximum</caption>
  * <tr><th>result</th><th>repeatable</th><th>unrepeatable</th></tr>
  * <tr><td>answered</td><td>deliver</td><td>deliver</td></tr>
- * <tr><td>server error</td><td>may retry, else deliver</td><td>deliver</td></tr>
+ * <tr><td>server error, unproven refusal</td><td>may retry, else deliver</td><td>deliver</td></tr>
  * <tr><td>shed, not sent</td><td>may retry, else not-run or unknown</td><td>may retry, else not-run</td></tr>
  * <tr><td>timeout, lost, truncated, wrong id</td><td>may retry, else unknown</td><td>unknown</td></tr>
  * <tr><td>too large, cancelled</td><td>unknown</td><td>unknown</td></tr>
@@ -53,7 +53,7 @@
         if (reason.isPresent() && safeToRepeat && anotherAttemptAllowed) {
             return new RetryDecision.Retry(reason.get());
         }
-        if (result == AttemptResult.SERVER_ERROR) {
+        if (result == AttemptResult.SERVER_ERROR || result == AttemptResult.UNPROVEN_REFUSAL) {
             return new RetryDecision.DeliverResponse();
         }
         return context.provablyNotRun()
--- a/src/test/java/org/cassiabank/backend/PlatformLikeHeaderConventions.java
+++ b/src/test/java/org/cassiabank/backend/PlatformLikeHeaderConventions.java
@@ -45,6 +45,11 @@
         return status == 421 || status == 503 && BackendHeaders.hasOnlyValue(headers, BackendHeaders.NOT_RUN, "true");
     }
 
+    @Override
+    public boolean promisesNotRun(int status) {
+        return status == 421 || status == 429 || status == 503;
+    }
+
     @Override
     public boolean announcesLeaving(Map<String, List<String>> headers) {
         return false;
--- a/src/test/java/org/cassiabank/platform/PlatformHeaderConventionsTest.java
+++ b/src/test/java/org/cassiabank/platform/PlatformHeaderConventionsTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** Guards against announcements of backend servers that the proxies do not read. */
@@ -19,6 +20,13 @@
                 .isTrue();
     }
 
+    /** These statuses tell callers that a request has not run, whoever sends them. */
+    @Test
+    void fourStatusesPromiseThatARequestHasNotRun() {
+        assertThat(IntStream.range(100, 600).filter(conventions::promisesNotRun))
+                .containsExactly(408, 421, 429, 503);
+    }
+
     @Test
     void noOtherValueAndNoClosedConnectionIsAnAnnouncement() {
         assertThat(conventions.announcesLeaving(Map.of())).isFalse();
--- a/src/test/java/org/cassiabank/soak/SoakFaults.java
+++ b/src/test/java/org/cassiabank/soak/SoakFaults.java
@@ -25,6 +25,7 @@
     private static final long DRAIN_MILLIS = 2_000;
     private static final long JVM_START_MILLIS = 1_000;
     private static final long RATE_LIMIT_MILLIS = 5_000;
+    private static final long REFUSAL_MILLIS = 3_000;
     private static final long LEAVING_MILLIS = 5_000;
     private static final long SERVER_REPORT_MILLIS = 1_500;
     /** Three missed reports. */
@@ -40,6 +41,7 @@
     private final Random restorationRandom;
     private final Random cutRandom;
     private final Random leavingRandom;
+    private final Random refusalRandom;
 
     private final List<String> log = Collections.synchronizedList(new ArrayList<>());
 
@@ -52,6 +54,7 @@
         this.restorationRandom = new Random(seed + 3);
         this.cutRandom = new Random(seed + 4);
         this.leavingRandom = new Random(seed + 5);
+        this.refusalRandom = new Random(seed + 6);
     }
 
     /**
@@ -66,6 +69,7 @@
         injections.add(Thread.ofVirtual().start(() -> sendFatalRequests(periodMillis)));
         injections.add(Thread.ofVirtual().start(() -> restoreStore(periodMillis)));
         injections.add(Thread.ofVirtual().start(() -> cutDaemonsFromServers(periodMillis)));
+        injections.add(Thread.ofVirtual().start(() -> refuseAfterRunning(periodMillis)));
         injections.add(Thread.ofVirtual().start(() -> announceLeavingOnlyInResponses(periodMillis)));
         long startMillis = RequestHistory.nowMillis();
         long[] offsetsMillis = random.longs(count, 0, periodMillis).sorted().toArray();
@@ -229,6 +233,25 @@
         }
     }
 
+    /** Makes two servers after each other run requests and refuse them afterwards. */
+    private void refuseAfterRunning(long periodMillis) {
+        try {
+            for (int count = 0; count < 2; count++) {
+                TimeUnit.MILLISECONDS.sleep(refusalRandom.nextLong(periodMillis / 4));
+                List<SoakServer> servers = fleet.servers.values().stream()
+                        .sorted(Comparator.comparing(SoakServer::name))
+                        .toList();
+                SoakServer server = servers.get(refusalRandom.nextInt(servers.size()));
+                log.add(server.name() + " refuses requests that it has run");
+                server.setFault(SoakServer.Fault.UNPROVEN_REFUSAL);
+                TimeUnit.MILLISECONDS.sleep(REFUSAL_MILLIS);
+                server.setFault(SoakServer.Fault.NONE);
+            }
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Makes two servers after each other name limits of requests a second. */
     private void limitServers(long periodMillis) {
         try {
