Report a request as not run only if no daemon may have run it

Cause: the refusal of a peer was taken for the result of the whole request; what was known of other attempts was dropped.

Fix: the refusal counts for the peer's own attempts, and the entry decides from all of them.

Evidence: PassedOnResponseTest#aPeersRefusalIsNoProofBesideAPeerThatDidNotReply failed before (not-run instead of unknown) and passes."

--- a/src/main/java/org/cassiabank/proxy/RequestForwarder.java
+++ b/src/main/java/org/cassiabank/proxy/RequestForwarder.java
@@ -113,7 +113,7 @@
             }
             ForwardingResult result = forwardTo(peer, message, repeatable, trace);
             if (result.result().isPresent()) {
-                return result;
+                return new ForwardingResult(result.result(), mayHaveRun);
             }
             mayHaveRun |= result.mayHaveRun();
         }
@@ -186,7 +186,8 @@
      * What became of a request that was passed on.
      *
      * @param result the result, empty if no peer returned one
-     * @param mayHaveRun whether the request may have run at a peer from which there is no result
+     * @param mayHaveRun whether the request may have run at a peer from which there is no result, beside the result of
+     *     another one
      */
     record ForwardingResult(Optional<RequestResult> result, boolean mayHaveRun) {
 
--- a/src/main/java/org/cassiabank/proxy/RequestRun.java
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -238,7 +238,12 @@
                 .get()
                 .forward(request, selector.repeatable(), attemptsThatMayHaveArrived, deadlineMillis, presence, trace);
         provablyNotRun = provablyNotRun && !forwarded.mayHaveRun();
-        return forwarded.result();
+        // A peer vouches for its own attempts only.
+        return forwarded
+                .result()
+                .map(result -> result instanceof RequestResult.NotRun notRun
+                        ? resultWithoutSlot(notRun.reason(), notRun.retryAfterMillis())
+                        : result);
     }
 
     private void recordResult(BackendResult result) {
--- a/src/test/java/org/cassiabank/proxy/PassedOnResponseTest.java
+++ b/src/test/java/org/cassiabank/proxy/PassedOnResponseTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.thrift.TException;
 import org.cassiabank.admission.ResponseTimes;
@@ -143,6 +144,24 @@
         assertThat(send("GET").firstHeader(CallerReply.OUTCOME_HEADER)).isEqualTo("not-run");
     }
 
+    /** The refusal of one peer counted for all of them, so that a request which may have run was reported as not run. */
+    @Test
+    void aPeersRefusalIsNoProofBesideAPeerThatDidNotReply() {
+        AtomicInteger asked = new AtomicInteger();
+        PeerReply breaksFirst = () -> {
+            if (asked.incrementAndGet() == 1) {
+                throw new IllegalStateException("the peer fails after it has begun");
+            }
+            return ForwardedReply.notRun(new SlotRefusal("no-healthy-server", 300));
+        };
+        startPeer(breaksFirst);
+        startPeer(breaksFirst);
+        CallerReply reply = send("GET");
+        assertThat(asked).hasValue(2);
+        assertThat(reply.firstHeader(CallerReply.OUTCOME_HEADER)).isEqualTo("unknown");
+        assertThat(reply.status()).isEqualTo(504);
+    }
+
     private CallerReply send(String method) {
         return handler.handle(
                 new CallerRequest(
