Tell peers of leaving servers only while these are listed

Cause: read again as a newcomer. Peers could keep each other from forgetting servers that had left, and a server without a known start, because each message refreshed the memory of its receiver. Each response was also searched for the header twice.

Change: only listed servers with a known start are told; the head of a response is searched once more only if the attempt has no notice. The gauge counts listed servers.

Evidence: ForwardedRequestsTest and RequestForwarderTest now have servers that are gone or whose start is unknown; 68 tests of the classes concerned pass."

--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -172,7 +172,7 @@
     }
 
     /**
-     * Tells whether the response announced that its server is leaving.
+     * Tells whether the response announced that its server is leaving. So does the notice of the result, if it has one.
      *
      * @return true also if the response broke off or is not valid behind its head; false if there is none, or if it
      *     belongs to another request or comes from another server
@@ -301,7 +301,7 @@
         int status = response.code();
         Headers headers = trace.responseHeaders();
         Map<String, List<String>> headersByName = headers.toMultimap();
-        ServerNotice notice = readNotice(status, headers);
+        ServerNotice notice = readNotice(status, headers, headersByName);
         return conventions.provesNotRun(status, headersByName)
                 ? new RequestShed(notice)
                 : new ResponseReceived(
@@ -321,7 +321,7 @@
         return bytesBehind == 0 ? observation : observation + ", " + bytesBehind + " bytes behind";
     }
 
-    private ServerNotice readNotice(int status, Headers headers) {
+    private ServerNotice readNotice(int status, Headers headers, Map<String, List<String>> headersByName) {
         if (status == MISDIRECTED_REQUEST_STATUS) {
             // Another server answered.
             return ServerNotice.none();
@@ -336,7 +336,8 @@
                     conventions.rateLimitHeader(),
                     PrintableText.abbreviate(values.toString()));
         }
-        return new ServerNotice(announcesLeaving(), limit.orElseGet(RateLimitNotice.Unlimited::new));
+        return new ServerNotice(
+                conventions.announcesLeaving(headersByName), limit.orElseGet(RateLimitNotice.Unlimited::new));
     }
 
     /** Returns the names of the headers that each response of a server holds. */
--- a/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
+++ b/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
@@ -20,8 +20,12 @@
 import org.cassiabank.backend.BackendClient;
 import org.cassiabank.backend.BackendRequest;
 import org.cassiabank.backend.BackendResult;
+import org.cassiabank.backend.Cancelled;
 import org.cassiabank.backend.HeaderConventions;
+import org.cassiabank.backend.NoValidResponse;
 import org.cassiabank.backend.NotSent;
+import org.cassiabank.backend.RequestShed;
+import org.cassiabank.backend.ResponseReceived;
 import org.cassiabank.declaration.Selector;
 import org.cassiabank.health.AttemptOutcome;
 import org.cassiabank.kernel.BackgroundTasks;
@@ -147,7 +151,7 @@
     boolean acceptsRequests(String serverName) {
         FleetView view = fleet.view();
         return view.isAcceptingRequests(serverName)
-                && !leavingServers.isLeaving(new ServerStart(serverName, view.incarnation(serverName)));
+                && !leavingServers.isLeaving(serverName, view.incarnation(serverName));
     }
 
     /**
@@ -300,7 +304,7 @@
     }
 
     private void recordResult(RunningAttempt attempt, BackendResult result, Runnable cancellation, long latencyMicros) {
-        boolean leaving = attempt.call().filter(BackendCall::announcesLeaving).isPresent();
+        boolean leaving = announcesLeaving(attempt, result);
         ServerNotice notice = new ServerNotice(leaving, result.notice().rateLimit());
         // Before the other records, so that the slot is free again whatever happens to them.
         workers.execute(() -> broker.report(attempt.slot(), result.outcome(), latencyMicros, notice));
@@ -334,6 +338,19 @@
                 attempt.slot().shard().service(), result.attemptResult().label(), latencyMicros);
     }
 
+    /** Tells whether the server announced its leaving; a response that broke off has no notice, but a head. */
+    private static boolean announcesLeaving(RunningAttempt attempt, BackendResult result) {
+        return switch (result) {
+            case ResponseReceived response -> response.notice().leaving();
+            case RequestShed shed -> shed.notice().leaving();
+            case NoValidResponse invalid ->
+                attempt.call().filter(BackendCall::announcesLeaving).isPresent();
+            case Cancelled cancelled ->
+                attempt.call().filter(BackendCall::announcesLeaving).isPresent();
+            case NotSent notSent -> false;
+        };
+    }
+
     /**
      * An attempt that may still be running.
      *
--- a/src/main/java/org/cassiabank/proxy/ForwardedRequests.java
+++ b/src/main/java/org/cassiabank/proxy/ForwardedRequests.java
@@ -93,7 +93,7 @@
             }
             Optional<RequestResult> result =
                     requestHandler.runForwarded(request, message.getRemainingMillis(), message.getAttempts(), presence);
-            return result.map(found -> PeerMessageConverter.toMessage(found, leavingServers.all()))
+            return result.map(found -> PeerMessageConverter.toMessage(found, leavingServers.toTellPeers()))
                     .orElseGet(() -> ForwardedReply.declined("not-run"));
         } finally {
             bodyBytes.addAndGet(-size);
--- a/src/main/java/org/cassiabank/proxy/KnownLeavingServers.java
+++ b/src/main/java/org/cassiabank/proxy/KnownLeavingServers.java
@@ -15,11 +15,14 @@
 final class KnownLeavingServers {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+    private final FleetState fleet;
     private final LeavingServers announcements = LeavingServers.create();
     /** Lets the checks of each server pass without the lock while none is leaving. */
     private volatile boolean empty = true;
 
-    private KnownLeavingServers() {}
+    private KnownLeavingServers(FleetState fleet) {
+        this.fleet = fleet;
+    }
 
     /**
      * Creates an empty memory, which follows the instance list of this daemon.
@@ -29,13 +32,12 @@
      * @return the memory
      */
     static KnownLeavingServers create(FleetState fleet, ProxyMetrics metrics) {
-        Objects.requireNonNull(fleet, "fleet");
-        KnownLeavingServers servers = new KnownLeavingServers();
+        KnownLeavingServers servers = new KnownLeavingServers(Objects.requireNonNull(fleet, "fleet"));
         fleet.addListener((formerView, newView) -> servers.forgetFormer(newView));
         metrics.registerGauge(
                 "cassiabank_leaving_servers",
-                "Servers that announced in a response that they are leaving.",
-                () -> servers.all().size());
+                "Listed servers that announced in a response that they are leaving.",
+                () -> servers.listed().size());
         return servers;
     }
 
@@ -74,28 +76,45 @@
         return changed;
     }
 
-    boolean isLeaving(ServerStart start) {
-        if (empty) {
-            return false;
-        }
-        synchronized (this) {
-            return announcements.isLeaving(start, MonotonicClock.millis());
-        }
+    /** Tells whether a start of a server is leaving. */
+    boolean isLeaving(String serverName, long incarnation) {
+        return !empty && isLeaving(new ServerStart(serverName, incarnation));
+    }
+
+    private synchronized boolean isLeaving(ServerStart start) {
+        return announcements.isLeaving(start, MonotonicClock.millis());
+    }
+
+    /**
+     * Returns the servers of which peers should know.
+     *
+     * @return those that are leaving and listed; without those whose start is unknown, because peers could keep each
+     *     other from forgetting them
+     */
+    List<ServerStart> toTellPeers() {
+        return listed().stream().filter(start -> start.incarnation() != 0).toList();
     }
 
-    /** Returns those of the servers of a shard that are leaving. */
-    List<ServerStart> ofShard(ShardKey shard, FleetView view) {
+    /** Returns those of the servers of a shard of which its owner should know, see {@link #toTellPeers()}. */
+    List<ServerStart> toTellOwner(ShardKey shard, FleetView view) {
         return empty
                 ? List.of()
                 : view.servers(shard).stream()
                         .map(server -> ServerStart.of(server.instance()))
-                        .filter(this::isLeaving)
+                        .filter(start -> start.incarnation() != 0 && isLeaving(start))
                         .toList();
     }
 
-    /** Returns all servers that are leaving or have left a moment ago. */
-    synchronized List<ServerStart> all() {
-        return empty ? List.of() : List.copyOf(announcements.all());
+    private List<ServerStart> listed() {
+        if (empty) {
+            return List.of();
+        }
+        FleetView view = fleet.view();
+        synchronized (this) {
+            return announcements.all().stream()
+                    .filter(start -> isLeaving(start) && isListed(start, view))
+                    .toList();
+        }
     }
 
     private synchronized void forgetFormer(FleetView view) {
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -36,7 +36,6 @@
 import org.cassiabank.health.MonitoredServer;
 import org.cassiabank.health.ServerHealth;
 import org.cassiabank.health.UnservedShare;
-import org.cassiabank.membership.ServerStart;
 
 /**
  * A shard that this daemon schedules: its queue, its leases and the health of its servers, guarded by one lock.
@@ -430,7 +429,9 @@
     }
 
     private boolean isLeaving(LabeledServer server) {
-        return server.leaving() || leavingServers.isLeaving(ServerStart.of(server.instance()));
+        return server.leaving()
+                || leavingServers.isLeaving(
+                        server.instance().name(), server.instance().incarnation());
     }
 
     /** A decision that was made at {@code decidedMillis} while its entry proxy was between two polls. */
--- a/src/main/java/org/cassiabank/proxy/RequestForwarder.java
+++ b/src/main/java/org/cassiabank/proxy/RequestForwarder.java
@@ -107,7 +107,7 @@
                     request.remoteAddress(),
                     remainingMillis,
                     attempts);
-            List<ServerStart> leaving = leavingServers.all();
+            List<ServerStart> leaving = leavingServers.toTellPeers();
             if (!leaving.isEmpty()) {
                 message.setLeavingServers(PeerMessageConverter.toStartedServers(leaving));
             }
--- a/src/main/java/org/cassiabank/proxy/SlotBroker.java
+++ b/src/main/java/org/cassiabank/proxy/SlotBroker.java
@@ -260,7 +260,7 @@
                     news.stream().map(PeerMessageConverter::toMessage).toList());
         }
         if (ticketId == 0) {
-            List<ServerStart> leaving = leavingServers.ofShard(shard, fleet.view());
+            List<ServerStart> leaving = leavingServers.toTellOwner(shard, fleet.view());
             if (!leaving.isEmpty()) {
                 message.setLeavingServers(PeerMessageConverter.toStartedServers(leaving));
             }
--- a/src/test/java/org/cassiabank/proxy/ForwardedRequestsTest.java
+++ b/src/test/java/org/cassiabank/proxy/ForwardedRequestsTest.java
@@ -11,6 +11,10 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.cassiabank.admission.ServerNotice;
 import org.cassiabank.backend.ResponseReceived;
+import org.cassiabank.membership.Instance;
+import org.cassiabank.membership.InstanceList;
+import org.cassiabank.membership.InstanceRole;
+import org.cassiabank.membership.InstanceState;
 import org.cassiabank.membership.ServerStart;
 import org.cassiabank.peer.generated.ForwardedReply;
 import org.cassiabank.peer.generated.ForwardedRequest;
@@ -25,8 +29,8 @@
     private final AtomicBoolean cutOff = new AtomicBoolean();
     private final CompletableFuture<CallerPresence> running = new CompletableFuture<>();
     private final CompletableFuture<Optional<RequestResult>> result = new CompletableFuture<>();
-    private final KnownLeavingServers leavingServers =
-            KnownLeavingServers.create(FleetState.create("region"), ProxyMetrics.create());
+    private final FleetState fleet = FleetState.create("region");
+    private final KnownLeavingServers leavingServers = KnownLeavingServers.create(fleet, ProxyMetrics.create());
     private final ForwardedRequests requests = ForwardedRequests.create(
             (request, remainingMillis, formerAttempts, presence) -> {
                 running.complete(presence);
@@ -84,13 +88,27 @@
     @Test
     void whichServersAreLeavingIsLearnedFromThePeerAndToldWithTheResponse() {
         ServerStart toldByPeer = new ServerStart("told", 3);
+        ServerStart unlisted = new ServerStart("gone", 1);
+        ServerStart unknownStart = new ServerStart("told", 0);
+        fleet.install(InstanceList.of(
+                1,
+                List.of(new Instance(
+                        "told",
+                        InstanceRole.BACKEND,
+                        "127.0.0.1:80",
+                        "region",
+                        "domain",
+                        InstanceState.LIVE,
+                        Map.of(),
+                        1,
+                        3))));
         result.complete(Optional.of(RequestResult.delivered(
                 new ResponseReceived(200, Map.of(), new byte[0], ServerNotice.none(), false, ""))));
-        ForwardedRequest message =
-                request("a", 1).setLeavingServers(PeerMessageConverter.toStartedServers(List.of(toldByPeer)));
+        ForwardedRequest message = request("a", 1)
+                .setLeavingServers(PeerMessageConverter.toStartedServers(List.of(toldByPeer, unlisted, unknownStart)));
         assertThat(PeerMessageConverter.leavingServers(requests.carryOut(message)))
                 .containsExactly(toldByPeer);
-        assertThat(leavingServers.isLeaving(toldByPeer)).isTrue();
+        assertThat(leavingServers.isLeaving("told", 3)).isTrue();
     }
 
     private static ForwardedRequest request(String id, int bodyBytes) {
--- a/src/test/java/org/cassiabank/proxy/PassedOnResponseTest.java
+++ b/src/test/java/org/cassiabank/proxy/PassedOnResponseTest.java
@@ -144,7 +144,7 @@
         assertThat(send("GET").firstHeader(CallerReply.OUTCOME_HEADER)).isEqualTo("not-run");
     }
 
-    /** The refusal of one peer counted for all of them, so that a request which may have run was reported as not run. */
+    /** The refusal of one peer counted for all, so that a request which may have run was reported as not run. */
     @Test
     void aPeersRefusalIsNoProofBesideAPeerThatDidNotReply() {
         AtomicInteger asked = new AtomicInteger();
--- a/src/test/java/org/cassiabank/proxy/RequestForwarderTest.java
+++ b/src/test/java/org/cassiabank/proxy/RequestForwarderTest.java
@@ -137,13 +137,16 @@
         ServerStart known = new ServerStart("known", 1);
         ServerStart told = new ServerStart("told", 2);
         leavingServers.record(known, "test");
+        leavingServers.record(new ServerStart("gone", 1), "test");
+        peers.add(new Instance(
+                "known", InstanceRole.BACKEND, "127.0.0.1:80", "region", "domain", InstanceState.LIVE, Map.of(), 1, 1));
         RecordedAnswer answer = new RecordedAnswer(200, Map.of(), ByteBuffer.wrap(new byte[] {1}));
         answer.setLeavingServers(PeerMessageConverter.toStartedServers(List.of(told)));
         startPeer(request -> ForwardedReply.answer(answer));
         forward(false, 2_000);
         assertThat(PeerMessageConverter.toServerStarts(received.getFirst().getLeavingServers()))
                 .containsExactly(known);
-        assertThat(leavingServers.isLeaving(told)).isTrue();
+        assertThat(leavingServers.isLeaving("told", 2)).isTrue();
     }
 
     private Optional<RequestResult> forward(boolean repeatable, long remainingMillis) {
