Handle requests that are passed on by the configuration of their daemon

Cause: the peer routed the request by its own configuration; the message did not name a revision. Ruled out: a daemon that goes back itself, which installs no older revision.

Fix: the message names the revision, and a peer with another one declines without having run the request. A peer that is ahead declines too, so that a daemon shows its callers one version only. Messages of a former release name none.

--- a/src/main/java/org/cassiabank/proxy/ForwardedRequestHandler.java
+++ b/src/main/java/org/cassiabank/proxy/ForwardedRequestHandler.java
@@ -1,6 +1,7 @@
 package org.cassiabank.proxy;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Carries out requests that a peer has passed on because it reaches no backend server.
@@ -13,9 +14,16 @@
      * @param request the request of the peer's caller
      * @param remainingMillis the time until its deadline in milliseconds
      * @param formerAttempts the attempts of the peer that may have reached a backend server
+     * @param configurationRevision the revision of the configuration by which the request is to be handled, empty if a
+     *     peer of a former release does not name it
      * @param presence tells whether the caller is still connected to the peer
-     * @return the result; empty if the request has not run and another peer may be asked
+     * @return the result; empty if the request has not run and another peer may be asked, also if another revision is
+     *     in force here
      */
     Optional<RequestResult> runForwarded(
-            CallerRequest request, long remainingMillis, int formerAttempts, CallerPresence presence);
+            CallerRequest request,
+            long remainingMillis,
+            int formerAttempts,
+            OptionalLong configurationRevision,
+            CallerPresence presence);
 }
--- a/src/main/java/org/cassiabank/proxy/ForwardedRequests.java
+++ b/src/main/java/org/cassiabank/proxy/ForwardedRequests.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
@@ -91,8 +92,11 @@
             if (bodyBytes.addAndGet(size) > maximumBodyBytes) {
                 return ForwardedReply.declined("busy");
             }
-            Optional<RequestResult> result =
-                    requestHandler.runForwarded(request, message.getRemainingMillis(), message.getAttempts(), presence);
+            OptionalLong configurationRevision = message.isSetConfigurationRevision()
+                    ? OptionalLong.of(message.getConfigurationRevision())
+                    : OptionalLong.empty();
+            Optional<RequestResult> result = requestHandler.runForwarded(
+                    request, message.getRemainingMillis(), message.getAttempts(), configurationRevision, presence);
             return result.map(found -> PeerMessageConverter.toMessage(found, leavingServers.toTellPeers()))
                     .orElseGet(() -> ForwardedReply.declined("not-run"));
         } finally {
--- a/src/main/java/org/cassiabank/proxy/RequestForwarder.java
+++ b/src/main/java/org/cassiabank/proxy/RequestForwarder.java
@@ -107,6 +107,7 @@
                     request.remoteAddress(),
                     remainingMillis,
                     attempts);
+            message.setConfigurationRevision(fleet.revision());
             List<ServerStart> leaving = leavingServers.toTellPeers();
             if (!leaving.isEmpty()) {
                 message.setLeavingServers(PeerMessageConverter.toStartedServers(leaving));
--- a/src/main/java/org/cassiabank/proxy/RequestHandler.java
+++ b/src/main/java/org/cassiabank/proxy/RequestHandler.java
@@ -1,5 +1,6 @@
 package org.cassiabank.proxy;
 
+import com.google.common.flogger.FluentLogger;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
@@ -9,6 +10,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -28,6 +30,8 @@
  * Answers requests of callers: finds the selector, claims the key of an unrepeatable request, and runs the request.
  */
 final class RequestHandler implements CallerHandler, ForwardedRequestHandler {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final int LOG_INTERVAL_SECONDS = 1;
     private static final long MAXIMUM_DEADLINE_MILLIS = TimeUnit.MINUTES.toMillis(30);
 
     /**
@@ -196,11 +200,23 @@
 
     @Override
     public Optional<RequestResult> runForwarded(
-            CallerRequest request, long remainingMillis, int formerAttempts, CallerPresence presence) {
+            CallerRequest request,
+            long remainingMillis,
+            int formerAttempts,
+            OptionalLong configurationRevision,
+            CallerPresence presence) {
         RequestTrace trace =
                 RequestTrace.start(request.header(conventions.requestIdHeader()).orElse(""));
         FleetView view = fleet.view();
         trace.recordView(view);
+        long revision = view.configuration().revision();
+        if (configurationRevision.orElse(revision) != revision) {
+            LOGGER.atInfo().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                    "a request that a peer passed on was declined: it is to be handled by configuration revision %d, "
+                            + "here revision %d is in force",
+                    configurationRevision.getAsLong(), revision);
+            return Optional.empty();
+        }
         Optional<Selector> selector = view.router()
                 .route(
                         request.host(),
--- a/src/test/java/org/cassiabank/proxy/ForwardedRequestsTest.java
+++ b/src/test/java/org/cassiabank/proxy/ForwardedRequestsTest.java
@@ -32,7 +32,7 @@
     private final FleetState fleet = FleetState.create("region");
     private final KnownLeavingServers leavingServers = KnownLeavingServers.create(fleet, ProxyMetrics.create());
     private final ForwardedRequests requests = ForwardedRequests.create(
-            (request, remainingMillis, formerAttempts, presence) -> {
+            (request, remainingMillis, formerAttempts, revision, presence) -> {
                 running.complete(presence);
                 return result.join();
             },
@@ -55,13 +55,25 @@
         result.complete(Optional.empty());
         assertThat(requests.carryOut(request("a", 1))).isEqualTo(ForwardedReply.declined("not-run"));
         ForwardedRequests others = ForwardedRequests.create(
-                (request, remainingMillis, formerAttempts, presence) ->
+                (request, remainingMillis, formerAttempts, revision, presence) ->
                         Optional.of(RequestResult.unknown(remainingMillis + "/" + formerAttempts)),
                 cutOff::get,
                 leavingServers);
         assertThat(others.carryOut(request("a", 1))).isEqualTo(ForwardedReply.unknown("900/2"));
     }
 
+    @Test
+    void theRevisionThatThePeerNamesReachesTheHandler() {
+        ForwardedRequests others = ForwardedRequests.create(
+                (request, remainingMillis, formerAttempts, revision, presence) ->
+                        Optional.of(RequestResult.unknown(revision.toString())),
+                cutOff::get,
+                leavingServers);
+        assertThat(others.carryOut(request("a", 1))).isEqualTo(ForwardedReply.unknown("OptionalLong.empty"));
+        assertThat(others.carryOut(request("a", 1).setConfigurationRevision(7)))
+                .isEqualTo(ForwardedReply.unknown("OptionalLong[7]"));
+    }
+
     @Test
     void bodiesThatTakeTooMuchMemoryAreDeclined() {
         assertThat(requests.carryOut(request("a", MAXIMUM_BODY_BYTES + 1))).isEqualTo(ForwardedReply.declined("busy"));
--- a/src/test/java/org/cassiabank/proxy/PassedOnResponseTest.java
+++ b/src/test/java/org/cassiabank/proxy/PassedOnResponseTest.java
@@ -2,11 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
 import java.lang.reflect.Proxy;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -16,6 +19,7 @@
 import org.cassiabank.backend.BackendClientSettings;
 import org.cassiabank.backend.HeaderConventions;
 import org.cassiabank.backend.ResponseMemory;
+import org.cassiabank.backend.ScriptedServer;
 import org.cassiabank.declaration.CostHint;
 import org.cassiabank.declaration.Selector;
 import org.cassiabank.declaration.ServiceDeclaration;
@@ -162,15 +166,43 @@
         assertThat(reply.status()).isEqualTo(504);
     }
 
+    /** Callers saw a change of the configuration taken back, as often as a peer was asked that did not have it yet. */
+    @Test
+    void aRequestThatAPeerPassesOnIsCarriedOutByTheConfigurationOfThePeerOnly() throws IOException {
+        ScriptedServer server = new ScriptedServer((request, socket) -> ScriptedServer.write(
+                socket,
+                "HTTP/1.1 200 OK\r\nRequest-Id: " + request.header("Request-Id")
+                        + "\r\nResponse-Seal: s\r\nContent-Length: 2\r\n\r\nok"));
+        resources.add(server);
+        instances.removeIf(instance -> instance.role() == InstanceRole.BACKEND);
+        instances.add(instance("server", InstanceRole.BACKEND, server.address()));
+        startPeer(() -> ForwardedReply.declined("cut-off"));
+        for (long otherRevision : new long[] {2, 0}) {
+            assertThat(runForwarded(OptionalLong.of(otherRevision))).isEmpty();
+        }
+        assertThat(server.acceptedConnections).hasValue(0);
+        assertThat(runForwarded(OptionalLong.of(1))).get().isInstanceOf(RequestResult.Delivered.class);
+        assertThat(runForwarded(OptionalLong.empty()))
+                .as("for a peer of a former release")
+                .get()
+                .isInstanceOf(RequestResult.Delivered.class);
+    }
+
+    private Optional<RequestResult> runForwarded(OptionalLong configurationRevision) {
+        return handler.runForwarded(request("POST"), 3_000, 0, configurationRevision, CallerPresence.create());
+    }
+
     private CallerReply send(String method) {
-        return handler.handle(
-                new CallerRequest(
-                        method,
-                        "/desk/a",
-                        Map.of("request-id", List.of("id"), "deadline-ms", List.of("3000")),
-                        new byte[0],
-                        "10.0.0.9"),
-                CallerPresence.create());
+        return handler.handle(request(method), CallerPresence.create());
+    }
+
+    private static CallerRequest request(String method) {
+        return new CallerRequest(
+                method,
+                "/desk/a",
+                Map.of("request-id", List.of("id"), "deadline-ms", List.of("3000")),
+                new byte[0],
+                "10.0.0.9");
     }
 
     /** Starts a peer that grants slots of servers which nobody reaches, and replies to requests that are passed on. */
--- a/src/test/java/org/cassiabank/proxy/RequestForwarderTest.java
+++ b/src/test/java/org/cassiabank/proxy/RequestForwarderTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.thrift.TApplicationException;
 import org.apache.thrift.TException;
+import org.cassiabank.declaration.ServiceDeclaration;
 import org.cassiabank.load.FreePorts;
 import org.cassiabank.membership.Instance;
 import org.cassiabank.membership.InstanceList;
@@ -28,6 +29,8 @@
 import org.cassiabank.peer.generated.ForwardedRequest;
 import org.cassiabank.peer.generated.Peer;
 import org.cassiabank.peer.generated.RecordedAnswer;
+import org.cassiabank.revision.Change;
+import org.cassiabank.revision.PutEdit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -74,6 +77,16 @@
         assertThat(message.getAttempts()).isEqualTo(2);
     }
 
+    /** A peer with an older configuration carried out requests by it, after callers had seen the newer one. */
+    @Test
+    void theConfigurationByWhichARequestIsToBeHandledIsNamed() {
+        fleet.apply(
+                List.of(new Change(1, "first", List.of(new PutEdit(new ServiceDeclaration("desk", 1, 0, 1_000), 0)))));
+        startPeer(request -> ForwardedReply.unknown("timeout"));
+        forward(false, 2_000);
+        assertThat(received.getFirst().getConfigurationRevision()).isEqualTo(1);
+    }
+
     @Test
     void anUnrepeatableRequestWhosePeerDoesNotReplyIsNotPassedOnAgain() {
         startPeer(request -> {
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -252,6 +252,8 @@
   8: required i32 attempts,
   /** Servers that the entry knows to be leaving; missing if there are none. */
   9: optional list<StartedServer> leavingServers,
+  /** The revision of the configuration by which the request is to be handled; a peer with another one declines. */
+  10: optional i64 configurationRevision,
 }
 
 union ForwardedReply {
