Search the headers of a response without streams

The search for the announcement of a leaving server is new work for each response.

Change: the search is a loop and allocates nothing.

--- a/src/main/java/org/cassiabank/backend/BackendHeaders.java
+++ b/src/main/java/org/cassiabank/backend/BackendHeaders.java
@@ -115,10 +115,17 @@
      * @return false also if the header has the value beside another one
      */
     public static boolean hasOnlyValue(Map<String, List<String>> headers, String name, String expectedValue) {
-        List<String> values = headers.entrySet().stream()
-                .filter(header -> header.getKey().equalsIgnoreCase(name))
-                .flatMap(header -> header.getValue().stream())
-                .toList();
-        return !values.isEmpty() && values.stream().allMatch(expectedValue::equalsIgnoreCase);
+        boolean found = false;
+        for (Map.Entry<String, List<String>> header : headers.entrySet()) {
+            if (header.getKey().equalsIgnoreCase(name)) {
+                for (String value : header.getValue()) {
+                    if (!expectedValue.equalsIgnoreCase(value)) {
+                        return false;
+                    }
+                    found = true;
+                }
+            }
+        }
+        return found;
     }
 }
