Declare customers with keys, urgency and limits

Callers of some deployments identify themselves with keys of customers.

The platform adapter reads customers, anonymous routes, and downloads as repeatable. Nothing uses customers yet.

The expected message of DeclarationParserTest names the new kind; the check is as exact as before.

--- a/src/main/java/org/cassiabank/declaration/Configuration.java
+++ b/src/main/java/org/cassiabank/declaration/Configuration.java
@@ -166,6 +166,26 @@
                 .map(entity -> (ConnectionLimits) entity.declaration());
     }
 
+    /**
+     * Returns the customer with a name.
+     *
+     * @param name the name of the customer, not null
+     * @return the customer, or empty if none is declared
+     */
+    public Optional<CustomerDeclaration> customer(String name) {
+        Objects.requireNonNull(name, "name");
+        return find(new EntityKey(EntityKind.CUSTOMER, name)).map(entity -> (CustomerDeclaration) entity.declaration());
+    }
+
+    /**
+     * Returns all customers.
+     *
+     * @return an immutable view, in no particular order
+     */
+    public Collection<CustomerDeclaration> customers() {
+        return declarationsOfKind(EntityKind.CUSTOMER, CustomerDeclaration.class);
+    }
+
     /**
      * Returns all services.
      *
--- a/src/main/java/org/cassiabank/declaration/Declaration.java
+++ b/src/main/java/org/cassiabank/declaration/Declaration.java
@@ -3,7 +3,8 @@
 /**
  * An entity of the configuration, declared by operators.
  */
-public sealed interface Declaration permits ConnectionLimits, LabelRule, ServiceDeclaration, Selector {
+public sealed interface Declaration
+        permits ConnectionLimits, CustomerDeclaration, LabelRule, ServiceDeclaration, Selector {
 
     /**
      * Returns the kind and the name of the entity.
--- a/src/main/java/org/cassiabank/declaration/DeclarationCodec.java
+++ b/src/main/java/org/cassiabank/declaration/DeclarationCodec.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.BiConsumer;
@@ -16,6 +18,9 @@
  */
 public final class DeclarationCodec {
 
+    /** Stands for a missing rank, because the rank 0 has a meaning. */
+    private static final int NO_URGENCY = -1;
+
     private DeclarationCodec() {}
 
     /**
@@ -62,6 +67,7 @@
                 }
                 yield readConnectionLimits(reader).filter(limits -> hasAllowedName);
             }
+            case CUSTOMER -> readCustomer(key.name(), reader, nameProblem.isEmpty());
         };
     }
 
@@ -75,6 +81,21 @@
                 : Optional.empty();
     }
 
+    private static Optional<Declaration> readCustomer(String name, FieldReader reader, boolean isNameValid) {
+        Set<String> digests = new TreeSet<>(reader.readTexts("key-digests", DeclarationRules::keyDigestProblem));
+        reader.readSecretTexts("keys", DeclarationRules::keyProblem).stream()
+                .map(CustomerDeclaration::keyDigest)
+                .forEach(digests::add);
+        int urgencyRank = (int) reader.readNumber(DeclarationRules.URGENCY, Optional.of(NO_URGENCY));
+        double requestsPerSecond =
+                reader.readDecimal("requests-per-second", 0, DeclarationRules::requestsPerSecondProblem);
+        long burst = reader.readNumber(DeclarationRules.BURST, Optional.of(0));
+        OptionalInt declaredRank = urgencyRank == NO_URGENCY ? OptionalInt.empty() : OptionalInt.of(urgencyRank);
+        return reader.finish() && isNameValid
+                ? Optional.of(new CustomerDeclaration(name, digests, declaredRank, requestsPerSecond, burst))
+                : Optional.empty();
+    }
+
     private static Optional<Declaration> readSelector(String name, FieldReader reader, boolean isNameValid) {
         String service = reader.readText("service", Optional.empty(), DeclarationRules::nameProblem);
         var methods = reader.readTexts("methods", DeclarationRules::methodProblem);
@@ -86,6 +107,7 @@
         String cost = reader.readText("cost", Optional.of("learned"), DeclarationCodec::costProblem);
         int priority = (int) reader.readNumber(DeclarationRules.PRIORITY, Optional.of(0));
         String host = reader.readText("host", Optional.of(""), DeclarationRules::hostProblem);
+        boolean anonymous = reader.readFlag("anonymous", false);
         RequestLimits limits = readRequestLimits(reader);
         if (!reader.finish() || !isNameValid) {
             return Optional.empty();
@@ -103,6 +125,7 @@
                 costHint,
                 priority,
                 host,
+                anonymous,
                 limits));
     }
 
@@ -148,6 +171,12 @@
                         .put("body-bytes", limits.bodyBytes())
                         .put("header-millis", limits.headerMillis())
                         .put("idle-millis", limits.idleMillis());
+            case CustomerDeclaration customer -> {
+                var digests = table.putArray("key-digests");
+                new TreeSet<>(customer.keyDigests()).forEach(digests::add);
+                customer.urgencyRank().ifPresent(rank -> table.put("urgency", rank));
+                table.put("requests-per-second", customer.requestsPerSecond()).put("burst", customer.burst());
+            }
             case Selector selector -> {
                 table.put("service", selector.service());
                 var methods = table.putArray("methods");
@@ -168,6 +197,9 @@
         if (!selector.host().isEmpty()) {
             table.put("host", selector.host());
         }
+        if (selector.anonymous()) {
+            table.put("anonymous", true);
+        }
         RequestLimits limits = selector.limits();
         if (!limits.equals(RequestLimits.defaults())) {
             table.put("timeout-millis", limits.timeoutMillis())
--- a/src/main/java/org/cassiabank/declaration/DeclarationRules.java
+++ b/src/main/java/org/cassiabank/declaration/DeclarationRules.java
@@ -24,10 +24,14 @@
     static final Range HEADER_MILLIS = new Range("header-millis", 0, 3_600_000);
     static final Range IDLE_MILLIS = new Range("idle-millis", 0, 86_400_000);
 
+    static final Range BURST = new Range("burst", 0, 1_000_000_000);
+
+    private static final double MAXIMUM_REQUESTS_PER_SECOND = 1e9;
     private static final int MAXIMUM_TEXT_CHARACTERS = 512;
     // Names become parts of metric labels and of rendezvous keys "service/shard", so they contain no slash.
     private static final Pattern NAME_PATTERN = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,127}");
     private static final Pattern HOST_PATTERN = Pattern.compile("[a-z0-9][a-z0-9.-]{0,252}(:[0-9]{1,5})?");
+    private static final Pattern KEY_DIGEST_PATTERN = Pattern.compile("[0-9a-f]{64}");
     private static final Pattern METHOD_PATTERN = Pattern.compile("[A-Z][A-Z0-9-]{0,31}");
 
     private DeclarationRules() {}
@@ -56,6 +60,27 @@
                         + " and start with a letter or digit");
     }
 
+    static Optional<String> keyDigestProblem(String digest) {
+        return KEY_DIGEST_PATTERN.matcher(digest).matches()
+                ? Optional.empty()
+                : Optional.of("a key digest must have 64 hexadecimal digits in lower case");
+    }
+
+    /** Does not repeat the key, which must not appear in messages. */
+    static Optional<String> keyProblem(String key) {
+        boolean printable = key.chars().allMatch(character -> character > ' ' && character < 0x7f);
+        return !key.isEmpty() && key.length() <= MAXIMUM_TEXT_CHARACTERS && printable
+                ? Optional.empty()
+                : Optional.of("a key must have 1 to " + MAXIMUM_TEXT_CHARACTERS + " printable ASCII characters");
+    }
+
+    static Optional<String> requestsPerSecondProblem(double requestsPerSecond) {
+        return requestsPerSecond >= 0 && requestsPerSecond <= MAXIMUM_REQUESTS_PER_SECOND
+                ? Optional.empty()
+                : Optional.of("requests-per-second must be from 0 to " + (long) MAXIMUM_REQUESTS_PER_SECOND
+                        + ", but is " + requestsPerSecond);
+    }
+
     static Optional<String> methodProblem(String method) {
         return METHOD_PATTERN.matcher(method).matches()
                 ? Optional.empty()
--- a/src/main/java/org/cassiabank/declaration/EntityKind.java
+++ b/src/main/java/org/cassiabank/declaration/EntityKind.java
@@ -17,7 +17,9 @@
     /** A rule that selects the service and the backend servers for requests. */
     SELECTOR,
     /** The limits on the requests and connections of callers. */
-    LIMITS;
+    LIMITS,
+    /** A customer, whose callers identify themselves with keys. */
+    CUSTOMER;
 
     /**
      * Returns the keyword of the kind in files, documents and commands.
--- a/src/main/java/org/cassiabank/declaration/FieldReader.java
+++ b/src/main/java/org/cassiabank/declaration/FieldReader.java
@@ -72,6 +72,20 @@
         return field.get().longValue();
     }
 
+    /** Reads an optional number that may have a fraction; the check returns a message about an invalid value. */
+    double readDecimal(String key, double defaultValue, Function<Double, Optional<String>> check) {
+        Optional<JsonNode> field = findField(key, false);
+        if (field.isEmpty()) {
+            return defaultValue;
+        }
+        if (!field.get().isNumber()) {
+            reportWrongType(key, "a number", field.get());
+            return defaultValue;
+        }
+        report(key, check.apply(field.get().doubleValue()));
+        return field.get().doubleValue();
+    }
+
     /** Reads an optional boolean. */
     boolean readFlag(String key, boolean defaultValue) {
         Optional<JsonNode> field = findField(key, false);
@@ -83,6 +97,16 @@
 
     /** Reads an optional array of distinct strings; the check is applied to each of them. */
     Set<String> readTexts(String key, Function<String, Optional<String>> check) {
+        return readTexts(key, check, value -> "\"" + value + "\"");
+    }
+
+    /** Reads an optional array of distinct strings that must not appear in messages. */
+    Set<String> readSecretTexts(String key, Function<String, Optional<String>> check) {
+        return readTexts(key, check, value -> "a value");
+    }
+
+    private Set<String> readTexts(
+            String key, Function<String, Optional<String>> check, Function<String, String> description) {
         Set<String> values = new HashSet<>();
         Optional<JsonNode> field = findField(key, false);
         if (field.isPresent() && !field.get().isArray()) {
@@ -92,7 +116,7 @@
                 if (!element.isTextual()) {
                     reportWrongType(key, "an array of strings, with each element", element);
                 } else if (!values.add(element.textValue())) {
-                    report(key, Optional.of("\"" + element.textValue() + "\" is listed twice"));
+                    report(key, Optional.of(description.apply(element.textValue()) + " is listed twice"));
                 } else {
                     report(key, check.apply(element.textValue()));
                 }
--- a/src/main/java/org/cassiabank/declaration/Selector.java
+++ b/src/main/java/org/cassiabank/declaration/Selector.java
@@ -18,6 +18,7 @@
  * @param costHint the declared cost of the requests
  * @param priority the precedence; higher values are tried first
  * @param host the value of the {@code Host} header that matches, in lower case; empty if all match
+ * @param anonymous whether callers need no key of a customer
  * @param limits how long and how often a request may be tried
  */
 public record Selector(
@@ -32,6 +33,7 @@
         CostHint costHint,
         int priority,
         String host,
+        boolean anonymous,
         RequestLimits limits)
         implements Declaration {
 
@@ -104,6 +106,7 @@
                 costHint,
                 priority,
                 "",
+                false,
                 RequestLimits.defaults());
     }
 
--- a/src/main/java/org/cassiabank/platform/DocumentReader.java
+++ b/src/main/java/org/cassiabank/platform/DocumentReader.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.kernel.Finding;
 import org.cassiabank.kernel.FindingCollector;
@@ -81,6 +83,34 @@
         return value.longValue();
     }
 
+    /** Reads a number of at least 0 that may have a fraction, 0 if the field is missing. */
+    double optionalNumber(JsonNode node, String pathPrefix, String field) {
+        JsonNode value = node.path(field);
+        if (value.isMissingNode()) {
+            return 0;
+        }
+        if (!value.isNumber() || value.doubleValue() < 0) {
+            addFinding(pathPrefix + field, "expected a number that is not negative");
+            return 0;
+        }
+        return value.doubleValue();
+    }
+
+    /** Reads a list of strings, empty if the field is missing. */
+    List<String> optionalTexts(JsonNode node, String pathPrefix, String field) {
+        JsonNode value = node.path(field);
+        if (value.isMissingNode()) {
+            return List.of();
+        }
+        List<String> texts = new ArrayList<>();
+        value.forEach(element -> texts.add(element.textValue()));
+        if (!value.isArray() || texts.contains(null)) {
+            addFinding(pathPrefix + field, "expected a list of strings");
+            return List.of();
+        }
+        return texts;
+    }
+
     /** Reads a duration with its unit as milliseconds; returns 0 after a finding. */
     long requiredMillis(JsonNode node, String pathPrefix, String field) {
         try {
--- a/src/main/java/org/cassiabank/platform/OperatorDocuments.java
+++ b/src/main/java/org/cassiabank/platform/OperatorDocuments.java
@@ -5,9 +5,11 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.cassiabank.declaration.ConnectionLimits;
 import org.cassiabank.declaration.CostHint;
+import org.cassiabank.declaration.CustomerDeclaration;
 import org.cassiabank.declaration.Declaration;
 import org.cassiabank.declaration.RequestLimits;
 import org.cassiabank.declaration.Selector;
@@ -20,6 +22,7 @@
  */
 final class OperatorDocuments {
     private static final int HEXADECIMAL_RADIX = 16;
+    private static final Set<String> REPEATABLE_KINDS = Set.of("idempotent", "download");
     /** Applies only to callers that set no deadline; routes have their own timeouts. */
     private static final long DEFAULT_DEADLINE_MILLIS = 60_000;
 
@@ -69,6 +72,9 @@
                 // Each server document has its own slots, and the floor is a percentage in the settings of the daemon.
                 declarations.add(new ServiceDeclaration(name, 1, 0, DEFAULT_DEADLINE_MILLIS));
             }
+            case "tenants" ->
+                readCustomer(
+                        reader.requiredText(item.path("metadata"), itemPath + "metadata.", "name"), body, itemPath);
             case "limits" -> readLimits(body, itemPath + "spec.");
             default -> {
                 // Other resource types configure nothing that the proxies use.
@@ -76,6 +82,17 @@
         }
     }
 
+    private void readCustomer(String name, JsonNode body, String itemPath) {
+        String specPath = itemPath + "spec.";
+        JsonNode priority = body.path("priority");
+        declarations.add(CustomerDeclaration.ofKeys(
+                name,
+                reader.optionalTexts(body, specPath, "api_keys"),
+                priority.canConvertToInt() ? OptionalInt.of(priority.intValue()) : OptionalInt.empty(),
+                reader.optionalNumber(body, specPath, "rate_per_s"),
+                Math.round(reader.optionalNumber(body, specPath, "burst"))));
+    }
+
     private void readLimits(JsonNode body, String specPath) {
         declarations.add(new ConnectionLimits(
                 reader.optionalBytes(body, specPath, "max_header_bytes"),
@@ -89,7 +106,8 @@
         String host = reader.requiredText(body, specPath, "host").toLowerCase(Locale.ROOT);
         String prefix = reader.requiredText(body, specPath, "prefix");
         // Requests of any other kind must run at most once.
-        boolean repeatable = reader.requiredText(body, specPath, "kind").equals("idempotent");
+        boolean repeatable = REPEATABLE_KINDS.contains(reader.requiredText(body, specPath, "kind"));
+        boolean anonymous = body.path("public").asBoolean(false);
         RequestLimits limits = new RequestLimits(
                 reader.requiredMillis(body, specPath, "timeout"),
                 reader.requiredMillis(body, specPath, "target_latency"),
@@ -97,7 +115,15 @@
                 body.path("priority").asInt(0));
         JsonNode weightedServices = body.path("weighted_clusters");
         if (!weightedServices.isArray()) {
-            addSelector(name, reader.requiredText(body, specPath, "service"), host, prefix, 1, repeatable, limits);
+            addSelector(
+                    name,
+                    reader.requiredText(body, specPath, "service"),
+                    host,
+                    prefix,
+                    1,
+                    repeatable,
+                    anonymous,
+                    limits);
             return;
         }
         int position = 0;
@@ -106,7 +132,7 @@
                     reader.requiredText(weightedService, specPath + "weighted_clusters[" + position + "].", "service");
             int weight = weightedService.path("weight").asInt(0);
             if (weight > 0) {
-                addSelector(name + "." + position, service, host, prefix, weight, repeatable, limits);
+                addSelector(name + "." + position, service, host, prefix, weight, repeatable, anonymous, limits);
             }
             position++;
         }
@@ -119,9 +145,22 @@
             String prefix,
             int weight,
             boolean repeatable,
+            boolean anonymous,
             RequestLimits limits) {
         declarations.add(new Selector(
-                name, service, Set.of(), prefix, "*", Map.of(), weight, repeatable, CostHint.LEARNED, 0, host, limits));
+                name,
+                service,
+                Set.of(),
+                prefix,
+                "*",
+                Map.of(),
+                weight,
+                repeatable,
+                CostHint.LEARNED,
+                0,
+                host,
+                anonymous,
+                limits));
     }
 
     private long parseVersion(String text) {
--- a/src/test/java/org/cassiabank/declaration/DeclarationParserTest.java
+++ b/src/test/java/org/cassiabank/declaration/DeclarationParserTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.kernel.Finding;
@@ -106,6 +107,25 @@
                                 "least", "menu", Set.of(), "/", "*", Map.of(), 1, false, CostHint.LEARNED, 0));
     }
 
+    /** Guards against keys of customers that remain readable in the configuration or in messages about it. */
+    @Test
+    void keysOfCustomersAreKeptAsDigestsOnlyAndNotRepeatedInFindings() {
+        CustomerDeclaration hotel =
+                (CustomerDeclaration) DeclarationParser.parse("f.toml", """
+                        [customer.hotel]
+                        keys = ["secret-1"]
+                        urgency = 2
+                        requests-per-second = 2.5
+                        burst = 10
+                        """).getFirst();
+        assertThat(hotel)
+                .isEqualTo(CustomerDeclaration.ofKeys("hotel", List.of("secret-1"), OptionalInt.of(2), 2.5, 10));
+        assertThat(DeclarationCodec.write(hotel).toString()).doesNotContain("secret-1");
+        assertThat(findings("[customer.hotel]\nkeys = [\"secret 1\", \"secret 1\"]\nrequests-per-second = -1"))
+                .hasSize(3)
+                .noneMatch(finding -> finding.contains("secret"));
+    }
+
     @Test
     void allFindingsAreReportedTogetherWithTheirLines() {
         assertThat(findings(INVALID_DECLARATIONS))
@@ -132,7 +152,7 @@
                         "f.toml:22: selector.e.priority: expected an integer, but found a decimal number",
                         "f.toml:23: selector.e.repeatable: expected true or false, but found a string",
                         "f.toml:25: selector.f: TOML syntax: Unknown token",
-                        "f.toml:26: route: unknown key; expected label, service, selector or limits",
+                        "f.toml:26: route: unknown key; expected label, service, selector, limits or customer",
                         "f.toml:27: service.bad name: name \"bad name\" must have 1 to 128 letters, digits, dots,"
                                 + " hyphens or underscores and start with a letter or digit");
     }
--- a/src/test/java/org/cassiabank/declaration/RequestRouterTest.java
+++ b/src/test/java/org/cassiabank/declaration/RequestRouterTest.java
@@ -63,6 +63,7 @@
                 CostHint.LEARNED,
                 0,
                 "shop.example",
+                false,
                 RequestLimits.defaults());
         Selector urgent = selector("urgent", Set.of("PUT"), "/", "*", 1, 1);
         RequestRouter router =
