Bound the memory of request bodies

Bursts of uploads, each within its limit, took the heap of a daemon: reads on other connections of the event loop then waited in the reservation of direct memory, and small requests got no answer.

--- a/src/main/java/org/cassiabank/proxy/CallerConnection.java
+++ b/src/main/java/org/cassiabank/proxy/CallerConnection.java
@@ -50,6 +50,9 @@
      */
     private static final int MAXIMUM_PIPELINED_REQUESTS = 64;
 
+    /** Uploads of a burst take about this long. */
+    private static final long NO_ROOM_RETRY_AFTER_MILLIS = 500;
+
     private final CallerServer server;
     private final long idleEventIntervalMillis;
     private final Deque<PendingRequest> pendingRequests = new ArrayDeque<>();
@@ -93,7 +96,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         server.releaseConnection();
-        pendingRequests.clear();
+        clearPendingRequests();
         if (currentPresence != null) {
             currentPresence.markGone();
         }
@@ -104,26 +107,49 @@
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
         elapsedIdleMillis = 0;
         continueExpected = false;
+        RequestMemory.Reservation reservation = gate(context).takeReservation();
+        if (!acceptRequest(context, request, reservation)) {
+            reservation.close();
+        }
+    }
+
+    /** Adds a request to those that wait for their turn; returns false if it was refused or ignored. */
+    private boolean acceptRequest(
+            ChannelHandlerContext context, FullHttpRequest request, RequestMemory.Reservation reservation) {
         if (refusalPending) {
-            return;
+            return false;
         }
         if (request.decoderResult().isFailure()) {
             refuse(context, toRefusal(request.decoderResult().cause()));
-            return;
+            return false;
         }
         if (!HostHeader.isValid(
                 request.headers().getAll(HttpHeaderNames.HOST),
                 request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0)) {
             refuse(context, CallerReply.notRun(HttpResponseStatus.BAD_REQUEST.code(), "malformed-host", 0));
-            return;
+            return false;
         }
         boolean keepAlive = HttpUtil.isKeepAlive(request);
         pendingRequests.addLast(new PendingRequest(
-                toCallerRequest(context, request), null, keepAlive, HttpMethod.HEAD.equals(request.method())));
+                toCallerRequest(context, request),
+                null,
+                keepAlive,
+                HttpMethod.HEAD.equals(request.method()),
+                reservation));
         if (pendingRequests.size() >= MAXIMUM_PIPELINED_REQUESTS) {
-            context.channel().config().setAutoRead(false);
+            gate(context).setPipelineFull(context, true);
         }
         serveNextRequest(context);
+        return true;
+    }
+
+    private static RequestBodyGate gate(ChannelHandlerContext context) {
+        return context.pipeline().get(RequestBodyGate.class);
+    }
+
+    private void clearPendingRequests() {
+        pendingRequests.forEach(PendingRequest::releaseMemory);
+        pendingRequests.clear();
     }
 
     @Override
@@ -134,6 +160,8 @@
             refuse(
                     context,
                     CallerReply.notRun(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE.code(), "body-too-large", 0));
+        } else if (event == RequestBodyGate.NO_ROOM) {
+            refuse(context, CallerReply.notRun("no-memory-for-body", NO_ROOM_RETRY_AFTER_MILLIS));
         } else if (event == BoundedAggregator.CONTINUE_EXPECTED) {
             continueExpected = true;
             serveNextRequest(context);
@@ -178,7 +206,7 @@
         refusalPending = true;
         continueExpected = false;
         server.recordRefusal(refusal, remoteAddress(context));
-        pendingRequests.addLast(new PendingRequest(null, refusal, false, false));
+        pendingRequests.addLast(new PendingRequest(null, refusal, false, false, null));
         serveNextRequest(context);
     }
 
@@ -195,7 +223,7 @@
         }
         PendingRequest next = pendingRequests.removeFirst();
         if (pendingRequests.size() < MAXIMUM_PIPELINED_REQUESTS) {
-            context.channel().config().setAutoRead(true);
+            gate(context).setPipelineFull(context, false);
         }
         requestInProgress = true;
         if (next.request() == null) {
@@ -220,6 +248,7 @@
 
     private void writeReply(ChannelHandlerContext context, PendingRequest pending, CallerReply reply) {
         requestInProgress = false;
+        pending.releaseMemory();
         currentPresence = null;
         currentReply = null;
         currentRequest = null;
@@ -236,7 +265,7 @@
         if (keepAlive) {
             serveNextRequest(context);
         } else {
-            pendingRequests.clear();
+            clearPendingRequests();
             writeFuture.addListener(ChannelFutureListener.CLOSE);
         }
     }
@@ -310,6 +339,19 @@
      * @param refusal the reply to a request that could not be decoded, otherwise null
      * @param keepAlive whether the connection stays open after the reply
      * @param headRequest whether the method is HEAD, so that the reply is sent without its body
+     * @param reservation the memory of the body, null if the request could not be decoded
      */
-    private record PendingRequest(CallerRequest request, CallerReply refusal, boolean keepAlive, boolean headRequest) {}
+    private record PendingRequest(
+            CallerRequest request,
+            CallerReply refusal,
+            boolean keepAlive,
+            boolean headRequest,
+            RequestMemory.Reservation reservation) {
+
+        private void releaseMemory() {
+            if (reservation != null) {
+                reservation.close();
+            }
+        }
+    }
 }
--- a/src/main/java/org/cassiabank/proxy/CallerServer.java
+++ b/src/main/java/org/cassiabank/proxy/CallerServer.java
@@ -49,6 +49,7 @@
     private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final AtomicInteger openConnections = new AtomicInteger();
     private final AtomicInteger inFlight = new AtomicInteger();
+    private final RequestMemory requestMemory = RequestMemory.ofHeap();
     private volatile CallerLimits limits;
     private volatile boolean draining;
     private volatile boolean closed;
@@ -92,6 +93,7 @@
                                 .addLast(new IdleStateHandler(0, 0, current.idleMillis(), TimeUnit.MILLISECONDS))
                                 .addLast(StrictRequestDecoder.create(current))
                                 .addLast(new HttpResponseEncoder())
+                                .addLast(RequestBodyGate.create(requestMemory, current.bodyBytes()))
                                 .addLast(BoundedAggregator.create(current.bodyBytes()))
                                 .addLast(CallerConnection.create(CallerServer.this, current.idleMillis()));
                     }
@@ -123,6 +125,11 @@
         }
     }
 
+    /** Returns the memory for the bodies of requests. */
+    RequestMemory requestMemory() {
+        return requestMemory;
+    }
+
     /** Returns how long a connection may be idle, in milliseconds. */
     long idleMillis() {
         return limits.idleMillis();
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -149,6 +149,14 @@
     private static CallerServer newCallerServer(
             ProxySettings settings, FleetState fleet, RequestHandler requestHandler, ProxyMetrics metrics) {
         CallerServer callerServer = CallerServer.create(settings.limits(), requestHandler, metrics);
+        metrics.registerGauge(
+                "cassiabank_request_body_bytes",
+                "Bytes reserved for the bodies of requests that are read or answered.",
+                () -> callerServer.requestMemory().reservedBytes());
+        metrics.registerGauge(
+                "cassiabank_waiting_bodies",
+                "Requests whose bodies are not read because there is no memory for them.",
+                () -> callerServer.requestMemory().waitingRequests());
         fleet.addListener((formerView, newView) ->
                 callerServer.applyDeclaredLimits(newView.configuration().connectionLimits()));
         return callerServer;
