--- a/src/main/java/org/cassiabank/declaration/ConfigurationValidator.java
+++ b/src/main/java/org/cassiabank/declaration/ConfigurationValidator.java
@@ -79,6 +79,7 @@
         checkLabels();
         checkSelectors(mayBeUnreachable);
         checkFloors();
+        checkCustomerKeys();
         findings.sort(Comparator.comparing(Finding::key));
         return List.copyOf(findings);
     }
@@ -146,6 +147,13 @@
                 }));
     }
 
+    /** A key of two customers identifies neither. The findings name the customers, not the key. */
+    private void checkCustomerKeys() {
+        CustomerKeys.findConflicts(configuration.customers())
+                .forEach(conflict -> report(
+                        new EntityKey(EntityKind.CUSTOMER, conflict.otherCustomer()), "keys", conflict.message()));
+    }
+
     private void report(EntityKey key, String field, String message) {
         findings.add(Finding.of(source, key + "." + field, message));
     }
--- a/src/main/java/org/cassiabank/platform/OperatorDocuments.java
+++ b/src/main/java/org/cassiabank/platform/OperatorDocuments.java
@@ -10,6 +10,7 @@
 import org.cassiabank.declaration.ConnectionLimits;
 import org.cassiabank.declaration.CostHint;
 import org.cassiabank.declaration.CustomerDeclaration;
+import org.cassiabank.declaration.CustomerKeys;
 import org.cassiabank.declaration.Declaration;
 import org.cassiabank.declaration.RequestLimits;
 import org.cassiabank.declaration.Selector;
@@ -58,6 +59,7 @@
             }
             position++;
         }
+        reportKeyConflicts();
         reader.throwIfAny();
         return new VersionedConfiguration(version, declarations);
     }
@@ -93,6 +95,14 @@
                 Math.round(reader.optionalNumber(body, specPath, "burst"))));
     }
 
+    private void reportKeyConflicts() {
+        List<CustomerDeclaration> customers = declarations.stream()
+                .filter(CustomerDeclaration.class::isInstance)
+                .map(CustomerDeclaration.class::cast)
+                .toList();
+        CustomerKeys.findConflicts(customers).forEach(conflict -> reader.addFinding("resources", conflict.message()));
+    }
+
     private void readLimits(JsonNode body, String specPath) {
         declarations.add(new ConnectionLimits(
                 reader.optionalBytes(body, specPath, "max_header_bytes"),
--- a/src/test/java/org/cassiabank/platform/PlatformDocumentsTest.java
+++ b/src/test/java/org/cassiabank/platform/PlatformDocumentsTest.java
@@ -65,6 +65,23 @@
         assertThat(configuration.selectors()).extracting(Selector::name).doesNotContain("menu.2");
     }
 
+    /** A key of two customers would identify either of them; the configuration in force has to stay. */
+    @Test
+    void aKeyOfTwoCustomersIsAFindingThatDoesNotShowTheKey() {
+        String document = """
+                {"version":"2","resources":[
+                  {"resource_type":"tenants","metadata":{"name":"north"},"spec":{"api_keys":["k-north","k-both"]}},
+                  {"resource_type":"tenants","metadata":{"name":"south"},"spec":{"api_keys":["%s"]}}]}
+                """;
+        assertThat(adapter.parseConfiguration(entry("op/config", document.formatted("k-south")))
+                        .declarations())
+                .hasSize(2);
+        assertThatThrownBy(() -> adapter.parseConfiguration(entry("op/config", document.formatted("k-both"))))
+                .isInstanceOf(CassiabankException.class)
+                .hasMessageContainingAll("north", "south")
+                .hasMessageNotContaining("k-both");
+    }
+
     @Test
     void connectionLimitsAreReadFromTheOperatorConfiguration() {
         VersionedConfiguration versionedConfiguration = adapter.parseConfiguration(entry("op/config", CONFIGURATION));
