Name the headers of keys and customers in the conventions

Callers send the key of their customer in one header, and servers receive the name of the customer in another one. Both names belong to the platform, so the header conventions state them. The product's own conventions have them too: without a header for keys, a configuration with customers would admit nobody. Nothing reads them yet.

--- a/src/main/java/org/cassiabank/backend/BackendHeaders.java
+++ b/src/main/java/org/cassiabank/backend/BackendHeaders.java
@@ -28,6 +28,12 @@
     /** The requests a second that the server accepts from all proxies together, as a decimal number. */
     public static final String RATE_LIMIT = "Cassiabank-Rate-Limit";
 
+    /** The key of the caller's customer, sent to proxies only. */
+    public static final String CUSTOMER_KEY = "Cassiabank-Key";
+
+    /** The name of the customer that a key identified, sent to backend servers. */
+    public static final String CUSTOMER = "Cassiabank-Customer";
+
     private static final Set<String> HOP_BY_HOP_HEADERS = Set.of(
             "connection",
             "keep-alive",
--- a/src/main/java/org/cassiabank/backend/DefaultHeaderConventions.java
+++ b/src/main/java/org/cassiabank/backend/DefaultHeaderConventions.java
@@ -53,6 +53,16 @@
         return Optional.empty();
     }
 
+    @Override
+    public Optional<String> credentialHeader() {
+        return Optional.of(BackendHeaders.CUSTOMER_KEY);
+    }
+
+    @Override
+    public Optional<String> customerHeader() {
+        return Optional.of(BackendHeaders.CUSTOMER);
+    }
+
     @Override
     public boolean provesNotRun(int status, Map<String, List<String>> headers) {
         return status == SERVICE_UNAVAILABLE_STATUS
--- a/src/main/java/org/cassiabank/backend/HeaderConventions.java
+++ b/src/main/java/org/cassiabank/backend/HeaderConventions.java
@@ -55,6 +55,21 @@
      */
     Optional<String> responseSignatureHeader();
 
+    /**
+     * Returns the header in which a caller sends the key of its customer, and nothing else.
+     *
+     * @return the name of the header, or empty if callers have no keys
+     */
+    Optional<String> credentialHeader();
+
+    /**
+     * Returns the header in which a backend server receives the name of the customer that the caller's key identified.
+     * The proxy sets it regardless of what the caller sent.
+     *
+     * @return the name of the header, or empty if servers are not told
+     */
+    Optional<String> customerHeader();
+
     /**
      * Tells whether a response proves that the request did not run.
      *
--- a/src/main/java/org/cassiabank/platform/PlatformHeaderConventions.java
+++ b/src/main/java/org/cassiabank/platform/PlatformHeaderConventions.java
@@ -28,7 +28,7 @@
         return true;
     }
 
-    /** An address identifies a client process; no header identifies a customer. */
+    /** An address identifies a client process; only a key identifies a customer. */
     @Override
     public boolean identifiesCustomersByAddress() {
         return false;
@@ -52,6 +52,17 @@
         return Optional.of("Response-Seal");
     }
 
+    /** The value is the key alone, without a scheme. */
+    @Override
+    public Optional<String> credentialHeader() {
+        return Optional.of("Credential");
+    }
+
+    @Override
+    public Optional<String> customerHeader() {
+        return Optional.of("Tenant");
+    }
+
     @Override
     public boolean provesNotRun(int status, Map<String, List<String>> headers) {
         return status == MISDIRECTED_REQUEST || headers.keySet().stream().anyMatch("Not-Executed"::equalsIgnoreCase);
--- a/src/test/java/org/cassiabank/backend/PlatformLikeHeaderConventions.java
+++ b/src/test/java/org/cassiabank/backend/PlatformLikeHeaderConventions.java
@@ -40,6 +40,16 @@
         return Optional.of("Signed");
     }
 
+    @Override
+    public Optional<String> credentialHeader() {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<String> customerHeader() {
+        return Optional.empty();
+    }
+
     @Override
     public boolean provesNotRun(int status, Map<String, List<String>> headers) {
         return status == 421 || status == 503 && BackendHeaders.hasOnlyValue(headers, BackendHeaders.NOT_RUN, "true");
