Identify customers by their keys at the entry proxy

In a configuration with customers, requests without a known key get 401 unless their selector is anonymous, after 503 for a missing configuration and 404 for an unknown route. The key and a customer header of the caller are removed at the entry; the server gets the name of the customer. The name is the identity for fair queueing, digests, routing and idempotency keys, and the urgency of the customer goes before that of the selector. A stated identity (Cassiabank-Caller) no longer counts there, since anybody could state the name of a customer.

The key is looked up again while the request waits, after its slot is granted, and before each further attempt, hedge and peer. A request that has not run then gets 401; an attempt that a server has received goes on. Peers get the customer by the new call forwardForCustomer, which those of the former release do not know, so that they decline.

In a configuration without customers headers pass unchanged.

--- a/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
+++ b/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
@@ -42,6 +42,9 @@
     private static final String ANONYMOUS_CUSTOMER = "*";
     private static final long RETRY_AFTER_MILLIS = 200;
 
+    /** Selectors have ranks from 0 to 1,000. */
+    private static final int SELECTOR_URGENCY_RANKS = 1_001;
+
     private final String entryName;
     private final String failureDomain;
     private final FleetState fleet;
@@ -132,13 +135,33 @@
      * Returns the customer of a request, the identity between which slots are shared fairly.
      *
      * @param request the request
-     * @return the identity that the caller states; otherwise its address, or {@code *} for all callers if the header
-     *     conventions do not identify customers by address
+     * @return the customer that its key identified or, in a configuration without customers, the identity that the
+     *     caller states; otherwise its address, or {@code *} for all callers if the header conventions do not identify
+     *     customers by address
      */
-    String customerIdentity(CallerRequest request) {
-        return conventions.identifiesCustomersByAddress()
-                ? request.customer()
-                : request.statedIdentity().orElse(ANONYMOUS_CUSTOMER);
+    String customerIdentity(CheckedRequest request) {
+        return request.trustedIdentity()
+                .orElseGet(() -> conventions.identifiesCustomersByAddress()
+                        ? request.request().remoteAddress()
+                        : ANONYMOUS_CUSTOMER);
+    }
+
+    /**
+     * Returns the urgency rank of a request: that of its customer goes before that of its selector.
+     *
+     * @param request the request
+     * @param selector the selector of the request
+     * @return the rank; 0 is the most urgent
+     */
+    int urgencyRank(CheckedRequest request, Selector selector) {
+        FleetView view = fleet.view();
+        int customerRank = request.customer()
+                .map(name -> view.configuration()
+                        .customer(name)
+                        .map(customer -> customer.urgencyRank().orElse(0))
+                        .orElse(0))
+                .orElseGet(() -> view.customerKeys().leastUrgentRank());
+        return customerRank * SELECTOR_URGENCY_RANKS + selector.limits().urgencyRank();
     }
 
     /**
@@ -199,7 +222,7 @@
      * @return the result of the attempt
      */
     BackendResult send(
-            CallerRequest request,
+            CheckedRequest request,
             SlotResult.Slot slot,
             Selector selector,
             long timeoutMillis,
@@ -223,7 +246,7 @@
      * @return the running attempt
      */
     RunningAttempt start(
-            CallerRequest request,
+            CheckedRequest request,
             SlotResult.Slot slot,
             Selector selector,
             long timeoutMillis,
@@ -246,11 +269,11 @@
     }
 
     private RunningAttempt newAttempt(
-            CallerRequest request, SlotResult.Slot slot, Selector selector, long timeoutMillis) {
+            CheckedRequest request, SlotResult.Slot slot, Selector selector, long timeoutMillis) {
         return new RunningAttempt(
                 slot,
                 new ServerStart(slot.serverName(), fleet.view().incarnation(slot.serverName())),
-                newCall(request, slot, selector.repeatable(), timeoutMillis),
+                newCall(request.requestForServer(conventions), slot, selector.repeatable(), timeoutMillis),
                 selector.repeatable());
     }
 
--- a/src/main/java/org/cassiabank/proxy/CallerRequest.java
+++ b/src/main/java/org/cassiabank/proxy/CallerRequest.java
@@ -70,6 +70,16 @@
         return RequestDigest.of(customerIdentity, routedHost, method, target, body);
     }
 
+    /**
+     * Returns a copy of the request with other headers.
+     *
+     * @param newHeaders the values of each header by its name
+     * @return the request; the body is shared
+     */
+    CallerRequest withHeaders(Map<String, List<String>> newHeaders) {
+        return new CallerRequest(method, target, newHeaders, body, remoteAddress);
+    }
+
     /**
      * Returns the identity that the caller states in a header.
      *
--- a/src/main/java/org/cassiabank/proxy/FleetView.java
+++ b/src/main/java/org/cassiabank/proxy/FleetView.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Collectors;
 import org.cassiabank.declaration.Configuration;
+import org.cassiabank.declaration.CustomerKeys;
 import org.cassiabank.declaration.LabeledServer;
 import org.cassiabank.declaration.RequestRouter;
 import org.cassiabank.declaration.ServersByService;
@@ -31,6 +32,7 @@
     private static final int MAXIMUM_OWNER_CANDIDATES = 3;
 
     private final RequestRouter router;
+    private final CustomerKeys customerKeys;
     private final ServersByService serversByService;
     private final InstanceList instances;
     private final String region;
@@ -47,6 +49,9 @@
             int floorPercent,
             FleetView formerView) {
         this.router = router;
+        this.customerKeys = formerView == null
+                ? CustomerKeys.of(router.configuration())
+                : formerView.customerKeys.withConfiguration(router.configuration());
         this.serversByService = serversByService;
         this.instances = instances;
         this.region = region;
@@ -114,6 +119,11 @@
         return router;
     }
 
+    /** Returns the lookup of customers by their keys. */
+    CustomerKeys customerKeys() {
+        return customerKeys;
+    }
+
     Optional<ServiceDeclaration> service(String name) {
         return configuration().service(name);
     }
--- a/src/main/java/org/cassiabank/proxy/ForwardedRequestHandler.java
+++ b/src/main/java/org/cassiabank/proxy/ForwardedRequestHandler.java
@@ -16,14 +16,16 @@
      * @param formerAttempts the attempts of the peer that may have reached a backend server
      * @param configurationRevision the revision of the configuration by which the request is to be handled, empty if a
      *     peer of a former release does not name it
+     * @param customer the customer whose key the peer has checked, empty if it named none
      * @param presence tells whether the caller is still connected to the peer
      * @return the result; empty if the request has not run and another peer may be asked, also if another revision is
-     *     in force here
+     *     in force here or the customer is not declared
      */
     Optional<RequestResult> runForwarded(
             CallerRequest request,
             long remainingMillis,
             int formerAttempts,
             OptionalLong configurationRevision,
+            Optional<String> customer,
             CallerPresence presence);
 }
--- a/src/main/java/org/cassiabank/proxy/ForwardedRequests.java
+++ b/src/main/java/org/cassiabank/proxy/ForwardedRequests.java
@@ -75,6 +75,22 @@
      * @return the reply to the peer
      */
     ForwardedReply carryOut(ForwardedRequest message) {
+        return carryOut(message, Optional.empty());
+    }
+
+    /**
+     * Carries out a request of a customer whose key the peer has checked, or declines it without having run it.
+     *
+     * @param message the request of a peer, with the customer and the revision of the configuration
+     * @return the reply to the peer; declined also if the customer or the revision is missing
+     */
+    ForwardedReply carryOutForCustomer(ForwardedRequest message) {
+        return message.isSetCustomer() && message.isSetConfigurationRevision()
+                ? carryOut(message, Optional.of(message.getCustomer()))
+                : ForwardedReply.declined("no-customer");
+    }
+
+    private ForwardedReply carryOut(ForwardedRequest message, Optional<String> customer) {
         if (draining) {
             return ForwardedReply.declined("draining");
         }
@@ -96,7 +112,12 @@
                     ? OptionalLong.of(message.getConfigurationRevision())
                     : OptionalLong.empty();
             Optional<RequestResult> result = requestHandler.runForwarded(
-                    request, message.getRemainingMillis(), message.getAttempts(), configurationRevision, presence);
+                    request,
+                    message.getRemainingMillis(),
+                    message.getAttempts(),
+                    configurationRevision,
+                    customer,
+                    presence);
             return result.map(found -> PeerMessageConverter.toMessage(found, leavingServers.toTellPeers()))
                     .orElseGet(() -> ForwardedReply.declined("not-run"));
         } finally {
--- a/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
+++ b/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
@@ -132,6 +132,11 @@
         return forwardedRequests.carryOut(request);
     }
 
+    @Override
+    public ForwardedReply forwardForCustomer(ForwardedRequest request) {
+        return forwardedRequests.carryOutForCustomer(request);
+    }
+
     @Override
     public void cancelForwarded(String id) {
         forwardedRequests.cancel(id);
--- a/src/main/java/org/cassiabank/proxy/ProxyMetrics.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyMetrics.java
@@ -36,6 +36,10 @@
             "outcome");
     private final Counter forwardedRequests = counter(
             "cassiabank_forwarded_requests_total", "Requests passed on to a peer, by what it replied.", "reply");
+    private final Counter customerChecks = counter(
+            "cassiabank_customer_checks_total",
+            "Requests in a configuration with customers, by what their keys showed.",
+            "result");
     private final Counter ejections = counter("cassiabank_ejections_total", "Ejections of servers.", "service");
     private final Counter controlMessages =
             counter("cassiabank_control_messages_total", "Calls of peers, by kind.", "kind");
@@ -101,6 +105,10 @@
         forwardedRequests.labelValues(reply).inc();
     }
 
+    void recordCustomerCheck(String result) {
+        customerChecks.labelValues(result).inc();
+    }
+
     void recordEjection(String service) {
         ejections.labelValues(service).inc();
     }
--- a/src/main/java/org/cassiabank/proxy/RequestForwarder.java
+++ b/src/main/java/org/cassiabank/proxy/RequestForwarder.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Supplier;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.kernel.ErrorCode;
 import org.cassiabank.membership.ForwardingOrder;
@@ -74,7 +75,8 @@
     /**
      * Passes a request on to one peer after the other until one carries it out.
      *
-     * @param request the request, which has not run, or may run again
+     * @param request returns the request, which has not run or may run again, with the present customer of its key;
+     *     empty once its key has been withdrawn
      * @param repeatable whether the request may run more than once
      * @param attempts the attempts that may have reached a backend server already
      * @param deadlineMillis the deadline in milliseconds, on the monotonic clock
@@ -83,7 +85,7 @@
      * @return the result, or whether the request may have run at a peer that did not reply
      */
     ForwardingResult forward(
-            CallerRequest request,
+            Supplier<Optional<CheckedRequest>> request,
             boolean repeatable,
             int attempts,
             long deadlineMillis,
@@ -92,22 +94,14 @@
         boolean mayHaveRun = false;
         for (Instance peer : peersInOrder()) {
             long remainingMillis = deadlineMillis - MonotonicClock.millis();
-            if (remainingMillis < MINIMUM_REMAINING_MILLIS || presence.isGone()) {
+            Optional<CheckedRequest> current = request.get();
+            if (remainingMillis < MINIMUM_REMAINING_MILLIS || presence.isGone() || current.isEmpty()) {
                 break;
             }
             String id = selfName + "-"
                     + HexFormat.of().toHexDigits(ThreadLocalRandom.current().nextLong());
             presence.onGone(() -> workers.execute(() -> cancel(peer, id)));
-            ForwardedRequest message = new ForwardedRequest(
-                    id,
-                    request.method(),
-                    request.target(),
-                    request.headers(),
-                    ByteBuffer.wrap(request.body()),
-                    request.remoteAddress(),
-                    remainingMillis,
-                    attempts);
-            message.setConfigurationRevision(fleet.revision());
+            ForwardedRequest message = newMessage(id, current.get(), remainingMillis, attempts);
             List<ServerStart> leaving = leavingServers.toTellPeers();
             if (!leaving.isEmpty()) {
                 message.setLeavingServers(PeerMessageConverter.toStartedServers(leaving));
@@ -121,6 +115,22 @@
         return ForwardingResult.none(mayHaveRun);
     }
 
+    private ForwardedRequest newMessage(String id, CheckedRequest request, long remainingMillis, int attempts) {
+        CallerRequest callerRequest = request.request();
+        ForwardedRequest message = new ForwardedRequest(
+                id,
+                callerRequest.method(),
+                callerRequest.target(),
+                callerRequest.headers(),
+                ByteBuffer.wrap(callerRequest.body()),
+                callerRequest.remoteAddress(),
+                remainingMillis,
+                attempts);
+        message.setConfigurationRevision(fleet.revision());
+        request.customer().ifPresent(message::setCustomer);
+        return message;
+    }
+
     private ForwardingResult forwardTo(
             Instance peer, ForwardedRequest message, boolean repeatable, RequestTrace trace) {
         ForwardedReply reply;
@@ -132,7 +142,10 @@
                     CONNECT_TIMEOUT_MILLIS,
                     timeoutMillis,
                     PeerCall.withResultIfUnknown(
-                            client -> client.forward(message), ForwardedReply.declined("unknown-call")));
+                            client -> message.isSetCustomer()
+                                    ? client.forwardForCustomer(message)
+                                    : client.forward(message),
+                            ForwardedReply.declined("unknown-call")));
         } catch (CassiabankException exception) {
             record(peer, false, "no-reply", trace);
             // Without a connection nothing was sent; otherwise the request may have run.
--- a/src/main/java/org/cassiabank/proxy/RequestHandler.java
+++ b/src/main/java/org/cassiabank/proxy/RequestHandler.java
@@ -53,6 +53,7 @@
     private static final int RETRY_BUDGET_CAPACITY = 10;
 
     private static final int BAD_REQUEST = 400;
+    private static final int UNAUTHORIZED = 401;
     private static final int NOT_FOUND = 404;
     private static final int UNPROCESSABLE_CONTENT = 422;
 
@@ -63,6 +64,7 @@
     private final ClaimClient claimClient;
     private final ProxyMetrics metrics;
     private final HeaderConventions conventions;
+    private final CustomerCheck customerCheck;
     private final boolean ownersLimitRetries;
     private final Map<String, RetryBudget> retryBudgets = new ConcurrentHashMap<>();
 
@@ -74,6 +76,7 @@
             ClaimClient claims,
             ProxyMetrics metrics,
             HeaderConventions conventions,
+            CustomerCheck customerCheck,
             boolean ownersLimitRetries) {
         this.fleet = fleet;
         this.attemptExecutor = attemptExecutor;
@@ -82,6 +85,7 @@
         this.claimClient = claims;
         this.metrics = metrics;
         this.conventions = conventions;
+        this.customerCheck = customerCheck;
         this.ownersLimitRetries = ownersLimitRetries;
     }
 
@@ -102,6 +106,7 @@
                 Objects.requireNonNull(claims, "claims"),
                 Objects.requireNonNull(metrics, "metrics"),
                 Objects.requireNonNull(conventions, "conventions"),
+                CustomerCheck.create(fleet, conventions, metrics),
                 ownersLimitRetries);
     }
 
@@ -145,11 +150,15 @@
                     CallerReply.SERVICE_UNAVAILABLE, "no-configuration", NO_CONFIGURATION_RETRY_AFTER_MILLIS);
         }
         RandomGenerator random = ThreadLocalRandom.current();
-        Optional<Selector> selector =
-                view.router().route(request.host(), request.method(), request.path(), request.customer(), random);
+        CheckedRequest checkedRequest = customerCheck.identify(view, request);
+        Optional<Selector> selector = view.router()
+                .route(request.host(), request.method(), request.path(), checkedRequest.routingCustomer(), random);
         if (selector.isEmpty()) {
             return notRunReply(NOT_FOUND, "no-selector", 0);
         }
+        if (!customerCheck.admits(checkedRequest, selector.get())) {
+            return notRunReply(UNAUTHORIZED, CustomerCheck.UNKNOWN_KEY, 0);
+        }
         long deadlineMillis = view.service(selector.get().service())
                 .map(ServiceDeclaration::defaultDeadlineMillis)
                 .orElse(0L);
@@ -164,17 +173,17 @@
         deadlineMillis = selector.get().limits().capMillis(deadlineMillis);
         trace.recordRoute(selector.get().name(), deadlineMillis);
         presence.awaitReplyFor(deadlineMillis);
-        if (!BackendRequests.canForward(request, conventions)) {
+        if (!BackendRequests.canForward(checkedRequest.request(), conventions)) {
             return notRunReply(BAD_REQUEST, "malformed-request", 0);
         }
         Optional<String> idempotencyKey = request.header("idempotency-key");
         return selector.get().repeatable() || idempotencyKey.isEmpty() || !claimClient.isEnabled()
-                ? toReply(run(request, selector.get(), presence, deadlineMillis, trace), selector.get())
-                : claimAndRun(request, selector.get(), presence, deadlineMillis, idempotencyKey.get(), trace);
+                ? toReply(run(checkedRequest, selector.get(), presence, deadlineMillis, trace), selector.get())
+                : claimAndRun(checkedRequest, selector.get(), presence, deadlineMillis, idempotencyKey.get(), trace);
     }
 
     private RequestResult run(
-            CallerRequest request,
+            CheckedRequest request,
             Selector selector,
             CallerPresence presence,
             long deadlineMillis,
@@ -183,6 +192,7 @@
         budget.recordRequest();
         RequestResult result = RequestRun.create(
                         request,
+                        customerCheck,
                         selector,
                         presence,
                         deadlineMillis,
@@ -204,6 +214,7 @@
             long remainingMillis,
             int formerAttempts,
             OptionalLong configurationRevision,
+            Optional<String> customer,
             CallerPresence presence) {
         RequestTrace trace =
                 RequestTrace.start(request.header(conventions.requestIdHeader()).orElse(""));
@@ -217,14 +228,18 @@
                     configurationRevision.getAsLong(), revision);
             return Optional.empty();
         }
+        Optional<CheckedRequest> checkedRequest = customerCheck.identifyForwarded(view, request, customer);
+        if (!fleet.isReady() || checkedRequest.isEmpty()) {
+            return Optional.empty();
+        }
         Optional<Selector> selector = view.router()
                 .route(
                         request.host(),
                         request.method(),
                         request.path(),
-                        request.customer(),
+                        checkedRequest.get().routingCustomer(),
                         ThreadLocalRandom.current());
-        if (!fleet.isReady() || selector.isEmpty()) {
+        if (selector.isEmpty() || !customerCheck.admits(checkedRequest.get(), selector.get())) {
             return Optional.empty();
         }
         long deadlineMillis = selector.get().limits().capMillis(remainingMillis);
@@ -232,7 +247,8 @@
         RetryBudget budget = retryBudgets.computeIfAbsent(selector.get().service(), service -> newBudget());
         budget.recordRequest();
         RequestResult result = RequestRun.createForwarded(
-                        request,
+                        checkedRequest.get(),
+                        customerCheck,
                         selector.get(),
                         presence,
                         deadlineMillis,
@@ -247,6 +263,7 @@
         boolean anotherPeerMayReachOne = result instanceof RequestResult.NotRun notRun
                 && (notRun.reason().equals(RequestRun.NO_SERVER_REACHED)
                         || notRun.reason().equals(PlannedStop.REASON)
+                        || notRun.reason().equals(CustomerCheck.UNKNOWN_KEY)
                         || notRun.reason().equals(AttemptResult.NOT_SENT.label()));
         return anotherPeerMayReachOne ? Optional.empty() : Optional.of(result);
     }
@@ -258,7 +275,7 @@
     }
 
     private CallerReply claimAndRun(
-            CallerRequest request,
+            CheckedRequest request,
             Selector selector,
             CallerPresence presence,
             long deadlineMillis,
@@ -266,11 +283,10 @@
             RequestTrace trace) {
         long startMillis = MonotonicClock.millis();
         // Keys of different callers and services must not collide, or a caller could get the response to another one.
-        String claimKey =
-                selector.service() + "\n" + request.header("cassiabank-caller").orElse("") + "\n" + idempotencyKey;
+        String claimKey = selector.service() + "\n" + request.trustedIdentity().orElse("") + "\n" + idempotencyKey;
         String claimId = attemptExecutor.entryName() + "-"
                 + HexFormat.of().toHexDigits(ThreadLocalRandom.current().nextLong());
-        ClaimClient.Claim claim = claimClient.claim(claimKey, claimId, requestDigest(request));
+        ClaimClient.Claim claim = claimClient.claim(claimKey, claimId, requestDigest(request.request()));
         return switch (claim.decision()) {
             case ClaimDecision.Proceed proceed -> {
                 long remainingMillis = Math.min(deadlineMillis, MAXIMUM_CLAIMED_DEADLINE_MILLIS)
@@ -289,7 +305,7 @@
     }
 
     private RequestResult runAndConclude(
-            CallerRequest request,
+            CheckedRequest request,
             Selector selector,
             CallerPresence presence,
             long remainingMillis,
@@ -320,7 +336,12 @@
                 yield responseReply(response.status(), response.headers(), response.body(), selector);
             }
             case RequestResult.NotRun notRun ->
-                notRunReply(CallerReply.SERVICE_UNAVAILABLE, notRun.reason(), notRun.retryAfterMillis());
+                notRunReply(
+                        notRun.reason().equals(CustomerCheck.UNKNOWN_KEY)
+                                ? UNAUTHORIZED
+                                : CallerReply.SERVICE_UNAVAILABLE,
+                        notRun.reason(),
+                        notRun.retryAfterMillis());
             case RequestResult.Unknown unknown -> unknownReply(CallerReply.GATEWAY_TIMEOUT, unknown.reason());
         };
     }
--- a/src/main/java/org/cassiabank/proxy/RequestRun.java
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -9,9 +9,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.cassiabank.admission.AdmissionRequest;
-import org.cassiabank.admission.RateLimitNotice;
 import org.cassiabank.backend.BackendResult;
-import org.cassiabank.backend.NoValidResponse;
 import org.cassiabank.backend.NotSent;
 import org.cassiabank.backend.ResponseReceived;
 import org.cassiabank.declaration.Selector;
@@ -49,7 +47,10 @@
     /** The path is tried again within this time. */
     private static final long CUT_OFF_RETRY_AFTER_MILLIS = 500;
 
-    private final CallerRequest request;
+    /** Replaced when the key of the request belongs to another customer by now. */
+    private CheckedRequest request;
+
+    private final CustomerCheck customerCheck;
     private final Selector selector;
     private final CallerPresence presence;
     /** The deadline in milliseconds, on the monotonic clock. */
@@ -75,7 +76,8 @@
     private Optional<ResponseReceived> lastServerError = Optional.empty();
 
     private RequestRun(
-            CallerRequest request,
+            CheckedRequest request,
+            CustomerCheck customerCheck,
             Selector selector,
             CallerPresence presence,
             long remainingMillis,
@@ -86,6 +88,7 @@
             Optional<RequestForwarder> forwarder,
             RequestTrace trace) {
         this.request = request;
+        this.customerCheck = customerCheck;
         this.selector = selector;
         this.presence = presence;
         this.deadlineMillis = MonotonicClock.millis() + remainingMillis;
@@ -95,13 +98,14 @@
         this.forwarder = forwarder;
         this.attemptCount = formerAttempts;
         this.trace = trace;
-        this.digest = request.digest(attemptExecutor.customerIdentity(request), selector.host());
+        this.digest = request.request().digest(attemptExecutor.customerIdentity(request), selector.host());
         trace.recordDigest(digest);
     }
 
     /** Creates a run of a request that reached this daemon from its caller. */
     static RequestRun create(
-            CallerRequest request,
+            CheckedRequest request,
+            CustomerCheck customerCheck,
             Selector selector,
             CallerPresence presence,
             long remainingMillis,
@@ -112,6 +116,7 @@
             RequestTrace trace) {
         return new RequestRun(
                 Objects.requireNonNull(request, "request"),
+                Objects.requireNonNull(customerCheck, "customerCheck"),
                 Objects.requireNonNull(selector, "selector"),
                 Objects.requireNonNull(presence, "presence"),
                 remainingMillis,
@@ -125,7 +130,8 @@
 
     /** Creates a run of a request that a peer has passed on after some attempts of its own. */
     static RequestRun createForwarded(
-            CallerRequest request,
+            CheckedRequest request,
+            CustomerCheck customerCheck,
             Selector selector,
             CallerPresence presence,
             long remainingMillis,
@@ -136,6 +142,7 @@
             RequestTrace trace) {
         return new RequestRun(
                 Objects.requireNonNull(request, "request"),
+                Objects.requireNonNull(customerCheck, "customerCheck"),
                 Objects.requireNonNull(selector, "selector"),
                 Objects.requireNonNull(presence, "presence"),
                 remainingMillis,
@@ -154,11 +161,17 @@
      */
     RequestResult run() {
         while (true) {
+            if (currentRequest().isEmpty()) {
+                return resultOfWithdrawnKey();
+            }
             if (comesTooLate()) {
                 return resultWithoutSlot(PlannedStop.REASON, PlannedStop.RETRY_AFTER_MILLIS);
             }
             if (attemptExecutor.isCutOff()) {
-                return forward().orElseGet(() -> resultWithoutSlot(NO_SERVER_REACHED, CUT_OFF_RETRY_AFTER_MILLIS));
+                return forward()
+                        .orElseGet(() -> currentRequest().isPresent()
+                                ? resultWithoutSlot(NO_SERVER_REACHED, CUT_OFF_RETRY_AFTER_MILLIS)
+                                : resultOfWithdrawnKey());
             }
             SlotResult slotResult = attemptExecutor.acquire(selector.service(), admissionRequest(), this::isAbandoned);
             if (slotResult instanceof SlotResult.NoSlot noSlot) {
@@ -170,35 +183,20 @@
             }
             SlotResult.Slot slot = (SlotResult.Slot) slotResult;
             trace.addStep("slot " + slot.serverName() + " of " + slot.ownerName() + describeAvoidedServers());
-            long nowMillis = MonotonicClock.millis();
-            if (nowMillis >= deadlineMillis) {
-                attemptExecutor.release(slot);
-                return resultWithoutSlot("deadline", 0);
-            }
-            if (nowMillis >= slot.leaseExpiryMillis()) {
-                // This process was paused after the grant; the slot may have been granted to another request since.
-                attemptExecutor.release(slot);
-                continue;
-            }
-            if (comesTooLate()) {
-                attemptExecutor.release(slot);
-                continue;
-            }
-            if (presence.isGone()) {
+            Optional<RequestResult> resultInsteadOfAttempt = resultInsteadOfAttempt();
+            if (resultInsteadOfAttempt.isPresent()) {
                 attemptExecutor.release(slot);
-                return resultWithoutSlot(SlotResult.ABANDONED, 0);
+                return resultInsteadOfAttempt.get();
             }
-            if (!attemptExecutor.acceptsRequests(slot.serverName())) {
-                trace.addStep(slot.serverName() + " left");
+            if (!isUsable(slot)) {
                 attemptExecutor.release(slot);
-                excludedServers.add(slot.serverName());
                 continue;
             }
             if (attemptCount == 0) {
                 attemptExecutor.recordAddedLatencyMicros((System.nanoTime() - startNanos) / 1_000);
             }
             BackendResult backendResult = makeAttempt(slot);
-            trace.addStep(describeResult(slot.serverName(), backendResult));
+            trace.addResult(slot.serverName(), backendResult);
             recordResult(backendResult);
             Optional<RequestResult> requestResult = shouldForward(backendResult) ? forward() : Optional.empty();
             if (requestResult.isEmpty()) {
@@ -210,6 +208,30 @@
         }
     }
 
+    /** Returns the result of a request that must not be sent although it has a slot; empty if it may be sent. */
+    private Optional<RequestResult> resultInsteadOfAttempt() {
+        if (MonotonicClock.millis() >= deadlineMillis) {
+            return Optional.of(resultWithoutSlot("deadline", 0));
+        }
+        if (currentRequest().isEmpty()) {
+            return Optional.of(resultOfWithdrawnKey());
+        }
+        return presence.isGone() ? Optional.of(resultWithoutSlot(SlotResult.ABANDONED, 0)) : Optional.empty();
+    }
+
+    private boolean isUsable(SlotResult.Slot slot) {
+        // After a pause of this process the slot may have been granted to another request.
+        if (MonotonicClock.millis() >= slot.leaseExpiryMillis() || comesTooLate()) {
+            return false;
+        }
+        if (!attemptExecutor.acceptsRequests(slot.serverName())) {
+            trace.addStep(slot.serverName() + " left");
+            excludedServers.add(slot.serverName());
+            return false;
+        }
+        return true;
+    }
+
     /** Tells whether this daemon is being stopped and would end before the request is answered. */
     private boolean comesTooLate() {
         long nowMillis = MonotonicClock.millis();
@@ -217,7 +239,19 @@
     }
 
     private boolean isAbandoned() {
-        return presence.isGone() || comesTooLate();
+        return presence.isGone() || comesTooLate() || currentRequest().isEmpty();
+    }
+
+    /** Looks the key up again; empty if the request is no longer admitted, so that nothing more may be sent. */
+    private Optional<CheckedRequest> currentRequest() {
+        Optional<CheckedRequest> rechecked = customerCheck.recheck(request, selector);
+        rechecked.ifPresent(found -> request = found);
+        return rechecked;
+    }
+
+    private RequestResult resultOfWithdrawnKey() {
+        customerCheck.recordWithdrawn();
+        return resultWithoutSlot(CustomerCheck.UNKNOWN_KEY, 0);
     }
 
     /** Tells whether no further attempt of this daemon is of use, but one of a peer may be. */
@@ -236,7 +270,13 @@
         }
         RequestForwarder.ForwardingResult forwarded = forwarder
                 .get()
-                .forward(request, selector.repeatable(), attemptsThatMayHaveArrived, deadlineMillis, presence, trace);
+                .forward(
+                        this::currentRequest,
+                        selector.repeatable(),
+                        attemptsThatMayHaveArrived,
+                        deadlineMillis,
+                        presence,
+                        trace);
         provablyNotRun = provablyNotRun && !forwarded.mayHaveRun();
         // A peer vouches for its own attempts only.
         return forwarded
@@ -254,22 +294,6 @@
         }
     }
 
-    private static String describeResult(String serverName, BackendResult result) {
-        String label = serverName + " " + result.attemptResult().label();
-        if (result instanceof NoValidResponse noValidResponse) {
-            return label + " (" + noValidResponse.detail() + ")";
-        }
-        if (result instanceof ResponseReceived response) {
-            label += " " + response.status() + " " + response.observation();
-        }
-        if (result.notice().leaving()) {
-            label += " leaving";
-        }
-        return result.notice().rateLimit() instanceof RateLimitNotice.Limited limited
-                ? label + " limit=" + limited.requestsPerSecond() + "/s"
-                : label;
-    }
-
     private Optional<RequestResult> resultUnlessRetried(BackendResult result) {
         // Attempts that reached no server are not counted, up to a limit that keeps a request from trying all servers.
         int countedAttempts =
@@ -331,7 +355,8 @@
         SlotResult hedgeSlotResult = attemptExecutor.acquire(selector.service(), admissionRequest(), this::isAbandoned);
         if (!(hedgeSlotResult instanceof SlotResult.Slot hedgeSlot)
                 || !results.isEmpty()
-                || !attemptExecutor.acceptsRequests(hedgeSlot.serverName())) {
+                || !attemptExecutor.acceptsRequests(hedgeSlot.serverName())
+                || currentRequest().isEmpty()) {
             if (hedgeSlotResult instanceof SlotResult.Slot unusedSlot) {
                 attemptExecutor.release(unusedSlot);
             }
@@ -376,7 +401,7 @@
                 attemptExecutor.customerIdentity(request),
                 selector.costHint(),
                 selector.repeatable(),
-                selector.limits().urgencyRank(),
+                attemptExecutor.urgencyRank(request, selector),
                 Math.max(0, deadlineMillis - MonotonicClock.millis()),
                 remainingTargetMillis(),
                 unusableServers,
--- a/src/main/java/org/cassiabank/proxy/RequestTrace.java
+++ b/src/main/java/org/cassiabank/proxy/RequestTrace.java
@@ -3,6 +3,10 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.List;
+import org.cassiabank.admission.RateLimitNotice;
+import org.cassiabank.backend.BackendResult;
+import org.cassiabank.backend.NoValidResponse;
+import org.cassiabank.backend.ResponseReceived;
 import org.cassiabank.health.RequestDigest;
 
 /**
@@ -58,6 +62,11 @@
         steps.add(step + "@" + elapsedMillis());
     }
 
+    /** Records how an attempt at a server ended. */
+    void addResult(String serverName, BackendResult result) {
+        addStep(describeResult(serverName, result));
+    }
+
     /** Returns the time since the request was read, in milliseconds. */
     long elapsedMillis() {
         return MonotonicClock.millis() - startMillis;
@@ -81,4 +90,20 @@
                 listIndex,
                 steps);
     }
+
+    private static String describeResult(String serverName, BackendResult result) {
+        String label = serverName + " " + result.attemptResult().label();
+        if (result instanceof NoValidResponse noValidResponse) {
+            return label + " (" + noValidResponse.detail() + ")";
+        }
+        if (result instanceof ResponseReceived response) {
+            label += " " + response.status() + " " + response.observation();
+        }
+        if (result.notice().leaving()) {
+            label += " leaving";
+        }
+        return result.notice().rateLimit() instanceof RateLimitNotice.Limited limited
+                ? label + " limit=" + limited.requestsPerSecond() + "/s"
+                : label;
+    }
 }
--- a/src/test/java/org/cassiabank/proxy/ForwardedRequestsTest.java
+++ b/src/test/java/org/cassiabank/proxy/ForwardedRequestsTest.java
@@ -32,7 +32,7 @@
     private final FleetState fleet = FleetState.create("region");
     private final KnownLeavingServers leavingServers = KnownLeavingServers.create(fleet, ProxyMetrics.create());
     private final ForwardedRequests requests = ForwardedRequests.create(
-            (request, remainingMillis, formerAttempts, revision, presence) -> {
+            (request, remainingMillis, formerAttempts, revision, customer, presence) -> {
                 running.complete(presence);
                 return result.join();
             },
@@ -55,7 +55,7 @@
         result.complete(Optional.empty());
         assertThat(requests.carryOut(request("a", 1))).isEqualTo(ForwardedReply.declined("not-run"));
         ForwardedRequests others = ForwardedRequests.create(
-                (request, remainingMillis, formerAttempts, revision, presence) ->
+                (request, remainingMillis, formerAttempts, revision, customer, presence) ->
                         Optional.of(RequestResult.unknown(remainingMillis + "/" + formerAttempts)),
                 cutOff::get,
                 leavingServers);
@@ -65,7 +65,7 @@
     @Test
     void theRevisionThatThePeerNamesReachesTheHandler() {
         ForwardedRequests others = ForwardedRequests.create(
-                (request, remainingMillis, formerAttempts, revision, presence) ->
+                (request, remainingMillis, formerAttempts, revision, customer, presence) ->
                         Optional.of(RequestResult.unknown(revision.toString())),
                 cutOff::get,
                 leavingServers);
--- a/src/test/java/org/cassiabank/proxy/PeerEndpointTest.java
+++ b/src/test/java/org/cassiabank/proxy/PeerEndpointTest.java
@@ -54,7 +54,7 @@
                 .register(
                         ServiceNames.FORWARDED_REQUESTS,
                         ForwardedRequests.create(
-                                (forwarded, millis, attempts, revision, presence) -> Optional.empty(),
+                                (forwarded, millis, attempts, revision, customer, presence) -> Optional.empty(),
                                 () -> false,
                                 leavingServers))
                 .register(ServiceNames.PEER_ENDPOINT, endpoint)) {
--- a/src/test/java/org/cassiabank/proxy/RequestForwarderTest.java
+++ b/src/test/java/org/cassiabank/proxy/RequestForwarderTest.java
@@ -172,7 +172,7 @@
                 SELF.name(), PeerClientPool.create(PeerSocketFactories.plain(), ControlTrafficRecorder.noOp()));
         return RequestForwarder.create(SELF, fleet, transport, leavingServers, ProxyMetrics.create())
                 .forward(
-                        REQUEST,
+                        () -> Optional.of(new CheckedRequest(REQUEST, new CallerIdentity.Unchecked())),
                         repeatable,
                         2,
                         MonotonicClock.millis() + remainingMillis,
--- a/src/test/java/org/cassiabank/proxy/UninformedOwnerTest.java
+++ b/src/test/java/org/cassiabank/proxy/UninformedOwnerTest.java
@@ -175,7 +175,8 @@
         CallerRequest request = new CallerRequest(
                 selector.repeatable() ? "GET" : "POST", selector.path(), Map.of(), new byte[0], "10.0.0.9");
         RequestResult result = RequestRun.createForwarded(
-                        request,
+                        new CheckedRequest(request, new CallerIdentity.Unchecked()),
+                        CustomerCheck.create(fleet, DefaultHeaderConventions.instance(), metrics),
                         selector,
                         CallerPresence.create(),
                         3_000,
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -254,6 +254,8 @@
   9: optional list<StartedServer> leavingServers,
   /** The revision of the configuration by which the request is to be handled; a peer with another one declines. */
   10: optional i64 configurationRevision,
+  /** With forwardForCustomer: the name of the customer whose key the entry has checked. */
+  11: optional string customer,
 }
 
 union ForwardedReply {
@@ -279,6 +281,11 @@
   void handOver(1: list<ClaimRecord> records),
   /** Carries out a request for an entry that reaches no backend server; it is not passed on again. */
   ForwardedReply forward(1: ForwardedRequest request),
+  /**
+   * As forward, for a request of the customer that it names. The peer declines unless the named revision is in force
+   * there and declares the customer.
+   */
+  ForwardedReply forwardForCustomer(1: ForwardedRequest request),
   /** Ends a forwarded request whose caller has gone. */
   void cancelForwarded(1: string id),
   /** Tells a daemon that may own the shards of the requests next. */
