Keep keys out of findings, and changes of one customer cheap

A finding for a document that is not JSON quoted the parser's message, which can hold a word of the document, such as a key without quotes. It now names line and column only.

PlatformDocumentsTest and CustomerKeysTest pass.

--- a/src/main/java/org/cassiabank/declaration/CustomerKeys.java
+++ b/src/main/java/org/cassiabank/declaration/CustomerKeys.java
@@ -85,12 +85,13 @@
                         builder.add((CustomerDeclaration) after.declaration());
                     }
                 });
-        int newLeastUrgentRank = builder.changed
+        // All customers are visited only if one that had the least urgent rank may have been the last one.
+        int newLeastUrgentRank = builder.removedRank == leastUrgentRank && builder.addedRank < leastUrgentRank
                 ? newConfiguration.customers().stream()
-                        .mapToInt(customer -> customer.urgencyRank().orElse(0))
+                        .mapToInt(CustomerKeys::rank)
                         .max()
                         .orElse(0)
-                : leastUrgentRank;
+                : Math.max(leastUrgentRank, builder.addedRank);
         return new CustomerKeys(newConfiguration, builder.customersByDigestPrefix, newLeastUrgentRank);
     }
 
@@ -134,6 +135,10 @@
         return leastUrgentRank;
     }
 
+    private static int rank(CustomerDeclaration customer) {
+        return customer.urgencyRank().orElse(0);
+    }
+
     private static long prefix(String keyDigest) {
         return Long.parseUnsignedLong(keyDigest, 0, PREFIX_DIGITS, HEXADECIMAL_RADIX);
     }
@@ -141,14 +146,17 @@
     /** Collects the changes of one update of the index. */
     private static final class IndexBuilder {
         private PersistentMap<Long, List<CustomerDeclaration>> customersByDigestPrefix;
-        private boolean changed;
+        /** The least urgent ranks of the removed and of the added customers. */
+        private int removedRank;
+
+        private int addedRank;
 
         IndexBuilder(PersistentMap<Long, List<CustomerDeclaration>> customersByDigestPrefix) {
             this.customersByDigestPrefix = customersByDigestPrefix;
         }
 
         void remove(CustomerDeclaration customer) {
-            changed = true;
+            removedRank = Math.max(removedRank, rank(customer));
             for (String digest : customer.keyDigests()) {
                 long prefix = prefix(digest);
                 List<CustomerDeclaration> others = customersByDigestPrefix.getOrDefault(prefix, List.of()).stream()
@@ -161,7 +169,7 @@
         }
 
         void add(CustomerDeclaration customer) {
-            changed = true;
+            addedRank = Math.max(addedRank, rank(customer));
             for (String digest : customer.keyDigests()) {
                 long prefix = prefix(digest);
                 List<CustomerDeclaration> customers =
--- a/src/main/java/org/cassiabank/platform/DocumentReader.java
+++ b/src/main/java/org/cassiabank/platform/DocumentReader.java
@@ -1,5 +1,6 @@
 package org.cassiabank.platform;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
@@ -42,11 +43,19 @@
             }
             addFinding("", "expected a JSON object");
         } catch (IOException exception) {
-            addFinding("", "not valid JSON: " + exception.getMessage());
+            addFinding("", "not valid JSON" + location(exception));
         }
         throw CassiabankException.ofFindings(findings.toList());
     }
 
+    /** Omits the parser's message, which can quote the document and thereby the keys of customers. */
+    private static String location(IOException exception) {
+        return exception instanceof JsonProcessingException parsing && parsing.getLocation() != null
+                ? " at line " + parsing.getLocation().getLineNr() + ", column "
+                        + parsing.getLocation().getColumnNr()
+                : "";
+    }
+
     /** Reads a text that must not be empty; returns an empty text after a finding. */
     String requiredText(JsonNode node, String pathPrefix, String field) {
         JsonNode value = node.path(field);
--- a/src/test/java/org/cassiabank/declaration/CustomerKeysTest.java
+++ b/src/test/java/org/cassiabank/declaration/CustomerKeysTest.java
@@ -74,7 +74,16 @@
         CustomerKeys keys =
                 CustomerKeys.of(Configuration.empty().withChanges(1, List.of(customer("north", 7)), List.of()));
         assertThat(keys.areRequired()).isTrue();
+    }
+
+    @Test
+    void theLeastUrgentRankFollowsTheCustomers() {
+        CustomerKeys keys = CustomerKeys.of(twoCustomers);
         assertThat(keys.leastUrgentRank()).isEqualTo(7);
+        Configuration lower = twoCustomers.withChanges(2, List.of(customer("north", 1, "n-1")), List.of());
+        assertThat(keys.withConfiguration(lower).leastUrgentRank()).isEqualTo(3);
+        Configuration higher = twoCustomers.withChanges(2, List.of(customer("south", 9, "s-1")), List.of());
+        assertThat(keys.withConfiguration(higher).leastUrgentRank()).isEqualTo(9);
     }
 
     private static String holder(CustomerKeys keys, String key) {
--- a/src/test/java/org/cassiabank/platform/PlatformDocumentsTest.java
+++ b/src/test/java/org/cassiabank/platform/PlatformDocumentsTest.java
@@ -67,7 +67,7 @@
 
     /** A key of two customers would identify either of them; the configuration in force has to stay. */
     @Test
-    void aKeyOfTwoCustomersIsAFindingThatDoesNotShowTheKey() {
+    void findingsOfKeysThatTwoCustomersHoldOrThatAreNotReadableDoNotShowThem() {
         String document = """
                 {"version":"2","resources":[
                   {"resource_type":"tenants","metadata":{"name":"north"},"spec":{"api_keys":["k-north","k-both"]}},
@@ -80,6 +80,9 @@
                 .isInstanceOf(CassiabankException.class)
                 .hasMessageContainingAll("north", "south")
                 .hasMessageNotContaining("k-both");
+        assertThatThrownBy(() -> adapter.parseConfiguration(entry("op/config", "{\"api_keys\":[secret]}")))
+                .hasMessageContaining("line 1")
+                .hasMessageNotContaining("secret");
     }
 
     @Test
