Charge servers of other failure domains by the bytes of messages

On narrow links a response of 90 KB to another failure domain takes up to 100 ms, but cost the choice of a server as little as one of 300 bytes: half a lease.

The new setting link-megabits-per-second marks the links of a daemon as narrow below 500. Such an entry says so in its slot requests (SlotRequest 24) and reports the bytes of bodies with complete responses (SlotOutcome 11 and 12). The owner learns a mean per route: 0.5 leases up to 500 bytes, 1.5 for 5 KB, and from 64 KB on another domain is used only if the entry's own domain has no free slot. Because the entry decides, daemons with different links can share an owner.

Without the setting nothing changes.

--- a/src/main/java/org/cassiabank/admission/Lease.java
+++ b/src/main/java/org/cassiabank/admission/Lease.java
@@ -50,6 +50,19 @@
         return longWork;
     }
 
+    Granted toGranted(long leaseMillis, long hedgeDelayMillis) {
+        SchedulableServer granted = server.schedulableServer();
+        return new Granted(id, granted.name(), granted.address(), leaseMillis, hedgeDelayMillis);
+    }
+
+    InFlightAttempt toInFlightAttempt(long nowMillis) {
+        return new InFlightAttempt(
+                server.schedulableServer().name(),
+                request().route(),
+                request().digest(),
+                (nowMillis - grantedAtMillis) * 1000);
+    }
+
     CompletedLease toCompletedLease() {
         return new CompletedLease(
                 server.schedulableServer().name(),
--- a/src/main/java/org/cassiabank/admission/LeaseTable.java
+++ b/src/main/java/org/cassiabank/admission/LeaseTable.java
@@ -27,6 +27,10 @@
         return lease;
     }
 
+    Optional<Lease> find(long leaseId) {
+        return Optional.ofNullable(leasesById.get(leaseId));
+    }
+
     Optional<Lease> release(long leaseId) {
         Lease lease = leasesById.remove(leaseId);
         if (lease == null) {
--- a/src/main/java/org/cassiabank/admission/PlacementHints.java
+++ b/src/main/java/org/cassiabank/admission/PlacementHints.java
@@ -9,8 +9,10 @@
  * @param attemptNumber the number of this attempt at the request, 1 for the first one
  * @param failureDomain the failure domain of the entry proxy, empty if placement ignores it
  * @param connectedServers the names of the servers to which the entry proxy holds an idle connection
+ * @param narrowLinks whether a server of another failure domain costs by the bytes of the route's messages
  */
-public record PlacementHints(int attemptNumber, String failureDomain, Set<String> connectedServers) {
+public record PlacementHints(
+        int attemptNumber, String failureDomain, Set<String> connectedServers, boolean narrowLinks) {
     private static final PlacementHints NONE = new PlacementHints(1, "", Set.of());
 
     /**
@@ -27,6 +29,19 @@
         }
     }
 
+    /**
+     * Creates the hints of an entry proxy whose links are wide.
+     *
+     * @param attemptNumber the number of this attempt at the request, 1 for the first one
+     * @param failureDomain the failure domain of the entry proxy, empty if placement ignores it
+     * @param connectedServers the names of the servers to which the entry proxy holds an idle connection
+     * @throws NullPointerException if an argument is null
+     * @throws IllegalArgumentException if the attempt number is less than 1
+     */
+    public PlacementHints(int attemptNumber, String failureDomain, Set<String> connectedServers) {
+        this(attemptNumber, failureDomain, connectedServers, false);
+    }
+
     /**
      * Returns the hints of a first attempt by an entry proxy that reaches all servers at the same cost.
      *
--- a/src/main/java/org/cassiabank/admission/RouteCost.java
+++ b/src/main/java/org/cassiabank/admission/RouteCost.java
@@ -25,6 +25,7 @@
     /** The minimum interval between requests that run although the estimate exceeds their deadline. */
     private static final long PROBE_INTERVAL_MILLIS = 1000;
 
+    private final RouteBytes bytes = new RouteBytes();
     private final int[] histogram = new int[BUCKETS];
     private int histogramResponses;
     private int responsesSinceQuantiles;
@@ -67,6 +68,10 @@
         }
     }
 
+    RouteBytes bytes() {
+        return bytes;
+    }
+
     boolean hasResponses() {
         return responses > 0;
     }
--- a/src/main/java/org/cassiabank/admission/ServerPool.java
+++ b/src/main/java/org/cassiabank/admission/ServerPool.java
@@ -137,7 +137,7 @@
                     if (lane.key().repeatable() && server.isDueForFailingServerTest(nowMillis)) {
                         failingServerDueForTest = server;
                     }
-                } else if (bestHealthy == null || server.isBetterThan(bestHealthy, hints, nowMillis)) {
+                } else if (bestHealthy == null || server.isBetterThan(bestHealthy, lane.firstTicket(), nowMillis)) {
                     bestHealthy = server;
                 }
             }
@@ -159,12 +159,11 @@
 
     /** Returns the server on probation for the first request of a lane, or null if none may be tried with it. */
     private ServerState chooseForTrial(Lane lane, boolean hasToWait, long nowMillis) {
-        PlacementHints hints = lane.firstTicket().request().hints();
         ServerState best = null;
         for (ServerState server : lane.candidates(this)) {
             if (server.isOnProbation()
                     && server.isFreeForTrial(lane.key().repeatable(), hasToWait, capacityNeeded, nowMillis)
-                    && (best == null || server.isBetterThan(best, hints, nowMillis))) {
+                    && (best == null || server.isBetterThan(best, lane.firstTicket(), nowMillis))) {
                 best = server;
             }
         }
@@ -183,7 +182,6 @@
 
     /** Returns the server for the first request of a lane of long work, or null if none has a slot for long work. */
     ServerState chooseForLongWork(Lane lane, boolean prioritized, boolean shortWorkQueued, long nowMillis) {
-        PlacementHints hints = lane.firstTicket().request().hints();
         ServerState best = null;
         boolean healthyExists = false;
         for (ServerState server : lane.candidates(this)) {
@@ -192,7 +190,7 @@
         for (ServerState server : lane.candidates(this)) {
             if ((healthyExists ? server.isHealthy() : server.isOnProbation())
                     && server.hasSlotForLongWork(prioritized, shortWorkQueued, nowMillis)
-                    && (best == null || server.isBetterThan(best, hints, nowMillis))) {
+                    && (best == null || server.isBetterThan(best, lane.firstTicket(), nowMillis))) {
                 best = server;
             }
         }
--- a/src/main/java/org/cassiabank/admission/ServerState.java
+++ b/src/main/java/org/cassiabank/admission/ServerState.java
@@ -29,9 +29,6 @@
     /** Opening a connection briefly occupies a slot of the server and costs it as much as a small request. */
     private static final double NEW_CONNECTION_COST_LEASES = 1;
 
-    /** Traffic between failure domains is charged, but costs less than a new connection. */
-    private static final double OTHER_FAILURE_DOMAIN_COST_LEASES = 0.5;
-
     /**
      * The number of attempts over which the failure share is averaged. Three failures in a row raise it from 0 to 0.7,
      * so that a server that fails fast gets few requests.
@@ -395,9 +392,13 @@
      * Compares by the placement cost, which is the leases and the cost of reaching the server, then by latency in
      * coarse steps, then by the longest time without a grant.
      */
-    boolean isBetterThan(ServerState other, PlacementHints hints, long nowMillis) {
-        double cost = placementCost(hints);
-        double otherCost = other.placementCost(hints);
+    boolean isBetterThan(ServerState other, Ticket ticket, long nowMillis) {
+        PlacementHints hints = ticket.request().hints();
+        double otherDomainCostLeases = hints.narrowLinks()
+                ? ticket.routeCost().bytes().otherDomainCostLeases()
+                : RouteBytes.SMALL_MESSAGES_COST_LEASES;
+        double cost = placementCost(hints, otherDomainCostLeases);
+        double otherCost = other.placementCost(hints, otherDomainCostLeases);
         if (cost != otherCost) {
             return cost < otherCost;
         }
@@ -406,15 +407,13 @@
         return latencyStep == otherLatencyStep ? lastLeaseId < other.lastLeaseId : latencyStep < otherLatencyStep;
     }
 
-    /** Returns the leases plus the cost of reaching the server, which is 0 to 1.5 leases. */
-    private double placementCost(PlacementHints hints) {
+    /** Returns the leases plus the cost of reaching the server, by a connection and perhaps in another domain. */
+    private double placementCost(PlacementHints hints, double otherDomainCostLeases) {
         double connectionCost =
                 hints.connectedServers().contains(schedulableServer.name()) ? 0 : NEW_CONNECTION_COST_LEASES;
         return leases
                 + connectionCost
-                + (hints.failureDomain().equals(schedulableServer.failureDomain())
-                        ? 0
-                        : OTHER_FAILURE_DOMAIN_COST_LEASES);
+                + (hints.failureDomain().equals(schedulableServer.failureDomain()) ? 0 : otherDomainCostLeases);
     }
 
     private void raiseRamp(long stepStartMillis) {
--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -164,6 +164,17 @@
         longQueue.find(ticketId).ifPresent(longQueue::remove);
     }
 
+    /**
+     * Records the bytes of the messages of an attempt for its route. Has to precede the report of the outcome; leases
+     * that are expired or not known are ignored.
+     *
+     * @param leaseId the identifier from {@link Granted#leaseId()}
+     * @param bytes the bytes
+     */
+    public void recordMessageBytes(long leaseId, MessageBytes bytes) {
+        leases.find(leaseId).ifPresent(lease -> lease.routeCost().bytes().record(bytes));
+    }
+
     /**
      * Releases a lease and updates the estimates of its route and its server with the outcome. Reports of leases that
      * are expired or not known are ignored.
@@ -268,11 +279,7 @@
     public List<InFlightAttempt> inFlightAttempts(long nowMillis) {
         long currentMillis = advanceClock(nowMillis);
         return leases.all().stream()
-                .map(lease -> new InFlightAttempt(
-                        lease.server().schedulableServer().name(),
-                        lease.request().route(),
-                        lease.request().digest(),
-                        (currentMillis - lease.grantedAtMillis()) * 1000))
+                .map(lease -> lease.toInFlightAttempt(currentMillis))
                 .toList();
     }
 
@@ -409,15 +416,7 @@
             hedgeDelayMillis = HedgeDelay.delayMillis(
                     ticket.routeCost(), ticket.request().targetLatencyMillis(), ticket.deadlineMillis() - nowMillis);
         }
-        SchedulableServer schedulableServer = server.schedulableServer();
-        undeliveredDecisions.put(
-                ticket.id(),
-                new Granted(
-                        lease.id(),
-                        schedulableServer.name(),
-                        schedulableServer.address(),
-                        leaseMillis,
-                        hedgeDelayMillis));
+        undeliveredDecisions.put(ticket.id(), lease.toGranted(leaseMillis, hedgeDelayMillis));
         return true;
     }
 
--- a/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
+++ b/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.cassiabank.admission.AdmissionRequest;
+import org.cassiabank.admission.MessageBytes;
 import org.cassiabank.admission.PlacementHints;
 import org.cassiabank.admission.ServerNotice;
 import org.cassiabank.backend.BackendCall;
@@ -165,7 +166,8 @@
         return new PlacementHints(
                 attemptNumber,
                 failureDomain,
-                backendClient.serversWithIdleConnection(selector.service(), selector.repeatable()));
+                backendClient.serversWithIdleConnection(selector.service(), selector.repeatable()),
+                broker.hasNarrowLinks());
     }
 
     /** Acquires a slot as {@link SlotBroker#acquire} does. */
@@ -175,7 +177,7 @@
 
     /** Returns a slot without an attempt, which is reported as cancelled; does not wait for the report. */
     void release(SlotResult.Slot slot) {
-        workers.execute(() -> broker.report(slot, AttemptOutcome.CANCELLED, 0, ServerNotice.none()));
+        workers.execute(() -> broker.report(slot, AttemptOutcome.CANCELLED, 0, ServerNotice.none(), Optional.empty()));
     }
 
     /** Counts an additional attempt in the metrics. */
@@ -251,7 +253,8 @@
                 slot,
                 new ServerStart(slot.serverName(), fleet.view().incarnation(slot.serverName())),
                 newCall(request, slot, selector.repeatable(), timeoutMillis),
-                selector.repeatable());
+                selector.repeatable(),
+                request.body().length);
     }
 
     /** Prepares the call; empty if nothing can be sent to the server, whose name or address is not usable. */
@@ -307,7 +310,11 @@
         boolean leaving = announcesLeaving(attempt, result);
         ServerNotice notice = new ServerNotice(leaving, result.notice().rateLimit());
         // Before the other records, so that the slot is free again whatever happens to them.
-        workers.execute(() -> broker.report(attempt.slot(), result.outcome(), latencyMicros, notice));
+        // The short bodies of failures say nothing about the messages of the route.
+        Optional<MessageBytes> bytes = result instanceof ResponseReceived response && !response.isServerError()
+                ? Optional.of(new MessageBytes(attempt.requestBytes(), response.body().length))
+                : Optional.empty();
+        workers.execute(() -> broker.report(attempt.slot(), result.outcome(), latencyMicros, notice, bytes));
         if (leaving) {
             leavingServers.record(attempt.start(), "its response");
         }
@@ -359,8 +366,14 @@
      *     response
      * @param call the call to the backend server, empty if nothing can be sent to it
      * @param repeatable whether the request may run more than once
+     * @param requestBytes the bytes of the body of the request
      */
-    record RunningAttempt(SlotResult.Slot slot, ServerStart start, Optional<BackendCall> call, boolean repeatable) {
+    record RunningAttempt(
+            SlotResult.Slot slot,
+            ServerStart start,
+            Optional<BackendCall> call,
+            boolean repeatable,
+            long requestBytes) {
 
         /** Cancels the attempt; has no effect if it has completed. */
         void cancel() {
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -18,6 +18,7 @@
 import org.cassiabank.admission.CompletedLease;
 import org.cassiabank.admission.Granted;
 import org.cassiabank.admission.InFlightAttempt;
+import org.cassiabank.admission.MessageBytes;
 import org.cassiabank.admission.Queued;
 import org.cassiabank.admission.RefusalReason;
 import org.cassiabank.admission.Refused;
@@ -154,6 +155,11 @@
         unservedShare.recordRefusal(nowMillis);
     }
 
+    /** Records the bytes of the messages of an attempt; has to precede the release of its lease. */
+    synchronized void recordMessageBytes(long leaseId, MessageBytes bytes) {
+        scheduler.recordMessageBytes(leaseId, bytes);
+    }
+
     /** Releases a lease; returns false if it is not known. */
     synchronized boolean completeLease(long leaseId, AttemptOutcome outcome, long latencyMicros, ServerNotice notice) {
         long nowMillis = MonotonicClock.millis();
--- a/src/main/java/org/cassiabank/proxy/OwnedShards.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShards.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.cassiabank.admission.AdmissionRequest;
+import org.cassiabank.admission.MessageBytes;
 import org.cassiabank.admission.ServerNotice;
 import org.cassiabank.admission.ServerRateLimit;
 import org.cassiabank.admission.SlotDecision;
@@ -117,6 +118,21 @@
         }
     }
 
+    /**
+     * Records the bytes of the messages of an attempt for its route; does nothing if the lease is not known. Has to
+     * precede the release of the lease.
+     *
+     * @param key the shard
+     * @param leaseId the identifier of the lease
+     * @param bytes the bytes
+     */
+    void recordMessageBytes(ShardKey key, long leaseId, MessageBytes bytes) {
+        OwnedShard shard = shards.get(key);
+        if (shard != null) {
+            shard.recordMessageBytes(leaseId, bytes);
+        }
+    }
+
     /**
      * Releases a lease with the outcome of its attempt. A broken connection counts against the request even if the
      * lease is not known, because this daemon has taken over the shard or has restarted since the grant.
--- a/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
+++ b/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
@@ -94,6 +94,9 @@
 
     @Override
     public void report(SlotOutcome outcome) {
+        PeerMessageConverter.toMessageBytes(outcome)
+                .ifPresent(bytes -> ownedShards.recordMessageBytes(
+                        new ShardKey(outcome.getServiceName(), outcome.getShard()), outcome.getLease(), bytes));
         ownedShards.completeLease(
                 new ShardKey(outcome.getServiceName(), outcome.getShard()),
                 outcome.getLease(),
--- a/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
+++ b/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.cassiabank.admission.AdmissionRequest;
 import org.cassiabank.admission.Granted;
+import org.cassiabank.admission.MessageBytes;
 import org.cassiabank.admission.PlacementHints;
 import org.cassiabank.admission.Queued;
 import org.cassiabank.admission.RateLimitNotice;
@@ -80,6 +81,9 @@
                 List.copyOf(request.hints().connectedServers()),
                 request.urgencyRank(),
                 request.targetLatencyMillis());
+        if (request.hints().narrowLinks()) {
+            message.setNarrowLinks(true);
+        }
         return request.digest().isKnown() ? message.setDigest(request.digest().hex()) : message;
     }
 
@@ -97,7 +101,10 @@
                 Set.copyOf(message.getExcluded()),
                 message.getServers(),
                 new PlacementHints(
-                        message.getAttempt(), message.getFailureDomain(), Set.copyOf(message.getConnected())),
+                        message.getAttempt(),
+                        message.getFailureDomain(),
+                        Set.copyOf(message.getConnected()),
+                        message.isSetNarrowLinks() && message.isNarrowLinks()),
                 message.isSetDigest() ? new RequestDigest(message.getDigest()) : RequestDigest.none());
     }
 
@@ -144,6 +151,14 @@
                 : AttemptOutcome.valueOf(outcome.getKind().name());
     }
 
+    /** Returns the bytes of the messages; empty without a response, or if they do not count at the entry proxy. */
+    static Optional<MessageBytes> toMessageBytes(SlotOutcome outcome) {
+        return outcome.isSetRequestBytes() && outcome.isSetResponseBytes()
+                ? Optional.of(new MessageBytes(
+                        Math.max(0, outcome.getRequestBytes()), Math.max(0, outcome.getResponseBytes())))
+                : Optional.empty();
+    }
+
     static Optional<RateLimit> toMessage(RateLimitNotice notice) {
         return switch (notice) {
             case RateLimitNotice.Limited limited ->
--- a/src/main/java/org/cassiabank/proxy/ProxySettings.java
+++ b/src/main/java/org/cassiabank/proxy/ProxySettings.java
@@ -3,6 +3,7 @@
 import java.net.URI;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.cassiabank.tls.TlsFiles;
 
 /**
@@ -23,6 +24,7 @@
  * @param platform the settings that depend on the platform
  * @param callersTls the TLS files for callers; empty without TLS
  * @param peerTls the TLS files for other proxies; empty without TLS
+ * @param linkMegabitsPerSecond the bandwidth of the link of this daemon in megabits per second; empty if not limited
  */
 public record ProxySettings(
         String name,
@@ -39,7 +41,13 @@
         long longestDrainMillis,
         PlatformSettings platform,
         Optional<TlsFiles> callersTls,
-        Optional<TlsFiles> peerTls) {
+        Optional<TlsFiles> peerTls,
+        OptionalDouble linkMegabitsPerSecond) {
+    /**
+     * Below this bandwidth the transfer time of common responses counts beside the time of a message: 90 KB take 1.4 ms
+     * at 500 Mbit/s, which is about the time of a message between failure domains.
+     */
+    private static final double NARROW_LINK_MEGABITS_PER_SECOND = 500;
 
     /**
      * Checks that no component is null.
@@ -57,5 +65,16 @@
         Objects.requireNonNull(platform, "platform");
         Objects.requireNonNull(callersTls, "callersTls");
         Objects.requireNonNull(peerTls, "peerTls");
+        Objects.requireNonNull(linkMegabitsPerSecond, "linkMegabitsPerSecond");
+    }
+
+    /**
+     * Tells whether the link of this daemon is so narrow that bytes to other failure domains are to be saved.
+     *
+     * @return true if a bandwidth below 500 megabits per second is set
+     */
+    public boolean hasNarrowLinks() {
+        return linkMegabitsPerSecond.isPresent()
+                && linkMegabitsPerSecond.getAsDouble() < NARROW_LINK_MEGABITS_PER_SECOND;
     }
 }
--- a/src/main/java/org/cassiabank/proxy/ProxySettingsParser.java
+++ b/src/main/java/org/cassiabank/proxy/ProxySettingsParser.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.kernel.ErrorCode;
 import org.cassiabank.kernel.Finding;
@@ -79,6 +80,9 @@
         if (peerTls.isPresent() && peerTls.get().trustedCertificates().isEmpty()) {
             findings.add(Finding.of(source, "peer-tls-trusted", "is missing; without it any peer would be accepted"));
         }
+        OptionalDouble linkMegabitsPerSecond = reader.optional(
+                        "link-megabits-per-second", ProxySettingsParser::parseBandwidth)
+                .orElse(OptionalDouble.empty());
         reader.reportUnknownKeys();
         findings.throwIfAny();
         return new ProxySettings(
@@ -96,7 +100,8 @@
                 longestDrainMillis,
                 platform,
                 callersTls,
-                peerTls);
+                peerTls,
+                linkMegabitsPerSecond);
     }
 
     private static CallerLimits readLimits(SettingsReader reader) {
@@ -190,6 +195,17 @@
         return Integer.parseInt(text);
     }
 
+    /** Parses a bandwidth; an empty text stands for a platform that names none. */
+    private static OptionalDouble parseBandwidth(String text) {
+        if (text.isBlank()) {
+            return OptionalDouble.empty();
+        }
+        if (!text.matches("[0-9]{1,9}([.][0-9]{1,9})?") || Double.parseDouble(text) == 0) {
+            throw new IllegalArgumentException("expected a positive number, not '" + text + "'");
+        }
+        return OptionalDouble.of(Double.parseDouble(text));
+    }
+
     private static boolean parseBoolean(String text) {
         return switch (text) {
             case "true" -> true;
--- a/src/main/java/org/cassiabank/proxy/SlotBroker.java
+++ b/src/main/java/org/cassiabank/proxy/SlotBroker.java
@@ -7,6 +7,7 @@
 import java.util.function.BooleanSupplier;
 import org.cassiabank.admission.AdmissionRequest;
 import org.cassiabank.admission.Granted;
+import org.cassiabank.admission.MessageBytes;
 import org.cassiabank.admission.Queued;
 import org.cassiabank.admission.RefusalReason;
 import org.cassiabank.admission.Refused;
@@ -85,6 +86,15 @@
         return broker;
     }
 
+    /**
+     * Tells whether servers in other failure domains cost by the bytes of messages.
+     *
+     * @return true if the link of this daemon is narrow
+     */
+    boolean hasNarrowLinks() {
+        return settings.hasNarrowLinks();
+    }
+
     /**
      * Acquires a slot and waits for it until the deadline. Since nothing is sent to a backend server, the search can
      * proceed from one owner candidate to the next at any time.
@@ -117,10 +127,18 @@
      * @param outcome the outcome
      * @param latencyMicros the duration of the attempt in microseconds
      * @param notice what the response said about the server
+     * @param bytes the bytes of request and response, which count if the links are narrow; empty without a response
      */
-    void report(SlotResult.Slot slot, AttemptOutcome outcome, long latencyMicros, ServerNotice notice) {
+    void report(
+            SlotResult.Slot slot,
+            AttemptOutcome outcome,
+            long latencyMicros,
+            ServerNotice notice,
+            Optional<MessageBytes> bytes) {
+        Optional<MessageBytes> countedBytes = bytes.filter(present -> settings.hasNarrowLinks());
         rateLimits.record(slot.serverName(), notice.rateLimit(), latencyMicros);
         if (slot.owner().isEmpty()) {
+            countedBytes.ifPresent(present -> ownedShards.recordMessageBytes(slot.shard(), slot.leaseId(), present));
             ownedShards.completeLease(
                     slot.shard(), slot.leaseId(), outcome, latencyMicros, notice, slot.serverName(), slot.digest());
             return;
@@ -133,6 +151,8 @@
                 latencyMicros,
                 notice.leaving());
         PeerMessageConverter.toMessage(notice.rateLimit()).ifPresent(message::setRateLimit);
+        countedBytes.ifPresent(
+                present -> message.setRequestBytes(present.requestBytes()).setResponseBytes(present.responseBytes()));
         if (outcome == AttemptOutcome.BROKEN) {
             message.setServer(slot.serverName()).setDigest(slot.digest().hex());
         } else if (outcome == AttemptOutcome.SPOILED) {
--- a/src/test/java/org/cassiabank/proxy/PeerMessageConverterTest.java
+++ b/src/test/java/org/cassiabank/proxy/PeerMessageConverterTest.java
@@ -5,12 +5,19 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import org.cassiabank.admission.AdmissionRequest;
+import org.cassiabank.admission.MessageBytes;
+import org.cassiabank.admission.PlacementHints;
 import org.cassiabank.admission.ServerNotice;
 import org.cassiabank.backend.ResponseReceived;
+import org.cassiabank.declaration.CostHint;
 import org.cassiabank.health.AttemptOutcome;
+import org.cassiabank.health.RequestDigest;
 import org.cassiabank.peer.generated.ForwardedReply;
 import org.cassiabank.peer.generated.OutcomeKind;
 import org.cassiabank.peer.generated.SlotOutcome;
+import org.cassiabank.peer.generated.SlotRequest;
 import org.cassiabank.peer.generated.StoreChanges;
 import org.cassiabank.peer.generated.StoreRelayState;
 import org.cassiabank.source.StoreEntry;
@@ -83,6 +90,34 @@
                 .isEqualTo(AttemptOutcome.SPOILED);
     }
 
+    @Test
+    void bytesAndNarrowLinksReachTheOwnerAndAreMissingFromAnEarlierRelease() {
+        AdmissionRequest request = new AdmissionRequest(
+                "entry",
+                "desk",
+                "desk",
+                "customer",
+                CostHint.LEARNED,
+                true,
+                0,
+                100,
+                0,
+                Set.of(),
+                Map.of(),
+                new PlacementHints(1, "north", Set.of(), true),
+                RequestDigest.none());
+        SlotRequest slotRequest = PeerMessageConverter.toMessage(request, new ShardKey("desk", 0), 0);
+        assertThat(PeerMessageConverter.toAdmissionRequest(slotRequest)).isEqualTo(request);
+        slotRequest.unsetNarrowLinks();
+        assertThat(PeerMessageConverter.toAdmissionRequest(slotRequest).hints().narrowLinks())
+                .isFalse();
+        SlotOutcome outcome = new SlotOutcome("desk", 0, 1, OutcomeKind.ANSWERED, 1_000, false);
+        assertThat(PeerMessageConverter.toMessageBytes(outcome)).isEmpty();
+        assertThat(PeerMessageConverter.toMessageBytes(
+                        outcome.setRequestBytes(7).setResponseBytes(90_000)))
+                .contains(new MessageBytes(7, 90_000));
+    }
+
     private static Optional<RequestResult> throughMessage(RequestResult result) {
         return PeerMessageConverter.toRequestResult(PeerMessageConverter.toMessage(result, List.of()));
     }
--- a/src/test/java/org/cassiabank/proxy/ProxySettingsParserTest.java
+++ b/src/test/java/org/cassiabank/proxy/ProxySettingsParserTest.java
@@ -28,6 +28,21 @@
         assertThat(settings.limits()).isEqualTo(CallerLimits.defaults());
     }
 
+    @Test
+    void onlyABandwidthBelowTheLimitMakesLinksNarrow() {
+        assertThat(ProxySettingsParser.parse("a.toml", VALID).hasNarrowLinks()).isFalse();
+        assertThat(withBandwidth("\"\"").hasNarrowLinks()).isFalse();
+        assertThat(withBandwidth("\"7.5\"").hasNarrowLinks()).isTrue();
+        assertThat(withBandwidth("500").hasNarrowLinks()).isFalse();
+        assertThat(findingsOf(VALID + "link-megabits-per-second = 0\n"))
+                .extracting(Finding::key)
+                .containsExactly("link-megabits-per-second");
+    }
+
+    private static ProxySettings withBandwidth(String value) {
+        return ProxySettingsParser.parse("a.toml", VALID + "link-megabits-per-second = " + value + "\n");
+    }
+
     @Test
     void allFindingsAreReportedTogetherWithTheirLineNumbers() {
         String text = VALID.replace("name = \"proxy-1\"", "name = \"\"")
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -62,6 +62,8 @@
   20: optional string digest,
   /** Servers of the shard that the entry knows to be leaving; missing if there are none. */
   21: optional list<StartedServer> leavingServers,
+  /** The entry has narrow links: a server of another failure domain costs by the bytes of the route's messages. */
+  24: optional bool narrowLinks,
 }
 
 struct SlotGrant {
@@ -116,6 +118,9 @@
   9: optional string server,
   /** With BROKEN: the server sent bytes that are no valid response, so its process has not ended. */
   10: optional bool serverResponded,
+  /** With a response, if the entry has narrow links: the bytes of the bodies of the request and the response. */
+  11: optional i64 requestBytes,
+  12: optional i64 responseBytes,
 }
 
 /** A server process whose connection broke while it ran a request. */
