Divide large services into shards by failure domain

The shards of a service of more than 32 servers mixed all failure domains, and their owners were in any domain: most requests for slots crossed a domain, and so did the requests themselves.

FleetViewTest iterates over the numbers that the division names, as they are no longer from 0 on; its checks are unchanged.

--- a/src/main/java/org/cassiabank/proxy/FatalRequestExchange.java
+++ b/src/main/java/org/cassiabank/proxy/FatalRequestExchange.java
@@ -223,9 +223,9 @@
         FleetView view = fleet.view();
         Set<Instance> candidates = new HashSet<>();
         requests.stream().map(SuspectedRequest::service).distinct().forEach(service -> {
-            for (int number = 0; number < view.shardCount(service); number++) {
-                candidates.addAll(view.ownerCandidates(new ShardKey(service, number)));
-            }
+            view.division(service)
+                    .shards()
+                    .forEach(shard -> candidates.addAll(view.ownerCandidates(new ShardKey(service, shard.number()))));
         });
         candidates.removeIf(peerTransport::isSelf);
         return candidates;
--- a/src/main/java/org/cassiabank/proxy/FleetView.java
+++ b/src/main/java/org/cassiabank/proxy/FleetView.java
@@ -1,7 +1,7 @@
 package org.cassiabank.proxy;
 
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -25,9 +25,6 @@
  * <p>Thread-safe. The state never changes; derived values that are costly to compute are cached.
  */
 final class FleetView {
-    /** Limits the average size of a shard: a small share of a proxy's work; services of common sizes have one shard. */
-    static final int SERVERS_PER_SHARD = 32;
-
     private static final int MAXIMUM_OWNER_CANDIDATES = 3;
 
     private final RequestRouter router;
@@ -36,8 +33,8 @@
     private final String region;
     private final int floorPercent;
     private final List<Instance> regionProxies;
-    private final Map<ShardKey, List<Instance>> ownerCandidatesByShard;
-    private final Map<String, Map<Integer, List<LabeledServer>>> shardServersByService = new ConcurrentHashMap<>();
+    private final Map<OwnedPart, List<Instance>> ownerCandidatesByShard;
+    private final Map<String, ShardDivision> divisionsByService = new ConcurrentHashMap<>();
 
     private FleetView(
             RequestRouter router,
@@ -182,13 +179,18 @@
 
     /**
      * Returns the proxies that are asked for slots of a shard, in this order: the owner, then those that replace it.
+     * Those of the failure domain of the shard come first.
      *
      * @param shard the shard
      * @return at most three proxies of this daemon's region; empty if no live proxy is listed
      */
     List<Instance> ownerCandidates(ShardKey shard) {
-        return ownerCandidatesByShard.computeIfAbsent(shard, key -> {
-            List<Instance> order = RendezvousHash.order("shard/" + key, regionProxies);
+        Optional<FailureDomain> domain = division(shard.service()).failureDomain(shard.number());
+        return ownerCandidatesByShard.computeIfAbsent(new OwnedPart(shard, domain), key -> {
+            List<Instance> order = new ArrayList<>(RendezvousHash.order("shard/" + shard, regionProxies));
+            // The sort is stable and keeps the rendezvous order within the domain and outside.
+            domain.ifPresent(owners -> order.sort(
+                    Comparator.comparing(proxy -> !FailureDomain.of(proxy).equals(owners))));
             return List.copyOf(order.subList(0, Math.min(MAXIMUM_OWNER_CANDIDATES, order.size())));
         });
     }
@@ -200,8 +202,17 @@
      * @return at least 1
      */
     int shardCount(String service) {
-        int serverCount = serversByService.servers(service).size();
-        return Math.max(1, (serverCount + SERVERS_PER_SHARD - 1) / SERVERS_PER_SHARD);
+        return division(service).shards().size();
+    }
+
+    /**
+     * Returns how the servers of a service are divided into shards.
+     *
+     * @param service the name of the service
+     * @return the division, the same in all daemons with the same list of servers
+     */
+    ShardDivision division(String service) {
+        return divisionsByService.computeIfAbsent(service, name -> ShardDivision.of(serversByService.servers(name)));
     }
 
     /**
@@ -211,9 +222,7 @@
      * @return the servers; empty if the service has no such shard
      */
     List<LabeledServer> servers(ShardKey shard) {
-        return shardServersByService
-                .computeIfAbsent(shard.service(), this::divideIntoShards)
-                .getOrDefault(shard.number(), List.of());
+        return division(shard.service()).servers(shard.number());
     }
 
     /**
@@ -255,16 +264,6 @@
                 .toList();
     }
 
-    private Map<Integer, List<LabeledServer>> divideIntoShards(String service) {
-        int shardCount = shardCount(service);
-        Map<Integer, List<LabeledServer>> serversByShardNumber = new HashMap<>();
-        for (LabeledServer server : serversByService.servers(service)) {
-            // Multiplicative hash: 0x9E3779B1 is a prime close to 2^32 divided by the golden ratio.
-            int shardNumber = Math.floorMod(server.instance().name().hashCode() * 0x9E3779B1, shardCount);
-            serversByShardNumber
-                    .computeIfAbsent(shardNumber, key -> new ArrayList<>())
-                    .add(server);
-        }
-        return serversByShardNumber;
-    }
+    /** A shard with the failure domain that its owners come from. */
+    private record OwnedPart(ShardKey shard, Optional<FailureDomain> domain) {}
 }
--- a/src/main/java/org/cassiabank/proxy/SlotBroker.java
+++ b/src/main/java/org/cassiabank/proxy/SlotBroker.java
@@ -106,15 +106,18 @@
      */
     SlotResult acquire(String service, AdmissionRequest request, BooleanSupplier abandoned) {
         FleetView view = fleet.view();
-        int shardCount = view.shardCount(service);
-        int firstShardNumber = ThreadLocalRandom.current().nextInt(shardCount);
+        List<Integer> shardNumbers = view.division(service).shards().stream()
+                .map(ShardDivision.Shard::number)
+                .toList();
+        int shardCount = shardNumbers.size();
+        int first = ThreadLocalRandom.current().nextInt(shardCount);
         long deadlineMillis = MonotonicClock.millis() + request.remainingMillis();
-        SlotResult result = acquire(view, new ShardKey(service, firstShardNumber), request, deadlineMillis, abandoned);
+        SlotResult result =
+                acquire(view, new ShardKey(service, shardNumbers.get(first)), request, deadlineMillis, abandoned);
         if (result instanceof SlotResult.NoSlot && shardCount > 1 && !abandoned.getAsBoolean()) {
             // Other shards may have capacity when one is full; a second shard spreads a load peak that hits one.
-            int secondShardNumber =
-                    (firstShardNumber + 1 + ThreadLocalRandom.current().nextInt(shardCount - 1)) % shardCount;
-            return acquire(view, new ShardKey(service, secondShardNumber), request, deadlineMillis, abandoned);
+            int second = (first + 1 + ThreadLocalRandom.current().nextInt(shardCount - 1)) % shardCount;
+            return acquire(view, new ShardKey(service, shardNumbers.get(second)), request, deadlineMillis, abandoned);
         }
         return result;
     }
--- a/src/test/java/org/cassiabank/proxy/FleetViewTest.java
+++ b/src/test/java/org/cassiabank/proxy/FleetViewTest.java
@@ -36,8 +36,8 @@
         FleetView view = view(serverCount, 5, floor);
         Set<String> names = new HashSet<>();
         int floorSum = 0;
-        for (int number = 0; number < view.shardCount("menu"); number++) {
-            ShardKey shard = new ShardKey("menu", number);
+        for (ShardDivision.Shard part : view.division("menu").shards()) {
+            ShardKey shard = new ShardKey("menu", part.number());
             for (LabeledServer server : view.servers(shard)) {
                 assertThat(names.add(server.instance().name())).isTrue();
             }
@@ -53,11 +53,11 @@
     void lossOfAProxyMovesOnlyTheShardsItOwned(@ForAll @IntRange(min = 4, max = 48) int proxyCount) {
         FleetView before = view(300, proxyCount, 0);
         List<Instance> remainingInstances = new ArrayList<>(before.instances().instances());
-        Instance lostProxy = before.ownerCandidates(new ShardKey("menu", 0)).getFirst();
+        Instance lostProxy = before.ownerCandidates(firstShard(before)).getFirst();
         remainingInstances.remove(lostProxy);
         FleetView after = before.withInstances(InstanceList.of(2, remainingInstances));
-        for (int number = 0; number < before.shardCount("menu"); number++) {
-            ShardKey shard = new ShardKey("menu", number);
+        for (ShardDivision.Shard part : before.division("menu").shards()) {
+            ShardKey shard = new ShardKey("menu", part.number());
             List<Instance> candidates = before.ownerCandidates(shard);
             Instance expected = candidates.getFirst().equals(lostProxy) ? candidates.get(1) : candidates.getFirst();
             assertThat(after.ownerCandidates(shard).getFirst()).isEqualTo(expected);
@@ -79,6 +79,29 @@
         assertThat(shardCountByOwner).hasSize(proxyCount);
     }
 
+    private static ShardKey firstShard(FleetView view) {
+        return new ShardKey("menu", view.division("menu").shards().getFirst().number());
+    }
+
+    /** Guards against requests for slots that cross failure domains although a proxy of the domain is live. */
+    @Property(tries = 50)
+    void ownersOfAShardComeFromItsFailureDomainWhileAProxyIsLiveThere(
+            @ForAll @IntRange(min = 1, max = 24) int proxyCount) {
+        FleetView view = view(120, proxyCount, 0);
+        assertThat(view.division("menu").isByFailureDomain()).isTrue();
+        for (ShardDivision.Shard part : view.division("menu").shards()) {
+            String domain = part.failureDomain().orElseThrow().name();
+            List<Instance> candidates = view.ownerCandidates(new ShardKey("menu", part.number()));
+            long near = view.regionProxies().stream()
+                    .filter(proxy -> proxy.failureDomain().equals(domain))
+                    .count();
+            assertThat(candidates).hasSize(Math.min(3, proxyCount));
+            for (int index = 0; index < candidates.size(); index++) {
+                assertThat(candidates.get(index).failureDomain().equals(domain)).isEqualTo(index < near);
+            }
+        }
+    }
+
     private static FleetView view(int serverCount, int proxyCount, int floor) {
         List<Instance> instances = new ArrayList<>();
         for (int number = 0; number < serverCount; number++) {
