Ask owners of the previous release by their own shard numbers

Such an owner refuses a shard of a failure domain with no-server. Its entry then asks by a number of the division by hash, which both releases serve, for as long as the fleet is mixed.

Also wraps a line of the comment of ShardDivision that Checkstyle reported. ShardDivisionTest and UninformedOwnerTest pass.

--- a/src/main/java/org/cassiabank/proxy/ShardDivision.java
+++ b/src/main/java/org/cassiabank/proxy/ShardDivision.java
@@ -14,9 +14,10 @@
  * with the same list compute the same one.
  *
  * <p>A service of at most 32 servers is one shard. A larger one is divided by failure domain; the servers of small
- * domains share shards. Without a large domain, or with only one domain, it is divided by hash alone. The numbers and the servers of the shards of one domain depend on this
- * domain alone. A further shard of a domain takes servers from the others and moves none between them. The
- * numbers from 0 on are also divided by hash alone, for the requests of daemons of the previous release.
+ * domains share shards. Without a large domain, or with only one domain, it is divided by hash alone. The numbers and the
+ * servers of the shards of one domain depend on this domain alone. A further shard of a domain takes servers from the
+ * others and moves none between them. The numbers from 0 on are also divided by hash alone, for the requests of daemons
+ * of the previous release.
  *
  * <p>Addresses load whose messages between failure domains are its most expensive resource. Thread-safe.
  */
--- a/src/main/java/org/cassiabank/proxy/SlotBroker.java
+++ b/src/main/java/org/cassiabank/proxy/SlotBroker.java
@@ -117,7 +117,16 @@
         if (result instanceof SlotResult.NoSlot && shardCount > 1 && !abandoned.getAsBoolean()) {
             // Other shards may have capacity when one is full; a second shard spreads a load peak that hits one.
             int second = (first + 1 + ThreadLocalRandom.current().nextInt(shardCount - 1)) % shardCount;
-            return acquire(view, new ShardKey(service, shardNumbers.get(second)), request, deadlineMillis, abandoned);
+            result = acquire(view, new ShardKey(service, shardNumbers.get(second)), request, deadlineMillis, abandoned);
+        }
+        if (result instanceof SlotResult.NoSlot refused
+                && refused.reason().equals(RefusalReason.NO_SERVER.label())
+                && view.division(service).isByFailureDomain()
+                && !abandoned.getAsBoolean()) {
+            // An owner of the previous release knows no servers by the numbers of this division.
+            int number =
+                    ThreadLocalRandom.current().nextInt(view.division(service).mixedShardCount());
+            return acquire(view, new ShardKey(service, number), request, deadlineMillis, abandoned);
         }
         return result;
     }
