--- a/src/main/java/org/cassiabank/proxy/SlotBroker.java
+++ b/src/main/java/org/cassiabank/proxy/SlotBroker.java
@@ -7,6 +7,7 @@
 import java.util.function.BooleanSupplier;
 import org.cassiabank.admission.AdmissionRequest;
 import org.cassiabank.admission.Granted;
+import org.cassiabank.admission.MessageBytes;
 import org.cassiabank.admission.Queued;
 import org.cassiabank.admission.RefusalReason;
 import org.cassiabank.admission.Refused;
@@ -85,6 +86,15 @@
         return broker;
     }
 
+    /**
+     * Tells whether servers in other failure domains cost by the bytes of messages.
+     *
+     * @return true if the link of this daemon is narrow
+     */
+    boolean hasNarrowLinks() {
+        return settings.hasNarrowLinks();
+    }
+
     /**
      * Acquires a slot and waits for it until the deadline. Since nothing is sent to a backend server, the search can
      * proceed from one owner candidate to the next at any time.
@@ -96,15 +106,27 @@
      */
     SlotResult acquire(String service, AdmissionRequest request, BooleanSupplier abandoned) {
         FleetView view = fleet.view();
-        int shardCount = view.shardCount(service);
-        int firstShardNumber = ThreadLocalRandom.current().nextInt(shardCount);
+        List<Integer> shardNumbers = view.division(service).shards().stream()
+                .map(ShardDivision.Shard::number)
+                .toList();
+        int shardCount = shardNumbers.size();
+        int first = ThreadLocalRandom.current().nextInt(shardCount);
         long deadlineMillis = MonotonicClock.millis() + request.remainingMillis();
-        SlotResult result = acquire(view, new ShardKey(service, firstShardNumber), request, deadlineMillis, abandoned);
+        SlotResult result =
+                acquire(view, new ShardKey(service, shardNumbers.get(first)), request, deadlineMillis, abandoned);
         if (result instanceof SlotResult.NoSlot && shardCount > 1 && !abandoned.getAsBoolean()) {
             // Other shards may have capacity when one is full; a second shard spreads a load peak that hits one.
-            int secondShardNumber =
-                    (firstShardNumber + 1 + ThreadLocalRandom.current().nextInt(shardCount - 1)) % shardCount;
-            return acquire(view, new ShardKey(service, secondShardNumber), request, deadlineMillis, abandoned);
+            int second = (first + 1 + ThreadLocalRandom.current().nextInt(shardCount - 1)) % shardCount;
+            result = acquire(view, new ShardKey(service, shardNumbers.get(second)), request, deadlineMillis, abandoned);
+        }
+        if (result instanceof SlotResult.NoSlot refused
+                && refused.reason().equals(RefusalReason.NO_SERVER.label())
+                && view.division(service).isByFailureDomain()
+                && !abandoned.getAsBoolean()) {
+            // An owner of the previous release knows no servers by the numbers of this division.
+            int number =
+                    ThreadLocalRandom.current().nextInt(view.division(service).mixedShardCount());
+            return acquire(view, new ShardKey(service, number), request, deadlineMillis, abandoned);
         }
         return result;
     }
@@ -117,10 +139,18 @@
      * @param outcome the outcome
      * @param latencyMicros the duration of the attempt in microseconds
      * @param notice what the response said about the server
+     * @param bytes the bytes of request and response, which count if the links are narrow; empty without a response
      */
-    void report(SlotResult.Slot slot, AttemptOutcome outcome, long latencyMicros, ServerNotice notice) {
+    void report(
+            SlotResult.Slot slot,
+            AttemptOutcome outcome,
+            long latencyMicros,
+            ServerNotice notice,
+            Optional<MessageBytes> bytes) {
+        Optional<MessageBytes> countedBytes = bytes.filter(present -> settings.hasNarrowLinks());
         rateLimits.record(slot.serverName(), notice.rateLimit(), latencyMicros);
         if (slot.owner().isEmpty()) {
+            countedBytes.ifPresent(present -> ownedShards.recordMessageBytes(slot.shard(), slot.leaseId(), present));
             ownedShards.completeLease(
                     slot.shard(), slot.leaseId(), outcome, latencyMicros, notice, slot.serverName(), slot.digest());
             return;
@@ -133,6 +163,8 @@
                 latencyMicros,
                 notice.leaving());
         PeerMessageConverter.toMessage(notice.rateLimit()).ifPresent(message::setRateLimit);
+        countedBytes.ifPresent(
+                present -> message.setRequestBytes(present.requestBytes()).setResponseBytes(present.responseBytes()));
         if (outcome == AttemptOutcome.BROKEN) {
             message.setServer(slot.serverName()).setDigest(slot.digest().hex());
         } else if (outcome == AttemptOutcome.SPOILED) {
