Do not count failed tests of suspect servers as a reason for more tests

Cause: a request that is lost to a test of a suspect server raised the share of requests that are not served. Above 7.5% of it servers count as needed, so that suspect servers are tested after 1 s instead of 2.5 to 5 s, and more requests are lost.

Change: a lease states whether it tested a server on probation, or one that mostly failed while others did not (CompletedLease.suspectTest). Such an attempt counts in UnservedShare only if it is answered. Other losses and all refusals count as before.

SlotSchedulerPropertiesTest compares all other components of CompletedLease as before; its model does not predict which leases are tests.

--- a/src/main/java/org/cassiabank/admission/CompletedLease.java
+++ b/src/main/java/org/cassiabank/admission/CompletedLease.java
@@ -12,6 +12,7 @@
  * @param digest identifies the request
  * @param grantedAtMillis the time of the grant in milliseconds
  * @param repeatable whether the request may run again at another server
+ * @param suspectTest whether the request tested a server on probation, or one that mostly failed while others did not
  */
 public record CompletedLease(
         String serverName,
@@ -19,7 +20,8 @@
         String entryProxy,
         RequestDigest digest,
         long grantedAtMillis,
-        boolean repeatable) {
+        boolean repeatable,
+        boolean suspectTest) {
 
     /**
      * Checks the components.
--- a/src/main/java/org/cassiabank/admission/Lease.java
+++ b/src/main/java/org/cassiabank/admission/Lease.java
@@ -10,13 +10,22 @@
     private final ServerState server;
     private final long grantedAtMillis;
     private final long expiresAtMillis;
+    private final boolean suspectTest;
     private boolean longWork;
 
-    Lease(long id, Ticket ticket, ServerState server, boolean longWork, long expiresAtMillis, long nowMillis) {
+    Lease(
+            long id,
+            Ticket ticket,
+            ServerState server,
+            boolean suspectTest,
+            boolean longWork,
+            long expiresAtMillis,
+            long nowMillis) {
         this.id = id;
         this.request = ticket.request();
         this.routeCost = ticket.routeCost();
         this.server = server;
+        this.suspectTest = suspectTest;
         this.longWork = longWork;
         this.grantedAtMillis = nowMillis;
         this.expiresAtMillis = expiresAtMillis;
@@ -57,7 +66,8 @@
                 request.entryProxy(),
                 request.digest(),
                 grantedAtMillis,
-                request.repeatable());
+                request.repeatable(),
+                suspectTest);
     }
 
     void setLongWork(boolean value) {
--- a/src/main/java/org/cassiabank/admission/LeaseTable.java
+++ b/src/main/java/org/cassiabank/admission/LeaseTable.java
@@ -19,8 +19,14 @@
     private long lastLeaseId;
     private long expiredLeases;
 
-    Lease grant(Ticket ticket, ServerState server, boolean longWork, long expiresAtMillis, long nowMillis) {
-        Lease lease = new Lease(++lastLeaseId, ticket, server, longWork, expiresAtMillis, nowMillis);
+    Lease grant(
+            Ticket ticket,
+            ServerState server,
+            boolean suspectTest,
+            boolean longWork,
+            long expiresAtMillis,
+            long nowMillis) {
+        Lease lease = new Lease(++lastLeaseId, ticket, server, suspectTest, longWork, expiresAtMillis, nowMillis);
         server.recordGrant(longWork, lease.id(), nowMillis);
         leasesById.put(lease.id(), lease);
         leasesByExpiry.add(lease);
--- a/src/main/java/org/cassiabank/admission/ServerPool.java
+++ b/src/main/java/org/cassiabank/admission/ServerPool.java
@@ -181,6 +181,11 @@
                 && Arrays.stream(servers).anyMatch(other -> other.isReliable(nowMillis));
     }
 
+    /** Tells whether a request of a lane would test a server on probation, or one that is limited to tests. */
+    boolean isSuspectTest(ServerState server, Lane lane, long nowMillis) {
+        return server.isOnProbation() || isLimitedToTests(server, lane.candidates(this), nowMillis);
+    }
+
     /** Returns the server for the first request of a lane of long work, or null if none has a slot for long work. */
     ServerState chooseForLongWork(Lane lane, boolean prioritized, boolean shortWorkQueued, long nowMillis) {
         PlacementHints hints = lane.firstTicket().request().hints();
--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -403,7 +403,8 @@
         queue.removeAndCharge(ticket, costModel.costMicros(ticket.request().costHint(), ticket.routeCost()));
         urgencyShares.recordGrant(ticket.request().urgencyRank(), nowMillis);
         long leaseMillis = ticket.deadlineMillis() - nowMillis + settings.leaseGraceMillis();
-        Lease lease = leases.grant(ticket, server, longWork, nowMillis + leaseMillis, nowMillis);
+        boolean suspectTest = pool.isSuspectTest(server, lane, nowMillis);
+        Lease lease = leases.grant(ticket, server, suspectTest, longWork, nowMillis + leaseMillis, nowMillis);
         long hedgeDelayMillis = 0;
         if (ticket.request().repeatable() && shortQueue.isEmpty() && pool.hasOtherFreeSlot(server, lane, nowMillis)) {
             hedgeDelayMillis = HedgeDelay.delayMillis(
--- a/src/main/java/org/cassiabank/health/UnservedShare.java
+++ b/src/main/java/org/cassiabank/health/UnservedShare.java
@@ -53,6 +53,21 @@
         }
     }
 
+    /**
+     * Records the end of an attempt that may have tested a suspect server. A failed test does not count: if it did,
+     * failed tests would be a reason for further tests, which fail as well.
+     *
+     * @param outcome how it ended
+     * @param repeatable whether the request may run again at another server
+     * @param suspectTest whether it tested a suspect server
+     * @param nowMillis the time in milliseconds
+     */
+    public void recordAttempt(AttemptOutcome outcome, boolean repeatable, boolean suspectTest, long nowMillis) {
+        if (!suspectTest || outcome == AttemptOutcome.ANSWERED) {
+            recordAttempt(outcome, repeatable, nowMillis);
+        }
+    }
+
     /**
      * Records a request that is refused.
      *
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -161,7 +161,7 @@
         completedLease.ifPresent(completed -> {
             recordForRequest(completed, outcome);
             loadLog.recordAttempt(outcome.isEvidenceAgainstServer());
-            unservedShare.recordAttempt(outcome, completed.repeatable(), nowMillis);
+            unservedShare.recordAttempt(outcome, completed.repeatable(), completed.suspectTest(), nowMillis);
             if (outcome.isEvidenceAgainstServer()) {
                 healthLog.recordFailure(completed.serverName(), outcome, completed.entryProxy());
             }
--- a/src/test/java/org/cassiabank/health/UnservedShareTest.java
+++ b/src/test/java/org/cassiabank/health/UnservedShareTest.java
@@ -35,6 +35,21 @@
         assertThat(share.isHigh(4_000)).isTrue();
     }
 
+    /** Guards against failed tests that are the reason for further tests, which fail as well. */
+    @ParameterizedTest
+    @EnumSource(names = {"FAILED", "BROKEN", "SPOILED", "OVERDUE"})
+    void failedTestsOfSuspectServersDoNotCountAndOtherLossesDo(AttemptOutcome outcome) {
+        for (int attempt = 0; attempt < 40; attempt++) {
+            share.recordAttempt(outcome, false, true, 1_000);
+            share.recordAttempt(AttemptOutcome.ANSWERED, false, 1_000);
+        }
+        assertThat(share.isHigh(1_000)).isFalse();
+        for (int attempt = 0; attempt < 5; attempt++) {
+            share.recordAttempt(outcome, false, false, 1_000);
+        }
+        assertThat(share.isHigh(1_000)).isTrue();
+    }
+
     @Test
     void cancelledAndShedAttemptsAreNoFailures() {
         for (int attempt = 0; attempt < 40; attempt++) {
