--- a/src/test/java/org/cassiabank/ArchitectureTest.java
+++ b/src/test/java/org/cassiabank/ArchitectureTest.java
@@ -28,7 +28,8 @@
         "org.cassiabank.admission",
         "org.cassiabank.health",
         "org.cassiabank.once",
-        "org.cassiabank.retry"
+        "org.cassiabank.retry",
+        "org.cassiabank.quota"
     };
 
     private final JavaClasses classes = new ClassFileImporter()
