--- a/src/main/java/org/cassiabank/proxy/CallerRequest.java
+++ b/src/main/java/org/cassiabank/proxy/CallerRequest.java
@@ -48,16 +48,6 @@
         return queryStart < 0 ? target : target.substring(0, queryStart);
     }
 
-    /**
-     * Returns the customer by which the request is routed. Capacity is shared between the customers that
-     * {@link AttemptExecutor#customerIdentity} returns.
-     *
-     * @return the value of {@code Cassiabank-Caller}, or the address of the connection if there is none
-     */
-    String customer() {
-        return statedIdentity().orElse(remoteAddress);
-    }
-
     /**
      * Returns the digest by which repetitions of the request are recognized at any proxy.
      *
--- a/src/test/java/org/cassiabank/proxy/CustomerRequestTest.java
+++ b/src/test/java/org/cassiabank/proxy/CustomerRequestTest.java
@@ -2,8 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -14,9 +16,11 @@
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.logging.Handler;
-import java.util.logging.LogRecord;
 import java.util.logging.Logger;
+import java.util.logging.SimpleFormatter;
+import java.util.logging.StreamHandler;
 import org.apache.thrift.TApplicationException;
+import org.apache.thrift.TException;
 import org.cassiabank.backend.ScriptedServer;
 import org.cassiabank.declaration.CostHint;
 import org.cassiabank.declaration.CustomerDeclaration;
@@ -53,11 +57,12 @@
     private volatile Runnable beforeSlotReply = () -> {};
 
     private volatile boolean queuesRequests;
+    private volatile boolean peersKnowCustomers = true;
     private volatile int serverStatus = 200;
 
     @BeforeEach
     void startPeerAndServer() throws IOException {
-        startPeer(true);
+        entry.startPeer(this::peerReply);
         entry.startServer((request, socket) -> {
             serverRequests.add(request);
             ScriptedServer.write(
@@ -137,11 +142,10 @@
 
     @Test
     void aKeyWithdrawnWhileTheRequestWaitsIsRefusedBeforeAndAfterTheSlotIsGranted() {
-        for (boolean queued : new boolean[] {true, false}) {
-            long revision = fleet.revision();
-            configure(revision + 1, customer("north", KEY));
-            queuesRequests = queued;
-            beforeSlotReply = () -> configure(revision + 2, customer("north", "next-key"));
+        for (long revision : new long[] {1, 3}) {
+            configure(revision, customer("north", KEY));
+            queuesRequests = revision == 1;
+            beforeSlotReply = () -> configure(revision + 1, customer("north", "next-key"));
             CallerReply reply = send("/desk/a", Map.of("credential", List.of(KEY)));
             assertThat(reply.status()).isEqualTo(401);
             assertThat(reply.headers()).doesNotContainKey("Retry-After");
@@ -158,8 +162,8 @@
                 configure(2, customer("north", "next-key"));
             }
         };
-        CallerReply reply = entry.handler.handle(
-                request("GET", "/desk/a", Map.of("credential", List.of(KEY))), CallerPresence.create());
+        CallerRequest read = request("GET", "/desk/a", Map.of("credential", List.of(KEY)));
+        CallerReply reply = entry.handler.handle(read, CallerPresence.create());
         assertThat(reply.status()).isEqualTo(500);
         assertThat(slotRequests).hasSize(2);
         assertThat(serverRequests).hasSize(1);
@@ -192,11 +196,13 @@
     void peersReceiveTheCustomerInsteadOfTheKeyAndThoseOfTheFormerReleaseDecline() throws IOException {
         configure(1, customer("north", KEY));
         entry.listUnreachableServers();
-        startPeer(false);
-        startPeer(false);
-        CallerReply reply = send("/desk/a", Map.of("credential", List.of(KEY), "tenant", List.of("other")));
-        assertThat(reply.status()).isEqualTo(200);
-        assertThat(forwardingCalls).doesNotContain("forward").contains("forwardForCustomer");
+        Map<String, List<String>> headers = Map.of("credential", List.of(KEY), "tenant", List.of("other"));
+        peersKnowCustomers = false;
+        assertThat(send("/desk/a", headers).firstHeader(CallerReply.OUTCOME_HEADER))
+                .isEqualTo("not-run");
+        peersKnowCustomers = true;
+        assertThat(send("/desk/a", headers).status()).isEqualTo(200);
+        assertThat(forwardingCalls).containsOnly("forwardForCustomer");
         assertThat(forwardedRequests.getFirst().getCustomer()).isEqualTo("north");
         assertThat(forwardedRequests.getFirst().getConfigurationRevision()).isEqualTo(1);
         assertThat(forwardedRequests.toString()).doesNotContainIgnoringCase(KEY, "credential", "tenant");
@@ -229,19 +235,8 @@
 
     @Test
     void noLogLineShowsAKey() {
-        List<String> lines = new CopyOnWriteArrayList<>();
-        Handler recorder = new Handler() {
-            @Override
-            public void publish(LogRecord record) {
-                lines.add(record.getMessage());
-            }
-
-            @Override
-            public void flush() {}
-
-            @Override
-            public void close() {}
-        };
+        ByteArrayOutputStream output = new ByteArrayOutputStream();
+        Handler recorder = new StreamHandler(output, new SimpleFormatter());
         Logger logger = Logger.getLogger("org.cassiabank");
         logger.addHandler(recorder);
         try {
@@ -252,8 +247,9 @@
             send("/open", Map.of("credential", List.of(KEY), "tenant", List.of("a\u0001")));
         } finally {
             logger.removeHandler(recorder);
+            recorder.flush();
         }
-        assertThat(String.join("\n", lines))
+        assertThat(output.toString(StandardCharsets.UTF_8))
                 .contains("status=401", "status=200")
                 .doesNotContain(KEY, CustomerDeclaration.keyDigest(KEY));
     }
@@ -307,23 +303,20 @@
                 new RequestLimits(0, 0, 3, 2));
     }
 
-    /** Starts a peer that answers requests that are passed on with the calls of its release. */
-    private void startPeer(boolean knowsCustomers) {
-        entry.startPeer((call, argument) -> switch (call) {
-            case "acquire" -> {
-                beforeSlotReply.run();
-                yield queuesRequests ? SlotReply.queued(new SlotQueued(1)) : null;
-            }
-            case "forward", "forwardForCustomer" -> {
-                forwardingCalls.add(call);
-                forwardedRequests.add((ForwardedRequest) argument);
-                if (call.equals("forwardForCustomer") && !knowsCustomers) {
-                    throw new TApplicationException(TApplicationException.UNKNOWN_METHOD, "a former release");
-                }
-                yield ForwardedReply.answer(new RecordedAnswer(
-                        200, Map.of("Response-Seal", List.of("s")), ByteBuffer.wrap(new byte[] {1})));
-            }
-            default -> null;
-        });
+    private Object peerReply(String call, Object argument) throws TException {
+        if (call.equals("acquire")) {
+            beforeSlotReply.run();
+            return queuesRequests ? SlotReply.queued(new SlotQueued(1)) : null;
+        }
+        if (!call.startsWith("forward")) {
+            return null;
+        }
+        forwardingCalls.add(call);
+        forwardedRequests.add((ForwardedRequest) argument);
+        if (call.equals("forwardForCustomer") && !peersKnowCustomers) {
+            throw new TApplicationException(TApplicationException.UNKNOWN_METHOD, "a former release");
+        }
+        return ForwardedReply.answer(
+                new RecordedAnswer(200, Map.of("Response-Seal", List.of("s")), ByteBuffer.wrap(new byte[] {1})));
     }
 }
