Limit the unrepeatable requests that test suspect servers

Cause: while a server fails most of its requests for 5 to 20 s, it got an unrepeatable request as a test every 1.0 to 1.6 s, and nearly all of them were lost.

Change: ServerPool grants an unrepeatable request to a suspect server only within a budget (SuspectTestBudget) while the servers in use carry the load: a test per shard for each 50 unrepeatable requests or each 2 s, and for each server at intervals of 2.5, 5 and at most 9.5 s. A test that is answered does not use up the budget, and the second test of a server that answered the first one is not limited. While the slots are nearly full for 350 ms on average, the interval is 2.5 s per server and 250 ms per shard. While more than 7.5% of the requests are not served for reasons other than tests, nothing is limited. Repeatable requests are used for tests as before.

SlotSchedulerTest passes the new argument of setCapacityNeeded; its check is the same.

--- a/src/main/java/org/cassiabank/admission/Lease.java
+++ b/src/main/java/org/cassiabank/admission/Lease.java
@@ -55,10 +55,19 @@
         return expiresAtMillis;
     }
 
+    boolean isSuspectTest() {
+        return suspectTest;
+    }
+
     boolean isLongWork() {
         return longWork;
     }
 
+    Granted toGranted(long leaseMillis, long hedgeDelayMillis) {
+        SchedulableServer granted = server.schedulableServer();
+        return new Granted(id, granted.name(), granted.address(), leaseMillis, hedgeDelayMillis);
+    }
+
     CompletedLease toCompletedLease() {
         return new CompletedLease(
                 server.schedulableServer().name(),
--- a/src/main/java/org/cassiabank/admission/ServerPool.java
+++ b/src/main/java/org/cassiabank/admission/ServerPool.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
+import org.cassiabank.health.AttemptOutcome;
 
 /**
  * The backend servers of a shard and the rules that choose one of them for a request.
@@ -21,10 +22,12 @@
 
     private final long unrepeatableProbeDelayMillis;
     private final Map<String, ServerState> servers = new LinkedHashMap<>();
+    private final SuspectTestBudget testBudget = new SuspectTestBudget();
     private ServerState[] presentServers = {};
     private long version;
     private boolean initialized;
     private boolean capacityNeeded;
+    private boolean manyUnserved;
 
     /**
      * Creates a pool without servers.
@@ -56,8 +59,10 @@
         version++;
     }
 
-    void setCapacityNeeded(boolean needed) {
+    void setCapacityNeeded(boolean needed, boolean unserved, long nowMillis) {
+        manyUnserved = unserved;
         capacityNeeded = needed;
+        testBudget.recordNeed(needed, nowMillis);
     }
 
     private boolean allHealthyServersBackOff(long nowMillis) {
@@ -131,7 +136,8 @@
                 if (isLimitedToTests(server, lane.candidates(this), nowMillis)) {
                     if (!hints.isAdditionalAttempt()
                             && (lane.key().repeatable() || unrepeatableProbeDelayMillis > 0)
-                            && server.isUntestedForLong(lane.key().repeatable(), nowMillis)) {
+                            && server.isUntestedForLong(lane.key().repeatable(), nowMillis)
+                            && (lane.key().repeatable() || allowsUnrepeatableTest(server, nowMillis))) {
                         return server;
                     }
                     if (lane.key().repeatable() && server.isDueForFailingServerTest(nowMillis)) {
@@ -142,7 +148,7 @@
                 }
             }
         }
-        ServerState bestOnProbation = chooseForTrial(lane, bestHealthy == null, nowMillis);
+        ServerState bestOnProbation = chooseForTrial(lane, healthyExists, bestHealthy == null, nowMillis);
         // An idle server on probation is preferred, because it gets no test while the others have free slots otherwise.
         boolean choosesProbation = !healthyExists
                 || bestOnProbation != null
@@ -158,12 +164,13 @@
     }
 
     /** Returns the server on probation for the first request of a lane, or null if none may be tried with it. */
-    private ServerState chooseForTrial(Lane lane, boolean hasToWait, long nowMillis) {
+    private ServerState chooseForTrial(Lane lane, boolean healthyExists, boolean hasToWait, long nowMillis) {
         PlacementHints hints = lane.firstTicket().request().hints();
         ServerState best = null;
         for (ServerState server : lane.candidates(this)) {
             if (server.isOnProbation()
                     && server.isFreeForTrial(lane.key().repeatable(), hasToWait, capacityNeeded, nowMillis)
+                    && (!healthyExists || lane.key().repeatable() || allowsUnrepeatableTest(server, nowMillis))
                     && (best == null || server.isBetterThan(best, hints, nowMillis))) {
                 best = server;
             }
@@ -171,6 +178,35 @@
         return best;
     }
 
+    /** Tells whether an unrepeatable request, which is lost if the server still fails, may test a suspect server. */
+    private boolean allowsUnrepeatableTest(ServerState server, long nowMillis) {
+        return manyUnserved
+                || server.hasAnsweredTrial()
+                || testBudget.allowsTest(
+                        server.failures().failedUnrepeatableTests(), server.millisSinceLastGrant(nowMillis), nowMillis);
+    }
+
+    /** Records a grant to a request, which tests a suspect server or not. */
+    void recordGrant(boolean repeatable, boolean suspectTest, long nowMillis) {
+        if (!repeatable) {
+            testBudget.recordRequest();
+            if (suspectTest) {
+                testBudget.recordTest(nowMillis);
+            }
+        }
+    }
+
+    /** Records the end of an attempt. */
+    void recordOutcome(Lease lease, AttemptOutcome outcome, long nowMillis) {
+        if (lease.isSuspectTest() && !lease.request().repeatable()) {
+            if (outcome.isEvidenceAgainstServer()) {
+                lease.server().failures().recordFailedUnrepeatableTest(nowMillis);
+            } else {
+                testBudget.recordHarmlessTest();
+            }
+        }
+    }
+
     /**
      * Tells whether a server gets test requests only. The minimum share of servers that stay in use can keep a failing
      * server healthy. While another server is reliable, the failing one is avoided, because a server that fails fast
--- a/src/main/java/org/cassiabank/admission/ServerState.java
+++ b/src/main/java/org/cassiabank/admission/ServerState.java
@@ -32,15 +32,6 @@
     /** Traffic between failure domains is charged, but costs less than a new connection. */
     private static final double OTHER_FAILURE_DOMAIN_COST_LEASES = 0.5;
 
-    /**
-     * The number of attempts over which the failure share is averaged. Three failures in a row raise it from 0 to 0.7,
-     * so that a server that fails fast gets few requests.
-     */
-    private static final double FAILURE_AVERAGE_ATTEMPTS = 3;
-
-    /** The failure share halves in this time, so that a server that gets no work is tried again after about as long. */
-    private static final double FAILURE_HALF_LIFE_MILLIS = 5_000;
-
     /** A server counts as mostly failing from this failure share on. */
     private static final double MOSTLY_FAILING_SHARE = 0.5;
 
@@ -67,9 +58,6 @@
     /** How many requests may try a server on probation at once while they would have to wait otherwise. */
     private static final int MAXIMUM_TRIALS_OF_WAITING_REQUESTS = 3;
 
-    /** Failures with a common cause are reported within this time. */
-    private static final long SAME_MOMENT_MILLIS = 500;
-
     private static final double MICROS_PER_SECOND = 1_000_000;
 
     private static final double LATENCY_AVERAGE_RESPONSES = 16;
@@ -112,10 +100,7 @@
     /** The leases that were granted during the probation. */
     private int trialLeases;
 
-    private double failureShare;
-    private long failureShareUpdatedAtMillis;
-    private double failureShareBefore;
-    private long failuresSinceMillis = Long.MIN_VALUE / 2;
+    private final FailureHistory failures = new FailureHistory();
 
     ServerState(SchedulableServer schedulableServer, boolean cold, long nowMillis, LongPredicate allServersBackOff) {
         this.allServersBackOff = allServersBackOff;
@@ -284,12 +269,12 @@
 
     /** Tells whether at least half of the recent attempts at the server failed. */
     boolean isMostlyFailing(long nowMillis) {
-        return failureShare(nowMillis) >= MOSTLY_FAILING_SHARE;
+        return failures.failureShare(nowMillis) >= MOSTLY_FAILING_SHARE;
     }
 
     /** Tells whether the server is healthy and fewer than 30% of its recent attempts failed. */
     boolean isReliable(long nowMillis) {
-        return isHealthy() && failureShare(nowMillis) < RELIABLE_FAILURE_SHARE;
+        return isHealthy() && failures.failureShare(nowMillis) < RELIABLE_FAILURE_SHARE;
     }
 
     /** Tells whether a server that mostly fails may get a repeatable test request that would have to wait otherwise. */
@@ -303,6 +288,19 @@
         return hasNoGrantSince(nowMillis - untestedMillis);
     }
 
+    /** Tells whether an attempt that was granted during the present probation has been answered. */
+    boolean hasAnsweredTrial() {
+        return isOnProbation() && lastAnsweredLeaseId > lastLeaseIdBeforeProbation;
+    }
+
+    FailureHistory failures() {
+        return failures;
+    }
+
+    long millisSinceLastGrant(long nowMillis) {
+        return nowMillis - lastGrantAtMillis;
+    }
+
     void recordGrant(boolean longWork, long leaseId, long nowMillis) {
         leases++;
         trialLeases++;
@@ -354,7 +352,10 @@
     private void recordResponse(long leaseId, double relativeLatency, long nowMillis) {
         lastAnsweredLeaseId = Math.max(lastAnsweredLeaseId, leaseId);
         consecutiveSheds = 0;
-        updateFailureShare(0, nowMillis);
+        failures.recordResponse(nowMillis);
+        if (isReliable(nowMillis)) {
+            failures.forgetFailedUnrepeatableTests();
+        }
         updateRelativeLatency(relativeLatency, nowMillis);
         rampStepResponses++;
         if (rampStepResponses >= RAMP_STEP_RESPONSES && !isWarm(nowMillis)) {
@@ -363,22 +364,10 @@
     }
 
     private void recordFailure(long nowMillis) {
-        if (nowMillis - failuresSinceMillis > SAME_MOMENT_MILLIS) {
-            failuresSinceMillis = nowMillis;
-            failureShareBefore = failureShare(nowMillis);
-        }
-        updateFailureShare(1, nowMillis);
+        failures.recordFailure(nowMillis);
         updateRelativeLatency(FAILURE_RELATIVE_LATENCY, nowMillis);
     }
 
-    /** Takes back the failures of this moment, because the server is not their cause. */
-    void excuseFailures(long nowMillis) {
-        if (nowMillis - failuresSinceMillis <= SAME_MOMENT_MILLIS) {
-            failureShare = failureShareBefore;
-            failureShareUpdatedAtMillis = nowMillis;
-        }
-    }
-
     /**
      * Starts a backoff after the server shed a request, which shows that it has more load than its leases. Until the
      * backoff ends, its leases do not exceed their present number. Each further shed before the next response doubles
@@ -423,19 +412,6 @@
         rampStepResponses = 0;
     }
 
-    private double failureShare(long nowMillis) {
-        // Called for each server and grant; the exponential is skipped for servers that never failed.
-        return failureShare == 0
-                ? 0
-                : failureShare * Math.pow(0.5, (nowMillis - failureShareUpdatedAtMillis) / FAILURE_HALF_LIFE_MILLIS);
-    }
-
-    private void updateFailureShare(double failure, long nowMillis) {
-        double share = failureShare(nowMillis);
-        failureShare = share + (failure - share) / FAILURE_AVERAGE_ATTEMPTS;
-        failureShareUpdatedAtMillis = nowMillis;
-    }
-
     private void updateRelativeLatency(double relativeLatency, long nowMillis) {
         averageRelativeLatency += (relativeLatency - averageRelativeLatency) / LATENCY_AVERAGE_RESPONSES;
         latencyUpdatedAtMillis = nowMillis;
--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -189,6 +189,7 @@
         }
         RouteCost routeCost = completedLease.get().routeCost();
         ServerState server = completedLease.get().server();
+        pool.recordOutcome(completedLease.get(), outcome, currentMillis);
         if (outcome == AttemptOutcome.NOT_RUN) {
             server.recordShed(settings.initialBackoffMillis(), currentMillis);
         } else {
@@ -207,9 +208,11 @@
      * Sets whether the servers in use cannot carry the load, so that others are tried beside a slow trial.
      *
      * @param needed whether further servers are needed
+     * @param manyUnserved whether so many requests are not served that unrepeatable tests, which are lost if they fail,
+     *     are not limited
      */
-    public void setCapacityNeeded(boolean needed) {
-        pool.setCapacityNeeded(needed);
+    public void setCapacityNeeded(boolean needed, boolean manyUnserved) {
+        pool.setCapacityNeeded(needed, manyUnserved, latestMillis);
     }
 
     /**
@@ -220,7 +223,8 @@
      */
     public void excuseFailures(Set<String> serverNames, long nowMillis) {
         long currentMillis = advanceClock(nowMillis);
-        serverNames.forEach(name -> pool.find(name).ifPresent(server -> server.excuseFailures(currentMillis)));
+        serverNames.forEach(
+                name -> pool.find(name).ifPresent(server -> server.failures().excuseFailures(currentMillis)));
     }
 
     /**
@@ -404,21 +408,14 @@
         urgencyShares.recordGrant(ticket.request().urgencyRank(), nowMillis);
         long leaseMillis = ticket.deadlineMillis() - nowMillis + settings.leaseGraceMillis();
         boolean suspectTest = pool.isSuspectTest(server, lane, nowMillis);
+        pool.recordGrant(ticket.request().repeatable(), suspectTest, nowMillis);
         Lease lease = leases.grant(ticket, server, suspectTest, longWork, nowMillis + leaseMillis, nowMillis);
         long hedgeDelayMillis = 0;
         if (ticket.request().repeatable() && shortQueue.isEmpty() && pool.hasOtherFreeSlot(server, lane, nowMillis)) {
             hedgeDelayMillis = HedgeDelay.delayMillis(
                     ticket.routeCost(), ticket.request().targetLatencyMillis(), ticket.deadlineMillis() - nowMillis);
         }
-        SchedulableServer schedulableServer = server.schedulableServer();
-        undeliveredDecisions.put(
-                ticket.id(),
-                new Granted(
-                        lease.id(),
-                        schedulableServer.name(),
-                        schedulableServer.address(),
-                        leaseMillis,
-                        hedgeDelayMillis));
+        undeliveredDecisions.put(ticket.id(), lease.toGranted(leaseMillis, hedgeDelayMillis));
         return true;
     }
 
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -370,8 +370,9 @@
 
     private void updateServers(long nowMillis) {
         monitor.replaceServers(monitoredServers(server -> true), view.ejectionFloor(key), nowMillis);
-        boolean capacityNeeded = scheduler.load(nowMillis).isNearlyFull() || unservedShare.isHigh(nowMillis);
-        scheduler.setCapacityNeeded(capacityNeeded);
+        boolean manyUnserved = unservedShare.isHigh(nowMillis);
+        boolean capacityNeeded = manyUnserved || scheduler.load(nowMillis).isNearlyFull();
+        scheduler.setCapacityNeeded(capacityNeeded, manyUnserved);
         Map<String, ServerHealth> newHealthByServer = Map.copyOf(monitor.evaluate(capacityNeeded, nowMillis));
         healthLog.report(healthByServer, newHealthByServer, monitor);
         healthByServer = newHealthByServer;
--- a/src/test/java/org/cassiabank/admission/SlotSchedulerTest.java
+++ b/src/test/java/org/cassiabank/admission/SlotSchedulerTest.java
@@ -77,7 +77,7 @@
         assertThat(acquiredServer(request(CostHint.SHORT, true), 1_500)).isEqualTo("unhealthy");
         assertThat(acquiredServer(request(CostHint.SHORT, true), 4_499)).isEqualTo("healthy");
         assertThat(acquiredServer(request(CostHint.SHORT, true), 4_500)).isEqualTo("unhealthy");
-        scheduler.setCapacityNeeded(true);
+        scheduler.setCapacityNeeded(true, false);
         assertThat(acquiredServer(request(CostHint.SHORT, true), 5_499)).isEqualTo("healthy");
         assertThat(acquiredServer(request(CostHint.SHORT, false), 5_500)).isEqualTo("healthy");
         assertThat(acquiredServer(request(CostHint.SHORT, true), 5_500)).isEqualTo("unhealthy");
--- a/src/test/java/org/cassiabank/proxy/OwnerSimulation.java
+++ b/src/test/java/org/cassiabank/proxy/OwnerSimulation.java
@@ -55,9 +55,6 @@
     private static final double RETRY_RATIO = 0.2;
     private static final double RETRY_SLACK = 64;
     private static final long RETRY_WINDOW_MILLIS = 10_000;
-    private static final double TAIL_SHARE = 0.03;
-    private static final double TAIL_FACTOR = 7;
-    private static final double MAXIMUM_SERVICE_MEANS = 11;
 
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingDouble(Event::timeMillis).thenComparingLong(Event::order));
@@ -122,14 +119,9 @@
             long deadlineMillis,
             double untilMillis,
             double requestsPerSecond) {
-        double medianMillis = meanServiceMillis * Math.exp(-logStandardDeviation * logStandardDeviation / 2);
         return addLoad(
                 route,
-                () -> Math.min(
-                        MAXIMUM_SERVICE_MEANS * meanServiceMillis,
-                        medianMillis
-                                * Math.exp(logStandardDeviation * random.nextGaussian())
-                                * (random.nextDouble() < TAIL_SHARE ? TAIL_FACTOR : 1)),
+                () -> SimulatedCall.longTailedMillis(meanServiceMillis, logStandardDeviation, random),
                 true,
                 deadlineMillis,
                 untilMillis,
@@ -246,6 +238,10 @@
         return calls.stream().filter(call -> call.failed && !call.answered).count();
     }
 
+    SimulatedServerUse serverUse() {
+        return serverUse;
+    }
+
     int callCount() {
         return calls.size();
     }
@@ -289,7 +285,7 @@
         monitor.replaceServers(monitored, (serverCount * FLOOR_PERCENT + 99) / 100, (long) nowMillis);
         long now = (long) nowMillis;
         boolean capacityNeeded = scheduler.load(now).isNearlyFull() || unservedShare.isHigh(now);
-        scheduler.setCapacityNeeded(capacityNeeded);
+        scheduler.setCapacityNeeded(capacityNeeded, unservedShare.isHigh(now));
         Map<String, ServerHealth> health = monitor.evaluate(capacityNeeded, now);
         scheduler.replaceServers(
                 IntStream.range(0, serverCount)
@@ -414,6 +410,7 @@
         long now = (long) nowMillis;
         for (CompletedLease completed : scheduler.completeLease(attempt.leaseId(), outcome, latencyMicros, now).stream()
                 .toList()) {
+            serverUse.recordEnd(completed, outcome);
             unservedShare.recordAttempt(outcome, completed.repeatable(), completed.suspectTest(), now);
             Set<String> excusedServers = monitor.record(
                     new CompletedAttempt(
--- a/src/test/java/org/cassiabank/proxy/SimulatedServerUse.java
+++ b/src/test/java/org/cassiabank/proxy/SimulatedServerUse.java
@@ -4,12 +4,15 @@
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.cassiabank.admission.CompletedLease;
+import org.cassiabank.health.AttemptOutcome;
 
 /** The faults of the servers of a simulation, and the requests that reach them. */
 final class SimulatedServerUse {
     private final List<String> servers;
     private final List<SimulatedFault> faults = new ArrayList<>();
     private final List<Start> starts = new ArrayList<>();
+    private long lostTests;
 
     SimulatedServerUse(List<String> servers) {
         this.servers = List.copyOf(servers);
@@ -23,6 +26,37 @@
         starts.add(new Start(server, atMillis));
     }
 
+    void recordEnd(CompletedLease completed, AttemptOutcome outcome) {
+        lostTests += completed.suspectTest() && !completed.repeatable() && outcome.isEvidenceAgainstServer() ? 1 : 0;
+    }
+
+    /** Returns how many unrepeatable requests were lost to tests of suspect servers. */
+    long lostTests() {
+        return lostTests;
+    }
+
+    /**
+     * Returns how long the servers took from the end of each fault to a number of requests, in milliseconds. Faults are
+     * left out if another one of the server, or the end of the play, follows within the given time.
+     */
+    List<Double> millisUntilRequests(int requests, double soundMillis, double endMillis) {
+        return faults.stream()
+                .filter(fault -> fault.untilMillis() + soundMillis <= endMillis
+                        && faults.stream()
+                                .noneMatch(other -> other.server().equals(fault.server())
+                                        && other.fromMillis() > fault.fromMillis()
+                                        && other.fromMillis() < fault.untilMillis() + soundMillis))
+                .map(fault -> starts.stream()
+                                .filter(start -> start.server().equals(fault.server())
+                                        && start.atMillis() >= fault.untilMillis())
+                                .skip(requests - 1)
+                                .mapToDouble(Start::atMillis)
+                                .findFirst()
+                                .orElse(Double.POSITIVE_INFINITY)
+                        - fault.untilMillis())
+                .toList();
+    }
+
     List<SimulatedFault> faultsAt(String server, double atMillis) {
         return faults.stream()
                 .filter(fault -> fault.server().equals(server)
