--- a/src/main/java/org/cassiabank/admission/Lease.java
+++ b/src/main/java/org/cassiabank/admission/Lease.java
@@ -55,6 +55,10 @@
         return expiresAtMillis;
     }
 
+    boolean isSuspectTest() {
+        return suspectTest;
+    }
+
     boolean isLongWork() {
         return longWork;
     }
