Choose the shard of a large service by the load that owners state

An entry drew one shard uniformly, whatever its servers and their load, and after a refusal any other one.

Information older than 2 s counts less. The own failure domain goes first while it has room; requests leave it gradually from 70% of its slots on. After a refusal the domain with most room is asked. Only shards with a server that has the labels and was not tried are candidates.

--- a/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
+++ b/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
@@ -315,6 +315,9 @@
                 ? Optional.of(new MessageBytes(attempt.requestBytes(), response.body().length))
                 : Optional.empty();
         workers.execute(() -> broker.report(attempt.slot(), result.outcome(), latencyMicros, notice, bytes));
+        if (result instanceof ResponseReceived response) {
+            recordBytes(attempt.slot().serverName(), attempt.requestBytes() + response.body().length);
+        }
         if (leaving) {
             leavingServers.record(attempt.start(), "its response");
         }
@@ -345,6 +348,15 @@
                 attempt.slot().shard().service(), result.attemptResult().label(), latencyMicros);
     }
 
+    private void recordBytes(String serverName, long bytes) {
+        boolean own = fleet.view()
+                .instances()
+                .find(serverName)
+                .filter(server -> server.failureDomain().equals(failureDomain))
+                .isPresent();
+        metrics.recordServerBytes(own ? "own" : "other", bytes);
+    }
+
     /** Tells whether the server announced its leaving; a response that broke off has no notice, but a head. */
     private static boolean announcesLeaving(RunningAttempt attempt, BackendResult result) {
         return switch (result) {
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -26,6 +26,7 @@
 import org.cassiabank.admission.ServerNotice;
 import org.cassiabank.admission.ServerRateLimit;
 import org.cassiabank.admission.ServerRateLimits;
+import org.cassiabank.admission.ShardLoad;
 import org.cassiabank.admission.SlotDecision;
 import org.cassiabank.admission.SlotScheduler;
 import org.cassiabank.admission.TicketDecision;
@@ -298,6 +299,10 @@
         return retired;
     }
 
+    synchronized ShardLoad load() {
+        return scheduler.load(MonotonicClock.millis());
+    }
+
     synchronized int rateLimitCount() {
         return rateLimits.all(MonotonicClock.millis()).size();
     }
--- a/src/main/java/org/cassiabank/proxy/OwnedShards.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShards.java
@@ -14,6 +14,7 @@
 import org.cassiabank.admission.MessageBytes;
 import org.cassiabank.admission.ServerNotice;
 import org.cassiabank.admission.ServerRateLimit;
+import org.cassiabank.admission.ShardOccupancy;
 import org.cassiabank.admission.SlotDecision;
 import org.cassiabank.health.AttemptOutcome;
 import org.cassiabank.health.RequestDigest;
@@ -160,6 +161,18 @@
         }
     }
 
+    /**
+     * Returns how busy a shard is, for the choice between the shards of its service.
+     *
+     * @param key the shard
+     * @return its load; empty if it is the only shard of its service, or if this daemon does not schedule it
+     */
+    Optional<ShardOccupancy> occupancyBesideOthers(ShardKey key) {
+        return fleet.view().shardCount(key.service()) == 1
+                ? Optional.empty()
+                : Optional.ofNullable(shards.get(key)).map(shard -> ShardOccupancy.of(shard.load()));
+    }
+
     private OwnedShard createShard(ShardKey key) {
         fatalRequests.fetchSuspects(key);
         return OwnedShard.create(
--- a/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
+++ b/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
@@ -85,11 +85,15 @@
                 PeerMessageConverter.toServerStarts(request.getLeavingServers()), request.getEntry())) {
             ownedShards.updateServers(shard);
         }
-        return PeerMessageConverter.toMessage(ownedShards.acquire(
+        SlotReply reply = PeerMessageConverter.toMessage(ownedShards.acquire(
                 shard,
                 PeerMessageConverter.toAdmissionRequest(request),
                 request.getTicket(),
                 PeerMessageConverter.toServerRateLimits(request)));
+        return ownedShards
+                .occupancyBesideOthers(shard)
+                .map(occupancy -> PeerMessageConverter.withOccupancy(reply, occupancy))
+                .orElse(reply);
     }
 
     @Override
--- a/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
+++ b/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
@@ -16,6 +16,7 @@
 import org.cassiabank.admission.Refused;
 import org.cassiabank.admission.ServerNotice;
 import org.cassiabank.admission.ServerRateLimit;
+import org.cassiabank.admission.ShardOccupancy;
 import org.cassiabank.admission.SlotDecision;
 import org.cassiabank.backend.ResponseReceived;
 import org.cassiabank.declaration.CostHint;
@@ -38,6 +39,7 @@
 import org.cassiabank.peer.generated.KnownRateLimit;
 import org.cassiabank.peer.generated.OutcomeKind;
 import org.cassiabank.peer.generated.RateLimit;
+import org.cassiabank.peer.generated.ShardLoad;
 import org.cassiabank.peer.generated.SlotGrant;
 import org.cassiabank.peer.generated.SlotOutcome;
 import org.cassiabank.peer.generated.SlotQueued;
@@ -123,6 +125,29 @@
         };
     }
 
+    static SlotReply withOccupancy(SlotReply reply, ShardOccupancy occupancy) {
+        ShardLoad load = new ShardLoad(occupancy.usableSlots(), occupancy.leasedSlots(), occupancy.queuedRequests());
+        switch (reply.getSetField()) {
+            case GRANT -> reply.getGrant().setLoad(load);
+            case REFUSAL -> reply.getRefusal().setLoad(load);
+            case QUEUED -> reply.getQueued().setLoad(load);
+        }
+        return reply;
+    }
+
+    /** Returns how busy a shard is; empty if it is the only one of its service, or the owner of an earlier release. */
+    static Optional<ShardOccupancy> toOccupancy(SlotReply reply) {
+        ShardLoad load =
+                switch (reply.getSetField()) {
+                    case GRANT -> reply.getGrant().getLoad();
+                    case REFUSAL -> reply.getRefusal().getLoad();
+                    case QUEUED -> reply.getQueued().getLoad();
+                };
+        return Optional.ofNullable(load)
+                .map(present -> new ShardOccupancy(
+                        present.getUsableSlots(), present.getLeasedSlots(), present.getQueuedRequests()));
+    }
+
     static SlotDecision toDecision(SlotReply reply) {
         return switch (reply.getSetField()) {
             case GRANT ->
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -101,7 +101,7 @@
         KnownLeavingServers leavingServers = KnownLeavingServers.create(fleet, metrics);
         OwnedShards ownedShards = OwnedShards.create(ownerSettings, fleet, fatalRequests, leavingServers, metrics);
         SlotBroker slotBroker =
-                SlotBroker.create(settings, fleet, ownedShards, fatalRequests, peerTransport, leavingServers);
+                SlotBroker.create(settings, fleet, ownedShards, fatalRequests, peerTransport, leavingServers, metrics);
         ProxyListHistory proxyLists = ClaimTimes.newProxyListHistory();
         ClaimKeeper claimKeeper = ClaimKeeper.create(
                 self, fleet, peerTransport, proxyLists, settings.platform().claimsEnabled());
--- a/src/main/java/org/cassiabank/proxy/ProxyMetrics.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyMetrics.java
@@ -36,6 +36,24 @@
             "outcome");
     private final Counter forwardedRequests = counter(
             "cassiabank_forwarded_requests_total", "Requests passed on to a peer, by what it replied.", "reply");
+    private final Counter shardChoices = counter(
+            "cassiabank_shard_choices_total",
+            "Choices of a shard of a service with several, by the failure domain of the shard.",
+            "domain");
+    private final Counter secondShards = counter(
+            "cassiabank_second_shards_total",
+            "Requests for slots that went to a second shard, by the reason of the first refusal.",
+            "reason");
+    private final Counter fullDomains = counter(
+            "cassiabank_full_domains_total",
+            "Times at which the servers of this daemon's failure domain became full, by service.",
+            "service");
+    private final Counter slotRequests =
+            counter("cassiabank_slot_requests_total", "Requests for slots, by where the owner is.", "owner");
+    private final Counter serverBytes = counter(
+            "cassiabank_server_body_bytes_total",
+            "Bytes of the bodies of requests and complete responses, by the failure domain of the server.",
+            "domain");
     private final Counter ejections = counter("cassiabank_ejections_total", "Ejections of servers.", "service");
     private final Counter controlMessages =
             counter("cassiabank_control_messages_total", "Calls of peers, by kind.", "kind");
@@ -101,6 +119,26 @@
         forwardedRequests.labelValues(reply).inc();
     }
 
+    void recordShardChoice(String domain) {
+        shardChoices.labelValues(domain).inc();
+    }
+
+    void recordSecondShard(String reason) {
+        secondShards.labelValues(reason).inc();
+    }
+
+    void recordFullDomain(String service) {
+        fullDomains.labelValues(service).inc();
+    }
+
+    void recordSlotRequest(String owner) {
+        slotRequests.labelValues(owner).inc();
+    }
+
+    void recordServerBytes(String domain, long bytes) {
+        serverBytes.labelValues(domain).inc(bytes);
+    }
+
     void recordEjection(String service) {
         ejections.labelValues(service).inc();
     }
--- a/src/main/java/org/cassiabank/proxy/ShardDivision.java
+++ b/src/main/java/org/cassiabank/proxy/ShardDivision.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import org.cassiabank.admission.ShardCandidate;
 import org.cassiabank.declaration.LabeledServer;
 
 /**
@@ -14,10 +15,10 @@
  * with the same list compute the same one.
  *
  * <p>A service of at most 32 servers is one shard. A larger one is divided by failure domain; the servers of small
- * domains share shards. Without a large domain, or with only one domain, it is divided by hash alone. The numbers and the
- * servers of the shards of one domain depend on this domain alone. A further shard of a domain takes servers from the
- * others and moves none between them. The numbers from 0 on are also divided by hash alone, for the requests of daemons
- * of the previous release.
+ * domains share shards. Without a large domain, or with only one domain, it is divided by hash alone. The numbers and
+ * the servers of the shards of one domain depend on this domain alone. A further shard of a domain takes servers from
+ * the others and moves none between them. The numbers from 0 on are also divided by hash alone, for the requests of
+ * daemons of the previous release.
  *
  * <p>Addresses load whose messages between failure domains are its most expensive resource. Thread-safe.
  */
@@ -43,11 +44,18 @@
     private static final int JUMP_SHIFT = 33;
 
     private final List<Shard> shards;
+    private final List<ShardCandidate> candidates;
     private final Map<Integer, Shard> shardsByNumber = new HashMap<>();
     private final Map<Integer, List<LabeledServer>> mixedServersByNumber;
 
     private ShardDivision(List<Shard> shards, Map<Integer, List<LabeledServer>> mixedServersByNumber) {
         this.shards = List.copyOf(shards);
+        this.candidates = shards.stream()
+                .map(shard -> new ShardCandidate(
+                        shard.number(),
+                        shard.failureDomain().map(FailureDomain::toString).orElse(""),
+                        shard.servers().size()))
+                .toList();
         this.mixedServersByNumber = mixedServersByNumber;
         shards.forEach(shard -> shardsByNumber.put(shard.number(), shard));
     }
@@ -97,6 +105,11 @@
         return shards;
     }
 
+    /** Returns the shards for the choice of one of them, each with all its servers. */
+    List<ShardCandidate> candidates() {
+        return candidates;
+    }
+
     boolean isByFailureDomain() {
         return shards.getFirst().number() >= DOMAIN_NUMBER_STEP;
     }
--- a/src/main/java/org/cassiabank/proxy/SlotBroker.java
+++ b/src/main/java/org/cassiabank/proxy/SlotBroker.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 import org.cassiabank.admission.AdmissionRequest;
@@ -50,6 +51,8 @@
     private final FatalRequestExchange fatalRequests;
     private final PeerTransport peerTransport;
     private final KnownLeavingServers leavingServers;
+    private final ProxyMetrics metrics;
+    private final ShardChooser shardChooser;
     private final KnownRateLimits rateLimits = KnownRateLimits.create();
     private final RetryBudget fallbackRetryBudget = RetryBudget.create(FALLBACK_RETRY_RATIO, FALLBACK_RETRY_CAPACITY);
 
@@ -59,13 +62,17 @@
             OwnedShards ownedShards,
             FatalRequestExchange fatalRequests,
             PeerTransport peerTransport,
-            KnownLeavingServers leavingServers) {
+            KnownLeavingServers leavingServers,
+            ProxyMetrics metrics) {
         this.settings = settings;
         this.fleet = fleet;
         this.ownedShards = ownedShards;
         this.fatalRequests = fatalRequests;
         this.peerTransport = peerTransport;
         this.leavingServers = leavingServers;
+        this.metrics = metrics;
+        this.shardChooser =
+                ShardChooser.create(new FailureDomain(settings.region(), settings.failureDomain()), metrics);
     }
 
     static SlotBroker create(
@@ -74,14 +81,16 @@
             OwnedShards ownedShards,
             FatalRequestExchange fatalRequests,
             PeerTransport peerTransport,
-            KnownLeavingServers leavingServers) {
+            KnownLeavingServers leavingServers,
+            ProxyMetrics metrics) {
         SlotBroker broker = new SlotBroker(
                 Objects.requireNonNull(settings, "settings"),
                 Objects.requireNonNull(fleet, "fleet"),
                 Objects.requireNonNull(ownedShards, "ownedShards"),
                 Objects.requireNonNull(fatalRequests, "fatalRequests"),
                 Objects.requireNonNull(peerTransport, "peerTransport"),
-                Objects.requireNonNull(leavingServers, "leavingServers"));
+                Objects.requireNonNull(leavingServers, "leavingServers"),
+                Objects.requireNonNull(metrics, "metrics"));
         fleet.addListener(broker.rateLimits::update);
         return broker;
     }
@@ -106,29 +115,34 @@
      */
     SlotResult acquire(String service, AdmissionRequest request, BooleanSupplier abandoned) {
         FleetView view = fleet.view();
-        List<Integer> shardNumbers = view.division(service).shards().stream()
-                .map(ShardDivision.Shard::number)
-                .toList();
-        int shardCount = shardNumbers.size();
-        int first = ThreadLocalRandom.current().nextInt(shardCount);
+        ShardDivision division = view.division(service);
         long deadlineMillis = MonotonicClock.millis() + request.remainingMillis();
-        SlotResult result =
-                acquire(view, new ShardKey(service, shardNumbers.get(first)), request, deadlineMillis, abandoned);
-        if (result instanceof SlotResult.NoSlot && shardCount > 1 && !abandoned.getAsBoolean()) {
-            // Other shards may have capacity when one is full; a second shard spreads a load peak that hits one.
-            int second = (first + 1 + ThreadLocalRandom.current().nextInt(shardCount - 1)) % shardCount;
-            result = acquire(view, new ShardKey(service, shardNumbers.get(second)), request, deadlineMillis, abandoned);
+        if (division.shards().size() == 1) {
+            ShardKey onlyShard =
+                    new ShardKey(service, division.shards().getFirst().number());
+            return acquire(view, onlyShard, request, deadlineMillis, abandoned);
         }
-        if (result instanceof SlotResult.NoSlot refused
-                && refused.reason().equals(RefusalReason.NO_SERVER.label())
-                && view.division(service).isByFailureDomain()
-                && !abandoned.getAsBoolean()) {
-            // An owner of the previous release knows no servers by the numbers of this division.
-            int number =
-                    ThreadLocalRandom.current().nextInt(view.division(service).mixedShardCount());
-            return acquire(view, new ShardKey(service, number), request, deadlineMillis, abandoned);
+        ShardKey first = shardChooser.choose(service, division, request);
+        SlotResult result = acquire(view, first, request, deadlineMillis, abandoned);
+        if (!(result instanceof SlotResult.NoSlot refused) || abandoned.getAsBoolean()) {
+            return result;
+        }
+        // Other shards may have capacity when one is full; a second shard spreads a load peak that hits one.
+        OptionalInt second = isRefusedByFormerRelease(refused, first, division)
+                ? OptionalInt.of(ThreadLocalRandom.current().nextInt(division.mixedShardCount()))
+                : shardChooser.chooseAfterRefusal(first, division, request);
+        if (second.isEmpty()) {
+            return result;
         }
-        return result;
+        metrics.recordSecondShard(refused.reason());
+        return acquire(view, new ShardKey(service, second.getAsInt()), request, deadlineMillis, abandoned);
+    }
+
+    /** Tells whether an owner of the previous release refused because it knows no servers by the number of a shard. */
+    private boolean isRefusedByFormerRelease(SlotResult.NoSlot refused, ShardKey shard, ShardDivision division) {
+        return division.isByFailureDomain()
+                && refused.reason().equals(RefusalReason.NO_SERVER.label())
+                && !shardChooser.hasOccupancy(shard);
     }
 
     /**
@@ -247,9 +261,7 @@
             long presentedTicketId = ticketId;
             List<ServerRateLimit> news =
                     rateLimits.takeNews(owner.map(Instance::name).orElse(settings.name()), shard, fleet.view());
-            SlotDecision decision = owner.isEmpty()
-                    ? ownedShards.acquire(shard, current, presentedTicketId, news)
-                    : acquireFromPeer(owner.get(), shard, current, presentedTicketId, news);
+            SlotDecision decision = decide(owner, shard, current, presentedTicketId, news);
             switch (decision) {
                 case Granted granted -> {
                     return new SlotResult.Slot(
@@ -284,6 +296,37 @@
         }
     }
 
+    private SlotDecision decide(
+            Optional<Instance> owner,
+            ShardKey shard,
+            AdmissionRequest request,
+            long ticketId,
+            List<ServerRateLimit> news) {
+        if (ticketId == 0) {
+            shardChooser.recordRequest(shard);
+            metrics.recordSlotRequest(owner.map(peer ->
+                            peer.failureDomain().equals(settings.failureDomain()) ? "own-domain" : "other-domain")
+                    .orElse("self"));
+        }
+        try {
+            if (owner.isPresent()) {
+                return acquireFromPeer(owner.get(), shard, request, ticketId, news);
+            }
+            SlotDecision decision = ownedShards.acquire(shard, request, ticketId, news);
+            // A daemon that schedules in place of an owner counts only its own requests.
+            if (fleet.view().ownerCandidates(shard).stream().anyMatch(peerTransport::isSelf)) {
+                ownedShards
+                        .occupancyBesideOthers(shard)
+                        .ifPresent(occupancy -> shardChooser.recordOccupancy(shard, occupancy));
+            }
+            return decision;
+        } finally {
+            if (ticketId == 0) {
+                shardChooser.recordDecision(shard);
+            }
+        }
+    }
+
     private SlotDecision acquireFromPeer(
             Instance owner, ShardKey shard, AdmissionRequest request, long ticketId, List<ServerRateLimit> news) {
         SlotRequest message = PeerMessageConverter.toMessage(request, shard, ticketId);
@@ -299,6 +342,7 @@
         }
         SlotReply reply =
                 peerTransport.call(owner, "acquire", ACQUIRE_TIMEOUT_MILLIS, client -> client.acquire(message));
+        PeerMessageConverter.toOccupancy(reply).ifPresent(occupancy -> shardChooser.recordOccupancy(shard, occupancy));
         return PeerMessageConverter.toDecision(reply);
     }
 }
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -66,6 +66,13 @@
   24: optional bool narrowLinks,
 }
 
+/** How busy the servers of a shard are, for the choice between several shards of a service. */
+struct ShardLoad {
+  1: required i32 usableSlots,
+  2: required i32 leasedSlots,
+  3: required i32 queuedRequests,
+}
+
 struct SlotGrant {
   1: required i64 lease,
   2: required string server,
@@ -73,16 +80,22 @@
   4: required i64 leaseMillis,
   /** Time after which a hedge is worth its cost; 0 when none is. */
   5: required i64 hedgeAfterMillis,
+  /** Missing if the service has one shard. */
+  6: optional ShardLoad load,
 }
 
 struct SlotRefusal {
   1: required string reason,
   2: required i64 retryAfterMillis,
+  /** As in SlotGrant. */
+  3: optional ShardLoad load,
 }
 
 /** The request is in the queue; the entry presents the ticket in its next acquire. */
 struct SlotQueued {
   1: required i64 ticket,
+  /** As in SlotGrant. */
+  2: optional ShardLoad load,
 }
 
 /** The daemon has just started and knows no server yet; the next candidate has to be asked. */
