--- a/src/test/java/org/cassiabank/admission/ShardSelectorLoadTest.java
+++ b/src/test/java/org/cassiabank/admission/ShardSelectorLoadTest.java
@@ -46,6 +46,20 @@
         }
     }
 
+    /** Guards against refusals while other failure domains have room, and against requests that leave without need. */
+    @Test
+    void demandOfOneFailureDomainBeyondItsSlotsUsesTheOthersAndDemandWithinThemStays() {
+        Simulation wave = new Simulation(Rule.SELECTOR, Fault.NONE, 0.6, 1);
+        wave.domainCount = 1;
+        wave.run();
+        assertThat(wave.refused).isLessThan(wave.arrived / 100);
+        assertThat((double) wave.crossed / wave.arrived).isBetween(0.45, 0.65);
+        Simulation quiet = new Simulation(Rule.SELECTOR, Fault.NONE, 0.2, 1);
+        quiet.domainCount = 1;
+        quiet.run();
+        assertThat((double) quiet.crossed / quiet.arrived).isLessThan(0.05);
+    }
+
     private static double ratio(Rule rule, Fault fault, double utilization) {
         double worst = 0;
         for (int seed = 1; seed <= 3; seed++) {
@@ -92,6 +106,12 @@
         private final double arrivalsPerMilli;
         private double nowMillis;
         private long lastGrant;
+        /** The failure domains whose entry proxies get requests. */
+        private int domainCount = 3;
+
+        private int arrived;
+        private int refused;
+        private int crossed;
 
         private Simulation(Rule rule, Fault fault, double utilization, long seed) {
             this.rule = rule;
@@ -136,17 +156,19 @@
         private void arrive() {
             at(-Math.log(1 - random.nextDouble()) / arrivalsPerMilli, this::arrive);
             int entry = random.nextInt(ENTRIES);
+            arrived++;
             switch (rule) {
                 case RANDOM_SERVER -> grantRandomServer();
                 case FORMER -> ask(entry, random.nextInt(SHARD_SIZES.length), false);
                 case SELECTOR ->
-                    ask(
-                            entry,
-                            selectors.get(entry).choose(candidates, DOMAINS[2 * (entry % 3)], random, (long) nowMillis),
-                            false);
+                    ask(entry, selectors.get(entry).choose(candidates, domain(entry), random, (long) nowMillis), false);
             }
         }
 
+        private String domain(int entry) {
+            return DOMAINS[2 * (entry % domainCount)];
+        }
+
         private void grantRandomServer() {
             int server = random.nextInt(totalServers);
             int shard = 0;
@@ -168,6 +190,8 @@
             ShardSelector selector = selectors.get(entry);
             selector.recordRequest(shard);
             boolean granted = grant(shard);
+            refused += again && !granted ? 1 : 0;
+            crossed += granted && !DOMAINS[shard].equals(domain(entry)) ? 1 : 0;
             int[] owned = leases[owner(shard)];
             ShardOccupancy occupancy = new ShardOccupancy(
                     SLOTS * owned.length, Arrays.stream(owned).sum(), 0);
