--- a/src/test/java/org/cassiabank/proxy/EntryFixture.java
+++ b/src/test/java/org/cassiabank/proxy/EntryFixture.java
@@ -74,7 +74,7 @@
         AttemptExecutor executor = AttemptExecutor.create(
                 self,
                 fleet,
-                SlotBroker.create(settings, fleet, ownedShards, fatalRequests, transport, leavingServers),
+                SlotBroker.create(settings, fleet, ownedShards, fatalRequests, transport, leavingServers, metrics),
                 backendClient,
                 ServerPathMonitor.create(fleet, backendClient, metrics),
                 leavingServers,
