Share slots between customers by weight

Cause: customers shared the slots of a service equally within one urgency, and a more urgent customer went before all others however much it sent.

Change: while fair admission is in force, the virtual time of a customer advances by the cost of its requests divided by its weight. The weight follows the declared requests a second, is calculated by the entry and passed with the request (SlotRequest field 22). Urgency counts within the weighted share of a customer only. Requests of a customer that is served less than a third as often as all go first, and the predicted wait counts the slots that the customer gets. Elsewhere nothing changes.

--- a/src/main/java/org/cassiabank/admission/AdmissionRequest.java
+++ b/src/main/java/org/cassiabank/admission/AdmissionRequest.java
@@ -23,6 +23,7 @@
  * @param requiredLabels the labels that a server must carry
  * @param hints the attempt number and what makes one server cheaper for the entry proxy than another
  * @param digest identifies the request in further attempts and repetitions by its caller
+ * @param customerWeight the customer's weight in the fair sharing of slots; 1 for an average customer
  */
 public record AdmissionRequest(
         String entryProxy,
@@ -37,12 +38,14 @@
         Set<String> excludedServers,
         Map<String, String> requiredLabels,
         PlacementHints hints,
-        RequestDigest digest) {
+        RequestDigest digest,
+        double customerWeight) {
 
     /**
      * Copies the collections.
      *
      * @throws NullPointerException if a component or an element is null
+     * @throws IllegalArgumentException if the weight is not a positive number
      */
     public AdmissionRequest {
         Objects.requireNonNull(entryProxy, "entryProxy");
@@ -54,6 +57,57 @@
         Objects.requireNonNull(digest, "digest");
         excludedServers = Set.copyOf(excludedServers);
         requiredLabels = Map.copyOf(requiredLabels);
+        if (!(customerWeight > 0 && customerWeight < Double.POSITIVE_INFINITY)) {
+            throw new IllegalArgumentException("weight must be a positive number: " + customerWeight);
+        }
+    }
+
+    /**
+     * Creates a request of a customer with the weight 1.
+     *
+     * @param entryProxy the name of the entry proxy
+     * @param selector the name of the selector that matched the request
+     * @param route the name under which costs are estimated
+     * @param customer the identity between which slots are shared fairly
+     * @param costHint the declared cost
+     * @param repeatable whether the request may run more than once
+     * @param urgencyRank the rank among requests that compete for slots; 0 is the most urgent
+     * @param remainingMillis the time until the caller's deadline, in milliseconds
+     * @param targetLatencyMillis the time in which the caller expects a response, in milliseconds; 0 if none is stated
+     * @param excludedServers the names of servers that must not be used
+     * @param requiredLabels the labels that a server must carry
+     * @param hints the attempt number and what makes one server cheaper for the entry proxy than another
+     * @param digest identifies the request in further attempts and repetitions by its caller
+     */
+    public AdmissionRequest(
+            String entryProxy,
+            String selector,
+            String route,
+            String customer,
+            CostHint costHint,
+            boolean repeatable,
+            int urgencyRank,
+            long remainingMillis,
+            long targetLatencyMillis,
+            Set<String> excludedServers,
+            Map<String, String> requiredLabels,
+            PlacementHints hints,
+            RequestDigest digest) {
+        this(
+                entryProxy,
+                selector,
+                route,
+                customer,
+                costHint,
+                repeatable,
+                urgencyRank,
+                remainingMillis,
+                targetLatencyMillis,
+                excludedServers,
+                requiredLabels,
+                hints,
+                digest,
+                1);
     }
 
     /**
@@ -117,7 +171,8 @@
                 excludedServers,
                 requiredLabels,
                 hints,
-                digest);
+                digest,
+                customerWeight);
     }
 
     /**
@@ -142,7 +197,8 @@
                 allExcludedServers,
                 requiredLabels,
                 hints,
-                digest);
+                digest,
+                customerWeight);
     }
 
     /**
@@ -165,6 +221,31 @@
                 excludedServers,
                 requiredLabels,
                 hints,
-                digest);
+                digest,
+                customerWeight);
+    }
+
+    /**
+     * Returns a copy of the request with another weight of its customer.
+     *
+     * @param newCustomerWeight the customer's weight in the fair sharing of slots, above 0; 1 for an average customer
+     * @return the request
+     */
+    public AdmissionRequest withCustomerWeight(double newCustomerWeight) {
+        return new AdmissionRequest(
+                entryProxy,
+                selector,
+                route,
+                customer,
+                costHint,
+                repeatable,
+                urgencyRank,
+                remainingMillis,
+                targetLatencyMillis,
+                excludedServers,
+                requiredLabels,
+                hints,
+                digest,
+                newCustomerWeight);
     }
 }
--- a/src/main/java/org/cassiabank/admission/AdmissionRule.java
+++ b/src/main/java/org/cassiabank/admission/AdmissionRule.java
@@ -22,13 +22,14 @@
     private final ServerPool pool;
     private final LongWorkShare longWorkShare;
     private final UrgencyShares urgencyShares;
+    private final CustomerShares customerShares;
 
-    AdmissionRule(
-            SchedulerSettings settings, ServerPool pool, LongWorkShare longWorkShare, UrgencyShares urgencyShares) {
+    AdmissionRule(SchedulerSettings settings, ServerPool pool, LongWorkShare longWorkShare, ServingOrder servingOrder) {
         this.settings = settings;
         this.pool = pool;
         this.longWorkShare = longWorkShare;
-        this.urgencyShares = urgencyShares;
+        this.urgencyShares = servingOrder.urgencyShares();
+        this.customerShares = servingOrder.customerShares();
     }
 
     /** Returns why a ticket that was added to the queue last must be refused, or empty if it may stay. */
@@ -73,6 +74,17 @@
         double aheadInLaneMicros = Math.min(aheadMicros, Math.max(0, lane.queuedMicros() - ticket.costMicros()));
         double allSlots = slotsForCostClass(pool.presentServers(), ticket.costMicros(), longWork, nowMillis);
         double laneSlots = slotsForCostClass(lane.candidates(pool), ticket.costMicros(), longWork, nowMillis);
+        if (queue.order().isFair()) {
+            double availableSlots = overtakesUrgentWork || queue.isStarved(ticket)
+                    ? allSlots
+                    : customerShares.availableSlots(ticket.request().customer(), urgencyRank, allSlots, nowMillis);
+            double customerWaitMicros =
+                    queue.otherWorkOfCustomerMicros(ticket) / availableSlots + ticket.costMicros() / allSlots;
+            double sharedWaitMicros = Math.max(
+                    (aheadMicros + ticket.costMicros()) / allSlots,
+                    (aheadInLaneMicros + ticket.costMicros()) / laneSlots);
+            return Math.max(customerWaitMicros, sharedWaitMicros) / 1000;
+        }
         if (!overtakesUrgentWork) {
             allSlots = urgencyShares.availableSlots(allSlots, urgencyRank, nowMillis);
             laneSlots = urgencyShares.availableSlots(laneSlots, urgencyRank, nowMillis);
--- a/src/main/java/org/cassiabank/admission/FairQueue.java
+++ b/src/main/java/org/cassiabank/admission/FairQueue.java
@@ -11,10 +11,10 @@
 /**
  * The queue of one cost class, with start-time fair queueing between customers.
  *
- * <p>Each customer has a virtual time, in microseconds of work, that advances by the cost of its requests; the request
- * whose customer has the earliest time is first. A customer that was idle continues at the virtual time of the queue,
- * so that it accumulates no credit. Requests that the same servers can run form a lane, because a free slot can be
- * granted to some of the lanes only.
+ * <p>Each customer has a virtual time, in microseconds of work, that advances by the cost of its requests, divided by
+ * its weight while fair admission is in force; the request whose customer has the earliest time is first. A customer
+ * that was idle continues at the virtual time of the queue, so that it accumulates no credit. Requests that the same
+ * servers can run form a lane, because a free slot can be granted to some of the lanes only.
  */
 final class FairQueue {
     /** Empty lanes are removed when a lane is added beyond this number, because each decision examines all lanes. */
@@ -32,15 +32,37 @@
      */
     private static final double OVERTAKING_FACTOR = 1.25;
 
+    private final QueueOrder order = new QueueOrder();
     private final Map<LaneKey, Lane> lanesByKey = new HashMap<>();
     private final Map<String, Flow> flowsByCustomer = new HashMap<>();
     private final Map<Long, Ticket> ticketsById = new LinkedHashMap<>();
     private final TreeMap<Integer, Double> queuedMicrosByUrgency = new TreeMap<>();
     private double virtualTimeMicros;
-    private int activeFlows;
+    /** The sum of the weights of the customers with queued requests. */
+    private double activeWeight;
+
     private int flowSweepThreshold = MINIMUM_SWEEP_FLOWS;
     private long lastArrivalOrder;
 
+    QueueOrder order() {
+        return order;
+    }
+
+    boolean isStarved(Ticket ticket) {
+        return order.starvedFlows()
+                .contains(flowsByCustomer.get(ticket.request().customer()));
+    }
+
+    /** Serves the queued requests of a starved customer before those of all others, or stops doing so. */
+    void setStarved(String customer, boolean starved) {
+        Flow flow = flowsByCustomer.get(customer);
+        if (starved && flow != null && flow.queuedRequests() > 0) {
+            order.starvedFlows().add(flow);
+        } else if (flow != null) {
+            order.starvedFlows().remove(flow);
+        }
+    }
+
     int size() {
         return ticketsById.size();
     }
@@ -74,7 +96,7 @@
             if (lanesByKey.size() >= MAXIMUM_LANES) {
                 lanesByKey.values().removeIf(Lane::isEmpty);
             }
-            lane = new Lane(key);
+            lane = new Lane(key, order);
             lanesByKey.put(key, lane);
         }
         return lane;
@@ -87,7 +109,9 @@
     void add(Ticket ticket) {
         Flow flow = flowFor(ticket.request().customer());
         flow.advanceIdleTo(virtualTimeMicros);
-        activeFlows += flow.queuedRequests() == 0 ? 1 : 0;
+        double weight = order.isFair() ? ticket.request().customerWeight() : 1;
+        activeWeight += flow.queuedRequests() == 0 ? weight : weight - flow.weight();
+        flow.setWeight(weight);
         flow.recordAdded(ticket.costMicros());
         laneFor(ticket.laneKey()).add(ticket, flow, ++lastArrivalOrder);
         ticketsById.put(ticket.id(), ticket);
@@ -104,21 +128,29 @@
         Flow flow = flowsByCustomer.get(ticket.request().customer());
         laneFor(ticket.laneKey()).remove(ticket, flow);
         flow.recordRemoved(ticket.costMicros());
-        activeFlows -= flow.queuedRequests() == 0 ? 1 : 0;
+        if (flow.queuedRequests() == 0) {
+            activeWeight -= flow.weight();
+            order.starvedFlows().remove(flow);
+        }
         queuedMicrosByUrgency.merge(ticket.request().urgencyRank(), -ticket.costMicros(), Double::sum);
         if (ticketsById.isEmpty()) {
             // Rounding errors of the sums must not accumulate.
             queuedMicrosByUrgency.clear();
+            activeWeight = 0;
         }
         return true;
     }
 
     /** Removes a ticket and charges its customer the given cost, the current estimate in microseconds. */
     void removeAndCharge(Ticket ticket, double costMicros) {
+        Flow flow = flowsByCustomer.get(ticket.request().customer());
+        boolean starved = order.starvedFlows().contains(flow);
         remove(ticket);
-        virtualTimeMicros = Math.max(
-                virtualTimeMicros,
-                flowsByCustomer.get(ticket.request().customer()).charge(costMicros));
+        double startMicros = flow.charge(costMicros);
+        // A starved customer is served out of turn; its time would set back the customers that come from idleness.
+        if (!starved) {
+            virtualTimeMicros = Math.max(virtualTimeMicros, startMicros);
+        }
     }
 
     /**
@@ -132,7 +164,11 @@
      */
     double workAheadMicros(Ticket ticket, boolean overtakesUrgentWork) {
         Flow flow = flowsByCustomer.get(ticket.request().customer());
-        double leadMicros = Math.max(0, flow.virtualTimeMicros() - virtualTimeMicros) + flow.queuedMicros();
+        double leadMicros =
+                Math.max(0, flow.virtualTimeMicros() - virtualTimeMicros) + flow.queuedMicros() / flow.weight();
+        if (order.starvedFlows().contains(flow)) {
+            return Math.max(0, flow.queuedMicros() - ticket.costMicros());
+        }
         int urgencyRank = ticket.request().urgencyRank();
         double competingMicros = queuedMicrosByUrgency
                 .subMap(overtakesUrgentWork ? urgencyRank : Integer.MIN_VALUE, true, urgencyRank, true)
@@ -141,7 +177,13 @@
                 .mapToDouble(Double::doubleValue)
                 .sum();
         return Math.max(
-                0, Math.min(OVERTAKING_FACTOR * competingMicros, activeFlows * leadMicros) - ticket.costMicros());
+                0, Math.min(OVERTAKING_FACTOR * competingMicros, activeWeight * leadMicros) - ticket.costMicros());
+    }
+
+    /** Returns the queued work of the customer of a queued ticket without the ticket itself, in microseconds. */
+    double otherWorkOfCustomerMicros(Ticket ticket) {
+        Flow flow = flowsByCustomer.get(ticket.request().customer());
+        return Math.max(0, flow.queuedMicros() - ticket.costMicros());
     }
 
     private Flow flowFor(String customer) {
--- a/src/main/java/org/cassiabank/admission/Flow.java
+++ b/src/main/java/org/cassiabank/admission/Flow.java
@@ -1,12 +1,14 @@
 package org.cassiabank.admission;
 
 /**
- * The virtual time, in microseconds of work, and the queued work of one customer in one cost class.
+ * The virtual time, in microseconds of work divided by the weight, and the queued work of one customer in one cost
+ * class.
  */
 final class Flow {
     private double virtualTimeMicros;
     private int queuedRequests;
     private double queuedMicros;
+    private double weight = 1;
 
     double virtualTimeMicros() {
         return virtualTimeMicros;
@@ -20,6 +22,14 @@
         return queuedMicros;
     }
 
+    double weight() {
+        return weight;
+    }
+
+    void setWeight(double newWeight) {
+        weight = newWeight;
+    }
+
     /** Advances a customer without queued work to the virtual time of the queue, so that idle time gives no credit. */
     void advanceIdleTo(double queueVirtualTimeMicros) {
         if (queuedRequests == 0) {
@@ -40,7 +50,7 @@
     /** Charges the cost of one request and returns its virtual start time in microseconds. */
     double charge(double costMicros) {
         double startMicros = virtualTimeMicros;
-        virtualTimeMicros += costMicros;
+        virtualTimeMicros += costMicros / weight;
         return startMicros;
     }
 }
--- a/src/main/java/org/cassiabank/admission/Lane.java
+++ b/src/main/java/org/cassiabank/admission/Lane.java
@@ -18,6 +18,7 @@
     private static final int MAXIMUM_EMPTY_QUEUES = 64;
 
     private final LaneKey key;
+    private final QueueOrder order;
     private final PriorityQueue<CustomerQueue> queueHeap =
             new PriorityQueue<>(Comparator.<CustomerQueue>comparingDouble(queue -> queue.heapVirtualTimeMicros)
                     .thenComparingLong(queue -> queue.arrivalOrder));
@@ -26,8 +27,9 @@
     private long candidatesPoolVersion = -1;
     private double queuedMicros;
 
-    Lane(LaneKey key) {
+    Lane(LaneKey key, QueueOrder order) {
         this.key = key;
+        this.order = order;
     }
 
     LaneKey key() {
@@ -74,6 +76,11 @@
         return frontQueue().heapVirtualTimeMicros;
     }
 
+    /** Tells whether the first ticket is served before all others because its customer is starved. */
+    boolean isFirstStarved() {
+        return order.starvedFlows().stream().anyMatch(queuesByFlow::containsKey);
+    }
+
     ServerState[] candidates(ServerPool pool) {
         if (candidatesPoolVersion != pool.version()) {
             candidatesPoolVersion = pool.version();
@@ -83,6 +90,12 @@
     }
 
     private CustomerQueue frontQueue() {
+        for (Flow flow : order.starvedFlows()) {
+            CustomerQueue queue = queuesByFlow.get(flow);
+            if (queue != null) {
+                return queue;
+            }
+        }
         while (true) {
             CustomerQueue queue = queueHeap.element();
             if (queue.tickets.isEmpty()) {
--- a/src/main/java/org/cassiabank/admission/SchedulerSettings.java
+++ b/src/main/java/org/cassiabank/admission/SchedulerSettings.java
@@ -16,6 +16,7 @@
  * @param initialBackoffMillis the backoff after the first request that a server shed, in milliseconds, not negative
  * @param unrepeatableProbeDelayMillis the time without a request after which an unrepeatable request may test a server
  *     on probation, in milliseconds; 0 if only repeatable requests may
+ * @param fairAdmission whether fair admission may be in force for services without customers
  */
 public record SchedulerSettings(
         boolean separateLongWork,
@@ -28,7 +29,8 @@
         long ticketLifetimeMillis,
         long leaseGraceMillis,
         long initialBackoffMillis,
-        long unrepeatableProbeDelayMillis) {
+        long unrepeatableProbeDelayMillis,
+        boolean fairAdmission) {
 
     /**
      * Checks the ranges of the numbers.
@@ -52,6 +54,48 @@
         }
     }
 
+    /**
+     * Creates settings under which fair admission needs customers.
+     *
+     * @param separateLongWork whether short work is protected from long work
+     * @param refuseByPredictedWait whether requests are refused on arrival because of their predicted wait
+     * @param queueLimit the maximum number of queued requests of each cost class, at least 1
+     * @param maximumShortWorkWaitMillis the longest predicted wait at which short work is queued, in milliseconds
+     * @param maximumLongWorkWaitMillis the longest predicted wait at which long work is queued, in milliseconds
+     * @param initialLongWorkShare the share of all slots that long work may hold without ageing
+     * @param longWorkAgeingMillis the wait at which the limit of long work stops growing, in milliseconds
+     * @param ticketLifetimeMillis the time after which a ticket that is not renewed expires, in milliseconds
+     * @param leaseGraceMillis the time between the deadline and the expiry of a lease, in milliseconds
+     * @param initialBackoffMillis the backoff after the first request that a server shed, in milliseconds
+     * @param unrepeatableProbeDelayMillis the time before an unrepeatable request tests a server, in milliseconds
+     */
+    public SchedulerSettings(
+            boolean separateLongWork,
+            boolean refuseByPredictedWait,
+            int queueLimit,
+            long maximumShortWorkWaitMillis,
+            long maximumLongWorkWaitMillis,
+            double initialLongWorkShare,
+            long longWorkAgeingMillis,
+            long ticketLifetimeMillis,
+            long leaseGraceMillis,
+            long initialBackoffMillis,
+            long unrepeatableProbeDelayMillis) {
+        this(
+                separateLongWork,
+                refuseByPredictedWait,
+                queueLimit,
+                maximumShortWorkWaitMillis,
+                maximumLongWorkWaitMillis,
+                initialLongWorkShare,
+                longWorkAgeingMillis,
+                ticketLifetimeMillis,
+                leaseGraceMillis,
+                initialBackoffMillis,
+                unrepeatableProbeDelayMillis,
+                false);
+    }
+
     /**
      * Returns the default settings. The maximum wait of short work, 500 ms, is a quarter of the 2 s in which normal
      * latency must return after a peak, so that the queue drains in time at 75% load.
@@ -69,7 +113,7 @@
      * @return the changed settings
      */
     public SchedulerSettings withSeparateLongWork(boolean separate) {
-        return with(separate, refuseByPredictedWait, unrepeatableProbeDelayMillis);
+        return with(separate, refuseByPredictedWait, unrepeatableProbeDelayMillis, fairAdmission);
     }
 
     /**
@@ -79,7 +123,7 @@
      * @return the changed settings
      */
     public SchedulerSettings withRefuseByPredictedWait(boolean refuse) {
-        return with(separateLongWork, refuse, unrepeatableProbeDelayMillis);
+        return with(separateLongWork, refuse, unrepeatableProbeDelayMillis, fairAdmission);
     }
 
     /**
@@ -90,10 +134,20 @@
      * @return the changed settings
      */
     public SchedulerSettings withUnrepeatableProbeDelayMillis(long probeDelayMillis) {
-        return with(separateLongWork, refuseByPredictedWait, probeDelayMillis);
+        return with(separateLongWork, refuseByPredictedWait, probeDelayMillis, fairAdmission);
+    }
+
+    /**
+     * Returns these settings with fair admission without customers allowed or not.
+     *
+     * @param fair whether fair admission may be in force for services without customers
+     * @return the changed settings
+     */
+    public SchedulerSettings withFairAdmission(boolean fair) {
+        return with(separateLongWork, refuseByPredictedWait, unrepeatableProbeDelayMillis, fair);
     }
 
-    private SchedulerSettings with(boolean separate, boolean refuse, long probeDelayMillis) {
+    private SchedulerSettings with(boolean separate, boolean refuse, long probeDelayMillis, boolean fair) {
         return new SchedulerSettings(
                 separate,
                 refuse,
@@ -105,6 +159,7 @@
                 ticketLifetimeMillis,
                 leaseGraceMillis,
                 initialBackoffMillis,
-                probeDelayMillis);
+                probeDelayMillis,
+                fair);
     }
 }
--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -26,7 +26,7 @@
     private final FairQueue shortQueue = new FairQueue();
     private final FairQueue longQueue = new FairQueue();
     private final LongWorkShare longWorkShare;
-    private final UrgencyShares urgencyShares = new UrgencyShares();
+    private final ServingOrder servingOrder;
     private final AdmissionRule admissionRule;
     private final TicketTimers ticketTimers = new TicketTimers();
     private final Map<Long, SlotDecision> undeliveredDecisions = new LinkedHashMap<>();
@@ -36,8 +36,9 @@
     private SlotScheduler(SchedulerSettings settings) {
         this.settings = settings;
         this.pool = new ServerPool(settings.unrepeatableProbeDelayMillis());
+        this.servingOrder = new ServingOrder(pool);
         this.longWorkShare = new LongWorkShare(settings);
-        this.admissionRule = new AdmissionRule(settings, pool, longWorkShare, urgencyShares);
+        this.admissionRule = new AdmissionRule(settings, pool, longWorkShare, servingOrder);
     }
 
     /**
@@ -98,7 +99,7 @@
         if (!longWork) {
             longWorkShare.recordShortArrival(costMicros, currentMillis);
         }
-        urgencyShares.recordArrival(request.urgencyRank(), costMicros, currentMillis);
+        servingOrder.urgencyShares().recordArrival(request.urgencyRank(), costMicros, currentMillis);
         FairQueue queue = queueFor(longWork);
         Optional<Refused> serverRefusal = refuseWithoutServer(queue.laneFor(LaneKey.of(request)));
         if (serverRefusal.isPresent()) {
@@ -110,6 +111,7 @@
         }
         Ticket ticket = new Ticket(++lastTicketId, request, routeCost, costMicros, missesDeadline, currentMillis);
         queue.add(ticket);
+        servingOrder.recordArrival(queue, ticket, currentMillis);
         dispatch(currentMillis);
         SlotDecision decision = undeliveredDecisions.remove(ticket.id());
         if (decision != null) {
@@ -212,6 +214,18 @@
         pool.setCapacityNeeded(needed);
     }
 
+    /**
+     * Sets whether the rules of fair admission are in force: customers share slots by weight, and none is served less
+     * than a third as often as all.
+     *
+     * @param inForce whether they are in force; false at first
+     */
+    public void setFairAdmission(boolean inForce) {
+        servingOrder.setFair(inForce);
+        shortQueue.order().setFair(inForce);
+        longQueue.order().setFair(inForce);
+    }
+
     /**
      * Takes back the failures of the last moment at some servers, because these are not their cause.
      *
@@ -365,43 +379,27 @@
     }
 
     private boolean grantShortWork(long nowMillis) {
-        Lane bestLane = null;
-        ServerState server = null;
-        for (Lane lane : shortQueue.lanes()) {
-            if (!lane.isEmpty() && (bestLane == null || urgencyShares.precedes(lane, bestLane, nowMillis))) {
-                ServerState chosen = pool.chooseForShortWork(lane, nowMillis);
-                if (chosen != null) {
-                    bestLane = lane;
-                    server = chosen;
-                }
-            }
-        }
-        return bestLane != null && grant(shortQueue, bestLane, server, false, nowMillis);
+        ServingOrder.Choice choice = servingOrder.chooseShortWork(shortQueue, nowMillis);
+        return choice != null && grant(shortQueue, choice, false, nowMillis);
     }
 
     private boolean grantLongWork(boolean prioritized, long nowMillis) {
-        Lane bestLane = null;
-        ServerState server = null;
-        for (Lane lane : longQueue.lanes()) {
-            if (!lane.isEmpty() && (bestLane == null || urgencyShares.precedes(lane, bestLane, nowMillis))) {
-                ServerState chosen = pool.chooseForLongWork(lane, prioritized, !shortQueue.isEmpty(), nowMillis);
-                if (chosen != null) {
-                    bestLane = lane;
-                    server = chosen;
-                }
-            }
-        }
-        return bestLane != null && grant(longQueue, bestLane, server, true, nowMillis);
+        ServingOrder.Choice choice =
+                servingOrder.chooseLongWork(longQueue, prioritized, !shortQueue.isEmpty(), nowMillis);
+        return choice != null && grant(longQueue, choice, true, nowMillis);
     }
 
     /** Grants a slot to the first request of a lane, or refuses it if it is too late; returns true in both cases. */
-    private boolean grant(FairQueue queue, Lane lane, ServerState server, boolean longWork, long nowMillis) {
+    private boolean grant(FairQueue queue, ServingOrder.Choice choice, boolean longWork, long nowMillis) {
+        Lane lane = choice.lane();
+        ServerState server = choice.server();
         Ticket ticket = lane.firstTicket();
         if (refuseIfLate(queue, ticket, longWork, nowMillis)) {
             return true;
         }
-        queue.removeAndCharge(ticket, costModel.costMicros(ticket.request().costHint(), ticket.routeCost()));
-        urgencyShares.recordGrant(ticket.request().urgencyRank(), nowMillis);
+        double costMicros = costModel.costMicros(ticket.request().costHint(), ticket.routeCost());
+        queue.removeAndCharge(ticket, costMicros);
+        servingOrder.recordGrant(queue, ticket, costMicros, nowMillis);
         long leaseMillis = ticket.deadlineMillis() - nowMillis + settings.leaseGraceMillis();
         Lease lease = leases.grant(ticket, server, longWork, nowMillis + leaseMillis, nowMillis);
         long hedgeDelayMillis = 0;
--- a/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
+++ b/src/main/java/org/cassiabank/proxy/AttemptExecutor.java
@@ -51,6 +51,7 @@
     private final HeaderConventions conventions;
     private final ServerPathMonitor serverPath;
     private final KnownLeavingServers leavingServers;
+    private final ConfiguredWeights configuredWeights = ConfiguredWeights.create();
     private final UnreachableServers unreachableServers = UnreachableServers.create();
     private final ExecutorService workers = Executors.newVirtualThreadPerTaskExecutor();
     private final ScheduledExecutorService cancellationTimer = Executors.newSingleThreadScheduledExecutor(
@@ -141,6 +142,16 @@
                 : request.statedIdentity().orElse(ANONYMOUS_CUSTOMER);
     }
 
+    /**
+     * Returns the weight of a customer in the sharing of slots.
+     *
+     * @param customer the customer as {@link #customerIdentity} returns it
+     * @return the weight, 1 unless the configuration limits the customer
+     */
+    double customerWeight(String customer) {
+        return configuredWeights.weight(fleet.view().configuration(), customer);
+    }
+
     /**
      * Tells whether a server accepts new requests according to what this entry proxy itself knows: its instance list
      * and the responses that it received. The owner that granted the slot may know less.
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -16,6 +16,7 @@
 import java.util.function.Predicate;
 import org.cassiabank.admission.AdmissionRequest;
 import org.cassiabank.admission.CompletedLease;
+import org.cassiabank.admission.FairAdmissionScope;
 import org.cassiabank.admission.Granted;
 import org.cassiabank.admission.InFlightAttempt;
 import org.cassiabank.admission.Queued;
@@ -63,6 +64,9 @@
     private final ShardLoadLog loadLog;
     private final SlotScheduler scheduler;
     private final HealthMonitor monitor;
+    /** The setting {@code fair-admission}. */
+    private final boolean fairAdmissionEnabled;
+
     private final ShardRetryBudget retryBudget;
     private final UnservedShare unservedShare = UnservedShare.create(MonotonicClock.millis());
     private final Map<Long, CompletableFuture<SlotDecision>> waitingPolls = new HashMap<>();
@@ -90,6 +94,7 @@
         this.healthLog = ServerHealthLog.create(key, metrics);
         this.loadLog = ShardLoadLog.create(key);
         this.scheduler = SlotScheduler.create(settings.scheduler());
+        this.fairAdmissionEnabled = settings.scheduler().fairAdmission();
         this.monitor = HealthMonitor.create(settings.health());
         this.retryBudget = retryBudget;
     }
@@ -240,6 +245,10 @@
     }
 
     synchronized void updateView(FleetView newView, long nowMillis) {
+        if (view == null || view.configuration() != newView.configuration()) {
+            scheduler.setFairAdmission(
+                    FairAdmissionScope.isInForce(newView.configuration(), key.service(), fairAdmissionEnabled));
+        }
         view = newView;
         discardStateOfRestartedServers(nowMillis);
         updateServers(nowMillis);
--- a/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
+++ b/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
@@ -80,6 +80,9 @@
                 List.copyOf(request.hints().connectedServers()),
                 request.urgencyRank(),
                 request.targetLatencyMillis());
+        if (request.customerWeight() != 1) {
+            message.setCustomerWeight(request.customerWeight());
+        }
         return request.digest().isKnown() ? message.setDigest(request.digest().hex()) : message;
     }
 
@@ -98,7 +101,8 @@
                 message.getServers(),
                 new PlacementHints(
                         message.getAttempt(), message.getFailureDomain(), Set.copyOf(message.getConnected())),
-                message.isSetDigest() ? new RequestDigest(message.getDigest()) : RequestDigest.none());
+                message.isSetDigest() ? new RequestDigest(message.getDigest()) : RequestDigest.none(),
+                message.isSetCustomerWeight() ? message.getCustomerWeight() : 1);
     }
 
     static SlotReply toMessage(SlotDecision decision) {
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -254,7 +254,9 @@
                 adapter.map(found -> parseBounds(found::parseRetryBudget, settings));
         HealthSettings health = HealthSettings.defaults();
         long suspicionMillis = settings.platform().suspicionMillis();
-        SchedulerSettings scheduler = SchedulerSettings.defaults().withSeparateLongWork(settings.separateLongWork());
+        SchedulerSettings scheduler = SchedulerSettings.defaults()
+                .withSeparateLongWork(settings.separateLongWork())
+                .withFairAdmission(settings.fairAdmission());
         return new OwnerSettings(
                 suspicionMillis > 0
                         ? scheduler.withUnrepeatableProbeDelayMillis(UNREPEATABLE_PROBE_DELAY_MILLIS)
--- a/src/main/java/org/cassiabank/proxy/ProxySettings.java
+++ b/src/main/java/org/cassiabank/proxy/ProxySettings.java
@@ -17,6 +17,8 @@
  * @param store the URL of the platform's store
  * @param scheduling who schedules the slots
  * @param separateLongWork whether short requests are protected from long ones
+ * @param fairAdmission whether the rules of fair admission are in force without customers too, for services whose
+ *     selectors have different urgencies or short targets
  * @param limits the limits on callers
  * @param drainMillis how long a stopping daemon keeps serving after its health check fails, in milliseconds
  * @param longestDrainMillis the longest time that a stopping daemon waits for requests in flight, in milliseconds
@@ -34,6 +36,7 @@
         URI store,
         SchedulingMode scheduling,
         boolean separateLongWork,
+        boolean fairAdmission,
         CallerLimits limits,
         long drainMillis,
         long longestDrainMillis,
--- a/src/main/java/org/cassiabank/proxy/ProxySettingsParser.java
+++ b/src/main/java/org/cassiabank/proxy/ProxySettingsParser.java
@@ -70,6 +70,8 @@
                 .orElse(SchedulingMode.OWNER);
         boolean separateLongWork = reader.optional("separate-long-work", ProxySettingsParser::parseBoolean)
                 .orElse(true);
+        boolean fairAdmission = reader.optional("fair-admission", ProxySettingsParser::parseBoolean)
+                .orElse(false);
         CallerLimits limits = readLimits(reader);
         long drainMillis = reader.positiveOrDefault("drain-millis", DEFAULT_DRAIN_MILLIS);
         long longestDrainMillis = reader.positiveOrDefault("longest-drain-millis", DEFAULT_LONGEST_DRAIN_MILLIS);
@@ -91,6 +93,7 @@
                 store,
                 scheduling,
                 separateLongWork,
+                fairAdmission,
                 limits,
                 drainMillis,
                 longestDrainMillis,
--- a/src/main/java/org/cassiabank/proxy/RequestRun.java
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -370,19 +370,20 @@
         Set<String> unusableServers = attemptExecutor.addUnreachableServers(excludedServers);
         avoidedServerCount = unusableServers.size() - excludedServers.size();
         return new AdmissionRequest(
-                attemptExecutor.entryName(),
-                selector.name(),
-                selector.name(),
-                attemptExecutor.customerIdentity(request),
-                selector.costHint(),
-                selector.repeatable(),
-                selector.limits().urgencyRank(),
-                Math.max(0, deadlineMillis - MonotonicClock.millis()),
-                remainingTargetMillis(),
-                unusableServers,
-                selector.requiredLabels(),
-                attemptExecutor.placementHints(selector, attemptCount - notSentCount + 1),
-                digest);
+                        attemptExecutor.entryName(),
+                        selector.name(),
+                        selector.name(),
+                        attemptExecutor.customerIdentity(request),
+                        selector.costHint(),
+                        selector.repeatable(),
+                        selector.limits().urgencyRank(),
+                        Math.max(0, deadlineMillis - MonotonicClock.millis()),
+                        remainingTargetMillis(),
+                        unusableServers,
+                        selector.requiredLabels(),
+                        attemptExecutor.placementHints(selector, attemptCount - notSentCount + 1),
+                        digest)
+                .withCustomerWeight(attemptExecutor.customerWeight(attemptExecutor.customerIdentity(request)));
     }
 
     /** Returns the remaining part of the target latency in milliseconds, 0 if none is declared or none remains. */
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -62,6 +62,8 @@
   20: optional string digest,
   /** Servers of the shard that the entry knows to be leaving; missing if there are none. */
   21: optional list<StartedServer> leavingServers,
+  /** The customer's weight in the sharing of slots; missing if it is 1. */
+  22: optional double customerWeight,
 }
 
 struct SlotGrant {
