Serve requests that can meet their target before late ones

Cause: within a customer and urgency requests were served in order of arrival, so a backlog of late requests made those behind it late as well. An additional attempt waited behind all first attempts although its request had waited.

Change: while fair admission is in force, requests that can still meet their target (target less the usual time of the route) go first, oldest first. One of four slots of a customer goes to its oldest late request. Additional attempts go before first ones. Requests pass their stated target (SlotRequest field 23), because what is left of it is 0 both without a target and after it.

--- a/src/main/java/org/cassiabank/admission/AdmissionRequest.java
+++ b/src/main/java/org/cassiabank/admission/AdmissionRequest.java
@@ -18,12 +18,14 @@
  * @param repeatable whether the request may run more than once
  * @param urgencyRank the rank among requests that compete for slots; 0 is the most urgent
  * @param remainingMillis the time until the caller's deadline, in milliseconds
- * @param targetLatencyMillis the time in which the caller expects a response, in milliseconds; 0 if none is stated
+ * @param targetLatencyMillis what is left of the time in which the caller expects a response, in milliseconds; 0 if
+ *     none is stated or left
  * @param excludedServers the names of servers that must not be used, for example because an attempt failed there
  * @param requiredLabels the labels that a server must carry
  * @param hints the attempt number and what makes one server cheaper for the entry proxy than another
  * @param digest identifies the request in further attempts and repetitions by its caller
  * @param customerWeight the customer's weight in the fair sharing of slots; 1 for an average customer
+ * @param statedTargetMillis the whole time in which the caller expects a response, in milliseconds; 0 if none is stated
  */
 public record AdmissionRequest(
         String entryProxy,
@@ -39,7 +41,8 @@
         Map<String, String> requiredLabels,
         PlacementHints hints,
         RequestDigest digest,
-        double customerWeight) {
+        double customerWeight,
+        long statedTargetMillis) {
 
     /**
      * Copies the collections.
@@ -63,7 +66,7 @@
     }
 
     /**
-     * Creates a request of a customer with the weight 1.
+     * Creates the request of a customer with the weight 1, of whose target nothing has passed.
      *
      * @param entryProxy the name of the entry proxy
      * @param selector the name of the selector that matched the request
@@ -107,7 +110,8 @@
                 requiredLabels,
                 hints,
                 digest,
-                1);
+                1,
+                targetLatencyMillis);
     }
 
     /**
@@ -172,7 +176,8 @@
                 requiredLabels,
                 hints,
                 digest,
-                customerWeight);
+                customerWeight,
+                statedTargetMillis);
     }
 
     /**
@@ -198,7 +203,8 @@
                 requiredLabels,
                 hints,
                 digest,
-                customerWeight);
+                customerWeight,
+                statedTargetMillis);
     }
 
     /**
@@ -222,7 +228,8 @@
                 requiredLabels,
                 hints,
                 digest,
-                customerWeight);
+                customerWeight,
+                statedTargetMillis);
     }
 
     /**
@@ -246,6 +253,33 @@
                 requiredLabels,
                 hints,
                 digest,
-                newCustomerWeight);
+                newCustomerWeight,
+                statedTargetMillis);
+    }
+
+    /**
+     * Returns a copy of the request with another stated target.
+     *
+     * @param newStatedTargetMillis the whole time in which the caller expects a response, in milliseconds; 0 if none is
+     *     stated
+     * @return the request
+     */
+    public AdmissionRequest withStatedTargetMillis(long newStatedTargetMillis) {
+        return new AdmissionRequest(
+                entryProxy,
+                selector,
+                route,
+                customer,
+                costHint,
+                repeatable,
+                urgencyRank,
+                remainingMillis,
+                targetLatencyMillis,
+                excludedServers,
+                requiredLabels,
+                hints,
+                digest,
+                customerWeight,
+                newStatedTargetMillis);
     }
 }
--- a/src/main/java/org/cassiabank/admission/FairQueue.java
+++ b/src/main/java/org/cassiabank/admission/FairQueue.java
@@ -146,6 +146,7 @@
         Flow flow = flowsByCustomer.get(ticket.request().customer());
         boolean starved = order.starvedFlows().contains(flow);
         remove(ticket);
+        flow.recordGrant(ticket.isTimely(order.nowMillis()));
         double startMicros = flow.charge(costMicros);
         // A starved customer is served out of turn; its time would set back the customers that come from idleness.
         if (!starved) {
--- a/src/main/java/org/cassiabank/admission/Flow.java
+++ b/src/main/java/org/cassiabank/admission/Flow.java
@@ -5,10 +5,17 @@
  * class.
  */
 final class Flow {
+    /**
+     * One of this many grants goes to a late request while a customer has both kinds. A late one is then served a third
+     * as often as a timely one, the same margin as for urgencies.
+     */
+    private static final int GRANTS_PER_LATE_GRANT = 4;
+
     private double virtualTimeMicros;
     private int queuedRequests;
     private double queuedMicros;
     private double weight = 1;
+    private int timelyGrantsSinceLate;
 
     double virtualTimeMicros() {
         return virtualTimeMicros;
@@ -37,6 +44,15 @@
         }
     }
 
+    /** Tells whether the next grant is for a late request of the customer, if there is one. */
+    boolean isLateTurn() {
+        return timelyGrantsSinceLate >= GRANTS_PER_LATE_GRANT - 1;
+    }
+
+    void recordGrant(boolean timely) {
+        timelyGrantsSinceLate = timely ? timelyGrantsSinceLate + 1 : 0;
+    }
+
     void recordAdded(double costMicros) {
         queuedRequests++;
         queuedMicros += costMicros;
--- a/src/main/java/org/cassiabank/admission/ServingOrder.java
+++ b/src/main/java/org/cassiabank/admission/ServingOrder.java
@@ -5,7 +5,8 @@
  *
  * <p>While fair admission is in force, it answers the load of customers that compete for too few slots. The requests of
  * starved customers go first, and those of customers that got more than their weighted share go last, so that urgency
- * counts within the customers' shares only.
+ * counts within the customers' shares only. Of one customer and urgency, requests that can still meet their target go
+ * before late ones, so that a backlog does not make all of them late; one of four slots goes to a late one.
  */
 final class ServingOrder {
     private final ServerPool pool;
@@ -75,7 +76,26 @@
     private boolean precedes(Lane lane, Lane other, long nowMillis) {
         int group = fair ? shareGroup(lane) : 0;
         int otherGroup = fair ? shareGroup(other) : 0;
-        return group == otherGroup ? urgencyShares.precedes(lane, other, nowMillis) : group < otherGroup;
+        if (group != otherGroup) {
+            return group < otherGroup;
+        }
+        return fair && lane.key().urgencyRank() == other.key().urgencyRank() && lane.firstFlow() == other.firstFlow()
+                ? precedesOfSameCustomer(lane, other, nowMillis)
+                : urgencyShares.precedes(lane, other, nowMillis);
+    }
+
+    /** Compares first tickets of one customer and urgency as its queue in a lane orders them. */
+    private static boolean precedesOfSameCustomer(Lane lane, Lane other, long nowMillis) {
+        Ticket ticket = lane.firstTicket();
+        Ticket otherTicket = other.firstTicket();
+        boolean timely = ticket.isTimely(nowMillis);
+        if (timely != otherTicket.isTimely(nowMillis)) {
+            return timely != lane.firstFlow().isLateTurn();
+        }
+        boolean additional = ticket.request().hints().isAdditionalAttempt();
+        return additional == otherTicket.request().hints().isAdditionalAttempt()
+                ? ticket.id() < otherTicket.id()
+                : additional;
     }
 
     private int shareGroup(Lane lane) {
--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -326,6 +326,8 @@
     private long advanceClock(long nowMillis) {
         latestMillis = Math.max(latestMillis, nowMillis);
         leases.expire(latestMillis);
+        shortQueue.order().advanceTo(latestMillis);
+        longQueue.order().advanceTo(latestMillis);
         for (Ticket ticket : ticketTimers.removeDue(latestMillis)) {
             boolean longWork = longQueue.find(ticket.id()).isPresent();
             if (!refuseIfLate(queueFor(longWork), ticket, longWork, latestMillis)) {
--- a/src/main/java/org/cassiabank/admission/Ticket.java
+++ b/src/main/java/org/cassiabank/admission/Ticket.java
@@ -62,6 +62,12 @@
         return probe ? deadlineMillis : deadlineMillis - (long) (costMicros / 1000);
     }
 
+    /** Tells whether a request that starts now can usually meet its target; true also if it states none. */
+    boolean isTimely(long nowMillis) {
+        return request.statedTargetMillis() == 0
+                || nowMillis + (long) (costMicros / 1000) <= arrivedAtMillis + request.targetLatencyMillis();
+    }
+
     boolean isQueued() {
         return queued;
     }
--- a/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
+++ b/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
@@ -83,6 +83,9 @@
         if (request.customerWeight() != 1) {
             message.setCustomerWeight(request.customerWeight());
         }
+        if (request.statedTargetMillis() != request.targetLatencyMillis()) {
+            message.setStatedTargetMillis(request.statedTargetMillis());
+        }
         return request.digest().isKnown() ? message.setDigest(request.digest().hex()) : message;
     }
 
@@ -102,7 +105,8 @@
                 new PlacementHints(
                         message.getAttempt(), message.getFailureDomain(), Set.copyOf(message.getConnected())),
                 message.isSetDigest() ? new RequestDigest(message.getDigest()) : RequestDigest.none(),
-                message.isSetCustomerWeight() ? message.getCustomerWeight() : 1);
+                message.isSetCustomerWeight() ? message.getCustomerWeight() : 1,
+                message.isSetStatedTargetMillis() ? message.getStatedTargetMillis() : message.getTargetMillis());
     }
 
     static SlotReply toMessage(SlotDecision decision) {
--- a/src/main/java/org/cassiabank/proxy/RequestRun.java
+++ b/src/main/java/org/cassiabank/proxy/RequestRun.java
@@ -383,7 +383,8 @@
                         selector.requiredLabels(),
                         attemptExecutor.placementHints(selector, attemptCount - notSentCount + 1),
                         digest)
-                .withCustomerWeight(attemptExecutor.customerWeight(attemptExecutor.customerIdentity(request)));
+                .withCustomerWeight(attemptExecutor.customerWeight(attemptExecutor.customerIdentity(request)))
+                .withStatedTargetMillis(selector.limits().targetLatencyMillis());
     }
 
     /** Returns the remaining part of the target latency in milliseconds, 0 if none is declared or none remains. */
--- a/src/test/java/org/cassiabank/admission/FairAdmissionSimulation.java
+++ b/src/test/java/org/cassiabank/admission/FairAdmissionSimulation.java
@@ -272,7 +272,8 @@
                             Map.of(),
                             new PlacementHints(excludedServers.size() + 1, "", Set.of()),
                             RequestDigest.of(customer, "", "POST", "/" + arrivedMillis, new byte[0]))
-                    .withCustomerWeight(weight);
+                    .withCustomerWeight(weight)
+                    .withStatedTargetMillis(TARGET_MILLIS);
         }
     }
 }
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -64,6 +64,8 @@
   21: optional list<StartedServer> leavingServers,
   /** The customer's weight in the sharing of slots; missing if it is 1. */
   22: optional double customerWeight,
+  /** The whole time in which the caller expects an answer; missing if targetMillis says it. */
+  23: optional i64 statedTargetMillis,
 }
 
 struct SlotGrant {
