--- a/src/main/java/org/cassiabank/admission/Flow.java
+++ b/src/main/java/org/cassiabank/admission/Flow.java
@@ -1,12 +1,21 @@
 package org.cassiabank.admission;
 
 /**
- * The virtual time, in microseconds of work, and the queued work of one customer in one cost class.
+ * The virtual time, in microseconds of work divided by the weight, and the queued work of one customer in one cost
+ * class.
  */
 final class Flow {
+    /**
+     * One of this many grants goes to a late request while a customer has both kinds. A late one is then served a third
+     * as often as a timely one, the same margin as for urgencies.
+     */
+    private static final int GRANTS_PER_LATE_GRANT = 4;
+
     private double virtualTimeMicros;
     private int queuedRequests;
     private double queuedMicros;
+    private double weight = 1;
+    private int timelyGrantsSinceLate;
 
     double virtualTimeMicros() {
         return virtualTimeMicros;
@@ -20,6 +29,14 @@
         return queuedMicros;
     }
 
+    double weight() {
+        return weight;
+    }
+
+    void setWeight(double newWeight) {
+        weight = newWeight;
+    }
+
     /** Advances a customer without queued work to the virtual time of the queue, so that idle time gives no credit. */
     void advanceIdleTo(double queueVirtualTimeMicros) {
         if (queuedRequests == 0) {
@@ -27,6 +44,15 @@
         }
     }
 
+    /** Tells whether the next grant is for a late request of the customer, if there is one. */
+    boolean isLateTurn() {
+        return timelyGrantsSinceLate >= GRANTS_PER_LATE_GRANT - 1;
+    }
+
+    void recordGrant(boolean timely) {
+        timelyGrantsSinceLate = timely ? timelyGrantsSinceLate + 1 : 0;
+    }
+
     void recordAdded(double costMicros) {
         queuedRequests++;
         queuedMicros += costMicros;
@@ -40,7 +66,7 @@
     /** Charges the cost of one request and returns its virtual start time in microseconds. */
     double charge(double costMicros) {
         double startMicros = virtualTimeMicros;
-        virtualTimeMicros += costMicros;
+        virtualTimeMicros += costMicros / weight;
         return startMicros;
     }
 }
--- a/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
+++ b/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
@@ -86,6 +86,12 @@
         if (request.hints().narrowLinks()) {
             message.setNarrowLinks(true);
         }
+        if (request.customerWeight() != 1) {
+            message.setCustomerWeight(request.customerWeight());
+        }
+        if (request.statedTargetMillis() != request.targetLatencyMillis()) {
+            message.setStatedTargetMillis(request.statedTargetMillis());
+        }
         return request.digest().isKnown() ? message.setDigest(request.digest().hex()) : message;
     }
 
@@ -107,7 +113,9 @@
                         message.getFailureDomain(),
                         Set.copyOf(message.getConnected()),
                         message.isSetNarrowLinks() && message.isNarrowLinks()),
-                message.isSetDigest() ? new RequestDigest(message.getDigest()) : RequestDigest.none());
+                message.isSetDigest() ? new RequestDigest(message.getDigest()) : RequestDigest.none(),
+                message.isSetCustomerWeight() ? message.getCustomerWeight() : 1,
+                message.isSetStatedTargetMillis() ? message.getStatedTargetMillis() : message.getTargetMillis());
     }
 
     static SlotReply toMessage(SlotDecision decision) {
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -62,6 +62,10 @@
   20: optional string digest,
   /** Servers of the shard that the entry knows to be leaving; missing if there are none. */
   21: optional list<StartedServer> leavingServers,
+  /** The customer's weight in the sharing of slots; missing if it is 1. */
+  22: optional double customerWeight,
+  /** The whole time in which the caller expects an answer; missing if targetMillis says it. */
+  23: optional i64 statedTargetMillis,
   /** The entry has narrow links: a server of another failure domain costs by the bytes of the route's messages. */
   24: optional bool narrowLinks,
 }
