Refuse on arrival what the usable slots cannot serve in time

Cause: the predicted wait counted all slots of servers that refuse a part of what they get, and an additional attempt could be refused because of its wait although its request had waited. Requests were held and then refused.

Change: while fair admission is in force, the predicted wait counts servers by the share of requests that they accept and by their backoff. A queued request is looked at again after each eighth of its target, and refused if its predicted wait leaves no time before its deadline. Additional attempts are refused only for their deadline or the retry budget.

Result: FairAdmissionLoadTest plays a customer with 5 times its usual load, servers that refuse 55% and half of the servers unusable in turn.

--- a/src/main/java/org/cassiabank/admission/AdmissionRule.java
+++ b/src/main/java/org/cassiabank/admission/AdmissionRule.java
@@ -55,12 +55,50 @@
         double maximumWaitMillis = Math.max(
                 longWork ? settings.maximumLongWorkWaitMillis() : settings.maximumShortWorkWaitMillis(),
                 2 * costMillis);
+        if (queue.order().isFair()) {
+            if (ticket.request().hints().isAdditionalAttempt()) {
+                // The request has been admitted and has waited before; only its deadline is a reason to refuse it.
+                return Optional.empty();
+            }
+        }
         if (waitMillis > maximumWaitMillis) {
             return Optional.of(refusal(RefusalReason.WAIT_TOO_LONG, waitMillis, 0));
         }
         return Optional.empty();
     }
 
+    /** Returns when a queued request has to be looked at again, in milliseconds. */
+    long nextCheckMillis(FairQueue queue, Ticket ticket) {
+        long dueMillis =
+                Math.min(ticket.renewedAtMillis() + settings.ticketLifetimeMillis(), ticket.latestStartMillis() + 1);
+        return queue.order().isFair() ? Math.min(dueMillis, ticket.nextLookMillis()) : dueMillis;
+    }
+
+    /** Returns why a request must not start or wait any longer, or empty if it may. */
+    Optional<RefusalReason> overdueReason(Ticket ticket, long nowMillis) {
+        if (nowMillis > ticket.latestStartMillis()) {
+            return Optional.of(RefusalReason.DEADLINE);
+        }
+        return nowMillis >= ticket.renewedAtMillis() + settings.ticketLifetimeMillis()
+                ? Optional.of(RefusalReason.TICKET_EXPIRED)
+                : Optional.empty();
+    }
+
+    /**
+     * Looks at a queued request again. While fair admission is in force, one whose predicted wait leaves no time before
+     * its deadline is refused now, for example because servers failed after its arrival, and not held until then.
+     */
+    Optional<RefusalReason> reasonToStopWaiting(FairQueue queue, Ticket ticket, boolean longWork, long nowMillis) {
+        Optional<RefusalReason> overdue = overdueReason(ticket, nowMillis);
+        if (overdue.isPresent() || !queue.order().isFair() || nowMillis < ticket.nextLookMillis()) {
+            return overdue;
+        }
+        ticket.postponeLook(nowMillis);
+        boolean hopeless = settings.refuseByPredictedWait()
+                && nowMillis + predictWaitMillis(queue, ticket, longWork, nowMillis) > ticket.latestStartMillis();
+        return hopeless ? Optional.of(RefusalReason.DEADLINE) : Optional.empty();
+    }
+
     /** Creates the refusal of a queued request; its retry time is the wait predicted for such a request now. */
     Refused refuseQueued(FairQueue queue, Ticket ticket, boolean longWork, RefusalReason reason, long nowMillis) {
         return refusal(reason, predictWaitMillis(queue, ticket, longWork, nowMillis), 0);
@@ -75,11 +113,13 @@
         double allSlots = slotsForCostClass(pool.presentServers(), ticket.costMicros(), longWork, nowMillis);
         double laneSlots = slotsForCostClass(lane.candidates(pool), ticket.costMicros(), longWork, nowMillis);
         if (queue.order().isFair()) {
+            allSlots *= pool.acceptedShare(pool.presentServers(), ticket.costMicros(), nowMillis);
+            laneSlots *= pool.acceptedShare(lane.candidates(pool), ticket.costMicros(), nowMillis);
             double availableSlots = overtakesUrgentWork || queue.isStarved(ticket)
                     ? allSlots
                     : customerShares.availableSlots(ticket.request().customer(), urgencyRank, allSlots, nowMillis);
             double customerWaitMicros =
-                    queue.otherWorkOfCustomerMicros(ticket) / availableSlots + ticket.costMicros() / allSlots;
+                    queue.earlierWorkOfCustomerMicros(ticket) / availableSlots + ticket.costMicros() / allSlots;
             double sharedWaitMicros = Math.max(
                     (aheadMicros + ticket.costMicros()) / allSlots,
                     (aheadInLaneMicros + ticket.costMicros()) / laneSlots);
--- a/src/main/java/org/cassiabank/admission/FairQueue.java
+++ b/src/main/java/org/cassiabank/admission/FairQueue.java
@@ -113,6 +113,7 @@
         activeWeight += flow.queuedRequests() == 0 ? weight : weight - flow.weight();
         flow.setWeight(weight);
         flow.recordAdded(ticket.costMicros());
+        ticket.setQueueMarkMicros(flow.addedMicros());
         laneFor(ticket.laneKey()).add(ticket, flow, ++lastArrivalOrder);
         ticketsById.put(ticket.id(), ticket);
         ticket.setQueued(true);
@@ -155,20 +156,20 @@
     }
 
     /**
-     * Estimates the work that is served before a ticket that was added last: the earlier work of its customer and, of
-     * each other customer, at most as much as this customer is ahead of the virtual time of the queue. Less urgent work
+     * Estimates the work that is served before a ticket: the earlier work of its customer and, of each other customer,
+     * at most as much as this customer is ahead of the virtual time of the queue. Less urgent work
      * is served later and not counted.
      *
-     * @param ticket the ticket that was added last
+     * @param ticket the ticket; unless fair admission is in force, the one that was added last
      * @param overtakesUrgentWork whether the ticket is served before more urgent work
      * @return the work in microseconds
      */
     double workAheadMicros(Ticket ticket, boolean overtakesUrgentWork) {
         Flow flow = flowsByCustomer.get(ticket.request().customer());
-        double leadMicros =
-                Math.max(0, flow.virtualTimeMicros() - virtualTimeMicros) + flow.queuedMicros() / flow.weight();
+        double customerMicros = order.isFair() ? flow.queuedMicrosUpTo(ticket.queueMarkMicros()) : flow.queuedMicros();
+        double leadMicros = Math.max(0, flow.virtualTimeMicros() - virtualTimeMicros) + customerMicros / flow.weight();
         if (order.starvedFlows().contains(flow)) {
-            return Math.max(0, flow.queuedMicros() - ticket.costMicros());
+            return Math.max(0, customerMicros - ticket.costMicros());
         }
         int urgencyRank = ticket.request().urgencyRank();
         double competingMicros = queuedMicrosByUrgency
@@ -181,10 +182,10 @@
                 0, Math.min(OVERTAKING_FACTOR * competingMicros, activeWeight * leadMicros) - ticket.costMicros());
     }
 
-    /** Returns the queued work of the customer of a queued ticket without the ticket itself, in microseconds. */
-    double otherWorkOfCustomerMicros(Ticket ticket) {
+    /** Returns the work of its customer that was queued before a ticket, in microseconds. */
+    double earlierWorkOfCustomerMicros(Ticket ticket) {
         Flow flow = flowsByCustomer.get(ticket.request().customer());
-        return Math.max(0, flow.queuedMicros() - ticket.costMicros());
+        return Math.max(0, flow.queuedMicrosUpTo(ticket.queueMarkMicros()) - ticket.costMicros());
     }
 
     private Flow flowFor(String customer) {
--- a/src/main/java/org/cassiabank/admission/Flow.java
+++ b/src/main/java/org/cassiabank/admission/Flow.java
@@ -16,6 +16,8 @@
     private double queuedMicros;
     private double weight = 1;
     private int timelyGrantsSinceLate;
+    private double addedMicros;
+    private double removedMicros;
 
     double virtualTimeMicros() {
         return virtualTimeMicros;
@@ -56,13 +58,25 @@
     void recordAdded(double costMicros) {
         queuedRequests++;
         queuedMicros += costMicros;
+        addedMicros += costMicros;
     }
 
     void recordRemoved(double costMicros) {
         queuedRequests--;
+        removedMicros += costMicros;
         queuedMicros = queuedRequests == 0 ? 0 : queuedMicros - costMicros;
     }
 
+    /** Returns the work that was ever queued, the mark of a ticket that was added last. */
+    double addedMicros() {
+        return addedMicros;
+    }
+
+    /** Estimates the queued work up to a mark, as if requests were removed in the order of their arrival. */
+    double queuedMicrosUpTo(double markMicros) {
+        return Math.clamp(markMicros - removedMicros, 0, Math.max(0, queuedMicros));
+    }
+
     /** Charges the cost of one request and returns its virtual start time in microseconds. */
     double charge(double costMicros) {
         double startMicros = virtualTimeMicros;
--- a/src/main/java/org/cassiabank/admission/ServerPool.java
+++ b/src/main/java/org/cassiabank/admission/ServerPool.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
+import org.cassiabank.health.AttemptOutcome;
 
 /**
  * The backend servers of a shard and the rules that choose one of them for a request.
@@ -21,6 +22,7 @@
 
     private final long unrepeatableProbeDelayMillis;
     private final Map<String, ServerState> servers = new LinkedHashMap<>();
+    private final Map<ServerState, AcceptedShare> acceptedShares = new HashMap<>();
     private ServerState[] presentServers = {};
     private long version;
     private boolean initialized;
@@ -51,6 +53,7 @@
             servers.put(schedulableServer.name(), server);
             listedServers.add(server);
         }
+        acceptedShares.keySet().retainAll(listedServers);
         presentServers = listedServers.toArray(ServerState[]::new);
         initialized |= !listedServers.isEmpty();
         version++;
@@ -263,6 +266,37 @@
         return healthyCapacity > 0 ? healthyCapacity : probationCapacity;
     }
 
+    /**
+     * Returns the part of the usable capacity that serves requests: a server counts by the share that it accepts of
+     * what it gets. For servers that refuse half of it, the usable slots alone would predict half of the wait.
+     */
+    double acceptedShare(ServerState[] servers, double costMicros, long nowMillis) {
+        double capacity = 0;
+        double acceptedCapacity = 0;
+        for (ServerState server : servers) {
+            double serverCapacity = server.isHealthy() ? server.usableCapacity(costMicros, nowMillis) : 0;
+            capacity += serverCapacity;
+            acceptedCapacity += serverCapacity * acceptedShareOf(server, nowMillis);
+        }
+        return capacity > 0 ? acceptedCapacity / capacity : 1;
+    }
+
+    private double acceptedShareOf(ServerState server, long nowMillis) {
+        AcceptedShare share = acceptedShares.get(server);
+        return share == null ? 1 : share.share(nowMillis);
+    }
+
+    /** Records whether a server refused a request because of its load; other outcomes say nothing about that. */
+    void recordAcceptance(ServerState server, AttemptOutcome outcome, long nowMillis) {
+        if (outcome == AttemptOutcome.NOT_RUN) {
+            acceptedShares
+                    .computeIfAbsent(server, refusing -> new AcceptedShare())
+                    .record(false, nowMillis);
+        } else if (outcome == AttemptOutcome.ANSWERED && acceptedShares.containsKey(server)) {
+            acceptedShares.get(server).record(true, nowMillis);
+        }
+    }
+
     static int longWorkLeases(ServerState[] servers) {
         int count = 0;
         for (ServerState server : servers) {
--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -122,7 +122,7 @@
             queue.remove(ticket);
             return refused.get();
         }
-        ticketTimers.add(ticket, nextCheckMillis(ticket));
+        ticketTimers.add(ticket, admissionRule.nextCheckMillis(queue, ticket));
         ticketTimers.removeStale(shortQueue.size() + longQueue.size());
         return new Queued(ticket.id());
     }
@@ -191,6 +191,7 @@
         }
         RouteCost routeCost = completedLease.get().routeCost();
         ServerState server = completedLease.get().server();
+        pool.recordAcceptance(server, outcome, currentMillis);
         if (outcome == AttemptOutcome.NOT_RUN) {
             server.recordShed(settings.initialBackoffMillis(), currentMillis);
         } else {
@@ -330,30 +331,20 @@
         longQueue.order().advanceTo(latestMillis);
         for (Ticket ticket : ticketTimers.removeDue(latestMillis)) {
             boolean longWork = longQueue.find(ticket.id()).isPresent();
-            if (!refuseIfLate(queueFor(longWork), ticket, longWork, latestMillis)) {
-                ticketTimers.add(ticket, nextCheckMillis(ticket));
-            }
+            FairQueue queue = queueFor(longWork);
+            admissionRule
+                    .reasonToStopWaiting(queue, ticket, longWork, latestMillis)
+                    .ifPresentOrElse(
+                            reason -> refuseQueued(queue, ticket, longWork, reason),
+                            () -> ticketTimers.add(ticket, admissionRule.nextCheckMillis(queue, ticket)));
         }
         return latestMillis;
     }
 
-    private long nextCheckMillis(Ticket ticket) {
-        return Math.min(ticket.renewedAtMillis() + settings.ticketLifetimeMillis(), ticket.latestStartMillis() + 1);
-    }
-
-    /** Refuses a queued request whose ticket was not renewed in time or whose deadline can no longer be met. */
-    private boolean refuseIfLate(FairQueue queue, Ticket ticket, boolean longWork, long nowMillis) {
-        RefusalReason reason;
-        if (nowMillis > ticket.latestStartMillis()) {
-            reason = RefusalReason.DEADLINE;
-        } else if (nowMillis >= ticket.renewedAtMillis() + settings.ticketLifetimeMillis()) {
-            reason = RefusalReason.TICKET_EXPIRED;
-        } else {
-            return false;
-        }
-        undeliveredDecisions.put(ticket.id(), admissionRule.refuseQueued(queue, ticket, longWork, reason, nowMillis));
+    private void refuseQueued(FairQueue queue, Ticket ticket, boolean longWork, RefusalReason reason) {
+        undeliveredDecisions.put(
+                ticket.id(), admissionRule.refuseQueued(queue, ticket, longWork, reason, latestMillis));
         queue.remove(ticket);
-        return true;
     }
 
     /** Grants free slots: to long work below its guaranteed slots, then short work, then long work up to its limit. */
@@ -396,7 +387,9 @@
         Lane lane = choice.lane();
         ServerState server = choice.server();
         Ticket ticket = lane.firstTicket();
-        if (refuseIfLate(queue, ticket, longWork, nowMillis)) {
+        Optional<RefusalReason> overdueReason = admissionRule.overdueReason(ticket, nowMillis);
+        if (overdueReason.isPresent()) {
+            refuseQueued(queue, ticket, longWork, overdueReason.get());
             return true;
         }
         double costMicros = costModel.costMicros(ticket.request().costHint(), ticket.routeCost());
--- a/src/main/java/org/cassiabank/admission/Ticket.java
+++ b/src/main/java/org/cassiabank/admission/Ticket.java
@@ -7,6 +7,15 @@
     /** Longer remaining times count as one day, so that sums of times cannot overflow. */
     private static final long MAXIMUM_REMAINING_MILLIS = 86_400_000;
 
+    /**
+     * A queued request is looked at again after this part of its target. Callers that are refused by then can still be
+     * served in time elsewhere or later.
+     */
+    private static final int LOOKS_PER_TARGET = 8;
+
+    /** Bounds the looks at requests with very short targets; shards decide about time at intervals of 20 ms. */
+    private static final long MINIMUM_LOOK_INTERVAL_MILLIS = 20;
+
     private final long id;
     private final AdmissionRequest request;
     private final LaneKey laneKey;
@@ -16,6 +25,8 @@
     private final long deadlineMillis;
     private double costMicros;
     private long renewedAtMillis;
+    private double queueMarkMicros;
+    private long nextLookMillis;
     private boolean queued;
 
     Ticket(long id, AdmissionRequest request, RouteCost routeCost, double costMicros, boolean probe, long nowMillis) {
@@ -28,6 +39,7 @@
         this.arrivedAtMillis = nowMillis;
         this.deadlineMillis = nowMillis + Math.min(request.remainingMillis(), MAXIMUM_REMAINING_MILLIS);
         this.renewedAtMillis = nowMillis;
+        this.nextLookMillis = nowMillis + lookIntervalMillis();
     }
 
     long id() {
@@ -68,6 +80,29 @@
                 || nowMillis + (long) (costMicros / 1000) <= arrivedAtMillis + request.targetLatencyMillis();
     }
 
+    /** Returns the mark that {@link Flow#addedMicros()} had after the ticket was queued. */
+    double queueMarkMicros() {
+        return queueMarkMicros;
+    }
+
+    void setQueueMarkMicros(double markMicros) {
+        queueMarkMicros = markMicros;
+    }
+
+    /** Returns when the predicted wait is compared again with the time left. */
+    long nextLookMillis() {
+        return nextLookMillis;
+    }
+
+    void postponeLook(long nowMillis) {
+        nextLookMillis = nowMillis + lookIntervalMillis();
+    }
+
+    private long lookIntervalMillis() {
+        long wholeMillis = request.statedTargetMillis() > 0 ? request.statedTargetMillis() : request.remainingMillis();
+        return Math.max(MINIMUM_LOOK_INTERVAL_MILLIS, wholeMillis / LOOKS_PER_TARGET);
+    }
+
     boolean isQueued() {
         return queued;
     }
--- a/src/test/java/org/cassiabank/admission/FairAdmissionLoadTest.java
+++ b/src/test/java/org/cassiabank/admission/FairAdmissionLoadTest.java
@@ -15,6 +15,7 @@
  */
 class FairAdmissionLoadTest {
     private static final double UNTIL_MILLIS = 30_000;
+    private static final double[] USUAL_PER_SECOND = {20, 14, 10, 8, 6, 5, 4, 2, 1};
     private static final double ESTIMATED_MILLIS = 3_000;
 
     /** Guards against shares that do not follow the weights while all customers wait: 100 requests/s for 50 slots. */
@@ -70,6 +71,61 @@
         assertThat(servedShare(simulation, "quiet")).isGreaterThan(0.9);
     }
 
+    /**
+     * Guards against requests that are held and then refused. One of nine customers sends 5 times its usual 20
+     * requests/s for 5 s, all servers refuse 55% of what they get for 8 s, and half of them are unusable in turn.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void requestsThatCannotBeServedAreRefusedSoon(long seed) {
+        FairAdmissionSimulation before = evidence(false, seed);
+        FairAdmissionSimulation after = evidence(true, seed);
+        for (int customer = 0; customer < USUAL_PER_SECOND.length; customer++) {
+            String name = "customer-" + customer;
+            Predicate<Call> ofCustomer = call -> call.customer().equals(name);
+            List<Call> callsBefore = before.calls(15_000, 26_000, ofCustomer);
+            List<Call> callsAfter = after.calls(15_000, 26_000, ofCustomer);
+            printFigures(
+                    "seed %d %s: served %.2f on time %.2f, without the rules %.2f and %.2f",
+                    seed,
+                    name,
+                    share(callsAfter, Call::isServed),
+                    share(callsAfter, Call::isOnTime),
+                    share(callsBefore, Call::isServed),
+                    share(callsBefore, Call::isOnTime));
+            if (customer != 0) {
+                // Requests that arrive in the last second before the servers refuse may still wait when they do.
+                List<Call> duringBurst = after.calls(15_000, 17_000, ofCustomer);
+                assertThat(share(duringBurst, Call::isOnTime)).as(name).isEqualTo(1);
+            }
+        }
+        Predicate<Call> heldAndRefused =
+                call -> call.isRefused() && call.heldMillis() > FairAdmissionSimulation.TARGET_MILLIS / 8.0;
+        double heldBefore = share(before.calls(15_000, 26_000, Call::isRefused), heldAndRefused);
+        double heldAfter = share(after.calls(15_000, 26_000, Call::isRefused), heldAndRefused);
+        printFigures(
+                "seed %d: refused after more than an eighth of the target %.3f of refused, without the rules %.3f",
+                seed, heldAfter, heldBefore);
+        assertThat(heldAfter).isLessThan(0.05).isLessThan(heldBefore / 3);
+    }
+
+    private static FairAdmissionSimulation evidence(boolean fair, long seed) {
+        FairAdmissionSimulation simulation = FairAdmissionSimulation.create(18, 3, fair, seed)
+                .setHalfUnusable(UNTIL_MILLIS)
+                .setShedShare(time -> time >= 18_000 && time < 26_000 ? 0.55 : 0);
+        for (int customer = 0; customer < USUAL_PER_SECOND.length; customer++) {
+            double usual = USUAL_PER_SECOND[customer];
+            boolean hot = customer == 0;
+            simulation.addCustomer(
+                    "customer-" + customer,
+                    usual * USUAL_PER_SECOND.length / 70,
+                    0,
+                    UNTIL_MILLIS,
+                    time -> hot && time >= 15_000 && time < 20_000 ? 5 * usual : usual);
+        }
+        return simulation.run();
+    }
+
     private static double servedShare(FairAdmissionSimulation simulation, String customer) {
         return share(
                 simulation.calls(
