Spread the retry times of refused requests

Cause: requests refused together were told the same retry time and returned together, and the time could exceed what callers wait for.

Change: while fair admission is in force, the retry time is between the predicted wait and twice as much, spread by the digest of the request and its number at the scheduler, and at most a third of the time left. This includes requests that no server can run.

Result: RetryTimesTest checks the spread and the limit; FairAdmissionLoadTest checks the limit for all refusals of the scheduler.

--- a/src/main/java/org/cassiabank/admission/AdmissionRule.java
+++ b/src/main/java/org/cassiabank/admission/AdmissionRule.java
@@ -15,6 +15,9 @@
      */
     private static final double MAXIMUM_TAIL_FACTOR = 3;
 
+    /** The retry time of requests that no server can run or whose estimated cost exceeds their remaining time. */
+    private static final long UNSERVABLE_RETRY_AFTER_MILLIS = 1000;
+
     private static final long MINIMUM_RETRY_AFTER_MILLIS = 10;
     private static final long MAXIMUM_RETRY_AFTER_MILLIS = 10_000;
 
@@ -38,7 +41,7 @@
         // A customer may hold at most as many places as are still free, so that a new customer always finds one.
         int otherRequests = queue.size() - 1;
         if (queue.queuedRequests(ticket.request().customer()) > settings.queueLimit() - otherRequests) {
-            return Optional.of(refusal(RefusalReason.QUEUE_FULL, waitMillis, 0));
+            return Optional.of(refusal(queue, ticket, RefusalReason.QUEUE_FULL, waitMillis, nowMillis));
         }
         if (!settings.refuseByPredictedWait()) {
             return Optional.empty();
@@ -50,7 +53,8 @@
                 + serviceMillis
                 - ticket.request().remainingMillis();
         if (excessMillis > 0) {
-            return Optional.of(refusal(RefusalReason.DEADLINE, waitMillis, excessMillis));
+            return Optional.of(
+                    refusal(queue, ticket, RefusalReason.DEADLINE, Math.max(waitMillis, excessMillis), nowMillis));
         }
         double maximumWaitMillis = Math.max(
                 longWork ? settings.maximumLongWorkWaitMillis() : settings.maximumShortWorkWaitMillis(),
@@ -62,7 +66,7 @@
             }
         }
         if (waitMillis > maximumWaitMillis) {
-            return Optional.of(refusal(RefusalReason.WAIT_TOO_LONG, waitMillis, 0));
+            return Optional.of(refusal(queue, ticket, RefusalReason.WAIT_TOO_LONG, waitMillis, nowMillis));
         }
         return Optional.empty();
     }
@@ -101,7 +105,7 @@
 
     /** Creates the refusal of a queued request; its retry time is the wait predicted for such a request now. */
     Refused refuseQueued(FairQueue queue, Ticket ticket, boolean longWork, RefusalReason reason, long nowMillis) {
-        return refusal(reason, predictWaitMillis(queue, ticket, longWork, nowMillis), 0);
+        return refusal(queue, ticket, reason, predictWaitMillis(queue, ticket, longWork, nowMillis), nowMillis);
     }
 
     private double predictWaitMillis(FairQueue queue, Ticket ticket, boolean longWork, long nowMillis) {
@@ -145,11 +149,28 @@
         return capacity > 0 && capacity < usableSlots ? Math.min(slots, capacity) : slots;
     }
 
-    private static Refused refusal(RefusalReason reason, double waitMillis, double excessMillis) {
-        double retryAfterMillis = Math.max(waitMillis, excessMillis);
+    /** Creates the refusal of a request that no server can run or whose estimated cost exceeds its remaining time. */
+    Refused refuseUnservable(
+            FairQueue queue, RefusalReason reason, AdmissionRequest request, long remainingMillis, long requestNumber) {
+        return new Refused(
+                reason,
+                queue.order().isFair()
+                        ? RetryTimes.retryAfterMillis(
+                                UNSERVABLE_RETRY_AFTER_MILLIS, remainingMillis, request.digest(), requestNumber)
+                        : UNSERVABLE_RETRY_AFTER_MILLIS);
+    }
+
+    private static Refused refusal(
+            FairQueue queue, Ticket ticket, RefusalReason reason, double retryAfterMillis, long nowMillis) {
         return new Refused(
                 reason,
-                Math.round(
-                        Math.min(MAXIMUM_RETRY_AFTER_MILLIS, Math.max(MINIMUM_RETRY_AFTER_MILLIS, retryAfterMillis))));
+                queue.order().isFair()
+                        ? RetryTimes.retryAfterMillis(
+                                retryAfterMillis,
+                                ticket.deadlineMillis() - nowMillis,
+                                ticket.request().digest(),
+                                ticket.id())
+                        : Math.round(
+                                Math.clamp(retryAfterMillis, MINIMUM_RETRY_AFTER_MILLIS, MAXIMUM_RETRY_AFTER_MILLIS)));
     }
 }
--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -16,9 +16,6 @@
  * thread-safe. A time earlier than that of a previous call is replaced by the latest time seen.
  */
 public final class SlotScheduler {
-    /** The retry time of requests that no server can run or whose estimated cost exceeds their remaining time. */
-    private static final long UNSERVABLE_RETRY_AFTER_MILLIS = 1000;
-
     private final SchedulerSettings settings;
     private final ServerPool pool;
     private final LeaseTable leases = new LeaseTable();
@@ -66,7 +63,7 @@
                             pool.refusalReason(queue.laneFor(ticket.laneKey())).isPresent())
                     .forEach(ticket -> {
                         queue.remove(ticket);
-                        refuseWithoutServer(queue.laneFor(ticket.laneKey()))
+                        refuseWithoutServer(queue, ticket.request(), ticket.deadlineMillis() - currentMillis)
                                 .ifPresent(refused -> undeliveredDecisions.put(ticket.id(), refused));
                     });
         }
@@ -101,13 +98,14 @@
         }
         servingOrder.urgencyShares().recordArrival(request.urgencyRank(), costMicros, currentMillis);
         FairQueue queue = queueFor(longWork);
-        Optional<Refused> serverRefusal = refuseWithoutServer(queue.laneFor(LaneKey.of(request)));
+        Optional<Refused> serverRefusal = refuseWithoutServer(queue, request, request.remainingMillis());
         if (serverRefusal.isPresent()) {
             return serverRefusal.get();
         }
         boolean missesDeadline = costMicros / 1000 > request.remainingMillis();
         if (request.remainingMillis() <= 0 || missesDeadline && !routeCost.tryProbe(currentMillis)) {
-            return new Refused(RefusalReason.DEADLINE, UNSERVABLE_RETRY_AFTER_MILLIS);
+            return admissionRule.refuseUnservable(
+                    queue, RefusalReason.DEADLINE, request, request.remainingMillis(), ++lastTicketId);
         }
         Ticket ticket = new Ticket(++lastTicketId, request, routeCost, costMicros, missesDeadline, currentMillis);
         queue.add(ticket);
@@ -422,8 +420,9 @@
         return longWork ? longQueue : shortQueue;
     }
 
-    private Optional<Refused> refuseWithoutServer(Lane lane) {
-        return pool.refusalReason(lane).map(reason -> new Refused(reason, UNSERVABLE_RETRY_AFTER_MILLIS));
+    private Optional<Refused> refuseWithoutServer(FairQueue queue, AdmissionRequest request, long remainingMillis) {
+        return pool.refusalReason(queue.laneFor(LaneKey.of(request)))
+                .map(reason -> admissionRule.refuseUnservable(queue, reason, request, remainingMillis, ++lastTicketId));
     }
 
     private void reclassify() {
--- a/src/test/java/org/cassiabank/admission/FairAdmissionLoadTest.java
+++ b/src/test/java/org/cassiabank/admission/FairAdmissionLoadTest.java
@@ -106,6 +106,10 @@
         printFigures(
                 "seed %d: refused after more than an eighth of the target %.3f of refused, without the rules %.3f",
                 seed, heldAfter, heldBefore);
+        assertThat(after.calls(15_000, 26_000, Call::isRefused))
+                .filteredOn(call -> call.refusal().reason() != RefusalReason.RETRY_BUDGET)
+                .allSatisfy(call -> assertThat(call.refusal().retryAfterMillis())
+                        .isBetween(10L, (long) call.remainingMillisAtRefusal() / 3 + 1));
         assertThat(heldAfter).isLessThan(0.05).isLessThan(heldBefore / 3);
     }
 
