--- a/src/main/java/org/cassiabank/admission/SlotScheduler.java
+++ b/src/main/java/org/cassiabank/admission/SlotScheduler.java
@@ -16,9 +16,6 @@
  * thread-safe. A time earlier than that of a previous call is replaced by the latest time seen.
  */
 public final class SlotScheduler {
-    /** The retry time of requests that no server can run or whose estimated cost exceeds their remaining time. */
-    private static final long UNSERVABLE_RETRY_AFTER_MILLIS = 1000;
-
     private final SchedulerSettings settings;
     private final ServerPool pool;
     private final LeaseTable leases = new LeaseTable();
@@ -66,7 +63,7 @@
                             pool.refusalReason(queue.laneFor(ticket.laneKey())).isPresent())
                     .forEach(ticket -> {
                         queue.remove(ticket);
-                        refuseWithoutServer(queue.laneFor(ticket.laneKey()))
+                        refuseWithoutServer(queue, ticket.request(), ticket.deadlineMillis() - currentMillis)
                                 .ifPresent(refused -> undeliveredDecisions.put(ticket.id(), refused));
                     });
         }
@@ -101,13 +98,14 @@
         }
         servingOrder.urgencyShares().recordArrival(request.urgencyRank(), costMicros, currentMillis);
         FairQueue queue = queueFor(longWork);
-        Optional<Refused> serverRefusal = refuseWithoutServer(queue.laneFor(LaneKey.of(request)));
+        Optional<Refused> serverRefusal = refuseWithoutServer(queue, request, request.remainingMillis());
         if (serverRefusal.isPresent()) {
             return serverRefusal.get();
         }
         boolean missesDeadline = costMicros / 1000 > request.remainingMillis();
         if (request.remainingMillis() <= 0 || missesDeadline && !routeCost.tryProbe(currentMillis)) {
-            return new Refused(RefusalReason.DEADLINE, UNSERVABLE_RETRY_AFTER_MILLIS);
+            return admissionRule.refuseUnservable(
+                    queue, RefusalReason.DEADLINE, request, request.remainingMillis(), ++lastTicketId);
         }
         Ticket ticket = new Ticket(++lastTicketId, request, routeCost, costMicros, missesDeadline, currentMillis);
         queue.add(ticket);
@@ -122,7 +120,7 @@
             queue.remove(ticket);
             return refused.get();
         }
-        ticketTimers.add(ticket, nextCheckMillis(ticket));
+        ticketTimers.add(ticket, admissionRule.nextCheckMillis(queue, ticket));
         ticketTimers.removeStale(shortQueue.size() + longQueue.size());
         return new Queued(ticket.id());
     }
@@ -203,6 +201,7 @@
         RouteCost routeCost = completedLease.get().routeCost();
         ServerState server = completedLease.get().server();
         pool.recordOutcome(completedLease.get(), outcome, currentMillis);
+        pool.recordAcceptance(server, outcome, currentMillis);
         if (outcome == AttemptOutcome.NOT_RUN) {
             server.recordShed(settings.initialBackoffMillis(), currentMillis);
         } else {
@@ -341,30 +340,20 @@
         longQueue.order().advanceTo(latestMillis);
         for (Ticket ticket : ticketTimers.removeDue(latestMillis)) {
             boolean longWork = longQueue.find(ticket.id()).isPresent();
-            if (!refuseIfLate(queueFor(longWork), ticket, longWork, latestMillis)) {
-                ticketTimers.add(ticket, nextCheckMillis(ticket));
-            }
+            FairQueue queue = queueFor(longWork);
+            admissionRule
+                    .reasonToStopWaiting(queue, ticket, longWork, latestMillis)
+                    .ifPresentOrElse(
+                            reason -> refuseQueued(queue, ticket, longWork, reason),
+                            () -> ticketTimers.add(ticket, admissionRule.nextCheckMillis(queue, ticket)));
         }
         return latestMillis;
     }
 
-    private long nextCheckMillis(Ticket ticket) {
-        return Math.min(ticket.renewedAtMillis() + settings.ticketLifetimeMillis(), ticket.latestStartMillis() + 1);
-    }
-
-    /** Refuses a queued request whose ticket was not renewed in time or whose deadline can no longer be met. */
-    private boolean refuseIfLate(FairQueue queue, Ticket ticket, boolean longWork, long nowMillis) {
-        RefusalReason reason;
-        if (nowMillis > ticket.latestStartMillis()) {
-            reason = RefusalReason.DEADLINE;
-        } else if (nowMillis >= ticket.renewedAtMillis() + settings.ticketLifetimeMillis()) {
-            reason = RefusalReason.TICKET_EXPIRED;
-        } else {
-            return false;
-        }
-        undeliveredDecisions.put(ticket.id(), admissionRule.refuseQueued(queue, ticket, longWork, reason, nowMillis));
+    private void refuseQueued(FairQueue queue, Ticket ticket, boolean longWork, RefusalReason reason) {
+        undeliveredDecisions.put(
+                ticket.id(), admissionRule.refuseQueued(queue, ticket, longWork, reason, latestMillis));
         queue.remove(ticket);
-        return true;
     }
 
     /** Grants free slots: to long work below its guaranteed slots, then short work, then long work up to its limit. */
@@ -407,7 +396,9 @@
         Lane lane = choice.lane();
         ServerState server = choice.server();
         Ticket ticket = lane.firstTicket();
-        if (refuseIfLate(queue, ticket, longWork, nowMillis)) {
+        Optional<RefusalReason> overdueReason = admissionRule.overdueReason(ticket, nowMillis);
+        if (overdueReason.isPresent()) {
+            refuseQueued(queue, ticket, longWork, overdueReason.get());
             return true;
         }
         double costMicros = costModel.costMicros(ticket.request().costHint(), ticket.routeCost());
@@ -434,8 +425,9 @@
         return longWork ? longQueue : shortQueue;
     }
 
-    private Optional<Refused> refuseWithoutServer(Lane lane) {
-        return pool.refusalReason(lane).map(reason -> new Refused(reason, UNSERVABLE_RETRY_AFTER_MILLIS));
+    private Optional<Refused> refuseWithoutServer(FairQueue queue, AdmissionRequest request, long remainingMillis) {
+        return pool.refusalReason(queue.laneFor(LaneKey.of(request)))
+                .map(reason -> admissionRule.refuseUnservable(queue, reason, request, remainingMillis, ++lastTicketId));
     }
 
     private void reclassify() {
