--- a/src/test/java/org/cassiabank/proxy/PeerEndpointTest.java
+++ b/src/test/java/org/cassiabank/proxy/PeerEndpointTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -27,7 +28,10 @@
 import org.cassiabank.revision.PutEdit;
 import org.junit.jupiter.api.Test;
 
-/** Guards against an owner that has just started and refuses requests because it has not received the servers yet. */
+/**
+ * Guards against an owner that has just started and refuses requests because it has not received the servers yet, and
+ * against one that refuses the shards by which a daemon of the former release divides a service.
+ */
 class PeerEndpointTest {
     private static final Instance SELF = instance("proxy-1", InstanceRole.PROXY);
 
@@ -70,9 +74,31 @@
             assertThatThrownBy(() -> endpoint.acquire(request)).isInstanceOf(NotReady.class);
             fleet.install(InstanceList.of(1, List.of(SELF, instance("menu-1", InstanceRole.BACKEND))));
             assertThat(endpoint.acquire(request).isSetGrant()).isTrue();
+            fleet.install(InstanceList.of(2, largeService()));
+            int newNumber = fleet.view().division("menu").shards().getFirst().number();
+            for (ShardKey shard : List.of(new ShardKey("menu", 1), new ShardKey("menu", newNumber))) {
+                SlotRequest either = PeerMessageConverter.toMessage(request(), shard, 0);
+                assertThat(endpoint.acquire(either).getGrant().isSetLoad())
+                        .as("load of shard %s, whose number is of the former or of this release", shard)
+                        .isTrue();
+            }
         }
     }
 
+    private static List<Instance> largeService() {
+        List<Instance> instances = new ArrayList<>(List.of(SELF));
+        for (int number = 0; number < 40; number++) {
+            instances.add(Instance.of(
+                    "menu-" + number,
+                    InstanceRole.BACKEND,
+                    "127.0.0.1:1000",
+                    "region",
+                    "domain-" + number % 2,
+                    InstanceState.LIVE));
+        }
+        return instances;
+    }
+
     private static AdmissionRequest request() {
         return AdmissionRequest.forFirstAttempt(
                 "proxy-2", "read", "read", "customer", CostHint.SHORT, true, 1_000, Set.of(), Map.of());
