--- a/src/main/java/org/cassiabank/admission/RetryTimes.java
+++ b/src/main/java/org/cassiabank/admission/RetryTimes.java
@@ -8,7 +8,7 @@
  * <p>The times answer the load of many callers that are refused together in a burst. If all returned at the predicted
  * time, they would be the next burst, so their times are spread by the digests of their requests.
  */
-final class RetryTimes {
+public final class RetryTimes {
     private static final double MINIMUM_MILLIS = 10;
     private static final double MAXIMUM_MILLIS = 10_000;
 
@@ -36,7 +36,8 @@
      * @return the time in milliseconds: between the predicted time and twice as much, at most a third of the remaining
      *     time
      */
-    static long retryAfterMillis(double roomMillis, long remainingMillis, RequestDigest digest, long requestNumber) {
+    public static long retryAfterMillis(
+            double roomMillis, long remainingMillis, RequestDigest digest, long requestNumber) {
         double latestMillis = Math.min(MAXIMUM_MILLIS, Math.max(0, remainingMillis) * MAXIMUM_SHARE_OF_REMAINING);
         double earliestMillis =
                 Math.min(Math.max(MINIMUM_MILLIS, roomMillis), (1 - CAPPED_SPREAD_SHARE) * latestMillis);
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -20,7 +19,6 @@
 import org.cassiabank.admission.Granted;
 import org.cassiabank.admission.InFlightAttempt;
 import org.cassiabank.admission.Queued;
-import org.cassiabank.admission.RefusalReason;
 import org.cassiabank.admission.Refused;
 import org.cassiabank.admission.SchedulableServer;
 import org.cassiabank.admission.ServerNotice;
@@ -50,9 +48,6 @@
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-    /** The retry-after time of refused retries. A request that returns is a first attempt, which needs no token. */
-    private static final long RETRY_BUDGET_RETRY_AFTER_MILLIS = 200;
-
     /** A decision that its entry proxy does not poll for within this time is dropped, and its slot is freed. */
     private static final long DECISION_COLLECTION_TIMEOUT_MILLIS = 500;
 
@@ -62,12 +57,13 @@
     private final FatalRequestExchange fatalRequests;
     private final ServerHealthLog healthLog;
     private final ShardLoadLog loadLog;
+    private final ProxyMetrics metrics;
     private final SlotScheduler scheduler;
     private final HealthMonitor monitor;
     /** The setting {@code fair-admission}. */
     private final boolean fairAdmissionEnabled;
 
-    private final ShardRetryBudget retryBudget;
+    private final NewRequestCheck newRequestCheck;
     private final UnservedShare unservedShare = UnservedShare.create(MonotonicClock.millis());
     private final Map<Long, CompletableFuture<SlotDecision>> waitingPolls = new HashMap<>();
     private final Map<Long, UncollectedDecision> uncollectedDecisions = new HashMap<>();
@@ -92,11 +88,12 @@
         this.fatalRequests = fatalRequests;
         this.leavingServers = leavingServers;
         this.healthLog = ServerHealthLog.create(key, metrics);
+        this.metrics = metrics;
         this.loadLog = ShardLoadLog.create(key);
         this.scheduler = SlotScheduler.create(settings.scheduler());
         this.fairAdmissionEnabled = settings.scheduler().fairAdmission();
         this.monitor = HealthMonitor.create(settings.health());
-        this.retryBudget = retryBudget;
+        this.newRequestCheck = new NewRequestCheck(fatalRequests, retryBudget);
     }
 
     static OwnedShard create(
@@ -132,17 +129,17 @@
             }
             lastRequestMillis = nowMillis;
             Optional<Refused> refused =
-                    presentedTicketId == 0 ? refuseNewRequest(request, nowMillis) : Optional.empty();
+                    presentedTicketId == 0 ? newRequestCheck.refuse(request, nowMillis) : Optional.empty();
             if (refused.isPresent()) {
-                recordRefusal(nowMillis);
+                recordRefusal(refused.get(), false, nowMillis);
                 return Optional.of(refused.get());
             }
             SlotDecision decision = presentedTicketId == 0
                     ? scheduler.acquire(request, nowMillis)
                     : renewTicket(presentedTicketId, nowMillis);
             advanceScheduler(nowMillis);
-            if (decision instanceof Refused) {
-                recordRefusal(nowMillis);
+            if (decision instanceof Refused refusal) {
+                recordRefusal(refusal, presentedTicketId != 0, nowMillis);
                 fatalRequests.recordEnd(request.digest(), false);
             }
             if (!(decision instanceof Queued queued)) {
@@ -154,7 +151,8 @@
         return Optional.of(awaitDecision(ticketId, future));
     }
 
-    private void recordRefusal(long nowMillis) {
+    private void recordRefusal(Refused refused, boolean queued, long nowMillis) {
+        metrics.recordSlotRefusal(refused.reason().label(), queued);
         loadLog.recordRefusal();
         unservedShare.recordRefusal(nowMillis);
     }
@@ -246,8 +244,10 @@
 
     synchronized void updateView(FleetView newView, long nowMillis) {
         if (view == null || view.configuration() != newView.configuration()) {
-            scheduler.setFairAdmission(
-                    FairAdmissionScope.isInForce(newView.configuration(), key.service(), fairAdmissionEnabled));
+            boolean fairAdmission =
+                    FairAdmissionScope.isInForce(newView.configuration(), key.service(), fairAdmissionEnabled);
+            scheduler.setFairAdmission(fairAdmission);
+            newRequestCheck.setSpreadRetryTimes(fairAdmission);
         }
         view = newView;
         discardStateOfRestartedServers(nowMillis);
@@ -314,18 +314,6 @@
         return !waitingPolls.isEmpty() || !uncollectedDecisions.isEmpty() || scheduler.hasLeases();
     }
 
-    /** Refuses a request that ends servers, or an additional attempt beyond the retry budget. */
-    private Optional<Refused> refuseNewRequest(AdmissionRequest request, long nowMillis) {
-        OptionalLong refusalMillis = fatalRequests.refusalMillis(
-                request.digest(), request.hints().isAdditionalAttempt(), request.remainingMillis());
-        if (refusalMillis.isPresent()) {
-            return Optional.of(new Refused(RefusalReason.ENDS_SERVERS, refusalMillis.getAsLong()));
-        }
-        return retryBudget.trySpend(request, nowMillis)
-                ? Optional.empty()
-                : Optional.of(new Refused(RefusalReason.RETRY_BUDGET, RETRY_BUDGET_RETRY_AFTER_MILLIS));
-    }
-
     private SlotDecision renewTicket(long ticketId, long nowMillis) {
         UncollectedDecision decided = uncollectedDecisions.remove(ticketId);
         if (decided != null) {
@@ -355,6 +343,9 @@
         for (TicketDecision decided : scheduler.advance(nowMillis)) {
             CompletableFuture<SlotDecision> future = waitingPolls.remove(decided.ticketId());
             if (future != null) {
+                if (decided.decision() instanceof Refused refused) {
+                    metrics.recordSlotRefusal(refused.reason().label(), true);
+                }
                 future.complete(decided.decision());
             } else {
                 // The entry proxy is between two polls and collects the decision with its next one.
--- a/src/main/java/org/cassiabank/proxy/ProxyMetrics.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyMetrics.java
@@ -24,6 +24,11 @@
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final Counter requests = counter("cassiabank_requests_total", "Requests by outcome.", "outcome");
     private final Counter refusals = counter("cassiabank_refusals_total", "Requests not run, by reason.", "reason");
+    private final Counter slotRefusals = counter(
+            "cassiabank_slot_refusals_total",
+            "Requests that got no slot of a shard scheduled by this daemon, by reason and when it was decided.",
+            "reason",
+            "decided");
     private final Counter unknownOutcomes =
             counter("cassiabank_unknown_outcomes_total", "Requests whose outcome is unknown, by reason.", "reason");
     private final Counter retries =
@@ -80,6 +85,11 @@
         refusals.labelValues(reason).inc();
     }
 
+    /** Counts a slot that this daemon refused as owner, on arrival of the request or after it was queued. */
+    void recordSlotRefusal(String reason, boolean queued) {
+        slotRefusals.labelValues(reason, queued ? "queued" : "arrival").inc();
+    }
+
     void recordUnknownOutcome(String reason) {
         requests.labelValues("unknown").inc();
         unknownOutcomes.labelValues(reason).inc();
