Always state a retry time with fair admission

Cause: a third of a remaining time below 3 ms is 0, and a reply with 0 has no retry time, after which callers return at once.

Change: the retry time is at least 1 ms.

--- a/src/main/java/org/cassiabank/admission/RetryTimes.java
+++ b/src/main/java/org/cassiabank/admission/RetryTimes.java
@@ -34,7 +34,7 @@
      * @param digest the digest of the request
      * @param requestNumber the number of the request at this scheduler, which spreads equal requests
      * @return the time in milliseconds: between the predicted time and twice as much, at most a third of the remaining
-     *     time
+     *     time, at least 1
      */
     public static long retryAfterMillis(
             double roomMillis, long remainingMillis, RequestDigest digest, long requestNumber) {
@@ -42,7 +42,8 @@
         double earliestMillis =
                 Math.min(Math.max(MINIMUM_MILLIS, roomMillis), (1 - CAPPED_SPREAD_SHARE) * latestMillis);
         double endMillis = Math.min(latestMillis, SPREAD_FACTOR * earliestMillis);
-        return (long) (earliestMillis + (endMillis - earliestMillis) * fraction(digest, requestNumber));
+        // A time of 0 would be left out of the reply, and callers without a time return at once.
+        return Math.max(1, (long) (earliestMillis + (endMillis - earliestMillis) * fraction(digest, requestNumber)));
     }
 
     /** Returns a number from 0 to below 1 that is evenly distributed over digests and request numbers. */
