--- a/src/main/java/org/cassiabank/admission/RetryTimes.java
+++ b/src/main/java/org/cassiabank/admission/RetryTimes.java
@@ -8,7 +8,7 @@
  * <p>The times answer the load of many callers that are refused together in a burst. If all returned at the predicted
  * time, they would be the next burst, so their times are spread by the digests of their requests.
  */
-final class RetryTimes {
+public final class RetryTimes {
     private static final double MINIMUM_MILLIS = 10;
     private static final double MAXIMUM_MILLIS = 10_000;
 
@@ -34,14 +34,16 @@
      * @param digest the digest of the request
      * @param requestNumber the number of the request at this scheduler, which spreads equal requests
      * @return the time in milliseconds: between the predicted time and twice as much, at most a third of the remaining
-     *     time
+     *     time, at least 1
      */
-    static long retryAfterMillis(double roomMillis, long remainingMillis, RequestDigest digest, long requestNumber) {
+    public static long retryAfterMillis(
+            double roomMillis, long remainingMillis, RequestDigest digest, long requestNumber) {
         double latestMillis = Math.min(MAXIMUM_MILLIS, Math.max(0, remainingMillis) * MAXIMUM_SHARE_OF_REMAINING);
         double earliestMillis =
                 Math.min(Math.max(MINIMUM_MILLIS, roomMillis), (1 - CAPPED_SPREAD_SHARE) * latestMillis);
         double endMillis = Math.min(latestMillis, SPREAD_FACTOR * earliestMillis);
-        return (long) (earliestMillis + (endMillis - earliestMillis) * fraction(digest, requestNumber));
+        // A time of 0 would be left out of the reply, and callers without a time return at once.
+        return Math.max(1, (long) (earliestMillis + (endMillis - earliestMillis) * fraction(digest, requestNumber)));
     }
 
     /** Returns a number from 0 to below 1 that is evenly distributed over digests and request numbers. */
