Keep the limits of customers over all daemons

The owner of a shard charges a request to its customer when its first attempt is to be queued, and takes the charge back if the request is refused or its grant is not collected. A customer above its limit gets 429 with a retry time; no second shard is tried. Without a customer that has a limit, nothing is charged and nothing is sent. The bounds come from platform-bounds.

--- a/src/main/java/org/cassiabank/admission/RefusalReason.java
+++ b/src/main/java/org/cassiabank/admission/RefusalReason.java
@@ -25,7 +25,9 @@
     /** The retry budget of the service has no token for an additional attempt. */
     RETRY_BUDGET,
     /** Servers ended while they ran the request, or another attempt at such a request is still running. */
-    ENDS_SERVERS;
+    ENDS_SERVERS,
+    /** The customer has used up its limit over all daemons. */
+    QUOTA;
 
     private final String label = name().toLowerCase(Locale.ROOT).replace('_', '-');
 
@@ -37,4 +39,13 @@
     public String label() {
         return label;
     }
+
+    /**
+     * Tells whether the refusal may be due to too few usable servers.
+     *
+     * @return false if the customer alone is the cause
+     */
+    public boolean showsLackOfServers() {
+        return this != QUOTA;
+    }
 }
--- a/src/main/java/org/cassiabank/platform/KeyValueAdapter.java
+++ b/src/main/java/org/cassiabank/platform/KeyValueAdapter.java
@@ -9,6 +9,7 @@
 import org.cassiabank.source.MetadataStore;
 import org.cassiabank.source.PlatformAdapter;
 import org.cassiabank.source.PropagationTimes;
+import org.cassiabank.source.QuotaBoundSettings;
 import org.cassiabank.source.RetryBudgetSettings;
 import org.cassiabank.source.StoreEntry;
 import org.cassiabank.source.VersionedConfiguration;
@@ -49,6 +50,18 @@
                 PlatformDurations.parseMillis(requiredBound(boundsByName, "budget_window")));
     }
 
+    @Override
+    public Optional<QuotaBoundSettings> parseQuotaBounds(String text) {
+        Map<String, String> boundsByName = boundsByName(text);
+        if (boundsByName.keySet().stream().noneMatch(name -> name.startsWith("quota_"))) {
+            return Optional.empty();
+        }
+        return Optional.of(new QuotaBoundSettings(
+                PlatformDurations.parseMillis(requiredBound(boundsByName, "quota_window")),
+                Double.parseDouble(requiredBound(boundsByName, "quota_overage")),
+                Double.parseDouble(requiredBound(boundsByName, "quota_slack"))));
+    }
+
     /** The bound {@code config} counts from the store's acknowledgement. */
     @Override
     public PropagationTimes parsePropagationTimes(String text) {
--- a/src/main/java/org/cassiabank/proxy/CallerReply.java
+++ b/src/main/java/org/cassiabank/proxy/CallerReply.java
@@ -19,6 +19,7 @@
     static final String REASON_HEADER = "Cassiabank-Reason";
     static final String RETRY_AFTER_MILLIS_HEADER = "Cassiabank-Retry-After-Millis";
     static final int SERVICE_UNAVAILABLE = 503;
+    static final int TOO_MANY_REQUESTS = 429;
     static final int GATEWAY_TIMEOUT = 504;
     static final int CONFLICT = 409;
     private static final String ANSWERED = "answered";
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -64,6 +64,7 @@
     private final SlotScheduler scheduler;
     private final HealthMonitor monitor;
     private final ShardRetryBudget retryBudget;
+    private final QuotaCharges charges;
     private final UnservedShare unservedShare = UnservedShare.create(MonotonicClock.millis());
     private final Map<Long, CompletableFuture<SlotDecision>> waitingPolls = new HashMap<>();
     private final Map<Long, UncollectedDecision> uncollectedDecisions = new HashMap<>();
@@ -83,6 +84,7 @@
             FatalRequestExchange fatalRequests,
             KnownLeavingServers leavingServers,
             ProxyMetrics metrics,
+            QuotaGate quotas,
             ShardRetryBudget retryBudget) {
         this.key = key;
         this.fatalRequests = fatalRequests;
@@ -92,6 +94,7 @@
         this.scheduler = SlotScheduler.create(settings.scheduler());
         this.monitor = HealthMonitor.create(settings.health());
         this.retryBudget = retryBudget;
+        this.charges = new QuotaCharges(quotas);
     }
 
     static OwnedShard create(
@@ -100,11 +103,12 @@
             FatalRequestExchange fatalRequests,
             KnownLeavingServers leavingServers,
             ProxyMetrics metrics,
+            QuotaGate quotas,
             FleetView view,
             long nowMillis) {
         ShardRetryBudget retryBudget =
                 ShardRetryBudget.create(settings.retryBudgetSettings(), view.shardCount(key.service()), nowMillis);
-        OwnedShard shard = new OwnedShard(key, settings, fatalRequests, leavingServers, metrics, retryBudget);
+        OwnedShard shard = new OwnedShard(key, settings, fatalRequests, leavingServers, metrics, quotas, retryBudget);
         shard.lastRequestMillis = nowMillis;
         shard.updateView(view, nowMillis);
         return shard;
@@ -129,15 +133,15 @@
             Optional<Refused> refused =
                     presentedTicketId == 0 ? refuseNewRequest(request, nowMillis) : Optional.empty();
             if (refused.isPresent()) {
-                recordRefusal(nowMillis);
+                recordRefusal(refused.get(), nowMillis);
                 return Optional.of(refused.get());
             }
             SlotDecision decision = presentedTicketId == 0
-                    ? scheduler.acquire(request, nowMillis)
+                    ? charges.acquire(request, () -> scheduler.acquire(request, nowMillis))
                     : renewTicket(presentedTicketId, nowMillis);
             advanceScheduler(nowMillis);
-            if (decision instanceof Refused) {
-                recordRefusal(nowMillis);
+            if (decision instanceof Refused newRefusal) {
+                recordRefusal(newRefusal, nowMillis);
                 fatalRequests.recordEnd(request.digest(), false);
             }
             if (!(decision instanceof Queued queued)) {
@@ -149,9 +153,11 @@
         return Optional.of(awaitDecision(ticketId, future));
     }
 
-    private void recordRefusal(long nowMillis) {
-        loadLog.recordRefusal();
-        unservedShare.recordRefusal(nowMillis);
+    private void recordRefusal(Refused refused, long nowMillis) {
+        if (refused.reason().showsLackOfServers()) {
+            loadLog.recordRefusal();
+            unservedShare.recordRefusal(nowMillis);
+        }
     }
 
     /** Releases a lease; returns false if it is not known. */
@@ -320,9 +326,12 @@
     private SlotDecision renewTicket(long ticketId, long nowMillis) {
         UncollectedDecision decided = uncollectedDecisions.remove(ticketId);
         if (decided != null) {
+            charges.recordDecision(ticketId, decided.decision());
             return decided.decision();
         }
-        return scheduler.renewTicket(ticketId, nowMillis).orElse(new Queued(ticketId));
+        SlotDecision decision = scheduler.renewTicket(ticketId, nowMillis).orElse(new Queued(ticketId));
+        charges.recordDecision(ticketId, decision);
+        return decision;
     }
 
     private SlotDecision awaitDecision(long ticketId, CompletableFuture<SlotDecision> future) {
@@ -346,6 +355,7 @@
         for (TicketDecision decided : scheduler.advance(nowMillis)) {
             CompletableFuture<SlotDecision> future = waitingPolls.remove(decided.ticketId());
             if (future != null) {
+                charges.recordDecision(decided.ticketId(), decided.decision());
                 future.complete(decided.decision());
             } else {
                 // The entry proxy is between two polls and collects the decision with its next one.
@@ -355,11 +365,15 @@
     }
 
     private void releaseUncollectedDecisions(long nowMillis) {
-        uncollectedDecisions.values().removeIf(decided -> {
+        uncollectedDecisions.entrySet().removeIf(entry -> {
+            UncollectedDecision decided = entry.getValue();
             boolean abandoned = nowMillis - decided.decidedMillis() > DECISION_COLLECTION_TIMEOUT_MILLIS;
             if (abandoned && decided.decision() instanceof Granted granted) {
                 scheduler.completeLease(granted.leaseId(), AttemptOutcome.CANCELLED, 0, nowMillis);
             }
+            if (abandoned) {
+                charges.recordAbandoned(entry.getKey());
+            }
             return abandoned;
         });
     }
@@ -433,7 +447,4 @@
                 || leavingServers.isLeaving(
                         server.instance().name(), server.instance().incarnation());
     }
-
-    /** A decision that was made at {@code decidedMillis} while its entry proxy was between two polls. */
-    private record UncollectedDecision(SlotDecision decision, long decidedMillis) {}
 }
--- a/src/main/java/org/cassiabank/proxy/OwnedShards.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShards.java
@@ -48,6 +48,7 @@
     private final FatalRequestExchange fatalRequests;
     private final KnownLeavingServers leavingServers;
     private final ProxyMetrics metrics;
+    private final QuotaGate quotas;
     private final ScheduledExecutorService tickExecutor = Executors.newSingleThreadScheduledExecutor(
             Thread.ofPlatform().name("shard-ticker").daemon().factory());
 
@@ -56,12 +57,14 @@
             FleetState fleet,
             FatalRequestExchange fatalRequests,
             KnownLeavingServers leavingServers,
-            ProxyMetrics metrics) {
+            ProxyMetrics metrics,
+            QuotaGate quotas) {
         this.settings = settings;
         this.fleet = fleet;
         this.fatalRequests = fatalRequests;
         this.leavingServers = leavingServers;
         this.metrics = metrics;
+        this.quotas = quotas;
     }
 
     static OwnedShards create(
@@ -70,12 +73,23 @@
             FatalRequestExchange fatalRequests,
             KnownLeavingServers leavingServers,
             ProxyMetrics metrics) {
+        return create(settings, fleet, fatalRequests, leavingServers, metrics, QuotaGate.unlimited());
+    }
+
+    static OwnedShards create(
+            OwnerSettings settings,
+            FleetState fleet,
+            FatalRequestExchange fatalRequests,
+            KnownLeavingServers leavingServers,
+            ProxyMetrics metrics,
+            QuotaGate quotas) {
         return new OwnedShards(
                 Objects.requireNonNull(settings, "settings"),
                 Objects.requireNonNull(fleet, "fleet"),
                 Objects.requireNonNull(fatalRequests, "fatalRequests"),
                 Objects.requireNonNull(leavingServers, "leavingServers"),
-                Objects.requireNonNull(metrics, "metrics"));
+                Objects.requireNonNull(metrics, "metrics"),
+                Objects.requireNonNull(quotas, "quotas"));
     }
 
     @Override
@@ -147,7 +161,7 @@
     private OwnedShard createShard(ShardKey key) {
         fatalRequests.fetchSuspects(key);
         return OwnedShard.create(
-                key, settings, fatalRequests, leavingServers, metrics, fleet.view(), MonotonicClock.millis());
+                key, settings, fatalRequests, leavingServers, metrics, quotas, fleet.view(), MonotonicClock.millis());
     }
 
     /** Applies what has become known of the servers of a shard; does nothing if this daemon does not schedule it. */
--- a/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
+++ b/src/main/java/org/cassiabank/proxy/PeerEndpoint.java
@@ -17,6 +17,8 @@
 import org.cassiabank.peer.generated.ForwardedRequest;
 import org.cassiabank.peer.generated.NotReady;
 import org.cassiabank.peer.generated.Peer;
+import org.cassiabank.peer.generated.QuotaLease;
+import org.cassiabank.peer.generated.QuotaReport;
 import org.cassiabank.peer.generated.RecordedAnswer;
 import org.cassiabank.peer.generated.SlotOutcome;
 import org.cassiabank.peer.generated.SlotReply;
@@ -39,6 +41,7 @@
     private OwnedShards ownedShards;
     private KnownLeavingServers leavingServers;
     private FatalRequestExchange fatalRequests;
+    private QuotaExchange quotas;
     private ClaimKeeper claimKeeper;
     private Replication replication;
     private FleetSource fleetSource;
@@ -62,6 +65,7 @@
         ownedShards = kernel.get(ServiceNames.OWNED_SHARDS);
         leavingServers = kernel.get(ServiceNames.LEAVING_SERVERS);
         fatalRequests = kernel.get(ServiceNames.FATAL_REQUESTS);
+        quotas = kernel.get(ServiceNames.QUOTAS);
         claimKeeper = kernel.get(ServiceNames.CLAIM_KEEPER);
         replication = kernel.get(ServiceNames.REPLICATION);
         fleetSource = kernel.get(ServiceNames.FLEET_SOURCE);
@@ -85,11 +89,13 @@
                 PeerMessageConverter.toServerStarts(request.getLeavingServers()), request.getEntry())) {
             ownedShards.updateServers(shard);
         }
-        return PeerMessageConverter.toMessage(ownedShards.acquire(
-                shard,
-                PeerMessageConverter.toAdmissionRequest(request),
-                request.getTicket(),
-                PeerMessageConverter.toServerRateLimits(request)));
+        return PeerMessageConverter.toMessage(
+                ownedShards.acquire(
+                        shard,
+                        PeerMessageConverter.toAdmissionRequest(request),
+                        request.getTicket(),
+                        PeerMessageConverter.toServerRateLimits(request)),
+                request.isKnowsQuotas());
     }
 
     @Override
@@ -116,6 +122,13 @@
                 .toList();
     }
 
+    @Override
+    public List<QuotaLease> exchangeQuotas(QuotaReport report) {
+        return quotas.answer(QuotaMessages.toReport(report, settings.name())).stream()
+                .map(QuotaMessages::toMessage)
+                .toList();
+    }
+
     @Override
     public ExchangeReply exchange(ExchangeRequest request) {
         return replication.answerExchange(request);
--- a/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
+++ b/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
@@ -80,6 +80,7 @@
                 List.copyOf(request.hints().connectedServers()),
                 request.urgencyRank(),
                 request.targetLatencyMillis());
+        message.setKnowsQuotas(true);
         return request.digest().isKnown() ? message.setDigest(request.digest().hex()) : message;
     }
 
@@ -101,6 +102,13 @@
                 message.isSetDigest() ? new RequestDigest(message.getDigest()) : RequestDigest.none());
     }
 
+    /** Replaces a reason that an entry of an earlier release does not know. */
+    static SlotReply toMessage(SlotDecision decision, boolean knowsQuotas) {
+        return decision instanceof Refused refused && refused.reason() == RefusalReason.QUOTA && !knowsQuotas
+                ? toMessage(new Refused(RefusalReason.WAIT_TOO_LONG, refused.retryAfterMillis()))
+                : toMessage(decision);
+    }
+
     static SlotReply toMessage(SlotDecision decision) {
         return switch (decision) {
             case Granted granted ->
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -29,6 +29,7 @@
 import org.cassiabank.once.ProxyListHistory;
 import org.cassiabank.peer.PeerClientPool;
 import org.cassiabank.peer.PeerSocketFactories;
+import org.cassiabank.quota.QuotaBounds;
 import org.cassiabank.source.FleetSource;
 import org.cassiabank.source.MetadataStoreFleetSource;
 import org.cassiabank.source.PlatformAdapter;
@@ -99,7 +100,9 @@
         FatalRequestExchange fatalRequests = FatalRequestExchange.create(fleet, peerTransport, metrics);
         OwnerSettings ownerSettings = ownerSettings(settings, adapter);
         KnownLeavingServers leavingServers = KnownLeavingServers.create(fleet, metrics);
-        OwnedShards ownedShards = OwnedShards.create(ownerSettings, fleet, fatalRequests, leavingServers, metrics);
+        QuotaExchange quotas = newQuotas(settings, adapter, self, fleet, peerTransport, metrics);
+        OwnedShards ownedShards =
+                OwnedShards.create(ownerSettings, fleet, fatalRequests, leavingServers, metrics, quotas);
         SlotBroker slotBroker =
                 SlotBroker.create(settings, fleet, ownedShards, fatalRequests, peerTransport, leavingServers);
         ProxyListHistory proxyLists = ClaimTimes.newProxyListHistory();
@@ -121,15 +124,10 @@
         FleetSource source = createFleetSource(adapter, settings, self, fleet, replication, peerTransport, metrics);
         CallerServer callerServer = newCallerServer(settings, fleet, requestHandler, metrics);
         AdminEndpoint adminEndpoint = AdminEndpoint.create(settings);
-        Kernel kernel = Kernel.create()
-                .register(ServiceNames.SETTINGS, settings)
-                .register(ServiceNames.METRICS, metrics)
-                .register(ServiceNames.FLEET_STATE, fleet)
-                .register(ServiceNames.LEAVING_SERVERS, leavingServers)
-                .register(ServiceNames.PEER_CLIENTS, clientPool)
-                .register(ServiceNames.PEER_TRANSPORT, peerTransport)
+        Kernel kernel = kernelOfShared(settings, metrics, fleet, leavingServers, clientPool, peerTransport)
                 .register(IDLE_CONNECTIONS, connectionCleanupService(clientPool, backendClient, fleet))
                 .register(ServiceNames.FATAL_REQUESTS, fatalRequests)
+                .register(ServiceNames.QUOTAS, quotas)
                 .register(ServiceNames.OWNED_SHARDS, ownedShards)
                 .register(ServiceNames.SLOT_BROKER, slotBroker)
                 .register(ServiceNames.CLAIM_KEEPER, claimKeeper)
@@ -264,6 +262,40 @@
                 longestStopMillis(adapter, settings));
     }
 
+    /** Returns a kernel with the services that others use from their start on. */
+    private static Kernel kernelOfShared(
+            ProxySettings settings,
+            ProxyMetrics metrics,
+            FleetState fleet,
+            KnownLeavingServers leavingServers,
+            PeerClientPool clientPool,
+            PeerTransport peerTransport) {
+        return Kernel.create()
+                .register(ServiceNames.SETTINGS, settings)
+                .register(ServiceNames.METRICS, metrics)
+                .register(ServiceNames.FLEET_STATE, fleet)
+                .register(ServiceNames.LEAVING_SERVERS, leavingServers)
+                .register(ServiceNames.PEER_CLIENTS, clientPool)
+                .register(ServiceNames.PEER_TRANSPORT, peerTransport);
+    }
+
+    private static QuotaExchange newQuotas(
+            ProxySettings settings,
+            Optional<PlatformAdapter> adapter,
+            Instance self,
+            FleetState fleet,
+            PeerTransport peerTransport,
+            ProxyMetrics metrics) {
+        return QuotaExchange.create(
+                self, fleet, peerTransport, metrics, quotaBounds(settings, adapter), System.currentTimeMillis());
+    }
+
+    private static QuotaBounds quotaBounds(ProxySettings settings, Optional<PlatformAdapter> adapter) {
+        return adapter.flatMap(found -> parseBounds(found::parseQuotaBounds, settings))
+                .map(bounds -> new QuotaBounds(bounds.windowMillis(), bounds.overage(), bounds.slack()))
+                .orElseGet(QuotaBounds::defaults);
+    }
+
     private static FleetSource createFleetSource(
             Optional<PlatformAdapter> adapter,
             ProxySettings settings,
--- a/src/main/java/org/cassiabank/proxy/ProxyMetrics.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyMetrics.java
@@ -45,6 +45,11 @@
             "cassiabank_late_ticks_total", "Periodic tasks that ran 250 ms late or more: this process was paused.");
     private final Counter storeCalls =
             counter("cassiabank_store_calls_total", "Calls of the platform, by kind.", "kind");
+    private final Counter quotaRefusals = counter(
+            "cassiabank_quota_refusals_total",
+            "Requests that this daemon refused as scheduler of their shard by quota.");
+    private final Counter quotaExchanges =
+            counter("cassiabank_quota_exchanges_total", "Reports of the use of customers, by result.", "result");
     private final Histogram requestSeconds =
             histogram("cassiabank_request_seconds", "Time from a read request to its reply, by outcome.", "outcome");
     private final Histogram attemptSeconds = histogram(
@@ -109,6 +114,14 @@
         lateTicks.inc();
     }
 
+    void recordQuotaRefusal() {
+        quotaRefusals.inc();
+    }
+
+    void recordQuotaExchange(String result) {
+        quotaExchanges.labelValues(result).inc();
+    }
+
     void recordStoreCall(String kind) {
         storeCalls.labelValues(kind).inc();
     }
--- a/src/main/java/org/cassiabank/proxy/RequestHandler.java
+++ b/src/main/java/org/cassiabank/proxy/RequestHandler.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.cassiabank.admission.RefusalReason;
 import org.cassiabank.backend.HeaderConventions;
 import org.cassiabank.backend.ResponseReceived;
 import org.cassiabank.declaration.Selector;
@@ -320,11 +321,17 @@
                 yield responseReply(response.status(), response.headers(), response.body(), selector);
             }
             case RequestResult.NotRun notRun ->
-                notRunReply(CallerReply.SERVICE_UNAVAILABLE, notRun.reason(), notRun.retryAfterMillis());
+                notRunReply(statusOf(notRun.reason()), notRun.reason(), notRun.retryAfterMillis());
             case RequestResult.Unknown unknown -> unknownReply(CallerReply.GATEWAY_TIMEOUT, unknown.reason());
         };
     }
 
+    private static int statusOf(String notRunReason) {
+        return notRunReason.equals(RefusalReason.QUOTA.label())
+                ? CallerReply.TOO_MANY_REQUESTS
+                : CallerReply.SERVICE_UNAVAILABLE;
+    }
+
     private CallerReply replayedReply(RecordedResponse response, Selector selector) {
         return responseReply(response.status(), response.headers(), response.body(), selector)
                 .withHeader("Cassiabank-Replayed", "true");
--- a/src/main/java/org/cassiabank/proxy/ServiceNames.java
+++ b/src/main/java/org/cassiabank/proxy/ServiceNames.java
@@ -17,6 +17,7 @@
     static final ServiceName<PeerTransport> PEER_TRANSPORT = ServiceName.of("peer-transport", PeerTransport.class);
     static final ServiceName<FleetSource> FLEET_SOURCE = ServiceName.of("fleet-source", FleetSource.class);
     static final ServiceName<Replication> REPLICATION = ServiceName.of("replication", Replication.class);
+    static final ServiceName<QuotaExchange> QUOTAS = ServiceName.of("quotas", QuotaExchange.class);
     static final ServiceName<OwnedShards> OWNED_SHARDS = ServiceName.of("owned-shards", OwnedShards.class);
     static final ServiceName<SlotBroker> SLOT_BROKER = ServiceName.of("slot-broker", SlotBroker.class);
     static final ServiceName<FatalRequestExchange> FATAL_REQUESTS =
--- a/src/main/java/org/cassiabank/proxy/SlotBroker.java
+++ b/src/main/java/org/cassiabank/proxy/SlotBroker.java
@@ -100,7 +100,10 @@
         int firstShardNumber = ThreadLocalRandom.current().nextInt(shardCount);
         long deadlineMillis = MonotonicClock.millis() + request.remainingMillis();
         SlotResult result = acquire(view, new ShardKey(service, firstShardNumber), request, deadlineMillis, abandoned);
-        if (result instanceof SlotResult.NoSlot && shardCount > 1 && !abandoned.getAsBoolean()) {
+        if (result instanceof SlotResult.NoSlot noSlot
+                && !noSlot.reason().equals(RefusalReason.QUOTA.label())
+                && shardCount > 1
+                && !abandoned.getAsBoolean()) {
             // Other shards may have capacity when one is full; a second shard spreads a load peak that hits one.
             int secondShardNumber =
                     (firstShardNumber + 1 + ThreadLocalRandom.current().nextInt(shardCount - 1)) % shardCount;
--- a/src/main/java/org/cassiabank/quota/CustomerQuota.java
+++ b/src/main/java/org/cassiabank/quota/CustomerQuota.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -15,6 +16,24 @@
 final class CustomerQuota {
     static final long LEASE_MILLIS = 1_500;
 
+    /**
+     * A participant without contact keeps its part of the limit for this time. Without an end, the part of a process
+     * that has ended for good would be reserved for ever.
+     */
+    static final long ENTITLEMENT_MILLIS = 120_000;
+
+    /**
+     * A participant without contact keeps this part of its share. What it keeps is reserved; with the whole share, the
+     * end of the only participant would leave nothing to its successor until the instance list shows the end.
+     */
+    private static final double KEPT_PART = 0.5;
+
+    /**
+     * Near the limit this part of the slack is reserved in addition for participants before their first leases: with
+     * limits of 2 requests a second, restarted participants exceeded the bound otherwise.
+     */
+    private static final double LIMITED_RESERVE = 0.25;
+
     /** Below this part of its capacity, the credit limits the leases. */
     private static final double LOW_CREDIT = 0.25;
 
@@ -28,7 +47,7 @@
     private static final double DEMAND_PART = 0.7;
 
     /** A participant gets at most this multiple of what it is expected to use before its next report. */
-    private static final double USEFUL_FACTOR = 4;
+    private static final double USEFUL_FACTOR = 3;
 
     /** The part of the leases that a participant without known demand may get, for demand that moves to it. */
     private static final double UNEXPECTED_PART = 0.1;
@@ -60,7 +79,10 @@
                 recent.add(holder.bookUnreported(), nowMillis);
             }
         }
-        holders.entrySet().removeIf(entry -> entry.getValue().isLost(nowMillis) && !liveNames.contains(entry.getKey()));
+        holders.entrySet()
+                .removeIf(entry -> entry.getValue().isLost(nowMillis)
+                        && (!liveNames.contains(entry.getKey())
+                                || entry.getValue().lostMillis(nowMillis) > ENTITLEMENT_MILLIS));
         if (nowFirst && !first) {
             first = true;
             credit = capacity();
@@ -71,14 +93,18 @@
         updatedAtMillis = nowMillis;
     }
 
-    QuotaLease exchange(String participant, long incarnation, QuotaUse use, long number, long nowMillis) {
+    Optional<QuotaLease> exchange(String participant, long incarnation, QuotaUse use, long number, long nowMillis) {
         LeaseHolder holder = recordUse(participant, incarnation, use, nowMillis);
         if (use.ended()) {
             holders.remove(participant);
-            return new QuotaLease(use.customer(), number, use.total(), true, 0, 0, 0);
+            return Optional.of(new QuotaLease(use.customer(), number, use.total(), true, 0, 0, 0));
+        }
+        if (!first && use.holdsLease() && !holder.hasLease()) {
+            // Until its lease has expired, the former coordinator reserves nothing else for the participant.
+            return Optional.empty();
         }
-        double windowBudget = windowBudget(nowMillis);
         boolean open = first && credit > LOW_CREDIT * capacity();
+        double windowBudget = windowBudget(open, nowMillis);
         double weight = weight(holder);
         long wanted;
         if (open) {
@@ -92,16 +118,18 @@
         }
         double free = windowBudget - outstandingOfOthers(holder, nowMillis);
         long granted = Math.max(0, Math.min(wanted, (long) Math.floor(free)));
-        double fallbackShare = weight * ownShare();
+        double fallbackShare = first
+                ? KEPT_PART * weight + (1 - KEPT_PART) / Math.max(holders.size(), liveProxies)
+                : ownShare() * weight;
         holder.issue(number, use.total() + granted, fallbackShare, nowMillis + LEASE_MILLIS);
-        return new QuotaLease(
+        return Optional.of(new QuotaLease(
                 use.customer(),
                 number,
                 use.total() + granted,
                 open,
                 LEASE_MILLIS,
                 fallbackShare,
-                retryAfterMillis(free, nowMillis));
+                retryAfterMillis(free, nowMillis)));
     }
 
     private LeaseHolder recordUse(String participant, long incarnation, QuotaUse use, long nowMillis) {
@@ -123,7 +151,12 @@
         }
         LeaseHolder added = new LeaseHolder(incarnation, use, nowMillis);
         holders.put(participant, added);
-        addUse(use.usedInWindow(), nowMillis);
+        if (first) {
+            addUse(use.usedInWindow(), nowMillis);
+        } else {
+            // The former coordinator has charged these requests; the credit of a deputy begins with the fallback rates.
+            recent.add(use.usedInWindow(), nowMillis);
+        }
         return added;
     }
 
@@ -133,16 +166,14 @@
     }
 
     /** Returns the requests that may run in addition to the recent ones, including those of unexpired leases. */
-    private double windowBudget(long nowMillis) {
-        double allowed;
+    private double windowBudget(boolean open, long nowMillis) {
+        double allowed = bounds.maximumRequests(limit);
         if (first) {
             int unknown = Math.max(0, liveProxies - holders.size());
-            allowed = bounds.maximumRequests(limit)
-                    - bounds.rateRequests(limit) * bounds.unleasedShare(liveProxies) * unknown
-                    - Math.min(
-                            bounds.unleasedRequestsOfAll(limit), unknown * bounds.unleasedRequests(limit, liveProxies));
-        } else {
-            allowed = Math.min(bounds.maximumRequests(limit), bounds.rateRequests(limit) * ownShare() + holders.size());
+            allowed -= bounds.rateRequests(limit) * bounds.unleasedShare(liveProxies) * unknown
+                    + Math.min(
+                            bounds.unleasedRequestsOfAll(limit) + (open ? 0 : bounds.slack() * LIMITED_RESERVE),
+                            unknown * bounds.unleasedRequests(limit, liveProxies));
         }
         return allowed - recent.sum(nowMillis) - lostRequests(nowMillis);
     }
--- a/src/main/java/org/cassiabank/quota/CustomerUse.java
+++ b/src/main/java/org/cassiabank/quota/CustomerUse.java
@@ -42,8 +42,10 @@
         return customer;
     }
 
-    OptionalDouble leasedFallbackShare() {
-        return leasedFallbackShare;
+    /** Returns the entitlement of the latest lease, empty if the coordinator no longer reserves it. */
+    OptionalDouble leasedFallbackShare(long nowMillis) {
+        long endMillis = expiresAtMillis + CustomerQuota.ENTITLEMENT_MILLIS - CustomerQuota.LEASE_MILLIS;
+        return nowMillis < endMillis ? leasedFallbackShare : OptionalDouble.empty();
     }
 
     boolean tryAcquire(double fallbackRate, long nowMillis) {
@@ -110,6 +112,7 @@
                 receiver.equals(coordinator) ? leaseNumber : 0,
                 total,
                 (long) recent.sum(nowMillis),
+                nowMillis < expiresAtMillis,
                 refused,
                 fallbackShare,
                 ended);
--- a/src/main/java/org/cassiabank/quota/LeaseHolder.java
+++ b/src/main/java/org/cassiabank/quota/LeaseHolder.java
@@ -100,6 +100,10 @@
         return whole;
     }
 
+    boolean hasLease() {
+        return !issued.isEmpty();
+    }
+
     void issue(long number, long ceiling, double fallbackShare, long validUntilMillis) {
         issued.addLast(new Issued(number, ceiling, fallbackShare));
         expiresAtMillis = validUntilMillis;
--- a/src/main/java/org/cassiabank/quota/QuotaCoordinator.java
+++ b/src/main/java/org/cassiabank/quota/QuotaCoordinator.java
@@ -58,7 +58,7 @@
      * @param firstSince the time since which this daemon is the first proxy in the order of a customer, in
      *     milliseconds; empty if it is a deputy
      * @param nowMillis the current time in milliseconds
-     * @return a lease for each customer that has a limit
+     * @return at most one lease for each customer that has a limit
      */
     public List<QuotaLease> exchange(QuotaReport report, Function<String, OptionalLong> firstSince, long nowMillis) {
         List<QuotaLease> leases = new ArrayList<>(report.uses().size());
@@ -71,8 +71,8 @@
                 // Leases of a former coordinator have expired only after a whole lease time.
                 boolean first = since.isPresent() && nowMillis - since.getAsLong() >= CustomerQuota.LEASE_MILLIS;
                 quota.update(limit.get(), liveNames, first, nowMillis);
-                leases.add(
-                        quota.exchange(report.participant(), report.incarnation(), use, ++lastLeaseNumber, nowMillis));
+                quota.exchange(report.participant(), report.incarnation(), use, ++lastLeaseNumber, nowMillis)
+                        .ifPresent(leases::add);
             }
         }
         return leases;
--- a/src/main/java/org/cassiabank/quota/QuotaParticipant.java
+++ b/src/main/java/org/cassiabank/quota/QuotaParticipant.java
@@ -77,7 +77,7 @@
         CustomerUse use = useByCustomer.computeIfAbsent(
                 customer,
                 added -> new CustomerUse(added, bounds, bounds.unleasedRequests(limit.get(), liveProxies), nowMillis));
-        double fallbackRate = fallbackShare(use) * limit.get().requestsPerSecond();
+        double fallbackRate = fallbackShare(use, nowMillis) * limit.get().requestsPerSecond();
         return use.tryAcquire(fallbackRate, nowMillis)
                 ? new QuotaGranted(true)
                 : new QuotaRefused(use.retryAfterMillis(fallbackRate, nowMillis));
@@ -120,7 +120,7 @@
                         coordinator,
                         nowMillis,
                         uses.stream()
-                                .map(use -> use.report(coordinator, fallbackShare(use), nowMillis))
+                                .map(use -> use.report(coordinator, fallbackShare(use, nowMillis), nowMillis))
                                 .toList()));
             }
         });
@@ -149,6 +149,15 @@
         }
     }
 
+    /**
+     * Tells whether no customer with a limit has used this daemon lately.
+     *
+     * @return true if there is nothing to report
+     */
+    public boolean isIdle() {
+        return useByCustomer.isEmpty();
+    }
+
     /**
      * Counts the customers that a coordinator keeps near their limit.
      *
@@ -162,7 +171,7 @@
     }
 
     /** Without any earlier lease, no coordinator reserves for this daemon: the overage has to cover its requests. */
-    private double fallbackShare(CustomerUse use) {
-        return use.leasedFallbackShare().orElse(bounds.unleasedShare(liveProxies));
+    private double fallbackShare(CustomerUse use, long nowMillis) {
+        return use.leasedFallbackShare(nowMillis).orElse(bounds.unleasedShare(liveProxies));
     }
 }
--- a/src/main/java/org/cassiabank/quota/QuotaUse.java
+++ b/src/main/java/org/cassiabank/quota/QuotaUse.java
@@ -10,6 +10,7 @@
  * @param leaseNumber the number of the latest lease of this coordinator that the participant applied, 0 for none
  * @param total the requests charged
  * @param usedInWindow the requests charged in the last window
+ * @param holdsLease whether the participant has an unexpired lease, of whichever coordinator
  * @param refused the requests refused since the last report
  * @param fallbackShare the part of the limit that the participant is entitled to without a coordinator
  * @param ended whether the participant gives up its lease and its entitlement
@@ -19,6 +20,7 @@
         long leaseNumber,
         long total,
         long usedInWindow,
+        boolean holdsLease,
         long refused,
         double fallbackShare,
         boolean ended) {
--- a/src/main/java/org/cassiabank/source/PlatformAdapter.java
+++ b/src/main/java/org/cassiabank/source/PlatformAdapter.java
@@ -45,6 +45,15 @@
      */
     RetryBudgetSettings parseRetryBudget(String text);
 
+    /**
+     * Parses how closely the platform requires the limits of customers to be kept.
+     *
+     * @param text the bounds in the platform's format, the value of the setting {@code platform-bounds}
+     * @return the bounds, empty if the platform names none
+     * @throws IllegalArgumentException if a bound is malformed or out of range, or if only some of them are named
+     */
+    Optional<QuotaBoundSettings> parseQuotaBounds(String text);
+
     /**
      * Parses the time within which the platform requires a change of the configuration to be in force.
      *
--- a/src/test/java/org/cassiabank/platform/PlatformDocumentsTest.java
+++ b/src/test/java/org/cassiabank/platform/PlatformDocumentsTest.java
@@ -17,6 +17,7 @@
 import org.cassiabank.membership.InstanceState;
 import org.cassiabank.source.PlatformAdapter;
 import org.cassiabank.source.PlatformAdapters;
+import org.cassiabank.source.QuotaBoundSettings;
 import org.cassiabank.source.RetryBudgetSettings;
 import org.cassiabank.source.StoreEntry;
 import org.cassiabank.source.StoreRevision;
@@ -145,6 +146,16 @@
                 .hasMessageContaining("retry_budget_ratio");
     }
 
+    @Test
+    void quotaBoundsAreReadOnlyIfAllAreNamed() {
+        assertThat(adapter.parseQuotaBounds("grace=6s,quota_window=4s,quota_overage=0.2,quota_slack=10"))
+                .contains(new QuotaBoundSettings(4_000, 0.2, 10));
+        assertThat(adapter.parseQuotaBounds("grace=6s")).isEmpty();
+        assertThatThrownBy(() -> adapter.parseQuotaBounds("quota_window=4s"))
+                .isInstanceOf(IllegalArgumentException.class)
+                .hasMessageContaining("quota_overage");
+    }
+
     @Test
     void anUnknownAdapterNameIsReportedWithTheKnownNames() {
         assertThatThrownBy(() -> PlatformAdapters.forName("other"))
--- a/src/test/java/org/cassiabank/proxy/PeerEndpointTest.java
+++ b/src/test/java/org/cassiabank/proxy/PeerEndpointTest.java
@@ -23,6 +23,7 @@
 import org.cassiabank.peer.PeerSocketFactories;
 import org.cassiabank.peer.generated.NotReady;
 import org.cassiabank.peer.generated.SlotRequest;
+import org.cassiabank.quota.QuotaBounds;
 import org.cassiabank.revision.Change;
 import org.cassiabank.revision.PutEdit;
 import org.junit.jupiter.api.Test;
@@ -45,6 +46,9 @@
                 .register(ServiceNames.FLEET_STATE, fleet)
                 .register(ServiceNames.LEAVING_SERVERS, leavingServers)
                 .register(ServiceNames.FATAL_REQUESTS, fatalRequests)
+                .register(
+                        ServiceNames.QUOTAS,
+                        QuotaExchange.create(SELF, fleet, peerTransport, metrics, QuotaBounds.defaults(), 1))
                 .register(
                         ServiceNames.OWNED_SHARDS,
                         OwnedShards.create(OwnerSettings.defaults(), fleet, fatalRequests, leavingServers, metrics))
--- a/src/test/java/org/cassiabank/source/StoreErasPropertiesTest.java
+++ b/src/test/java/org/cassiabank/source/StoreErasPropertiesTest.java
@@ -304,6 +304,11 @@
             return Optional.empty();
         }
 
+        @Override
+        public Optional<QuotaBoundSettings> parseQuotaBounds(String text) {
+            return Optional.empty();
+        }
+
         @Override
         public PropagationTimes parsePropagationTimes(String text) {
             throw new UnsupportedOperationException();
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -62,6 +62,8 @@
   20: optional string digest,
   /** Servers of the shard that the entry knows to be leaving; missing if there are none. */
   21: optional list<StartedServer> leavingServers,
+  /** The entry knows the refusal reason QUOTA; an entry of an earlier release does not. */
+  25: optional bool knowsQuotas,
 }
 
 struct SlotGrant {
@@ -266,6 +268,44 @@
   4: string declined,
 }
 
+/** The use of one customer at a participant. Totals count from the start of the participant's process. */
+struct QuotaUse {
+  1: required string customer,
+  /** The latest lease of the receiver that the participant applied, 0 for none. */
+  2: required i64 leaseNumber,
+  3: required i64 total,
+  4: required i64 usedInWindow,
+  /** The requests refused since the last report. */
+  5: required i64 refused,
+  /** The part of the limit that the participant is entitled to without a coordinator. */
+  6: required double fallbackShare,
+  /** The participant gives up its lease. */
+  7: optional bool ended,
+  /** The participant has an unexpired lease, of whichever coordinator. */
+  8: required bool holdsLease,
+}
+
+struct QuotaReport {
+  1: required string participant,
+  /** Differs between the processes of the participant. */
+  2: required i64 incarnation,
+  3: required list<QuotaUse> uses,
+}
+
+/** What a participant may run for one customer. */
+struct QuotaLease {
+  1: required string customer,
+  2: required i64 number,
+  /** The total of charged requests that the participant may reach. */
+  3: required i64 ceiling,
+  /** The customer is far from its limit. */
+  4: required bool open,
+  /** Counts from the time at which the participant sent its report. */
+  5: required i64 leaseMillis,
+  6: required double fallbackShare,
+  7: required i64 retryAfterMillis,
+}
+
 service Peer {
   SlotReply acquire(1: SlotRequest request) throws (1: NotReady notReady),
   void report(1: SlotOutcome outcome),
@@ -287,4 +327,6 @@
   list<Suspect> suspects(1: string serviceName),
   /** Records that the caller should keep, asked for by a daemon that has just started. */
   list<ClaimRecord> recordsFor(1: string peer),
+  /** Reports the use of customers to their coordinator, which renews the leases. */
+  list<QuotaLease> exchangeQuotas(1: QuotaReport report),
 }
