--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -50,9 +50,6 @@
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-    /** A decision that its entry proxy does not poll for within this time is dropped, and its slot is freed. */
-    private static final long DECISION_COLLECTION_TIMEOUT_MILLIS = 500;
-
     private static final long EVALUATION_INTERVAL_MILLIS = 50;
 
     private final ShardKey key;
@@ -66,9 +63,10 @@
     private final boolean fairAdmissionEnabled;
 
     private final NewRequestCheck newRequestCheck;
+    private final QuotaCharges charges;
     private final UnservedShare unservedShare = UnservedShare.create(MonotonicClock.millis());
     private final Map<Long, CompletableFuture<SlotDecision>> waitingPolls = new HashMap<>();
-    private final Map<Long, UncollectedDecision> uncollectedDecisions = new HashMap<>();
+    private final UncollectedDecisions uncollectedDecisions = new UncollectedDecisions();
     private final ServerRateLimits rateLimits = ServerRateLimits.create();
     private final KnownLeavingServers leavingServers;
     private final ListedStarts listedStarts = new ListedStarts();
@@ -85,6 +83,7 @@
             FatalRequestExchange fatalRequests,
             KnownLeavingServers leavingServers,
             ProxyMetrics metrics,
+            QuotaGate quotas,
             ShardRetryBudget retryBudget) {
         this.key = key;
         this.fatalRequests = fatalRequests;
@@ -96,6 +95,7 @@
         this.fairAdmissionEnabled = settings.scheduler().fairAdmission();
         this.monitor = HealthMonitor.create(settings.health());
         this.newRequestCheck = new NewRequestCheck(fatalRequests, retryBudget);
+        this.charges = new QuotaCharges(quotas);
     }
 
     static OwnedShard create(
@@ -104,11 +104,12 @@
             FatalRequestExchange fatalRequests,
             KnownLeavingServers leavingServers,
             ProxyMetrics metrics,
+            QuotaGate quotas,
             FleetView view,
             long nowMillis) {
         ShardRetryBudget retryBudget =
                 ShardRetryBudget.create(settings.retryBudgetSettings(), view.shardCount(key.service()), nowMillis);
-        OwnedShard shard = new OwnedShard(key, settings, fatalRequests, leavingServers, metrics, retryBudget);
+        OwnedShard shard = new OwnedShard(key, settings, fatalRequests, leavingServers, metrics, quotas, retryBudget);
         shard.lastRequestMillis = nowMillis;
         shard.updateView(view, nowMillis);
         return shard;
@@ -137,7 +138,7 @@
                 return Optional.of(refused.get());
             }
             SlotDecision decision = presentedTicketId == 0
-                    ? scheduler.acquire(request, nowMillis)
+                    ? charges.acquire(request, () -> scheduler.acquire(request, nowMillis))
                     : renewTicket(presentedTicketId, nowMillis);
             advanceScheduler(nowMillis);
             if (decision instanceof Refused refusal) {
@@ -155,8 +156,10 @@
 
     private void recordRefusal(Refused refused, boolean queued, long nowMillis) {
         metrics.recordSlotRefusal(refused.reason().label(), queued);
-        loadLog.recordRefusal();
-        unservedShare.recordRefusal(nowMillis);
+        if (refused.reason().showsLackOfServers()) {
+            loadLog.recordRefusal();
+            unservedShare.recordRefusal(nowMillis);
+        }
     }
 
     /** Records the bytes of the messages of an attempt; has to precede the release of its lease. */
@@ -326,11 +329,12 @@
     }
 
     private SlotDecision renewTicket(long ticketId, long nowMillis) {
-        UncollectedDecision decided = uncollectedDecisions.remove(ticketId);
-        if (decided != null) {
-            return decided.decision();
-        }
-        return scheduler.renewTicket(ticketId, nowMillis).orElse(new Queued(ticketId));
+        SlotDecision decision = uncollectedDecisions
+                .collect(ticketId)
+                .or(() -> scheduler.renewTicket(ticketId, nowMillis))
+                .orElse(new Queued(ticketId));
+        charges.recordDecision(ticketId, decision);
+        return decision;
     }
 
     private SlotDecision awaitDecision(long ticketId, CompletableFuture<SlotDecision> future) {
@@ -357,21 +361,21 @@
                 if (decided.decision() instanceof Refused refused) {
                     metrics.recordSlotRefusal(refused.reason().label(), true);
                 }
+                charges.recordDecision(decided.ticketId(), decided.decision());
                 future.complete(decided.decision());
             } else {
                 // The entry proxy is between two polls and collects the decision with its next one.
-                uncollectedDecisions.put(decided.ticketId(), new UncollectedDecision(decided.decision(), nowMillis));
+                uncollectedDecisions.add(decided.ticketId(), decided.decision(), nowMillis);
             }
         }
     }
 
     private void releaseUncollectedDecisions(long nowMillis) {
-        uncollectedDecisions.values().removeIf(decided -> {
-            boolean abandoned = nowMillis - decided.decidedMillis() > DECISION_COLLECTION_TIMEOUT_MILLIS;
-            if (abandoned && decided.decision() instanceof Granted granted) {
+        uncollectedDecisions.removeAbandoned(nowMillis, (ticketId, decision) -> {
+            if (decision instanceof Granted granted) {
                 scheduler.completeLease(granted.leaseId(), AttemptOutcome.CANCELLED, 0, nowMillis);
             }
-            return abandoned;
+            charges.recordAbandoned(ticketId);
         });
     }
 
@@ -445,7 +449,4 @@
                 || leavingServers.isLeaving(
                         server.instance().name(), server.instance().incarnation());
     }
-
-    /** A decision that was made at {@code decidedMillis} while its entry proxy was between two polls. */
-    private record UncollectedDecision(SlotDecision decision, long decidedMillis) {}
 }
--- a/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
+++ b/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
@@ -16,7 +16,6 @@
 import org.cassiabank.admission.Refused;
 import org.cassiabank.admission.ServerNotice;
 import org.cassiabank.admission.ServerRateLimit;
-import org.cassiabank.admission.ShardOccupancy;
 import org.cassiabank.admission.SlotDecision;
 import org.cassiabank.backend.ResponseReceived;
 import org.cassiabank.declaration.CostHint;
@@ -39,7 +38,6 @@
 import org.cassiabank.peer.generated.KnownRateLimit;
 import org.cassiabank.peer.generated.OutcomeKind;
 import org.cassiabank.peer.generated.RateLimit;
-import org.cassiabank.peer.generated.ShardLoad;
 import org.cassiabank.peer.generated.SlotGrant;
 import org.cassiabank.peer.generated.SlotOutcome;
 import org.cassiabank.peer.generated.SlotQueued;
@@ -92,6 +90,7 @@
         if (request.statedTargetMillis() != request.targetLatencyMillis()) {
             message.setStatedTargetMillis(request.statedTargetMillis());
         }
+        message.setKnowsQuotas(true);
         return request.digest().isKnown() ? message.setDigest(request.digest().hex()) : message;
     }
 
@@ -118,6 +117,13 @@
                 message.isSetStatedTargetMillis() ? message.getStatedTargetMillis() : message.getTargetMillis());
     }
 
+    /** Replaces a reason that an entry of an earlier release does not know. */
+    static SlotReply toMessage(SlotDecision decision, boolean knowsQuotas) {
+        return decision instanceof Refused refused && refused.reason() == RefusalReason.QUOTA && !knowsQuotas
+                ? toMessage(new Refused(RefusalReason.WAIT_TOO_LONG, refused.retryAfterMillis()))
+                : toMessage(decision);
+    }
+
     static SlotReply toMessage(SlotDecision decision) {
         return switch (decision) {
             case Granted granted ->
@@ -133,29 +139,6 @@
         };
     }
 
-    static SlotReply withOccupancy(SlotReply reply, ShardOccupancy occupancy) {
-        ShardLoad load = new ShardLoad(occupancy.usableSlots(), occupancy.leasedSlots(), occupancy.queuedRequests());
-        switch (reply.getSetField()) {
-            case GRANT -> reply.getGrant().setLoad(load);
-            case REFUSAL -> reply.getRefusal().setLoad(load);
-            case QUEUED -> reply.getQueued().setLoad(load);
-        }
-        return reply;
-    }
-
-    /** Returns how busy a shard is; empty if it is the only one of its service, or the owner of an earlier release. */
-    static Optional<ShardOccupancy> toOccupancy(SlotReply reply) {
-        ShardLoad load =
-                switch (reply.getSetField()) {
-                    case GRANT -> reply.getGrant().getLoad();
-                    case REFUSAL -> reply.getRefusal().getLoad();
-                    case QUEUED -> reply.getQueued().getLoad();
-                };
-        return Optional.ofNullable(load)
-                .map(present -> new ShardOccupancy(
-                        present.getUsableSlots(), present.getLeasedSlots(), present.getQueuedRequests()));
-    }
-
     static SlotDecision toDecision(SlotReply reply) {
         return switch (reply.getSetField()) {
             case GRANT ->
--- a/src/main/java/org/cassiabank/proxy/SlotBroker.java
+++ b/src/main/java/org/cassiabank/proxy/SlotBroker.java
@@ -124,7 +124,9 @@
         }
         ShardKey first = shardChooser.choose(service, division, request);
         SlotResult result = acquire(view, first, request, deadlineMillis, abandoned);
-        if (!(result instanceof SlotResult.NoSlot refused) || abandoned.getAsBoolean()) {
+        if (!(result instanceof SlotResult.NoSlot refused)
+                || refused.reason().equals(RefusalReason.QUOTA.label())
+                || abandoned.getAsBoolean()) {
             return result;
         }
         // Other shards may have capacity when one is full; a second shard spreads a load peak that hits one.
@@ -342,7 +344,7 @@
         }
         SlotReply reply =
                 peerTransport.call(owner, "acquire", ACQUIRE_TIMEOUT_MILLIS, client -> client.acquire(message));
-        PeerMessageConverter.toOccupancy(reply).ifPresent(occupancy -> shardChooser.recordOccupancy(shard, occupancy));
+        ShardLoadMessages.toOccupancy(reply).ifPresent(occupancy -> shardChooser.recordOccupancy(shard, occupancy));
         return PeerMessageConverter.toDecision(reply);
     }
 }
