--- a/src/main/java/org/cassiabank/proxy/CoordinatorOrder.java
+++ b/src/main/java/org/cassiabank/proxy/CoordinatorOrder.java
@@ -24,7 +24,7 @@
     private final Deque<Former> history = new ArrayDeque<>();
     private List<Instance> proxies = List.of();
     private RendezvousRanking ranking = RendezvousRanking.of(List.of());
-    private long startMillis;
+    private final long startMillis;
 
     /** A list of proxies that was replaced at a time. */
     private record Former(RendezvousRanking ranking, boolean empty, long replacedAtMillis) {}
@@ -34,10 +34,10 @@
         this.startMillis = startMillis;
     }
 
-    /** Replaces the live proxies; returns false if they are the same. */
-    synchronized boolean update(List<Instance> liveProxies, long nowMillis) {
+    /** Replaces the live proxies. */
+    synchronized void update(List<Instance> liveProxies, long nowMillis) {
         if (liveProxies.equals(proxies)) {
-            return false;
+            return;
         }
         history.addLast(new Former(ranking, proxies.isEmpty(), nowMillis));
         history.removeIf(former -> nowMillis - former.replacedAtMillis() > HISTORY_MILLIS);
@@ -45,7 +45,6 @@
         ranking = RendezvousRanking.of(proxies);
         candidatesByCustomer.clear();
         firstSinceByCustomer.clear();
-        return true;
     }
 
     synchronized List<Instance> candidates(String customer) {
--- a/src/main/java/org/cassiabank/quota/CustomerQuota.java
+++ b/src/main/java/org/cassiabank/quota/CustomerQuota.java
@@ -247,8 +247,4 @@
     boolean isIdle(long nowMillis) {
         return holders.isEmpty() && recent.sum(nowMillis) == 0;
     }
-
-    boolean isLimited() {
-        return !first || credit <= LOW_CREDIT * capacity();
-    }
 }
--- a/src/main/java/org/cassiabank/quota/CustomerUse.java
+++ b/src/main/java/org/cassiabank/quota/CustomerUse.java
@@ -90,10 +90,6 @@
         return leaseNumber == 0 || open && (refused > 0 || 2 * (ceiling - total) < ceiling - grantedTotal);
     }
 
-    boolean isLimited(long nowMillis) {
-        return nowMillis < expiresAtMillis && !open;
-    }
-
     boolean hasEnded() {
         return ended;
     }
--- a/src/main/java/org/cassiabank/quota/QuotaCoordinator.java
+++ b/src/main/java/org/cassiabank/quota/QuotaCoordinator.java
@@ -86,15 +86,4 @@
     public void removeIdle(long nowMillis) {
         quotaByCustomer.values().removeIf(quota -> quota.isIdle(nowMillis));
     }
-
-    /**
-     * Counts the customers near their limit.
-     *
-     * @return the customers whose leases are not open
-     */
-    public int limitedCustomers() {
-        return (int) quotaByCustomer.values().stream()
-                .filter(CustomerQuota::isLimited)
-                .count();
-    }
 }
--- a/src/main/java/org/cassiabank/quota/QuotaParticipant.java
+++ b/src/main/java/org/cassiabank/quota/QuotaParticipant.java
@@ -158,18 +158,6 @@
         return useByCustomer.isEmpty();
     }
 
-    /**
-     * Counts the customers that a coordinator keeps near their limit.
-     *
-     * @param nowMillis the current time in milliseconds
-     * @return the customers with an unexpired lease that is not open
-     */
-    public int limitedCustomers(long nowMillis) {
-        return (int) useByCustomer.values().stream()
-                .filter(use -> use.isLimited(nowMillis))
-                .count();
-    }
-
     /** Without any earlier lease, no coordinator reserves for this daemon: the overage has to cover its requests. */
     private double fallbackShare(CustomerUse use, long nowMillis) {
         return use.leasedFallbackShare(nowMillis).orElse(bounds.unleasedShare(liveProxies));
