Exercise a request path of its own before a daemon is ready

Cause: the first requests of a daemon wait for classes to be loaded and compiled, and an owner that takes more than 250 ms counts as failed.

Change: where a platform adapter is configured, a daemon exercises a complete path on the loopback interface (caller, decoder, router, peer call, scheduler, server call) from its start on. The path shares no state with the daemon and sends nothing to servers or peers. /ready and the load balancer's check fail until 50 requests in a row took less than 5 ms, or after 300 requests, and at most for 2 s after the start, in which the daemon also waits for its configuration and its list.

Known: each request of the exercise writes its line to the log (selector=warm-start). The path has no TLS and uses the product's own header conventions.

--- a/src/main/java/org/cassiabank/proxy/AdminEndpoint.java
+++ b/src/main/java/org/cassiabank/proxy/AdminEndpoint.java
@@ -71,7 +71,8 @@
     }
 
     private boolean isReady() {
-        return kernel.get(ServiceNames.FLEET_STATE).isReady();
+        return kernel.get(ServiceNames.FLEET_STATE).isReady()
+                && kernel.get(ServiceNames.WARM_START).isDone();
     }
 
     private static String plainTextReply(Context context, boolean healthy, String text) {
--- a/src/main/java/org/cassiabank/proxy/FleetState.java
+++ b/src/main/java/org/cassiabank/proxy/FleetState.java
@@ -28,9 +28,11 @@
     private final InstanceListHistory instanceListHistory = InstanceListHistory.create();
     private final List<BiConsumer<FleetView, FleetView>> listeners = new CopyOnWriteArrayList<>();
     private final CountDownLatch readyLatch = new CountDownLatch(1);
+    private final boolean logged;
     private volatile FleetView view;
 
-    private FleetState(String region, int floorPercent) {
+    private FleetState(String region, int floorPercent, boolean logged) {
+        this.logged = logged;
         this.view = FleetView.empty(region, floorPercent);
     }
 
@@ -39,7 +41,12 @@
     }
 
     static FleetState create(String region, int floorPercent) {
-        return new FleetState(Objects.requireNonNull(region, "region"), floorPercent);
+        return new FleetState(Objects.requireNonNull(region, "region"), floorPercent, true);
+    }
+
+    /** Creates the state of a fleet that is not the daemon's, whose changes would mislead operators in the log. */
+    static FleetState createWithoutLog(String region) {
+        return new FleetState(Objects.requireNonNull(region, "region"), 0, false);
     }
 
     FleetView view() {
@@ -206,7 +213,9 @@
     private void publishConfiguration(String origin) {
         if (configurationHistory.configuration() != view.configuration()) {
             publish(view.withConfiguration(configurationHistory.configuration()));
-            LOGGER.atInfo().log("configuration revision %d is in force, %s", revision(), origin);
+            if (logged) {
+                LOGGER.atInfo().log("configuration revision %d is in force, %s", revision(), origin);
+            }
         }
     }
 
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -86,8 +86,7 @@
      *     {@code platform-bounds}, or if a TLS file for peers cannot be loaded
      */
     static ProxyDaemon create(ProxySettings settings) {
-        Objects.requireNonNull(settings, "settings");
-        Instance self = selfInstance(settings);
+        Instance self = selfInstance(Objects.requireNonNull(settings, "settings"));
         PeerSocketFactories socketFactories = peerSocketFactories(settings);
         ProxyMetrics metrics = ProxyMetrics.create();
         FleetState fleet =
@@ -124,6 +123,7 @@
         Kernel kernel = Kernel.create()
                 .register(ServiceNames.SETTINGS, settings)
                 .register(ServiceNames.METRICS, metrics)
+                .register(ServiceNames.WARM_START, WarmStart.create(settings, adapter.isPresent()))
                 .register(ServiceNames.FLEET_STATE, fleet)
                 .register(ServiceNames.LEAVING_SERVERS, leavingServers)
                 .register(ServiceNames.PEER_CLIENTS, clientPool)
--- a/src/main/java/org/cassiabank/proxy/ServiceNames.java
+++ b/src/main/java/org/cassiabank/proxy/ServiceNames.java
@@ -29,6 +29,7 @@
     static final ServiceName<ClaimClient> CLAIM_CLIENT = ServiceName.of("claim-client", ClaimClient.class);
     static final ServiceName<PeerEndpoint> PEER_ENDPOINT = ServiceName.of("peer-endpoint", PeerEndpoint.class);
     static final ServiceName<RequestHandler> REQUEST_HANDLER = ServiceName.of("request-handler", RequestHandler.class);
+    static final ServiceName<WarmStart> WARM_START = ServiceName.of("warm-start", WarmStart.class);
     static final ServiceName<AdminEndpoint> ADMIN = ServiceName.of("admin", AdminEndpoint.class);
 
     private ServiceNames() {}
--- /dev/null
+++ b/src/main/java/org/cassiabank/proxy/WarmStart.java
@@ -0,0 +1,93 @@
+package org.cassiabank.proxy;
+
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.util.Objects;
+import org.cassiabank.kernel.BackgroundTasks;
+import org.cassiabank.kernel.Kernel;
+import org.cassiabank.kernel.KernelService;
+
+/**
+ * Exercises a request path of its own while the daemon waits for its configuration and its list. The code of the path
+ * is loaded and compiled then, so that the first requests of callers and peers do not wait for it. It addresses the
+ * load that a daemon gets as soon as it is ready.
+ */
+final class WarmStart implements KernelService {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    /** A daemon is never ready later than this time after its start because of the warm start. */
+    private static final long MAXIMUM_MILLIS = 2_000;
+
+    /** The path is fast once this many requests in a row took less than the time below. */
+    private static final int FAST_REQUESTS = 50;
+
+    /** Later requests of the path take about 1 ms, with a processor of their own. */
+    private static final long FAST_MICROS = 5_000;
+
+    /** Each request writes a line to the log, and the path gains little after these. */
+    private static final int MAXIMUM_REQUESTS = 300;
+
+    private final ProxySettings settings;
+    private final boolean enabled;
+    private volatile long deadlineMillis = Long.MAX_VALUE;
+    private volatile boolean done;
+
+    private WarmStart(ProxySettings settings, boolean enabled) {
+        this.settings = settings;
+        this.enabled = enabled;
+    }
+
+    /**
+     * Creates the warm start of a daemon.
+     *
+     * @param settings the settings of the daemon
+     * @param enabled whether the path is exercised
+     * @return a warm start that is not done, unless it is not enabled
+     */
+    static WarmStart create(ProxySettings settings, boolean enabled) {
+        return new WarmStart(Objects.requireNonNull(settings, "settings"), enabled);
+    }
+
+    @Override
+    public void start(Kernel kernel) {
+        if (enabled) {
+            deadlineMillis = MonotonicClock.millis() + MAXIMUM_MILLIS;
+            Thread.ofPlatform().name("warm-start").daemon().start(this::run);
+        }
+    }
+
+    @Override
+    public void stop() {
+        deadlineMillis = MonotonicClock.millis();
+    }
+
+    /** Tells whether the path has become fast, could not be exercised, or has been exercised for 2 s. */
+    boolean isDone() {
+        return done || !enabled || MonotonicClock.millis() >= deadlineMillis;
+    }
+
+    /** Exercises the path until it is fast or the time is over. */
+    void run() {
+        long startMillis = MonotonicClock.millis();
+        deadlineMillis = Math.min(deadlineMillis, startMillis + MAXIMUM_MILLIS);
+        int requests = 0;
+        try (RequestPathExercise path = RequestPathExercise.open(settings)) {
+            int fastRequests = 0;
+            while (fastRequests < FAST_REQUESTS && requests < MAXIMUM_REQUESTS && !isDone()) {
+                long startNanos = System.nanoTime();
+                boolean delivered = path.send();
+                requests++;
+                boolean fast = delivered && System.nanoTime() - startNanos < FAST_MICROS * 1_000;
+                fastRequests = fast ? fastRequests + 1 : 0;
+            }
+        } catch (IOException | RuntimeException exception) {
+            // The daemon can serve without a warm start; only its first requests take longer.
+            BackgroundTasks.recordFailure("warm start", exception);
+        } finally {
+            done = true;
+            LOGGER.atInfo().log(
+                    "%s: the warm start is done after %d requests and %d ms",
+                    settings.name(), requests, MonotonicClock.millis() - startMillis);
+        }
+    }
+}
