--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -162,6 +162,9 @@
             recordForRequest(completed, outcome);
             loadLog.recordAttempt(outcome.isEvidenceAgainstServer());
             unservedShare.recordAttempt(outcome, completed.repeatable(), completed.suspectTest(), nowMillis);
+            if (completed.suspectTest()) {
+                healthLog.recordSuspectTest(completed.repeatable(), outcome);
+            }
             if (outcome.isEvidenceAgainstServer()) {
                 healthLog.recordFailure(completed.serverName(), outcome, completed.entryProxy());
             }
--- a/src/main/java/org/cassiabank/proxy/ProxyMetrics.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyMetrics.java
@@ -10,7 +10,9 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import java.util.function.DoubleSupplier;
+import org.cassiabank.health.AttemptOutcome;
 import org.cassiabank.kernel.BackgroundTasks;
 import org.cassiabank.peer.ControlTrafficRecorder;
 
@@ -37,6 +39,11 @@
     private final Counter forwardedRequests = counter(
             "cassiabank_forwarded_requests_total", "Requests passed on to a peer, by what it replied.", "reply");
     private final Counter ejections = counter("cassiabank_ejections_total", "Ejections of servers.", "service");
+    private final Counter suspectTests = counter(
+            "cassiabank_suspect_tests_total",
+            "Requests that tested suspect servers, by kind and result.",
+            "kind",
+            "result");
     private final Counter controlMessages =
             counter("cassiabank_control_messages_total", "Calls of peers, by kind.", "kind");
     private final Counter controlBytes = counter(
@@ -105,6 +112,15 @@
         ejections.labelValues(service).inc();
     }
 
+    /** Counts a request that tested a server on probation, or one that mostly failed. */
+    void recordSuspectTest(boolean repeatable, AttemptOutcome outcome) {
+        suspectTests
+                .labelValues(
+                        repeatable ? "repeatable" : "unrepeatable",
+                        outcome.name().toLowerCase(Locale.ROOT).replace('_', '-'))
+                .inc();
+    }
+
     void recordLateTick() {
         lateTicks.inc();
     }
--- a/src/main/java/org/cassiabank/proxy/ServerHealthLog.java
+++ b/src/main/java/org/cassiabank/proxy/ServerHealthLog.java
@@ -37,6 +37,10 @@
         latestFailureByServer.put(serverName, outcome + " at " + entryProxy);
     }
 
+    void recordSuspectTest(boolean repeatable, AttemptOutcome outcome) {
+        metrics.recordSuspectTest(repeatable, outcome);
+    }
+
     /** Logs the requests a second that a server accepts, empty if it names no limit any longer. */
     void reportRateLimit(String serverName, OptionalDouble limit) {
         if (limit.isPresent()) {
