--- a/src/main/java/org/cassiabank/admission/CompletedLease.java
+++ b/src/main/java/org/cassiabank/admission/CompletedLease.java
@@ -1,6 +1,8 @@
 package org.cassiabank.admission;
 
 import java.util.Objects;
+import org.cassiabank.health.AttemptOutcome;
+import org.cassiabank.health.CompletedAttempt;
 import org.cassiabank.health.RequestDigest;
 
 /**
@@ -34,4 +36,15 @@
         Objects.requireNonNull(entryProxy, "entryProxy");
         Objects.requireNonNull(digest, "digest");
     }
+
+    /**
+     * Returns the attempt that held the lease, as the health monitor records it.
+     *
+     * @param outcome how it ended
+     * @param latencyMicros its duration in microseconds
+     * @return the attempt
+     */
+    public CompletedAttempt toAttempt(AttemptOutcome outcome, long latencyMicros) {
+        return new CompletedAttempt(serverName, route, outcome, latencyMicros, entryProxy, repeatable);
+    }
 }
--- a/src/main/java/org/cassiabank/proxy/OwnedShard.java
+++ b/src/main/java/org/cassiabank/proxy/OwnedShard.java
@@ -32,7 +32,6 @@
 import org.cassiabank.declaration.LabeledServer;
 import org.cassiabank.declaration.ServiceDeclaration;
 import org.cassiabank.health.AttemptOutcome;
-import org.cassiabank.health.CompletedAttempt;
 import org.cassiabank.health.HealthMonitor;
 import org.cassiabank.health.MonitoredServer;
 import org.cassiabank.health.ServerHealth;
@@ -175,18 +174,13 @@
             recordForRequest(completed, outcome);
             loadLog.recordAttempt(outcome.isEvidenceAgainstServer());
             unservedShare.recordAttempt(outcome, completed.repeatable(), completed.suspectTest(), nowMillis);
+            if (completed.suspectTest()) {
+                healthLog.recordSuspectTest(completed.repeatable(), outcome);
+            }
             if (outcome.isEvidenceAgainstServer()) {
                 healthLog.recordFailure(completed.serverName(), outcome, completed.entryProxy());
             }
-            Set<String> excusedServers = monitor.record(
-                    new CompletedAttempt(
-                            completed.serverName(),
-                            completed.route(),
-                            outcome,
-                            latencyMicros,
-                            completed.entryProxy(),
-                            completed.repeatable()),
-                    nowMillis);
+            Set<String> excusedServers = monitor.record(completed.toAttempt(outcome, latencyMicros), nowMillis);
             if (!excusedServers.isEmpty()) {
                 healthLog.recordSimultaneousBreaks(excusedServers);
                 scheduler.excuseFailures(excusedServers, nowMillis);
@@ -329,10 +323,9 @@
     }
 
     private SlotDecision renewTicket(long ticketId, long nowMillis) {
-        SlotDecision decision = uncollectedDecisions
-                .collect(ticketId)
-                .or(() -> scheduler.renewTicket(ticketId, nowMillis))
-                .orElse(new Queued(ticketId));
+        Optional<SlotDecision> collected = uncollectedDecisions.collect(ticketId);
+        SlotDecision decision =
+                collected.or(() -> scheduler.renewTicket(ticketId, nowMillis)).orElse(new Queued(ticketId));
         charges.recordDecision(ticketId, decision);
         return decision;
     }
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -87,8 +87,7 @@
      *     {@code platform-bounds}, or if a TLS file for peers cannot be loaded
      */
     static ProxyDaemon create(ProxySettings settings) {
-        Objects.requireNonNull(settings, "settings");
-        Instance self = selfInstance(settings);
+        Instance self = selfInstance(Objects.requireNonNull(settings, "settings"));
         PeerSocketFactories socketFactories = peerSocketFactories(settings);
         ProxyMetrics metrics = ProxyMetrics.create();
         FleetState fleet =
@@ -125,6 +124,7 @@
         CallerServer callerServer = newCallerServer(settings, fleet, requestHandler, metrics);
         AdminEndpoint adminEndpoint = AdminEndpoint.create(settings);
         Kernel kernel = kernelOfShared(settings, metrics, fleet, leavingServers, clientPool, peerTransport)
+                .register(ServiceNames.WARM_START, WarmStart.create(settings, adapter.isPresent()))
                 .register(IDLE_CONNECTIONS, connectionCleanupService(clientPool, backendClient, fleet))
                 .register(ServiceNames.FATAL_REQUESTS, fatalRequests)
                 .register(ServiceNames.QUOTAS, quotas)
