--- a/src/main/java/org/cassiabank/http/ResponseHeads.java
+++ b/src/main/java/org/cassiabank/http/ResponseHeads.java
@@ -33,6 +33,16 @@
 
     private ResponseHeads() {}
 
+    /**
+     * Tells whether a number is the status of a final response.
+     *
+     * @param status the number
+     * @return true from 200 to 599
+     */
+    public static boolean isFinalStatus(int status) {
+        return status >= LOWEST_FINAL_STATUS && status <= HIGHEST_STATUS;
+    }
+
     /**
      * Looks for a part of a head that cannot be passed on.
      *
@@ -45,7 +55,7 @@
      */
     public static Optional<String> findDefect(
             int status, String reasonPhrase, Headers headers, Collection<String> singleFields, boolean hasBody) {
-        if (status < LOWEST_FINAL_STATUS || status > HIGHEST_STATUS) {
+        if (!isFinalStatus(status)) {
             return Optional.of("status " + status + " is not a final status");
         }
         if (containsStatusLine(reasonPhrase)) {
--- a/src/test/java/org/cassiabank/proxy/PassedOnResponseTest.java
+++ b/src/test/java/org/cassiabank/proxy/PassedOnResponseTest.java
@@ -141,6 +141,19 @@
         assertThat(send("GET").status()).as("a request that may run again").isEqualTo(503);
     }
 
+    /** The caller got a reply with the status 0 as the response of a server. */
+    @Test
+    void aPeersResponseWithAnInvalidStatusReachesNoCaller() {
+        startPeer(() -> ForwardedReply.answer(
+                new RecordedAnswer(0, Map.of("Response-Seal", List.of("s")), ByteBuffer.wrap(new byte[] {1}))));
+        for (String method : List.of("POST", "GET")) {
+            CallerReply reply = send(method);
+            assertThat(reply.status()).isEqualTo(502);
+            assertThat(reply.firstHeader(CallerReply.OUTCOME_HEADER)).isEqualTo("unknown");
+            assertThat(reply.headers()).doesNotContainKey("Response-Seal");
+        }
+    }
+
     @Test
     void aPeersRefusalIsPassedOnIfNothingElseMayHaveRunTheRequest() {
         startPeer(() -> ForwardedReply.notRun(new SlotRefusal("no-healthy-server", 300)));
--- a/src/test/java/org/cassiabank/proxy/ServerResponseReplyTest.java
+++ b/src/test/java/org/cassiabank/proxy/ServerResponseReplyTest.java
@@ -53,6 +53,21 @@
         }
     }
 
+    /** A record or a peer of another release may hold a status that this release refuses from a server. */
+    @ParameterizedTest
+    @ValueSource(ints = {Integer.MIN_VALUE, -200, 0, 1, 20, 99, 100, 101, 103, 199, 600, 999, 2000})
+    void aStatusThatNoFinalResponseCanHaveReachesNoCaller(int status) {
+        for (boolean repeatable : new boolean[] {false, true}) {
+            for (HeaderConventions conventions : List.of(PLATFORM, DefaultHeaderConventions.instance())) {
+                CallerReply reply = ServerResponseReply.create(status, HEADERS, BODY, repeatable, conventions);
+                assertThat(reply.status()).isEqualTo(502);
+                assertThat(reply.isAnswered()).isFalse();
+                assertThat(reply.firstHeader(CallerReply.REASON_HEADER)).isEqualTo("invalid-status");
+                assertThat(reply.headers()).doesNotContainKeys("Response-Seal", "retry-after", "X");
+            }
+        }
+    }
+
     @Test
     void callersThatReadTheOutcomeGetEveryResponseUnchanged() {
         CallerReply reply = ServerResponseReply.create(503, HEADERS, BODY, false, DefaultHeaderConventions.instance());
