--- a/src/main/java/org/cassiabank/declaration/ConfigurationValidator.java
+++ b/src/main/java/org/cassiabank/declaration/ConfigurationValidator.java
@@ -123,28 +123,14 @@
 
     /** Compares ejection floors with the number of servers of services whose label rules all lack wildcards. */
     private void checkFloors() {
-        Map<String, Set<String>> instanceNamesByService = new HashMap<>();
-        Set<String> servicesWithWildcardRules = new HashSet<>();
-        for (LabelRule rule : configuration.labels()) {
-            String service = rule.set().get(LabelRule.SERVICE_LABEL);
-            if (service != null && new GlobPattern(rule.instances()).isLiteral()) {
-                instanceNamesByService
-                        .computeIfAbsent(service, ignored -> new HashSet<>())
-                        .add(rule.instances());
-            } else if (service != null) {
-                servicesWithWildcardRules.add(service);
-            }
-        }
-        instanceNamesByService.forEach(
-                (name, instanceNames) -> configuration.service(name).ifPresent(service -> {
-                    if (!servicesWithWildcardRules.contains(name) && service.ejectionFloor() > instanceNames.size()) {
-                        report(
-                                service.key(),
-                                "floor",
-                                "floor " + service.ejectionFloor() + " exceeds the " + instanceNames.size()
-                                        + " servers that label rules put into the service");
-                    }
-                }));
+        LiteralServers.countByService(configuration).forEach((name, serverCount) -> configuration
+                .service(name)
+                .filter(service -> service.ejectionFloor() > serverCount)
+                .ifPresent(service -> report(
+                        service.key(),
+                        "floor",
+                        "floor " + service.ejectionFloor() + " exceeds the " + serverCount
+                                + " servers that label rules put into the service")));
     }
 
     /** A key of two customers identifies neither. The findings name the customers, not the key. */
--- a/src/main/java/org/cassiabank/operator/DeclarationFiles.java
+++ b/src/main/java/org/cassiabank/operator/DeclarationFiles.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -81,8 +82,9 @@
 
     private Finding locate(Finding finding) {
         return filesByKey.entrySet().stream()
-                .filter(entry -> finding.key().startsWith(entry.getKey() + "."))
-                .findFirst()
+                .filter(entry -> (finding.key() + ".").startsWith(entry.getKey() + "."))
+                // Names may contain dots, so the key of service.menu is also a prefix of that of service.menu.v1.
+                .max(Comparator.comparingInt(entry -> entry.getKey().name().length()))
                 .map(entry -> locate(entry.getValue(), finding.key(), finding.message()))
                 .orElse(finding);
     }
