Print warnings and differences with cassiabankctl check

Cause: operators could not see which entities a set of files changes, nor what is questionable in a valid configuration, before they apply it.

Customers' keys appear only as numbers of added and removed keys. DeclarationCodec writes defaults on request, so that a selector that declares its first limit does not show the other limits as changed.

--- a/src/main/java/org/cassiabank/declaration/DeclarationCodec.java
+++ b/src/main/java/org/cassiabank/declaration/DeclarationCodec.java
@@ -18,6 +18,9 @@
  */
 public final class DeclarationCodec {
 
+    /** The field of a customer that holds the digests of its keys. */
+    static final String KEY_DIGESTS = "key-digests";
+
     /** Stands for a missing rank, because the rank 0 has a meaning. */
     private static final int NO_URGENCY = -1;
 
@@ -82,7 +85,7 @@
     }
 
     private static Optional<Declaration> readCustomer(String name, FieldReader reader, boolean isNameValid) {
-        Set<String> digests = new TreeSet<>(reader.readTexts("key-digests", DeclarationRules::keyDigestProblem));
+        Set<String> digests = new TreeSet<>(reader.readTexts(KEY_DIGESTS, DeclarationRules::keyDigestProblem));
         reader.readSecretTexts("keys", DeclarationRules::keyProblem).stream()
                 .map(CustomerDeclaration::keyDigest)
                 .forEach(digests::add);
@@ -156,6 +159,18 @@
      * @return the table of the fields, without the kind and name of the entity
      */
     public static ObjectNode write(Declaration declaration) {
+        return write(declaration, false);
+    }
+
+    /**
+     * Writes the fields of a declaration, also those of a selector that {@link #write} leaves out because they have
+     * their default values. A missing urgency of a customer has no default and is left out.
+     */
+    static ObjectNode writeWithDefaults(Declaration declaration) {
+        return write(declaration, true);
+    }
+
+    private static ObjectNode write(Declaration declaration, boolean withDefaults) {
         ObjectNode table = JsonNodeFactory.instance.objectNode();
         switch (declaration) {
             case LabelRule rule -> {
@@ -172,7 +187,7 @@
                         .put("header-millis", limits.headerMillis())
                         .put("idle-millis", limits.idleMillis());
             case CustomerDeclaration customer -> {
-                var digests = table.putArray("key-digests");
+                var digests = table.putArray(KEY_DIGESTS);
                 new TreeSet<>(customer.keyDigests()).forEach(digests::add);
                 customer.urgencyRank().ifPresent(rank -> table.put("urgency", rank));
                 table.put("requests-per-second", customer.requestsPerSecond()).put("burst", customer.burst());
@@ -187,21 +202,21 @@
                         .put("repeatable", selector.repeatable())
                         .put("cost", selector.costHint().name().toLowerCase(Locale.ROOT))
                         .put("priority", selector.priority());
-                writeHostAndLimits(table, selector);
+                writeHostAndLimits(table, selector, withDefaults);
             }
         }
         return table;
     }
 
-    private static void writeHostAndLimits(ObjectNode table, Selector selector) {
-        if (!selector.host().isEmpty()) {
+    private static void writeHostAndLimits(ObjectNode table, Selector selector, boolean withDefaults) {
+        if (withDefaults || !selector.host().isEmpty()) {
             table.put("host", selector.host());
         }
-        if (selector.anonymous()) {
-            table.put("anonymous", true);
+        if (withDefaults || selector.anonymous()) {
+            table.put("anonymous", selector.anonymous());
         }
         RequestLimits limits = selector.limits();
-        if (!limits.equals(RequestLimits.defaults())) {
+        if (withDefaults || !limits.equals(RequestLimits.defaults())) {
             table.put("timeout-millis", limits.timeoutMillis())
                     .put("target-millis", limits.targetLatencyMillis())
                     .put("maximum-attempts", limits.maximumAttempts())
--- a/src/main/java/org/cassiabank/operator/OperatorArguments.java
+++ b/src/main/java/org/cassiabank/operator/OperatorArguments.java
@@ -16,14 +16,15 @@
     private static final String USAGE = """
             cassiabankctl COMMAND [OPTION...]
 
-              check FILE...      check declarations; with --store also against the configuration in force
+              check FILE...      check declarations, with --store together with the configuration in force; print
+                                 warnings, and with --store or --against the differences
               apply FILE...      add or replace the declared entities; entities that no file names stay
               delete KIND NAME   delete one label, service or selector
               show [KIND [NAME]] print the configuration in force as TOML
               status             print the revision of the store and of each --proxy
 
-            Exit codes: 0 success, 1 failure during operation, 2 usage or invalid declarations, 3 conflict,
-            4 store unavailable.
+            Exit codes: 0 success, 1 failure during operation or warnings with check --strict, 2 usage or
+            invalid declarations, 3 conflict, 4 store unavailable.
             """;
 
     private final OptionParser parser = new OptionParser();
@@ -44,6 +45,12 @@
     private final OptionSpec<String> proxyOption = parser.accepts("proxy", "admin address of a proxy; can be repeated")
             .withRequiredArg()
             .describedAs("HOST:PORT");
+    private final OptionSpec<String> againstOption = parser.accepts(
+                    "against",
+                    "check: declaration file to compare with; can be repeated for a version in several files")
+            .withRequiredArg()
+            .describedAs("FILE");
+    private final OptionSpec<Void> strictOption = parser.accepts("strict", "check: exit with 1 if there are warnings");
     private final OptionSpec<Void> helpOption =
             parser.acceptsAll(List.of("help", "h"), "print this help").forHelp();
     private final OptionSet options;
@@ -111,4 +118,14 @@
     List<String> proxyAddresses() {
         return options.valuesOf(proxyOption);
     }
+
+    /** Returns the files of all {@code --against} options, which together hold one version. */
+    List<String> againstFiles() {
+        return options.valuesOf(againstOption);
+    }
+
+    /** Tells whether warnings of {@code check} count as a failure. */
+    boolean isStrict() {
+        return options.has(strictOption);
+    }
 }
--- a/src/main/java/org/cassiabank/operator/OperatorCommands.java
+++ b/src/main/java/org/cassiabank/operator/OperatorCommands.java
@@ -14,8 +14,11 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 import org.cassiabank.declaration.Configuration;
+import org.cassiabank.declaration.ConfigurationDifference;
+import org.cassiabank.declaration.ConfigurationReview;
 import org.cassiabank.declaration.ConfigurationValidator;
 import org.cassiabank.declaration.Declaration;
+import org.cassiabank.declaration.EntityDifference;
 import org.cassiabank.declaration.EntityKey;
 import org.cassiabank.declaration.EntityKind;
 import org.cassiabank.declaration.VersionedDeclaration;
@@ -64,13 +67,16 @@
     /**
      * Executes the command of the command line.
      *
+     * @return false if the command completed with a negative result: warnings of {@code check --strict}
      * @throws CassiabankException with {@link ErrorCode#INVALID_INPUT} for a usage error or invalid declarations, with
      *     the code that the {@link ChangeCommitter} reports, or with {@link ErrorCode#PEER_UNAVAILABLE} if a
      *     proxy does not report
      */
-    void execute() {
+    boolean execute() {
         switch (arguments.command()) {
-            case "check" -> check();
+            case "check" -> {
+                return check();
+            }
             case "apply" -> apply();
             case "delete" -> delete();
             case "show" -> show();
@@ -78,10 +84,16 @@
             case "" -> throw usageError("no command; see --help");
             default -> throw usageError("unknown command " + arguments.command() + "; see --help");
         }
+        return true;
     }
 
-    private void check() {
+    /** Prints warnings and differences; returns false if warnings count as a failure and there are any. */
+    private boolean check() {
         DeclarationFiles files = readFiles();
+        Optional<DeclarationFiles> comparedFiles = arguments.againstFiles().isEmpty()
+                ? Optional.empty()
+                : Optional.of(DeclarationFiles.read(
+                        arguments.againstFiles().stream().map(Path::of).toList()));
         Configuration current =
                 arguments.storeUrl().isPresent() ? createCommitter().refresh() : Configuration.empty();
         Configuration resultingConfiguration =
@@ -92,6 +104,37 @@
         }
         output.println(files.declarations().size() + " declarations are valid"
                 + (arguments.storeUrl().isPresent() ? " together with revision " + current.revision() : ""));
+        List<Finding> warnings =
+                files.locate(ConfigurationReview.review(CURRENT_CONFIGURATION_SOURCE, resultingConfiguration));
+        warnings.forEach(warning -> output.println("warning: " + warning));
+        Configuration declared = configurationOf(files);
+        comparedFiles.ifPresent(compared ->
+                printDifferences(String.join(", ", arguments.againstFiles()), "", configurationOf(compared), declared));
+        if (arguments.storeUrl().isPresent()) {
+            printDifferences("revision " + current.revision(), " (kept by apply)", current, declared);
+        }
+        return warnings.isEmpty() || !arguments.isStrict();
+    }
+
+    private static Configuration configurationOf(DeclarationFiles files) {
+        return Configuration.empty().withChanges(1, files.declarations(), List.of());
+    }
+
+    private void printDifferences(String version, String removalNote, Configuration earlier, Configuration later) {
+        List<EntityDifference> differences = ConfigurationDifference.between(earlier, later);
+        int added = 0;
+        int removed = 0;
+        int changed = 0;
+        for (EntityDifference difference : differences) {
+            switch (difference) {
+                case EntityDifference.Added ignored -> added++;
+                case EntityDifference.Removed ignored -> removed++;
+                case EntityDifference.Changed ignored -> changed++;
+            }
+        }
+        output.println("compared with " + version + ": " + added + " added, " + removed + " removed"
+                + (removed > 0 ? removalNote : "") + ", " + changed + " changed");
+        differences.forEach(output::println);
     }
 
     private void apply() {
--- a/src/main/java/org/cassiabank/operator/OperatorMain.java
+++ b/src/main/java/org/cassiabank/operator/OperatorMain.java
@@ -22,7 +22,8 @@
     private OperatorMain() {}
 
     /**
-     * Runs the program and exits with 0 for success, 1 for a failure during operation, 2 for wrong usage or invalid
+     * Runs the program and exits with 0 for success, 1 for a failure during operation or for warnings of
+     * {@code check --strict}, 2 for wrong usage or invalid
      * declarations, 3 for a conflict, or 4 if the store is unavailable (section 13 of the design page).
      *
      * @param arguments the command line; {@code --help} describes it
@@ -46,10 +47,11 @@
             OperatorArguments parsedArguments = OperatorArguments.parse(arguments);
             if (parsedArguments.isHelpRequested()) {
                 parsedArguments.printHelp(output);
-            } else {
-                OperatorCommands.create(parsedArguments, storeFactory, output).execute();
+                return SUCCESS_EXIT_CODE;
             }
-            return SUCCESS_EXIT_CODE;
+            boolean succeeded = OperatorCommands.create(parsedArguments, storeFactory, output)
+                    .execute();
+            return succeeded ? SUCCESS_EXIT_CODE : FAILURE_EXIT_CODE;
         } catch (OptionException | IllegalArgumentException exception) {
             errorOutput.println(MESSAGE_PREFIX + exception.getMessage());
             return USAGE_EXIT_CODE;
--- a/src/test/java/org/cassiabank/operator/OperatorMainTest.java
+++ b/src/test/java/org/cassiabank/operator/OperatorMainTest.java
@@ -141,4 +141,47 @@
         assertThat(runWithStore("show")).isEqualTo(4);
         assertThat(runWithStore("status")).isEqualTo(4);
     }
+
+    @Test
+    void warningsFailOnlyAStrictCheckAndNameFileAndLine() throws IOException {
+        Path idleFile = writeFile("idle.toml", "[service.menu]\nslots = 1\nfloor = 0\ndeadline-millis = 1\n");
+        assertThat(run("check", menuFile.toString(), "--strict")).isZero();
+        String[] check = {"check", menuFile.toString(), idleFile.toString()};
+        assertThat(run(check)).isZero();
+        assertThat(output)
+                .isEqualTo("4 declarations are valid\n"
+                        + "warning: idle.toml:1: service.menu: no selector names this service\n");
+        assertThat(run(check[0], check[1], check[2], "--strict")).isEqualTo(1);
+        assertThat(run(check[0], check[1], "--strict", "--against", "missing.toml"))
+                .isEqualTo(2);
+    }
+
+    @Test
+    void differencesShowNoKeysOfCustomers() throws IOException {
+        runWithStore("apply", menuFile, writeFile("old.toml", "[customer.guest]\nkeys = [\"a1\", \"b1\"]\n"));
+        Path newFile = writeFile(
+                "new.toml",
+                SERVICE.replace("floor = 1", "floor = 2")
+                        + LABEL
+                        + "[customer.guest]\nkeys = [\"b1\", \"c1\", \"d1\"]\nurgency = 2\n"
+                        + "[selector.b]\nservice = \"menu.v1\"\npath = \"/b\"\n");
+        assertThat(runWithStore("check", newFile, "--strict")).isZero();
+        assertThat(output.lines())
+                .containsExactly(
+                        "4 declarations are valid together with revision 1",
+                        "compared with revision 1: 1 added, 1 removed (kept by apply), 2 changed",
+                        "changed service.menu.v1: floor 1 -> 2",
+                        "removed selector.a-b",
+                        "added selector.b",
+                        "changed customer.guest: keys 2 added and 1 removed, urgency none -> 2");
+        assertThat(run("check", menuFile.toString(), "--against", newFile.toString()))
+                .isZero();
+        assertThat(output).contains("new.toml: 1 added, 2 removed, 1 changed\n", "removed customer.guest\n");
+        Path limitedFile =
+                writeFile("limited.toml", Files.readString(menuFile).replace("path =", "timeout-millis = 9\npath ="));
+        run("check", limitedFile.toString(), "--against", menuFile.toString());
+        assertThat(output).endsWith("changed selector.a-b: timeout-millis 0 -> 9\n");
+        store.setAvailable(false);
+        assertThat(runWithStore("check", newFile)).isEqualTo(4);
+    }
 }
