Test the files of warnings about names with dots

Cause: the file of a finding about service.menu.v1 was that of service.menu if both were declared; the corrected search had no test.

Change: OperatorMainTest checks the files of warnings about two such services.

--- a/src/test/java/org/cassiabank/operator/OperatorMainTest.java
+++ b/src/test/java/org/cassiabank/operator/OperatorMainTest.java
@@ -152,6 +152,9 @@
                 .isEqualTo("4 declarations are valid\n"
                         + "warning: idle.toml:1: service.menu: no selector names this service\n");
         assertThat(run(check[0], check[1], check[2], "--strict")).isEqualTo(1);
+        Path dottedNameFile = writeFile("dotted.toml", SERVICE);
+        assertThat(run("check", idleFile.toString(), dottedNameFile.toString())).isZero();
+        assertThat(output).contains("idle.toml:1: service.menu: ", "dotted.toml:1: service.menu.v1: ");
         assertThat(run(check[0], check[1], "--strict", "--against", "missing.toml"))
                 .isEqualTo(2);
     }
