Hold no memory for request bodies over the limit

Cause: RequestBodyGate reserved memory for the parts of a body over the limit up to that limit, although the aggregator discards them. The reservation was held until the connection closed and kept other uploads waiting. Evidence: the new test of RequestBodyGateTest found 3 MiB reserved. Result: the reservation is closed as soon as the body is known to be over the limit. RequestBodyGateTest (4 tests) passes.

--- a/src/main/java/org/cassiabank/proxy/RequestBodyGate.java
+++ b/src/main/java/org/cassiabank/proxy/RequestBodyGate.java
@@ -111,15 +111,13 @@
                         }
                         reservation = memory.open();
                         receivedBytes = 0;
-                        // A body over the limit is discarded behind this gate and needs no room.
-                        long length = declaredLength(request);
-                        declaredBytes = length > maximumBodyBytes ? 0 : length;
-                        yield declaredBytes;
+                        declaredBytes = declaredLength(request);
+                        yield closeIfDiscarded(declaredBytes) ? 0 : declaredBytes;
                     }
                     case HttpContent content -> {
                         long formerBytes = Math.max(declaredBytes, receivedBytes);
                         receivedBytes += content.content().readableBytes();
-                        yield receivedBytes > maximumBodyBytes ? 0 : Math.max(0, receivedBytes - formerBytes);
+                        yield closeIfDiscarded(receivedBytes) ? 0 : Math.max(0, receivedBytes - formerBytes);
                     }
                     default -> 0;
                 };
@@ -128,6 +126,15 @@
                 || reservation.reserve(furtherBytes, () -> context.executor().execute(() -> resume(context)));
     }
 
+    /** Closes the reservation of a body over the limit, which is discarded behind this gate; false for other bodies. */
+    private boolean closeIfDiscarded(long bodyBytes) {
+        boolean discarded = bodyBytes > maximumBodyBytes;
+        if (discarded && reservation != null) {
+            reservation.close();
+        }
+        return discarded;
+    }
+
     /** Returns the declared length, 0 if there is none or if the request is refused because of it. */
     private static long declaredLength(HttpRequest request) {
         try {
--- a/src/test/java/org/cassiabank/proxy/RequestBodyGateTest.java
+++ b/src/test/java/org/cassiabank/proxy/RequestBodyGateTest.java
@@ -69,6 +69,28 @@
         assertThat(memory.reservedBytes()).isZero();
     }
 
+    /** The aggregator behind the gate discards such a body, whose bytes would keep other uploads waiting. */
+    @Test
+    void aBodyOverTheLimitHoldsNoMemory() {
+        EmbeddedChannel declared = newChannel();
+        declared.writeInbound(upload(5 * MEBIBYTE), content(3 * MEBIBYTE));
+        assertThat(memory.reservedBytes())
+                .as("over the limit by its declared length")
+                .isZero();
+
+        EmbeddedChannel chunked = newChannel();
+        HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/");
+        head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, "chunked");
+        chunked.writeInbound(head, content(3 * MEBIBYTE), content(2 * MEBIBYTE));
+        assertThat(memory.reservedBytes())
+                .as("over the limit by what has arrived")
+                .isZero();
+    }
+
+    private static DefaultHttpContent content(int bytes) {
+        return new DefaultHttpContent(Unpooled.buffer(bytes).writeZero(bytes));
+    }
+
     private EmbeddedChannel newChannel() {
         return new EmbeddedChannel(RequestBodyGate.create(memory, 4 * MEBIBYTE));
     }
