Forget urgency ranks without recent requests

Cause: UrgencyShares kept the counts of every rank that it had seen and visited all of them in each decision, under the lock of the shard. With ranks of customers and selectors combined there may be thousands. Evidence: the new UrgencySharesTest found 1,000 ranks a minute after their only requests. Result: a rank is forgotten once its decayed arrivals are below 0.01. UrgencySharesTest, SlotSchedulerTest and FairAdmissionOrderTest pass.

--- a/src/main/java/org/cassiabank/admission/UrgencyShares.java
+++ b/src/main/java/org/cassiabank/admission/UrgencyShares.java
@@ -22,10 +22,21 @@
     /** The share of the slots that is assumed for less urgent work, however much urgent work arrives. */
     private static final double MINIMUM_SLOT_SHARE = 0.1;
 
+    /**
+     * A rank is forgotten when its decayed arrivals fall below this, about 33 s after a single request. Each decision
+     * visits all ranks, and there may be as many as pairs of the urgencies of customers and selectors.
+     */
+    private static final double FORGOTTEN_ARRIVALS = 0.01;
+
     private final TreeMap<Integer, RequestCounts> countsByRank = new TreeMap<>();
     private final RequestCounts totalCounts = new RequestCounts();
     private long updatedAtMillis;
 
+    /** Returns the number of ranks that decisions visit. */
+    int countedRanks() {
+        return countsByRank.size();
+    }
+
     /** Records a request for a slot. */
     void recordArrival(int urgencyRank, double costMicros, long nowMillis) {
         decayTo(nowMillis);
@@ -92,6 +103,7 @@
         if (nowMillis > updatedAtMillis) {
             double factor = Math.pow(0.5, (nowMillis - updatedAtMillis) / COUNT_HALF_LIFE_MILLIS);
             countsByRank.values().forEach(counts -> counts.decay(factor));
+            countsByRank.values().removeIf(counts -> counts.arrivedRequests < FORGOTTEN_ARRIVALS);
             totalCounts.decay(factor);
             updatedAtMillis = nowMillis;
         }
