Separate the shards of other domains in one pass

Cause: ShardSelector compared each shard with all shards of the own failure domain for each request, under the lock of the service. Result: the domains are compared instead, with the same outcome. ShardSelectorTest passes; the time was not measured.

--- a/src/main/java/org/cassiabank/admission/ShardSelector.java
+++ b/src/main/java/org/cassiabank/admission/ShardSelector.java
@@ -69,8 +69,9 @@
         forgetFormerShards(candidates);
         List<Estimate> all = estimates(candidates, nowMillis);
         List<Estimate> own = inDomain(all, ownDomain);
-        List<Estimate> others =
-                all.stream().filter(estimate -> !own.contains(estimate)).toList();
+        List<Estimate> others = all.stream()
+                .filter(estimate -> !estimate.failureDomain().equals(ownDomain))
+                .toList();
         boolean staysInDomain = !own.isEmpty()
                 && (others.isEmpty()
                         || random.nextDouble() >= leavingProbability(relativeLoad(own), relativeLoad(others)));
