Run no request that arrives after a closing reply

Cause: after a reply that closes its connection, requests that arrived while the reply was still being written were handled, although they got no reply. Their caller may send them again elsewhere. The fault is older than this change; while a daemon drains, it affects every pipelining caller. Evidence: the new test of CallerServerTest saw the later request handled. Result: nothing that arrives after such a reply is handled. CallerServerTest, CallerReplyOrderTest and CallerRequestBoundaryTest pass.

--- a/src/main/java/org/cassiabank/proxy/CallerConnection.java
+++ b/src/main/java/org/cassiabank/proxy/CallerConnection.java
@@ -58,8 +58,8 @@
     private final Deque<PendingRequest> pendingRequests = new ArrayDeque<>();
     private long elapsedIdleMillis;
     private boolean requestInProgress;
-    /** Whether the last pending request closes the connection, so that nothing behind it is read. */
-    private boolean refusalPending;
+    /** Whether a refusal that is pending or a reply that is being written closes the connection. */
+    private boolean closing;
     /** Whether the caller waits for {@code 100 Continue} before it sends the body of the next request. */
     private boolean continueExpected;
 
@@ -116,7 +116,7 @@
     /** Adds a request to those that wait for their turn; returns false if it was refused or ignored. */
     private boolean acceptRequest(
             ChannelHandlerContext context, FullHttpRequest request, RequestMemory.Reservation reservation) {
-        if (refusalPending) {
+        if (closing) {
             return false;
         }
         if (request.decoderResult().isFailure()) {
@@ -163,7 +163,7 @@
         } else if (event == RequestBodyGate.NO_ROOM) {
             refuse(context, CallerReply.notRun("no-memory-for-body", NO_ROOM_RETRY_AFTER_MILLIS));
         } else if (event == BoundedAggregator.CONTINUE_EXPECTED) {
-            continueExpected = true;
+            continueExpected = !closing;
             serveNextRequest(context);
         } else if (event == CLOSE_IF_IDLE) {
             // A request of which a part has arrived, such as an upload, is read and answered; the reply closes.
@@ -200,10 +200,10 @@
 
     /** Answers a request that cannot be read, after the replies to all earlier ones, and closes the connection. */
     private void refuse(ChannelHandlerContext context, CallerReply refusal) {
-        if (refusalPending) {
+        if (closing) {
             return;
         }
-        refusalPending = true;
+        closing = true;
         continueExpected = false;
         server.recordRefusal(refusal, remoteAddress(context));
         pendingRequests.addLast(new PendingRequest(null, refusal, false, false, null));
@@ -265,6 +265,8 @@
         if (keepAlive) {
             serveNextRequest(context);
         } else {
+            // The caller may send later requests again elsewhere, also those that arrive while the reply is written.
+            closing = true;
             clearPendingRequests();
             writeFuture.addListener(ChannelFutureListener.CLOSE);
         }
--- a/src/test/java/org/cassiabank/proxy/CallerServerTest.java
+++ b/src/test/java/org/cassiabank/proxy/CallerServerTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.cassiabank.declaration.ConnectionLimits;
@@ -32,6 +33,7 @@
 
     private final CountDownLatch callerGone = new CountDownLatch(1);
     private final CountDownLatch heldRequestsReleased = new CountDownLatch(1);
+    private final List<String> handledPaths = new CopyOnWriteArrayList<>();
     private final ProxyMetrics metrics = ProxyMetrics.create();
     private final CallerServer server = CallerServer.create(LIMITS, this::replyTo, metrics);
     private int port;
@@ -186,6 +188,20 @@
         }
     }
 
+    /** Its caller may send it again on another connection, where it would run a second time. */
+    @Test
+    void aRequestThatArrivesAfterAReplyThatClosesTheConnectionDoesNotRun() throws Exception {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.getOutputStream()
+                    .write("GET /large HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+                            .getBytes(StandardCharsets.US_ASCII));
+            assertThat(socket.getInputStream().readNBytes(1_000)).hasSize(1_000);
+            socket.getOutputStream().write("GET /late HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            TimeUnit.MILLISECONDS.sleep(300);
+            assertThat(handledPaths).containsExactly("/large");
+        }
+    }
+
     @Test
     void requestsOverTheInFlightLimitAreRefusedAtOnceWithARetryTime() throws IOException {
         try (Socket first = openWithRequestFor("/hold");
@@ -217,6 +233,7 @@
     }
 
     private CallerReply replyTo(CallerRequest request, CallerPresence presence) {
+        handledPaths.add(request.path());
         if (request.path().equals("/hold")) {
             presence.onGone(callerGone::countDown);
             try {
