--- a/src/main/java/org/cassiabank/proxy/ConfiguredWeights.java
+++ b/src/main/java/org/cassiabank/proxy/ConfiguredWeights.java
@@ -12,8 +12,8 @@
 /**
  * The weights of the customers of the configuration in force, calculated once for each configuration.
  *
- * <p>One request calculates them after a change; the requests beside it use the former ones, because the work grows with
- * the number of customers. Thread-safe.
+ * <p>One request calculates them after a change; the requests beside it use the former ones, because the work grows
+ * with the number of customers. Thread-safe.
  */
 final class ConfiguredWeights {
     private final Function<Configuration, CustomerWeights> calculation;
