Keep the weight of a customer that is granted a slot late

Cause: CustomerShares forgets customers about 20 s after their last arrivals. A grant after that counted a customer with weight 0: its other queued requests went last, and as the only customer its available slots were not a number. Evidence: both tests of the new CustomerSharesTest failed. Result: grants record the weight as arrivals do. CustomerSharesTest, FairAdmissionOrderTest, FairAdmissionLoadTest and SlotSchedulerTest pass.

--- a/src/main/java/org/cassiabank/admission/CustomerShares.java
+++ b/src/main/java/org/cassiabank/admission/CustomerShares.java
@@ -39,9 +39,7 @@
     /** Records a request; an additional attempt is not counted, because a customer must not gain by retrying. */
     void recordArrival(AdmissionRequest request, double costMicros, long nowMillis) {
         double scale = scale(nowMillis);
-        Counts counts = countsByCustomer.computeIfAbsent(request.customer(), name -> new Counts());
-        total.weight += request.customerWeight() - counts.weight;
-        counts.weight = request.customerWeight();
+        Counts counts = countsWithWeight(request);
         if (!request.hints().isAdditionalAttempt()) {
             counts.recordArrival(scale, costMicros);
             counts.arrivedMicrosByRank.merge(request.urgencyRank(), scale * costMicros, Double::sum);
@@ -52,12 +50,20 @@
     /** Records a granted slot. */
     void recordGrant(AdmissionRequest request, double costMicros, long nowMillis) {
         double scale = scale(nowMillis);
-        Counts counts = countsByCustomer.computeIfAbsent(request.customer(), name -> new Counts());
+        Counts counts = countsWithWeight(request);
         int grants = request.hints().isAdditionalAttempt() ? 0 : 1;
         counts.recordGrant(scale, grants, costMicros);
         total.recordGrant(scale, grants, costMicros);
     }
 
+    /** Returns the counts of a customer, which may have been forgotten while its request waited. */
+    private Counts countsWithWeight(AdmissionRequest request) {
+        Counts counts = countsByCustomer.computeIfAbsent(request.customer(), name -> new Counts());
+        total.weight += request.customerWeight() - counts.weight;
+        counts.weight = request.customerWeight();
+        return counts;
+    }
+
     /** Tells whether the customer's served share is so low that its requests are served before all others. */
     boolean isStarved(String customer, long nowMillis) {
         double scale = scale(nowMillis);
