--- a/src/main/java/org/cassiabank/admission/AdmissionRule.java
+++ b/src/main/java/org/cassiabank/admission/AdmissionRule.java
@@ -71,11 +71,11 @@
         return Optional.empty();
     }
 
-    /** Returns when a queued request has to be looked at again, in milliseconds. */
+    /** Returns when a queued request has to be checked again, in milliseconds. */
     long nextCheckMillis(FairQueue queue, Ticket ticket) {
         long dueMillis =
                 Math.min(ticket.renewedAtMillis() + settings.ticketLifetimeMillis(), ticket.latestStartMillis() + 1);
-        return queue.order().isFair() ? Math.min(dueMillis, ticket.nextLookMillis()) : dueMillis;
+        return queue.order().isFair() ? Math.min(dueMillis, ticket.nextWaitCheckMillis()) : dueMillis;
     }
 
     /** Returns why a request must not start or wait any longer, or empty if it may. */
@@ -89,18 +89,18 @@
     }
 
     /**
-     * Looks at a queued request again. While fair admission is in force, one whose predicted wait leaves no time before
+     * Checks a queued request again. While fair admission is in force, one whose predicted wait leaves no time before
      * its deadline is refused now, for example because servers failed after its arrival, and not held until then.
      */
     Optional<RefusalReason> reasonToStopWaiting(FairQueue queue, Ticket ticket, boolean longWork, long nowMillis) {
         Optional<RefusalReason> overdue = overdueReason(ticket, nowMillis);
-        if (overdue.isPresent() || !queue.order().isFair() || nowMillis < ticket.nextLookMillis()) {
+        if (overdue.isPresent() || !queue.order().isFair() || nowMillis < ticket.nextWaitCheckMillis()) {
             return overdue;
         }
-        ticket.postponeLook(nowMillis);
-        boolean hopeless = settings.refuseByPredictedWait()
+        ticket.scheduleWaitCheck(nowMillis);
+        boolean missesDeadline = settings.refuseByPredictedWait()
                 && nowMillis + predictWaitMillis(queue, ticket, longWork, nowMillis) > ticket.latestStartMillis();
-        return hopeless ? Optional.of(RefusalReason.DEADLINE) : Optional.empty();
+        return missesDeadline ? Optional.of(RefusalReason.DEADLINE) : Optional.empty();
     }
 
     /** Creates the refusal of a queued request; its retry time is the wait predicted for such a request now. */
--- a/src/main/java/org/cassiabank/admission/Ticket.java
+++ b/src/main/java/org/cassiabank/admission/Ticket.java
@@ -8,13 +8,13 @@
     private static final long MAXIMUM_REMAINING_MILLIS = 86_400_000;
 
     /**
-     * A queued request is looked at again after this part of its target. Callers that are refused by then can still be
-     * served in time elsewhere or later.
+     * The predicted wait of a queued request is checked again after this part of its target. Callers that are refused
+     * by then can still be served in time elsewhere or later.
      */
-    private static final int LOOKS_PER_TARGET = 8;
+    private static final int WAIT_CHECKS_PER_TARGET = 8;
 
-    /** Bounds the looks at requests with very short targets; shards decide about time at intervals of 20 ms. */
-    private static final long MINIMUM_LOOK_INTERVAL_MILLIS = 20;
+    /** Bounds the checks of requests with very short targets; shards decide about time at intervals of 20 ms. */
+    private static final long MINIMUM_WAIT_CHECK_INTERVAL_MILLIS = 20;
 
     private final long id;
     private final AdmissionRequest request;
@@ -26,7 +26,7 @@
     private double costMicros;
     private long renewedAtMillis;
     private double queueMarkMicros;
-    private long nextLookMillis;
+    private long nextWaitCheckMillis;
     private boolean queued;
 
     Ticket(long id, AdmissionRequest request, RouteCost routeCost, double costMicros, boolean probe, long nowMillis) {
@@ -39,7 +39,7 @@
         this.arrivedAtMillis = nowMillis;
         this.deadlineMillis = nowMillis + Math.min(request.remainingMillis(), MAXIMUM_REMAINING_MILLIS);
         this.renewedAtMillis = nowMillis;
-        this.nextLookMillis = nowMillis + lookIntervalMillis();
+        this.nextWaitCheckMillis = nowMillis + waitCheckIntervalMillis();
     }
 
     long id() {
@@ -90,17 +90,17 @@
     }
 
     /** Returns when the predicted wait is compared again with the time left. */
-    long nextLookMillis() {
-        return nextLookMillis;
+    long nextWaitCheckMillis() {
+        return nextWaitCheckMillis;
     }
 
-    void postponeLook(long nowMillis) {
-        nextLookMillis = nowMillis + lookIntervalMillis();
+    void scheduleWaitCheck(long nowMillis) {
+        nextWaitCheckMillis = nowMillis + waitCheckIntervalMillis();
     }
 
-    private long lookIntervalMillis() {
+    private long waitCheckIntervalMillis() {
         long wholeMillis = request.statedTargetMillis() > 0 ? request.statedTargetMillis() : request.remainingMillis();
-        return Math.max(MINIMUM_LOOK_INTERVAL_MILLIS, wholeMillis / LOOKS_PER_TARGET);
+        return Math.max(MINIMUM_WAIT_CHECK_INTERVAL_MILLIS, wholeMillis / WAIT_CHECKS_PER_TARGET);
     }
 
     boolean isQueued() {
