Find the shards for a second request outside of the lock

Cause: after a refusal, ShardChooser examined all servers of the service under the lock that all requests of the service need. Result: the candidates are found before the lock is taken, as for the first request. No test fails without the change and the time was not measured. ShardSelectorTest, ShardDivisionTest and CustomerRequestTest pass.

--- a/src/main/java/org/cassiabank/proxy/ShardChooser.java
+++ b/src/main/java/org/cassiabank/proxy/ShardChooser.java
@@ -78,13 +78,11 @@
      * @return the number of another shard, or empty if no other one can run the request
      */
     OptionalInt chooseAfterRefusal(ShardKey refused, ShardDivision division, AdmissionRequest request) {
+        List<ShardCandidate> candidates = candidates(division, request);
         ServiceShards shards = shardsByService.computeIfAbsent(refused.service(), key -> new ServiceShards());
         synchronized (shards) {
             return shards.selector.chooseAfterRefusal(
-                    candidates(division, request),
-                    Set.of(refused.number()),
-                    ThreadLocalRandom.current(),
-                    MonotonicClock.millis());
+                    candidates, Set.of(refused.number()), ThreadLocalRandom.current(), MonotonicClock.millis());
         }
     }
 
