--- a/src/main/java/org/cassiabank/proxy/ServerResponseReply.java
+++ b/src/main/java/org/cassiabank/proxy/ServerResponseReply.java
@@ -37,7 +37,8 @@
      * @param repeatable whether the request may run more than once
      * @param conventions tell which statuses promise that a request has not run
      * @return the response itself; without {@code Retry-After} if its status is a promise, because the delay is meant
-     *     for this fleet; a reply of unknown outcome without anything of the response if the promise could do harm or if the status is invalid
+     *     for this fleet; a reply of unknown outcome without anything of the response if the promise could do harm or
+     *     if the status is invalid
      */
     static CallerReply create(
             int status,
