--- a/src/main/java/org/cassiabank/proxy/ProxySettings.java
+++ b/src/main/java/org/cassiabank/proxy/ProxySettings.java
@@ -80,4 +80,31 @@
         return linkMegabitsPerSecond.isPresent()
                 && linkMegabitsPerSecond.getAsDouble() < NARROW_LINK_MEGABITS_PER_SECOND;
     }
+
+    /**
+     * Returns a copy with another bandwidth.
+     *
+     * @param newLinkMegabitsPerSecond the bandwidth in megabits per second; empty if not limited
+     * @return the copy
+     */
+    ProxySettings withLinkMegabitsPerSecond(OptionalDouble newLinkMegabitsPerSecond) {
+        return new ProxySettings(
+                name,
+                region,
+                failureDomain,
+                callersAddress,
+                peerAddress,
+                adminAddress,
+                store,
+                scheduling,
+                separateLongWork,
+                fairAdmission,
+                limits,
+                drainMillis,
+                longestDrainMillis,
+                platform,
+                callersTls,
+                peerTls,
+                newLinkMegabitsPerSecond);
+    }
 }
--- a/src/main/java/org/cassiabank/proxy/ProxySettingsParser.java
+++ b/src/main/java/org/cassiabank/proxy/ProxySettingsParser.java
@@ -29,6 +29,9 @@
     private static final String DEFAULT_HEALTH_PATH = "/health";
     private static final TomlMapper MAPPER = new TomlMapper();
 
+    /** Applies to settings without {@code link-megabits-per-second}, since a platform knows the link of an instance. */
+    private static final String BANDWIDTH_VARIABLE = "CASSIABANK_LINK_MEGABITS_PER_SECOND";
+
     private ProxySettingsParser() {}
 
     /**
@@ -41,7 +44,10 @@
      */
     public static ProxySettings read(Path file) {
         try {
-            return parse(file.toString(), Files.readString(file));
+            ProxySettings settings = parse(file.toString(), Files.readString(file));
+            return withBandwidthOfEnvironment(
+                    settings,
+                    Optional.ofNullable(System.getenv(BANDWIDTH_VARIABLE)).orElse(""));
         } catch (IOException exception) {
             throw CassiabankException.withCause(
                     ErrorCode.INVALID_INPUT, file + ": cannot be read: " + exception.getMessage(), exception);
@@ -198,6 +204,26 @@
         return Integer.parseInt(text);
     }
 
+    /**
+     * Adds the bandwidth that the environment names to settings that name none.
+     *
+     * @param settings the settings
+     * @param bandwidth the bandwidth in megabits per second, empty if the environment names none
+     * @return the settings, unchanged if they name a bandwidth
+     * @throws CassiabankException with {@link ErrorCode#INVALID_INPUT} if the bandwidth is not valid
+     */
+    static ProxySettings withBandwidthOfEnvironment(ProxySettings settings, String bandwidth) {
+        if (settings.linkMegabitsPerSecond().isPresent()) {
+            return settings;
+        }
+        try {
+            return settings.withLinkMegabitsPerSecond(parseBandwidth(bandwidth));
+        } catch (IllegalArgumentException exception) {
+            throw CassiabankException.withCause(
+                    ErrorCode.INVALID_INPUT, BANDWIDTH_VARIABLE + ": " + exception.getMessage(), exception);
+        }
+    }
+
     /** Parses a bandwidth; an empty text stands for a platform that names none. */
     private static OptionalDouble parseBandwidth(String text) {
         if (text.isBlank()) {
--- a/src/test/java/org/cassiabank/proxy/ProxySettingsParserTest.java
+++ b/src/test/java/org/cassiabank/proxy/ProxySettingsParserTest.java
@@ -1,6 +1,7 @@
 package org.cassiabank.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static org.assertj.core.api.Assertions.catchThrowableOfType;
 
 import java.util.List;
@@ -39,6 +40,19 @@
                 .containsExactly("link-megabits-per-second");
     }
 
+    @Test
+    void theEnvironmentNamesTheBandwidthOnlyWhereTheFileNamesNone() {
+        ProxySettings settings = ProxySettingsParser.parse("a.toml", VALID);
+        assertThat(ProxySettingsParser.withBandwidthOfEnvironment(settings, "7.5")
+                        .hasNarrowLinks())
+                .isTrue();
+        assertThat(ProxySettingsParser.withBandwidthOfEnvironment(settings, "")).isEqualTo(settings);
+        ProxySettings wide = withBandwidth("1000");
+        assertThat(ProxySettingsParser.withBandwidthOfEnvironment(wide, "7.5")).isEqualTo(wide);
+        assertThatThrownBy(() -> ProxySettingsParser.withBandwidthOfEnvironment(settings, "fast"))
+                .hasMessageContaining("CASSIABANK_LINK_MEGABITS_PER_SECOND");
+    }
+
     private static ProxySettings withBandwidth(String value) {
         return ProxySettingsParser.parse("a.toml", VALID + "link-megabits-per-second = " + value + "\n");
     }
