--- a/src/main/java/org/cassiabank/proxy/WarmStart.java
+++ b/src/main/java/org/cassiabank/proxy/WarmStart.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.util.Objects;
 import org.cassiabank.kernel.BackgroundTasks;
+import org.cassiabank.kernel.CassiabankException;
 import org.cassiabank.kernel.Kernel;
 import org.cassiabank.kernel.KernelService;
 
@@ -80,8 +81,10 @@
                 boolean fast = delivered && System.nanoTime() - startNanos < FAST_MICROS * 1_000;
                 fastRequests = fast ? fastRequests + 1 : 0;
             }
-        } catch (IOException | RuntimeException exception) {
+        } catch (IOException | CassiabankException exception) {
             // The daemon can serve without a warm start; only its first requests take longer.
+            LOGGER.atInfo().log("%s: the warm start ended early: %s", settings.name(), exception.getMessage());
+        } catch (RuntimeException exception) {
             BackgroundTasks.recordFailure("warm start", exception);
         } finally {
             done = true;
