--- a/src/main/java/org/cassiabank/peer/PeerServer.java
+++ b/src/main/java/org/cassiabank/peer/PeerServer.java
@@ -1,6 +1,7 @@
 package org.cassiabank.peer;
 
 import java.io.IOException;
+import java.io.InterruptedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.Objects;
@@ -162,6 +163,9 @@
             long turnNanos = Math.min(System.nanoTime() - turnStartNanos, DecodingTurns.TURN_NANOS);
             try {
                 turns.awaitTurn(turnNanos, () -> {});
+            } catch (InterruptedIOException exception) {
+                // Only the end of this server interrupts its threads, which Thrift must not log as a fault.
+                throw new TTransportException(TTransportException.END_OF_FILE, exception);
             } catch (IOException exception) {
                 throw new TTransportException(TTransportException.UNKNOWN, exception);
             }
--- a/src/main/java/org/cassiabank/quota/CustomerQuota.java
+++ b/src/main/java/org/cassiabank/quota/CustomerQuota.java
@@ -38,7 +38,7 @@
      * The part of what the bounds allow beyond the limit that is kept for participants that continue after a pause,
      * whose clocks do not show that their leases have expired.
      */
-    private static final double PAUSE_RESERVE = 0.15;
+    private static final double PAUSE_RESERVE = 0.06;
 
     /** Below this part of its capacity, the credit limits the leases. */
     private static final double LOW_CREDIT = 0.25;
--- a/src/test/java/org/cassiabank/quota/QuotaPropertiesTest.java
+++ b/src/test/java/org/cassiabank/quota/QuotaPropertiesTest.java
@@ -52,6 +52,13 @@
         noWindowHasMoreRequestsThanTheBoundsAllow(3, 3.58, 0, 0.45, 2.96, 3, Fault.PAUSE, 1, 2, 5_231, 0.3, -1346269L);
     }
 
+    /** Nine requests of about 290 were refused, with a larger reserve for paused daemons. */
+    @Example
+    void thinDemandIsRefusedAlmostNothingWithTheSeedThatFailed() {
+        aCustomerBelowItsLimitIsRefusedAlmostNothingWhenItsDemandIsSpreadThinly(30, 5.22, 0.8, 6911993065253312186L);
+        aCustomerBelowItsLimitIsRefusedAlmostNothingWhenItsDemandIsSpreadThinly(20, 2.06, 0.8, 6911993065253312186L);
+    }
+
     @Property(tries = 100)
     void aCustomerBelowItsLimitIsRefusedAlmostNothingWhenItsDemandIsSpreadThinly(
             @ForAll @IntRange(min = 1, max = 30) int daemons,
