Log and measure as of when the state of a daemon is current

Change: a daemon tracks as of when its entries include every acknowledged change, and watchers tell their followers (an optional field of storeChanges, which daemons of earlier releases ignore). The line of a request has state-age-millis, a revision that comes into force says where it came from, and two gauges hold the revision and the age. No decision depends on it yet.

--- a/src/main/java/org/cassiabank/proxy/FleetState.java
+++ b/src/main/java/org/cassiabank/proxy/FleetState.java
@@ -15,6 +15,7 @@
 import org.cassiabank.revision.Change;
 import org.cassiabank.revision.ChangeReader;
 import org.cassiabank.revision.ConfigurationHistory;
+import org.cassiabank.source.StateConfirmation;
 import org.cassiabank.source.VersionedConfiguration;
 
 /**
@@ -30,6 +31,8 @@
     private final CountDownLatch readyLatch = new CountDownLatch(1);
     private final boolean logged;
     private volatile FleetView view;
+    /** Empty if the source of the fleet cannot tell how current the state is. */
+    private volatile Optional<StateConfirmation> confirmation = Optional.empty();
 
     private FleetState(String region, int floorPercent, boolean logged) {
         this.logged = logged;
@@ -66,6 +69,15 @@
         return revision() > 0 && view.instances().index() > 0;
     }
 
+    /** Returns how current the state is, empty if the source of the fleet cannot tell. */
+    Optional<StateConfirmation> confirmation() {
+        return confirmation;
+    }
+
+    void recordConfirmation(StateConfirmation newConfirmation) {
+        confirmation = Optional.of(newConfirmation);
+    }
+
     /**
      * Waits until both a configuration and an instance list are in force.
      *
--- a/src/main/java/org/cassiabank/proxy/FleetStateUpdater.java
+++ b/src/main/java/org/cassiabank/proxy/FleetStateUpdater.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 import org.cassiabank.membership.InstanceList;
 import org.cassiabank.source.FleetUpdateListener;
+import org.cassiabank.source.StateConfirmation;
 import org.cassiabank.source.VersionedConfiguration;
 
 /**
@@ -43,6 +44,11 @@
         return fleet.install(instances);
     }
 
+    @Override
+    public void recordConfirmation(StateConfirmation confirmation) {
+        fleet.recordConfirmation(confirmation);
+    }
+
     @Override
     public void recordStoreCall(String kind) {
         metrics.recordStoreCall(kind);
--- a/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
+++ b/src/main/java/org/cassiabank/proxy/PeerMessageConverter.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.cassiabank.admission.AdmissionRequest;
 import org.cassiabank.admission.Granted;
@@ -379,8 +380,8 @@
 
     static StoreChanges toMessage(StoreRelayReply reply) {
         return switch (reply) {
-            case StoreRelayReply.Current current ->
-                new StoreChanges(
+            case StoreRelayReply.Current current -> {
+                StoreChanges message = new StoreChanges(
                                 StoreRelayState.CURRENT,
                                 current.changes().revision().number(),
                                 current.changes().events().stream()
@@ -388,6 +389,9 @@
                                         .toList(),
                                 current.graceMillis())
                         .setEra(current.changes().revision().era());
+                current.confirmedBeforeCallMillis().ifPresent(message::setConfirmedBeforeCallMillis);
+                yield message;
+            }
             case StoreRelayReply.OtherEra other ->
                 new StoreChanges(StoreRelayState.UNAVAILABLE, 0, List.of(), 0).setEra(other.era());
             case StoreRelayReply.Unavailable unavailable ->
@@ -404,7 +408,10 @@
                                         .map(change -> toStoreEvent(change, message.getEra()))
                                         .toList(),
                                 new StoreRevision(message.getEra(), message.getRevision())),
-                        message.getGraceMillis());
+                        message.getGraceMillis(),
+                        message.isSetConfirmedBeforeCallMillis()
+                                ? OptionalLong.of(message.getConfirmedBeforeCallMillis())
+                                : OptionalLong.empty());
             case UNAVAILABLE ->
                 message.isSetEra() ? new StoreRelayReply.OtherEra(message.getEra()) : new StoreRelayReply.Unavailable();
         };
--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -52,6 +52,7 @@
             ServiceName.of("idle-connections", KernelService.class);
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final double MILLIS_PER_SECOND = 1e3;
     private static final long DRAIN_POLL_INTERVAL_MILLIS = 20;
 
     /** The time before the platform kills a stopping process in which it writes its last replies and exits. */
@@ -120,6 +121,7 @@
                 fleet, attemptExecutor, plannedStop, forwarder, claimClient, metrics, conventions, ownersLimitRetries);
         ForwardedRequests forwardedRequests =
                 ForwardedRequests.create(requestHandler, serverPath::isCutOff, leavingServers);
+        registerStateGauges(metrics, fleet);
         FleetSource source = createFleetSource(adapter, settings, self, fleet, replication, peerTransport, metrics);
         CallerServer callerServer = newCallerServer(settings, fleet, requestHandler, metrics);
         AdminEndpoint adminEndpoint = AdminEndpoint.create(settings);
@@ -144,6 +146,19 @@
         return new ProxyDaemon(settings, kernel, adminEndpoint, callerServer);
     }
 
+    private static void registerStateGauges(ProxyMetrics metrics, FleetState fleet) {
+        metrics.registerGauge(
+                "cassiabank_configuration_revision",
+                "Revision of the configuration that is in force, 0 before the first one.",
+                fleet::revision);
+        metrics.registerGauge(
+                "cassiabank_state_age_seconds",
+                "Age of the latest evidence that no acknowledged change is missing; NaN if there is none.",
+                () -> fleet.confirmation()
+                        .map(known -> known.ageMillis(MonotonicClock.millis()) / MILLIS_PER_SECOND)
+                        .orElse(Double.NaN));
+    }
+
     private static CallerServer newCallerServer(
             ProxySettings settings, FleetState fleet, RequestHandler requestHandler, ProxyMetrics metrics) {
         CallerServer callerServer = CallerServer.create(settings.limits(), requestHandler, metrics);
--- a/src/main/java/org/cassiabank/proxy/RequestHandler.java
+++ b/src/main/java/org/cassiabank/proxy/RequestHandler.java
@@ -145,7 +145,7 @@
     private CallerReply route(CallerRequest request, CallerPresence presence, RequestTrace trace) {
         boolean ready = fleet.awaitReady(MAXIMUM_START_WAIT_MILLIS);
         FleetView view = fleet.view();
-        trace.recordView(view);
+        trace.recordView(view, fleet.confirmation());
         if (!ready) {
             return notRunReply(
                     CallerReply.SERVICE_UNAVAILABLE, "no-configuration", NO_CONFIGURATION_RETRY_AFTER_MILLIS);
@@ -220,7 +220,7 @@
         RequestTrace trace =
                 RequestTrace.start(request.header(conventions.requestIdHeader()).orElse(""));
         FleetView view = fleet.view();
-        trace.recordView(view);
+        trace.recordView(view, fleet.confirmation());
         long revision = view.configuration().revision();
         if (configurationRevision.orElse(revision) != revision) {
             LOGGER.atInfo().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
--- a/src/main/java/org/cassiabank/proxy/RequestTrace.java
+++ b/src/main/java/org/cassiabank/proxy/RequestTrace.java
@@ -3,11 +3,13 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.cassiabank.admission.RateLimitNotice;
 import org.cassiabank.backend.BackendResult;
 import org.cassiabank.backend.NoValidResponse;
 import org.cassiabank.backend.ResponseReceived;
 import org.cassiabank.health.RequestDigest;
+import org.cassiabank.source.StateConfirmation;
 
 /**
  * Collects the decisions about one request for one log line, so that a failed request can be explained afterwards.
@@ -17,6 +19,8 @@
 final class RequestTrace {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+    private static final long UNKNOWN_AGE = -1;
+
     private final long startMillis = MonotonicClock.millis();
     private final List<String> steps = new ArrayList<>(4);
     private final String requestId;
@@ -25,6 +29,7 @@
     private long deadlineMillis;
     private long revision;
     private long listIndex;
+    private long stateAgeMillis = UNKNOWN_AGE;
 
     private RequestTrace(String requestId) {
         this.requestId = requestId;
@@ -40,8 +45,16 @@
         return new RequestTrace(requestId);
     }
 
-    /** Records the configuration revision and the list index on which the decisions are based. */
-    void recordView(FleetView view) {
+    /**
+     * Records the configuration revision and the list index on which the decisions are based.
+     *
+     * @param view the view of the fleet by which the request is handled
+     * @param confirmation how current the view is, empty if that is unknown
+     */
+    void recordView(FleetView view, Optional<StateConfirmation> confirmation) {
+        stateAgeMillis = confirmation
+                .map(known -> known.ageMillis(MonotonicClock.millis()))
+                .orElse(UNKNOWN_AGE);
         revision = view.configuration().revision();
         listIndex = view.instances().index();
     }
@@ -76,7 +89,7 @@
     void log(CallerReply reply) {
         LOGGER.atInfo().log(
                 "request=%s digest=%s selector=%s outcome=%s reason=%s status=%d retry-after-millis=%s millis=%d "
-                        + "deadline-millis=%d revision=%d list=%d steps=%s",
+                        + "deadline-millis=%d revision=%d list=%d state-age-millis=%d steps=%s",
                 requestId.isEmpty() ? "-" : requestId,
                 digest.shortText(),
                 selector,
@@ -88,6 +101,7 @@
                 deadlineMillis,
                 revision,
                 listIndex,
+                stateAgeMillis,
                 steps);
     }
 
--- a/src/main/java/org/cassiabank/source/FleetUpdateListener.java
+++ b/src/main/java/org/cassiabank/source/FleetUpdateListener.java
@@ -38,6 +38,13 @@
      */
     boolean install(InstanceList instances);
 
+    /**
+     * Records that what has been installed so far is complete as of a moment. Not called by a source that cannot tell.
+     *
+     * @param confirmation the evidence
+     */
+    void recordConfirmation(StateConfirmation confirmation);
+
     /**
      * Counts a call to the store in the metrics.
      *
--- a/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
+++ b/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
@@ -74,6 +74,10 @@
     private final CountDownLatch leavingLatch = new CountDownLatch(1);
     /** Where the latest changes came from, for the log. */
     private String changeOrigin = "nowhere";
+    /** The entries include every change that the store had acknowledged by this time; meaningless before the first read. */
+    private long confirmedAsOfMillis;
+    /** {@link #confirmedAsOfMillis} when the entries were last published. */
+    private long publishedAsOfMillis;
 
     private FleetUpdateListener listener;
     private boolean storeAvailable = true;
@@ -224,6 +228,8 @@
                     switch (reply) {
                         case StoreRelayReply.Current current
                         when relayed -> {
+                            current.confirmedBeforeCallMillis()
+                                    .ifPresent(beforeMillis -> confirm(callStartMillis - beforeMillis));
                             outageGracePeriod.recordResponse(clockMillis.getAsLong());
                             outageGracePeriod.retainFor(current.graceMillis(), clockMillis.getAsLong());
                             yield Optional.of(current.changes());
@@ -267,6 +273,7 @@
             return false;
         }
         changeLog.append(changes);
+        changeLog.confirm(confirmedAsOfMillis);
         return true;
     }
 
@@ -286,6 +293,7 @@
         long waitMillis =
                 storeAvailable ? Math.clamp(publisher.nextEvaluationMillis() - nowMillis, 1, longestWaitMillis) : 1;
         listener.recordStoreCall("watch");
+        long callStartMillis = clockMillis.getAsLong();
         watchingStore = true;
         Optional<StoreWatchResult> changes;
         try {
@@ -294,6 +302,7 @@
             watchingStore = false;
         }
         setStoreReachable(true);
+        changes.ifPresent(result -> confirm(confirmedBy(result, callStartMillis, waitMillis)));
         // Peers must learn of the grace period before they learn that entries have expired.
         outageGracePeriod.recordResponse(clockMillis.getAsLong());
         if (store.era() == followedEra) {
@@ -302,6 +311,19 @@
         return changes;
     }
 
+    /**
+     * Returns the time as of which the response to a watch call confirms the entries. An empty one may come before the
+     * end of the wait, if the store ends the call early.
+     */
+    private long confirmedBy(StoreWatchResult changes, long callStartMillis, long waitMillis) {
+        boolean waited = changes.events().isEmpty() && clockMillis.getAsLong() - callStartMillis >= waitMillis;
+        return waited ? callStartMillis + waitMillis : callStartMillis;
+    }
+
+    private void confirm(long asOfMillis) {
+        confirmedAsOfMillis = Math.max(confirmedAsOfMillis, asOfMillis);
+    }
+
     private static long pauseMillis(StoreWatchResult changes, boolean relayed, long callMillis) {
         if (relayed) {
             return changes.events().isEmpty() ? 0 : RELAY_BATCH_INTERVAL_MILLIS;
@@ -311,6 +333,7 @@
     }
 
     private void loadAllEntries() {
+        long callStartMillis = clockMillis.getAsLong();
         List<StorePage> pages = new ArrayList<>();
         String afterKey = "";
         boolean hasMore = true;
@@ -340,6 +363,7 @@
         }
         StoreRevision revision = entryTable.revision();
         followedEra = revision.era();
+        confirmedAsOfMillis = callStartMillis;
         boolean firstRead = formerRevision.equals(StoreRevision.none());
         if (firstRead || revision.era() > formerRevision.era()) {
             settledMillis = nowMillis + CONFIGURATION_SETTLING_MILLIS;
@@ -351,12 +375,24 @@
             publisher.recordRestoration(revision, nowMillis);
         }
         changeLog.restart(revision);
+        changeLog.confirm(confirmedAsOfMillis);
         changeLog.recordContact(outageGracePeriod.graceEndMillis());
         LOGGER.atInfo().log("read all entries of the store in %d pages at revision %s", pages.size(), revision);
     }
 
     private void publish() {
+        long formerConfiguration = listener.configurationRevision();
         publisher.publish(entryTable, listener, clockMillis.getAsLong());
+        listener.recordConfirmation(new StateConfirmation(confirmedAsOfMillis, times.boundMillis()));
+        if (listener.configurationRevision() != formerConfiguration) {
+            LOGGER.atInfo().log(
+                    "configuration revision %d came from %s; the entries at revision %s were confirmed %d ms ago, the"
+                            + " former ones %d ms ago",
+                    listener.configurationRevision(), changeOrigin,
+                    entryTable.revision(), clockMillis.getAsLong() - confirmedAsOfMillis,
+                    clockMillis.getAsLong() - publishedAsOfMillis);
+        }
+        publishedAsOfMillis = confirmedAsOfMillis;
         selfListed = entryTable.find(daemonKey(self)).isPresent();
         storeBehind = publisher.isStoreBehind(listener);
     }
--- a/src/main/java/org/cassiabank/source/StoreChangeLog.java
+++ b/src/main/java/org/cassiabank/source/StoreChangeLog.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Objects;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
@@ -36,12 +37,16 @@
 
     private StoreRevision lastRevision = StoreRevision.none();
     private long lastContactMillis;
+    /** All changes that the store had acknowledged by this time are in the log. */
+    private long confirmedAsOfMillis;
+
     private long graceEndMillis;
     private boolean watching;
 
     private StoreChangeLog(LongSupplier clockMillis) {
         this.clockMillis = clockMillis;
         this.lastContactMillis = clockMillis.getAsLong();
+        this.confirmedAsOfMillis = lastContactMillis;
         this.graceEndMillis = lastContactMillis;
     }
 
@@ -98,6 +103,15 @@
         graceEndMillis = Math.max(graceEndMillis, newGraceEndMillis);
     }
 
+    /**
+     * Records that all changes which the store had acknowledged by a moment have been appended.
+     *
+     * @param asOfMillis the moment, on the clock of this log
+     */
+    synchronized void confirm(long asOfMillis) {
+        confirmedAsOfMillis = Math.max(confirmedAsOfMillis, asOfMillis);
+    }
+
     /** Sets whether this daemon watches the store itself; otherwise peers have to ask another daemon. */
     synchronized void setWatching(boolean newWatching) {
         watching = newWatching;
@@ -112,7 +126,8 @@
      * @return the reply to the peer
      */
     synchronized StoreRelayReply awaitChanges(StoreRevision afterRevision, long waitMillis) {
-        long endMillis = clockMillis.getAsLong() + waitMillis;
+        long arrivalMillis = clockMillis.getAsLong();
+        long endMillis = arrivalMillis + waitMillis;
         try {
             while (isCurrent()
                     && lastRevision.era() == afterRevision.era()
@@ -136,7 +151,10 @@
                 .filter(event -> event.revision().isAfter(afterRevision))
                 .toList();
         long graceMillis = Math.max(0, graceEndMillis - clockMillis.getAsLong());
-        return new StoreRelayReply.Current(new StoreWatchResult(newerEvents, lastRevision), graceMillis);
+        return new StoreRelayReply.Current(
+                new StoreWatchResult(newerEvents, lastRevision),
+                graceMillis,
+                OptionalLong.of(arrivalMillis - confirmedAsOfMillis));
     }
 
     private static long valueBytes(StoreEvent event) {
--- a/src/test/java/org/cassiabank/platform/RecordingFleetListener.java
+++ b/src/test/java/org/cassiabank/platform/RecordingFleetListener.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.cassiabank.membership.InstanceList;
 import org.cassiabank.source.FleetUpdateListener;
+import org.cassiabank.source.StateConfirmation;
 import org.cassiabank.source.VersionedConfiguration;
 
 /** Holds the last configuration and instance list that a source published, and counts its calls to the store. */
@@ -64,6 +65,9 @@
         return true;
     }
 
+    @Override
+    public void recordConfirmation(StateConfirmation confirmation) {}
+
     @Override
     public void recordStoreCall(String kind) {
         storeCalls.merge(kind, 1, Integer::sum);
--- a/src/test/java/org/cassiabank/platform/StoreRelayFollowerTest.java
+++ b/src/test/java/org/cassiabank/platform/StoreRelayFollowerTest.java
@@ -6,6 +6,7 @@
 import java.io.UncheckedIOException;
 import java.net.URI;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
@@ -95,7 +96,8 @@
         standIn.write("op/config", PlatformTestDocuments.configuration(9));
         await(() -> followerListener.configurationRevision() == 9);
         int revisionBefore = relay.lastAfterRevision.get();
-        relay.fixedReply = new StoreRelayReply.Current(new StoreWatchResult(List.of(), new StoreRevision(1, 1)), 0);
+        relay.fixedReply = new StoreRelayReply.Current(
+                new StoreWatchResult(List.of(), new StoreRevision(1, 1)), 0, OptionalLong.of(0));
         await(() -> relay.callsWithFixedReply.get() > 2);
         assertThat(relay.lastAfterRevision.get()).isGreaterThanOrEqualTo(revisionBefore);
         assertThat(followerListener.configurationRevision()).isEqualTo(9);
--- a/src/test/java/org/cassiabank/proxy/PeerMessageConverterTest.java
+++ b/src/test/java/org/cassiabank/proxy/PeerMessageConverterTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.cassiabank.admission.AdmissionRequest;
 import org.cassiabank.admission.MessageBytes;
@@ -39,7 +40,8 @@
                                         new StoreEntry("servers/a", new byte[] {1}, new StoreRevision(3, 11))),
                                 new StoreEvent.Removed("servers/b", new StoreRevision(3, 12))),
                         new StoreRevision(3, 14)),
-                700);
+                700,
+                OptionalLong.of(-40));
         StoreRelayReply.Current converted = (StoreRelayReply.Current)
                 PeerMessageConverter.toStoreRelayReply(PeerMessageConverter.toMessage(current));
         assertThat(converted.changes().revision()).isEqualTo(new StoreRevision(3, 14));
@@ -47,6 +49,7 @@
                 .extracting(StoreEvent::revision)
                 .containsExactly(new StoreRevision(3, 11), new StoreRevision(3, 12));
         assertThat(converted.graceMillis()).isEqualTo(700);
+        assertThat(converted.confirmedBeforeCallMillis()).hasValue(-40);
     }
 
     @Test
@@ -61,6 +64,8 @@
                 PeerMessageConverter.toStoreRelayReply(new StoreChanges(StoreRelayState.CURRENT, 14, List.of(), 0));
         assertThat(((StoreRelayReply.Current) formerRelease).changes().revision())
                 .isEqualTo(new StoreRevision(0, 14));
+        assertThat(((StoreRelayReply.Current) formerRelease).confirmedBeforeCallMillis())
+                .isEmpty();
     }
 
     @Test
--- a/src/test/java/org/cassiabank/source/StoreErasPropertiesTest.java
+++ b/src/test/java/org/cassiabank/source/StoreErasPropertiesTest.java
@@ -183,6 +183,9 @@
         private InstanceList instances = InstanceList.empty();
         private Optional<StoreWatchResult> lateChanges = Optional.empty();
 
+        @Override
+        public void recordConfirmation(StateConfirmation confirmation) {}
+
         private void follow() {
             if (!table.isCompleteIn(latestEra)) {
                 readAllEntries();
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -222,6 +222,11 @@
   4: required i64 graceMillis,
   /** The era of the store to which the revisions belong, 0 or missing if the store names none. */
   5: optional i64 era,
+  /**
+   * How long before the arrival of the call the store had confirmed the revision, negative if it did so during the wait;
+   * missing if the daemon is of an earlier release.
+   */
+  6: optional i64 confirmedBeforeCallMillis,
 }
 
 enum ClaimState {
