--- a/src/test/java/org/cassiabank/platform/StoreStandIn.java
+++ b/src/test/java/org/cassiabank/platform/StoreStandIn.java
@@ -39,6 +39,11 @@
     private int entriesPerPage = 500;
     private int failureStatus;
     private boolean dropsWriteResponses;
+    private int waitingWatches;
+    /** Rises when the watches that wait are silenced; a watch that began before gets no response. */
+    private int watchGeneration;
+
+    private boolean closed;
     private volatile long delayMillis;
 
     private StoreStandIn() {
@@ -124,6 +129,20 @@
         dropsWriteResponses = drop;
     }
 
+    /**
+     * Lets the watches that wait now go without a response for good, as on a connection that has gone silent, while
+     * later calls are answered. Does nothing while fewer watches wait than stated.
+     */
+    public synchronized boolean silenceWaitingWatches(int minimumWatches) {
+        if (waitingWatches < minimumWatches) {
+            return false;
+        }
+        watchGeneration++;
+        waitingWatches = 0;
+        notifyAll();
+        return true;
+    }
+
     synchronized void setPageSize(int newEntriesPerPage) {
         entriesPerPage = newEntriesPerPage;
     }
@@ -156,6 +175,10 @@
 
     @Override
     public void close() {
+        synchronized (this) {
+            closed = true;
+            notifyAll();
+        }
         server.close();
     }
 
@@ -198,7 +221,12 @@
         long deadlineNanos = System.nanoTime()
                 + TimeUnit.MILLISECONDS.toNanos(context.query("wait_ms").longValue());
         synchronized (this) {
+            int generation = watchGeneration;
             while (true) {
+                if (generation < watchGeneration) {
+                    awaitClose();
+                    return respondWithStatus(context, 500);
+                }
                 if (failureStatus != 0) {
                     return respondWithStatus(context, failureStatus);
                 }
@@ -216,11 +244,19 @@
                     response.set("events", events);
                     return respondWithJson(context, response.put("store_revision", revision));
                 }
+                waitingWatches++;
                 wait(remainingMillis);
+                waitingWatches -= generation == watchGeneration ? 1 : 0;
             }
         }
     }
 
+    private synchronized void awaitClose() throws InterruptedException {
+        while (!closed) {
+            wait();
+        }
+    }
+
     private synchronized Object transact(Context context) throws IOException {
         if (failureStatus != 0) {
             return respondWithStatus(context, failureStatus);
