Let only what the store says of the entries vouch for them

In the reproduction a daemon answers 404 for a route that was added 5 to 31.5 s ago.

Cause: a daemon counted as current because it had contact. A watch waited for up to 30 s at the store and its response was awaited for 31.5 s; the renewal of the registration, on another connection, counted as contact each 1.5 s, so that a watcher with a silent watch told its followers that there were no changes. A follower without watchers waited 3.5 s for a silent watch of its own. The waits at the watchers were parts of the bound, the pauses between batches were constants beside them (1,000 + 200 ms), so that the parts of the way could add up to more than the bound.

Change: a response to a watch, or a complete read, confirms the entries as of its call, and nothing else does. That time travels with what a watcher tells. Whom a daemon asks next and for how long follows from the age of its evidence and the bound, in one place without clock and network (FollowPlan): a watch waits for 35% of the bound, and a daemon whose evidence reaches half of it asks the store itself. A watch that gets no response is made again on a new connection after 15% more. A daemon whose evidence is older answers no peer. A follower stays with one watcher as long as that one confirms. The calls move to ChangeReceiver.

Ruled out: shorter watches at all daemons (calls grow with the machines); comparing revisions between peers (says nothing if all are behind).

--- a/src/main/java/org/cassiabank/platform/KeyValueStore.java
+++ b/src/main/java/org/cassiabank/platform/KeyValueStore.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
+import java.io.InterruptedIOException;
 import java.net.URI;
 import java.time.Duration;
 import java.util.List;
@@ -110,7 +111,7 @@
             urlBuilder.addQueryParameter("after", afterKey);
         }
         StoreRevision knownRevision = latestRevision.get();
-        StoreResponse response = call(new Request.Builder().url(urlBuilder.build()), Duration.ZERO, Set.of(OK));
+        StoreResponse response = call(new Request.Builder().url(urlBuilder.build()), CALL_TIMEOUT, Set.of(OK));
         StoreDocument document = response.document();
         StoreRevision revision = document.storeRevision(response.era());
         if (knownRevision.isAfter(revision)) {
@@ -126,7 +127,8 @@
     }
 
     @Override
-    public Optional<StoreWatchResult> watch(String prefix, StoreRevision afterRevision, long waitMillis) {
+    public Optional<StoreWatchResult> watch(
+            String prefix, StoreRevision afterRevision, long waitMillis, long replyMillis) {
         // The query parameter "after" is a revision in a watch and a key in a range read.
         HttpUrl url = urlBuilder("/api/kv-watch")
                 .addQueryParameter("prefix", prefix)
@@ -135,7 +137,8 @@
                 .build();
         StoreResponse response;
         try {
-            response = call(new Request.Builder().url(url), Duration.ofMillis(waitMillis), Set.of(OK, GONE));
+            response =
+                    call(new Request.Builder().url(url), Duration.ofMillis(waitMillis + replyMillis), Set.of(OK, GONE));
         } catch (CassiabankException exception) {
             if (exception.getCause() instanceof ResponseTooLargeException) {
                 // A read of all entries comes in pages.
@@ -229,18 +232,18 @@
                     new Request.Builder()
                             .url(urlBuilder(path).build())
                             .post(RequestBody.create(MAPPER.writeValueAsBytes(body), JSON)),
-                    Duration.ZERO,
+                    CALL_TIMEOUT,
                     expectedStatuses);
         } catch (JsonProcessingException exception) {
             throw new IllegalStateException("a JSON tree without custom objects can always be serialized", exception);
         }
     }
 
-    private StoreResponse call(Request.Builder builder, Duration serverWait, Set<Integer> expectedStatuses) {
+    private StoreResponse call(Request.Builder builder, Duration timeout, Set<Integer> expectedStatuses) {
         Request request = builder.build();
-        OkHttpClient clientWithTimeout = serverWait.isZero()
+        OkHttpClient clientWithTimeout = timeout.equals(CALL_TIMEOUT)
                 ? client
-                : client.newBuilder().callTimeout(CALL_TIMEOUT.plus(serverWait)).build();
+                : client.newBuilder().callTimeout(timeout).build();
         try (Response response = clientWithTimeout.newCall(request).execute()) {
             long era = recordEra(response);
             byte[] body = response.body().bytes();
@@ -254,6 +257,10 @@
                     StoreDocument.of(
                             describe(request), response.code() == OK ? MAPPER.readTree(body) : MAPPER.nullNode()));
         } catch (IOException exception) {
+            if (exception instanceof InterruptedIOException) {
+                // Idle connections on the same path may have gone silent too.
+                client.connectionPool().evictAll();
+            }
             throw unavailable(describe(request), exception.toString(), exception);
         }
     }
--- a/src/main/java/org/cassiabank/source/MetadataStore.java
+++ b/src/main/java/org/cassiabank/source/MetadataStore.java
@@ -34,10 +34,12 @@
      * @param prefix the prefix, empty for all keys
      * @param afterRevision the position after which changes are returned, exclusive
      * @param waitMillis the longest wait in milliseconds
+     * @param replyMillis how long the response may take beyond the wait, in milliseconds. A call that takes longer
+     *     fails with a {@link java.io.InterruptedIOException} as its cause, and the next one uses a new connection
      * @return the changes, or empty if the store has no complete history after the position. A store of a later era
      *     answers by the number alone, so the era of the result has to be compared
      */
-    Optional<StoreWatchResult> watch(String prefix, StoreRevision afterRevision, long waitMillis);
+    Optional<StoreWatchResult> watch(String prefix, StoreRevision afterRevision, long waitMillis, long replyMillis);
 
     /**
      * Creates a lease that expires unless it is renewed.
--- a/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
+++ b/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
@@ -2,7 +2,6 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.io.InterruptedIOException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -24,38 +23,15 @@
  */
 public final class MetadataStoreFleetSource implements FleetSource {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-    /** A watch may wait this long because TCP keep-alive probes and lease renewals detect silent connections. */
-    private static final long WATCH_WAIT_MILLIS = 30_000;
-    /**
-     * Pause between watch calls, so that changes in quick succession are fetched by one call. A change has to be in
-     * force within 2 s, also while the store takes 250 ms for a response.
-     */
-    private static final long BATCH_INTERVAL_MILLIS = 600;
-
-    /** Pause while changes keep arriving, as in a rollout: half of the 2 s within which a change has to be in force. */
-    private static final long SERIES_BATCH_INTERVAL_MILLIS = 1_000;
-
-    /** A change that a watch returns within this time most likely happened before the call. */
-    private static final long SERIES_DETECTION_MILLIS = 300;
-
-    /** Pause after changes that a peer has passed on, which arrive in the batches of that peer. */
-    private static final long RELAY_BATCH_INTERVAL_MILLIS = 200;
-
-    /** The wait at the store while no peer answers, after which the peers are asked again. */
-    private static final long FALLBACK_WATCH_WAIT_MILLIS = 2_000;
-
-    /** The entries are held in memory, the former ones until all new ones have been read. */
-    private static final long MAXIMUM_ENTRIES_BYTES = Runtime.getRuntime().maxMemory() / 4;
-
     private static final int LOG_INTERVAL_SECONDS = 10;
     private static final long MINIMUM_RETRY_DELAY_MILLIS = 150;
     private static final long MAXIMUM_RETRY_DELAY_MILLIS = 350;
 
     /**
-     * The longest wait in an outage for a renewal of the registration to succeed, which costs the store less than a
-     * watch, before a watch is tried all the same.
+     * The time in an outage after which the store is called again although no renewal of the registration has
+     * succeeded, which costs the store less.
      */
-    private static final long MAXIMUM_REACHABLE_WAIT_MILLIS = 2_000;
+    private static final long STORE_RETRY_MILLIS = 2_000;
 
     /** After this time in a new era each daemon has exchanged its configuration with several peers. */
     private static final long CONFIGURATION_SETTLING_MILLIS = 10_000;
@@ -66,25 +42,26 @@
     private final LongSupplier clockMillis;
     private final StoreRelay relay;
     private final PropagationTimes times;
+    private final FollowPlan plan;
     private final StoreChangeLog changeLog;
     private final StoreEntryTable entryTable = new StoreEntryTable();
     private final OutageGracePeriod outageGracePeriod = new OutageGracePeriod();
     private final Registration registration;
     private final EntryPublisher publisher;
+    private final ChangeReceiver receiver;
     private final CountDownLatch leavingLatch = new CountDownLatch(1);
-    /** Where the latest changes came from, for the log. */
-    private String changeOrigin = "nowhere";
-    /** The entries include every change that the store had acknowledged by this time; meaningless before the first read. */
+    /** The entries include every change that the store had acknowledged by this time, after the first read. */
     private long confirmedAsOfMillis;
     /** {@link #confirmedAsOfMillis} when the entries were last published. */
     private long publishedAsOfMillis;
 
     private FleetUpdateListener listener;
     private boolean storeAvailable = true;
+    /** While the store is not reachable, it is not called before this time. */
+    private long nextStoreAttemptMillis;
     /** The era in which the entries were last read; a peer may have named a later one. */
     private volatile long followedEra;
 
-    private volatile boolean watchingStore;
     private volatile boolean upToDate;
     private volatile boolean selfListed;
     private volatile boolean storeBehind;
@@ -103,12 +80,14 @@
             PropagationTimes times) {
         this.adapter = adapter;
         this.times = times;
+        this.plan = FollowPlan.of(times);
         this.store = store;
         this.self = self;
         this.clockMillis = clockMillis;
         this.relay = relay;
-        this.changeLog = StoreChangeLog.create(clockMillis);
+        this.changeLog = StoreChangeLog.create(clockMillis, times.storeReadAgeMillis());
         this.publisher = EntryPublisher.create(adapter, self.region(), outageGracePeriod);
+        this.receiver = ChangeReceiver.create(store, relay, times, clockMillis, kind -> listener.recordStoreCall(kind));
         this.registration = Registration.create(store, daemonKey(self), InstanceListCodec.toJson(List.of(self)));
     }
 
@@ -177,7 +156,9 @@
     private void followStore() {
         while (!closed) {
             try {
-                readAndPublish();
+                if (!readAndPublish()) {
+                    continue;
+                }
                 if (!storeAvailable) {
                     LOGGER.atInfo().log(
                             "the store answers again at revision %s; %d unlisted instances are retained",
@@ -194,13 +175,10 @@
                             "the store does not answer, revision %s stays in force: %s",
                             entryTable.revision(), exception.getMessage());
                 }
-                boolean firstFailure = storeAvailable;
+                nextStoreAttemptMillis = clockMillis.getAsLong() + (storeAvailable ? 0 : STORE_RETRY_MILLIS);
                 storeAvailable = false;
                 upToDate = false;
                 pause(ThreadLocalRandom.current().nextLong(MINIMUM_RETRY_DELAY_MILLIS, MAXIMUM_RETRY_DELAY_MILLIS));
-                if (!firstFailure) {
-                    awaitStoreReachable();
-                }
             } catch (RuntimeException | Error failure) {
                 // The table may hold a part of the changes only, so all entries are read again.
                 entryTable.invalidate();
@@ -212,146 +190,127 @@
         }
     }
 
-    private void readAndPublish() {
-        long pauseMillis = BATCH_INTERVAL_MILLIS;
+    /**
+     * Learns of changes and publishes them.
+     *
+     * @return false if neither the store nor a watcher could be asked
+     */
+    private boolean readAndPublish() {
+        long pauseEndMillis;
         if (entryTable.isCompleteIn(store.era())) {
             long callStartMillis = clockMillis.getAsLong();
-            boolean watching = relay.isWatcher() && storeReachable;
-            changeLog.setWatching(watching);
-            StoreRelayReply reply = watching
-                    ? new StoreRelayReply.Unavailable()
-                    : relay.awaitChanges(entryTable.revision(), times.relayWaitMillis());
-            boolean relayed = reply instanceof StoreRelayReply.Current current && continuesEntries(current.changes());
-            recordOrigin(
-                    watching ? "the store, as a watcher" : relayed ? "a watcher" : "the store, for want of a watcher");
-            Optional<StoreWatchResult> changes =
-                    switch (reply) {
-                        case StoreRelayReply.Current current
-                        when relayed -> {
-                            current.confirmedBeforeCallMillis()
-                                    .ifPresent(beforeMillis -> confirm(callStartMillis - beforeMillis));
-                            outageGracePeriod.recordResponse(clockMillis.getAsLong());
-                            outageGracePeriod.retainFor(current.graceMillis(), clockMillis.getAsLong());
-                            yield Optional.of(current.changes());
-                        }
-                        case StoreRelayReply.OtherEra other
-                        when other.era() > entryTable.revision().era() -> Optional.empty();
-                        case StoreRelayReply.Current current -> watchStore(watching);
-                        case StoreRelayReply.OtherEra other -> watchStore(watching);
-                        case StoreRelayReply.Unavailable unavailable -> watchStore(watching);
-                    };
-            if (changes.isEmpty() || !apply(changes.get())) {
+            Optional<ReceivedChanges> received = awaitChanges();
+            if (received.isEmpty()) {
+                return false;
+            }
+            if (!apply(received.get())) {
                 LOGGER.atInfo().log(
                         "no changes continue the entries at revision %s, era %d of the store; reading all entries",
                         entryTable.revision(), store.era());
                 entryTable.invalidate();
-                return;
+                return true;
             }
-            pauseMillis = pauseMillis(changes.get(), relayed, clockMillis.getAsLong() - callStartMillis);
+            long receivedMillis = clockMillis.getAsLong();
+            pauseEndMillis = receivedMillis + pauseMillis(received.get(), receivedMillis - callStartMillis);
         } else {
+            if (!isStoreUsable()) {
+                awaitStoreReachable(nextStoreAttemptMillis - clockMillis.getAsLong());
+            }
             loadAllEntries();
+            pauseEndMillis = clockMillis.getAsLong() + times.batchMillis();
         }
         publish();
         // Before the pause: until then Replication asks peers for lists that this daemon already has.
         upToDate = true;
-        pause(pauseMillis);
+        pause(pauseEndMillis - clockMillis.getAsLong());
+        return true;
+    }
+
+    private Optional<ReceivedChanges> awaitChanges() {
+        boolean watching = relay.isWatcher() && storeReachable;
+        changeLog.setWatching(watching);
+        return follow(plan.next(ageMillis(), watching, isStoreUsable()), watching);
     }
 
-    /** Tells whether changes from a peer are of the same era; a peer of a release without eras names none. */
-    private boolean continuesEntries(StoreWatchResult changes) {
-        return changes.revision().era() == entryTable.revision().era();
+    private Optional<ReceivedChanges> follow(FollowStep step, boolean watching) {
+        return switch (step) {
+            case FollowStep.WatchStore watch -> Optional.of(watchStore(watch.waitMillis(), watching));
+            case FollowStep.AskWatchers ask ->
+                askWatchers(ask).or(() -> follow(plan.afterNoWatcherReplied(ageMillis(), isStoreUsable()), watching));
+            case FollowStep.Pause pause -> {
+                awaitStoreReachable(pause.pauseMillis());
+                yield Optional.empty();
+            }
+        };
+    }
+
+    private long ageMillis() {
+        return clockMillis.getAsLong() - confirmedAsOfMillis;
     }
 
-    private boolean apply(StoreWatchResult changes) {
+    private boolean isStoreUsable() {
+        return storeReachable || clockMillis.getAsLong() >= nextStoreAttemptMillis;
+    }
+
+    private Optional<ReceivedChanges> askWatchers(FollowStep.AskWatchers ask) {
+        Optional<ReceivedChanges> received = receiver.askWatchers(entryTable.revision(), ask, confirmedAsOfMillis);
+        received.filter(reply -> reply.changes().isPresent()).ifPresent(reply -> {
+            outageGracePeriod.recordResponse(clockMillis.getAsLong());
+            outageGracePeriod.retainFor(reply.graceMillis(), clockMillis.getAsLong());
+        });
+        return received;
+    }
+
+    /**
+     * Applies changes and what they confirm.
+     *
+     * @return false if they do not continue the entries, so that all entries have to be read
+     */
+    private boolean apply(ReceivedChanges received) {
+        if (received.changes().isEmpty()) {
+            return false;
+        }
+        StoreWatchResult changes = received.changes().get();
         if (changes.revision().era() == entryTable.revision().era()
                 && entryTable.revision().isAfter(changes.revision())) {
             LOGGER.atWarning().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
                     "%s is at revision %s, behind revision %s of this daemon",
-                    changeOrigin, changes.revision(), entryTable.revision());
+                    receiver.origin(), changes.revision(), entryTable.revision());
         }
         if (!entryTable.apply(changes)) {
             return false;
         }
+        confirmedAsOfMillis = Math.max(confirmedAsOfMillis, received.asOfMillis());
         changeLog.append(changes);
+        // After the changes: a peer must not be told that there are none.
         changeLog.confirm(confirmedAsOfMillis);
         return true;
     }
 
-    private void recordOrigin(String newOrigin) {
-        if (!newOrigin.equals(changeOrigin)) {
-            LOGGER.atInfo().log(
-                    "changes after revision %s come from %s, before from %s",
-                    entryTable.revision(), newOrigin, changeOrigin);
-            changeOrigin = newOrigin;
-        }
-    }
-
-    private Optional<StoreWatchResult> watchStore(boolean watching) {
+    private ReceivedChanges watchStore(long longestWaitMillis, boolean watching) {
         // The first call after a failure waits only 1 ms, so that the grace period starts without delay.
-        long nowMillis = clockMillis.getAsLong();
-        long longestWaitMillis = watching ? WATCH_WAIT_MILLIS : FALLBACK_WATCH_WAIT_MILLIS;
-        long waitMillis =
-                storeAvailable ? Math.clamp(publisher.nextEvaluationMillis() - nowMillis, 1, longestWaitMillis) : 1;
-        listener.recordStoreCall("watch");
-        long callStartMillis = clockMillis.getAsLong();
-        watchingStore = true;
-        Optional<StoreWatchResult> changes;
-        try {
-            changes = store.watch("", entryTable.revision(), waitMillis);
-        } finally {
-            watchingStore = false;
-        }
+        long waitMillis = storeAvailable
+                ? Math.clamp(publisher.nextEvaluationMillis() - clockMillis.getAsLong(), 1, longestWaitMillis)
+                : 1;
+        ReceivedChanges received = receiver.watchStore(entryTable.revision(), waitMillis, watching);
         setStoreReachable(true);
-        changes.ifPresent(result -> confirm(confirmedBy(result, callStartMillis, waitMillis)));
         // Peers must learn of the grace period before they learn that entries have expired.
         outageGracePeriod.recordResponse(clockMillis.getAsLong());
-        if (store.era() == followedEra) {
-            changeLog.recordContact(outageGracePeriod.graceEndMillis());
-        }
-        return changes;
+        changeLog.extendGrace(outageGracePeriod.graceEndMillis());
+        return received;
     }
 
-    /**
-     * Returns the time as of which the response to a watch call confirms the entries. An empty one may come before the
-     * end of the wait, if the store ends the call early.
-     */
-    private long confirmedBy(StoreWatchResult changes, long callStartMillis, long waitMillis) {
-        boolean waited = changes.events().isEmpty() && clockMillis.getAsLong() - callStartMillis >= waitMillis;
-        return waited ? callStartMillis + waitMillis : callStartMillis;
-    }
-
-    private void confirm(long asOfMillis) {
-        confirmedAsOfMillis = Math.max(confirmedAsOfMillis, asOfMillis);
-    }
-
-    private static long pauseMillis(StoreWatchResult changes, boolean relayed, long callMillis) {
-        if (relayed) {
-            return changes.events().isEmpty() ? 0 : RELAY_BATCH_INTERVAL_MILLIS;
+    private long pauseMillis(ReceivedChanges received, long callMillis) {
+        if (received.hasEvents()) {
+            return plan.pauseAfterChanges(received.relayed(), callMillis, ageMillis());
         }
-        boolean inSeries = !changes.events().isEmpty() && callMillis < SERIES_DETECTION_MILLIS;
-        return inSeries ? SERIES_BATCH_INTERVAL_MILLIS : BATCH_INTERVAL_MILLIS;
+        // A reply that comes at once although there are no changes must not lead to a busy loop.
+        return callMillis > 0 ? 0 : times.shortestWaitMillis();
     }
 
     private void loadAllEntries() {
         long callStartMillis = clockMillis.getAsLong();
-        List<StorePage> pages = new ArrayList<>();
-        String afterKey = "";
-        boolean hasMore = true;
-        long readBytes = 0;
-        while (hasMore) {
-            listener.recordStoreCall("list");
-            StorePage page = store.list("", afterKey);
-            pages.add(page);
-            readBytes += page.sizeBytes();
-            if (readBytes > MAXIMUM_ENTRIES_BYTES) {
-                throw CassiabankException.of(
-                        ErrorCode.STORE_UNAVAILABLE,
-                        "the entries of the store exceed " + MAXIMUM_ENTRIES_BYTES + " bytes after " + pages.size()
-                                + " pages");
-            }
-            hasMore = page.hasMore() && !page.entries().isEmpty();
-            afterKey = hasMore ? page.entries().getLast().key() : afterKey;
-        }
+        List<StorePage> pages = receiver.readAllPages();
         long nowMillis = clockMillis.getAsLong();
         outageGracePeriod.recordResponse(nowMillis);
         StoreRevision formerRevision = entryTable.revision();
@@ -374,9 +333,9 @@
                     revision, formerRevision);
             publisher.recordRestoration(revision, nowMillis);
         }
+        changeLog.extendGrace(outageGracePeriod.graceEndMillis());
         changeLog.restart(revision);
         changeLog.confirm(confirmedAsOfMillis);
-        changeLog.recordContact(outageGracePeriod.graceEndMillis());
         LOGGER.atInfo().log("read all entries of the store in %d pages at revision %s", pages.size(), revision);
     }
 
@@ -388,8 +347,10 @@
             LOGGER.atInfo().log(
                     "configuration revision %d came from %s; the entries at revision %s were confirmed %d ms ago, the"
                             + " former ones %d ms ago",
-                    listener.configurationRevision(), changeOrigin,
-                    entryTable.revision(), clockMillis.getAsLong() - confirmedAsOfMillis,
+                    listener.configurationRevision(),
+                    receiver.origin(),
+                    entryTable.revision(),
+                    clockMillis.getAsLong() - confirmedAsOfMillis,
                     clockMillis.getAsLong() - publishedAsOfMillis);
         }
         publishedAsOfMillis = confirmedAsOfMillis;
@@ -406,11 +367,11 @@
         notifyAll();
     }
 
-    /** Waits until a call of this daemon to the store has succeeded, or for the longest wait. */
-    private synchronized void awaitStoreReachable() {
-        long endMillis = clockMillis.getAsLong() + MAXIMUM_REACHABLE_WAIT_MILLIS;
+    /** Waits until a call of this daemon to the store has succeeded, or for the given time. */
+    private synchronized void awaitStoreReachable(long longestWaitMillis) {
+        long endMillis = clockMillis.getAsLong() + longestWaitMillis;
         try {
-            long remainingMillis = MAXIMUM_REACHABLE_WAIT_MILLIS;
+            long remainingMillis = longestWaitMillis;
             while (!storeReachable && !closed && remainingMillis > 0) {
                 TimeUnit.MILLISECONDS.timedWait(this, remainingMillis);
                 remainingMillis = endMillis - clockMillis.getAsLong();
@@ -431,9 +392,7 @@
                 }
                 renewed = true;
                 setStoreReachable(true);
-                if (store.era() == followedEra) {
-                    changeLog.recordContact(Long.MIN_VALUE);
-                } else if (watchingStore) {
+                if (store.era() != followedEra && receiver.isWatchingStore()) {
                     // A watch may wait for changes after a revision that the store gives out again in the new era.
                     store.closeConnections();
                 }
@@ -475,7 +434,7 @@
 
     private static void pause(long delayMillis) {
         try {
-            TimeUnit.MILLISECONDS.sleep(delayMillis);
+            TimeUnit.MILLISECONDS.sleep(Math.max(0, delayMillis));
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/org/cassiabank/source/StoreChangeLog.java
+++ b/src/main/java/org/cassiabank/source/StoreChangeLog.java
@@ -12,15 +12,10 @@
  * Keeps the latest changes of the store for the peers that follow it through this daemon.
  *
  * <p>It answers only while the store has confirmed the state of this daemon recently: a daemon that is cut off from the
- * store would otherwise keep its peers at an old state, although they can reach the store. Instances are thread-safe.
+ * store, or whose watch has gone silent, would otherwise keep its peers at an old state, although they can reach the
+ * store. Other calls that succeed say nothing of the state. Instances are thread-safe.
  */
 final class StoreChangeLog {
-    /**
-     * The age of the last response of the store from which on this daemon does not answer peers. A watching daemon
-     * calls the store at least every {@link Registration#RENEWAL_INTERVAL_MILLIS}, and a call takes some milliseconds.
-     */
-    static final long MAXIMUM_CONTACT_AGE_MILLIS = Registration.RENEWAL_INTERVAL_MILLIS + 200;
-
     /** A daemon that is further behind reads all entries again. */
     private static final int MAXIMUM_EVENTS = 4_096;
 
@@ -28,6 +23,9 @@
     private static final long MAXIMUM_VALUE_BYTES = 4 * 1_024 * 1_024;
 
     private final LongSupplier clockMillis;
+    /** The age of its evidence from which on this daemon does not answer peers, in milliseconds. */
+    private final long maximumAgeMillis;
+
     private final Deque<StoreEvent> events = new ArrayDeque<>();
     /** The total size of the values of {@link #events}. */
     private long valueBytes;
@@ -36,28 +34,29 @@
     private StoreRevision firstRevision = StoreRevision.none();
 
     private StoreRevision lastRevision = StoreRevision.none();
-    private long lastContactMillis;
     /** All changes that the store had acknowledged by this time are in the log. */
     private long confirmedAsOfMillis;
 
     private long graceEndMillis;
     private boolean watching;
 
-    private StoreChangeLog(LongSupplier clockMillis) {
+    private StoreChangeLog(LongSupplier clockMillis, long maximumAgeMillis) {
         this.clockMillis = clockMillis;
-        this.lastContactMillis = clockMillis.getAsLong();
-        this.confirmedAsOfMillis = lastContactMillis;
-        this.graceEndMillis = lastContactMillis;
+        this.maximumAgeMillis = maximumAgeMillis;
+        this.confirmedAsOfMillis = clockMillis.getAsLong();
+        this.graceEndMillis = confirmedAsOfMillis;
     }
 
     /**
      * Creates a log that answers no peer before {@link #append}.
      *
      * @param clockMillis a monotonic clock in milliseconds
+     * @param maximumAgeMillis how old the evidence that the log is complete may be when a peer is answered, in
+     *     milliseconds
      * @return the log
      */
-    static StoreChangeLog create(LongSupplier clockMillis) {
-        return new StoreChangeLog(Objects.requireNonNull(clockMillis, "clockMillis"));
+    static StoreChangeLog create(LongSupplier clockMillis, long maximumAgeMillis) {
+        return new StoreChangeLog(Objects.requireNonNull(clockMillis, "clockMillis"), maximumAgeMillis);
     }
 
     /** Forgets all changes after a complete read of the store at the given position. */
@@ -93,13 +92,11 @@
     }
 
     /**
-     * Records a response of the store to this daemon.
+     * Records until when entries that expired in an outage are retained. To be called before their removal is appended.
      *
-     * @param newGraceEndMillis the time until which entries that expired in an outage are retained, on the clock of
-     *     this log
+     * @param newGraceEndMillis the time, on the clock of this log
      */
-    synchronized void recordContact(long newGraceEndMillis) {
-        lastContactMillis = clockMillis.getAsLong();
+    synchronized void extendGrace(long newGraceEndMillis) {
         graceEndMillis = Math.max(graceEndMillis, newGraceEndMillis);
     }
 
@@ -110,6 +107,7 @@
      */
     synchronized void confirm(long asOfMillis) {
         confirmedAsOfMillis = Math.max(confirmedAsOfMillis, asOfMillis);
+        notifyAll();
     }
 
     /** Sets whether this daemon watches the store itself; otherwise peers have to ask another daemon. */
@@ -119,7 +117,7 @@
     }
 
     /**
-     * Waits for changes after a position.
+     * Waits until there are changes after a position, or the store has confirmed that there are none.
      *
      * @param afterRevision the position, exclusive
      * @param waitMillis the longest wait in milliseconds
@@ -132,8 +130,9 @@
             while (isCurrent()
                     && lastRevision.era() == afterRevision.era()
                     && !lastRevision.isAfter(afterRevision)
+                    && confirmedAsOfMillis <= arrivalMillis
                     && clockMillis.getAsLong() < endMillis) {
-                long staleMillis = lastContactMillis + MAXIMUM_CONTACT_AGE_MILLIS;
+                long staleMillis = confirmedAsOfMillis + maximumAgeMillis;
                 long remainingMillis = Math.min(endMillis, staleMillis) - clockMillis.getAsLong();
                 TimeUnit.MILLISECONDS.timedWait(this, Math.max(1, remainingMillis));
             }
@@ -162,6 +161,6 @@
     }
 
     private boolean isCurrent() {
-        return watching && clockMillis.getAsLong() - lastContactMillis < MAXIMUM_CONTACT_AGE_MILLIS;
+        return watching && clockMillis.getAsLong() - confirmedAsOfMillis < maximumAgeMillis;
     }
 }
--- a/src/main/java/org/cassiabank/source/StoreRelay.java
+++ b/src/main/java/org/cassiabank/source/StoreRelay.java
@@ -18,9 +18,10 @@
      *
      * @param afterRevision the position after which changes are returned, exclusive
      * @param waitMillis the longest wait at a peer that is current, in milliseconds
+     * @param totalMillis the time in milliseconds by which the calls to all peers have ended
      * @return the reply of the first peer that watches the store; {@link StoreRelayReply.Unavailable} if there is none
      */
-    StoreRelayReply awaitChanges(StoreRevision afterRevision, long waitMillis);
+    StoreRelayReply awaitChanges(StoreRevision afterRevision, long waitMillis, long totalMillis);
 
     /**
      * Returns a relay for a daemon that watches the store itself and has no peers to ask.
@@ -35,7 +36,7 @@
             }
 
             @Override
-            public StoreRelayReply awaitChanges(StoreRevision afterRevision, long waitMillis) {
+            public StoreRelayReply awaitChanges(StoreRevision afterRevision, long waitMillis, long totalMillis) {
                 return new StoreRelayReply.Unavailable();
             }
         };
