Refuse for good only by a configuration that is known to be current

Cause: a negative answer needed no evidence that the configuration was current; the daemon did not know as of when it was.

Change: while the evidence is older than the bound, a request that the configuration does not allow is refused with 503 and a time to return (reason configuration-unconfirmed). It has not run, and other daemons, or this one a moment later, may know its route. Requests that the configuration allows go on as before: an old route may be wrong, a refusal is wrong for all that the change does not touch. Without a platform adapter nothing changes.

Evidence: UnconfirmedConfigurationTest failed before (404 in place of 503) and passes; CustomerRequestTest passes.

--- a/src/main/java/org/cassiabank/proxy/RequestHandler.java
+++ b/src/main/java/org/cassiabank/proxy/RequestHandler.java
@@ -26,6 +26,7 @@
 import org.cassiabank.once.RecordedResponse;
 import org.cassiabank.retry.AttemptResult;
 import org.cassiabank.retry.RetryBudget;
+import org.cassiabank.source.StateConfirmation;
 
 /**
  * Answers requests of callers: finds the selector, claims the key of an unrepeatable request, and runs the request.
@@ -144,8 +145,10 @@
 
     private CallerReply route(CallerRequest request, CallerPresence presence, RequestTrace trace) {
         boolean ready = fleet.awaitReady(MAXIMUM_START_WAIT_MILLIS);
+        // Before the view: later evidence would be about a newer view.
+        Optional<StateConfirmation> confirmation = fleet.confirmation();
         FleetView view = fleet.view();
-        trace.recordView(view, fleet.confirmation());
+        trace.recordView(view, confirmation);
         if (!ready) {
             return notRunReply(
                     CallerReply.SERVICE_UNAVAILABLE, "no-configuration", NO_CONFIGURATION_RETRY_AFTER_MILLIS);
@@ -155,10 +158,10 @@
         Optional<Selector> selector = view.router()
                 .route(request.host(), request.method(), request.path(), checkedRequest.routingCustomer(), random);
         if (selector.isEmpty()) {
-            return notRunReply(NOT_FOUND, "no-selector", 0);
+            return refuseByConfiguration(NOT_FOUND, "no-selector", confirmation);
         }
         if (!customerCheck.admits(checkedRequest, selector.get())) {
-            return notRunReply(UNAUTHORIZED, CustomerCheck.UNKNOWN_KEY, 0);
+            return refuseByConfiguration(UNAUTHORIZED, CustomerCheck.UNKNOWN_KEY, confirmation);
         }
         long deadlineMillis = view.service(selector.get().service())
                 .map(ServiceDeclaration::defaultDeadlineMillis)
@@ -183,6 +186,21 @@
                 : claimAndRun(checkedRequest, selector.get(), presence, deadlineMillis, idempotencyKey.get(), trace);
     }
 
+    /**
+     * Refuses what the configuration does not allow: for good if no newer configuration may allow it, otherwise for now.
+     */
+    private CallerReply refuseByConfiguration(int status, String reason, Optional<StateConfirmation> confirmation) {
+        boolean mayBeAllowed = confirmation
+                .filter(known -> known.mayLackChanges(MonotonicClock.millis()))
+                .isPresent();
+        return mayBeAllowed
+                ? notRunReply(
+                        CallerReply.SERVICE_UNAVAILABLE,
+                        "configuration-unconfirmed",
+                        NO_CONFIGURATION_RETRY_AFTER_MILLIS)
+                : notRunReply(status, reason, 0);
+    }
+
     private RequestResult run(
             CheckedRequest request,
             Selector selector,
