--- a/src/main/java/org/cassiabank/proxy/RequestHandler.java
+++ b/src/main/java/org/cassiabank/proxy/RequestHandler.java
@@ -187,7 +187,7 @@
     }
 
     /**
-     * Refuses what the configuration does not allow: for good if no newer configuration may allow it, otherwise for now.
+     * Refuses what the configuration does not allow: for good if no newer one may allow it, otherwise for now.
      */
     private CallerReply refuseByConfiguration(int status, String reason, Optional<StateConfirmation> confirmation) {
         boolean mayBeAllowed = confirmation
--- a/src/main/java/org/cassiabank/source/EntryPublisher.java
+++ b/src/main/java/org/cassiabank/source/EntryPublisher.java
@@ -117,20 +117,29 @@
         if (entry.isEmpty() || entry.get().revision().equals(configurationEntryRevision)) {
             return;
         }
-        configurationEntryRevision = entry.get().revision();
-        try {
-            VersionedConfiguration versionedConfiguration = adapter.parseConfiguration(entry.get());
-            storedConfigurationVersion = versionedConfiguration.revision();
+        StoreRevision entryRevision = entry.get().revision();
+        Optional<VersionedConfiguration> configuration = parseConfiguration(entry.get());
+        if (configuration.isPresent()) {
+            storedConfigurationVersion = configuration.get().revision();
             if (isStoreBehind(listener)) {
                 LOGGER.atInfo().log(
                         "the store holds configuration revision %d at revision %s; revision %d stays in force",
-                        storedConfigurationVersion, configurationEntryRevision, listener.configurationRevision());
+                        storedConfigurationVersion, entryRevision, listener.configurationRevision());
             } else {
-                listener.install(versionedConfiguration);
+                listener.install(configuration.get());
             }
+        }
+        // Only now: an entry that could not be installed is tried again.
+        configurationEntryRevision = entryRevision;
+    }
+
+    private Optional<VersionedConfiguration> parseConfiguration(StoreEntry entry) {
+        try {
+            return Optional.of(adapter.parseConfiguration(entry));
         } catch (RuntimeException exception) {
             // Other writers may store anything; an entry that cannot be used must not stop the others.
-            InstanceEntries.logRejected(entry.get(), exception);
+            InstanceEntries.logRejected(entry, exception);
+            return Optional.empty();
         }
     }
 
