--- a/src/main/java/org/cassiabank/source/FollowPlan.java
+++ b/src/main/java/org/cassiabank/source/FollowPlan.java
@@ -73,6 +73,19 @@
         return Math.clamp(longestAgeMillis - ageMillis, 0, batchMillis);
     }
 
+    /**
+     * Returns how long to wait before the next step after a call that returned no changes, so that a store that ends
+     * watches early is not called all the time.
+     *
+     * @param callMillis how long the call took, in milliseconds
+     * @param ageMillis the age of the evidence in milliseconds
+     * @return the pause in milliseconds
+     */
+    long pauseAfterNoChanges(long callMillis, long ageMillis) {
+        long pauseMillis = Math.max(0, times.shortestWaitMillis() - callMillis);
+        return Math.clamp(times.confirmationMillis() - ageMillis, 0, pauseMillis);
+    }
+
     private FollowStep watchStore(long ageMillis) {
         return new FollowStep.WatchStore(Math.max(1, times.watchMillis() - ageMillis));
     }
--- a/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
+++ b/src/main/java/org/cassiabank/source/MetadataStoreFleetSource.java
@@ -301,11 +301,9 @@
     }
 
     private long pauseMillis(ReceivedChanges received, long callMillis) {
-        if (received.hasEvents()) {
-            return plan.pauseAfterChanges(received.relayed(), callMillis, ageMillis());
-        }
-        // A reply that comes at once although there are no changes must not lead to a busy loop.
-        return callMillis > 0 ? 0 : times.shortestWaitMillis();
+        return received.hasEvents()
+                ? plan.pauseAfterChanges(received.relayed(), callMillis, ageMillis())
+                : plan.pauseAfterNoChanges(callMillis, ageMillis());
     }
 
     private void loadAllEntries() {
--- a/src/main/java/org/cassiabank/source/PropagationTimes.java
+++ b/src/main/java/org/cassiabank/source/PropagationTimes.java
@@ -67,9 +67,9 @@
     }
 
     /**
-     * Returns the shortest wait at a watcher, so that a daemon whose watcher is late does not ask it all the time.
+     * Returns the shortest wait at a watcher, and the shortest time between two calls that return no changes.
      *
-     * @return the wait in milliseconds
+     * @return the time in milliseconds
      */
     public long shortestWaitMillis() {
         return part(SHORTEST_WAIT_PERCENT);
--- a/src/test/java/org/cassiabank/source/FollowPlanPropertyTest.java
+++ b/src/test/java/org/cassiabank/source/FollowPlanPropertyTest.java
@@ -35,6 +35,21 @@
         }
     }
 
+    @Property(tries = 50)
+    void aStoreThatEndsWatchesAtOnceIsNotCalledAllTheTime(
+            @ForAll long seed, @ForAll @LongRange(min = 500, max = 11_000) long boundMillis) {
+        begin(seed, boundMillis);
+        while (nowMillis < DAY_MILLIS) {
+            long startMillis = nowMillis;
+            assertThat(plan.next(nowMillis - asOfMillis, true, true)).isInstanceOf(FollowStep.WatchStore.class);
+            storeCalls++;
+            nowMillis += STORE_MILLIS;
+            asOfMillis = startMillis;
+            nowMillis += plan.pauseAfterNoChanges(nowMillis - startMillis, nowMillis - asOfMillis);
+        }
+        assertThat((long) storeCalls).isLessThanOrEqualTo(DAY_MILLIS / times.shortestWaitMillis() + 1);
+    }
+
     @Property(tries = 50)
     void aFollowerOfWatchersInOrderCallsNoStore(
             @ForAll long seed, @ForAll @LongRange(min = 500, max = 11_000) long boundMillis) {
@@ -116,7 +131,7 @@
         if (random.nextBoolean()) {
             nowMillis += plan.pauseAfterChanges(relayed, random.nextLong(600), nowMillis - asOfMillis);
         } else {
-            nowMillis++;
+            nowMillis += 1 + plan.pauseAfterNoChanges(random.nextLong(600), nowMillis - asOfMillis);
         }
     }
 
