Put a revision that operators write again with other entities into force

Cause: ConfigurationHistory.installConfiguration promises this since, but Configuration.withEntities refused a revision that is not higher, with an exception that EntryPublisher took for an entry that cannot be read. The tests of restored stores use a listener of their own, which has no such check.

--- a/src/main/java/org/cassiabank/declaration/Configuration.java
+++ b/src/main/java/org/cassiabank/declaration/Configuration.java
@@ -77,6 +77,10 @@
         if (newRevision <= revision) {
             throw new IllegalArgumentException("revision " + newRevision + " does not follow revision " + revision);
         }
+        return copyWith(newRevision, puts, deletes);
+    }
+
+    private Configuration copyWith(long newRevision, Collection<Declaration> puts, Collection<EntityKey> deletes) {
         Map<EntityKind, PersistentMap<String, VersionedDeclaration>> mapsByKind = new EnumMap<>(entitiesByKind);
         for (EntityKey key : deletes) {
             mapsByKind.put(key.kind(), mapsByKind.get(key.kind()).without(key.name()));
@@ -93,12 +97,15 @@
      * Returns a configuration that has exactly the given entities. Entities equal to those of this configuration are
      * shared and keep the revision of their last change.
      *
-     * @param newRevision the revision of the copy, higher than that of this configuration
+     * @param newRevision the revision of the copy, not lower than that of this configuration
      * @param declarations all entities of the copy, each key at most once
      * @return the configuration
-     * @throws IllegalArgumentException if {@code newRevision} is not higher or a key occurs twice
+     * @throws IllegalArgumentException if {@code newRevision} is lower or a key occurs twice
      */
     public Configuration withEntities(long newRevision, Collection<Declaration> declarations) {
+        if (newRevision < revision) {
+            throw new IllegalArgumentException("revision " + newRevision + " is before revision " + revision);
+        }
         Set<EntityKey> declaredKeys = new HashSet<>();
         List<Declaration> changedDeclarations = new ArrayList<>();
         for (Declaration declaration : declarations) {
@@ -114,7 +121,7 @@
         List<EntityKey> removedKeys = entities().keySet().stream()
                 .filter(key -> !declaredKeys.contains(key))
                 .toList();
-        return withChanges(newRevision, changedDeclarations, removedKeys);
+        return copyWith(newRevision, changedDeclarations, removedKeys);
     }
 
     /**
--- a/src/test/java/org/cassiabank/revision/ConfigurationHistoryTest.java
+++ b/src/test/java/org/cassiabank/revision/ConfigurationHistoryTest.java
@@ -20,6 +20,7 @@
 import org.cassiabank.declaration.EntityKind;
 import org.cassiabank.declaration.LabelRule;
 import org.cassiabank.declaration.Selector;
+import org.cassiabank.declaration.ServiceDeclaration;
 import org.cassiabank.kernel.CassiabankException;
 
 /**
@@ -43,6 +44,20 @@
         }
     }
 
+    @Example
+    void aRevisionThatOperatorsWriteAgainWithOtherEntitiesComesIntoForce() {
+        ConfigurationHistory history = ConfigurationHistory.create();
+        ServiceDeclaration menu = new ServiceDeclaration("menu", 2, 0, 1_000);
+        ServiceDeclaration orders = new ServiceDeclaration("orders", 2, 0, 1_000);
+        assertThat(history.installConfiguration(4, List.of(menu))).isTrue();
+        assertThat(history.installConfiguration(4, List.of(menu))).isFalse();
+        assertThat(history.installConfiguration(4, List.of(menu, orders))).isTrue();
+        assertThat(history.configuration().service("orders")).contains(orders);
+        assertThat(history.installConfiguration(4, List.of(orders))).isTrue();
+        assertThat(history.configuration().service("menu")).isEmpty();
+        assertThat(history.installConfiguration(3, List.of(menu))).isFalse();
+    }
+
     @Property(tries = 300)
     void changesAndSnapshotsInAnyOrderNeverRestoreAnOlderRevision(
             @ForAll @Size(max = 60) List<@IntRange(max = 19) Integer> arrivals) {
