Stop accepting callers' connections before their event loops end

Cause, by the trace of that line: close() began to close the listener and ended the event loops without waiting, so that a connection accepted in between was handed to a loop that had ended. Now the listener is closed first. There is no test of its own: the moment is some microseconds long.

--- a/src/main/java/org/cassiabank/proxy/CallerServer.java
+++ b/src/main/java/org/cassiabank/proxy/CallerServer.java
@@ -295,7 +295,8 @@
     public void close() {
         closed = true;
         if (listener != null) {
-            listener.close();
+            // A connection that is still being accepted needs an event loop.
+            listener.close().awaitUninterruptibly();
         }
         eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
         workers.shutdown();
