Report no orderly end of a connection on which something has failed

Cause: the operating system reports a reset to one operation only. Here that is a write of the request body. OkHttp drops this failure and reads the response, and the next read returns the end of the stream, which ends a body without a length.

Each socket now remembers its first failure and reports it where a later read would return the end of the stream, for back ends as well as for the store and the instance list. A body with a declared length or in chunks is not affected, and neither is an early one whose connection ends in order.

--- a/src/main/java/org/cassiabank/backend/MeteredSocket.java
+++ b/src/main/java/org/cassiabank/backend/MeteredSocket.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
+import org.cassiabank.http.ConnectionFailure;
 import org.cassiabank.http.DecodingTurns;
 import org.cassiabank.http.ResponseInputStream;
 import org.cassiabank.http.ResponseTooLargeException;
@@ -41,6 +42,7 @@
     private final Set<String> requestIds = new LinkedHashSet<>();
 
     private final DecodingTurns decodingTurns;
+    private final ConnectionFailure failure = ConnectionFailure.none();
     private final AtomicLong startedWrites = new AtomicLong();
     private final AtomicReference<ResponseMeter> responseMeter = new AtomicReference<>();
     private final AtomicInteger requestCount = new AtomicInteger();
@@ -206,7 +208,7 @@
     }
 
     private InputStream newMeteredInput() throws IOException {
-        return new FilterInputStream(super.getInputStream()) {
+        return new FilterInputStream(failure.observe(super.getInputStream())) {
             @Override
             public int read() throws IOException {
                 int value = in.read();
@@ -225,7 +227,7 @@
 
     @Override
     public OutputStream getOutputStream() throws IOException {
-        return new FilterOutputStream(super.getOutputStream()) {
+        return new FilterOutputStream(failure.observe(super.getOutputStream())) {
             @Override
             public void write(int value) throws IOException {
                 startedWrites.incrementAndGet();
--- a/src/main/java/org/cassiabank/http/ResponseSocket.java
+++ b/src/main/java/org/cassiabank/http/ResponseSocket.java
@@ -3,6 +3,7 @@
 import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.Socket;
 
 /**
@@ -13,6 +14,7 @@
 final class ResponseSocket extends Socket {
     private final long maximumResponseBytes;
     private final DecodingTurns decodingTurns;
+    private final ConnectionFailure failure = ConnectionFailure.none();
     /** Null until the first request on the connection itself; a TLS connection on top of it makes none. */
     private volatile ResponseInputStream responses;
 
@@ -62,7 +64,7 @@
 
     @Override
     public InputStream getInputStream() throws IOException {
-        return new FilterInputStream(super.getInputStream()) {
+        return new FilterInputStream(failure.observe(super.getInputStream())) {
             @Override
             public int read() throws IOException {
                 return current().read();
@@ -84,8 +86,13 @@
         };
     }
 
+    @Override
+    public OutputStream getOutputStream() throws IOException {
+        return failure.observe(super.getOutputStream());
+    }
+
     private InputStream newLimitedInput() throws IOException {
-        return new FilterInputStream(super.getInputStream()) {
+        return new FilterInputStream(failure.observe(super.getInputStream())) {
             @Override
             public int read() throws IOException {
                 int value = in.read();
