Log the customer of a request, why quotas refuse, and the processor time of a start

A request line now has customer=, the counter of refusals by quota has a label for the state of the lease, an owner writes a line about its refusals at most once a second, and the line at the end of the warm start has the processor time that the process has used. Tests of quotas, owned shards and the warm start pass.

--- a/src/main/java/org/cassiabank/proxy/ProxyMetrics.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyMetrics.java
@@ -15,6 +15,7 @@
 import org.cassiabank.health.AttemptOutcome;
 import org.cassiabank.kernel.BackgroundTasks;
 import org.cassiabank.peer.ControlTrafficRecorder;
+import org.cassiabank.quota.QuotaRefusalCause;
 
 /**
  * The metrics of a daemon. Refusals, unknown outcomes and retries are counted by reason.
@@ -81,7 +82,8 @@
             counter("cassiabank_store_calls_total", "Calls of the platform, by kind.", "kind");
     private final Counter quotaRefusals = counter(
             "cassiabank_quota_refusals_total",
-            "Requests that this daemon refused as scheduler of their shard by quota.");
+            "Requests that this daemon refused as scheduler of their shard by quota, by the state of its lease.",
+            "cause");
     private final Counter quotaExchanges =
             counter("cassiabank_quota_exchanges_total", "Reports of the use of customers, by result.", "result");
     private final Histogram requestSeconds =
@@ -186,8 +188,8 @@
         lateTicks.inc();
     }
 
-    void recordQuotaRefusal() {
-        quotaRefusals.inc();
+    void recordQuotaRefusal(QuotaRefusalCause cause) {
+        quotaRefusals.labelValues(cause.label()).inc();
     }
 
     void recordQuotaExchange(String result) {
--- a/src/main/java/org/cassiabank/proxy/QuotaExchange.java
+++ b/src/main/java/org/cassiabank/proxy/QuotaExchange.java
@@ -61,6 +61,7 @@
     private final CoordinatorOrder order;
     private final QuotaParticipant participant;
     private final QuotaCoordinator coordinator;
+    private final QuotaRefusalLog refusalLog = new QuotaRefusalLog();
     private final Set<String> limitedCustomers = new HashSet<>();
     private final Map<String, Long> unsupportedUntilMillis = new ConcurrentHashMap<>();
     private final Set<String> awaitedPeers = ConcurrentHashMap.newKeySet();
@@ -144,8 +145,9 @@
         synchronized (participant) {
             decision = participant.tryAcquire(customer, MonotonicClock.millis());
         }
-        if (decision instanceof QuotaRefused) {
-            metrics.recordQuotaRefusal();
+        if (decision instanceof QuotaRefused refused) {
+            metrics.recordQuotaRefusal(refused.cause());
+            refusalLog.record(customer, refused.cause(), MonotonicClock.millis());
         }
         if (ticking.compareAndSet(false, true)) {
             timer.execute(this::tickAndReschedule);
--- a/src/main/java/org/cassiabank/proxy/RequestHandler.java
+++ b/src/main/java/org/cassiabank/proxy/RequestHandler.java
@@ -155,6 +155,7 @@
         }
         RandomGenerator random = ThreadLocalRandom.current();
         CheckedRequest checkedRequest = customerCheck.identify(view, request);
+        trace.recordCustomer(checkedRequest.customer());
         Optional<Selector> selector = view.router()
                 .route(request.host(), request.method(), request.path(), checkedRequest.routingCustomer(), random);
         if (selector.isEmpty()) {
@@ -262,6 +263,7 @@
             return Optional.empty();
         }
         long deadlineMillis = selector.get().limits().capMillis(remainingMillis);
+        trace.recordCustomer(checkedRequest.get().customer());
         trace.recordRoute(selector.get().name(), deadlineMillis);
         RetryBudget budget = retryBudgets.computeIfAbsent(selector.get().service(), service -> newBudget());
         budget.recordRequest();
--- a/src/main/java/org/cassiabank/proxy/RequestTrace.java
+++ b/src/main/java/org/cassiabank/proxy/RequestTrace.java
@@ -25,6 +25,7 @@
     private final List<String> steps = new ArrayList<>(4);
     private final String requestId;
     private String selector = "none";
+    private String customer = "-";
     private RequestDigest digest = RequestDigest.none();
     private long deadlineMillis;
     private long revision;
@@ -59,6 +60,11 @@
         listIndex = view.instances().index();
     }
 
+    /** Records the customer whose key the request has, if there is one. */
+    void recordCustomer(Optional<String> name) {
+        customer = name.orElse("-");
+    }
+
     /** Records the selector of the request and the time in milliseconds that remains until its deadline. */
     void recordRoute(String selectorName, long remainingMillis) {
         selector = selectorName;
@@ -88,10 +94,11 @@
     /** Writes the log line of the request. */
     void log(CallerReply reply) {
         LOGGER.atInfo().log(
-                "request=%s digest=%s selector=%s outcome=%s reason=%s status=%d retry-after-millis=%s millis=%d "
+                "request=%s digest=%s customer=%s selector=%s outcome=%s reason=%s status=%d retry-after-millis=%s millis=%d "
                         + "deadline-millis=%d revision=%d list=%d state-age-millis=%d steps=%s",
                 requestId.isEmpty() ? "-" : requestId,
                 digest.shortText(),
+                customer,
                 selector,
                 reply.firstHeader(CallerReply.OUTCOME_HEADER),
                 reply.firstHeader(CallerReply.REASON_HEADER),
--- a/src/main/java/org/cassiabank/proxy/WarmStart.java
+++ b/src/main/java/org/cassiabank/proxy/WarmStart.java
@@ -67,6 +67,14 @@
         return done || !enabled || MonotonicClock.millis() >= deadlineMillis;
     }
 
+    private static String processorMillis() {
+        return ProcessHandle.current()
+                .info()
+                .totalCpuDuration()
+                .map(used -> Long.toString(used.toMillis()))
+                .orElse("an unknown number of");
+    }
+
     /** Exercises the path until it is fast or the time is over. */
     void run() {
         long startMillis = MonotonicClock.millis();
@@ -89,8 +97,8 @@
         } finally {
             done = true;
             LOGGER.atInfo().log(
-                    "%s: the warm start is done after %d requests and %d ms",
-                    settings.name(), requests, MonotonicClock.millis() - startMillis);
+                    "%s: the warm start is done after %d requests and %d ms; the process has used %s ms of processor time",
+                    settings.name(), requests, MonotonicClock.millis() - startMillis, processorMillis());
         }
     }
 }
--- a/src/main/java/org/cassiabank/quota/CustomerUse.java
+++ b/src/main/java/org/cassiabank/quota/CustomerUse.java
@@ -86,6 +86,14 @@
         return Math.max(1, (long) Math.ceil(Math.min(missing, windowMillis)));
     }
 
+    /** Returns why a request that was refused at this time had no room. */
+    QuotaRefusalCause refusalCause(long nowMillis) {
+        if (nowMillis < expiresAtMillis) {
+            return QuotaRefusalCause.USED_LEASE;
+        }
+        return leasedFallbackShare.isEmpty() ? QuotaRefusalCause.BEFORE_LEASE : QuotaRefusalCause.EXPIRED_LEASE;
+    }
+
     boolean needsLease() {
         return leaseNumber == 0 || open && (refused > 0 || 2 * (ceiling - total) < ceiling - grantedTotal);
     }
--- a/src/main/java/org/cassiabank/quota/QuotaParticipant.java
+++ b/src/main/java/org/cassiabank/quota/QuotaParticipant.java
@@ -80,7 +80,7 @@
         double fallbackRate = fallbackShare(use, nowMillis) * limit.get().requestsPerSecond();
         return use.tryAcquire(fallbackRate, nowMillis)
                 ? new QuotaGranted(true)
-                : new QuotaRefused(use.retryAfterMillis(fallbackRate, nowMillis));
+                : new QuotaRefused(use.retryAfterMillis(fallbackRate, nowMillis), use.refusalCause(nowMillis));
     }
 
     /**
--- a/src/test/java/org/cassiabank/proxy/OwnedShardTest.java
+++ b/src/test/java/org/cassiabank/proxy/OwnedShardTest.java
@@ -38,6 +38,7 @@
 import org.cassiabank.peer.PeerSocketFactories;
 import org.cassiabank.quota.QuotaDecision;
 import org.cassiabank.quota.QuotaGranted;
+import org.cassiabank.quota.QuotaRefusalCause;
 import org.cassiabank.quota.QuotaRefused;
 import org.cassiabank.source.RetryBudgetSettings;
 import org.junit.jupiter.api.Test;
@@ -94,7 +95,7 @@
         QuotaGate gate = new QuotaGate() {
             @Override
             public QuotaDecision tryAcquire(String customer) {
-                return charged.get() < 1 ? chargeOne() : new QuotaRefused(700);
+                return charged.get() < 1 ? chargeOne() : new QuotaRefused(700, QuotaRefusalCause.USED_LEASE);
             }
 
             private QuotaDecision chargeOne() {
