End the warm start as soon as the code of its path is loaded

Cause: a start took 2.1 to 2.3 s of processor time, of which 1.5 s were up to 300 requests of the warm start. Its end was tied to wall time, 50 requests in a row below 5 ms, which a machine with part of a processor never reaches. The requests after the first ones only had code compiled, which the requests of callers do as well, and the warm start ran beside the start of all other services.

The warm start now ends after 5 requests and begins after the other services.

--- a/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
+++ b/src/main/java/org/cassiabank/proxy/ProxyDaemon.java
@@ -126,7 +126,6 @@
         CallerServer callerServer = newCallerServer(settings, fleet, requestHandler, metrics);
         AdminEndpoint adminEndpoint = AdminEndpoint.create(settings);
         Kernel kernel = kernelOfShared(settings, metrics, fleet, leavingServers, clientPool, peerTransport)
-                .register(ServiceNames.WARM_START, WarmStart.create(settings, adapter.isPresent()))
                 .register(IDLE_CONNECTIONS, connectionCleanupService(clientPool, backendClient, fleet))
                 .register(ServiceNames.FATAL_REQUESTS, fatalRequests)
                 .register(ServiceNames.QUOTAS, quotas)
@@ -142,7 +141,9 @@
                 .register(FLEET_SOURCE_SERVICE, fleetSourceService(source, FleetStateUpdater.create(fleet, metrics)))
                 .register(ServiceNames.PLANNED_STOP, plannedStop)
                 .register(ServiceNames.REQUEST_HANDLER, requestHandler)
-                .register(ServiceNames.ADMIN, adminEndpoint);
+                .register(ServiceNames.ADMIN, adminEndpoint)
+                // Last: on a machine with part of a processor it would delay the start of the others.
+                .register(ServiceNames.WARM_START, WarmStart.create(settings, adapter.isPresent()));
         return new ProxyDaemon(settings, kernel, adminEndpoint, callerServer);
     }
 
--- a/src/main/java/org/cassiabank/proxy/WarmStart.java
+++ b/src/main/java/org/cassiabank/proxy/WarmStart.java
@@ -10,7 +10,7 @@
 
 /**
  * Exercises a request path of its own while the daemon waits for its configuration and its list. The code of the path
- * is loaded and compiled then, so that the first requests of callers and peers do not wait for it. It addresses the
+ * is loaded and linked then, so that the first requests of callers and peers do not wait for it. It addresses the
  * load that a daemon gets as soon as it is ready.
  */
 final class WarmStart implements KernelService {
@@ -19,14 +19,11 @@
     /** A daemon is never ready later than this time after its start because of the warm start. */
     private static final long MAXIMUM_MILLIS = 2_000;
 
-    /** The path is fast once this many requests in a row took less than the time below. */
-    private static final int FAST_REQUESTS = 50;
-
-    /** Later requests of the path take about 1 ms, with a processor of their own. */
-    private static final long FAST_MICROS = 5_000;
-
-    /** Each request writes a line to the log, and the path gains little after these. */
-    private static final int MAXIMUM_REQUESTS = 300;
+    /**
+     * The first request loads and links the code of the path, the others what depends on an earlier one. More of them
+     * would only have code compiled that the requests of callers have compiled anyway.
+     */
+    private static final int REQUESTS = 5;
 
     private final ProxySettings settings;
     private final boolean enabled;
@@ -62,7 +59,7 @@
         deadlineMillis = MonotonicClock.millis();
     }
 
-    /** Tells whether the path has become fast, could not be exercised, or has been exercised for 2 s. */
+    /** Tells whether the path has been exercised, could not be exercised, or has been exercised for 2 s. */
     boolean isDone() {
         return done || !enabled || MonotonicClock.millis() >= deadlineMillis;
     }
@@ -75,19 +72,15 @@
                 .orElse("an unknown number of");
     }
 
-    /** Exercises the path until it is fast or the time is over. */
+    /** Exercises the path until its code is loaded or the time is over. */
     void run() {
         long startMillis = MonotonicClock.millis();
         deadlineMillis = Math.min(deadlineMillis, startMillis + MAXIMUM_MILLIS);
         int requests = 0;
         try (RequestPathExercise path = RequestPathExercise.open(settings)) {
-            int fastRequests = 0;
-            while (fastRequests < FAST_REQUESTS && requests < MAXIMUM_REQUESTS && !isDone()) {
-                long startNanos = System.nanoTime();
-                boolean delivered = path.send();
+            while (requests < REQUESTS && !isDone()) {
+                path.send();
                 requests++;
-                boolean fast = delivered && System.nanoTime() - startNanos < FAST_MICROS * 1_000;
-                fastRequests = fast ? fastRequests + 1 : 0;
             }
         } catch (IOException | CassiabankException exception) {
             // The daemon can serve without a warm start; only its first requests take longer.
