Tell callers to return soon while no coordinator has granted a lease

Cause: before its first lease a participant named the time after which the rate without a lease allows one more request, at most a whole window. What such a request waits for is a coordinator, which grants leases 1.5 s after it has begun.

QuotaParticipantTest failed before (5,000 of 1,500 ms) and passes.

--- a/src/main/java/org/cassiabank/quota/CustomerUse.java
+++ b/src/main/java/org/cassiabank/quota/CustomerUse.java
@@ -83,7 +83,9 @@
             return Math.max(1, retryAtMillis - nowMillis);
         }
         double missing = Math.max(0, 1 - fallbackCredit) * MILLIS_PER_SECOND / fallbackRate;
-        return Math.max(1, (long) Math.ceil(Math.min(missing, windowMillis)));
+        // Before the first lease, the request is admitted as soon as a coordinator grants one.
+        long longestMillis = leasedFallbackShare.isEmpty() ? CustomerQuota.LEASE_MILLIS : windowMillis;
+        return Math.max(1, (long) Math.ceil(Math.min(missing, longestMillis)));
     }
 
     /** Returns why a request that was refused at this time had no room. */
