--- a/src/main/java/org/cassiabank/proxy/RequestTrace.java
+++ b/src/main/java/org/cassiabank/proxy/RequestTrace.java
@@ -94,8 +94,9 @@
     /** Writes the log line of the request. */
     void log(CallerReply reply) {
         LOGGER.atInfo().log(
-                "request=%s digest=%s customer=%s selector=%s outcome=%s reason=%s status=%d retry-after-millis=%s millis=%d "
-                        + "deadline-millis=%d revision=%d list=%d state-age-millis=%d steps=%s",
+                "request=%s digest=%s customer=%s selector=%s outcome=%s reason=%s status=%d "
+                        + "retry-after-millis=%s millis=%d deadline-millis=%d revision=%d list=%d "
+                        + "state-age-millis=%d steps=%s",
                 requestId.isEmpty() ? "-" : requestId,
                 digest.shortText(),
                 customer,
--- a/src/test/java/org/cassiabank/proxy/WarmStartCostTest.java
+++ b/src/test/java/org/cassiabank/proxy/WarmStartCostTest.java
@@ -7,6 +7,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.cassiabank.load.ChildProcess;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -17,6 +19,7 @@
 class WarmStartCostTest {
     private static final List<String> JAVA_OPTIONS =
             List.of("-Xmx112m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Dio.netty.noUnsafe=true");
+    private static final Pattern RESULT = Pattern.compile("processor-millis=([0-9]+);");
     private static final String WHOLE = "whole";
     private static final String SINGLE_REQUEST = "single-request";
 
@@ -33,21 +36,16 @@
         Path log = directory.resolve(exercise + ".log");
         try (ChildProcess process =
                 ChildProcess.start(exercise, Exercise.class.getName(), JAVA_OPTIONS, List.of(exercise), log)) {
-            while (!Files.readString(log).contains(Exercise.RESULT)) {
+            Matcher result = RESULT.matcher("");
+            while (!result.reset(Files.readString(log)).find()) {
                 TimeUnit.MILLISECONDS.sleep(20);
             }
+            return Long.parseLong(result.group(1));
         }
-        String text = Files.readString(log);
-        return Long.parseLong(text.substring(text.indexOf(Exercise.RESULT) + Exercise.RESULT.length())
-                .lines()
-                .findFirst()
-                .orElseThrow());
     }
 
     /** The program of the measured processes. */
     static final class Exercise {
-        private static final String RESULT = "processor-millis=";
-
         private Exercise() {}
 
         public static void main(String[] arguments) throws Exception {
@@ -60,8 +58,7 @@
                 }
             }
             Duration used = ProcessHandle.current().info().totalCpuDuration().orElseThrow();
-            System.out.println(RESULT + used.toMillis() + "\n");
-            System.out.flush();
+            System.out.println("processor-millis=" + used.toMillis() + ";");
             TimeUnit.MINUTES.sleep(1);
         }
     }
