Let callers return when a new coordinator begins to grant leases

Cause: a coordinator that grants nothing yet calculated the time from a rate of 0, which the length of the window bounds. It now names at most the time after which it begins.

QuotaCoordinatorTest failed before (5,000 of 1,500 ms) and passes.

--- a/src/main/java/org/cassiabank/quota/CustomerQuota.java
+++ b/src/main/java/org/cassiabank/quota/CustomerQuota.java
@@ -253,8 +253,9 @@
     private long retryAfterMillis(double free, long nowMillis) {
         double creditMillis = Math.max(0, 1 - credit) * MILLIS_PER_SECOND / Math.max(1e-3, availableRate(nowMillis));
         long windowMillis = free >= 1 ? 0 : recent.millisUntilGone(1 - free, nowMillis);
+        // A coordinator that has just begun grants the whole limit after one lease time.
         return (long) Math.min(
-                bounds.windowMillis(),
+                first ? bounds.windowMillis() : LEASE_MILLIS,
                 Math.max(QuotaParticipant.REPORT_INTERVAL_MILLIS, Math.max(creditMillis, windowMillis)));
     }
 
