Refuse a response whose head RFC 9112 does not permit before OkHttp reads it

Cause: heads were judged by what OkHttp had made of them. It trims all bytes up to 0x20 from values, reads numbers with a sign and in any digits, and drops interim heads. InterimHeads saw the raw lines, but looked only for another status line in them.

Fix: HeadFraming, in the place of InterimHeads, reads each line of all heads as the server sent it, for all who read responses (backend servers, store, platform). A line that the RFC does not permit ends the response. The framing that it reads decides; if OkHttp understood another one, the response is refused.

BackendClientTest: two lengths that differ were refused as TRUNCATED_RESPONSE and are now refused as MALFORMED_HEAD, since the head shows it.

--- a/src/main/java/org/cassiabank/backend/AttemptTrace.java
+++ b/src/main/java/org/cassiabank/backend/AttemptTrace.java
@@ -12,6 +12,7 @@
 import okhttp3.Protocol;
 import okhttp3.Request;
 import okhttp3.Response;
+import org.cassiabank.http.BodyEnd;
 import org.cassiabank.http.UnusableConnectionException;
 
 /**
@@ -233,17 +234,8 @@
 
     private void beginBody(Response response) throws IOException {
         MeteredSocket currentSocket = countingSocket;
-        long length = response.body().contentLength();
-        // A response without a body has already ended.
-        if (currentSocket == null || length == 0) {
-            return;
-        }
-        if (length > 0) {
-            currentSocket.getInputStream().beginBody(length);
-        } else if ("chunked".equalsIgnoreCase(response.header("Transfer-Encoding"))) {
-            currentSocket.getInputStream().beginChunkedBody();
-        } else {
-            currentSocket.getInputStream().beginBodyUntilEndOfConnection();
+        if (currentSocket != null) {
+            currentSocket.getInputStream().beginBody(BodyEnd.of(response));
         }
     }
 
--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -269,10 +269,7 @@
         Optional<String> defect =
                 ResponseHeads.findDefect(status, response.message(), headers, identifyingFields(), hasBody);
         if (defect.isPresent()) {
-            LOGGER.atInfo().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
-                    "server %s at %s sent a malformed head in response to request %s: %s",
-                    request.server(), request.address(), request.requestId(), PrintableText.abbreviate(defect.get()));
-            return Optional.of(new NoValidResponse(NoValidResponseReason.MALFORMED_HEAD, defect.get()));
+            return Optional.of(malformedHead(defect.get()));
         }
         if (response.isSuccessful() && lacksRequiredSignature(headers)) {
             return Optional.of(new NoValidResponse(
@@ -292,6 +289,13 @@
                         "status " + status + " without a valid Content-Length or chunked encoding"));
     }
 
+    private NoValidResponse malformedHead(String detail) {
+        LOGGER.atInfo().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                "server %s at %s sent a malformed head in response to request %s: %s",
+                request.server(), request.address(), request.requestId(), PrintableText.abbreviate(detail));
+        return new NoValidResponse(NoValidResponseReason.MALFORMED_HEAD, detail);
+    }
+
     private boolean identifiesRequest(Headers headers) {
         List<String> requestIds = headers.values(conventions.requestIdHeader());
         return !requestIds.isEmpty() && requestIds.stream().allMatch(request.requestId()::equals);
@@ -376,7 +380,7 @@
             return new NoValidResponse(NoValidResponseReason.TIMEOUT, detail);
         }
         if (exception instanceof ProtocolException && trace.responseHeaders() == null) {
-            return new NoValidResponse(NoValidResponseReason.MALFORMED_HEAD, detail);
+            return malformedHead(detail);
         }
         return trace.responseHeaders() == null
                 ? new NoValidResponse(NoValidResponseReason.CONNECTION_LOST, detail)
--- a/src/main/java/org/cassiabank/http/ResponseHeads.java
+++ b/src/main/java/org/cassiabank/http/ResponseHeads.java
@@ -16,6 +16,9 @@
  * colon, folded lines and any three characters that form a number as the status. Such a head stands for a server that
  * spoils its responses. It also reads two heads as one if the first breaks off inside a line: the status is that of the
  * first, and the status line of the second becomes the rest of the line.
+ *
+ * <p>The lines of a head are judged before, by {@link HeadFraming}. This class judges what OkHttp has made of them, and
+ * is the only one that judges a head over TLS.
  */
 public final class ResponseHeads {
     /** The beginning of a status line, up to the status. */
@@ -99,7 +102,8 @@
         return singleFields.stream().anyMatch(name::equalsIgnoreCase);
     }
 
-    private static boolean isToken(String name) {
+    /** Tells whether a text is a name that a field may have. */
+    static boolean isToken(String name) {
         return !name.isEmpty()
                 && name.chars()
                         .allMatch(
--- a/src/main/java/org/cassiabank/http/ResponseInputStream.java
+++ b/src/main/java/org/cassiabank/http/ResponseInputStream.java
@@ -3,8 +3,10 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.ProtocolException;
 import java.util.Arrays;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * Hands out the bytes of a connection response by response, so that the bytes behind the end of a response stay here.
@@ -43,7 +45,7 @@
     /** The rest of a body of declared length. */
     private long remainingBytes;
 
-    private InterimHeads interimHeads = new InterimHeads();
+    private HeadFraming headFraming = new HeadFraming();
     private ChunkFraming chunkFraming = new ChunkFraming();
     /** The latest bytes of a body of declared length, as far as they were handed out. */
     private final ByteArrayOutputStream endOfBody = new ByteArrayOutputStream();
@@ -82,11 +84,33 @@
     /** Expects the head of a response, or several if the first ones are interim. */
     public void beginResponse() {
         part = Part.HEAD;
-        interimHeads = new InterimHeads();
+        headFraming = new HeadFraming();
         beginTurn();
         endOfBody.reset();
     }
 
+    /**
+     * Expects the body of the response whose head has been read.
+     *
+     * @param end how OkHttp takes the end of the body to be marked; behind a head that ends the response, nothing is
+     *     expected
+     * @throws ProtocolException if the head declares another end
+     */
+    public void beginBody(BodyEnd end) throws ProtocolException {
+        Optional<String> contradiction = headFraming.findContradiction(end);
+        if (contradiction.isPresent()) {
+            throw new ProtocolException(contradiction.get());
+        }
+        switch (end) {
+            case BodyEnd.Head headOnly -> {
+                // The response is complete, which endResponse() records.
+            }
+            case BodyEnd.DeclaredLength declared -> beginBody(declared.bytes());
+            case BodyEnd.LastChunk lastChunk -> beginChunkedBody();
+            case BodyEnd.EndOfConnection endOfConnection -> beginBodyUntilEndOfConnection();
+        }
+    }
+
     /**
      * Expects a body of a declared length.
      *
@@ -201,7 +225,7 @@
             case HEAD -> {
                 int taken = readLine(bytes, offset, length);
                 if (taken > 0) {
-                    interimHeads.recordLine(bytes, offset, taken);
+                    headFraming.recordLine(bytes, offset, taken);
                 }
                 if (taken > 0 && bytes[offset + taken - 1] == '\n') {
                     headLines.onHeadLine();
--- a/src/main/java/org/cassiabank/http/SeparateResponses.java
+++ b/src/main/java/org/cassiabank/http/SeparateResponses.java
@@ -94,19 +94,10 @@
             throw new ProtocolException(
                     "the response to " + describe(chain.request()) + " is refused: " + defect.get());
         }
-        socket.ifPresent(plainSocket -> beginBody(plainSocket.responses(), response));
-        return response;
-    }
-
-    private static void beginBody(ResponseInputStream responses, Response response) {
-        long length = response.body().contentLength();
-        if (length > 0) {
-            responses.beginBody(length);
-        } else if (length < 0 && isChunked(response.headers())) {
-            responses.beginChunkedBody();
-        } else if (length < 0) {
-            responses.beginBodyUntilEndOfConnection();
+        if (socket.isPresent()) {
+            socket.get().responses().beginBody(BodyEnd.of(response));
         }
+        return response;
     }
 
     private static Optional<String> findDefect(Response response, Set<String> singleFields) {
--- a/src/test/java/org/cassiabank/backend/BackendClientTest.java
+++ b/src/test/java/org/cassiabank/backend/BackendClientTest.java
@@ -170,7 +170,7 @@
         "TRUNCATED_RESPONSE, 'Transfer-Encoding: chunked\r\n\r\n5\r\nwh'",
         "TRUNCATED_RESPONSE, 'Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n'",
         "TRUNCATED_RESPONSE, 'Content-Type: text/plain\r\n\r\nuntil close'",
-        "TRUNCATED_RESPONSE, 'Content-Length: 3\r\nContent-Length: 5\r\n\r\nabcde'",
+        "MALFORMED_HEAD, 'Content-Length: 3\r\nContent-Length: 5\r\n\r\nabcde'",
         "REQUEST_ID_MISMATCH, 'Cassiabank-Request-Id: other\r\nContent-Length: 0\r\n\r\n'",
         "RESPONSE_TOO_LARGE, 'Content-Length: 1000001\r\n\r\n'",
         "CONNECTION_LOST, 'X-Half'"
--- a/src/test/java/org/cassiabank/backend/ResponseHeadTest.java
+++ b/src/test/java/org/cassiabank/backend/ResponseHeadTest.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
 import org.cassiabank.health.AttemptOutcome;
@@ -110,6 +111,102 @@
         assertThat(((ResponseReceived) result).headers().get("X-Name")).containsExactly("Gr\u00fc\u00dfe");
     }
 
+    /** The bytes that arrive are a whole body, so that only the field itself tells that something is wrong. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Content-Length: +5",
+                "Content-Length: 5\u000b",
+                "Content-Length:\u001c5",
+                "Content-Length: 5\u00c2\u00a0",
+                "Content-Length: \u00d9\u00a5",
+                "Content-Length: 0x5",
+                "Content-Length: 5,5",
+                "Content-Length: 5.0",
+                "Content-Length: -5",
+                "Content-Length:",
+                "Content-Length: 5\r\nContent-Length: 5",
+                "Content-Length : 5",
+                "Content\u0000Length: 5",
+                "Content-Length 5",
+                "Content-Length: 5\r\nTransfer-Encoding: chunked",
+                "Content-Length: 5\r\nX-Tail: a\u001f",
+                "Content-Length: 5\r\nX-Tail: \u000ba",
+                "Content-Length: 5\r\nX-Tail: a\r"
+            })
+    void aBodyWhoseFramingCannotBeReadIsNotDelivered(String fields) throws IOException {
+        String rest = ID + fields + "\r\n\r\nwhole";
+        for (String status : List.of("200 OK", "500 Failure")) {
+            for (String method : List.of("GET", "POST")) {
+                assertIsMalformed(send(method, "HTTP/1.1 " + status + "\r\n" + rest));
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 000 OK",
+                "HTTP/1.1 000",
+                "HTTP/1.1 099 A",
+                "HTTP/1.1 2 OK",
+                "HTTP/1.1 2000 OK",
+                "HTTP/1.1 \u00d9\u00a2\u00d9\u00a0\u00d9\u00a0 OK",
+                "HTTP/1.7 200 OK",
+                "HTTP/2.0 200 OK",
+                "ICY 200 OK",
+                "HTTP/1.1\t200 OK",
+                "HTTP/1.1  200 OK",
+                "HTTP/1.1 200\tOK",
+                "HTTP/1.1 200 O\u0001K",
+                "HTTP/1.1 200 O\rK",
+                "HTTP/1.1 200 OK\u007f",
+                "\r\nHTTP/1.1 200 OK"
+            })
+    void aStatusLineThatCannotBeReadMakesTheResponseInvalid(String statusLine) throws IOException {
+        for (String method : List.of("GET", "POST", "HEAD")) {
+            assertIsMalformed(send(method, statusLine + "\r\n" + ID + LENGTH + "\r\n"));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 100 Con\u0001tinue\r\n",
+                "HTTP/1.1 100 Continue\r\nno field\r\n",
+                "HTTP/1.1 103 Early Hints\r\nX Y: a\r\n",
+                "HTTP/1.1 103 Early Hints\r\nX: a\u0001b\r\n",
+                "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n",
+                "HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n"
+            })
+    void anInterimHeadThatCannotBeReadMakesTheResponseInvalid(String interimHead) throws IOException {
+        assertIsMalformed(send("GET", interimHead + "\r\nHTTP/1.1 200 OK\r\n" + ID + LENGTH + "\r\n"));
+    }
+
+    @Test
+    void aChunkedResponseOfAProtocolWithoutChunksIsInvalid() throws IOException {
+        assertIsMalformed(
+                send("GET", "HTTP/1.0 200 OK\r\n" + ID + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"));
+    }
+
+    /** The line is longer than what is kept of it while it is examined. */
+    @Test
+    void aLongFieldIsDelivered() throws IOException {
+        String value = "a b\t".repeat(10_000) + "c";
+        BackendResult result = send("GET", "HTTP/1.1 200 OK\r\n" + ID + "X-Long: " + value + "\r\n" + LENGTH + "\r\n");
+        assertThat(result).isInstanceOf(ResponseReceived.class);
+        assertThat(((ResponseReceived) result).headers().get("X-Long")).containsExactly(value);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"\u0001", "\u007f", "\r"})
+    void aLongFieldWithASpoiledByteAtItsEndMakesTheResponseInvalid(String spoiledByte) throws IOException {
+        for (int length : new int[] {8_180, 8_185, 8_190, 20_000}) {
+            String field = "X-Long: " + "a".repeat(length) + spoiledByte;
+            assertIsMalformed(send("GET", "HTTP/1.1 200 OK\r\n" + ID + field + "\r\n" + LENGTH + "\r\n"));
+        }
+    }
+
     private static void assertIsMalformed(BackendResult result) {
         assertThat(result).isInstanceOf(NoValidResponse.class);
         NoValidResponse noValidResponse = (NoValidResponse) result;
--- a/src/test/java/org/cassiabank/http/ResponseInputStreamTest.java
+++ b/src/test/java/org/cassiabank/http/ResponseInputStreamTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -63,7 +64,7 @@
 
     @Test
     void aLongResponseToASlowUploadIsReadAtOnce() throws IOException, InterruptedException {
-        ResponseInputStream input = ResponseInputStream.of(new EndlessInput(), () -> {}, DecodingTurns.create());
+        ResponseInputStream input = ResponseInputStream.of(EndlessInput.ofChunks(), () -> {}, DecodingTurns.create());
         input.beginResponse();
         TimeUnit.SECONDS.sleep(2);
         input.beginBody(Long.MAX_VALUE);
@@ -116,7 +117,7 @@
     }
 
     private static ResponseInputStream beginBody(long bytes) {
-        ResponseInputStream input = ResponseInputStream.of(new EndlessInput(), () -> {}, DecodingTurns.create());
+        ResponseInputStream input = ResponseInputStream.of(EndlessInput.ofChunks(), () -> {}, DecodingTurns.create());
         input.beginResponse();
         input.beginBody(bytes);
         return input;
@@ -129,7 +130,7 @@
     }
 
     private static void readUntil(AtomicBoolean ended, Part part, DecodingTurns turns, CountDownLatch running) {
-        ResponseInputStream input = ResponseInputStream.of(new EndlessInput(), () -> {}, turns);
+        ResponseInputStream input = ResponseInputStream.of(part.input.get(), () -> {}, turns);
         input.beginResponse();
         part.begin.accept(input);
         byte[] bytes = new byte[READ_BYTES];
@@ -149,28 +150,47 @@
     }
 
     private enum Part {
-        HEAD(input -> {}),
-        CHUNKED_BODY(ResponseInputStream::beginChunkedBody),
-        BODY_OF_DECLARED_LENGTH(input -> input.beginBody(Long.MAX_VALUE)),
-        BODY_UNTIL_END_OF_CONNECTION(ResponseInputStream::beginBodyUntilEndOfConnection);
+        HEAD(EndlessInput::ofHead, input -> {}),
+        CHUNKED_BODY(EndlessInput::ofChunks, ResponseInputStream::beginChunkedBody),
+        BODY_OF_DECLARED_LENGTH(EndlessInput::ofChunks, input -> input.beginBody(Long.MAX_VALUE)),
+        BODY_UNTIL_END_OF_CONNECTION(EndlessInput::ofChunks, ResponseInputStream::beginBodyUntilEndOfConnection);
 
+        private final Supplier<InputStream> input;
         private final Consumer<ResponseInputStream> begin;
 
-        Part(Consumer<ResponseInputStream> begin) {
+        Part(Supplier<InputStream> input, Consumer<ResponseInputStream> begin) {
+            this.input = input;
             this.begin = begin;
         }
     }
 
-    /** Short lines without end, which are always there at once; as a chunked body they are chunks of one byte. */
+    /** Short lines without end, which are always there at once. */
     private static final class EndlessInput extends InputStream {
-        private static final byte[] CHUNK = "1\r\na\r\n".getBytes(StandardCharsets.US_ASCII);
+        private final byte[] start;
+        private final byte[] repeated;
+        private long position;
+
+        private EndlessInput(String start, String repeated) {
+            super();
+            this.start = start.getBytes(StandardCharsets.US_ASCII);
+            this.repeated = repeated.getBytes(StandardCharsets.US_ASCII);
+        }
+
+        static InputStream ofHead() {
+            return new EndlessInput("HTTP/1.1 200 OK\r\n", "a:b\r\n");
+        }
 
-        private int position;
+        /** Returns chunks of one byte. */
+        static InputStream ofChunks() {
+            return new EndlessInput("", "1\r\na\r\n");
+        }
 
         @Override
         public int read() {
-            position = (position + 1) % CHUNK.length;
-            return CHUNK[(position + CHUNK.length - 1) % CHUNK.length];
+            long index = position++;
+            return index < start.length
+                    ? start[(int) index]
+                    : repeated[(int) ((index - start.length) % repeated.length)];
         }
 
         @Override
