Refuse a chunked body with a line that RFC 9112 does not permit

Cause: ChunkFraming read the size at the beginning of a line and accepted any text behind it and any text as a trailer. These lines hold no data, but bytes that cannot stand there show that the chunks are not what the server meant to send.

Fix: the size line has to match the grammar with its extensions, a trailer has to be a field line, and no line may follow the end of the body.

--- a/src/main/java/org/cassiabank/http/ChunkFraming.java
+++ b/src/main/java/org/cassiabank/http/ChunkFraming.java
@@ -3,7 +3,8 @@
 import java.io.ByteArrayOutputStream;
 import java.net.ProtocolException;
 import java.nio.charset.StandardCharsets;
-import java.util.Locale;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * Follows the framing of a chunked body: which of its bytes are the data of a chunk, and which form a line.
@@ -12,16 +13,16 @@
  * the extension of a chunk and in the trailers, the head of another response could vanish.
  */
 final class ChunkFraming {
-    /** The most digits of a size that always fits a long. */
-    private static final int MAXIMUM_SIZE_DIGITS = 15;
-
-    private static final String HEXADECIMAL_DIGITS = "0123456789abcdef";
+    /** RFC 9112, section 7.1, with blanks behind the size; a size of at most 15 digits always fits a long. */
+    private static final Pattern SIZE_LINE =
+            Pattern.compile("0*+([0-9A-Fa-f]{0,15})(?<=[0-9A-Fa-f])[ \\t]*(?:;" + FieldLine.TEXT + "*)?");
 
     /** What the next line is. */
     private enum Line {
         SIZE,
         END_OF_CHUNK,
-        TRAILER
+        TRAILER,
+        NONE
     }
 
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
@@ -60,10 +61,15 @@
         if (bytes[offset + length - 1] == '\n') {
             String text = line.toString(StandardCharsets.ISO_8859_1);
             line.reset();
-            endLine(text.substring(0, text.length() - (text.endsWith("\r\n") ? 2 : 1)));
+            endLine(withoutLineEnd(text));
         }
     }
 
+    private static String withoutLineEnd(String text) {
+        int endBytes = text.endsWith("\r\n") ? 2 : 1;
+        return text.substring(0, text.length() - endBytes);
+    }
+
     private void endLine(String text) throws ProtocolException {
         if (ResponseHeads.STATUS_LINE.matcher(text).find()) {
             throw new ProtocolException(
@@ -82,24 +88,25 @@
                 expectedLine = Line.SIZE;
             }
             case TRAILER -> {
-                // A caller does not receive trailers.
+                if (text.isEmpty()) {
+                    expectedLine = Line.NONE;
+                } else {
+                    // A caller does not receive trailers, but bytes that are none may belong to another response.
+                    FieldLine.parse(text);
+                }
             }
+            case NONE ->
+                throw new ProtocolException(
+                        "a line follows the end of a chunked body: [" + PrintableText.abbreviate(text) + "]");
         }
     }
 
     private static long parseSize(String text) throws ProtocolException {
-        String lowerCase = text.toLowerCase(Locale.ROOT);
-        int end = 0;
-        while (end < lowerCase.length() && HEXADECIMAL_DIGITS.indexOf(lowerCase.charAt(end)) >= 0) {
-            end++;
-        }
-        int start = 0;
-        while (start < end - 1 && lowerCase.charAt(start) == '0') {
-            start++;
-        }
-        if (end == 0 || end - start > MAXIMUM_SIZE_DIGITS) {
+        Matcher sizeLine = SIZE_LINE.matcher(text);
+        if (!sizeLine.matches()) {
             throw new ProtocolException("a chunk has the size [" + PrintableText.abbreviate(text) + "]");
         }
-        return Long.parseLong(lowerCase, start, end, 16);
+        String digits = sizeLine.group(1);
+        return digits.isEmpty() ? 0 : Long.parseLong(digits, 16);
     }
 }
--- a/src/test/java/org/cassiabank/backend/JoinedResponseTest.java
+++ b/src/test/java/org/cassiabank/backend/JoinedResponseTest.java
@@ -377,6 +377,27 @@
                 "2\r\nab \r\n0\r\n\r\n");
     }
 
+    /** The data of the chunks is whole. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "2 ab\r\nab\r\n0\r\n\r\n",
+                "2;a=\u0001\r\nab\r\n0\r\n\r\n",
+                "2;a=\r\r\nab\r\n0\r\n\r\n",
+                "2\r\nab\r\n0 0\r\n\r\n",
+                "2\r\nab\r\n0\r\nno field\r\n\r\n",
+                "2\r\nab\r\n0\r\n: a\r\n\r\n",
+                "2\r\nab\r\n0\r\nX Y: a\r\n\r\n",
+                "2\r\nab\r\n0\r\nX: a\u0001\r\n\r\n",
+                "2\r\nab\r\n0\r\nX: a\r\n folded\r\n\r\n"
+            })
+    void aChunkedBodyWithALineThatCannotBeReadIsNotDelivered(String chunks) throws Exception {
+        String bytes = ServerResponse.of(200, Framing.CHUNKS).head(ID) + chunks;
+        BackendResult result = sendOnce("GET", (request, socket) -> ScriptedServer.write(socket, bytes));
+        assertThat(result).isInstanceOf(NoValidResponse.class);
+        assertThat(((NoValidResponse) result).reason()).isEqualTo(NoValidResponseReason.TRUNCATED_RESPONSE);
+    }
+
     @ParameterizedTest
     @MethodSource("chunkedBodiesThatHideAnotherHead")
     void aChunkedBodyWhoseFramingHidesOtherBytesIsNotDelivered(String chunks) throws Exception {
