Deliver a body that ends with its connection only if its head announces that

Callers got a 200 with the part, or with the sizes and line ends of the chunks in the body. The same with an empty line before the line with the length, or with the line end before it spoiled.

Cause: a framing that cannot be read counts as none, and without one an orderly end of the connection proved that the body was whole. Every head that lost its framing looks like that if its server closes the connection.

Fix: a head without a length and chunks has to announce the end of the connection: Connection: close, or HTTP/1.0, in both cases without keep-alive (RFC 9112, sections 9.3 and 9.6), and no line may name a framing field behind its beginning. This holds for backend servers, the store and the platform; over TLS, where the lines are not seen, a body has to declare its end. The head is at fault, so the reason is MALFORMED_HEAD and the server does not count as ended.

The rule over TLS has no test.

--- a/src/main/java/org/cassiabank/backend/AttemptTrace.java
+++ b/src/main/java/org/cassiabank/backend/AttemptTrace.java
@@ -36,6 +36,7 @@
     private volatile long writesAtAcquisition;
     private volatile int responseStatus;
     private volatile Headers responseHeaders;
+    private volatile boolean bodyBegun;
     private volatile ResponseMeter responseMeter;
     private volatile byte[] bytesBehind = {};
     private volatile ResponseReader responseReader;
@@ -112,6 +113,11 @@
         return responseStatus;
     }
 
+    /** Tells whether the head of the response shows where its body ends. */
+    boolean hasBegunBody() {
+        return bodyBegun;
+    }
+
     /** Returns the bytes that had arrived behind the response when it was complete, none before. */
     byte[] bytesBehind() {
         return bytesBehind;
@@ -213,6 +219,7 @@
         responseStatus = response.code();
         responseHeaders = response.headers();
         beginBody(response);
+        bodyBegun = true;
         Response responseToRead =
                 response.newBuilder().removeHeader("Retry-After").build();
         result = responseReader.read(responseToRead);
--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -17,6 +17,7 @@
 import okio.BufferedSource;
 import org.cassiabank.admission.RateLimitNotice;
 import org.cassiabank.admission.ServerNotice;
+import org.cassiabank.http.BodyEnd;
 import org.cassiabank.http.PrintableText;
 import org.cassiabank.http.ResponseHeads;
 import org.cassiabank.http.ResponseTooLargeException;
@@ -275,18 +276,12 @@
             return Optional.of(new NoValidResponse(
                     NoValidResponseReason.REQUEST_ID_MISMATCH, "successful response without a signature"));
         }
-        if (!hasBody) {
-            return Optional.empty();
-        }
-        boolean chunked = headers.get("Transfer-Encoding") != null;
-        List<String> contentLengths = headers.values("Content-Length");
-        boolean lengthDeclared = response.body().contentLength() >= 0 && contentLengths.size() == 1;
-        boolean closeDelimited = conventions.allowsCloseDelimitedResponses() && contentLengths.isEmpty();
-        return chunked || lengthDeclared || closeDelimited
-                ? Optional.empty()
-                : Optional.of(new NoValidResponse(
+        boolean endsWithConnection = BodyEnd.of(response) instanceof BodyEnd.EndOfConnection;
+        return endsWithConnection && !conventions.allowsCloseDelimitedResponses()
+                ? Optional.of(new NoValidResponse(
                         NoValidResponseReason.TRUNCATED_RESPONSE,
-                        "status " + status + " without a valid Content-Length or chunked encoding"));
+                        "status " + status + " without a valid Content-Length or chunked encoding"))
+                : Optional.empty();
     }
 
     private NoValidResponse malformedHead(String detail) {
@@ -379,7 +374,7 @@
         if (exception instanceof InterruptedIOException) {
             return new NoValidResponse(NoValidResponseReason.TIMEOUT, detail);
         }
-        if (exception instanceof ProtocolException && trace.responseHeaders() == null) {
+        if (exception instanceof ProtocolException && !trace.hasBegunBody()) {
             return malformedHead(detail);
         }
         return trace.responseHeaders() == null
--- a/src/main/java/org/cassiabank/backend/HeaderConventions.java
+++ b/src/main/java/org/cassiabank/backend/HeaderConventions.java
@@ -105,7 +105,7 @@
     String rateLimitHeader();
 
     /**
-     * Tells whether a response without a declared length may end with its connection.
+     * Tells whether a response without a declared length may end with its connection if its head announces that.
      *
      * @return true if such a response is complete when its connection is closed in order, not reset
      */
--- a/src/main/java/org/cassiabank/backend/NoValidResponseReason.java
+++ b/src/main/java/org/cassiabank/backend/NoValidResponseReason.java
@@ -10,13 +10,16 @@
     TIMEOUT(AttemptResult.TIMEOUT),
     /** The connection closed before the head of a response was complete. */
     CONNECTION_LOST(AttemptResult.CONNECTION_LOST),
-    /** The body ended early, or its end cannot be recognized because neither a length nor chunks are declared. */
+    /** The body ended early, or it ends with the connection, which the {@link HeaderConventions} do not allow. */
     TRUNCATED_RESPONSE(AttemptResult.TRUNCATED_RESPONSE),
     /** The body holds the beginning of another response, or bytes follow it that may belong to it. */
     JOINED_RESPONSES(AttemptResult.TRUNCATED_RESPONSE),
     /** The response does not carry the identifier of this request, or lacks a required signature. */
     REQUEST_ID_MISMATCH(AttemptResult.REQUEST_ID_MISMATCH),
-    /** The status or a header of the response cannot be passed on unchanged, as after a spoiled byte. */
+    /**
+     * The status or a header of the response cannot be passed on unchanged, as after a spoiled byte, or the head does
+     * not show where the body ends.
+     */
     MALFORMED_HEAD(AttemptResult.MALFORMED_HEAD),
     /**
      * The body exceeds {@link BackendClientSettings#maximumResponseBytes()}, too many bytes arrived outside of it, or
--- a/src/main/java/org/cassiabank/http/HeadFraming.java
+++ b/src/main/java/org/cassiabank/http/HeadFraming.java
@@ -15,6 +15,9 @@
  * digits than ASCII. What it cannot read as the framing of a body counts as no framing at all. So this class decides: a
  * line that RFC 9112 does not permit ends the response before OkHttp reads it, and a body that OkHttp would delimit in
  * another way is refused.
+ *
+ * <p>A body without a declared length or chunks ends with its connection, as far as the {@link
+ * EndOfConnectionAnnouncement} permits that.
  */
 final class HeadFraming {
     /** RFC 9112, section 4. A server may omit the blank in front of an empty reason phrase. */
@@ -39,6 +42,7 @@
     private boolean interim;
     private boolean version10;
     private Optional<BodyEnd> declaredEnd = Optional.empty();
+    private EndOfConnectionAnnouncement announcement = EndOfConnectionAnnouncement.none();
 
     /**
      * Records bytes of a line of a head.
@@ -71,23 +75,32 @@
      * Compares how the end of the body is marked with what OkHttp has understood, after the final head.
      *
      * @param understoodEnd the end for OkHttp, which also knows the method of the request
-     * @return how the two differ, or empty if they do not
+     * @return why the body cannot be read to that end, or empty if it can
      */
     Optional<String> findContradiction(BodyEnd understoodEnd) {
-        boolean agrees =
-                switch (understoodEnd) {
-                    // Whether a declared end applies depends on the method and the status.
-                    case BodyEnd.Head headOnly -> true;
-                    case BodyEnd.EndOfConnection endOfConnection -> declaredEnd.isEmpty();
-                    case BodyEnd.DeclaredLength length -> declaredEnd.equals(Optional.of(length));
-                    case BodyEnd.LastChunk lastChunk -> declaredEnd.equals(Optional.of(lastChunk));
-                };
-        return agrees
+        return switch (understoodEnd) {
+            // Whether a declared end applies depends on the method and the status.
+            case BodyEnd.Head headOnly -> Optional.empty();
+            case BodyEnd.DeclaredLength length -> findOtherDeclaration(length);
+            case BodyEnd.LastChunk lastChunk -> findOtherDeclaration(lastChunk);
+            case BodyEnd.EndOfConnection endOfConnection -> findDoubtAboutEndOfConnection();
+        };
+    }
+
+    private Optional<String> findOtherDeclaration(BodyEnd understoodEnd) {
+        return declaredEnd.equals(Optional.of(understoodEnd))
                 ? Optional.empty()
                 : Optional.of("the end of the body is read as " + understoodEnd + ", but the head declares "
                         + declaredEnd.map(BodyEnd::toString).orElse("none"));
     }
 
+    private Optional<String> findDoubtAboutEndOfConnection() {
+        if (declaredEnd.isPresent()) {
+            return Optional.of("the head declares " + declaredEnd.get() + ", which is not read");
+        }
+        return announcement.findDoubt();
+    }
+
     private void append(byte value) throws ResponseTooLargeException {
         if (line.size() < MAXIMUM_LINE_BYTES) {
             line.write(value);
@@ -134,12 +147,14 @@
         version10 = statusLine.group(1).equals("0");
         interim = statusLine.group(2).startsWith("1");
         expectsStatusLine = false;
+        announcement = EndOfConnectionAnnouncement.ofHead(text, version10);
     }
 
     private void recordField(FieldLine field, boolean abbreviated) throws ProtocolException {
         boolean isLength = field.name().equalsIgnoreCase(BodyEnd.CONTENT_LENGTH);
         boolean isTransferEncoding = field.name().equalsIgnoreCase(BodyEnd.TRANSFER_ENCODING);
         if (!isLength && !isTransferEncoding) {
+            announcement.recordField(field);
             return;
         }
         if (interim) {
--- a/src/main/java/org/cassiabank/http/SeparateResponses.java
+++ b/src/main/java/org/cassiabank/http/SeparateResponses.java
@@ -26,8 +26,8 @@
  * of another, in a protocol whose responses do not name their request.
  *
  * <p>A connection on which bytes follow a response is closed, and one on which bytes have arrived before a request is
- * replaced before anything is sent. A response is refused if its head may consist of two, if its end is ambiguous, if
- * its body is encoded, or if it exceeds the permitted number of bytes.
+ * replaced before anything is sent. A response is refused if its head may consist of two, if its end is ambiguous or
+ * neither declared nor announced, if its body is encoded, or if it exceeds the permitted number of bytes.
  */
 public final class SeparateResponses {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -40,7 +40,8 @@
     /**
      * Prepares a client. It repeats no request that may have been sent and follows no redirects. A refused response is
      * reported as an {@link IOException}, a response that is too large as a {@link ResponseTooLargeException}. Over TLS
-     * only heads are checked and sizes are not limited, because the connection carries records instead of responses.
+     * only heads are checked, as OkHttp has read them, and sizes are not limited, because the connection carries records
+     * instead of responses; there a body has to declare its end.
      *
      * @param connectionPool the idle connections, for this client only
      * @param maximumResponseBytes the most bytes of one response, its head and framing included; positive
@@ -94,8 +95,12 @@
             throw new ProtocolException(
                     "the response to " + describe(chain.request()) + " is refused: " + defect.get());
         }
+        BodyEnd bodyEnd = BodyEnd.of(response);
         if (socket.isPresent()) {
-            socket.get().responses().beginBody(BodyEnd.of(response));
+            socket.get().responses().beginBody(bodyEnd);
+        } else if (bodyEnd instanceof BodyEnd.EndOfConnection) {
+            throw new ProtocolException("the response to " + describe(chain.request())
+                    + " is refused: it declares neither a length nor chunks");
         }
         return response;
     }
--- a/src/test/java/org/cassiabank/http/SeparateResponsesTest.java
+++ b/src/test/java/org/cassiabank/http/SeparateResponsesTest.java
@@ -1,7 +1,10 @@
 package org.cassiabank.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.io.IOException;
+import java.net.ProtocolException;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import okhttp3.ConnectionPool;
@@ -11,6 +14,8 @@
 import okhttp3.Response;
 import org.cassiabank.backend.ScriptedServer;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards what happens on a connection between its responses. */
 class SeparateResponsesTest {
@@ -61,4 +66,31 @@
             assertThat(server.acceptedConnections).hasValue(1);
         }
     }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "Content-Lengtx: 3000\r\n", "Connection: close\r\nKeep-Alive: timeout=5\r\n"})
+    void aBodyWhoseEndIsNotAnnouncedIsRefused(String fields) throws Exception {
+        assertThatThrownBy(() -> receiveUntilEndOfConnection(fields)).isInstanceOf(ProtocolException.class);
+    }
+
+    @Test
+    void aBodyWhoseServerAnnouncesTheEndOfTheConnectionIsDelivered() throws Exception {
+        assertThat(receiveUntilEndOfConnection("Connection: close\r\n")).isEqualTo("[]");
+    }
+
+    private static String receiveUntilEndOfConnection(String fields) throws IOException {
+        OkHttpClient client = SeparateResponses.newClientBuilder(new ConnectionPool(), LARGE_RESPONSE_BYTES, List.of())
+                .build();
+        try (ScriptedServer server = new ScriptedServer((request, socket) -> {
+            ScriptedServer.write(socket, "HTTP/1.1 200 OK\r\n" + fields + "\r\n[]");
+            socket.close();
+        })) {
+            Request request = new Request.Builder()
+                    .url("http://" + server.address() + "/")
+                    .build();
+            try (Response response = client.newCall(request).execute()) {
+                return response.body().string();
+            }
+        }
+    }
 }
