Refuse a body that holds the framing that its head lost

Beside Connection: close, which servers send with any response, the head does not tell that it lost its framing.

Fix: a body that ends with its connection is followed while it is read. It is refused if it reads as chunks as far as it goes, or begins with field lines of which one frames a body.

What no evidence tells apart is left: a length whose name was spoiled beside Connection: close.

--- a/src/main/java/org/cassiabank/http/ChunkFraming.java
+++ b/src/main/java/org/cassiabank/http/ChunkFraming.java
@@ -29,6 +29,18 @@
     private Line expectedLine = Line.SIZE;
     private long remainingBytes;
 
+    private ChunkFraming() {}
+
+    /** Creates the framing of a body of which no byte was read. */
+    static ChunkFraming create() {
+        return new ChunkFraming();
+    }
+
+    /** Tells whether the line that ends the body was recorded. */
+    boolean hasEnded() {
+        return expectedLine == Line.NONE;
+    }
+
     /** Returns the number of bytes of data that come before the next line. */
     long remainingBytes() {
         return remainingBytes;
--- a/src/main/java/org/cassiabank/http/FieldLine.java
+++ b/src/main/java/org/cassiabank/http/FieldLine.java
@@ -54,6 +54,11 @@
         return TEXT_ONLY.matcher(text).matches();
     }
 
+    /** Tells whether the field declares a length or chunks. */
+    boolean isFraming() {
+        return name.equalsIgnoreCase(BodyEnd.CONTENT_LENGTH) || name.equalsIgnoreCase(BodyEnd.TRANSFER_ENCODING);
+    }
+
     /** Returns the field for a log line. */
     String abbreviate() {
         return "[" + PrintableText.abbreviate(name + ": " + value) + "]";
--- a/src/main/java/org/cassiabank/http/HeadFraming.java
+++ b/src/main/java/org/cassiabank/http/HeadFraming.java
@@ -44,6 +44,13 @@
     private Optional<BodyEnd> declaredEnd = Optional.empty();
     private EndOfConnectionAnnouncement announcement = EndOfConnectionAnnouncement.none();
 
+    private HeadFraming() {}
+
+    /** Creates the reader of the heads before one body. */
+    static HeadFraming create() {
+        return new HeadFraming();
+    }
+
     /**
      * Records bytes of a line of a head.
      *
@@ -151,9 +158,7 @@
     }
 
     private void recordField(FieldLine field, boolean abbreviated) throws ProtocolException {
-        boolean isLength = field.name().equalsIgnoreCase(BodyEnd.CONTENT_LENGTH);
-        boolean isTransferEncoding = field.name().equalsIgnoreCase(BodyEnd.TRANSFER_ENCODING);
-        if (!isLength && !isTransferEncoding) {
+        if (!field.isFraming()) {
             announcement.recordField(field);
             return;
         }
@@ -163,6 +168,7 @@
         if (declaredEnd.isPresent()) {
             throw new ProtocolException("the framing is declared a second time: " + field.abbreviate());
         }
+        boolean isLength = field.name().equalsIgnoreCase(BodyEnd.CONTENT_LENGTH);
         boolean valid = isLength
                 ? LENGTH.matcher(field.value()).matches()
                 : !version10 && field.value().toLowerCase(Locale.ROOT).equals(BodyEnd.CHUNKED);
--- a/src/main/java/org/cassiabank/http/ResponseInputStream.java
+++ b/src/main/java/org/cassiabank/http/ResponseInputStream.java
@@ -45,8 +45,9 @@
     /** The rest of a body of declared length. */
     private long remainingBytes;
 
-    private HeadFraming headFraming = new HeadFraming();
-    private ChunkFraming chunkFraming = new ChunkFraming();
+    private HeadFraming headFraming = HeadFraming.create();
+    private ChunkFraming chunkFraming = ChunkFraming.create();
+    private ConnectionEndBody connectionEndBody = ConnectionEndBody.create();
     /** The latest bytes of a body of declared length, as far as they were handed out. */
     private final ByteArrayOutputStream endOfBody = new ByteArrayOutputStream();
     /** Holds bytes from {@link #position} to {@link #limit}; allocated while there are any. */
@@ -84,7 +85,7 @@
     /** Expects the head of a response, or several if the first ones are interim. */
     public void beginResponse() {
         part = Part.HEAD;
-        headFraming = new HeadFraming();
+        headFraming = HeadFraming.create();
         beginTurn();
         endOfBody.reset();
     }
@@ -124,12 +125,13 @@
     /** Expects a chunked body. */
     public void beginChunkedBody() {
         part = Part.CHUNKED_BODY;
-        chunkFraming = new ChunkFraming();
+        chunkFraming = ChunkFraming.create();
     }
 
     /** Expects a body that ends with the connection. */
     public void beginBodyUntilEndOfConnection() {
         part = Part.BODY_UNTIL_END_OF_CONNECTION;
+        connectionEndBody = ConnectionEndBody.create();
     }
 
     /**
@@ -239,7 +241,7 @@
                 keepEndOfBody(bytes, offset, readBytes);
                 yield readBytes;
             }
-            case BODY_UNTIL_END_OF_CONNECTION -> readBody(bytes, offset, length);
+            case BODY_UNTIL_END_OF_CONNECTION -> readBodyUntilEndOfConnection(bytes, offset, length);
         };
     }
 
@@ -269,6 +271,19 @@
         return readBytes;
     }
 
+    private int readBodyUntilEndOfConnection(byte[] bytes, int offset, int length) throws IOException {
+        int readBytes = readBody(bytes, offset, length);
+        if (readBytes >= 0) {
+            connectionEndBody.record(bytes, offset, readBytes);
+            return readBytes;
+        }
+        Optional<String> defect = connectionEndBody.findDefect();
+        if (defect.isPresent()) {
+            throw new ProtocolException(defect.get());
+        }
+        return readBytes;
+    }
+
     private int readBody(byte[] bytes, int offset, int length) throws IOException {
         if (length == 0) {
             return -1;
--- a/src/test/java/org/cassiabank/backend/CloseDelimitedResponseTest.java
+++ b/src/test/java/org/cassiabank/backend/CloseDelimitedResponseTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -71,6 +72,52 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "12\r\na part of the body\r\n0\r\n\r\n",
+                "12\r\na part of the body\r\n0\r\n\r\nHTTP/1.1 200 OK",
+                "12;a=b\r\na part",
+                "12\r\n",
+                "2\r\na \r\n8\r\npart of \r\n8",
+                "0\r\n\r\n",
+                "0\r\nX-Sum: a\r\n\r\n",
+                "Content-Length: 18\r\n\r\na part of the body",
+                "X-Other: a\r\ntransfer-encoding:chunked\r\n\r\n0\r\n\r\n",
+                "Content-Length: 1"
+            })
+    void aBodyThatHoldsTheFramingThatItsHeadLostIsNotDelivered(String body) throws IOException {
+        for (String statusLine : List.of("HTTP/1.1 200 OK", "HTTP/1.0 500 Failure")) {
+            BackendResult result = send("GET", statusLine + "\r\nConnection: close\r\n", body);
+            assertThat(result).as(statusLine).isInstanceOf(NoValidResponse.class);
+            assertThat(((NoValidResponse) result).reason()).isEqualTo(NoValidResponseReason.TRUNCATED_RESPONSE);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "12",
+                "12\n",
+                "12\nab",
+                "12 is a number\r\n",
+                "1\r\nno data of one byte\r\n",
+                "2\r\nab\r\nand more\r\n",
+                "From: a\r\nSubject: Content-Length: 5\r\n\r\nContent-Length: 5\r\n",
+                "\r\nContent-Length: 5",
+                "{\"Content-Length\": 5}"
+            })
+    void aBodyThatOnlyBeginsLikeAFramingIsDelivered(String body) throws IOException {
+        assertIsDelivered("GET", "HTTP/1.1 200 OK\r\nConnection: close\r\n", body);
+    }
+
+    @Test
+    void aLongBodyIsDelivered() throws IOException {
+        for (String body : List.of("a".repeat(100_000), "1".repeat(100_000), "a: b\n".repeat(20_000))) {
+            assertIsDelivered("GET", "HTTP/1.1 200 OK\r\nConnection: close\r\n", body);
+        }
+    }
+
     private static void assertIsDelivered(String method, String head, String body) throws IOException {
         BackendResult result = send(method, head, body);
         assertThat(result).as(method).isInstanceOf(ResponseReceived.class);
