--- a/src/main/java/org/cassiabank/backend/BackendCall.java
+++ b/src/main/java/org/cassiabank/backend/BackendCall.java
@@ -312,10 +312,10 @@
                         observe(response));
     }
 
-    /** Returns what tells a response from one that was read together with another. */
+    /** Returns what tells a response from one that was read together with another or is not whole. */
     private String observe(Response response) {
-        String observation = "[" + PrintableText.abbreviate(response.message()) + "], request "
-                + trace.requestsOnConnection() + " of its connection";
+        String observation = "[" + PrintableText.abbreviate(response.message()) + "], ended by " + BodyEnd.of(response)
+                + ", request " + trace.requestsOnConnection() + " of its connection";
         int bytesBehind = trace.bytesBehind().length;
         return bytesBehind == 0 ? observation : observation + ", " + bytesBehind + " bytes behind";
     }
--- a/src/test/java/org/cassiabank/backend/ResponseObservationTest.java
+++ b/src/test/java/org/cassiabank/backend/ResponseObservationTest.java
@@ -19,9 +19,10 @@
                     boolean repeated = request.header("Cassiabank-Request-Id").equals("second");
                     ScriptedServer.write(socket, repeated ? response + response : response);
                 })) {
-            assertThat(observation(client, server, "first")).isEqualTo("[Text], request 1 of its connection");
+            assertThat(observation(client, server, "first"))
+                    .isEqualTo("[Text], ended by length, request 1 of its connection");
             assertThat(observation(client, server, "second"))
-                    .startsWith("[Text], request 2 of its connection, ")
+                    .startsWith("[Text], ended by length, request 2 of its connection, ")
                     .endsWith(" bytes behind");
         }
     }
