--- a/src/main/java/org/cassiabank/http/ConnectionEndBody.java
+++ b/src/main/java/org/cassiabank/http/ConnectionEndBody.java
@@ -9,7 +9,8 @@
  * Follows a body that ends with its connection, and looks for the framing that its head may have lost.
  *
  * <p>If the name of a framing field was spoiled, the body is a series of chunks as far as it goes. If a spoiled byte
- * ended the head too early, the body begins with the rest of the head. Neither is what the server meant as the body.
+ * ended the head too early, the body begins with the rest of the head. Neither is what the server meant as the body. A
+ * server whose bodies look like that has to declare their length.
  */
 final class ConnectionEndBody {
     /** Limits the bytes that are kept once more while they are examined. */
@@ -23,7 +24,8 @@
 
     private final ByteArrayOutputStream fieldLine = new ByteArrayOutputStream();
     private boolean readsAsFields = true;
-    private Optional<String> framingField = Optional.empty();
+    private int fieldCount;
+    private Optional<String> restOfHead = Optional.empty();
 
     private ConnectionEndBody() {}
 
@@ -58,7 +60,7 @@
         }
         return readsAsChunks && hasChunkSize
                 ? Optional.of("the body reads as chunks, but its head does not declare any")
-                : framingField.map(field -> "the body begins with the framing field " + field);
+                : restOfHead.map(line -> "the body begins with the rest of a head: " + line);
     }
 
     private void recordAsChunks(byte[] bytes, int offset, int length) {
@@ -122,12 +124,25 @@
     private void endFieldLine() {
         String text = fieldLine.toString(StandardCharsets.ISO_8859_1);
         fieldLine.reset();
+        if (text.equals("\r")) {
+            endRestOfHead(fieldCount + " fields and an empty line");
+            return;
+        }
         try {
             FieldLine field = FieldLine.parse(text.endsWith("\r") ? text.substring(0, text.length() - 1) : text);
-            readsAsFields = !field.isFraming();
-            framingField = field.isFraming() ? Optional.of(field.abbreviate()) : framingField;
+            if (field.isFraming()) {
+                endRestOfHead(field.abbreviate());
+            }
+            // A text whose lines end in a line feed alone often begins with such lines.
+            readsAsFields &= text.endsWith("\r");
+            fieldCount++;
         } catch (ProtocolException noField) {
             readsAsFields = false;
         }
     }
+
+    private void endRestOfHead(String description) {
+        restOfHead = Optional.of(description);
+        readsAsFields = false;
+    }
 }
