Name the follower of close-delimited bodies after the usual term

CloseDelimitedBody was ConnectionEndBody; the check of its first line reads one byte instead of a loop.

--- a/src/main/java/org/cassiabank/http/ConnectionEndBody.java
+++ b/src/main/java/org/cassiabank/http/CloseDelimitedBody.java
@@ -12,7 +12,7 @@
  * ended the head too early, the body begins with the rest of the head. Neither is what the server meant as the body. A
  * server whose bodies look like that has to declare their length.
  */
-final class ConnectionEndBody {
+final class CloseDelimitedBody {
     /** Limits the bytes that are kept once more while they are examined. */
     private static final int MAXIMUM_LINE_BYTES = 8_192;
 
@@ -27,11 +27,11 @@
     private int fieldCount;
     private Optional<String> restOfHead = Optional.empty();
 
-    private ConnectionEndBody() {}
+    private CloseDelimitedBody() {}
 
     /** Creates the follower of a body of which no byte was read. */
-    static ConnectionEndBody create() {
-        return new ConnectionEndBody();
+    static CloseDelimitedBody create() {
+        return new CloseDelimitedBody();
     }
 
     /**
@@ -91,15 +91,15 @@
         } catch (ProtocolException noChunk) {
             readsAsChunks = false;
         }
-        for (int index = offset; index < offset + length; index++) {
+        int lastIndex = offset + length - 1;
+        if (bytes[lastIndex] == '\n') {
+            byte byteBefore = length > 1 ? bytes[lastIndex - 1] : lastLineByte;
             // A text with such a first line is more likely than chunks whose lines end in a line feed alone.
-            readsAsChunks &= hasChunkSize || bytes[index] != '\n' || lastLineByte == '\r';
-            lastLineByte = bytes[index];
-        }
-        if (lastLineByte == '\n') {
-            chunkLineBytes = 0;
+            readsAsChunks &= hasChunkSize || byteBefore == '\r';
             hasChunkSize = true;
+            chunkLineBytes = 0;
         }
+        lastLineByte = bytes[lastIndex];
     }
 
     private static int indexBehindLine(byte[] bytes, int position, int end) {
--- a/src/main/java/org/cassiabank/http/ResponseInputStream.java
+++ b/src/main/java/org/cassiabank/http/ResponseInputStream.java
@@ -47,7 +47,7 @@
 
     private HeadFraming headFraming = HeadFraming.create();
     private ChunkFraming chunkFraming = ChunkFraming.create();
-    private ConnectionEndBody connectionEndBody = ConnectionEndBody.create();
+    private CloseDelimitedBody closeDelimitedBody = CloseDelimitedBody.create();
     /** The latest bytes of a body of declared length, as far as they were handed out. */
     private final ByteArrayOutputStream endOfBody = new ByteArrayOutputStream();
     /** Holds bytes from {@link #position} to {@link #limit}; allocated while there are any. */
@@ -131,7 +131,7 @@
     /** Expects a body that ends with the connection. */
     public void beginBodyUntilEndOfConnection() {
         part = Part.BODY_UNTIL_END_OF_CONNECTION;
-        connectionEndBody = ConnectionEndBody.create();
+        closeDelimitedBody = CloseDelimitedBody.create();
     }
 
     /**
@@ -274,10 +274,10 @@
     private int readBodyUntilEndOfConnection(byte[] bytes, int offset, int length) throws IOException {
         int readBytes = readBody(bytes, offset, length);
         if (readBytes >= 0) {
-            connectionEndBody.record(bytes, offset, readBytes);
+            closeDelimitedBody.record(bytes, offset, readBytes);
             return readBytes;
         }
-        Optional<String> defect = connectionEndBody.findDefect();
+        Optional<String> defect = closeDelimitedBody.findDefect();
         if (defect.isPresent()) {
             throw new ProtocolException(defect.get());
         }
