--- a/src/test/java/org/cassiabank/backend/SpoiledHeadPropertyTest.java
+++ b/src/test/java/org/cassiabank/backend/SpoiledHeadPropertyTest.java
@@ -26,10 +26,13 @@
  */
 class SpoiledHeadPropertyTest {
     private static final int MOST_EDITS = 4;
+    private static final String CLOSE = "Connection: close";
     private static final String EDIT_BYTES = "\r\n\t :;,+-.=0123456789aeghlnrtCTX\u0000\u0001\u000b\u001c\u007f\u00a0";
 
-    /** What cannot be told from what another sound server sends: the digits of the status and of the length. */
-    private static final Pattern UNRECOGNIZABLE = Pattern.compile("HTTP/1\\.1 [2-5][0-9]{2}|Content-Length: [0-9]+");
+    /** With another one, a head of another response may result, which nothing tells from a sound one. */
+    private static final Pattern LENGTH_FIELD = Pattern.compile("Content-Length: [0-9]+");
+
+    private static final Pattern FINAL_STATUS = Pattern.compile("HTTP/1\\.[01] ([2-5][0-9]{2})[ \r\n]");
 
     /** How the end of the body is marked. */
     enum Framing {
@@ -101,9 +104,9 @@
         boolean cut = random.nextBoolean() && (framing != Framing.END_OF_CONNECTION || reset);
         String head = newHead(random, framing, status, body.length(), !cut);
         int edits = random.nextInt(MOST_EDITS + 1);
-        String spoiledHead = head;
-        for (int edit = 0; edit < edits; edit++) {
-            spoiledHead = edit(random, spoiledHead, framing);
+        String spoiledHead = spoil(random, head, edits);
+        while (hasOtherStatus(spoiledHead, status)) {
+            spoiledHead = spoil(random, head, edits);
         }
         String sentBody = framing == Framing.CHUNKS ? inChunks(random, body) : body;
         if (cut) {
@@ -138,21 +141,39 @@
                 switch (framing) {
                     case LENGTH -> "Content-Length: " + bodyBytes;
                     case CHUNKS -> "Transfer-Encoding: chunked";
-                    case END_OF_CONNECTION -> "Connection: close";
+                    case END_OF_CONNECTION -> CLOSE;
                 });
         if (framing != Framing.END_OF_CONNECTION && random.nextBoolean()) {
             // Without its framing a part of a body that is announced to end with the connection looks whole.
-            fields.add(bodyIsWhole && random.nextBoolean() ? "Connection: close" : "Keep-Alive: timeout=5");
+            fields.add(bodyIsWhole && random.nextBoolean() ? CLOSE : "Keep-Alive: timeout=5");
         }
         Collections.shuffle(fields, random);
         String interim = random.nextInt(5) == 0 ? "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n" : "";
         return interim + "HTTP/1.1 " + status + " Text\r\n" + String.join("\r\n", fields) + "\r\n\r\n";
     }
 
+    private static String spoil(Random random, String head, int edits) {
+        String spoiledHead = head;
+        for (int edit = 0; edit < edits; edit++) {
+            spoiledHead = edit(random, spoiledHead);
+        }
+        return spoiledHead;
+    }
+
+    /** Tells whether the edits make a valid status of the final one. That head is the head of another response. */
+    private static boolean hasOtherStatus(String head, int status) {
+        return FINAL_STATUS
+                .matcher(head)
+                .results()
+                .reduce((first, second) -> second)
+                .filter(last -> Integer.parseInt(last.group(1)) != status)
+                .isPresent();
+    }
+
     /** Replaces or removes one byte, or adds one; half of the time near what frames the body. */
-    private static String edit(Random random, String head, Framing framing) {
-        // A byte more in the last line end is a byte of a body whose length is not declared.
-        int position = random.nextInt(head.length() - (framing == Framing.END_OF_CONNECTION ? 2 : 0));
+    private static String edit(Random random, String head) {
+        // Without a length, a byte more in the last line end is a byte of the body.
+        int position = random.nextInt(head.length() - (head.contains(CLOSE) ? 2 : 0));
         Matcher framingLine = Pattern.compile("\r\n(?:Content-L|Transfer-E|Connection)[^\r]*\r\n")
                 .matcher(head);
         if (random.nextBoolean() && framingLine.find()) {
@@ -167,7 +188,7 @@
 
     private static boolean isProtected(String head, int position) {
         return Character.isDigit(head.charAt(position))
-                && UNRECOGNIZABLE
+                && LENGTH_FIELD
                         .matcher(head)
                         .results()
                         .anyMatch(match -> match.start() <= position && position < match.end());
