--- a/src/main/java/org/cassiabank/http/FieldLine.java
+++ b/src/main/java/org/cassiabank/http/FieldLine.java
@@ -4,8 +4,8 @@
 import java.util.regex.Pattern;
 
 /**
- * A field line of a head or of trailers, as RFC 9112, section 5, permits it: neither folded nor with a blank in front of
- * its colon.
+ * A field line of a head or of trailers, as RFC 9112, section 5, permits it: neither folded nor with a blank before its
+ * colon.
  *
  * @param name the name in the spelling of the server
  * @param value the value without the blanks and tabs around it, one character for each byte
--- a/src/main/java/org/cassiabank/http/ResponseInputStream.java
+++ b/src/main/java/org/cassiabank/http/ResponseInputStream.java
@@ -95,7 +95,8 @@
      *
      * @param end how OkHttp takes the end of the body to be marked; behind a head that ends the response, nothing is
      *     expected
-     * @throws ProtocolException if the head declares another end, or does not permit that the body ends with the connection
+     * @throws ProtocolException if the head declares another end, or does not permit that the body ends with the
+     *     connection
      */
     public void beginBody(BodyEnd end) throws ProtocolException {
         Optional<String> contradiction = headFraming.findContradiction(end);
--- a/src/main/java/org/cassiabank/http/SeparateResponses.java
+++ b/src/main/java/org/cassiabank/http/SeparateResponses.java
@@ -40,8 +40,8 @@
     /**
      * Prepares a client. It repeats no request that may have been sent and follows no redirects. A refused response is
      * reported as an {@link IOException}, a response that is too large as a {@link ResponseTooLargeException}. Over TLS
-     * only heads are checked, as OkHttp has read them, and sizes are not limited, because the connection carries records
-     * instead of responses; there a body has to declare its end.
+     * only heads are checked, as OkHttp has read them, and sizes are not limited, because the connection carries
+     * records instead of responses; there a body has to declare its end.
      *
      * @param connectionPool the idle connections, for this client only
      * @param maximumResponseBytes the most bytes of one response, its head and framing included; positive
--- a/src/test/java/org/cassiabank/proxy/SpoiledResponseReplyTest.java
+++ b/src/test/java/org/cassiabank/proxy/SpoiledResponseReplyTest.java
@@ -19,7 +19,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Guards against replies to callers with a body that is not the server's, because the head of its response is spoiled. */
+/** Guards against replies with a body that is not the server's, because the head of its response is spoiled. */
 @Timeout(30)
 class SpoiledResponseReplyTest {
     private static final String SOUND_BODY = "of a sound server";
